Read the clock once a posted message; let upstreams name their owner

Cause: a replay must give every handler the recorded time, and two routers must never both own an upstream. Change: the bus stamps a message when it is posted; Upstream carries owner and owner_epoch.

--- a/fulmarbarrow/bus.py
+++ b/fulmarbarrow/bus.py
@@ -49,7 +49,9 @@
         self._clock = clock
         self._strict = strict
         self._handlers: dict[type, list[Handler]] = {}
-        self._queue: collections.deque[messages.Message] = collections.deque()
+        self._queue: collections.deque[
+            tuple[messages.Message, datetime.datetime]
+        ] = collections.deque()
         self._draining = False
         self._recorder: Recorder | None = None
         self.unhandled: collections.Counter[str] = collections.Counter()
@@ -69,31 +71,38 @@
         self._recorder = recorder
 
     def post(self, message: messages.Message) -> None:
-        """Deliver a message and everything that follows from it."""
+        """Deliver a message and everything that follows from it.
+
+        The clock is read once, so that a replay of the posted messages at
+        their recorded times takes every decision again.
+        """
+        now = self._clock.now()
         if self._recorder is not None:
-            self._recorder(message, self._clock.now())
-        self._queue.append(message)
+            self._recorder(message, now)
+        self._queue.append((message, now))
         if self._draining:
             return
         self._draining = True
         try:
             while self._queue:
-                self._deliver(self._queue.popleft())
+                self._deliver(*self._queue.popleft())
         finally:
             self._draining = False
 
-    def _deliver(self, message: messages.Message) -> None:
+    def _deliver(
+        self, message: messages.Message, now: datetime.datetime
+    ) -> None:
         handlers = self._handlers.get(type(message))
         if not handlers:
             self.unhandled[type(message).__name__] += 1
             return
         for handler in handlers:
             try:
-                effects = handler(message, self._clock.now())
+                effects = handler(message, now)
             except Exception:
                 if self._strict:
                     raise
                 self.errors[type(message).__name__] += 1
                 log.exception("no handling of %s", type(message).__name__)
                 continue
-            self._queue.extend(effects or ())
+            self._queue.extend((effect, now) for effect in effects or ())
--- a/fulmarbarrow/membership/messages.py
+++ b/fulmarbarrow/membership/messages.py
@@ -54,6 +54,9 @@
     ``batch_tokens`` is the work of one full batch; ``tokens_per_second`` the
     work it does with a full batch. A higher ``incarnation`` replaces a lower
     one; within an incarnation a higher ``sequence`` replaces a lower one.
+    ``owner`` is the daemon that the upstream itself names as the keeper of
+    its reservations, with an ``owner_epoch`` that grows with each new owner;
+    being named by the upstream, two daemons never both own it.
     """
 
     upstream_id: str
@@ -68,6 +71,8 @@
     started_at: datetime.datetime
     checks_fencing: bool = False
     weight: float = 1.0
+    owner: str = ""
+    owner_epoch: int = 0
 
 
 class Daemon(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -94,11 +99,17 @@
 
 
 class AnnounceAccepted(message.Message, frozen=True, kw_only=True):
-    """The announcement holds; renew it before ``lease`` has passed."""
+    """The announcement holds; renew it before ``lease`` has passed.
+
+    ``owner`` is the daemon that the upstream should name as its owner from
+    its next announcement on, with ``owner_epoch``.
+    """
 
     upstream_id: str
     incarnation: int
     lease: datetime.timedelta
+    owner: str = ""
+    owner_epoch: int = 0
 
 
 class AnnounceRefused(message.Message, frozen=True, kw_only=True):
@@ -136,6 +147,20 @@
     reason: str
 
 
+class OwnerChanged(message.Message, frozen=True, kw_only=True):
+    """An upstream's reservations are kept by another daemon from now on.
+
+    ``owner`` and ``address`` are empty while no owner can be reached; then
+    each router follows the sliver rules.
+    """
+
+    upstream_id: str
+    incarnation: int
+    owner: str
+    address: str
+    owner_epoch: int
+
+
 class LoadReported(message.Message, frozen=True, kw_only=True):
     """A load report of an upstream reached this daemon."""
 
