--- a/fulmarbarrow/daemon/assembly.py
+++ b/fulmarbarrow/daemon/assembly.py
@@ -4,6 +4,7 @@
 
 import datetime
 import logging
+import random
 import typing
 
 from twisted.internet import interfaces
@@ -17,12 +18,14 @@
 from fulmarbarrow.consensus import messages as consensus_messages
 from fulmarbarrow.daemon import lifecycle
 from fulmarbarrow.delivery import core as delivery_core
+from fulmarbarrow.delivery import shell as delivery_shell
 from fulmarbarrow.edge import admin
 from fulmarbarrow.edge import callers
 from fulmarbarrow.edge import client
 from fulmarbarrow.edge import exchange
 from fulmarbarrow.edge import upstreams
-from fulmarbarrow.journal import core as journal_core
+from fulmarbarrow.journal import control as journal_control
+from fulmarbarrow.journal import router as journal_router
 from fulmarbarrow.limits import core as limits_core
 from fulmarbarrow.membership import core as membership_core
 from fulmarbarrow.membership import messages as membership_messages
@@ -200,6 +203,18 @@
             ),
         )
         self._add("control", control.PublishingControl(daemon=self._record))
+        self._add(
+            "journal_log",
+            consensus_core.ConsensusCore(
+                group=consensus_messages.Group.JOURNAL
+            ),
+        )
+        self._add(
+            "journal_control",
+            journal_control.JournalControl(
+                daemon=self._record, metrics=self._metrics
+            ),
+        )
 
     def _add_router(self) -> None:
         metrics = self._metrics
@@ -215,7 +230,10 @@
             bus=self._bus, key=self._settings.upstreams.key
         )
         self._client = client.UpstreamClient(
-            reactor=self._reactor, bus=self._bus, exchanges=self._exchanges
+            reactor=self._reactor,
+            bus=self._bus,
+            clock=self._clock,
+            exchanges=self._exchanges,
         )
         self._add("versions", versions_core.VersionsCore())
         self._add("zones", zones_core.ZonesCore())
@@ -226,8 +244,15 @@
                 address=self._record.address, metrics=metrics
             ),
         )
-        self._add("journal", journal_core.JournalCore(metrics=metrics))
-        self._add("delivery", delivery_core.DeliveryCore(metrics=metrics))
+        self._add(
+            "journal",
+            journal_router.JournalRouter(daemon=self._record, metrics=metrics),
+        )
+        self._add(
+            "delivery",
+            delivery_core.DeliveryCore(metrics=metrics, rng=random.Random()),
+        )
+        delivery_shell.Alarm(reactor=self._reactor, bus=self._bus)
 
     def _listen(self, address: typing.Any, app: typing.Any) -> None:
         site = server.Site(app.resource())
--- /dev/null
+++ b/fulmarbarrow/delivery/answers.py
@@ -0,0 +1,356 @@
+"""Checks the parts of upstreams' answers and passes them to callers."""
+
+from __future__ import annotations
+
+import datetime
+
+from fulmarbarrow.delivery import book as books
+from fulmarbarrow.delivery import effects as effects_module
+from fulmarbarrow.delivery import messages
+from fulmarbarrow.delivery import policy
+from fulmarbarrow.delivery import recovery as recoveries
+from fulmarbarrow.delivery import request as requests
+from fulmarbarrow.delivery import state
+from fulmarbarrow.delivery import suspects as suspects_module
+from fulmarbarrow import message
+from fulmarbarrow.observe import metrics as metrics_module
+from fulmarbarrow.placement import messages as placement_messages
+
+Effects = list[message.Message]
+
+EVENT_SEPARATOR = b"\n\n"
+STATUS_OK = 200
+STATUS_SERVER_ERROR = 500
+
+_CRASHES = (messages.FailureKind.CRASHED, messages.FailureKind.CUT)
+_SUSPICIOUS = (
+    messages.FailureKind.SILENT,
+    messages.FailureKind.WRONG_ATTEMPT,
+)
+
+
+class Answers:
+    """Follows the open attempts of requests."""
+
+    def __init__(
+        self,
+        *,
+        metrics: metrics_module.Metrics,
+        suspects: suspects_module.Suspects,
+        recovery: recoveries.Recovery,
+        mechanisms: policy.Mechanisms,
+    ) -> None:
+        self._metrics = metrics
+        self._suspects = suspects
+        self._recovery = recovery
+        self._mechanisms = mechanisms
+
+    def take(
+        self,
+        entry: books.Open,
+        event: message.Message,
+        now: datetime.datetime,
+    ) -> Effects:
+        """Take an event of an attempt; that of an ended one is dropped."""
+        attempt = entry.request.attempts.get(event.attempt_id)
+        if attempt is None:
+            self._metrics.count("late_answers_dropped")
+            return []
+        match event:
+            case messages.AttemptHeaders():
+                return self._headers(entry, attempt, event, now)
+            case messages.AttemptData():
+                return self._data(entry, attempt, event, now)
+            case messages.AttemptPaused():
+                attempt.paused = event.paused
+                attempt.progress_at = now
+                return []
+            case messages.AttemptEnded():
+                if attempt.whole or not self._mechanisms.completeness:
+                    return self._complete(entry, attempt, now)
+                return self._fail(
+                    entry, attempt, messages.FailureKind.CUT, now
+                )
+            case messages.AttemptFailed():
+                return self._fail(
+                    entry, attempt, event.kind, now, sent=event.sent
+                )
+        return []
+
+    def silent(
+        self,
+        entry: books.Open,
+        attempt: state.Attempt,
+        now: datetime.datetime,
+    ) -> Effects:
+        """Give up an attempt whose connection shows no progress."""
+        self._metrics.count("silent_attempts")
+        return self._fail(entry, attempt, messages.FailureKind.SILENT, now)
+
+    def expire(self, entry: books.Open, now: datetime.datetime) -> Effects:
+        """Act on a request whose deadline has passed.
+
+        A stream that has begun goes on as long as an upstream sends it.
+        """
+        request = entry.request
+        if request.started and request.attempts:
+            return []
+        if not request.admitted or request.answer is not None:
+            return []
+        if request.refusal_code:
+            return []
+        request.may_have_run = request.may_have_run or bool(request.attempts)
+        effects: Effects = []
+        for attempt in list(request.attempts.values()):
+            effects.extend(self._drop(entry, attempt))
+            effects.extend(effects_module.cancel(request, attempt))
+        return [
+            *effects,
+            *self._recovery.conclude(entry, "deadline_exceeded", now),
+        ]
+
+    def release(self, entry: books.Open) -> Effects:
+        """Tell the others that a left request's suspect run is over."""
+        effects: Effects = []
+        for attempt in entry.request.attempts.values():
+            effects.extend(
+                self._suspects.end(
+                    entry.request, attempt, attempt.progress_at, False
+                )
+            )
+        return effects
+
+    def _headers(
+        self,
+        entry: books.Open,
+        attempt: state.Attempt,
+        event: messages.AttemptHeaders,
+        now: datetime.datetime,
+    ) -> Effects:
+        request = entry.request
+        if self._crossed(attempt, event):
+            kind = messages.FailureKind.WRONG_ATTEMPT
+            if not event.echoed_attempt and event.status >= (
+                STATUS_SERVER_ERROR
+            ):
+                kind = messages.FailureKind.SERVER_ERROR
+            return self._fail(entry, attempt, kind, now)
+        if not entry.attempts[attempt.attempt_id].start(event, now):
+            return []
+        if event.not_run and self._mechanisms.proof_of_not_run:
+            return self._not_run(entry, attempt, now)
+        if attempt.purpose is state.Purpose.LOOKUP:
+            if event.status != STATUS_OK:
+                kind = messages.FailureKind.REFUSED
+                return self._fail(entry, attempt, kind, now)
+            return []
+        if request.started and (
+            event.status != STATUS_OK or not attempt.streamed
+        ):
+            kind = messages.FailureKind.SERVER_ERROR
+            return self._fail(entry, attempt, kind, now)
+        failed = event.status >= STATUS_SERVER_ERROR
+        if failed and self._recovery.may_retry_status(request, now):
+            kind = messages.FailureKind.SERVER_ERROR
+            return self._fail(entry, attempt, kind, now)
+        return []
+
+    def _crossed(
+        self, attempt: state.Attempt, event: messages.AttemptHeaders
+    ) -> bool:
+        if not self._mechanisms.echo_check:
+            return False
+        return event.echoed_attempt != attempt.attempt_id
+
+    def _not_run(
+        self,
+        entry: books.Open,
+        attempt: state.Attempt,
+        now: datetime.datetime,
+    ) -> Effects:
+        """Take an upstream's own word that it has not run the request."""
+        if attempt.purpose is state.Purpose.LOOKUP:
+            effects = self._drop(entry, attempt)
+            effects.extend(effects_module.cancel(entry.request, attempt))
+            until = now + policy.JOURNAL_WAIT
+            sealed = entry.inputs.seal("outcome_unknown", until, True)
+            return [*effects, *sealed]
+        kind = messages.FailureKind.REFUSED
+        return self._fail(entry, attempt, kind, now, not_run=True)
+
+    def _data(
+        self,
+        entry: books.Open,
+        attempt: state.Attempt,
+        event: messages.AttemptData,
+        now: datetime.datetime,
+    ) -> Effects:
+        foreign = any(echo != attempt.attempt_id for echo in event.echoed)
+        if foreign and self._mechanisms.echo_check:
+            kind = messages.FailureKind.WRONG_ATTEMPT
+            return self._fail(entry, attempt, kind, now)
+        fresh = event.data
+        if attempt.streamed and self._mechanisms.resume_check:
+            have = max(entry.request.delivered_events, attempt.taken_events)
+            if event.first_event > have:
+                kind = messages.FailureKind.CUT
+                return self._fail(entry, attempt, kind, now)
+            fresh = _skip(event, have)
+        if not entry.attempts[attempt.attempt_id].take(event, now):
+            self._metrics.count("late_answers_dropped")
+            return []
+        effects = self._pass_on(entry, attempt, fresh)
+        if attempt.streamed and attempt.end_marker:
+            effects.extend(self._complete(entry, attempt, now))
+        return effects
+
+    def _pass_on(
+        self, entry: books.Open, attempt: state.Attempt, data: bytes
+    ) -> Effects:
+        """Relay a stream; gather a whole answer up to a bound."""
+        request = entry.request
+        if attempt.streamed:
+            return self._relay(request, attempt, data)
+        if not attempt.relayed:
+            attempt.body += data
+            if len(attempt.body) <= policy.MAX_BUFFERED_BYTES:
+                return []
+            data = bytes(attempt.body)
+            attempt.body.clear()
+            attempt.relayed = True
+        return self._relay(request, attempt, data)
+
+    def _relay(
+        self, request: state.Request, attempt: state.Attempt, data: bytes
+    ) -> Effects:
+        if request.action and (
+            attempt.taken_bytes <= requests.MAX_RECORDED_BYTES
+        ):
+            attempt.body += data
+        if not data:
+            return []
+        effects: Effects = []
+        if not request.started:
+            request.started = True
+            self._metrics.record(
+                "first_token",
+                attempt.first_token or datetime.timedelta(0),
+                service=request.arrived.service,
+            )
+            length = None if attempt.streamed else attempt.headers.length
+            effects.append(
+                effects_module.answer_start(request, attempt, length)
+            )
+        if attempt.streamed:
+            request.delivered_events = max(
+                request.delivered_events, attempt.taken_events
+            )
+        effects.append(
+            messages.AnswerData(request_id=request.request_id, data=data)
+        )
+        return effects
+
+    def _complete(
+        self,
+        entry: books.Open,
+        attempt: state.Attempt,
+        now: datetime.datetime,
+    ) -> Effects:
+        request = entry.request
+        if not entry.attempts[attempt.attempt_id].complete():
+            return []
+        attempt.progress_at = now
+        del request.attempts[attempt.attempt_id]
+        request.answer = attempt
+        self._recovery.learn(request, attempt)
+        effects = effects_module.work_ended(
+            request, attempt, placement_messages.WorkOutcome.COMPLETED
+        )
+        effects.extend(self._suspects.end(request, attempt, now, True))
+        for other in list(request.attempts.values()):
+            effects.extend(self._drop(entry, other))
+            effects.extend(effects_module.cancel(request, other))
+        if request.action and self._mechanisms.journal:
+            until = now + policy.JOURNAL_WAIT
+            return [*effects, *entry.inputs.record(until)]
+        return [*effects, *entry.inputs.finish()]
+
+    def _fail(
+        self,
+        entry: books.Open,
+        attempt: state.Attempt,
+        kind: messages.FailureKind,
+        now: datetime.datetime,
+        *,
+        sent: bool = True,
+        not_run: bool = False,
+    ) -> Effects:
+        request = entry.request
+        inputs = entry.attempts[attempt.attempt_id]
+        if not inputs.fail():
+            return []
+        self._metrics.count("attempts_failed", kind=kind.value)
+        crashed = sent and kind in _CRASHES
+        effects: Effects = []
+        if crashed:
+            effects.extend(self._suspects.crash(request, attempt, now))
+        effects.extend(self._suspects.end(request, attempt, now, False))
+        effects.extend(self._close(request, attempt, kind))
+        effects.extend(
+            effects_module.work_ended(request, attempt, _outcome(kind, sent))
+        )
+        del request.attempts[attempt.attempt_id]
+        del entry.attempts[attempt.attempt_id]
+        proven = not sent or not_run
+        effects.extend(
+            self._recovery.after_failure(entry, attempt, proven, now)
+        )
+        return effects
+
+    @staticmethod
+    def _close(
+        request: state.Request,
+        attempt: state.Attempt,
+        kind: messages.FailureKind,
+    ) -> Effects:
+        """Close an attempt's connection, and suspect those of its age."""
+        effects: Effects = [
+            messages.CancelAttempt(
+                attempt_id=attempt.attempt_id,
+                upstream_id=attempt.placed.upstream_id,
+            )
+        ]
+        if kind in _SUSPICIOUS:
+            effects.append(
+                messages.SuspectConnections(
+                    upstream_id=attempt.placed.upstream_id,
+                    url=attempt.placed.url,
+                )
+            )
+        return effects
+
+    @staticmethod
+    def _drop(entry: books.Open, attempt: state.Attempt) -> Effects:
+        """Forget an attempt whose answer is not wanted any more."""
+        entry.attempts.pop(attempt.attempt_id).cancel()
+        del entry.request.attempts[attempt.attempt_id]
+        return []
+
+
+def _skip(event: messages.AttemptData, have: int) -> bytes:
+    """Return an event's data without the events before ``have``."""
+    extra = have - event.first_event
+    if extra <= 0:
+        return event.data
+    events = event.data.split(EVENT_SEPARATOR)
+    return EVENT_SEPARATOR.join(events[extra:])
+
+
+def _outcome(
+    kind: messages.FailureKind, sent: bool
+) -> placement_messages.WorkOutcome:
+    if not sent:
+        return placement_messages.WorkOutcome.NOT_SENT
+    if kind in _CRASHES:
+        return placement_messages.WorkOutcome.CRASHED
+    return placement_messages.WorkOutcome.FAILED
--- /dev/null
+++ b/fulmarbarrow/delivery/attempt.py
@@ -0,0 +1,101 @@
+"""The lifecycle of one attempt at an upstream."""
+
+from __future__ import annotations
+
+import datetime
+import typing
+
+import automat
+
+from fulmarbarrow.delivery import messages
+from fulmarbarrow.delivery import state
+
+
+class AttemptInputs(typing.Protocol):
+    """Inputs of an attempt; each tells whether it was taken."""
+
+    def start(
+        self, event: messages.AttemptHeaders, now: datetime.datetime
+    ) -> bool:
+        """Take the headers of the answer."""
+
+    def take(
+        self, event: messages.AttemptData, now: datetime.datetime
+    ) -> bool:
+        """Take a part of the answer."""
+
+    def complete(self) -> bool:
+        """The answer is whole."""
+
+    def fail(self) -> bool:
+        """The attempt broke, went silent or answered another request."""
+
+    def cancel(self) -> bool:
+        """The attempt's answer is not wanted any more."""
+
+
+def _build() -> typing.Callable[[state.Attempt], AttemptInputs]:
+    builder = automat.TypeMachineBuilder(AttemptInputs, state.Attempt)
+    sending = builder.state("sending")
+    answering = builder.state("answering")
+    whole = builder.state("whole")
+    broken = builder.state("broken")
+    cancelled = builder.state("cancelled")
+
+    @sending.upon(AttemptInputs.start).to(answering)
+    def start(
+        _: AttemptInputs,
+        attempt: state.Attempt,
+        event: messages.AttemptHeaders,
+        now: datetime.datetime,
+    ) -> bool:
+        attempt.headers = event
+        attempt.progress_at = now
+        attempt.taken_events = event.resume_offset
+        return True
+
+    @answering.upon(AttemptInputs.take).loop()
+    def take(
+        _: AttemptInputs,
+        attempt: state.Attempt,
+        event: messages.AttemptData,
+        now: datetime.datetime,
+    ) -> bool:
+        _take(attempt, event, now)
+        return True
+
+    for live in (sending, answering):
+        live.upon(AttemptInputs.fail).to(broken).returns(True)
+        live.upon(AttemptInputs.cancel).to(cancelled).returns(True)
+    answering.upon(AttemptInputs.complete).to(whole).returns(True)
+    sending.upon(AttemptInputs.take).loop().returns(False)
+    sending.upon(AttemptInputs.complete).loop().returns(False)
+    answering.upon(AttemptInputs.start).loop().returns(False)
+    for ended in (whole, broken, cancelled):
+        for late in (
+            AttemptInputs.start,
+            AttemptInputs.take,
+            AttemptInputs.complete,
+            AttemptInputs.fail,
+            AttemptInputs.cancel,
+        ):
+            ended.upon(late).loop().returns(False)
+    return builder.build()
+
+
+def _take(
+    attempt: state.Attempt,
+    event: messages.AttemptData,
+    now: datetime.datetime,
+) -> None:
+    if attempt.first_token is None:
+        attempt.first_token = now - attempt.sent_at
+    attempt.progress_at = now
+    attempt.taken_events = event.first_event + event.events
+    attempt.taken_bytes += len(event.data)
+    attempt.tokens += event.tokens
+    attempt.reused_tokens = max(attempt.reused_tokens, event.reused_tokens)
+    attempt.end_marker = attempt.end_marker or event.end_marker
+
+
+make_attempt = _build()
--- a/fulmarbarrow/delivery/core.py
+++ b/fulmarbarrow/delivery/core.py
@@ -3,17 +3,28 @@
 from __future__ import annotations
 
 import datetime
+import random
 import typing
 
+from fulmarbarrow.delivery import answers
+from fulmarbarrow.delivery import book as books
+from fulmarbarrow.delivery import effects as effects_module
 from fulmarbarrow.delivery import messages
-from fulmarbarrow.delivery import refusals
+from fulmarbarrow.delivery import policy
+from fulmarbarrow.delivery import recovery as recoveries
 from fulmarbarrow.delivery import state
+from fulmarbarrow.delivery import suspects as suspects_module
+from fulmarbarrow.delivery import timers
+from fulmarbarrow.delivery import upstreams
 from fulmarbarrow.journal import messages as journal_messages
 from fulmarbarrow.limits import messages as limits_messages
+from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics as metrics_module
 from fulmarbarrow.placement import messages as placement_messages
 
+Effects = list[message.Message]
+
 _STANDING_CODES = {
     journal_messages.EntryStanding.RUNNING: "action_running",
     journal_messages.EntryStanding.UNKNOWN: "outcome_unknown",
@@ -30,45 +41,112 @@
         messages.RequestArrived,
         messages.AttemptHeaders,
         messages.AttemptData,
+        messages.AttemptPaused,
         messages.AttemptEnded,
         messages.AttemptFailed,
         messages.CallerGone,
+        messages.PoisonSuspected,
+        messages.SuspectStarted,
+        messages.SuspectEnded,
+        messages.Wake,
+        message.Tick,
         limits_messages.Admitted,
         limits_messages.NotAdmitted,
         journal_messages.IntendResult,
         journal_messages.JournalWritten,
+        membership_messages.UpstreamChanged,
+        membership_messages.UpstreamGone,
+        membership_messages.DaemonChanged,
+        membership_messages.DaemonGone,
         placement_messages.Placed,
         placement_messages.NotPlaced,
+        placement_messages.PreemptWork,
     )
 
-    def __init__(self, *, metrics: metrics_module.Metrics) -> None:
+    def __init__(
+        self,
+        *,
+        metrics: metrics_module.Metrics,
+        rng: random.Random,
+        timeouts: policy.Timeouts | None = None,
+        mechanisms: policy.Mechanisms | None = None,
+    ) -> None:
+        mechanisms = mechanisms or policy.Mechanisms()
         self._metrics = metrics
-        self._requests: dict[str, state.Request] = {}
-        self._attempts: dict[str, str] = {}
+        self._mechanisms = mechanisms
+        self._timeouts = timeouts or policy.Timeouts()
+        self._book = books.Book()
+        self._timers = timers.Timers()
+        self._pools = upstreams.Pools()
+        self._suspects = suspects_module.Suspects(
+            pools=self._pools, enabled=mechanisms.quarantine
+        )
+        self._recovery = recoveries.Recovery(
+            metrics=metrics,
+            rng=rng,
+            suspects=self._suspects,
+            mechanisms=mechanisms,
+        )
+        self._answers = answers.Answers(
+            metrics=metrics,
+            suspects=self._suspects,
+            recovery=self._recovery,
+            mechanisms=mechanisms,
+        )
 
     def handle(
         self, event: message.Message, now: datetime.datetime
-    ) -> list[message.Message]:
+    ) -> Effects:
         """Take one event and return its effects."""
         match event:
             case messages.RequestArrived():
-                return self._arrived(event)
-            case limits_messages.NotAdmitted():
-                return self._refuse(event.request_id, event.code, False)
-        request = self._find(event)
-        if request is None:
-            self._metrics.count("late_messages_dropped")
-            return []
-        return self._advance(request, event, now)
+                effects = self._arrived(event, now)
+            case message.Tick() | messages.Wake():
+                effects = self._look_at_due(now)
+            case membership_messages.UpstreamChanged():
+                self._pools.change(event)
+                return []
+            case membership_messages.UpstreamGone():
+                self._pools.remove(event)
+                return []
+            case membership_messages.DaemonChanged():
+                self._suspects.change_daemon(event)
+                return []
+            case membership_messages.DaemonGone():
+                self._suspects.remove_daemon(event)
+                return []
+            case (
+                messages.PoisonSuspected()
+                | messages.SuspectStarted()
+                | messages.SuspectEnded()
+            ):
+                self._suspects.hear(event, now)
+                return []
+            case _:
+                effects = self._for_request(event, now)
+        return [*effects, *self._timers.wake()]
 
     def dump(self) -> dict[str, typing.Any]:
-        """Return the open requests as plain data."""
-        return {"open": sorted(self._requests)}
+        """Return the open requests and suspects as plain data."""
+        return {
+            "open": {
+                entry.request.request_id: {
+                    "attempts": sorted(entry.request.attempts),
+                    "started": entry.request.started,
+                    "events": entry.request.delivered_events,
+                    "may_have_run": entry.request.may_have_run,
+                }
+                for entry in self._book
+            },
+            "suspects": self._suspects.dump(),
+            "retry_budgets": self._recovery.dump(),
+        }
 
     def _arrived(
-        self, event: messages.RequestArrived
-    ) -> list[message.Message]:
-        self._requests[event.request_id] = state.Request(arrived=event)
+        self, event: messages.RequestArrived, now: datetime.datetime
+    ) -> Effects:
+        self._book.add(state.Request(arrived=event))
+        self._timers.add(event.deadline, event.request_id)
         return [
             limits_messages.AdmitRequest(
                 request_id=event.request_id,
@@ -80,241 +158,185 @@
             )
         ]
 
-    def _find(self, event: message.Message) -> state.Request | None:
-        request_id = getattr(event, "request_id", None)
-        if request_id is None:
-            attempt_id = getattr(event, "attempt_id", "")
-            request_id = self._attempts.get(attempt_id, "")
-        return self._requests.get(request_id)
+    def _for_request(
+        self, event: message.Message, now: datetime.datetime
+    ) -> Effects:
+        entry = self._book.find(
+            getattr(event, "request_id", ""), getattr(event, "attempt_id", "")
+        )
+        if entry is None:
+            return self._late(event)
+        effects = list(self._advance(entry, event, now))
+        self._settle(entry, now)
+        return effects
+
+    def _late(self, event: message.Message) -> Effects:
+        """Drop what comes after a request's end."""
+        if isinstance(event, placement_messages.Placed):
+            return [effects_module.not_sent(event)]
+        if isinstance(event, messages.AttemptHeaders | messages.AttemptData):
+            self._metrics.count("late_answers_dropped")
+        return []
+
+    def _settle(self, entry: books.Open, now: datetime.datetime) -> None:
+        """Forget a closed request; plan the next look at an open one."""
+        request = entry.request
+        if request.closed:
+            self._book.remove(entry)
+            return
+        if request.wait_until not in (None, request.timer_at):
+            request.timer_at = request.wait_until
+            self._timers.add(request.wait_until, request.request_id)
+        if request.started and not request.grace_timer:
+            request.grace_timer = True
+            self._timers.add(request.deadline, request.request_id)
+        for attempt in request.attempts.values():
+            self._watch(request, attempt)
+
+    def _watch(self, request: state.Request, attempt: state.Attempt) -> None:
+        limit = policy.silence_limit(request, attempt, self._timeouts)
+        if limit is None or not self._mechanisms.silence:
+            return
+        due = attempt.progress_at + limit
+        if attempt.timer_at is None or due < attempt.timer_at:
+            attempt.timer_at = due
+            self._timers.add(due, request.request_id)
 
     def _advance(
         self,
-        request: state.Request,
+        entry: books.Open,
         event: message.Message,
         now: datetime.datetime,
-    ) -> list[message.Message]:
+    ) -> typing.Iterable[message.Message]:
         match event:
             case limits_messages.Admitted():
-                return self._admitted(request)
+                return self._admitted(entry, now)
+            case limits_messages.NotAdmitted():
+                entry.request.retry_after = event.retry_after
+                return self._recovery.refuse(entry, event.code)
             case journal_messages.IntendResult():
-                return self._intended(request, event)
+                return self._intended(entry, event, now)
+            case journal_messages.JournalWritten():
+                return entry.inputs.written(event.committed)
             case placement_messages.Placed():
-                return self._placed(request, event, now)
+                return self._placed(entry, event, now)
             case placement_messages.NotPlaced():
-                return self._refuse(request.arrived.request_id, event.code)
-            case messages.AttemptHeaders():
-                return self._headers(request, event)
-            case messages.AttemptData():
-                return self._data(request, event, now)
-            case messages.AttemptEnded():
-                return self._ended(request)
-            case messages.AttemptFailed():
-                return self._failed(request, event)
+                return self._not_placed(entry, event, now)
+            case placement_messages.PreemptWork():
+                return self._recovery.preempt(entry, event.attempt_id, now)
             case messages.CallerGone():
-                return self._caller_gone(request)
-        return []
+                return self._caller_gone(entry)
+        return self._answers.take(entry, event, now)
 
-    def _admitted(self, request: state.Request) -> list[message.Message]:
-        arrived = request.arrived
-        if arrived.idempotent:
-            return [self._place(request)]
-        return [
-            journal_messages.Intend(
-                request_id=arrived.request_id,
-                account=arrived.account,
-                key=arrived.key,
-                digest=arrived.digest,
-                service=arrived.service,
-                attempt_id=request.attempt_id,
-                deadline=arrived.deadline,
-            )
-        ]
+    def _admitted(self, entry: books.Open, now: datetime.datetime) -> Effects:
+        request = entry.request
+        request.admitted = True
+        self._recovery.count_request(request, now)
+        gate = self._suspects.gate(request, now)
+        if gate is suspects_module.Gate.QUARANTINED:
+            return self._recovery.refuse(entry, "quarantined")
+        if request.action and self._mechanisms.journal:
+            return list(entry.inputs.intend())
+        return [*entry.inputs.admit(), *self._recovery.place(entry, now)]
 
     def _intended(
-        self, request: state.Request, event: journal_messages.IntendResult
-    ) -> list[message.Message]:
-        request_id = request.arrived.request_id
-        if event.standing is journal_messages.EntryStanding.MAY_DISPATCH:
-            return [self._place(request)]
-        if event.standing is journal_messages.EntryStanding.DONE:
+        self,
+        entry: books.Open,
+        event: journal_messages.IntendResult,
+        now: datetime.datetime,
+    ) -> Effects:
+        request = entry.request
+        standing = event.standing
+        if not request.intending:
+            return []
+        if standing is journal_messages.EntryStanding.MAY_DISPATCH:
+            request.granted = True
+            request.dispatch_until = event.dispatch_until
             return [
-                messages.AnswerStarted(
-                    request_id=request_id,
-                    status=event.status,
-                    content_type=event.content_type,
-                    length=len(event.body),
-                    replayed=True,
-                ),
-                messages.AnswerData(request_id=request_id, data=event.body),
-                messages.AnswerEnded(request_id=request_id),
-                *self._forget(request),
+                *entry.inputs.dispatch(),
+                *self._recovery.place(entry, now),
             ]
-        return self._refuse(request_id, _STANDING_CODES[event.standing])
-
-    def _place(self, request: state.Request) -> message.Message:
-        arrived = request.arrived
-        return placement_messages.PlaceRequest(
-            request_id=arrived.request_id,
-            attempt_id=request.attempt_id,
-            account=arrived.account,
-            service=arrived.service,
-            model=arrived.model,
-            chat=arrived.chat,
-            cost=arrived.cost,
-            cost_class=arrived.cost_class,
-            worth=arrived.worth,
-            deadline=arrived.deadline,
-            best_effort=arrived.best_effort,
-        )
+        if standing is journal_messages.EntryStanding.DONE:
+            if not event.kept:
+                return self._recovery.refuse(entry, "answer_not_kept")
+            return list(entry.inputs.replay(event))
+        if event.may_look_up and request.arrived.lookup_path:
+            return [
+                *entry.inputs.look_up(),
+                *self._recovery.place(entry, now),
+            ]
+        return self._recovery.refuse(entry, _STANDING_CODES[standing])
 
     def _placed(
         self,
-        request: state.Request,
+        entry: books.Open,
         event: placement_messages.Placed,
         now: datetime.datetime,
-    ) -> list[message.Message]:
-        request.placed = event
-        request.sent_at = now
-        self._attempts[event.attempt_id] = event.request_id
-        return [
-            messages.StartAttempt(
-                request_id=event.request_id,
-                attempt_id=event.attempt_id,
-                upstream_id=event.upstream_id,
-                incarnation=event.incarnation,
-                url=event.url,
-                priority=event.priority,
-                version=event.version,
-                deadline=request.arrived.deadline,
-            )
-        ]
-
-    def _headers(
-        self, request: state.Request, event: messages.AttemptHeaders
-    ) -> list[message.Message]:
-        request.headers = event
-        return [
-            messages.AnswerStarted(
-                request_id=request.arrived.request_id,
-                status=event.status,
-                content_type=event.content_type,
-                length=event.length,
-            )
-        ]
+    ) -> Effects:
+        request = entry.request
+        if event.attempt_id == request.hedge_id:
+            return self._recovery.send_hedge(entry, event, now)
+        if event.attempt_id != request.placing_id:
+            return [effects_module.not_sent(event)]
+        effects = self._recovery.send(entry, event, now)
+        hedge_at = self._recovery.hedge_due(request, now)
+        if hedge_at is not None:
+            self._timers.add(hedge_at, request.request_id)
+        return effects
 
-    def _data(
+    def _not_placed(
         self,
-        request: state.Request,
-        event: messages.AttemptData,
+        entry: books.Open,
+        event: placement_messages.NotPlaced,
         now: datetime.datetime,
-    ) -> list[message.Message]:
-        if request.first_token is None and request.sent_at is not None:
-            request.first_token = now - request.sent_at
-            self._metrics.record("first_token", request.first_token)
-        request.tokens += event.tokens
-        request.reused_tokens = max(request.reused_tokens, event.reused_tokens)
-        if not request.arrived.idempotent:
-            request.body += event.data
-        return [
-            messages.AnswerData(
-                request_id=request.arrived.request_id, data=event.data
-            )
-        ]
-
-    def _ended(self, request: state.Request) -> list[message.Message]:
-        arrived = request.arrived
-        outcome = placement_messages.WorkOutcome.COMPLETED
-        effects: list[message.Message] = [
-            messages.AnswerEnded(request_id=arrived.request_id),
-            *self._work_ended(request, outcome),
-        ]
-        if not arrived.idempotent and request.headers is not None:
-            effects.append(
-                journal_messages.RecordOutcome(
-                    request_id=arrived.request_id,
-                    account=arrived.account,
-                    key=arrived.key,
-                    attempt_id=request.attempt_id,
-                    status=request.headers.status,
-                    content_type=request.headers.content_type,
-                    body=request.body,
-                )
-            )
-        return [*effects, *self._forget(request)]
-
-    def _failed(
-        self, request: state.Request, event: messages.AttemptFailed
-    ) -> list[message.Message]:
-        outcome = placement_messages.WorkOutcome.FAILED
-        effects = self._work_ended(request, outcome)
-        if request.headers is not None:
-            broken = messages.AnswerBroken(
-                request_id=request.arrived.request_id,
-                code="upstream_failed",
-                ran=messages.Ran.UNKNOWN,
-            )
-            return [*effects, broken, *self._forget(request)]
-        code = "upstream_failed" if event.sent else "no_upstream"
-        return [*effects, *self._refuse(request.arrived.request_id, code)]
-
-    def _caller_gone(self, request: state.Request) -> list[message.Message]:
-        effects: list[message.Message] = []
-        if request.placed is not None:
-            outcome = placement_messages.WorkOutcome.CANCELLED
-            effects.append(
-                messages.CancelAttempt(
-                    attempt_id=request.attempt_id,
-                    upstream_id=request.placed.upstream_id,
-                )
-            )
-            effects.extend(self._work_ended(request, outcome))
-        return [*effects, *self._forget(request)]
+    ) -> Effects:
+        request = entry.request
+        if event.attempt_id == request.hedge_id:
+            request.hedge_id = ""
+            return []
+        if event.attempt_id != request.placing_id:
+            return []
+        request.placing_id = ""
+        request.retry_after = event.retry_after
+        return self._recovery.conclude(entry, event.code, now)
 
-    def _work_ended(
-        self,
-        request: state.Request,
-        outcome: placement_messages.WorkOutcome,
-    ) -> list[message.Message]:
-        if request.placed is None:
+    def _caller_gone(self, entry: books.Open) -> Effects:
+        """Cancel the work; an action that was sent runs to its end."""
+        request = entry.request
+        request.caller_gone = True
+        if request.action and request.attempts:
             return []
-        return [
-            placement_messages.WorkEnded(
-                request_id=request.arrived.request_id,
-                attempt_id=request.attempt_id,
-                upstream_id=request.placed.upstream_id,
-                incarnation=request.placed.incarnation,
-                outcome=outcome,
-                first_token=request.first_token,
-                generated_tokens=request.tokens,
-                reused_tokens=request.reused_tokens,
-            )
-        ]
+        effects = self._answers.release(entry)
+        return [*effects, *entry.inputs.leave()]
 
-    def _forget(self, request: state.Request) -> list[message.Message]:
-        arrived = request.arrived
-        self._requests.pop(arrived.request_id, None)
-        self._attempts.pop(request.attempt_id, None)
-        return [
-            limits_messages.RequestLeft(
-                request_id=arrived.request_id, account=arrived.account
-            )
-        ]
+    def _look_at_due(self, now: datetime.datetime) -> Effects:
+        effects: Effects = []
+        for request_id in list(self._timers.due(now)):
+            entry = self._book.find(request_id)
+            if entry is None:
+                continue
+            effects.extend(self._look_at(entry, now))
+            self._settle(entry, now)
+        return effects
 
-    def _refuse(
-        self, request_id: str, code: str, admitted: bool = True
-    ) -> list[message.Message]:
-        refusal = refusals.REFUSALS[code]
-        request = self._requests.pop(request_id)
-        self._attempts.pop(request.attempt_id, None)
-        self._metrics.count("requests_refused", code=code)
-        effects: list[message.Message] = [
-            messages.RequestRefused(
-                request_id=request_id,
-                code=code,
-                ran=refusal.ran,
-                status=refusal.status,
-            )
-        ]
-        if admitted:
-            effects.extend(self._forget(request))
+    def _look_at(self, entry: books.Open, now: datetime.datetime) -> Effects:
+        """Act on every timeout of a request that has come."""
+        request = entry.request
+        effects: Effects = []
+        for attempt in list(request.attempts.values()):
+            if attempt.timer_at is not None and attempt.timer_at <= now:
+                attempt.timer_at = None
+            limit = policy.silence_limit(request, attempt, self._timeouts)
+            if limit is None or not self._mechanisms.silence:
+                continue
+            if now - attempt.progress_at >= limit:
+                effects.extend(self._answers.silent(entry, attempt, now))
+        if request.wait_until is not None and request.wait_until <= now:
+            request.wait_until = None
+            effects.extend(entry.inputs.wait_over())
+            effects.extend(self._recovery.place(entry, now))
+        if request.deadline <= now and not request.closed:
+            effects.extend(self._answers.expire(entry, now))
+        elif not request.closed:
+            effects.extend(self._recovery.hedge(entry, now))
         return effects
--- /dev/null
+++ b/fulmarbarrow/delivery/effects.py
@@ -0,0 +1,259 @@
+"""Builds the effects of a request's steps."""
+
+from __future__ import annotations
+
+from fulmarbarrow.delivery import messages
+from fulmarbarrow.delivery import refusals
+from fulmarbarrow.delivery import state
+from fulmarbarrow.journal import messages as journal_messages
+from fulmarbarrow.limits import messages as limits_messages
+from fulmarbarrow import message
+from fulmarbarrow.placement import messages as placement_messages
+
+Effects = list[message.Message]
+
+
+def intend(request: state.Request) -> message.Message:
+    """Ask the journal for the right to dispatch."""
+    arrived = request.arrived
+    return journal_messages.Intend(
+        request_id=arrived.request_id,
+        account=arrived.account,
+        key=arrived.key,
+        digest=arrived.digest,
+        service=arrived.service,
+        attempt_id=request.attempt_id,
+        deadline=arrived.deadline,
+    )
+
+
+def place(request: state.Request, attempt_id: str) -> message.Message:
+    """Ask for an upstream."""
+    arrived = request.arrived
+    return placement_messages.PlaceRequest(
+        request_id=arrived.request_id,
+        attempt_id=attempt_id,
+        account=arrived.account,
+        service=arrived.service,
+        model=arrived.model,
+        chat=arrived.chat,
+        cost=arrived.cost,
+        cost_class=arrived.cost_class,
+        worth=arrived.worth,
+        deadline=request.deadline,
+        excluded=request.excluded,
+        best_effort=arrived.best_effort,
+    )
+
+
+def stop_placing(request: state.Request) -> Effects:
+    """Take back every wish for an upstream."""
+    waiting = [request.placing_id, request.hedge_id]
+    request.placing_id = request.hedge_id = ""
+    return [
+        placement_messages.PlaceCancelled(
+            request_id=request.request_id, attempt_id=attempt_id
+        )
+        for attempt_id in waiting
+        if attempt_id
+    ]
+
+
+def start(request: state.Request, attempt: state.Attempt) -> message.Message:
+    """Send an attempt."""
+    placed = attempt.placed
+    lookup = attempt.purpose is state.Purpose.LOOKUP
+    return messages.StartAttempt(
+        request_id=request.request_id,
+        attempt_id=attempt.attempt_id,
+        upstream_id=placed.upstream_id,
+        incarnation=placed.incarnation,
+        url=placed.url,
+        priority=placed.priority,
+        deadline=request.deadline,
+        version=placed.version,
+        resume_offset=attempt.resume_offset,
+        lookup=lookup,
+        dispatch_until=None if lookup else request.dispatch_until,
+        lookup_path=request.arrived.lookup_path if lookup else "",
+    )
+
+
+def not_sent(placed: placement_messages.Placed) -> message.Message:
+    """Give back a place that is not wanted any more."""
+    return placement_messages.WorkEnded(
+        request_id=placed.request_id,
+        attempt_id=placed.attempt_id,
+        upstream_id=placed.upstream_id,
+        incarnation=placed.incarnation,
+        outcome=placement_messages.WorkOutcome.NOT_SENT,
+    )
+
+
+def work_ended(
+    request: state.Request,
+    attempt: state.Attempt,
+    outcome: placement_messages.WorkOutcome,
+) -> Effects:
+    """Tell placement and versions how an attempt ended."""
+    placed = attempt.placed
+    between = None
+    if attempt.first_token is not None and attempt.tokens > 1:
+        whole = attempt.progress_at - attempt.sent_at - attempt.first_token
+        between = whole / (attempt.tokens - 1)
+    return [
+        placement_messages.WorkEnded(
+            request_id=request.request_id,
+            attempt_id=attempt.attempt_id,
+            upstream_id=placed.upstream_id,
+            incarnation=placed.incarnation,
+            outcome=outcome,
+            first_token=attempt.first_token,
+            generated_tokens=attempt.tokens,
+            reused_tokens=attempt.reused_tokens,
+        ),
+        messages.AttemptObserved(
+            account=request.arrived.account,
+            service=request.arrived.service,
+            model=request.arrived.model,
+            version=placed.version,
+            route=request.arrived.route,
+            upstream_id=placed.upstream_id,
+            incarnation=placed.incarnation,
+            outcome=outcome,
+            first_token=attempt.first_token,
+            between_tokens=between,
+        ),
+    ]
+
+
+def cancel(request: state.Request, attempt: state.Attempt) -> Effects:
+    """Stop an attempt whose answer is not wanted any more."""
+    return [
+        messages.CancelAttempt(
+            attempt_id=attempt.attempt_id,
+            upstream_id=attempt.placed.upstream_id,
+        ),
+        *work_ended(
+            request, attempt, placement_messages.WorkOutcome.CANCELLED
+        ),
+    ]
+
+
+def answer_start(
+    request: state.Request, attempt: state.Attempt, length: int | None
+) -> message.Message:
+    """Send status and headers to the caller."""
+    return messages.AnswerStarted(
+        request_id=request.request_id,
+        status=attempt.headers.status,
+        content_type=attempt.headers.content_type,
+        length=length,
+    )
+
+
+def answer(request: state.Request) -> Effects:
+    """Send what is left of a whole answer to the caller."""
+    attempt = request.answer
+    request_id = request.request_id
+    effects: Effects = []
+    if not request.started:
+        request.started = True
+        length = None if attempt.streamed else len(attempt.body)
+        effects.append(answer_start(request, attempt, length))
+        if attempt.body:
+            effects.append(
+                messages.AnswerData(
+                    request_id=request_id, data=bytes(attempt.body)
+                )
+            )
+    return [*effects, messages.AnswerEnded(request_id=request_id)]
+
+
+def replay(
+    request: state.Request, event: journal_messages.IntendResult
+) -> Effects:
+    """Send a recorded answer to the caller."""
+    request_id = request.request_id
+    return [
+        messages.AnswerStarted(
+            request_id=request_id,
+            status=event.status,
+            content_type=event.content_type,
+            length=len(event.body),
+            replayed=True,
+        ),
+        messages.AnswerData(request_id=request_id, data=event.body),
+        messages.AnswerEnded(request_id=request_id),
+    ]
+
+
+def refuse(request: state.Request, code: str) -> message.Message:
+    """Tell the caller that there is no answer, or no rest of it."""
+    refusal = refusals.REFUSALS[code]
+    if request.started:
+        return messages.AnswerBroken(
+            request_id=request.request_id, code=code, ran=refusal.ran
+        )
+    return messages.RequestRefused(
+        request_id=request.request_id,
+        code=code,
+        ran=refusal.ran,
+        status=refusal.status,
+        retry_after=request.retry_after,
+    )
+
+
+def record(request: state.Request, limit_bytes: int) -> message.Message:
+    """Record the answer of an action."""
+    attempt = request.answer
+    kept = attempt.taken_bytes <= limit_bytes
+    return journal_messages.RecordOutcome(
+        request_id=request.request_id,
+        account=request.arrived.account,
+        key=request.arrived.key,
+        attempt_id=attempt.attempt_id,
+        status=attempt.headers.status,
+        content_type=attempt.headers.content_type,
+        body=bytes(attempt.body) if kept else b"",
+        kept=kept,
+        lookup=attempt.purpose is state.Purpose.LOOKUP,
+    )
+
+
+def seal(request: state.Request, lookup: bool = False) -> message.Message:
+    """Record that an action did not run and never will."""
+    return journal_messages.SealEntry(
+        request_id=request.request_id,
+        account=request.arrived.account,
+        key=request.arrived.key,
+        attempt_id=request.attempt_id,
+        lookup=lookup,
+    )
+
+
+def mark_unknown(request: state.Request) -> message.Message:
+    """Record that an action may have run."""
+    return journal_messages.MarkUnknown(
+        request_id=request.request_id,
+        account=request.arrived.account,
+        key=request.arrived.key,
+        attempt_id=request.attempt_id,
+    )
+
+
+def leave(request: state.Request) -> Effects:
+    """Stop everything that is open for a request and forget it."""
+    effects = stop_placing(request)
+    for attempt in request.attempts.values():
+        effects.extend(cancel(request, attempt))
+    request.attempts.clear()
+    request.closed = True
+    request.ready = False
+    if request.admitted:
+        effects.append(
+            limits_messages.RequestLeft(
+                request_id=request.request_id, account=request.arrived.account
+            )
+        )
+    return effects
--- a/fulmarbarrow/delivery/messages.py
+++ b/fulmarbarrow/delivery/messages.py
@@ -27,6 +27,7 @@
     SILENT = "silent"
     WRONG_ATTEMPT = "wrong_attempt"
     SERVER_ERROR = "server_error"
+    LEASE_PASSED = "lease_passed"
 
 
 class RequestArrived(message.Message, frozen=True, kw_only=True):
@@ -60,7 +61,8 @@
     """Effect: send the request to an upstream.
 
     ``resume_offset`` counts answer events that the caller already has.
-    ``lookup`` asks for the outcome of an earlier run instead of a run.
+    ``lookup`` asks for the outcome of an earlier run at ``lookup_path``
+    instead of a run. No byte may be sent from ``dispatch_until`` on.
     """
 
     request_id: str
@@ -73,6 +75,8 @@
     version: str = ""
     resume_offset: int = 0
     lookup: bool = False
+    dispatch_until: datetime.datetime | None = None
+    lookup_path: str = ""
 
 
 class AttemptSent(message.Message, frozen=True, kw_only=True):
@@ -87,6 +91,7 @@
     ``echoed_attempt`` is the attempt that the upstream says it answers;
     ``not_run`` its own proof that it refused before running.
     ``length`` is the announced body length, or None for a stream.
+    ``resume_offset`` is the event index at which the engine says it goes on.
     """
 
     attempt_id: str
@@ -95,12 +100,14 @@
     content_type: str = ""
     length: int | None = None
     not_run: bool = False
+    resume_offset: int = 0
 
 
 class AttemptData(message.Message, frozen=True, kw_only=True):
     """A part of the answer: whole events of a stream, or body bytes.
 
-    ``first_event`` is the index of the first event in ``data``.
+    ``first_event`` is the index of the first event in ``data``. ``echoed``
+    holds the ids that the events carry, without repetition.
     """
 
     attempt_id: str
@@ -110,6 +117,14 @@
     end_marker: bool = False
     tokens: int = 0
     reused_tokens: int = 0
+    echoed: tuple[str, ...] = ()
+
+
+class AttemptPaused(message.Message, frozen=True, kw_only=True):
+    """A slow caller stopped the reading of the answer, or let it go on."""
+
+    attempt_id: str
+    paused: bool
 
 
 class AttemptEnded(message.Message, frozen=True, kw_only=True):
@@ -187,6 +202,16 @@
     request_id: str
 
 
+class WakeWanted(message.Message, frozen=True, kw_only=True):
+    """Effect: post a ``Wake`` at this time."""
+
+    at: datetime.datetime
+
+
+class Wake(message.Message, frozen=True, kw_only=True):
+    """The time of an earlier ``WakeWanted`` has come."""
+
+
 class AttemptObserved(message.Message, frozen=True, kw_only=True):
     """Effect: what one attempt showed of an upstream and its version."""
 
@@ -214,4 +239,24 @@
     at: datetime.datetime
 
 
-PEER_MESSAGES = (PoisonSuspected,)
+class SuspectStarted(message.Message, frozen=True, kw_only=True):
+    """A router runs a suspected request on an upstream up to ``lease``."""
+
+    digest: str
+    attempt_id: str
+    upstream_id: str
+    lease: datetime.timedelta
+
+
+class SuspectEnded(message.Message, frozen=True, kw_only=True):
+    """The lone run of a suspected request ended.
+
+    ``harmless`` says that it ran to its end and crashed nothing.
+    """
+
+    digest: str
+    attempt_id: str
+    harmless: bool
+
+
+PEER_MESSAGES = (PoisonSuspected, SuspectStarted, SuspectEnded)
--- /dev/null
+++ b/fulmarbarrow/delivery/poison.py
@@ -0,0 +1,134 @@
+"""Requests that crash the upstreams which run them, by digest."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+import enum
+import typing
+
+from fulmarbarrow.delivery import messages
+
+CRASHES_TO_QUARANTINE = 2
+SUSPICION = datetime.timedelta(minutes=1)
+QUARANTINE = datetime.timedelta(minutes=10)
+MAX_DIGESTS = 10_000
+RUN_LEASE = datetime.timedelta(seconds=30)
+
+
+class Suspicion(enum.StrEnum):
+    """What is thought of a request by its digest."""
+
+    NONE = "none"
+    SUSPECT = "suspect"
+    QUARANTINED = "quarantined"
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Record:
+    """Crashes by upstream incarnation, and when the record ends."""
+
+    crashes: set[tuple[str, int]] = dataclasses.field(default_factory=set)
+    until: datetime.datetime
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Run:
+    """The run of a suspect somewhere in the fleet."""
+
+    attempt_id: str
+    upstream_id: str
+    until: datetime.datetime
+
+
+class PoisonRegistry:
+    """Counts crashes by digest and keeps suspects apart.
+
+    One crash makes a suspect for a minute, a second one a quarantine of ten.
+    A suspect runs at one place at a time, and an upstream runs one suspect
+    at a time, so that a crash tells which suspect caused it.
+    """
+
+    def __init__(self) -> None:
+        self._records: dict[str, _Record] = {}
+        self._runs: dict[str, _Run] = {}
+
+    def suspicion(self, digest: str, now: datetime.datetime) -> Suspicion:
+        """Return what is thought of a digest."""
+        record = self._records.get(digest)
+        if record is None:
+            return Suspicion.NONE
+        if record.until <= now:
+            del self._records[digest]
+            return Suspicion.NONE
+        if len(record.crashes) >= CRASHES_TO_QUARANTINE:
+            return Suspicion.QUARANTINED
+        return Suspicion.SUSPECT
+
+    def crashes(self, digest: str) -> frozenset[tuple[str, int]]:
+        """Return the upstream incarnations that a digest crashed."""
+        record = self._records.get(digest)
+        return frozenset(record.crashes) if record else frozenset()
+
+    def add(self, event: messages.PoisonSuspected) -> None:
+        """Count a crash."""
+        record = self._records.get(event.digest)
+        if record is None:
+            if len(self._records) >= MAX_DIGESTS:
+                del self._records[next(iter(self._records))]
+            record = _Record(until=event.at)
+            self._records[event.digest] = record
+        record.crashes.add((event.upstream_id, event.incarnation))
+        term = SUSPICION
+        if len(record.crashes) >= CRASHES_TO_QUARANTINE:
+            term = QUARANTINE
+        record.until = max(record.until, event.at + term)
+
+    def start(
+        self, event: messages.SuspectStarted, now: datetime.datetime
+    ) -> None:
+        """Note that a suspect runs."""
+        self._runs[event.digest] = _Run(
+            attempt_id=event.attempt_id,
+            upstream_id=event.upstream_id,
+            until=now + event.lease,
+        )
+
+    def end(self, event: messages.SuspectEnded) -> None:
+        """Note the end of a suspect's run; a harmless one is cleared."""
+        run = self._runs.get(event.digest)
+        if run is not None and run.attempt_id == event.attempt_id:
+            del self._runs[event.digest]
+        record = self._records.get(event.digest)
+        if record is None or not event.harmless:
+            return
+        if len(record.crashes) < CRASHES_TO_QUARANTINE:
+            del self._records[event.digest]
+
+    def running(self, digest: str, now: datetime.datetime) -> bool:
+        """Return whether a digest runs somewhere as a suspect."""
+        self._drop_expired(now)
+        return digest in self._runs
+
+    def busy_upstreams(self, now: datetime.datetime) -> set[str]:
+        """Return the upstreams that run a suspect."""
+        self._drop_expired(now)
+        return {run.upstream_id for run in self._runs.values()}
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return suspects and quarantines, as plain data."""
+        return {
+            digest: {
+                "crashed": sorted(name for name, _ in record.crashes),
+                "quarantined": (len(record.crashes) >= CRASHES_TO_QUARANTINE),
+                "until": record.until.isoformat(),
+            }
+            for digest, record in self._records.items()
+        }
+
+    def _drop_expired(self, now: datetime.datetime) -> None:
+        expired = [
+            digest for digest, run in self._runs.items() if run.until <= now
+        ]
+        for digest in expired:
+            del self._runs[digest]
--- /dev/null
+++ b/fulmarbarrow/delivery/policy.py
@@ -0,0 +1,96 @@
+"""Timeouts and limits of requests and attempts."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+
+from fulmarbarrow.delivery import state
+from fulmarbarrow.placement import messages as placement_messages
+
+MAX_BUFFERED_BYTES = 1 << 20
+MAX_ATTEMPTS = 4  # attempts in a row that brought the caller nothing
+JOURNAL_WAIT = datetime.timedelta(seconds=1)
+SUSPECT_PAUSE = datetime.timedelta(milliseconds=100)
+PREEMPT_PAUSE = datetime.timedelta(milliseconds=100)
+HEDGE_FACTOR = 3.0
+HEDGE_FIRST = datetime.timedelta(milliseconds=200)
+HEDGE_LEAST = datetime.timedelta(milliseconds=30)
+_SMOOTHING = 0.1
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Timeouts:
+    """How long an open connection may show no progress."""
+
+    first_event: datetime.timedelta = datetime.timedelta(seconds=5)
+    between_events: datetime.timedelta = datetime.timedelta(seconds=2)
+    least_answer: datetime.timedelta = datetime.timedelta(milliseconds=500)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Mechanisms:
+    """Which mechanisms are on; all of them, but in tests of the tests."""
+
+    journal: bool = True
+    echo_check: bool = True
+    completeness: bool = True
+    resume_check: bool = True
+    retry_budget: bool = True
+    quarantine: bool = True
+    silence: bool = True
+    proof_of_not_run: bool = True
+    dispatch_lease: bool = True
+
+
+def silence_limit(
+    request: state.Request, attempt: state.Attempt, timeouts: Timeouts
+) -> datetime.timedelta | None:
+    """Return how long an attempt may be silent; None for no limit.
+
+    An action has no second attempt to turn to, so it waits to its deadline.
+    A whole answer may take half of the time that was left when it was sent,
+    so that another upstream has the other half.
+    """
+    if attempt.paused:
+        return None
+    if attempt.streamed and attempt.first_token is not None:
+        return timeouts.between_events
+    if request.action and attempt.purpose is state.Purpose.RUN:
+        return None
+    if request.arrived.stream:
+        return timeouts.first_event
+    left = request.arrived.deadline - attempt.sent_at
+    return max(timeouts.least_answer, left / 2)
+
+
+def may_hedge(request: state.Request) -> bool:
+    """Return whether a request is a short look-up."""
+    arrived = request.arrived
+    return (
+        arrived.idempotent
+        and not arrived.stream
+        and not arrived.model
+        and arrived.cost_class is placement_messages.CostClass.SHORT
+    )
+
+
+class AnswerTimes:
+    """The smoothed time of a service's whole answers, for hedging."""
+
+    def __init__(self) -> None:
+        self._mean: datetime.timedelta | None = None
+
+    @property
+    def hedge_delay(self) -> datetime.timedelta:
+        """The time after which a second upstream is asked."""
+        if self._mean is None:
+            return HEDGE_FIRST
+        return max(HEDGE_LEAST, self._mean * HEDGE_FACTOR)
+
+    def add(self, duration: datetime.timedelta) -> None:
+        """Learn from an answer."""
+        if self._mean is None:
+            self._mean = duration
+            return
+        self._mean += (duration - self._mean) * _SMOOTHING
--- /dev/null
+++ b/fulmarbarrow/delivery/recovery.py
@@ -0,0 +1,334 @@
+"""Decides on the next attempt of a request, or on its end."""
+
+from __future__ import annotations
+
+import datetime
+import random
+
+from fulmarbarrow.delivery import attempt as attempt_machine
+from fulmarbarrow.delivery import book as books
+from fulmarbarrow.delivery import budget
+from fulmarbarrow.delivery import effects as effects_module
+from fulmarbarrow.delivery import messages
+from fulmarbarrow.delivery import policy
+from fulmarbarrow.delivery import refusals
+from fulmarbarrow.delivery import state
+from fulmarbarrow.delivery import suspects as suspects_module
+from fulmarbarrow import message
+from fulmarbarrow.observe import metrics as metrics_module
+from fulmarbarrow.placement import messages as placement_messages
+
+Effects = list[message.Message]
+
+UNKNOWN_CODE = "internal_error"
+
+
+class Recovery:
+    """Places attempts, retries them within a budget, and gives up."""
+
+    def __init__(
+        self,
+        *,
+        metrics: metrics_module.Metrics,
+        rng: random.Random,
+        suspects: suspects_module.Suspects,
+        mechanisms: policy.Mechanisms,
+    ) -> None:
+        self._metrics = metrics
+        self._rng = rng
+        self._suspects = suspects
+        self._mechanisms = mechanisms
+        self._budgets: dict[str, budget.RetryBudget] = {}
+        self._times: dict[str, policy.AnswerTimes] = {}
+
+    def dump(self) -> dict[str, float]:
+        """Return the retries that each service has left."""
+        return {
+            service: round(kept.tokens, 2)
+            for service, kept in self._budgets.items()
+        }
+
+    def count_request(
+        self, request: state.Request, now: datetime.datetime
+    ) -> None:
+        """Let a new request fill its service's retry budget."""
+        self._budget(request, now).deposit()
+
+    def learn(self, request: state.Request, attempt: state.Attempt) -> None:
+        """Learn from the time of a whole answer."""
+        if policy.may_hedge(request):
+            duration = attempt.progress_at - attempt.sent_at
+            self._answer_times(request).add(duration)
+
+    def place(self, entry: books.Open, now: datetime.datetime) -> Effects:
+        """Ask for an upstream if the request is ready for an attempt."""
+        request = entry.request
+        if not request.ready or request.wait_until is not None:
+            return []
+        if request.purpose is state.Purpose.LOOKUP:
+            return list(entry.inputs.place())
+        match self._suspects.gate(request, now):
+            case suspects_module.Gate.QUARANTINED:
+                return self.conclude(entry, "quarantined", now)
+            case suspects_module.Gate.LAST_UPSTREAM if request.number == 1:
+                return self.conclude(entry, "quarantined", now)
+            case (
+                suspects_module.Gate.LAST_UPSTREAM | suspects_module.Gate.WAIT
+            ):
+                return list(entry.inputs.hold(now + policy.SUSPECT_PAUSE))
+        request.excluded = self._suspects.excluded(request, now)
+        return list(entry.inputs.place())
+
+    def send(
+        self,
+        entry: books.Open,
+        placed: placement_messages.Placed,
+        now: datetime.datetime,
+    ) -> Effects:
+        """Send the attempt that an upstream was found for."""
+        request = entry.request
+        gate = suspects_module.Gate.OPEN
+        if request.purpose is state.Purpose.RUN:
+            gate = self._suspects.gate(request, now)
+        if gate is not suspects_module.Gate.OPEN:
+            request.placing_id = ""
+            held = entry.inputs.hold(now + policy.SUSPECT_PAUSE)
+            return [effects_module.not_sent(placed), *held]
+        attempt = self._open(entry, placed, request.purpose, now)
+        return [
+            *self._suspects.start(request, attempt),
+            *entry.inputs.send(attempt),
+        ]
+
+    def hedge(self, entry: books.Open, now: datetime.datetime) -> Effects:
+        """Ask a second upstream when a short look-up takes long."""
+        request = entry.request
+        if len(request.attempts) != 1 or request.hedge_id or request.started:
+            return []
+        (attempt,) = request.attempts.values()
+        if attempt.purpose is not state.Purpose.RUN:
+            return []
+        due = attempt.sent_at + self._answer_times(request).hedge_delay
+        if not policy.may_hedge(request) or now < due:
+            return []
+        if request.number > 1 or not self._withdraw(request, now):
+            return []
+        self._metrics.count("hedges", service=request.arrived.service)
+        request.number += 1
+        request.hedge_id = request.attempt_id
+        request.excluded = (
+            *request.excluded,
+            attempt.placed.upstream_id,
+        )
+        return [effects_module.place(request, request.hedge_id)]
+
+    def hedge_due(
+        self, request: state.Request, now: datetime.datetime
+    ) -> datetime.datetime | None:
+        """Return when a second upstream is to be asked, if ever."""
+        if request.number > 1 or not policy.may_hedge(request):
+            return None
+        return now + self._answer_times(request).hedge_delay
+
+    def send_hedge(
+        self,
+        entry: books.Open,
+        placed: placement_messages.Placed,
+        now: datetime.datetime,
+    ) -> Effects:
+        """Send the second attempt if the first is still open."""
+        request = entry.request
+        request.hedge_id = ""
+        if not request.attempts:
+            return [effects_module.not_sent(placed)]
+        attempt = self._open(entry, placed, state.Purpose.HEDGE, now)
+        request.attempts[attempt.attempt_id] = attempt
+        return [effects_module.start(request, attempt)]
+
+    def preempt(
+        self, entry: books.Open, attempt_id: str, now: datetime.datetime
+    ) -> Effects:
+        """Cancel a best-effort attempt; it goes on later."""
+        request = entry.request
+        attempt = request.attempts.get(attempt_id)
+        if attempt is None or request.action or attempt.relayed:
+            return []
+        entry.attempts.pop(attempt_id).cancel()
+        del request.attempts[attempt_id]
+        self._metrics.count("attempts_preempted")
+        request.number += 1
+        return [
+            *effects_module.cancel(request, attempt),
+            *self._suspects.end(request, attempt, now, False),
+            *entry.inputs.hold(now + policy.PREEMPT_PAUSE),
+        ]
+
+    def refuse(self, entry: books.Open, code: str) -> Effects:
+        """Give up without a record in the journal."""
+        code = true_code(entry.request, code)
+        self._metrics.count("requests_refused", code=code)
+        return list(entry.inputs.refuse(code))
+
+    def conclude(
+        self, entry: books.Open, code: str, now: datetime.datetime
+    ) -> Effects:
+        """Give up; what is known of an action goes to the journal first."""
+        request = entry.request
+        if not request.granted:
+            return self.refuse(entry, code)
+        until = now + policy.JOURNAL_WAIT
+        if request.may_have_run:
+            self._metrics.count("actions_unknown")
+            return list(entry.inputs.mark("outcome_unknown", until))
+        code = true_code(request, code)
+        self._metrics.count("actions_sealed", code=code)
+        return list(entry.inputs.seal(code, until, False))
+
+    def after_failure(
+        self,
+        entry: books.Open,
+        attempt: state.Attempt,
+        not_run: bool,
+        now: datetime.datetime,
+    ) -> Effects:
+        """Decide what follows an attempt that failed."""
+        request = entry.request
+        request.excluded = tuple(
+            sorted({*request.excluded, attempt.placed.upstream_id})
+        )
+        if not not_run and attempt.purpose is not state.Purpose.LOOKUP:
+            request.may_have_run = True
+        if request.attempts:
+            return []
+        if request.hedge_id:
+            return list(entry.inputs.promote())
+        if attempt.purpose is state.Purpose.LOOKUP:
+            return self.conclude(entry, "outcome_unknown", now)
+        if request.action and not not_run:
+            return self._after_action(entry, now)
+        return self._retry(entry, attempt, now)
+
+    def _after_action(
+        self, entry: books.Open, now: datetime.datetime
+    ) -> Effects:
+        """Look up what an action that may have run has done."""
+        request = entry.request
+        open_time = request.arrived.deadline > now
+        if request.arrived.lookup_path and open_time and not request.started:
+            self._metrics.count("actions_looked_up")
+            return [*entry.inputs.look_up(), *self.place(entry, now)]
+        return self.conclude(entry, "outcome_unknown", now)
+
+    def _retry(
+        self,
+        entry: books.Open,
+        attempt: state.Attempt,
+        now: datetime.datetime,
+    ) -> Effects:
+        request = entry.request
+        progressed = attempt.taken_events > attempt.resume_offset
+        request.attempts_without_progress += 1
+        if progressed and attempt.streamed:
+            request.attempts_without_progress = 0
+        if not self._may_retry(request, attempt, progressed, now):
+            code = "upstream_failed"
+            if not request.may_have_run:
+                refused = attempt.headers is not None
+                code = "upstream_refused" if refused else "no_upstream"
+            return self.conclude(entry, code, now)
+        self._metrics.count("retries", service=request.arrived.service)
+        request.number += 1
+        wait = budget.backoff(request.attempts_without_progress, self._rng)
+        return list(entry.inputs.hold(now + wait))
+
+    def _may_retry(
+        self,
+        request: state.Request,
+        attempt: state.Attempt,
+        progressed: bool,
+        now: datetime.datetime,
+    ) -> bool:
+        if request.caller_gone or attempt.relayed:
+            return False
+        if request.attempts_without_progress >= policy.MAX_ATTEMPTS:
+            return False
+        if request.dispatch_until is not None:
+            if now >= request.dispatch_until:
+                return False
+        elif now >= request.deadline:
+            return False
+        if progressed and attempt.streamed:
+            self._budget(request, now).charge()
+            return True
+        return self._withdraw(request, now)
+
+    def may_retry_status(
+        self, request: state.Request, now: datetime.datetime
+    ) -> bool:
+        """Return whether an error answer of an upstream may be retried."""
+        if request.action or now >= request.arrived.deadline:
+            return False
+        if request.attempts_without_progress + 1 >= policy.MAX_ATTEMPTS:
+            return False
+        return self._budget(request, now).has_retry(now)
+
+    def _open(
+        self,
+        entry: books.Open,
+        placed: placement_messages.Placed,
+        purpose: state.Purpose,
+        now: datetime.datetime,
+    ) -> state.Attempt:
+        request = entry.request
+        attempt = state.Attempt(
+            attempt_id=placed.attempt_id,
+            purpose=purpose,
+            placed=placed,
+            sent_at=now,
+            progress_at=now,
+            resume_offset=request.delivered_events,
+            taken_events=request.delivered_events,
+        )
+        entry.attempts[attempt.attempt_id] = attempt_machine.make_attempt(
+            attempt
+        )
+        self._metrics.count("attempts", service=request.arrived.service)
+        return attempt
+
+    def _withdraw(
+        self, request: state.Request, now: datetime.datetime
+    ) -> bool:
+        if not self._mechanisms.retry_budget:
+            return True
+        if self._budget(request, now).withdraw(now):
+            return True
+        self._metrics.count(
+            "retries_over_budget", service=request.arrived.service
+        )
+        return False
+
+    def _budget(
+        self, request: state.Request, now: datetime.datetime
+    ) -> budget.RetryBudget:
+        service = request.arrived.service
+        kept = self._budgets.get(service)
+        if kept is None:
+            kept = self._budgets[service] = budget.RetryBudget(now=now)
+        return kept
+
+    def _answer_times(self, request: state.Request) -> policy.AnswerTimes:
+        return self._times.setdefault(
+            request.arrived.service, policy.AnswerTimes()
+        )
+
+
+def true_code(request: state.Request, code: str) -> str:
+    """Return a code whose ``ran`` value holds for the request."""
+    refusal = refusals.REFUSALS.get(code)
+    if refusal is None:
+        return UNKNOWN_CODE
+    if request.purpose is state.Purpose.LOOKUP:
+        return "outcome_unknown"
+    if refusal.ran is not messages.Ran.NO or not request.may_have_run:
+        return code
+    return "timeout" if code == "deadline_exceeded" else "upstream_failed"
--- a/fulmarbarrow/delivery/refusals.py
+++ b/fulmarbarrow/delivery/refusals.py
@@ -136,6 +136,27 @@
         message="this daemon is stopping",
         proof=_BEFORE_DISPATCH,
     ),
+    Refusal(
+        code="upstream_refused",
+        status=503,
+        ran=messages.Ran.NO,
+        message="every upstream that was asked refused to run the request",
+        proof="each upstream said that it had not run it",
+    ),
+    Refusal(
+        code="answer_not_kept",
+        status=409,
+        ran=messages.Ran.YES,
+        message="the action ran; its answer was too large to be kept",
+        proof="the journal holds the action's outcome",
+    ),
+    Refusal(
+        code="timeout",
+        status=504,
+        ran=messages.Ran.UNKNOWN,
+        message="no answer by the deadline; the request may have run",
+        proof="",
+    ),
     Refusal(
         code="upstream_failed",
         status=502,
--- /dev/null
+++ b/fulmarbarrow/delivery/shell.py
@@ -0,0 +1,28 @@
+"""Wakes the delivery core at the times it asks for."""
+
+from __future__ import annotations
+
+import datetime
+import typing
+
+from fulmarbarrow import bus as buses
+from fulmarbarrow.delivery import messages
+
+MARGIN_SECONDS = 0.001
+
+
+class Alarm:
+    """Posts a ``Wake`` for each ``WakeWanted``."""
+
+    def __init__(self, *, reactor: typing.Any, bus: buses.Bus) -> None:
+        self._reactor = reactor
+        self._bus = bus
+        bus.subscribe(messages.WakeWanted, self._wanted)
+
+    def _wanted(
+        self, event: messages.WakeWanted, now: datetime.datetime
+    ) -> None:
+        delay = max(0.0, (event.at - now).total_seconds())
+        self._reactor.callLater(
+            delay + MARGIN_SECONDS, self._bus.post, messages.Wake()
+        )
--- a/fulmarbarrow/delivery/state.py
+++ b/fulmarbarrow/delivery/state.py
@@ -1,29 +1,124 @@
-"""What is known of an open request."""
+"""What is known of an open request and of its attempts."""
 
 from __future__ import annotations
 
 import dataclasses
 import datetime
+import enum
 
 from fulmarbarrow.delivery import messages
 from fulmarbarrow.placement import messages as placement_messages
 
+RESUME_GRACE = datetime.timedelta(seconds=10)
+
+
+class Purpose(enum.StrEnum):
+    """What an attempt is for."""
+
+    RUN = "run"
+    HEDGE = "hedge"
+    LOOKUP = "lookup"
+
 
 @dataclasses.dataclass(kw_only=True)
-class Request:
-    """An open request and its current attempt."""
+class Attempt:
+    """One attempt at an upstream.
 
-    arrived: messages.RequestArrived
-    placed: placement_messages.Placed | None = None
+    ``taken_events`` counts the events of the whole answer up to here, those
+    before ``resume_offset`` included; ``taken_bytes`` the body's bytes.
+    """
+
+    attempt_id: str
+    purpose: Purpose
+    placed: placement_messages.Placed
+    sent_at: datetime.datetime
+    progress_at: datetime.datetime
+    resume_offset: int = 0
     headers: messages.AttemptHeaders | None = None
-    sent_at: datetime.datetime | None = None
+    taken_events: int = 0
+    taken_bytes: int = 0
+    end_marker: bool = False
     first_token: datetime.timedelta | None = None
     tokens: int = 0
     reused_tokens: int = 0
-    body: bytes = b""
-    attempts: int = 1
+    body: bytearray = dataclasses.field(default_factory=bytearray)
+    paused: bool = False
+    relayed: bool = False
+    timer_at: datetime.datetime | None = None
+
+    @property
+    def streamed(self) -> bool:
+        """Whether the answer is a stream of events."""
+        return self.headers is not None and (
+            self.headers.content_type.startswith("text/event-stream")
+        )
+
+    @property
+    def whole(self) -> bool:
+        """Whether the answer is complete by its end marker or length."""
+        if self.headers is None:
+            return False
+        if self.streamed:
+            return self.end_marker
+        length = self.headers.length
+        return length is None or length == self.taken_bytes
+
+
+@dataclasses.dataclass(kw_only=True)
+class Request:
+    """An open request.
+
+    ``started`` says that a part of the answer went to the caller,
+    ``delivered_events`` how many events of it. ``granted`` says that the
+    journal gave the right to dispatch until ``dispatch_until``.
+    ``may_have_run`` is set as soon as a run is not provably ruled out.
+    ``ready`` says that the next attempt only waits until ``wait_until``.
+    ``placing_id`` and ``hedge_id`` are attempts that wait for an upstream.
+    """
+
+    arrived: messages.RequestArrived
+    attempts: dict[str, Attempt] = dataclasses.field(default_factory=dict)
+    number: int = 1
+    purpose: Purpose = Purpose.RUN
+    placing_id: str = ""
+    hedge_id: str = ""
+    excluded: tuple[str, ...] = ()
+    admitted: bool = False
+    intending: bool = False
+    started: bool = False
+    delivered_events: int = 0
+    attempts_without_progress: int = 0
+    granted: bool = False
+    dispatch_until: datetime.datetime | None = None
+    may_have_run: bool = False
+    caller_gone: bool = False
+    refusal_code: str = ""
+    retry_after: datetime.timedelta | None = None
+    answer: Attempt | None = None
+    ready: bool = False
+    wait_until: datetime.datetime | None = None
+    timer_at: datetime.datetime | None = None
+    grace_timer: bool = False
+    closed: bool = False
+
+    @property
+    def request_id(self) -> str:
+        """The request's id."""
+        return self.arrived.request_id
 
     @property
     def attempt_id(self) -> str:
-        """The id of the current attempt."""
-        return f"{self.arrived.request_id}-{self.attempts}"
+        """The id of the newest attempt."""
+        return f"{self.arrived.request_id}-{self.number}"
+
+    @property
+    def deadline(self) -> datetime.datetime:
+        """When to give up; a stream that has begun has some time more."""
+        if self.started:
+            return self.arrived.deadline + RESUME_GRACE
+        return self.arrived.deadline
+
+    @property
+    def action(self) -> bool:
+        """Whether the request must not run twice."""
+        return not self.arrived.idempotent
--- /dev/null
+++ b/fulmarbarrow/delivery/timers.py
@@ -0,0 +1,45 @@
+"""Due times of open requests, earliest first."""
+
+from __future__ import annotations
+
+import collections.abc
+import datetime
+import heapq
+import itertools
+
+from fulmarbarrow.delivery import messages
+from fulmarbarrow import message
+
+
+class Timers:
+    """A queue of request ids by due time, and the wake-up it needs."""
+
+    def __init__(self) -> None:
+        self._queue: list[tuple[datetime.datetime, int, str]] = []
+        self._numbers = itertools.count()
+        self._armed: datetime.datetime | None = None
+
+    def __len__(self) -> int:
+        """Return the number of waiting due times."""
+        return len(self._queue)
+
+    def add(self, at: datetime.datetime, request_id: str) -> None:
+        """Have the request looked at from ``at`` on."""
+        heapq.heappush(self._queue, (at, next(self._numbers), request_id))
+
+    def due(self, now: datetime.datetime) -> collections.abc.Iterator[str]:
+        """Yield and remove the requests that are due."""
+        if self._armed is not None and self._armed <= now:
+            self._armed = None
+        while self._queue and self._queue[0][0] <= now:
+            yield heapq.heappop(self._queue)[2]
+
+    def wake(self) -> list[message.Message]:
+        """Return the effect for the next due time if none is armed."""
+        if not self._queue:
+            return []
+        at = self._queue[0][0]
+        if self._armed is not None and self._armed <= at:
+            return []
+        self._armed = at
+        return [messages.WakeWanted(at=at)]
--- /dev/null
+++ b/fulmarbarrow/delivery/upstreams.py
@@ -0,0 +1,34 @@
+"""The upstreams of each pool that serve now."""
+
+from __future__ import annotations
+
+from fulmarbarrow.membership import messages as membership_messages
+
+
+class Pools:
+    """Serving upstreams by the service and model that they offer."""
+
+    def __init__(self) -> None:
+        self._upstreams: dict[str, membership_messages.Upstream] = {}
+
+    def change(self, event: membership_messages.UpstreamChanged) -> None:
+        """Learn an upstream's newest state."""
+        self._upstreams[event.upstream.upstream_id] = event.upstream
+
+    def remove(self, event: membership_messages.UpstreamGone) -> None:
+        """Forget an upstream."""
+        known = self._upstreams.get(event.upstream_id)
+        if known is not None and known.incarnation <= event.incarnation:
+            del self._upstreams[event.upstream_id]
+
+    def serving(self, service: str, model: str) -> dict[str, int]:
+        """Return the upstreams that serve a pool, with their incarnations."""
+        return {
+            upstream.upstream_id: upstream.incarnation
+            for upstream in self._upstreams.values()
+            if upstream.state is membership_messages.UpstreamState.SERVING
+            and any(
+                (offer.service, offer.model) == (service, model)
+                for offer in upstream.offers
+            )
+        }
--- a/fulmarbarrow/edge/sse.py
+++ b/fulmarbarrow/edge/sse.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import re
 
 import msgspec
 
@@ -24,11 +25,15 @@
     usage: _Usage | None = None
 
 
+_ATTEMPT_ID = re.compile(rb'"id":\s?"([^"]+-[0-9a-f]+-[0-9]+-[0-9]+)"')
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Part:
     """Whole events: their bytes, number and what they say.
 
-    ``reused_tokens`` is what the engine says it found in its cache.
+    ``reused_tokens`` is what the engine says it found in its cache;
+    ``echoed`` the attempt ids that the events carry, without repetition.
     """
 
     data: bytes
@@ -37,14 +42,15 @@
     end_marker: bool
     tokens: int
     reused_tokens: int
+    echoed: tuple[str, ...] = ()
 
 
 class EventSplitter:
-    """Gathers bytes into whole events, counting them from 0."""
+    """Gathers bytes into whole events, counting them from ``first``."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, first: int = 0) -> None:
         self._buffer = b""
-        self._count = 0
+        self._count = first
 
     def feed(self, data: bytes) -> Part:
         """Return the events that are whole now."""
@@ -71,9 +77,16 @@
             end_marker=end,
             tokens=len(events) - (1 if end else 0),
             reused_tokens=_reused(whole),
+            echoed=_echoed(whole),
         )
 
 
+def _echoed(data: bytes) -> tuple[str, ...]:
+    """Return the ids in the form of an attempt's that the events carry."""
+    found = dict.fromkeys(_ATTEMPT_ID.findall(data))
+    return tuple(item.decode("utf-8", "replace") for item in found)
+
+
 def _reused(data: bytes) -> int:
     if _USAGE_HINT not in data:
         return 0
--- a/fulmarbarrow/exceptions.py
+++ b/fulmarbarrow/exceptions.py
@@ -48,6 +48,12 @@
     exit_code = 4
 
 
+class DispatchLeaseError(FulmarbarrowError):
+    """The right to dispatch an action ended before it was sent."""
+
+    code = "dispatch_lease_passed"
+
+
 class ConflictError(FulmarbarrowError):
     """Another publish won the race for the revision."""
 
--- /dev/null
+++ b/fulmarbarrow/journal/control.py
@@ -0,0 +1,264 @@
+"""The journal on a control host: commits calls through the log."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import datetime
+import typing
+
+import msgspec
+import xxhash
+
+from fulmarbarrow.consensus import messages as consensus_messages
+from fulmarbarrow.journal import machine
+from fulmarbarrow.journal import messages
+from fulmarbarrow.membership import messages as membership_messages
+from fulmarbarrow import message
+from fulmarbarrow.observe import metrics as metrics_module
+
+SHARDS = 1
+MAX_BATCH = 256  # commands
+PROPOSAL_TIMEOUT = datetime.timedelta(seconds=2)
+
+Effects = list[message.Message]
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Proposal:
+    """A batch that the log has not answered yet."""
+
+    calls: tuple[messages.JournalCall, ...]
+    proposed_at: datetime.datetime
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Shard:
+    """Calls that wait for the proposal ahead of them."""
+
+    waiting: collections.deque[messages.JournalCall] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    proposed: str = ""
+
+
+class JournalControl:
+    """Calls of routers in, batches to the log and replies out.
+
+    While one batch of a shard is being committed the next one gathers, so
+    that one synced write commits what came meanwhile.
+    """
+
+    handles = (
+        messages.JournalCall,
+        consensus_messages.Applied,
+        consensus_messages.ProposeResult,
+        consensus_messages.LeaderChanged,
+        consensus_messages.SnapshotWanted,
+        consensus_messages.SnapshotRestored,
+        membership_messages.DaemonChanged,
+        membership_messages.DaemonGone,
+        message.Tick,
+    )
+
+    def __init__(
+        self,
+        *,
+        daemon: membership_messages.Daemon,
+        metrics: metrics_module.Metrics,
+        group_commit: bool = True,
+    ) -> None:
+        self._daemon = daemon
+        self._metrics = metrics
+        self._group_commit = group_commit
+        self._journal = machine.Journal()
+        self._shards = [_Shard() for _ in range(SHARDS)]
+        self._proposals: dict[str, _Proposal] = {}
+        self._pending: dict[str, str] = {}
+        self._number = 0
+        self._addresses = {daemon.daemon_id: daemon.address}
+        self._encoder = msgspec.msgpack.Encoder()
+
+    def handle(
+        self, event: message.Message, now: datetime.datetime
+    ) -> Effects:
+        """Take one event and return its effects."""
+        match event:
+            case messages.JournalCall():
+                return self._call(event, now)
+            case consensus_messages.Applied(
+                group=consensus_messages.Group.JOURNAL
+            ):
+                return self._applied(event)
+            case consensus_messages.ProposeResult(
+                group=consensus_messages.Group.JOURNAL
+            ):
+                return self._proposed(event, now)
+            case consensus_messages.LeaderChanged(
+                group=consensus_messages.Group.JOURNAL
+            ):
+                if event.leader and event.address:
+                    self._addresses[event.leader] = event.address
+            case consensus_messages.SnapshotWanted(
+                group=consensus_messages.Group.JOURNAL
+            ):
+                return [self._snapshot(event)]
+            case consensus_messages.SnapshotRestored(
+                group=consensus_messages.Group.JOURNAL
+            ):
+                self._journal.restore(event.state)
+            case membership_messages.DaemonChanged():
+                daemon = event.daemon
+                self._addresses[daemon.daemon_id] = daemon.address
+            case membership_messages.DaemonGone():
+                self._addresses.pop(event.daemon_id, None)
+            case message.Tick():
+                return self._drop_lost(now)
+        return []
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return the number of entries by state, as plain data."""
+        return {
+            "entries": self._journal.counts(),
+            "expired": self._journal.expired,
+            "calls_pending": len(self._pending),
+        }
+
+    def _call(
+        self, call: messages.JournalCall, now: datetime.datetime
+    ) -> Effects:
+        if call.call_id in self._pending:
+            return []
+        self._pending[call.call_id] = call.reply_to
+        number = shard_of(call.body)
+        shard = self._shards[number]
+        shard.waiting.append(call)
+        return self._propose(number, now)
+
+    def _propose(self, number: int, now: datetime.datetime) -> Effects:
+        shard = self._shards[number]
+        if not shard.waiting or (self._group_commit and shard.proposed):
+            return []
+        limit = MAX_BATCH if self._group_commit else 1
+        count = min(limit, len(shard.waiting))
+        calls = tuple(shard.waiting.popleft() for _ in range(count))
+        self._number += 1
+        proposal_id = (
+            f"journal-{self._daemon.daemon_id}-{self._daemon.incarnation:x}"
+            f"-{number}-{self._number}"
+        )
+        shard.proposed = proposal_id
+        self._proposals[proposal_id] = _Proposal(calls=calls, proposed_at=now)
+        self._metrics.count("journal_batches")
+        self._metrics.count("journal_commands", count)
+        batch = machine.Batch(
+            shard=number,
+            now=now,
+            commands=tuple(
+                machine.Command(call_id=call.call_id, body=call.body)
+                for call in calls
+            ),
+        )
+        return [
+            consensus_messages.Propose(
+                proposal_id=proposal_id,
+                group=consensus_messages.Group.JOURNAL,
+                command=self._encoder.encode(batch),
+            )
+        ]
+
+    def _applied(self, event: consensus_messages.Applied) -> Effects:
+        """Apply a committed batch and answer the calls made here."""
+        effects: Effects = []
+        for call_id, reply in self._journal.apply(event.command).items():
+            reply_to = self._pending.pop(call_id, "")
+            if reply_to:
+                answer = messages.JournalReply(call_id=call_id, body=reply)
+                effects.append(self._reply(reply_to, answer))
+        return effects
+
+    def _proposed(
+        self,
+        event: consensus_messages.ProposeResult,
+        now: datetime.datetime,
+    ) -> Effects:
+        proposal = self._proposals.pop(event.proposal_id, None)
+        if proposal is None:
+            return []
+        effects: Effects = []
+        if not event.committed:
+            leader = self._addresses.get(event.leader, "")
+            calls = proposal.calls
+            if not event.unknown:
+                calls += self._take_waiting(event.proposal_id)
+            effects.extend(self._redirect(calls, leader, event.unknown))
+        return [*effects, *self._next(event.proposal_id, now)]
+
+    def _take_waiting(
+        self, proposal_id: str
+    ) -> tuple[messages.JournalCall, ...]:
+        """Remove the calls that waited for a refused proposal."""
+        for shard in self._shards:
+            if shard.proposed == proposal_id:
+                calls = tuple(shard.waiting)
+                shard.waiting.clear()
+                return calls
+        return ()
+
+    def _redirect(
+        self,
+        calls: typing.Iterable[messages.JournalCall],
+        leader: str,
+        unknown: bool,
+    ) -> Effects:
+        """Send calls to the leader; one that may be committed just waits."""
+        effects: Effects = []
+        for call in calls:
+            reply_to = self._pending.pop(call.call_id, "")
+            if not reply_to or unknown:
+                continue
+            reply = messages.JournalReply(call_id=call.call_id, leader=leader)
+            effects.append(self._reply(reply_to, reply))
+        return effects
+
+    def _next(self, proposal_id: str, now: datetime.datetime) -> Effects:
+        effects: Effects = []
+        for number, shard in enumerate(self._shards):
+            if shard.proposed == proposal_id:
+                shard.proposed = ""
+                effects.extend(self._propose(number, now))
+        return effects
+
+    def _drop_lost(self, now: datetime.datetime) -> Effects:
+        """Forget proposals that the log has not answered in time."""
+        effects: Effects = []
+        for proposal_id, proposal in list(self._proposals.items()):
+            if now - proposal.proposed_at < PROPOSAL_TIMEOUT:
+                continue
+            del self._proposals[proposal_id]
+            for call in proposal.calls:
+                self._pending.pop(call.call_id, None)
+            effects.extend(self._next(proposal_id, now))
+        return effects
+
+    def _snapshot(
+        self, event: consensus_messages.SnapshotWanted
+    ) -> message.Message:
+        return consensus_messages.SnapshotTaken(
+            group=event.group,
+            index=event.index,
+            state=self._journal.snapshot(),
+        )
+
+    def _reply(
+        self, reply_to: str, reply: messages.JournalReply
+    ) -> message.Message:
+        if reply_to == self._daemon.address:
+            return reply
+        return message.Send(address=reply_to, message=reply)
+
+
+def shard_of(body: machine.CallBody) -> int:
+    """Return the shard that keeps an action's entry."""
+    key = f"{body.account}\0{body.key}".encode()
+    return xxhash.xxh3_64_intdigest(key) % SHARDS
--- /dev/null
+++ b/fulmarbarrow/journal/machine.py
@@ -0,0 +1,184 @@
+"""The replicated state machine of the journal."""
+
+from __future__ import annotations
+
+import collections
+import datetime
+import functools
+
+import msgspec
+
+from fulmarbarrow.journal import entry as entries
+from fulmarbarrow.journal import messages
+
+_LONG_AGO = datetime.datetime(2000, 1, 1, tzinfo=datetime.UTC)
+
+CallBody = (
+    messages.Intend
+    | messages.RecordOutcome
+    | messages.SealEntry
+    | messages.MarkUnknown
+)
+
+
+class Command(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """One call in a batch."""
+
+    call_id: str
+    body: CallBody
+
+
+class Batch(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Commands that are committed together, with the proposer's time."""
+
+    shard: int
+    now: datetime.datetime
+    commands: tuple[Command, ...]
+
+
+class Snapshot(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """The whole state; entries in the order of their expiry."""
+
+    now: datetime.datetime
+    entries: tuple[tuple[str, str, entries.Entry], ...]
+
+
+_batch_decoder = msgspec.msgpack.Decoder(Batch)
+_snapshot_decoder = msgspec.msgpack.Decoder(Snapshot)
+
+
+class Journal:
+    """Applies batches in their order, the same on every control host.
+
+    The time is that of the batches and never goes backward, so that every
+    replica decides alike whatever its own clock says.
+    """
+
+    def __init__(self) -> None:
+        self._now = _LONG_AGO
+        self._entries: dict[tuple[str, str], entries.Entry] = {}
+        self.expired = 0
+
+    def __len__(self) -> int:
+        """Return the number of entries."""
+        return len(self._entries)
+
+    def apply(self, data: bytes) -> dict[str, entries.Reply]:
+        """Apply an encoded batch; return the replies by call id."""
+        batch = _batch_decoder.decode(data)
+        self._now = max(self._now, batch.now)
+        self._expire()
+        return {
+            command.call_id: self._run(command.body)
+            for command in batch.commands
+        }
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        return msgspec.msgpack.encode(
+            Snapshot(
+                now=self._now,
+                entries=tuple(
+                    (account, key, entry)
+                    for (account, key), entry in self._entries.items()
+                ),
+            )
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state."""
+        snapshot = _snapshot_decoder.decode(data)
+        self._now = snapshot.now
+        self._entries = {
+            (account, key): entry for account, key, entry in snapshot.entries
+        }
+
+    def counts(self) -> dict[str, int]:
+        """Return the number of entries by their state."""
+        return dict(
+            collections.Counter(
+                entry.state for entry in self._entries.values()
+            )
+        )
+
+    def _run(self, body: CallBody) -> entries.Reply:
+        key = (body.account, body.key)
+        entry = self._entries.get(key)
+        work = entries.Work(entry=entry, now=self._now)
+        state = entries.STATES[entry.state if entry else "absent"]
+        inputs = entries.make_entry(work, state)
+        if entry is not None and self._now > entry.run_until:
+            inputs.time_out()
+        reply = _feed(body, inputs, work)
+        if work.entry is not None and work.entry is not entry:
+            self._entries[key] = work.entry
+        return reply
+
+    def _expire(self) -> None:
+        """Forget the entries whose resend window is over, oldest first."""
+        while self._entries:
+            key = next(iter(self._entries))
+            if self._entries[key].expires_at > self._now:
+                return
+            del self._entries[key]
+            self.expired += 1
+
+
+@functools.singledispatch
+def _feed(body, inputs: entries.EntryInputs, work: entries.Work):
+    """Give a call to an entry as the input that it is."""
+    raise TypeError(type(body).__name__)
+
+
+@_feed.register
+def _feed_intend(
+    body: messages.Intend, inputs: entries.EntryInputs, work: entries.Work
+) -> entries.Reply:
+    entry = work.entry
+    if entry is None or entry.owner == body.request_id:
+        return inputs.intend(body)
+    if entry.digest and entry.digest != body.digest:
+        return inputs.intend_different(body)
+    return inputs.intend_again(body)
+
+
+@_feed.register
+def _feed_record(
+    body: messages.RecordOutcome,
+    inputs: entries.EntryInputs,
+    work: entries.Work,
+) -> entries.Reply:
+    if not body.lookup and not _owned(body, work):
+        return _refused(body)
+    return inputs.record(body)
+
+
+@_feed.register
+def _feed_seal(
+    body: messages.SealEntry, inputs: entries.EntryInputs, work: entries.Work
+) -> entries.Reply:
+    """Seal for the owner, or for a look-up once no dispatch can follow."""
+    if work.entry is None or _owned(body, work):
+        return inputs.seal(body)
+    if body.lookup and entries.dispatch_over(work):
+        return inputs.seal(body)
+    return _refused(body)
+
+
+@_feed.register
+def _feed_unknown(
+    body: messages.MarkUnknown,
+    inputs: entries.EntryInputs,
+    work: entries.Work,
+) -> entries.Reply:
+    if not _owned(body, work):
+        return _refused(body)
+    return inputs.mark_unknown(body)
+
+
+def _owned(body: CallBody, work: entries.Work) -> bool:
+    return work.entry is not None and work.entry.owner == body.request_id
+
+
+def _refused(body: CallBody) -> entries.Reply:
+    return messages.JournalWritten(request_id=body.request_id, committed=False)
--- a/fulmarbarrow/journal/messages.py
+++ b/fulmarbarrow/journal/messages.py
@@ -35,8 +35,11 @@
 class IntendResult(message.Message, frozen=True, kw_only=True):
     """The journal's word on an intent; only MAY_DISPATCH allows sending.
 
-    ``dispatch_until`` bounds the moment of sending. The recorded answer is
-    given for DONE.
+    ``dispatch_until`` bounds the moment of sending; the journal gives it as
+    ``lease``, counted from the first call, so that clocks need not agree.
+    The recorded answer is
+    given for DONE, unless ``kept`` is False. ``may_look_up`` says that no
+    dispatch can follow any more, so that a service can be asked.
     """
 
     request_id: str
@@ -45,10 +48,17 @@
     status: int = 0
     content_type: str = ""
     body: bytes = b""
+    kept: bool = True
+    may_look_up: bool = False
+    lease: datetime.timedelta | None = None
 
 
 class RecordOutcome(message.Message, frozen=True, kw_only=True):
-    """Asks to record the answer of an action that ran."""
+    """Asks to record the answer of an action that ran.
+
+    ``kept`` is False if the answer is too large to be recorded; ``lookup``
+    says that the service was asked for it after another request's run.
+    """
 
     request_id: str
     account: str
@@ -57,15 +67,21 @@
     status: int
     content_type: str
     body: bytes
+    kept: bool = True
+    lookup: bool = False
 
 
 class SealEntry(message.Message, frozen=True, kw_only=True):
-    """Asks to record that an intent was proven not to have run."""
+    """Asks to record that an intent was proven not to have run.
+
+    ``lookup`` says that the service itself promised it when it was asked.
+    """
 
     request_id: str
     account: str
     key: str
     attempt_id: str
+    lookup: bool = False
 
 
 class MarkUnknown(message.Message, frozen=True, kw_only=True):
@@ -88,7 +104,10 @@
 
 
 class JournalCall(message.Message, frozen=True, kw_only=True):
-    """A router's request to the journal's leader."""
+    """A router's request to the journal's leader.
+
+    A call that is sent again under its ``call_id`` has the effect of one.
+    """
 
     call_id: str
     reply_to: str
--- /dev/null
+++ b/fulmarbarrow/journal/router.py
@@ -0,0 +1,190 @@
+"""The journal as a router sees it: calls to the log's leader."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+import typing
+
+import msgspec
+
+from fulmarbarrow.journal import machine
+from fulmarbarrow.journal import messages
+from fulmarbarrow.membership import messages as membership_messages
+from fulmarbarrow import message
+from fulmarbarrow.observe import metrics as metrics_module
+
+CONTROL = "control"
+TRY_TIMEOUT = datetime.timedelta(milliseconds=500)
+INTEND_TIMEOUT = datetime.timedelta(seconds=3)
+WRITE_TIMEOUT = datetime.timedelta(seconds=60)
+
+Effects = list[message.Message]
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Call:
+    """A call that has no final reply yet."""
+
+    body: machine.CallBody
+    first_sent: datetime.datetime
+    sent: datetime.datetime
+    give_up: datetime.datetime
+    address: str = ""
+    tried: set[str] = dataclasses.field(default_factory=set)
+
+
+class JournalRouter:
+    """Intents and outcomes in, calls to the leader out, and its replies.
+
+    Each call keeps its id through redirects and repetitions.
+    """
+
+    handles = (
+        messages.Intend,
+        messages.RecordOutcome,
+        messages.SealEntry,
+        messages.MarkUnknown,
+        messages.JournalReply,
+        membership_messages.DaemonChanged,
+        membership_messages.DaemonGone,
+        message.Tick,
+    )
+
+    def __init__(
+        self,
+        *,
+        daemon: membership_messages.Daemon,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._daemon = daemon
+        self._metrics = metrics
+        self._calls: dict[str, _Call] = {}
+        self._number = 0
+        self._leader = ""
+        self._controls: dict[str, str] = {}
+        if CONTROL in daemon.roles:
+            self._controls[daemon.daemon_id] = daemon.address
+
+    def handle(
+        self, event: message.Message, now: datetime.datetime
+    ) -> Effects:
+        """Take one event and return its effects."""
+        match event:
+            case messages.JournalReply():
+                return self._reply(event, now)
+            case membership_messages.DaemonChanged():
+                daemon = event.daemon
+                near = daemon.region == self._daemon.region
+                if near and CONTROL in daemon.roles:
+                    self._controls[daemon.daemon_id] = daemon.address
+                return []
+            case membership_messages.DaemonGone():
+                self._controls.pop(event.daemon_id, None)
+                return []
+            case message.Tick():
+                return self._look_at_calls(now)
+        return self._call(event, now)
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return the open calls and the leader's address."""
+        return {
+            "leader": self._leader,
+            "control": sorted(self._controls.values()),
+            "open_calls": len(self._calls),
+        }
+
+    def _call(self, body: machine.CallBody, now: datetime.datetime) -> Effects:
+        intend = isinstance(body, messages.Intend)
+        timeout = INTEND_TIMEOUT if intend else WRITE_TIMEOUT
+        self._number += 1
+        call_id = (
+            f"{self._daemon.daemon_id}-{self._daemon.incarnation:x}"
+            f"-{self._number}"
+        )
+        call = _Call(
+            body=body,
+            first_sent=now,
+            sent=now,
+            give_up=now + timeout,
+        )
+        self._calls[call_id] = call
+        return self._send(call_id, call, now)
+
+    def _send(
+        self, call_id: str, call: _Call, now: datetime.datetime
+    ) -> Effects:
+        address = self._target(call)
+        call.sent = now
+        if not address:
+            return []
+        call.address = address
+        call.tried.add(address)
+        journal_call = messages.JournalCall(
+            call_id=call_id,
+            reply_to=self._daemon.address,
+            body=call.body,
+        )
+        if address == self._daemon.address:
+            return [journal_call]
+        return [message.Send(address=address, message=journal_call)]
+
+    def _target(self, call: _Call) -> str:
+        """Return the leader, or a control host not tried in this round."""
+        if self._leader and self._leader not in call.tried:
+            return self._leader
+        known = sorted(self._controls.values())
+        left = [address for address in known if address not in call.tried]
+        if not left:
+            call.tried.clear()
+            left = known
+        return left[0] if left else ""
+
+    def _reply(
+        self, reply: messages.JournalReply, now: datetime.datetime
+    ) -> Effects:
+        call = self._calls.get(reply.call_id)
+        if call is None:
+            return []
+        if reply.body is None:
+            self._metrics.count("journal_redirects")
+            self._leader = reply.leader
+            if reply.leader in call.tried or not reply.leader:
+                return []
+            return self._send(reply.call_id, call, now)
+        del self._calls[reply.call_id]
+        self._leader = call.address
+        self._metrics.record("journal_call", now - call.first_sent)
+        body = reply.body
+        if isinstance(body, messages.IntendResult) and body.lease is not None:
+            body = msgspec.structs.replace(
+                body, dispatch_until=call.first_sent + body.lease
+            )
+        return [body]
+
+    def _look_at_calls(self, now: datetime.datetime) -> Effects:
+        """Repeat the calls without a reply, or give them up."""
+        effects: Effects = []
+        for call_id, call in list(self._calls.items()):
+            if call.give_up <= now:
+                del self._calls[call_id]
+                effects.extend(self._give_up(call))
+            elif now - call.sent >= TRY_TIMEOUT:
+                self._leader = ""
+                effects.extend(self._send(call_id, call, now))
+        return effects
+
+    def _give_up(self, call: _Call) -> Effects:
+        self._metrics.count("journal_calls_given_up")
+        if isinstance(call.body, messages.Intend):
+            return [
+                messages.IntendResult(
+                    request_id=call.body.request_id,
+                    standing=messages.EntryStanding.UNAVAILABLE,
+                )
+            ]
+        return [
+            messages.JournalWritten(
+                request_id=call.body.request_id, committed=False
+            )
+        ]
--- a/fulmarbarrow/standins/engine.py
+++ b/fulmarbarrow/standins/engine.py
@@ -59,6 +59,7 @@
     ) -> bytes:
         request.setHeader("Content-Type", "text/event-stream")
         offset = int(requests.header(request, headers.RESUME_OFFSET) or 0)
+        request.setHeader(headers.RESUME_OFFSET, str(offset))
         interval = self._options.token_interval_ms / 1000
         self._running += 1
         try:
