Stand-ins that batch, cache and fail like the platform's upstreams

The stand-in engine gave one word an interval whatever else it ran, so no scenario could show load, cache reuse or a fault of an upstream.

The engine now batches: running requests share the token rate, the rest wait by priority, and a full queue is a truthful 503 with X-Not-Run. It keeps prompt prefixes in bounded memory, reports cached tokens, sends cache events late and with gaps, lags its load, takes orders with or without fencing, moves KV between engines, resumes and cancels. The plain service keeps answers by key for a look-up and still ignores idempotency, so that doubles show. Every fault is a POST to /admin/faults.

--- a/fulmarbarrow/edge/requests.py
+++ b/fulmarbarrow/edge/requests.py
@@ -89,7 +89,7 @@
         account=account.name,
         service=match.service.name,
         model=chat.model if chat else "",
-        chat=_chat(request, chat, request_id),
+        chat=chat_identity(header(request, headers.CHAT), chat, request_id),
         route=match.route.path,
         method=method,
         path=request.uri.decode("utf-8", "replace"),
@@ -117,11 +117,14 @@
     return min(datetime.timedelta(milliseconds=int(text)), route.deadline)
 
 
-def _chat(
-    request: http.Request, chat: ChatRequest | None, request_id: str
+def chat_identity(
+    named: str, chat: ChatRequest | None, request_id: str
 ) -> str:
-    """Return the chat's id, or one that similar first messages share."""
-    named = header(request, headers.CHAT) or (chat.chat_id if chat else "")
+    """Return the chat's id, or one that similar first messages share.
+
+    ``named`` is the id in a header; a request without a chat is its own.
+    """
+    named = named or (chat.chat_id if chat else "")
     if named or chat is None:
         return named or request_id
     opening = msgspec.json.encode(chat.messages[:2])
--- a/fulmarbarrow/standins/__main__.py
+++ b/fulmarbarrow/standins/__main__.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
+import logging
+import typing
 
 import fire
 from twisted.internet import asyncioreactor
@@ -10,50 +13,65 @@
 from fulmarbarrow import clock as clocks
 from fulmarbarrow.standins import options as options_module
 
+_LISTS = ("offers", "entries")
 
-def run(
-    kind: str,
-    upstream_id: str,
-    zone: str,
-    port: int,
-    offers: str,
-    entries: str,
-    key: str,
-    token_interval_ms: int = 5,
-) -> None:
+
+def run(kind: str, **settings: typing.Any) -> None:
     """Run a stand-in of ``kind`` "engine" or "plain".
 
-    ``offers`` and ``entries`` are lists separated by commas.
+    The settings are the fields of ``StandinOptions``; ``offers`` and
+    ``entries`` are lists separated by commas.
     """
-    options = options_module.StandinOptions(
-        upstream_id=upstream_id,
-        zone=zone,
-        port=port,
-        offers=_split(offers),
-        entries=_split(entries),
-        key=key,
-        token_interval_ms=token_interval_ms,
-    )
+    known = {field.name for field in dataclasses.fields(_OPTIONS)}
+    unknown = sorted(set(settings) - known)
+    if unknown:
+        raise SystemExit(f"unknown settings: {', '.join(unknown)}")
+    for name in _LISTS:
+        settings[name] = _split(settings[name])
+    logging.basicConfig(level=logging.INFO)
     loop = asyncio.new_event_loop()
     asyncio.set_event_loop(loop)
     asyncioreactor.install(loop)
+    _serve(kind, _OPTIONS(**settings))
+
+
+_OPTIONS = options_module.StandinOptions
+
+
+def _serve(kind: str, options: options_module.StandinOptions) -> None:
     # These import the reactor, so they wait until it is installed.
     from twisted.internet import reactor
     from twisted.web import server
 
+    from fulmarbarrow.standins import admin
     from fulmarbarrow.standins import announcer
     from fulmarbarrow.standins import engine
+    from fulmarbarrow.standins import faults as faults_module
     from fulmarbarrow.standins import plain
+    from fulmarbarrow.standins import presence
 
+    clock = clocks.SystemClock()
+    faults = faults_module.Faults()
+    standin: engine.Engine | plain.PlainService
     if kind == "engine":
-        standin = engine.Engine(options=options, reactor=reactor)
+        standin = engine.Engine(
+            options=options, reactor=reactor, clock=clock, faults=faults
+        )
     else:
-        standin = plain.PlainService()
-    reactor.listenTCP(
-        port, server.Site(standin.app.resource()), interface=options.host
-    )
+        standin = plain.PlainService(
+            options=options, reactor=reactor, faults=faults
+        )
+    admin.StandinAdmin(app=standin.app, faults=faults, state=standin.state)
+    if isinstance(standin, plain.PlainService):
+        standin.add_catch_all()
     announcements = announcer.Announcer(
-        options=options, clock=clocks.SystemClock(), load=standin.load
+        options=options, clock=clock, load=standin.load, offers=standin.offers
+    )
+    presence.Presence(announcer=announcements, faults=faults)
+    reactor.listenTCP(
+        options.port,
+        server.Site(standin.app.resource()),
+        interface=options.host,
     )
     reactor.callWhenRunning(announcements.start)
     reactor.run()
--- a/fulmarbarrow/standins/announcer.py
+++ b/fulmarbarrow/standins/announcer.py
@@ -36,20 +36,30 @@
         options: options_module.StandinOptions,
         clock: typing.Any,
         load: typing.Callable[[], upstreams.LoadBody],
+        offers: typing.Callable[[], tuple[str, ...]] | None = None,
     ) -> None:
         self._options = options
         self._load = load
+        self._offers = offers or (lambda: options.offers)
+        self._clock = clock
         self._started = clock.now()
         self._entries = itertools.cycle(options.entries)
         self._sequence = itertools.count(1)
         self._loop = task.LoopingCall(self.announce)
         self.state = messages.UpstreamState.SERVING
+        self.muted = False
 
     def start(self) -> None:
         """Announce now and then often enough to keep the lease."""
         self._loop.start(RENEW_SECONDS).addErrback(lambda _: None)
 
+    def restart(self) -> None:
+        """Go on as a new incarnation."""
+        self._started = self._clock.now()
+
     async def _send(self) -> None:
+        if self.muted:
+            return
         body = self._body()
         for _ in self._options.entries:
             entry = next(self._entries)
@@ -77,7 +87,7 @@
             sequence=next(self._sequence),
             zone=options.zone,
             url=f"http://{options.host}:{options.port}",
-            offers=tuple(parse_offer(text) for text in options.offers),
+            offers=tuple(parse_offer(text) for text in self._offers()),
             batch_tokens=options.batch_tokens,
             tokens_per_second=options.tokens_per_second,
             state=self.state,
