Bound callers' requests before they are buffered and close every exchange

Bodies were read whole before their size mattered, malformed requests got an empty 400 or klein's HTML, a path such as /register/%6frders reached the register past the check for an Idempotency-Key, and an error in a core left its caller waiting for ever.

A Site subclass refuses by Content-Length and while receiving, bounds headers, and answers in coded JSON; it discards what still comes for two seconds, since closing at once would reset the connection before the error is read. The bus tells the edge which message failed, and the edge ends that answer. A caller too slow by more than limits.max_answer_buffer_bytes, counted from the transport buffer on, is cut off. Klein keeps the fixed paths only: it would match each chat against its map and redirect untidy paths in HTML. Unknown keys are compared with every account and remembered in a bounded table.

--- a/fulmarbarrow/bus.py
+++ b/fulmarbarrow/bus.py
@@ -20,6 +20,7 @@
 Recorder = collections.abc.Callable[
     [messages.Message, datetime.datetime], None
 ]
+ErrorWatcher = collections.abc.Callable[[messages.Message], None]
 
 
 class Core(typing.Protocol):
@@ -54,6 +55,7 @@
         ] = collections.deque()
         self._draining = False
         self._recorder: Recorder | None = None
+        self._error_watchers: list[ErrorWatcher] = []
         self.unhandled: collections.Counter[str] = collections.Counter()
         self.errors: collections.Counter[str] = collections.Counter()
 
@@ -70,6 +72,10 @@
         """Give every posted message to ``recorder``; None stops it."""
         self._recorder = recorder
 
+    def watch_errors(self, watcher: ErrorWatcher) -> None:
+        """Call ``watcher`` with each message whose handling failed."""
+        self._error_watchers.append(watcher)
+
     def post(self, message: messages.Message) -> None:
         """Deliver a message and everything that follows from it.
 
@@ -104,5 +110,7 @@
                     raise
                 self.errors[type(message).__name__] += 1
                 log.exception("no handling of %s", type(message).__name__)
+                for watcher in self._error_watchers:
+                    watcher(message)
                 continue
             self._queue.extend((effect, now) for effect in effects or ())
--- a/fulmarbarrow/daemon/assembly.py
+++ b/fulmarbarrow/daemon/assembly.py
@@ -6,13 +6,14 @@
 import logging
 import typing
 
+import klein
 from twisted.internet import interfaces
 from twisted.internet import task
-from twisted.web import server
 
 from fulmarbarrow import bus as buses
 from fulmarbarrow import clock as clocks
 from fulmarbarrow.config import defaults
+from fulmarbarrow.config import options
 from fulmarbarrow.consensus import core as consensus_core
 from fulmarbarrow.consensus import messages as consensus_messages
 from fulmarbarrow.daemon import lifecycle
@@ -21,6 +22,7 @@
 from fulmarbarrow.edge import callers
 from fulmarbarrow.edge import client
 from fulmarbarrow.edge import exchange
+from fulmarbarrow.edge import site as sites
 from fulmarbarrow.edge import upstreams
 from fulmarbarrow.journal import core as journal_core
 from fulmarbarrow.limits import core as limits_core
@@ -40,6 +42,7 @@
 
 TICK = datetime.timedelta(milliseconds=250)
 DRAIN_CHECK = datetime.timedelta(milliseconds=50)
+MAX_OWN_BODY_BYTES = 16 << 20  # bundles and announcements
 
 
 class Daemon:
@@ -93,6 +96,7 @@
             "zone": self._settings.daemon.zone,
             "time": self._clock.now(),
             "open_requests": len(self._exchanges),
+            "callers": self._callers.dump() if self._callers else None,
             "unhandled": dict(self._bus.unhandled),
             "errors": dict(self._bus.errors),
             "cores": {name: core.dump() for name, core in self._cores.items()},
@@ -104,11 +108,12 @@
     def open_listeners(self) -> None:
         """Start to listen."""
         self._transport.start()
-        self._listen(self._settings.listen.admin, self._admin.app)
+        self._listen(self._settings.listen.admin, self._site(self._admin.app))
         if self._callers is not None:
-            self._listen(self._settings.listen.callers, self._callers.app)
+            self._listen(self._settings.listen.callers, self._callers.site)
             self._listen(
-                self._settings.listen.upstreams, self._upstreams_edge.app
+                self._settings.listen.upstreams,
+                self._site(self._upstreams_edge.app),
             )
         self._ticks.start(TICK.total_seconds())
         log.info("daemon %s serves", self._settings.daemon.id)
@@ -210,6 +215,7 @@
             clock=self._clock,
             metrics=metrics,
             exchanges=self._exchanges,
+            limits=self._settings.limits,
         )
         self._upstreams_edge = upstreams.UpstreamsEdge(
             bus=self._bus, key=self._settings.upstreams.key
@@ -229,8 +235,16 @@
         self._add("journal", journal_core.JournalCore(metrics=metrics))
         self._add("delivery", delivery_core.DeliveryCore(metrics=metrics))
 
-    def _listen(self, address: typing.Any, app: typing.Any) -> None:
-        site = server.Site(app.resource())
+    def _site(self, app: klein.Klein) -> sites.BoundedSite:
+        return sites.BoundedSite(
+            resource=app.resource(),
+            max_body_bytes=MAX_OWN_BODY_BYTES,
+            metrics=self._metrics,
+        )
+
+    def _listen(
+        self, address: options.Address, site: sites.BoundedSite
+    ) -> None:
         port = self._reactor.listenTCP(
             address.port, site, interface=address.host
         )
--- a/fulmarbarrow/delivery/refusals.py
+++ b/fulmarbarrow/delivery/refusals.py
@@ -45,6 +45,27 @@
         message="the request's body is above the limit",
         proof=_BEFORE_DISPATCH,
     ),
+    Refusal(
+        code="headers_too_large",
+        status=431,
+        ran=messages.Ran.NO,
+        message="the request's headers are above the limit",
+        proof=_BEFORE_DISPATCH,
+    ),
+    Refusal(
+        code="method_not_allowed",
+        status=405,
+        ran=messages.Ran.NO,
+        message="the path has no such method; see the Allow header",
+        proof=_BEFORE_DISPATCH,
+    ),
+    Refusal(
+        code="not_allowed",
+        status=403,
+        ran=messages.Ran.NO,
+        message="the client account may not use this service",
+        proof=_BEFORE_DISPATCH,
+    ),
     Refusal(
         code="no_route",
         status=404,
--- /dev/null
+++ b/fulmarbarrow/edge/answer.py
@@ -0,0 +1,126 @@
+"""Writes the answer to one caller's request, with back-pressure."""
+
+from __future__ import annotations
+
+import datetime
+
+from twisted.web import http
+
+from fulmarbarrow.delivery import messages
+from fulmarbarrow.edge import errors
+from fulmarbarrow.edge import exchange as exchanges
+from fulmarbarrow.edge import headers
+
+TRANSPORT_BUFFER_BYTES = 64 << 10
+EVENT_STREAM = "text/event-stream"
+
+
+class Answer:
+    """An answer that a caller is waiting for.
+
+    ``backlog_bytes`` is the most that may be buffered while the caller's
+    connection is full: the transport's own buffer, the part that filled it
+    and whatever came before the upstream was paused. It is 0 while the
+    connection has room.
+    """
+
+    def __init__(
+        self,
+        *,
+        request: http.Request,
+        exchange: exchanges.Exchange,
+        arrived: messages.RequestArrived,
+        opened_at: datetime.datetime,
+        max_backlog_bytes: int,
+    ) -> None:
+        self._request = request
+        self._exchange = exchange
+        self._max_backlog = max_backlog_bytes
+        self._paused = False
+        self._streamed = False
+        self._written_bytes = 0
+        self.started = False
+        self.backlog_bytes = 0
+        self.account = arrived.account
+        self.service = arrived.service
+        self.opened_at = opened_at
+
+    def start(self, event: messages.AnswerStarted) -> None:
+        """Write the status and the headers."""
+        request = self._request
+        self.started = True
+        self._streamed = event.content_type.startswith(EVENT_STREAM)
+        request.setResponseCode(event.status)
+        if event.content_type:
+            request.setHeader("Content-Type", event.content_type)
+        if event.length is not None:
+            request.setHeader("Content-Length", str(event.length))
+        if event.replayed:
+            request.setHeader(headers.REPLAYED, "true")
+        request.registerProducer(self, True)
+
+    def write(self, data: bytes) -> bool:
+        """Write a part; False if the caller is too far behind."""
+        self._written_bytes = len(data)
+        if self._paused:
+            self.backlog_bytes += len(data)
+        if self.backlog_bytes > self._max_backlog:
+            return False
+        self._request.write(data)
+        return True
+
+    def finish(self) -> None:
+        """End a whole answer."""
+        self._request.unregisterProducer()
+        self._request.finish()
+
+    def abort(self) -> None:
+        """Drop the connection at once with all that waits on it."""
+        self._request.unregisterProducer()
+        self._request.channel.transport.abortConnection()
+
+    def break_off(self, code: str, ran: messages.Ran) -> None:
+        """End a started answer so that the caller sees it is not whole.
+
+        A stream says why; any other answer just ends before its time.
+        """
+        if self._streamed:
+            error = errors.body(code, ran=ran)
+            self._request.write(b"event: error\ndata: " + error + b"\n\n")
+        self._request.unregisterProducer()
+        self._request.loseConnection()
+
+    def refuse(
+        self,
+        code: str,
+        *,
+        status: int,
+        ran: messages.Ran,
+        retry_after: datetime.timedelta | None = None,
+    ) -> None:
+        """Answer with an error; nothing has been written yet."""
+        request = self._request
+        request.setResponseCode(status)
+        request.setHeader("Content-Type", errors.CONTENT_TYPE)
+        if retry_after is not None:
+            seconds = max(1, round(retry_after.total_seconds()))
+            request.setHeader("Retry-After", str(seconds))
+        body = errors.body(code, ran=ran)
+        request.setHeader("Content-Length", str(len(body)))
+        request.write(body)
+        request.finish()
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Stop the upstream; the caller's connection is full."""
+        self._paused = True
+        self.backlog_bytes = TRANSPORT_BUFFER_BYTES + self._written_bytes
+        self._exchange.pauseProducing()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Let the upstream go on; everything has been sent."""
+        self._paused = False
+        self.backlog_bytes = 0
+        self._exchange.resumeProducing()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing; the end of the connection is reported elsewhere."""
--- a/fulmarbarrow/edge/callers.py
+++ b/fulmarbarrow/edge/callers.py
@@ -8,23 +8,35 @@
 
 import klein
 import msgspec
-from twisted.internet import defer
 from twisted.python import failure as failures
 from twisted.web import http
+from twisted.web import resource as resources
+from twisted.web import server
+from werkzeug import exceptions
 
 from fulmarbarrow import bus as buses
 from fulmarbarrow import clock as clocks
 from fulmarbarrow.config import bundle as bundles
+from fulmarbarrow.config import defaults
 from fulmarbarrow.delivery import messages
-from fulmarbarrow.delivery import refusals
+from fulmarbarrow.edge import answer as answers
 from fulmarbarrow.edge import directory as directories
+from fulmarbarrow.edge import errors
 from fulmarbarrow.edge import exchange as exchanges_module
-from fulmarbarrow.edge import headers
 from fulmarbarrow.edge import requests
+from fulmarbarrow.edge import site as sites
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics as metrics_module
 from fulmarbarrow.publishing import messages as publishing_messages
 
+_ANSWERS = (
+    messages.AnswerStarted,
+    messages.AnswerData,
+    messages.AnswerEnded,
+    messages.AnswerBroken,
+    messages.RequestRefused,
+)
+
 
 class CallersEdge:
     """Takes callers' requests and writes their answers."""
@@ -38,36 +50,31 @@
         clock: clocks.Clock,
         metrics: metrics_module.Metrics,
         exchanges: exchanges_module.Exchanges,
+        limits: defaults.LimitsSection,
     ) -> None:
         self._prefix = f"{daemon_id}-{incarnation:x}"
         self._bus = bus
         self._clock = clock
         self._metrics = metrics
         self._exchanges = exchanges
-        self._done: dict[str, defer.Deferred[bytes]] = {}
+        self._limits = limits
+        self._answers: dict[str, answers.Answer] = {}
+        self._largest_backlog = 0
         self._numbers = itertools.count(1)
         self._directory = directories.Directory(bundle=bundles.Bundle())
         self._accepting = True
         self._healthy = True
-        self.app = klein.Klein()
-        self._add_routes()
-        for kind in (
-            messages.AnswerStarted,
-            messages.AnswerData,
-            messages.AnswerEnded,
-            messages.AnswerBroken,
-            messages.RequestRefused,
-        ):
+        self.site = sites.BoundedSite(
+            resource=_Root(fixed=self._fixed_routes(), take=self._take),
+            max_body_bytes=limits.max_body_bytes,
+            metrics=metrics,
+        )
+        for kind in _ANSWERS:
             bus.subscribe(kind, lambda event, _: self._write(event))
         bus.subscribe(
             publishing_messages.ConfigurationChanged, self._configure
         )
-        self._write = functools.singledispatch(self._write_unknown)
-        self._write.register(messages.AnswerStarted, self._write_start)
-        self._write.register(messages.AnswerData, self._write_data)
-        self._write.register(messages.AnswerEnded, self._write_end)
-        self._write.register(messages.AnswerBroken, self._write_break)
-        self._write.register(messages.RequestRefused, self._write_refusal)
+        bus.watch_errors(self._handling_failed)
 
     def begin_stop(self) -> None:
         """Tell the balancer to send no more requests here."""
@@ -77,10 +84,20 @@
         """Refuse new requests; open ones go on."""
         self._accepting = False
 
-    def _add_routes(self) -> None:
-        self.app.route("/healthz")(self._health)
-        self.app.route("/v1/models")(self._models)
-        self.app.route("/", branch=True)(self._take)
+    def dump(self) -> dict[str, typing.Any]:
+        """Return the open answers and the largest backlog of any."""
+        return {
+            "open": sorted(self._answers),
+            "largest_backlog_bytes": self._largest_backlog,
+            "backlog_limit_bytes": self._limits.max_answer_buffer_bytes,
+        }
+
+    def _fixed_routes(self) -> klein.Klein:
+        app = klein.Klein()
+        app.route("/healthz", methods=["GET"])(self._health)
+        app.route("/v1/models", methods=["GET"])(self._models)
+        app.handle_errors(exceptions.MethodNotAllowed)(_wrong_method)
+        return app
 
     def _configure(
         self, event: publishing_messages.ConfigurationChanged, _: typing.Any
@@ -88,19 +105,27 @@
         self._directory = directories.Directory(bundle=event.bundle)
 
     def _health(self, request: http.Request) -> bytes:
+        request.setHeader("Content-Type", "text/plain")
         if not self._healthy:
             request.setResponseCode(503)
             return b"stopping\n"
         return b"ok\n"
 
     def _models(self, request: http.Request) -> bytes:
+        account = self._directory.account(requests.bearer_key(request))
+        if account is None:
+            return self._reject(
+                request, requests.Rejected(code="unauthorized")
+            )
         request.setHeader("Content-Type", "application/json")
         data = [
-            {"id": name, "object": "model"} for name in self._directory.models
+            {"id": name, "object": "model"}
+            for name in self._directory.models(account)
         ]
         return msgspec.json.encode({"object": "list", "data": data})
 
-    def _take(self, request: http.Request) -> defer.Deferred[bytes] | bytes:
+    def _take(self, request: http.Request) -> bytes | None:
+        """Take a request; the bytes of an error if it is refused here."""
         if not self._accepting:
             return self._reject(request, requests.Rejected(code="stopping"))
         request_id = f"{self._prefix}-{next(self._numbers)}"
@@ -118,10 +143,8 @@
             "requests", account=arrived.account, service=arrived.service
         )
         self._open(request, arrived, body)
-        done: defer.Deferred[bytes] = defer.Deferred()
-        self._done[request_id] = done
         self._bus.post(arrived)
-        return done
+        return None
 
     def _open(
         self,
@@ -138,86 +161,144 @@
             key=arrived.key,
         )
         self._exchanges.add(arrived.request_id, exchange)
+        self._answers[arrived.request_id] = answers.Answer(
+            request=request,
+            exchange=exchange,
+            arrived=arrived,
+            opened_at=self._clock.now(),
+            max_backlog_bytes=self._limits.max_answer_buffer_bytes,
+        )
         request.notifyFinish().addErrback(self._gone, arrived.request_id)
 
     def _gone(self, _: failures.Failure, request_id: str) -> None:
         """Tell delivery that a caller closed its connection."""
-        if self._exchanges.remove(request_id) is None:
-            return
-        self._done.pop(request_id, None)
-        self._bus.post(messages.CallerGone(request_id=request_id))
+        if self._close(request_id) is not None:
+            self._metrics.count("callers_gone")
+            self._bus.post(messages.CallerGone(request_id=request_id))
+
+    def _close(self, request_id: str) -> answers.Answer | None:
+        """Forget an open answer and return it if it was open."""
+        self._exchanges.remove(request_id)
+        answer = self._answers.pop(request_id, None)
+        if answer is not None:
+            self._metrics.record(
+                "request",
+                self._clock.now() - answer.opened_at,
+                account=answer.account,
+                service=answer.service,
+            )
+        return answer
 
     def _reject(
         self, request: http.Request, rejected: requests.Rejected
     ) -> bytes:
-        refusal = refusals.REFUSALS[rejected.code]
         self._metrics.count("requests_refused", code=rejected.code)
-        request.setResponseCode(refusal.status)
-        return self._error_body(request, rejected.code, rejected.detail)
+        request.setResponseCode(errors.status(rejected.code))
+        request.setHeader("Content-Type", errors.CONTENT_TYPE)
+        if rejected.allow:
+            request.setHeader("Allow", ", ".join(rejected.allow))
+        return errors.body(rejected.code, detail=rejected.detail)
 
-    def _error_body(
-        self, request: http.Request, code: str, detail: str = ""
-    ) -> bytes:
-        refusal = refusals.REFUSALS[code]
-        request.setHeader("Content-Type", "application/json")
-        text = refusal.message
-        if detail:
-            text = f"{text}: {detail}"
-        return _encode_error(code, text, refusal.ran)
+    def _handling_failed(self, failed: message.Message) -> None:
+        """Answer the caller whose request met an error in a core."""
+        request_id = getattr(failed, "request_id", "")
+        if not request_id:
+            attempt_id = getattr(failed, "attempt_id", "")
+            request_id = attempt_id.rpartition("-")[0]
+        answer = self._close(request_id)
+        if answer is None:
+            return
+        self._end(answer, "internal_error", messages.Ran.UNKNOWN)
+        self._bus.post(messages.CallerGone(request_id=request_id))
 
-    def _write_unknown(self, event: message.Message) -> None:
+    def _end(
+        self, answer: answers.Answer, code: str, ran: messages.Ran
+    ) -> None:
+        if answer.started:
+            answer.break_off(code, ran)
+        else:
+            answer.refuse(code, status=errors.status(code), ran=ran)
+
+    @functools.singledispatchmethod
+    def _write(self, event: message.Message) -> None:
         raise TypeError(type(event).__name__)
 
+    @_write.register(messages.AnswerStarted)
     def _write_start(self, event: messages.AnswerStarted) -> None:
-        exchange = self._exchanges.get(event.request_id)
-        if exchange is None:
-            return
-        request = exchange.request
-        request.setResponseCode(event.status)
-        if event.content_type:
-            request.setHeader("Content-Type", event.content_type)
-        if event.length is not None:
-            request.setHeader("Content-Length", str(event.length))
-        if event.replayed:
-            request.setHeader(headers.REPLAYED, "true")
-        request.registerProducer(exchange, True)
+        answer = self._answers.get(event.request_id)
+        if answer is not None:
+            answer.start(event)
 
+    @_write.register(messages.AnswerData)
     def _write_data(self, event: messages.AnswerData) -> None:
-        exchange = self._exchanges.get(event.request_id)
-        if exchange is not None:
-            exchange.request.write(event.data)
+        answer = self._answers.get(event.request_id)
+        if answer is None:
+            return
+        kept_up = answer.write(event.data)
+        if answer.backlog_bytes > self._largest_backlog:
+            self._largest_backlog = answer.backlog_bytes
+        if not kept_up:
+            self._metrics.count("answers_overrun")
+            self._close(event.request_id)
+            answer.abort()
+            self._bus.post(messages.CallerGone(request_id=event.request_id))
 
+    @_write.register(messages.AnswerEnded)
     def _write_end(self, event: messages.AnswerEnded) -> None:
-        exchange = self._exchanges.remove(event.request_id)
-        if exchange is not None:
-            exchange.request.unregisterProducer()
-            self._done.pop(event.request_id).callback(b"")
+        answer = self._close(event.request_id)
+        if answer is not None:
+            answer.finish()
 
+    @_write.register(messages.AnswerBroken)
     def _write_break(self, event: messages.AnswerBroken) -> None:
-        """End a started answer so that the caller sees it is not whole."""
-        exchange = self._exchanges.remove(event.request_id)
-        if exchange is None:
-            return
-        self._done.pop(event.request_id)
-        refusal = refusals.REFUSALS[event.code]
-        error = _encode_error(event.code, refusal.message, event.ran)
-        exchange.request.unregisterProducer()
-        exchange.request.write(b"event: error\ndata: " + error + b"\n\n")
-        exchange.request.loseConnection()
+        answer = self._close(event.request_id)
+        if answer is not None:
+            self._metrics.count("answers_broken", code=event.code)
+            answer.break_off(event.code, event.ran)
 
+    @_write.register(messages.RequestRefused)
     def _write_refusal(self, event: messages.RequestRefused) -> None:
-        exchange = self._exchanges.remove(event.request_id)
-        if exchange is None:
-            return
-        request = exchange.request
-        request.setResponseCode(event.status)
-        if event.retry_after is not None:
-            seconds = max(1, round(event.retry_after.total_seconds()))
-            request.setHeader("Retry-After", str(seconds))
-        body = self._error_body(request, event.code)
-        self._done.pop(event.request_id).callback(body)
-
-
-def _encode_error(code: str, text: str, ran: messages.Ran) -> bytes:
-    error = {"code": code, "message": text, "ran": ran.value}
-    return msgspec.json.encode({"error": error})
+        answer = self._close(event.request_id)
+        if answer is not None:
+            answer.refuse(
+                event.code,
+                status=event.status,
+                ran=event.ran,
+                retry_after=event.retry_after,
+            )
+
+
+class _Root(resources.Resource):
+    """Gives the fixed paths to klein and all others to the edge itself.
+
+    Klein would match every chat against its map and redirect paths that it
+    finds untidy.
+    """
+
+    isLeaf = True  # noqa: N815
+    _FIXED = (b"/healthz", b"/v1/models")
+
+    def __init__(
+        self,
+        *,
+        fixed: klein.Klein,
+        take: typing.Callable[[http.Request], bytes | None],
+    ) -> None:
+        super().__init__()
+        self._fixed = fixed.resource()
+        self._take = take
+
+    def render(self, request: http.Request) -> bytes | int:
+        """Answer a request, now or when its answer comes."""
+        if request.path in self._FIXED:
+            return self._fixed.render(request)
+        body = self._take(request)
+        return server.NOT_DONE_YET if body is None else body
+
+
+def _wrong_method(request: http.Request, _: failures.Failure) -> bytes:
+    """Answer a fixed path asked with a method that it has not."""
+    request.setResponseCode(errors.status("method_not_allowed"))
+    request.setHeader("Content-Type", errors.CONTENT_TYPE)
+    request.setHeader("Allow", "GET")
+    return errors.body("method_not_allowed")
--- a/fulmarbarrow/edge/directory.py
+++ b/fulmarbarrow/edge/directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import hashlib
 import hmac
@@ -9,15 +10,24 @@
 from fulmarbarrow.config import bundle as bundles
 
 KEY_DIGEST_BYTES = 32
+SALT_BYTES = 16
+MAX_UNKNOWN_KEYS = 4096
 
 
 def key_digest(key: str, salt: str) -> str:
     """Return the hex digest under which a bearer key is stored."""
     return hashlib.blake2b(
-        key.encode(), salt=salt.encode()[:16], digest_size=KEY_DIGEST_BYTES
+        key.encode(),
+        salt=salt.encode()[:SALT_BYTES],
+        digest_size=KEY_DIGEST_BYTES,
     ).hexdigest()
 
 
+def allowed(account: bundles.Account, service: bundles.Service) -> bool:
+    """Return whether an account may use a service; no list allows all."""
+    return not account.services or service.name in account.services
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RouteMatch:
     """The service and route that a request belongs to."""
@@ -29,13 +39,17 @@
 class Directory:
     """Looks up accounts and routes of one configuration.
 
-    A key that was proven once is remembered by its unsalted digest, so that
-    1,900 accounts cost one digest a request.
+    A key is compared with every account, in constant time, when it is first
+    seen. The result is remembered under the key's digest, for a bounded
+    number of unknown keys, so that 1,900 accounts cost one digest a request.
     """
 
     def __init__(self, *, bundle: bundles.Bundle) -> None:
         self._bundle = bundle
         self._proven: dict[bytes, bundles.Account] = {}
+        self._unknown: collections.OrderedDict[bytes, None] = (
+            collections.OrderedDict()
+        )
         self._models = {
             model.name: service
             for service in bundle.service
@@ -50,22 +64,29 @@
             key=lambda match: -len(match.route.path),
         )
 
-    @property
-    def models(self) -> list[str]:
-        """The names of all models, sorted."""
-        return sorted(self._models)
+    def models(self, account: bundles.Account) -> list[str]:
+        """Return the names of the models that an account may use, sorted."""
+        return sorted(
+            name
+            for name, service in self._models.items()
+            if allowed(account, service)
+        )
 
     def account(self, key: str) -> bundles.Account | None:
         """Return the account that a bearer key belongs to."""
-        remembered = hashlib.blake2b(key.encode()).digest()
-        account = self._proven.get(remembered)
+        if not key:
+            return None
+        seen = hashlib.blake2b(key.encode(), digest_size=16).digest()
+        account = self._proven.get(seen)
+        if account is not None or seen in self._unknown:
+            return account
+        account = self._compare(key)
         if account is not None:
+            self._proven[seen] = account
             return account
-        for candidate in self._bundle.account:
-            digest = key_digest(key, candidate.key_salt)
-            if hmac.compare_digest(digest, candidate.key_digest):
-                self._proven[remembered] = candidate
-                return candidate
+        self._unknown[seen] = None
+        if len(self._unknown) > MAX_UNKNOWN_KEYS:
+            self._unknown.popitem(last=False)
         return None
 
     def model_route(self, model: str, path: str) -> RouteMatch | None:
@@ -74,21 +95,42 @@
         if service is None:
             return None
         for route in service.routes:
-            if path.startswith(route.path):
+            if _below(path, route.path):
                 return RouteMatch(service=service, route=route)
         return None
 
     def plain_route(self, method: str, path: str) -> RouteMatch | None:
         """Return the plain service's route with the longest matching path."""
-        for match in self._routes:
-            if match.service.kind is not bundles.ServiceKind.PLAIN:
-                continue
-            if method in match.route.methods and _below(
-                path, match.route.path
-            ):
+        for match in self._plain_routes(path):
+            if method in match.route.methods:
                 return match
         return None
 
+    def methods(self, path: str) -> tuple[str, ...]:
+        """Return the methods that plain services take on a path, sorted."""
+        found = {
+            method
+            for match in self._plain_routes(path)
+            for method in match.route.methods
+        }
+        return tuple(sorted(found))
+
+    def _plain_routes(self, path: str) -> list[RouteMatch]:
+        return [
+            match
+            for match in self._routes
+            if match.service.kind is bundles.ServiceKind.PLAIN
+            and _below(path, match.route.path)
+        ]
+
+    def _compare(self, key: str) -> bundles.Account | None:
+        found = None
+        for account in self._bundle.account:
+            digest = key_digest(key, account.key_salt)
+            if hmac.compare_digest(digest, account.key_digest):
+                found = account
+        return found
+
 
 def _below(path: str, prefix: str) -> bool:
     return path == prefix or path.startswith(prefix.rstrip("/") + "/")
--- /dev/null
+++ b/fulmarbarrow/edge/features/errors.feature
@@ -0,0 +1,25 @@
+Feature: An error within the daemon reaches the caller as a coded error
+
+  Scenario: A core that fails does not leave its caller waiting
+    Given an edge over a core that fails on every request
+    When a chat arrives at the edge
+    Then the edge answers 500 with code internal_error and ran "unknown"
+    And no exchange is open
+
+  Scenario: A core that fails in the middle of a stream ends it
+    Given an edge over a core that fails on the second part of an answer
+    When a chat arrives at the edge
+    Then the edge's stream ends with an error event
+    And no exchange is open
+
+  Scenario: A broken answer that is no stream ends before its length
+    Given an edge over a core that breaks off a plain answer
+    When a chat arrives at the edge
+    Then the edge closes the connection after 3 of 10 bytes
+    And no exchange is open
+
+  Scenario: A caller too far behind is cut off
+    Given an edge over a core that sends on to a caller that reads nothing
+    When a chat arrives at the edge
+    Then the edge drops the connection
+    And no exchange is open
--- a/fulmarbarrow/observe/metrics.py
+++ b/fulmarbarrow/observe/metrics.py
@@ -9,11 +9,17 @@
 import prometheus_client
 import prometheus_client.core
 
-LOWEST_MICROSECONDS = 1
-HIGHEST_MICROSECONDS = 3_600_000_000
+LOWEST_MICROSECONDS = 10
+HIGHEST_MICROSECONDS = 600_000_000
 SIGNIFICANT_DIGITS = 2
+LABELLED_LOWEST_MICROSECONDS = 100
+LABELLED_SIGNIFICANT_DIGITS = 1
+MAX_LABELLED_HISTOGRAMS = 256
+OTHER = "other"
 PERCENTILES = (50.0, 95.0, 99.0, 99.9)
 
+_MICROSECOND = datetime.timedelta(microseconds=1)
+
 _Labels = tuple[tuple[str, str], ...]
 
 
@@ -34,16 +40,37 @@
     def record(
         self, name: str, duration: datetime.timedelta, **labels: str
     ) -> None:
-        """Add a duration to a histogram."""
+        """Add a duration to a histogram.
+
+        Durations above the highest count as the highest. Beyond
+        ``MAX_LABELLED_HISTOGRAMS`` the labels' values become ``OTHER``.
+        """
         key = (name, tuple(sorted(labels.items())))
         histogram = self._histograms.get(key)
+        if histogram is None:
+            histogram = self._add_histogram(key)
+        micros = duration // _MICROSECOND
+        histogram.record_value(
+            min(max(LOWEST_MICROSECONDS, micros), HIGHEST_MICROSECONDS)
+        )
+
+    def _add_histogram(
+        self, key: tuple[str, _Labels]
+    ) -> hdrh.histogram.HdrHistogram:
+        name, labels = key
+        lowest, digits = LOWEST_MICROSECONDS, SIGNIFICANT_DIGITS
+        if labels:
+            lowest = LABELLED_LOWEST_MICROSECONDS
+            digits = LABELLED_SIGNIFICANT_DIGITS
+            if len(self._histograms) >= MAX_LABELLED_HISTOGRAMS:
+                key = (name, tuple((label, OTHER) for label, _ in labels))
+        histogram = self._histograms.get(key)
         if histogram is None:
             histogram = hdrh.histogram.HdrHistogram(
-                LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS
+                lowest, HIGHEST_MICROSECONDS, digits
             )
             self._histograms[key] = histogram
-        micros = duration // datetime.timedelta(microseconds=1)
-        histogram.record_value(max(LOWEST_MICROSECONDS, micros))
+        return histogram
 
     def value(self, name: str, **labels: str) -> int:
         """Return a counter's value, 0 before its first count."""
--- a/fulmarbarrow/standins/options.py
+++ b/fulmarbarrow/standins/options.py
@@ -29,7 +29,7 @@
     host: str = "127.0.0.1"
     batch_tokens: int = 4000
     tokens_per_second: int = 2000
-    token_interval_ms: int = 5
+    token_interval_ms: float = 5
     prompt_tokens_per_second: int = 20_000
     batch_requests: int = 32
     queue_requests: int = 256
