--- a/fulmarbarrow/daemon/assembly.py
+++ b/fulmarbarrow/daemon/assembly.py
@@ -4,6 +4,7 @@
 
 import datetime
 import logging
+import random
 import typing
 
 from twisted.internet import interfaces
@@ -24,11 +25,13 @@
 from fulmarbarrow.edge import upstreams
 from fulmarbarrow.journal import core as journal_core
 from fulmarbarrow.limits import core as limits_core
+from fulmarbarrow.limits import policy as limits_policy
 from fulmarbarrow.membership import core as membership_core
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics as metrics_module
 from fulmarbarrow.placement import core as placement_core
+from fulmarbarrow.placement import messages as placement_messages
 from fulmarbarrow.publishing import control
 from fulmarbarrow.publishing import follower
 from fulmarbarrow.versions import core as versions_core
@@ -39,6 +42,7 @@
 log = logging.getLogger(__name__)
 
 TICK = datetime.timedelta(milliseconds=250)
+PLACEMENT_TICK = datetime.timedelta(milliseconds=50)
 DRAIN_CHECK = datetime.timedelta(milliseconds=50)
 
 
@@ -66,6 +70,7 @@
             message.Send, lambda event, _: self._transport.send(event)
         )
         self._callers: callers.CallersEdge | None = None
+        self._placement_ticks: task.LoopingCall | None = None
         self._add_common()
         if defaults.Role.CONTROL in settings.daemon.roles:
             self._add_control()
@@ -111,6 +116,8 @@
                 self._settings.listen.upstreams, self._upstreams_edge.app
             )
         self._ticks.start(TICK.total_seconds())
+        if self._placement_ticks is not None:
+            self._placement_ticks.start(PLACEMENT_TICK.total_seconds())
         log.info("daemon %s serves", self._settings.daemon.id)
 
     def announce_stop(self) -> None:
@@ -135,8 +142,9 @@
         log.info("daemon %s stops", self._settings.daemon.id)
         if self._drain.running:
             self._drain.stop()
-        if self._ticks.running:
-            self._ticks.stop()
+        for ticks in (self._ticks, self._placement_ticks):
+            if ticks is not None and ticks.running:
+                ticks.stop()
         for port in self._ports:
             port.stopListening()
         self._transport.stop()
@@ -219,13 +227,22 @@
         )
         self._add("versions", versions_core.VersionsCore())
         self._add("zones", zones_core.ZonesCore())
-        self._add("limits", limits_core.LimitsCore(metrics=metrics))
+        policy = limits_policy.Policy()
+        self._add(
+            "limits", limits_core.LimitsCore(metrics=metrics, policy=policy)
+        )
         self._add(
             "placement",
             placement_core.PlacementCore(
-                address=self._record.address, metrics=metrics
+                daemon=self._record,
+                policy=policy,
+                metrics=metrics,
+                rng=random.Random(self._record.incarnation),
             ),
         )
+        self._placement_ticks = task.LoopingCall(
+            self._bus.post, placement_messages.PlacementTick()
+        )
         self._add("journal", journal_core.JournalCore(metrics=metrics))
         self._add("delivery", delivery_core.DeliveryCore(metrics=metrics))
 
--- a/fulmarbarrow/limits/core.py
+++ b/fulmarbarrow/limits/core.py
@@ -1,4 +1,4 @@
-"""Admits requests at the entry."""
+"""Admits requests at the entry and keeps the accounts' rights."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 import typing
 
 from fulmarbarrow.limits import messages
+from fulmarbarrow.limits import policy as policies
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics as metrics_module
 from fulmarbarrow.publishing import messages as publishing_messages
@@ -21,9 +22,14 @@
         publishing_messages.ConfigurationChanged,
     )
 
-    def __init__(self, *, metrics: metrics_module.Metrics) -> None:
+    def __init__(
+        self,
+        *,
+        metrics: metrics_module.Metrics,
+        policy: policies.Policy | None = None,
+    ) -> None:
         self._metrics = metrics
-        self._max_open: dict[str, int] = {}
+        self._policy = policy or policies.Policy()
         self._open: collections.Counter[str] = collections.Counter()
 
     def handle(
@@ -32,24 +38,34 @@
         """Take one event and return its effects."""
         match event:
             case publishing_messages.ConfigurationChanged():
-                self._max_open = {
-                    account.name: account.max_open_requests
-                    for account in event.bundle.account
-                }
+                self._policy.configure(event.bundle)
             case messages.AdmitRequest():
-                return [self._admit(event)]
+                return [self._admit(event, now)]
             case messages.RequestLeft():
-                self._open[event.account] -= 1
+                self._left(event.account)
         return []
 
     def dump(self) -> dict[str, typing.Any]:
         """Return the open requests of each account."""
-        return {"open": {k: v for k, v in self._open.items() if v}}
+        return {"open": dict(self._open)}
 
-    def _admit(self, event: messages.AdmitRequest) -> message.Message:
-        if self._open[event.account] >= self._max_open.get(event.account, 0):
-            return messages.NotAdmitted(
-                request_id=event.request_id, code="too_many_open_requests"
-            )
+    def _admit(
+        self, event: messages.AdmitRequest, now: datetime.datetime
+    ) -> message.Message:
+        if event.deadline <= now:
+            return self._refuse(event, "deadline_exceeded")
+        if self._open[event.account] >= self._policy.max_open(event.account):
+            return self._refuse(event, "too_many_open_requests")
         self._open[event.account] += 1
         return messages.Admitted(request_id=event.request_id)
+
+    def _refuse(
+        self, event: messages.AdmitRequest, code: str
+    ) -> messages.NotAdmitted:
+        self._metrics.count("admissions_refused", code=code)
+        return messages.NotAdmitted(request_id=event.request_id, code=code)
+
+    def _left(self, account: str) -> None:
+        self._open[account] -= 1
+        if self._open[account] <= 0:
+            del self._open[account]
--- a/fulmarbarrow/limits/messages.py
+++ b/fulmarbarrow/limits/messages.py
@@ -4,7 +4,10 @@
 
 import datetime
 
+import msgspec
+
 from fulmarbarrow import message
+from fulmarbarrow.placement import messages as placement_messages
 
 
 class AdmitRequest(message.Message, frozen=True, kw_only=True):
@@ -39,4 +42,22 @@
     account: str
 
 
+class QueuedWork(msgspec.Struct, frozen=True, kw_only=True):
+    """An attempt that waits at an upstream's owner; ``cost`` is in tokens.
+
+    The attempt leaves the queue unserved at ``expires``; an answer after
+    ``deadline`` is of no use to its caller.
+    """
+
+    attempt_id: str
+    account: str
+    service: str
+    cost: int
+    cost_class: placement_messages.CostClass
+    worth: float
+    expires: datetime.datetime
+    deadline: datetime.datetime
+    best_effort: bool = False
+
+
 PEER_MESSAGES: tuple[type, ...] = ()
--- /dev/null
+++ b/fulmarbarrow/placement/bounds.py
@@ -0,0 +1,60 @@
+"""How much work an upstream may carry."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+
+from fulmarbarrow.membership import messages as membership_messages
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Bounds:
+    """Limits of an upstream's work, in parts of its full batch.
+
+    ``mean_factor`` is the multiple of the pool's mean load above which no
+    upstream gets more work, but ``floor`` batches are always allowed.
+    ``ceiling`` bounds all work, that of priority accounts included.
+    A fresh upstream starts at ``ramp_start`` and reaches a full batch after
+    ``ramp``.
+    """
+
+    mean_factor: float = 1.25
+    floor: float = 1.0
+    ceiling: float = 1.25
+    placed_factor: float = 0.0
+    placed_window: datetime.timedelta = datetime.timedelta(seconds=10)
+    ramp_start: float = 0.1
+    ramp: datetime.timedelta = datetime.timedelta(seconds=30)
+
+    def ramp_share(self, age: datetime.timedelta) -> float:
+        """Return the part of its limit that an upstream of ``age`` gets."""
+        if age >= self.ramp:
+            return 1.0
+        passed = max(0.0, age / self.ramp)
+        return self.ramp_start + (1.0 - self.ramp_start) * passed
+
+    def allowed(
+        self, upstream: membership_messages.Upstream, mean_load: float
+    ) -> int:
+        """Return the work in tokens that the load of the pool allows.
+
+        ``mean_load`` is the pool's mean work in full batches.
+        """
+        share = max(self.mean_factor * mean_load, self.floor)
+        return int(share * upstream.batch_tokens)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Room:
+    """The most work in tokens, by who asks.
+
+    ``any_work`` bounds everything, ``shared`` all but priority work by
+    right, ``long_work`` the shared work of the long cost class.
+    ``ramping`` upstreams take nothing above these even when idle.
+    """
+
+    any_work: int
+    shared: int
+    long_work: int
+    ramping: bool
--- a/fulmarbarrow/placement/core.py
+++ b/fulmarbarrow/placement/core.py
@@ -1,98 +1,355 @@
-"""Chooses the upstream of each attempt."""
+"""Places each attempt at an upstream, and keeps the owned upstreams' work."""
 
 from __future__ import annotations
 
+import collections
 import datetime
+import itertools
+import random
 import typing
 
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics as metrics_module
+from fulmarbarrow.placement import bounds as bounds_module
+from fulmarbarrow.placement import cold
+from fulmarbarrow.placement import directory as directories
+from fulmarbarrow.placement import entry as entries
+from fulmarbarrow.placement import holdings as holdings_module
+from fulmarbarrow.placement import means as means_module
 from fulmarbarrow.placement import messages
-from fulmarbarrow.placement import rendezvous
+from fulmarbarrow.placement import owner as owners
+from fulmarbarrow.placement import scheduling
+from fulmarbarrow.placement import sliver as slivers
+from fulmarbarrow.versions import messages as versions_messages
+from fulmarbarrow.zones import messages as zones_messages
+
+SUMMARY_INTERVAL = datetime.timedelta(milliseconds=500)
+SUMMARY_RECEIVERS = 4
+
+_ROUTER = "router"
 
 
 class PlacementCore:
-    """Requests for a place in, chosen upstreams out."""
+    """Requests for a place in, chosen upstreams out.
+
+    At the entry it walks a chat's upstreams and asks their owners; as owner
+    it answers for its upstreams. A message to itself never leaves it.
+    """
 
     handles = (
         membership_messages.UpstreamChanged,
         membership_messages.UpstreamGone,
+        membership_messages.OwnerChanged,
+        membership_messages.LoadReported,
+        membership_messages.DaemonChanged,
+        membership_messages.DaemonGone,
+        zones_messages.ZoneWeights,
+        versions_messages.VersionShares,
+        versions_messages.VersionStopped,
         messages.PlaceRequest,
         messages.PlaceCancelled,
         messages.WorkEnded,
+        messages.Reserve,
+        messages.Reserved,
+        messages.ReserveRefused,
+        messages.Release,
+        messages.Renew,
+        messages.Preempt,
+        messages.OwnerSummary,
+        messages.ColdSuspected,
+        messages.PlacementTick,
     )
 
     def __init__(
-        self, *, address: str, metrics: metrics_module.Metrics
+        self,
+        *,
+        daemon: membership_messages.Daemon,
+        policy: scheduling.Policy,
+        metrics: metrics_module.Metrics,
+        rng: random.Random,
+        bounds: bounds_module.Bounds | None = None,
+        home_wait: datetime.timedelta = entries.HOME_WAIT,
     ) -> None:
-        self._address = address
-        self._metrics = metrics
-        self._upstreams: dict[str, membership_messages.Upstream] = {}
+        self._daemon = daemon
+        self._address = daemon.address
+        self._rng = rng
+        bounds = bounds or bounds_module.Bounds()
+        self._directory = directories.Directory()
+        self._means = means_module.PoolMeans()
+        self._holdings = holdings_module.Holdings(address=daemon.address)
+        self._sliver = slivers.SliverRules(
+            router=daemon.daemon_id, bounds=bounds
+        )
+        self._cold = cold.ColdDetector()
+        self._owner = owners.OwnerCore(
+            directory=self._directory,
+            means=self._means,
+            policy=policy,
+            bounds=bounds,
+            metrics=metrics,
+        )
+        self._entry = entries.EntryCore(
+            address=daemon.address,
+            zone=daemon.zone,
+            directory=self._directory,
+            holdings=self._holdings,
+            sliver=self._sliver,
+            metrics=metrics,
+            rng=rng,
+            home_wait=home_wait,
+        )
+        self._routers: dict[str, membership_messages.Daemon] = {}
+        self._sequence = itertools.count(1)
+        self._summary_due: datetime.datetime | None = None
 
     def handle(
         self, event: message.Message, now: datetime.datetime
     ) -> list[message.Message]:
         """Take one event and return its effects."""
+        effects: list[message.Message] = []
+        queue = collections.deque((event,))
+        while queue:
+            for effect in self._dispatch(queue.popleft(), now):
+                if (
+                    type(effect) is message.Send
+                    and effect.address == self._address
+                ):
+                    queue.append(effect.message)
+                else:
+                    effects.append(effect)
+        return effects
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return upstreams, owned ledgers and open walks as plain data."""
+        return {
+            "upstreams": sorted(self._directory.upstreams),
+            "owners": {
+                upstream_id: f"{owner.daemon_id} epoch {owner.epoch}"
+                for upstream_id, owner in self._directory.owners.items()
+            },
+            "owned": self._owner.dump(),
+            "walks": self._entry.dump(),
+            "held": len(self._holdings),
+            "pool_loads": self._means.dump(),
+        }
+
+    def _dispatch(
+        self, event: message.Message, now: datetime.datetime
+    ) -> list[message.Message]:
+        match event:
+            case messages.PlaceRequest():
+                return self._entry.place(event, now)
+            case messages.Reserve():
+                return self._owner.reserve(event, now)
+            case messages.Reserved():
+                return self._entry.reserved(event, now)
+            case messages.ReserveRefused():
+                return self._entry.refused(event, now)
+            case messages.WorkEnded():
+                return self._ended(event, now)
+            case messages.Release():
+                return self._owner.release(event, now)
+            case messages.PlacementTick():
+                return self._tick(now)
+            case messages.PlaceCancelled():
+                self._entry.cancel(event.attempt_id)
+            case messages.Renew():
+                return self._owner.renew(event, now)
+            case messages.Preempt():
+                return self._preempt(event)
+            case messages.OwnerSummary():
+                self._means.hear(event, now)
+            case messages.ColdSuspected():
+                self._owner.cold(event, now)
+            case _:
+                return self._learn(event, now)
+        return []
+
+    def _learn(
+        self, event: message.Message, now: datetime.datetime
+    ) -> list[message.Message]:
+        """Take news of upstreams, daemons, zones and versions."""
         match event:
             case membership_messages.UpstreamChanged():
-                self._upstreams[event.upstream.upstream_id] = event.upstream
+                return self._changed(event.upstream, now)
             case membership_messages.UpstreamGone():
-                self._upstreams.pop(event.upstream_id, None)
-            case messages.PlaceRequest():
-                return [self._place(event)]
+                return self._gone(event)
+            case membership_messages.OwnerChanged():
+                return self._owner_changed(event, now)
+            case membership_messages.LoadReported():
+                self._sliver.report(event, now)
+                self._owner.report(event, now)
+            case membership_messages.DaemonChanged():
+                return self._daemon_changed(event.daemon, now)
+            case membership_messages.DaemonGone():
+                self._routers.pop(event.daemon_id, None)
+                return self._set_routers(now)
+            case zones_messages.ZoneWeights():
+                self._directory.set_zone_weights(event.weights)
+            case versions_messages.VersionShares():
+                self._directory.set_shares(
+                    event.service, event.model, event.shares
+                )
+            case versions_messages.VersionStopped():
+                self._directory.stop_version(
+                    event.service, event.model, event.version
+                )
         return []
 
-    def dump(self) -> dict[str, typing.Any]:
-        """Return the known upstreams as plain data."""
-        return {"upstreams": sorted(self._upstreams)}
-
-    def _place(self, request: messages.PlaceRequest) -> message.Message:
-        weights = {
-            upstream.upstream_id: upstream.weight
-            for upstream in self._upstreams.values()
-            if self._fits(upstream, request)
-        }
-        chosen = rendezvous.order(request.chat, weights)
-        if not chosen:
-            return messages.NotPlaced(
-                request_id=request.request_id,
-                attempt_id=request.attempt_id,
-                code="no_upstream",
-            )
-        upstream = self._upstreams[chosen[0]]
-        return messages.Placed(
-            request_id=request.request_id,
-            attempt_id=request.attempt_id,
-            upstream_id=upstream.upstream_id,
-            incarnation=upstream.incarnation,
-            url=upstream.url,
-            version=self._version(upstream, request),
-        )
+    def _changed(
+        self, upstream: membership_messages.Upstream, now: datetime.datetime
+    ) -> list[message.Message]:
+        fresh = self._directory.learn(upstream)
+        upstream_id = upstream.upstream_id
+        if fresh:
+            self._sliver.forget(upstream_id)
+            self._cold.forget(upstream_id)
+        owner = self._directory.owners.get(upstream_id)
+        if owner is not None and owner.daemon_id == self._daemon.daemon_id:
+            self._owner.take(upstream, owner.epoch, now)
+        return self._own_alone(now)
+
+    def _gone(
+        self, event: membership_messages.UpstreamGone
+    ) -> list[message.Message]:
+        if not self._directory.forget(event.upstream_id, event.incarnation):
+            return []
+        self._sliver.forget(event.upstream_id)
+        self._cold.forget(event.upstream_id)
+        return self._owner.drop(event.upstream_id, "not_serving")
 
-    @staticmethod
-    def _fits(
-        upstream: membership_messages.Upstream,
-        request: messages.PlaceRequest,
-    ) -> bool:
-        if upstream.state is not membership_messages.UpstreamState.SERVING:
-            return False
-        if upstream.upstream_id in request.excluded:
-            return False
-        return any(
-            offer.service == request.service and offer.model == request.model
-            for offer in upstream.offers
+    def _owner_changed(
+        self, event: membership_messages.OwnerChanged, now: datetime.datetime
+    ) -> list[message.Message]:
+        owner = directories.Owner(
+            daemon_id=event.owner,
+            address=event.address,
+            epoch=event.owner_epoch,
+        )
+        if not self._directory.set_owner(event.upstream_id, owner):
+            return []
+        upstream = self._directory.upstreams.get(event.upstream_id)
+        if event.owner != self._daemon.daemon_id:
+            effects = self._owner.drop(event.upstream_id, "not_owner")
+        elif upstream is not None:
+            self._owner.take(upstream, event.owner_epoch, now)
+            effects = []
+        else:
+            effects = []
+        renewals = self._holdings.renewals(
+            self._directory, now, event.upstream_id
         )
+        return [*effects, *renewals]
+
+    def _daemon_changed(
+        self, daemon: membership_messages.Daemon, now: datetime.datetime
+    ) -> list[message.Message]:
+        gone = daemon.state is membership_messages.DaemonState.DEAD
+        if daemon.daemon_id == self._daemon.daemon_id:
+            return []
+        if gone or daemon.region != self._daemon.region:
+            self._routers.pop(daemon.daemon_id, None)
+        elif _ROUTER in daemon.roles:
+            self._routers[daemon.daemon_id] = daemon
+        return self._set_routers(now)
+
+    def _set_routers(self, now: datetime.datetime) -> list[message.Message]:
+        self._sliver.set_routers(frozenset(self._routers))
+        return self._own_alone(now)
 
-    @staticmethod
-    def _version(
-        upstream: membership_messages.Upstream,
-        request: messages.PlaceRequest,
-    ) -> str:
-        for offer in upstream.offers:
-            if (offer.service, offer.model) == (
-                request.service,
-                request.model,
-            ):
-                return offer.version
-        return ""
+    def _disown(self) -> list[message.Message]:
+        """Give up what was owned only because no peer was known."""
+        effects: list[message.Message] = []
+        for upstream_id, owner in list(self._directory.owners.items()):
+            if owner.epoch == 0:
+                self._directory.forget_owner(upstream_id)
+                effects.extend(self._owner.drop(upstream_id, "not_owner"))
+        return effects
+
+    def _own_alone(self, now: datetime.datetime) -> list[message.Message]:
+        """Own every upstream without an owner while there is no peer."""
+        if self._routers:
+            return self._disown()
+        effects: list[message.Message] = []
+        for upstream_id in self._directory.upstreams:
+            if upstream_id in self._directory.owners:
+                continue
+            effects.extend(
+                self._owner_changed(
+                    membership_messages.OwnerChanged(
+                        upstream_id=upstream_id,
+                        incarnation=0,
+                        owner=self._daemon.daemon_id,
+                        address=self._address,
+                        owner_epoch=0,
+                    ),
+                    now,
+                )
+            )
+        return effects
+
+    def _ended(
+        self, event: messages.WorkEnded, now: datetime.datetime
+    ) -> list[message.Message]:
+        holding = self._holdings.end(event.attempt_id)
+        if holding is None:
+            return []
+        owner = self._directory.owners.get(event.upstream_id)
+        effects: list[message.Message] = []
+        if owner is not None and owner.address == self._address:
+            effects.extend(self._holdings.take_releases(self._directory))
+        if (
+            self._cold.observe(event, holding.request.cost, now)
+            and owner is not None
+            and owner.address
+        ):
+            effects.append(
+                message.Send(
+                    address=owner.address,
+                    message=messages.ColdSuspected(
+                        upstream_id=event.upstream_id,
+                        incarnation=event.incarnation,
+                    ),
+                )
+            )
+        return effects
+
+    def _preempt(self, event: messages.Preempt) -> list[message.Message]:
+        return [
+            messages.PreemptWork(attempt_id=attempt_id)
+            for attempt_id in event.attempt_ids
+            if self._holdings.get(attempt_id) is not None
+        ]
+
+    def _tick(self, now: datetime.datetime) -> list[message.Message]:
+        effects = [
+            *self._entry.tick(now),
+            *self._owner.tick(now),
+            *self._holdings.take_releases(self._directory),
+        ]
+        if self._summary_due is None or self._summary_due <= now:
+            self._summary_due = now + SUMMARY_INTERVAL
+            effects.extend(self._summarise(now))
+            effects.extend(self._holdings.renewals(self._directory, now))
+        return effects
+
+    def _summarise(self, now: datetime.datetime) -> list[message.Message]:
+        """Tell a few routers in turn what the owned upstreams carry."""
+        pools = self._owner.pools(now)
+        self._means.update(pools, now)
+        if not pools or not self._routers:
+            return []
+        count = min(SUMMARY_RECEIVERS, len(self._routers))
+        receivers = self._rng.sample(sorted(self._routers), count)
+        summary = messages.OwnerSummary(
+            owner=self._daemon.daemon_id,
+            sequence=next(self._sequence),
+            pools=tuple(pools),
+        )
+        return [
+            message.Send(
+                address=self._routers[daemon_id].address, message=summary
+            )
+            for daemon_id in receivers
+        ]
--- /dev/null
+++ b/fulmarbarrow/placement/directory.py
@@ -0,0 +1,207 @@
+"""The upstreams of the region and the pools that they form."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+
+from fulmarbarrow.membership import messages as membership_messages
+from fulmarbarrow.placement import messages
+from fulmarbarrow.placement import rendezvous
+
+MAX_CANDIDATES = 6
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Owner:
+    """The daemon that keeps an upstream's reservations."""
+
+    daemon_id: str
+    address: str
+    epoch: int
+
+
+class Directory:
+    """Upstreams by pool, with what decides how much new work they get.
+
+    A pool is the upstreams that serve one version of a model; its rendezvous
+    order is prepared once and kept until a member or a weight changes.
+    """
+
+    def __init__(self) -> None:
+        self._upstreams: dict[str, membership_messages.Upstream] = {}
+        self._owners: dict[str, Owner] = {}
+        self._zone_weights: dict[str, float] = {}
+        self._shares: dict[tuple[str, str], tuple[tuple[str, float], ...]] = {}
+        self._stopped: set[tuple[str, str, str]] = set()
+        self._pools: dict[tuple[str, str, str], rendezvous.Ring] = {}
+        self._versions: dict[tuple[str, str], rendezvous.Ring] = {}
+
+    @property
+    def upstreams(
+        self,
+    ) -> collections.abc.Mapping[str, membership_messages.Upstream]:
+        """All known upstreams by id."""
+        return self._upstreams
+
+    @property
+    def owners(self) -> collections.abc.Mapping[str, Owner]:
+        """The known owners by upstream id."""
+        return self._owners
+
+    def learn(self, upstream: membership_messages.Upstream) -> bool:
+        """Take an upstream's record; return whether it is a fresh one."""
+        known = self._upstreams.get(upstream.upstream_id)
+        if known is not None and upstream.incarnation < known.incarnation:
+            return False
+        self._upstreams[upstream.upstream_id] = upstream
+        self._forget_pools()
+        return known is None or known.incarnation < upstream.incarnation
+
+    def forget(self, upstream_id: str, incarnation: int) -> bool:
+        """Drop an upstream unless a newer incarnation of it is known."""
+        known = self._upstreams.get(upstream_id)
+        if known is None or known.incarnation > incarnation:
+            return False
+        del self._upstreams[upstream_id]
+        self._owners.pop(upstream_id, None)
+        self._forget_pools()
+        return True
+
+    def set_owner(self, upstream_id: str, owner: Owner) -> bool:
+        """Take an owner unless one of a later epoch is known."""
+        known = self._owners.get(upstream_id)
+        if known is not None and owner.epoch < known.epoch:
+            return False
+        self._owners[upstream_id] = owner
+        return True
+
+    def forget_owner(self, upstream_id: str) -> None:
+        """Take an upstream to have no owner."""
+        self._owners.pop(upstream_id, None)
+
+    def set_zone_weights(
+        self, weights: collections.abc.Iterable[tuple[str, float]]
+    ) -> None:
+        """Take the part of its usual work that each zone gets."""
+        self._zone_weights = dict(weights)
+        self._forget_pools()
+
+    def set_shares(
+        self, service: str, model: str, shares: tuple[tuple[str, float], ...]
+    ) -> None:
+        """Take the shares of a model's versions."""
+        self._shares[service, model] = shares
+        self._versions.pop((service, model), None)
+
+    def stop_version(self, service: str, model: str, version: str) -> None:
+        """Send nothing more to a version, whatever its share."""
+        self._stopped.add((service, model, version))
+        self._versions.pop((service, model), None)
+        self._forget_pools()
+
+    def zone_weight(self, zone: str) -> float:
+        """Return the part of its usual work that a zone gets."""
+        return self._zone_weights.get(zone, 1.0)
+
+    def usable(self, upstream: membership_messages.Upstream) -> bool:
+        """Return whether an upstream may get new work at all."""
+        return (
+            upstream.state is membership_messages.UpstreamState.SERVING
+            and self.zone_weight(upstream.zone) > 0
+            and upstream.weight > 0
+        )
+
+    def pool(
+        self, service: str, model: str, version: str = ""
+    ) -> rendezvous.Ring:
+        """Return the usable upstreams of a version; of any if it is empty."""
+        key = (service, model, version)
+        ring = self._pools.get(key)
+        if ring is None:
+            ring = rendezvous.Ring(weights=self._weights(*key))
+            self._pools[key] = ring
+        return ring
+
+    def version(self, request: messages.PlaceRequest) -> str:
+        """Return the version that a chat gets; empty if none is chosen.
+
+        Rendezvous over the versions, so that a change of the shares moves
+        as few chats as it can. A version without upstreams is passed over.
+        """
+        key = (request.service, request.model)
+        ring = self._versions.get(key)
+        if ring is None:
+            ring = rendezvous.Ring(weights=self._version_weights(*key))
+            self._versions[key] = ring
+        if len(ring) == 1 and len(self.pool(*key, ring.members[0])):
+            return ring.members[0]
+        for version in ring.order(request.chat):
+            if len(self.pool(*key, version)):
+                return version
+        return ""
+
+    def candidates(self, request: messages.PlaceRequest) -> list[str]:
+        """Return the best usable upstreams for a chat, the best first."""
+        version = self.version(request)
+        if not version and self._shares.get((request.service, request.model)):
+            return []
+        ring = self.pool(request.service, request.model, version)
+        count = MAX_CANDIDATES + len(request.excluded)
+        best = ring.best(request.chat, count)
+        if not request.excluded:
+            return best
+        return [item for item in best if item not in request.excluded]
+
+    def version_of(
+        self, upstream_id: str, request: messages.PlaceRequest
+    ) -> str:
+        """Return the version that an upstream runs for a request."""
+        wanted = self.version(request)
+        offers = [
+            offer.version
+            for offer in self._upstreams[upstream_id].offers
+            if (offer.service, offer.model) == (request.service, request.model)
+        ]
+        if wanted in offers or not offers:
+            return wanted
+        return offers[0]
+
+    def _weights(
+        self, service: str, model: str, version: str
+    ) -> dict[str, float]:
+        return {
+            upstream.upstream_id: (
+                upstream.weight
+                * self.zone_weight(upstream.zone)
+                * max(1, upstream.batch_tokens)
+            )
+            for upstream in self._upstreams.values()
+            if self.usable(upstream)
+            and self._offers(upstream, service, model, version)
+        }
+
+    def _offers(
+        self,
+        upstream: membership_messages.Upstream,
+        service: str,
+        model: str,
+        version: str,
+    ) -> bool:
+        return any(
+            offer.service == service
+            and offer.model == model
+            and version in ("", offer.version)
+            and (service, model, offer.version) not in self._stopped
+            for offer in upstream.offers
+        )
+
+    def _version_weights(self, service: str, model: str) -> dict[str, float]:
+        return {
+            version: share
+            for version, share in self._shares.get((service, model), ())
+            if (service, model, version) not in self._stopped
+        }
+
+    def _forget_pools(self) -> None:
+        self._pools.clear()
--- /dev/null
+++ b/fulmarbarrow/placement/entry.py
@@ -0,0 +1,381 @@
+"""Walks each request along its upstreams until one may take it."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+import enum
+import random
+import typing
+
+from fulmarbarrow.membership import messages as membership_messages
+from fulmarbarrow import message
+from fulmarbarrow.observe import metrics as metrics_module
+from fulmarbarrow.placement import directory as directories
+from fulmarbarrow.placement import holdings as holdings_module
+from fulmarbarrow.placement import messages
+from fulmarbarrow.placement import sliver as slivers
+
+MILLISECOND = datetime.timedelta(milliseconds=1)
+REPLY_TIMEOUT = datetime.timedelta(milliseconds=150)
+OWNER_RETRY = datetime.timedelta(seconds=1)
+HOME_WAIT = datetime.timedelta(milliseconds=100)
+QUEUE_WAIT = datetime.timedelta(seconds=2)
+WALK_PAUSE = datetime.timedelta(milliseconds=50)
+NO_WAIT = datetime.timedelta(0)
+
+
+class Stage(enum.Enum):
+    """What a walk is doing."""
+
+    TRYING = "trying"
+    QUEUEING = "queueing"
+    PAUSED = "paused"
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Walk:
+    """A request on its way along the upstreams of its order.
+
+    ``asked`` is the upstream whose owner has not answered yet. ``offers``
+    keeps the waits that refusing owners told.
+    """
+
+    request: messages.PlaceRequest
+    candidates: list[str]
+    stage: Stage = Stage.TRYING
+    position: int = 0
+    asked: str = ""
+    until: datetime.datetime | None = None
+    offers: dict[str, int] = dataclasses.field(default_factory=dict)
+    refusals: set[str] = dataclasses.field(default_factory=set)
+
+
+class EntryCore:
+    """Requests for a place in, chosen upstreams out."""
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        zone: str,
+        directory: directories.Directory,
+        holdings: holdings_module.Holdings,
+        sliver: slivers.SliverRules,
+        metrics: metrics_module.Metrics,
+        rng: random.Random,
+        home_wait: datetime.timedelta = HOME_WAIT,
+    ) -> None:
+        self._address = address
+        self._zone = zone
+        self._directory = directory
+        self._holdings = holdings
+        self._sliver = sliver
+        self._metrics = metrics
+        self._rng = rng
+        self._home_wait = home_wait
+        self._walks: dict[str, Walk] = {}
+        self._silent: dict[str, datetime.datetime] = {}
+
+    def __len__(self) -> int:
+        """Return the number of requests that wait for an upstream."""
+        return len(self._walks)
+
+    def place(
+        self, request: messages.PlaceRequest, now: datetime.datetime
+    ) -> list[message.Message]:
+        """Start to look for an upstream."""
+        candidates = self._candidates(request)
+        if not candidates:
+            return [self._refuse(request, "no_upstream")]
+        walk = Walk(request=request, candidates=candidates)
+        self._walks[request.attempt_id] = walk
+        return self._advance(walk, now)
+
+    def cancel(self, attempt_id: str) -> None:
+        """Stop to look; the caller went away."""
+        walk = self._walks.pop(attempt_id, None)
+        if walk is not None and walk.asked:
+            self._holdings.release(walk.asked, attempt_id)
+
+    def reserved(
+        self, event: messages.Reserved, now: datetime.datetime
+    ) -> list[message.Message]:
+        """Take an owner's grant; one that comes too late is given back."""
+        walk = self._walks.get(event.attempt_id)
+        if walk is None or walk.asked != event.upstream_id:
+            self._give_back(event)
+            return []
+        upstream = self._directory.upstreams.get(event.upstream_id)
+        if upstream is None or upstream.incarnation != event.incarnation:
+            self._holdings.release(event.upstream_id, event.attempt_id)
+            return self._next(walk, now)
+        return [self._placed(walk, upstream, event.priority, now)]
+
+    def refused(
+        self, event: messages.ReserveRefused, now: datetime.datetime
+    ) -> list[message.Message]:
+        """Take an owner's refusal and try the next upstream."""
+        walk = self._walks.get(event.attempt_id)
+        if walk is None or walk.asked != event.upstream_id:
+            return []
+        walk.refusals.add(event.code)
+        if event.code == "not_owner":
+            return self._alone(walk, event.upstream_id, now)
+        if event.code in ("queue_full", "deadline_exceeded"):
+            if walk.stage is Stage.QUEUEING:
+                return [self._give_up(walk, event.code)]
+        elif event.code == "bound_reached":
+            walk.offers[event.upstream_id] = event.wait_ms
+        return self._next(walk, now)
+
+    def tick(self, now: datetime.datetime) -> list[message.Message]:
+        """End waits for answers of owners, and waits that are over."""
+        effects: list[message.Message] = []
+        for walk in list(self._walks.values()):
+            if walk.request.deadline <= now:
+                self._release_asked(walk)
+                effects.append(self._give_up(walk, "deadline_exceeded"))
+            elif walk.until is not None and walk.until <= now:
+                effects.extend(self._timed_out(walk, now))
+        return effects
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return the walks that go on."""
+        return {
+            attempt_id: {"stage": walk.stage.value, "asked": walk.asked}
+            for attempt_id, walk in self._walks.items()
+        }
+
+    def _candidates(self, request: messages.PlaceRequest) -> list[str]:
+        if request.model:
+            return self._directory.candidates(request)
+        return self._plain_candidates(request)
+
+    def _plain_candidates(self, request: messages.PlaceRequest) -> list[str]:
+        """Return the zone's own upstreams first, by least work of two."""
+        ring = self._directory.pool(request.service, "")
+        members = [
+            item for item in ring.members if item not in request.excluded
+        ]
+        self._rng.shuffle(members)
+        upstreams = self._directory.upstreams
+        local = [i for i in members if upstreams[i].zone == self._zone]
+        remote = [i for i in members if upstreams[i].zone != self._zone]
+        chosen = [*self._by_two(local), *self._by_two(remote)]
+        return chosen[: directories.MAX_CANDIDATES]
+
+    def _by_two(self, members: list[str]) -> list[str]:
+        """Put the one with less work of the first two first."""
+        if len(members) < 2:
+            return members
+        first, second, *rest = members
+        if self._load(second) < self._load(first):
+            first, second = second, first
+        return [first, second, *rest]
+
+    def _load(self, upstream_id: str) -> float:
+        upstream = self._directory.upstreams[upstream_id]
+        known = self._sliver.known_work(upstream_id)
+        work = max(known, self._holdings.work(upstream_id))
+        return work / max(1, upstream.batch_tokens)
+
+    def _advance(
+        self, walk: Walk, now: datetime.datetime
+    ) -> list[message.Message]:
+        """Ask on from the walk's position."""
+        while walk.position < len(walk.candidates):
+            upstream_id = walk.candidates[walk.position]
+            upstream = self._directory.upstreams.get(upstream_id)
+            if upstream is None or not self._directory.usable(upstream):
+                walk.position += 1
+                continue
+            owner = self._reachable_owner(upstream_id, now)
+            if owner is not None:
+                wait = NO_WAIT if walk.position else self._home_wait
+                return [self._ask(walk, upstream, owner, wait, now)]
+            if self._fits_alone(walk, upstream, now):
+                return [self._placed(walk, upstream, 0, now)]
+            walk.position += 1
+        return self._wait(walk, now)
+
+    def _next(
+        self, walk: Walk, now: datetime.datetime
+    ) -> list[message.Message]:
+        walk.asked = ""
+        walk.until = None
+        if walk.stage is Stage.QUEUEING:
+            return self._pause(walk, now)
+        walk.position += 1
+        return self._advance(walk, now)
+
+    def _wait(
+        self, walk: Walk, now: datetime.datetime
+    ) -> list[message.Message]:
+        """Queue at the owner that told the shortest wait, or pause."""
+        offers = [
+            (wait, walk.candidates.index(upstream_id), upstream_id)
+            for upstream_id, wait in walk.offers.items()
+            if upstream_id in self._directory.upstreams
+        ]
+        if not offers:
+            return self._pause(walk, now)
+        upstream_id = min(offers)[2]
+        owner = self._reachable_owner(upstream_id, now)
+        if owner is None:
+            return self._pause(walk, now)
+        walk.stage = Stage.QUEUEING
+        upstream = self._directory.upstreams[upstream_id]
+        wait = min(QUEUE_WAIT, walk.request.deadline - now)
+        return [self._ask(walk, upstream, owner, wait, now)]
+
+    def _pause(
+        self, walk: Walk, now: datetime.datetime
+    ) -> list[message.Message]:
+        """Start again from the home upstream after a moment."""
+        walk.stage = Stage.PAUSED
+        walk.asked = ""
+        walk.until = now + WALK_PAUSE
+        return []
+
+    def _timed_out(
+        self, walk: Walk, now: datetime.datetime
+    ) -> list[message.Message]:
+        if walk.stage is Stage.PAUSED:
+            walk.candidates = self._candidates(walk.request)
+            if not walk.candidates:
+                return [self._give_up(walk, "no_upstream")]
+            walk.stage = Stage.TRYING
+            walk.position = 0
+            walk.offers.clear()
+            return self._advance(walk, now)
+        self._release_asked(walk)
+        owner = self._directory.owners.get(walk.asked)
+        if owner is not None:
+            self._silent[owner.address] = now + OWNER_RETRY
+            self._metrics.count("owners_silent")
+        return self._alone(walk, walk.asked, now)
+
+    def _alone(
+        self, walk: Walk, upstream_id: str, now: datetime.datetime
+    ) -> list[message.Message]:
+        """Place by the sliver rules where the owner gave no answer."""
+        upstream = self._directory.upstreams.get(upstream_id)
+        if upstream is not None and self._fits_alone(walk, upstream, now):
+            return [self._placed(walk, upstream, 0, now)]
+        return self._next(walk, now)
+
+    def _reachable_owner(
+        self, upstream_id: str, now: datetime.datetime
+    ) -> directories.Owner | None:
+        owner = self._directory.owners.get(upstream_id)
+        if owner is None or not owner.address:
+            return None
+        silent_until = self._silent.get(owner.address)
+        if silent_until is None:
+            return owner
+        if silent_until > now:
+            return None
+        del self._silent[owner.address]
+        return owner
+
+    def _fits_alone(
+        self,
+        walk: Walk,
+        upstream: membership_messages.Upstream,
+        now: datetime.datetime,
+    ) -> bool:
+        if not self._directory.usable(upstream):
+            return False
+        return self._sliver.fits(
+            upstream,
+            self._holdings.work(upstream.upstream_id),
+            walk.request.cost,
+            now,
+            self._directory.zone_weight(upstream.zone),
+        )
+
+    def _ask(
+        self,
+        walk: Walk,
+        upstream: membership_messages.Upstream,
+        owner: directories.Owner,
+        wait: datetime.timedelta,
+        now: datetime.datetime,
+    ) -> message.Message:
+        request = walk.request
+        walk.asked = upstream.upstream_id
+        walk.until = now + wait + REPLY_TIMEOUT
+        return message.Send(
+            address=owner.address,
+            message=messages.Reserve(
+                reply_to=self._address,
+                attempt_id=request.attempt_id,
+                upstream_id=upstream.upstream_id,
+                incarnation=upstream.incarnation,
+                owner_epoch=owner.epoch,
+                account=request.account,
+                service=request.service,
+                cost=request.cost,
+                cost_class=request.cost_class,
+                worth=request.worth,
+                wait_ms=wait // MILLISECOND,
+                deadline_ms=(request.deadline - now) // MILLISECOND,
+                best_effort=request.best_effort,
+            ),
+        )
+
+    def _placed(
+        self,
+        walk: Walk,
+        upstream: membership_messages.Upstream,
+        priority: int,
+        now: datetime.datetime,
+    ) -> message.Message:
+        request = walk.request
+        del self._walks[request.attempt_id]
+        self._holdings.add(
+            holdings_module.Holding(
+                request=request,
+                upstream_id=upstream.upstream_id,
+                incarnation=upstream.incarnation,
+                renewed_at=now,
+            )
+        )
+        self._sliver.placed(upstream.upstream_id, request.cost)
+        home = upstream.upstream_id == walk.candidates[0]
+        self._metrics.count("requests_placed", home=str(home).lower())
+        return messages.Placed(
+            request_id=request.request_id,
+            attempt_id=request.attempt_id,
+            upstream_id=upstream.upstream_id,
+            incarnation=upstream.incarnation,
+            url=upstream.url,
+            version=self._directory.version_of(upstream.upstream_id, request),
+            priority=priority,
+        )
+
+    def _give_back(self, event: messages.Reserved) -> None:
+        """Release a grant that nobody waits for any more."""
+        holding = self._holdings.get(event.attempt_id)
+        if holding is None or holding.upstream_id != event.upstream_id:
+            self._holdings.release(event.upstream_id, event.attempt_id)
+
+    def _release_asked(self, walk: Walk) -> None:
+        if walk.asked:
+            self._holdings.release(walk.asked, walk.request.attempt_id)
+
+    def _give_up(self, walk: Walk, code: str) -> message.Message:
+        del self._walks[walk.request.attempt_id]
+        public = "overloaded" if code == "queue_full" else code
+        return self._refuse(walk.request, public)
+
+    def _refuse(
+        self, request: messages.PlaceRequest, code: str
+    ) -> message.Message:
+        self._metrics.count("placements_refused", code=code)
+        return messages.NotPlaced(
+            request_id=request.request_id,
+            attempt_id=request.attempt_id,
+            code=code,
+        )
--- /dev/null
+++ b/fulmarbarrow/placement/ledger.py
@@ -0,0 +1,185 @@
+"""The work reserved at one upstream, kept by its owner."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import datetime
+import enum
+
+from fulmarbarrow.membership import messages as membership_messages
+from fulmarbarrow.placement import messages
+
+LEASE = datetime.timedelta(seconds=12)
+MAX_RELEASED = 512  # attempts whose release came before their reservation
+SETTLE = datetime.timedelta(seconds=2)
+
+
+class Priority(enum.IntEnum):
+    """The engine's scheduling priority; lower runs first."""
+
+    BY_RIGHT = 0
+    SHORT = 1
+    LONG = 2
+    BEST_EFFORT = 3
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Reservation:
+    """Work in tokens that an entry host may have at the upstream."""
+
+    attempt_id: str
+    holder: str
+    account: str
+    cost: int
+    cost_class: messages.CostClass
+    priority: Priority
+    until: datetime.datetime
+
+    @property
+    def by_right(self) -> bool:
+        """Whether the account's reserved share covers the work."""
+        return self.priority is Priority.BY_RIGHT
+
+    @property
+    def long(self) -> bool:
+        """Whether the work may not use the slots of short work."""
+        return not self.by_right and self.cost_class is messages.CostClass.LONG
+
+
+class Ledger:
+    """Reservations of one incarnation of an upstream and their sums.
+
+    For a short time after the owner changed, the upstream's own report
+    stands for reservations that entry hosts have not yet renewed here.
+    """
+
+    def __init__(
+        self,
+        *,
+        upstream: membership_messages.Upstream,
+        epoch: int,
+        since: datetime.datetime,
+        placed_window: datetime.timedelta,
+    ) -> None:
+        self.upstream = upstream
+        self.epoch = epoch
+        self.cold_since: datetime.datetime | None = None
+        self._since = since
+        self._placed_window = placed_window
+        self._reservations: dict[str, Reservation] = {}
+        self._released: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+        self._reported = 0
+        self._placements: collections.deque[tuple[datetime.datetime, int]] = (
+            collections.deque()
+        )
+        self._placed = 0
+        self._sum = 0
+        self._by_right = 0
+        self._long = 0
+
+    def __len__(self) -> int:
+        """Return the number of reservations."""
+        return len(self._reservations)
+
+    @property
+    def reserved(self) -> int:
+        """All reserved work in tokens."""
+        return self._sum
+
+    @property
+    def shared(self) -> int:
+        """Reserved work in tokens without that of priority by right."""
+        return self._sum - self._by_right
+
+    @property
+    def long(self) -> int:
+        """Reserved work in tokens that short work's slots are closed to."""
+        return self._long
+
+    @property
+    def reservations(self) -> tuple[Reservation, ...]:
+        """All reservations."""
+        return tuple(self._reservations.values())
+
+    def work(self, now: datetime.datetime) -> int:
+        """Return the work in tokens that the upstream is taken to have."""
+        if self.epoch and now - self._since < SETTLE:
+            return max(self._sum, self._reported)
+        return self._sum
+
+    def placed(self, now: datetime.datetime) -> int:
+        """Return the work in tokens that was placed within the window."""
+        while self._placements:
+            at, cost = self._placements[0]
+            if now - at < self._placed_window:
+                break
+            self._placements.popleft()
+            self._placed -= cost
+        return self._placed
+
+    def by_right(self, account: str) -> int:
+        """Return the work that an account holds by its reserved share."""
+        if not self._by_right:
+            return 0
+        return sum(
+            item.cost
+            for item in self._reservations.values()
+            if item.by_right and item.account == account
+        )
+
+    def get(self, attempt_id: str) -> Reservation | None:
+        """Return a reservation."""
+        return self._reservations.get(attempt_id)
+
+    def crossed(self, attempt_id: str) -> bool:
+        """Return whether the release came before this reservation, once."""
+        if attempt_id not in self._released:
+            return False
+        del self._released[attempt_id]
+        return True
+
+    def report(self, load: membership_messages.Load) -> None:
+        """Take the upstream's own, late, report."""
+        self._reported = load.running_tokens + load.queued_tokens
+
+    def add(self, item: Reservation, placed_at: datetime.datetime) -> None:
+        """Add a reservation or renew it."""
+        known = self._reservations.get(item.attempt_id)
+        if known is None:
+            self._placements.append((placed_at, item.cost))
+            self._placed += item.cost
+        else:
+            self._count(known, -1)
+        self._reservations[item.attempt_id] = item
+        self._count(item, 1)
+
+    def remove(self, attempt_id: str) -> Reservation | None:
+        """Release a reservation; remember it if it is not known yet."""
+        item = self._reservations.pop(attempt_id, None)
+        if item is not None:
+            self._count(item, -1)
+            return item
+        self._released[attempt_id] = None
+        if len(self._released) > MAX_RELEASED:
+            self._released.popitem(last=False)
+        return None
+
+    def expire(self, now: datetime.datetime) -> list[Reservation]:
+        """Remove and return the reservations that nobody renewed."""
+        over = [
+            item for item in self._reservations.values() if item.until <= now
+        ]
+        for item in over:
+            del self._reservations[item.attempt_id]
+            self._count(item, -1)
+        return over
+
+    def _count(self, item: Reservation, sign: int) -> None:
+        self._sum += sign * item.cost
+        if item.by_right:
+            self._by_right += sign * item.cost
+        elif item.long:
+            self._long += sign * item.cost
--- a/fulmarbarrow/placement/messages.py
+++ b/fulmarbarrow/placement/messages.py
@@ -5,6 +5,8 @@
 import datetime
 import enum
 
+import msgspec
+
 from fulmarbarrow import message
 
 
@@ -100,16 +102,34 @@
     attempt_id: str
 
 
+class PlacementTick(message.Message, frozen=True, kw_only=True):
+    """Time has passed; more frequent than the cores' common tick."""
+
+
 # Messages between daemons.
 
 
 class Reserve(message.Message, frozen=True, kw_only=True):
-    """Asks an upstream's owner to reserve an attempt's work."""
+    """Asks an upstream's owner to reserve an attempt's work.
+
+    Idempotent by ``attempt_id`` and ``upstream_id``. ``wait_ms`` is how long
+    the owner may queue the attempt, ``deadline_ms`` the time left for the
+    whole answer, both from now.
+    """
 
     reply_to: str
-    request: PlaceRequest
+    attempt_id: str
     upstream_id: str
     incarnation: int
+    owner_epoch: int
+    account: str
+    service: str
+    cost: int
+    cost_class: CostClass
+    worth: float
+    wait_ms: int
+    deadline_ms: int
+    best_effort: bool = False
 
 
 class Reserved(message.Message, frozen=True, kw_only=True):
@@ -123,18 +143,88 @@
 
 
 class ReserveRefused(message.Message, frozen=True, kw_only=True):
-    """The owner did not reserve the work; ``code`` says why."""
+    """The owner did not reserve the work; ``code`` says why.
+
+    ``wait_ms`` is the delay that the owner expects for such an attempt.
+    """
 
     attempt_id: str
     upstream_id: str
     code: str
     retry_after: datetime.timedelta | None = None
+    wait_ms: int = 0
 
 
 class Release(message.Message, frozen=True, kw_only=True):
-    """Reservations whose attempts ended, for their owner."""
+    """Reservations whose attempts ended, for their owner.
+
+    An empty ``upstream_id`` releases the attempts at every upstream.
+    """
 
     attempt_ids: tuple[str, ...]
+    upstream_id: str = ""
+
+
+class HeldWork(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """One attempt that an entry host still runs at an upstream."""
+
+    attempt_id: str
+    cost: int
+    cost_class: CostClass
+    account: str
+    best_effort: bool = False
+
+
+class Renew(message.Message, frozen=True, kw_only=True):
+    """Reservations that go on; unknown ones are taken into the ledger."""
+
+    reply_to: str
+    upstream_id: str
+    incarnation: int
+    owner_epoch: int
+    held: tuple[HeldWork, ...]
+
+
+class Preempt(message.Message, frozen=True, kw_only=True):
+    """Asks an entry host to cancel best-effort attempts of its own."""
+
+    attempt_ids: tuple[str, ...]
+
+
+class PoolWork(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Reserved work and full batches of one owner's upstreams in a pool.
+
+    ``pool`` is a hash of service and model.
+    """
+
+    pool: int
+    work: int
+    capacity: int
+    placed: int
+
+
+class OwnerSummary(message.Message, frozen=True, kw_only=True):
+    """What an owner's upstreams carry, by pool, for routers of the region."""
+
+    owner: str
+    sequence: int
+    pools: tuple[PoolWork, ...]
+
+
+class ColdSuspected(message.Message, frozen=True, kw_only=True):
+    """An upstream seems to have lost its cache; its owner ramps it again."""
+
+    upstream_id: str
+    incarnation: int
 
 
-PEER_MESSAGES = (Reserve, Reserved, ReserveRefused, Release)
+PEER_MESSAGES = (
+    Reserve,
+    Reserved,
+    ReserveRefused,
+    Release,
+    Renew,
+    Preempt,
+    OwnerSummary,
+    ColdSuspected,
+)
--- /dev/null
+++ b/fulmarbarrow/placement/owner.py
@@ -0,0 +1,539 @@
+"""Keeps the reservations of the upstreams that this daemon owns."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+import typing
+
+from fulmarbarrow.limits import messages as limits_messages
+from fulmarbarrow.membership import messages as membership_messages
+from fulmarbarrow import message
+from fulmarbarrow.observe import metrics as metrics_module
+from fulmarbarrow.placement import bounds as bounds_module
+from fulmarbarrow.placement import directory as directories
+from fulmarbarrow.placement import ledger as ledgers
+from fulmarbarrow.placement import means as means_module
+from fulmarbarrow.placement import messages
+from fulmarbarrow.placement import scheduling
+
+MILLISECOND = datetime.timedelta(milliseconds=1)
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Owned:
+    """One owned upstream: its ledger, its queue and who waits there."""
+
+    ledger: ledgers.Ledger
+    queue: scheduling.Queue
+    waiting: dict[str, str]
+    mixed: float = 0.0
+
+
+class OwnerCore:
+    """Requests for reservations in, grants and refusals out."""
+
+    def __init__(
+        self,
+        *,
+        directory: directories.Directory,
+        means: means_module.PoolMeans,
+        policy: scheduling.Policy,
+        bounds: bounds_module.Bounds,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._directory = directory
+        self._means = means
+        self._policy = policy
+        self._bounds = bounds
+        self._metrics = metrics
+        self._owned: dict[str, _Owned] = {}
+
+    def owns(self, upstream_id: str) -> bool:
+        """Return whether this daemon keeps the upstream's reservations."""
+        return upstream_id in self._owned
+
+    def take(
+        self,
+        upstream: membership_messages.Upstream,
+        epoch: int,
+        now: datetime.datetime,
+    ) -> None:
+        """Become the owner of an upstream; idempotent by epoch."""
+        known = self._owned.get(upstream.upstream_id)
+        if known is not None and self._same(known.ledger, upstream, epoch):
+            known.ledger.upstream = upstream
+            return
+        self._owned[upstream.upstream_id] = _Owned(
+            ledger=ledgers.Ledger(
+                upstream=upstream,
+                epoch=epoch,
+                since=now,
+                placed_window=self._bounds.placed_window,
+            ),
+            queue=self._policy.queue(),
+            waiting={},
+        )
+
+    def drop(self, upstream_id: str, code: str) -> list[message.Message]:
+        """Stop to own an upstream; whoever waits there is refused."""
+        owned = self._owned.pop(upstream_id, None)
+        if owned is None:
+            return []
+        return [
+            _refusal(address, upstream_id, attempt_id, code)
+            for attempt_id, address in owned.waiting.items()
+        ]
+
+    def report(
+        self, event: membership_messages.LoadReported, now: datetime.datetime
+    ) -> None:
+        """Take an upstream's own report of its load."""
+        owned = self._owned.get(event.upstream_id)
+        if owned and owned.ledger.upstream.incarnation == event.incarnation:
+            owned.ledger.report(event.load)
+
+    def cold(
+        self, event: messages.ColdSuspected, now: datetime.datetime
+    ) -> None:
+        """Ramp an upstream again that seems to have lost its cache."""
+        owned = self._owned.get(event.upstream_id)
+        if owned is None:
+            return
+        ledger = owned.ledger
+        if ledger.upstream.incarnation != event.incarnation:
+            return
+        if self._ramp_share(ledger, now) < 1.0:
+            return
+        ledger.cold_since = now
+        self._metrics.count("upstreams_cold")
+
+    def reserve(
+        self, event: messages.Reserve, now: datetime.datetime
+    ) -> list[message.Message]:
+        """Reserve, queue or refuse an attempt's work."""
+        owned = self._owned.get(event.upstream_id)
+        if owned is None or owned.ledger.epoch != event.owner_epoch:
+            return [self._refuse(event, "not_owner")]
+        ledger = owned.ledger
+        known = ledger.get(event.attempt_id)
+        if known is not None:
+            return [_grant(ledger, known, event.reply_to)]
+        if ledger.crossed(event.attempt_id):
+            return [self._refuse(event, "released")]
+        if not self._serves(ledger, event.incarnation):
+            return [self._refuse(event, "not_serving")]
+        if event.attempt_id in owned.waiting:
+            owned.waiting[event.attempt_id] = event.reply_to
+            return []
+        work = _queued(event, now)
+        owned.mixed = max(owned.mixed, self._policy.short_share(work.service))
+        if self._may_pass(owned, work) and self._fits(owned, work, now):
+            owned.queue.charge(work.account, work.cost)
+            return [self._place(owned, work, event.reply_to, now)]
+        return self._queue(owned, work, event, now)
+
+    def release(
+        self, event: messages.Release, now: datetime.datetime
+    ) -> list[message.Message]:
+        """Free the work of ended attempts and serve the queues."""
+        chosen = [event.upstream_id] if event.upstream_id else [*self._owned]
+        effects: list[message.Message] = []
+        for upstream_id in chosen:
+            owned = self._owned.get(upstream_id)
+            if owned is None:
+                continue
+            for attempt_id in event.attempt_ids:
+                owned.queue.remove(attempt_id)
+                owned.waiting.pop(attempt_id, None)
+                owned.ledger.remove(attempt_id)
+            effects.extend(self._serve(owned, now))
+        return effects
+
+    def renew(
+        self, event: messages.Renew, now: datetime.datetime
+    ) -> list[message.Message]:
+        """Renew reservations and take in those that are not known."""
+        owned = self._owned.get(event.upstream_id)
+        if owned is None:
+            return []
+        ledger = owned.ledger
+        if ledger.upstream.incarnation != event.incarnation:
+            return []
+        for held in event.held:
+            known = ledger.get(held.attempt_id)
+            priority = (
+                known.priority
+                if known
+                else self._priority(ledger, held.account, held.cost, held)
+            )
+            ledger.add(
+                ledgers.Reservation(
+                    attempt_id=held.attempt_id,
+                    holder=event.reply_to,
+                    account=held.account,
+                    cost=held.cost,
+                    cost_class=held.cost_class,
+                    priority=priority,
+                    until=now + ledgers.LEASE,
+                ),
+                now,
+            )
+        return []
+
+    def tick(self, now: datetime.datetime) -> list[message.Message]:
+        """End leases and waits that are over, and serve the queues."""
+        effects: list[message.Message] = []
+        for upstream_id, owned in self._owned.items():
+            over = owned.ledger.expire(now)
+            if over:
+                self._metrics.count("reservations_expired", len(over))
+            if not len(owned.queue):
+                continue
+            effects.extend(self._serve(owned, now))
+            for work in owned.queue.expire(now):
+                address = owned.waiting.pop(work.attempt_id)
+                code = "overloaded"
+                effects.append(
+                    _refusal(address, upstream_id, work.attempt_id, code)
+                )
+        return effects
+
+    def pools(self, now: datetime.datetime) -> list[messages.PoolWork]:
+        """Return the work and capacity of the owned upstreams by pool."""
+        sums: dict[int, list[int]] = {}
+        for owned in self._owned.values():
+            ledger = owned.ledger
+            if not self._directory.usable(ledger.upstream):
+                continue
+            share = self._ramp_share(ledger, now)
+            for pool in means_module.pools_of(ledger.upstream):
+                total = sums.setdefault(pool, [0, 0, 0])
+                total[0] += ledger.reserved
+                total[1] += int(share * ledger.upstream.batch_tokens)
+                total[2] += ledger.placed(now)
+        return [
+            messages.PoolWork(
+                pool=pool, work=total[0], capacity=total[1], placed=total[2]
+            )
+            for pool, total in sorted(sums.items())
+        ]
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return each owned upstream's work and queue."""
+        return {
+            upstream_id: {
+                "epoch": owned.ledger.epoch,
+                "reservations": len(owned.ledger),
+                "reserved_tokens": owned.ledger.reserved,
+                "queued": len(owned.queue),
+                "cold_since": owned.ledger.cold_since,
+            }
+            for upstream_id, owned in self._owned.items()
+        }
+
+    @staticmethod
+    def _same(
+        ledger: ledgers.Ledger,
+        upstream: membership_messages.Upstream,
+        epoch: int,
+    ) -> bool:
+        return (
+            ledger.epoch == epoch
+            and ledger.upstream.incarnation == upstream.incarnation
+        )
+
+    def _serves(self, ledger: ledgers.Ledger, incarnation: int) -> bool:
+        return (
+            ledger.upstream.incarnation == incarnation
+            and self._directory.usable(ledger.upstream)
+        )
+
+    def _ramp_share(
+        self, ledger: ledgers.Ledger, now: datetime.datetime
+    ) -> float:
+        share = self._bounds.ramp_share(now - ledger.upstream.started_at)
+        if ledger.cold_since is not None:
+            again = self._bounds.ramp_share(now - ledger.cold_since)
+            share = min(share, again)
+        return share * min(
+            1.0, self._directory.zone_weight(ledger.upstream.zone)
+        )
+
+    def _room(
+        self, owned: _Owned, now: datetime.datetime
+    ) -> bounds_module.Room:
+        """Return the most work that the upstream may have, by who asks."""
+        ledger = owned.ledger
+        upstream = ledger.upstream
+        bounds = self._bounds
+        share = self._ramp_share(ledger, now)
+        ceiling = bounds.ceiling * upstream.batch_tokens
+        allowed = bounds.allowed(upstream, self._means.load(upstream))
+        headroom = self._policy.reserved_share * upstream.batch_tokens
+        shared = min(allowed, ceiling - headroom)
+        long_work = min(shared, (1.0 - owned.mixed) * upstream.batch_tokens)
+        if not owned.mixed:
+            long_work = shared
+        return bounds_module.Room(
+            any_work=int(share * ceiling),
+            shared=int(share * shared),
+            long_work=int(share * long_work),
+            ramping=share < 1.0,
+        )
+
+    def _fits(
+        self,
+        owned: _Owned,
+        work: limits_messages.QueuedWork,
+        now: datetime.datetime,
+    ) -> bool:
+        """Return whether the upstream may take the work now."""
+        ledger = owned.ledger
+        room = self._room(owned, now)
+        carried = ledger.work(now)
+        if not carried and not room.ramping:
+            return True
+        if carried + work.cost > room.any_work:
+            return False
+        if self._by_right(ledger, work.account, work.cost):
+            return True
+        unknown = carried - ledger.reserved
+        if ledger.shared + unknown + work.cost > room.shared:
+            return False
+        if not self._evenly(ledger, work.cost, now):
+            return False
+        if work.cost_class is messages.CostClass.SHORT:
+            return True
+        return ledger.long + unknown + work.cost <= room.long_work
+
+    def _evenly(
+        self, ledger: ledgers.Ledger, cost: int, now: datetime.datetime
+    ) -> bool:
+        """Return whether work placed of late stays near the pool's mean."""
+        factor = self._bounds.placed_factor
+        if not factor:
+            return True
+        mean = self._means.placed(ledger.upstream)
+        batch = ledger.upstream.batch_tokens
+        limit = max(factor * mean, self._bounds.floor) * batch
+        return ledger.placed(now) + cost <= limit
+
+    def _by_right(
+        self, ledger: ledgers.Ledger, account: str, cost: int
+    ) -> bool:
+        """Return whether the account's reserved share covers the work.
+
+        One attempt is always covered, however large it is.
+        """
+        share = self._policy.right(account).reserved_share
+        if share <= 0:
+            return False
+        held = ledger.by_right(account)
+        return not held or held + cost <= share * ledger.upstream.batch_tokens
+
+    def _priority(
+        self,
+        ledger: ledgers.Ledger,
+        account: str,
+        cost: int,
+        work: limits_messages.QueuedWork | messages.HeldWork,
+    ) -> ledgers.Priority:
+        if self._by_right(ledger, account, cost):
+            return ledgers.Priority.BY_RIGHT
+        if work.best_effort:
+            return ledgers.Priority.BEST_EFFORT
+        if work.cost_class is messages.CostClass.SHORT:
+            return ledgers.Priority.SHORT
+        return ledgers.Priority.LONG
+
+    def _may_pass(
+        self, owned: _Owned, work: limits_messages.QueuedWork
+    ) -> bool:
+        """Return whether an attempt need not queue behind others."""
+        if not len(owned.queue):
+            return True
+        if self._by_right(owned.ledger, work.account, work.cost):
+            return True
+        return not owned.queue.cost_ahead(work)
+
+    def _place(
+        self,
+        owned: _Owned,
+        work: limits_messages.QueuedWork,
+        address: str,
+        now: datetime.datetime,
+    ) -> message.Message:
+        ledger = owned.ledger
+        item = ledgers.Reservation(
+            attempt_id=work.attempt_id,
+            holder=address,
+            account=work.account,
+            cost=work.cost,
+            cost_class=work.cost_class,
+            priority=self._priority(ledger, work.account, work.cost, work),
+            until=now + ledgers.LEASE,
+        )
+        ledger.add(item, now)
+        return _grant(ledger, item, address)
+
+    def _queue(
+        self,
+        owned: _Owned,
+        work: limits_messages.QueuedWork,
+        event: messages.Reserve,
+        now: datetime.datetime,
+    ) -> list[message.Message]:
+        """Queue an attempt if it may wait and can be served in time."""
+        wait = self._expected_wait(owned, work)
+        if event.wait_ms <= 0:
+            return [self._refuse(event, "bound_reached", wait)]
+        by_right = self._by_right(owned.ledger, work.account, work.cost)
+        if now + wait > work.deadline and not by_right:
+            return [self._refuse(event, "deadline_exceeded", wait)]
+        refused = owned.queue.add(work)
+        if refused is work:
+            return [self._refuse(event, "queue_full", wait)]
+        owned.waiting[work.attempt_id] = event.reply_to
+        effects: list[message.Message] = []
+        if refused is not None:
+            address = owned.waiting.pop(refused.attempt_id)
+            effects.append(
+                _refusal(
+                    address,
+                    event.upstream_id,
+                    refused.attempt_id,
+                    "queue_full",
+                )
+            )
+        if by_right:
+            effects.extend(self._preempt(owned, work.cost))
+        return effects
+
+    def _expected_wait(
+        self, owned: _Owned, work: limits_messages.QueuedWork
+    ) -> datetime.timedelta:
+        speed = max(1, owned.ledger.upstream.tokens_per_second)
+        ahead = owned.queue.cost_ahead(work) if len(owned.queue) else 0.0
+        return datetime.timedelta(seconds=ahead / speed)
+
+    def _serve(
+        self, owned: _Owned, now: datetime.datetime
+    ) -> list[message.Message]:
+        """Reserve for queued attempts while there is room."""
+        effects: list[message.Message] = []
+        while len(owned.queue):
+            work = self._next(owned, now)
+            if work is None:
+                break
+            address = owned.waiting.pop(work.attempt_id)
+            effects.append(self._place(owned, work, address, now))
+        return effects
+
+    def _next(
+        self, owned: _Owned, now: datetime.datetime
+    ) -> limits_messages.QueuedWork | None:
+        """Return the next attempt: by right, then short, then by turn."""
+
+        def by_right(work: limits_messages.QueuedWork) -> bool:
+            covered = self._by_right(owned.ledger, work.account, work.cost)
+            return covered and self._fits(owned, work, now)
+
+        def short(work: limits_messages.QueuedWork) -> bool:
+            is_short = work.cost_class is messages.CostClass.SHORT
+            return is_short and self._fits(owned, work, now)
+
+        chosen = None
+        if self._policy.reserved_share:
+            chosen = owned.queue.take_any(by_right)
+        if chosen is None and owned.mixed:
+            chosen = owned.queue.take(short)
+        if chosen is None:
+            chosen = owned.queue.take(
+                lambda work: self._fits(owned, work, now)
+            )
+        return chosen
+
+    def _preempt(self, owned: _Owned, cost: int) -> list[message.Message]:
+        """Ask holders of best-effort work to make room for ``cost``."""
+        chosen: dict[str, list[str]] = {}
+        for item in reversed(owned.ledger.reservations):
+            if cost <= 0:
+                break
+            if item.priority is ledgers.Priority.BEST_EFFORT:
+                chosen.setdefault(item.holder, []).append(item.attempt_id)
+                cost -= item.cost
+        count = sum(len(attempt_ids) for attempt_ids in chosen.values())
+        self._metrics.count("attempts_preempted", count)
+        return [
+            message.Send(
+                address=address,
+                message=messages.Preempt(attempt_ids=tuple(attempt_ids)),
+                urgent=True,
+            )
+            for address, attempt_ids in chosen.items()
+        ]
+
+    def _refuse(
+        self,
+        event: messages.Reserve,
+        code: str,
+        wait: datetime.timedelta = datetime.timedelta(0),
+    ) -> message.Message:
+        self._metrics.count("reservations_refused", code=code)
+        return _refusal(
+            event.reply_to,
+            event.upstream_id,
+            event.attempt_id,
+            code,
+            wait // MILLISECOND,
+        )
+
+
+def _queued(
+    event: messages.Reserve, now: datetime.datetime
+) -> limits_messages.QueuedWork:
+    return limits_messages.QueuedWork(
+        attempt_id=event.attempt_id,
+        account=event.account,
+        service=event.service,
+        cost=event.cost,
+        cost_class=event.cost_class,
+        worth=event.worth,
+        expires=now + event.wait_ms * MILLISECOND,
+        deadline=now + event.deadline_ms * MILLISECOND,
+        best_effort=event.best_effort,
+    )
+
+
+def _grant(
+    ledger: ledgers.Ledger, item: ledgers.Reservation, address: str
+) -> message.Message:
+    return message.Send(
+        address=address,
+        message=messages.Reserved(
+            attempt_id=item.attempt_id,
+            upstream_id=ledger.upstream.upstream_id,
+            incarnation=ledger.upstream.incarnation,
+            priority=int(item.priority),
+            lease=ledgers.LEASE,
+        ),
+    )
+
+
+def _refusal(
+    address: str,
+    upstream_id: str,
+    attempt_id: str,
+    code: str,
+    wait_ms: int = 0,
+) -> message.Message:
+    return message.Send(
+        address=address,
+        message=messages.ReserveRefused(
+            attempt_id=attempt_id,
+            upstream_id=upstream_id,
+            code=code,
+            wait_ms=wait_ms,
+        ),
+    )
