Run every fault at every state of requests, attempts and entries

Found and mended on the way: the answer of an upstream that only lost a connection counted as a crash for good; it is now taken back when that incarnation renews its lease.

--- a/fulmarbarrow/delivery/attempt.py
+++ b/fulmarbarrow/delivery/attempt.py
@@ -10,6 +10,8 @@
 from fulmarbarrow.delivery import messages
 from fulmarbarrow.delivery import state
 
+STATES = ("sending", "answering", "whole", "broken", "cancelled")
+
 
 class AttemptInputs(typing.Protocol):
     """Inputs of an attempt; each tells whether it was taken."""
@@ -36,11 +38,7 @@
 
 def _build() -> typing.Callable[[state.Attempt], AttemptInputs]:
     builder = automat.TypeMachineBuilder(AttemptInputs, state.Attempt)
-    sending = builder.state("sending")
-    answering = builder.state("answering")
-    whole = builder.state("whole")
-    broken = builder.state("broken")
-    cancelled = builder.state("cancelled")
+    sending, answering, whole, broken, cancelled = map(builder.state, STATES)
 
     @sending.upon(AttemptInputs.start).to(answering)
     def start(
@@ -49,6 +47,7 @@
         event: messages.AttemptHeaders,
         now: datetime.datetime,
     ) -> bool:
+        attempt.stage = "answering"
         attempt.headers = event
         attempt.progress_at = now
         attempt.taken_events = event.resume_offset
--- a/fulmarbarrow/delivery/budget.py
+++ b/fulmarbarrow/delivery/budget.py
@@ -5,9 +5,9 @@
 import datetime
 import random
 
-RETRY_FRACTION = 0.08  # retries per request
+RETRY_FRACTION = 0.07  # retries per request
 RESERVE = 3.0  # retries
-RESERVE_REFILL = 0.05  # retries per second
+RESERVE_REFILL = 0.01  # retries per second
 CEILING = 100.0  # retries
 BACKOFF_FIRST = datetime.timedelta(milliseconds=20)
 BACKOFF_LIMIT = datetime.timedelta(seconds=1)
--- a/fulmarbarrow/delivery/core.py
+++ b/fulmarbarrow/delivery/core.py
@@ -56,6 +56,7 @@
         journal_messages.JournalWritten,
         membership_messages.UpstreamChanged,
         membership_messages.UpstreamGone,
+        membership_messages.LoadReported,
         membership_messages.DaemonChanged,
         membership_messages.DaemonGone,
         placement_messages.Placed,
@@ -109,6 +110,9 @@
             case membership_messages.UpstreamGone():
                 self._pools.remove(event)
                 return []
+            case membership_messages.LoadReported():
+                self._suspects.see_alive(event, now)
+                return []
             case membership_messages.DaemonChanged():
                 self._suspects.change_daemon(event)
                 return []
@@ -131,7 +135,11 @@
         return {
             "open": {
                 entry.request.request_id: {
-                    "attempts": sorted(entry.request.attempts),
+                    "state": entry.request.stage,
+                    "attempts": {
+                        attempt.attempt_id: attempt.stage
+                        for attempt in entry.request.attempts.values()
+                    },
                     "started": entry.request.started,
                     "events": entry.request.delivered_events,
                     "may_have_run": entry.request.may_have_run,
--- /dev/null
+++ b/fulmarbarrow/delivery/features/steps/faults.py
@@ -0,0 +1,200 @@
+"""Steps over the joined cores of delivery and journal."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import behave
+
+from benchmarks import delivery_faults as faults
+from benchmarks import delivery_trials as trials
+from fulmarbarrow.delivery import attempt
+from fulmarbarrow.delivery import policy
+from fulmarbarrow.delivery import request
+from fulmarbarrow.journal import entry
+
+SEED = 7
+SCHEDULES_WITHOUT = 300
+
+# Faults that make a state occur at all.
+PREPARED = {
+    ("request", "waiting"): "engine cuts its answer",
+    ("request", "sealing"): "register refuses before running",
+    ("request", "marking"): "register cuts its answer",
+    ("entry", "sealed"): "register refuses before running",
+    ("entry", "unknown"): "register cuts its answer",
+}
+
+# Faults that a mechanism is for, where random ones seldom meet it.
+LIKELY = {
+    "resume_check": (
+        "engine cuts its answer",
+        "engine ignores the resume offset",
+    ),
+    "silence": ("engine goes silent", "engine sends nothing"),
+    "proof_of_not_run": ("register cuts its answer",),
+}
+
+# A machine in one of these is forgotten at once, so no fault can meet it.
+FORGOTTEN = {
+    "request": {"closed"},
+    "attempt": {"whole", "broken", "cancelled"},
+    "entry": set(),
+}
+MACHINES = {
+    "request": set(request.STATES),
+    "attempt": set(attempt.STATES),
+    "entry": set(entry.STATES),
+}
+covered: dict[str, set[str]] = {"request": set(), "attempt": set()}
+
+
+def without(mechanism):
+    return dataclasses.replace(policy.Mechanisms(), **{mechanism: False})
+
+
+@behave.when("each fault strikes while a {machine} is {name}")
+def step_matrix(context, machine, name):
+    covered.setdefault(machine, set()).add(name)
+    prepared = PREPARED.get((machine, name))
+    context.missed, context.violations = [], []
+    for number, fault in enumerate(sorted(faults.FAULTS)):
+        schedule = faults.Schedule(
+            seed=number,
+            strikes=((1, fault),),
+            prepared=(prepared,) if prepared else (),
+        )
+        trigger = faults.in_stage(machine, name)
+        _, findings, struck = faults.run(schedule, trigger)
+        if not struck:
+            context.missed.append(fault)
+        context.violations += [(fault, text) for text in findings.all]
+
+
+@behave.then("every fault has struck")
+def step_struck(context):
+    assert not context.missed, context.missed
+
+
+@behave.then("nothing that must hold is violated")
+def step_holds(context):
+    assert not context.violations, context.violations
+
+
+@behave.then("the states of the three machines are those of the fault matrix")
+def step_states(context):
+    for machine, states in MACHINES.items():
+        assert covered[machine] == states - FORGOTTEN[machine], machine
+
+
+@behave.when("{count:d} seeded fault schedules run")
+def step_explore(context, count):
+    context.violations = [
+        (schedule, text)
+        for schedule, findings in faults.explore(count, SEED)
+        for text in findings.all
+    ]
+
+
+@behave.when("fault schedules run without {mechanism} until one is wrong")
+def step_explore_without(context, mechanism):
+    schedules = faults.schedules(
+        SCHEDULES_WITHOUT,
+        SEED,
+        without(mechanism),
+        LIKELY.get(mechanism, ()),
+    )
+    context.found = set()
+    for schedule in schedules:
+        findings = vars(faults.run(schedule)[1])
+        context.found |= {name for name, texts in findings.items() if texts}
+        if context.found:
+            return
+
+
+@behave.then("the violations include {violation}")
+def step_found(context, violation):
+    assert violation in context.found, context.found
+
+
+@behave.when("a router is paused past its lease while an order is looked up")
+def step_paused(context):
+    context.violations = faults.late_dispatch(check_lease=True).all
+
+
+@behave.then('without the check at the moment of sending "not run" is false')
+def step_paused_unchecked(context):
+    assert faults.late_dispatch(check_lease=False).false_not_run
+
+
+def calls_per_request(context, requests, mechanisms):
+    return max(
+        trials.failing_pool(
+            how,
+            requests=requests,
+            routers=context.routers,
+            seconds=10,
+            seed=SEED,
+            mechanisms=mechanisms,
+        ).calls_per_request
+        for how in ("refuse", "error", "cut", "unreachable")
+    )
+
+
+@behave.when(
+    "{requests:d} look-ups meet a pool that fails wholly through "
+    "{routers:d} routers"
+)
+def step_failing_pool(context, requests, routers):
+    context.requests, context.routers = requests, routers
+
+
+@behave.then("there are at most {limit:g} upstream calls a request")
+def step_calls(context, limit):
+    calls = calls_per_request(context, context.requests, None)
+    assert calls <= limit, calls
+
+
+@behave.then("without the budget there are more than {least:g}")
+def step_calls_without(context, least):
+    calls = calls_per_request(context, 80, without("retry_budget"))
+    assert calls > least, calls
+
+
+@behave.when(
+    "a poison request is sent {times:d} times through {routers:d} routers"
+)
+def step_poison(context, times, routers):
+    context.trial = {
+        "resends": times,
+        "routers": routers,
+        "engines": 6,
+        "seed": SEED,
+    }
+
+
+@behave.then("at most {limit:d} upstreams crashed")
+def step_crashes(context, limit):
+    crashes = trials.poison(**context.trial)
+    assert 0 < crashes <= limit, crashes
+
+
+@behave.then("without quarantine more than {least:d} crashed")
+def step_crashes_without(context, least):
+    crashes = trials.poison(**context.trial, mechanisms=without("quarantine"))
+    assert crashes > least, crashes
+
+
+@behave.when("the connection of a stream goes silent")
+def step_silent(context):
+    context.gap, context.whole = trials.silent_stream(SEED)
+
+
+@behave.then("the stream goes on within {limit:g} seconds of the last event")
+def step_gap(context, limit):
+    assert context.gap <= limit, context.gap
+
+
+@behave.then("the caller's answer is whole")
+def step_whole(context):
+    assert context.whole
--- a/fulmarbarrow/delivery/poison.py
+++ b/fulmarbarrow/delivery/poison.py
@@ -12,6 +12,7 @@
 CRASHES_TO_QUARANTINE = 2
 SUSPICION = datetime.timedelta(minutes=1)
 QUARANTINE = datetime.timedelta(minutes=10)
+ACQUIT_AFTER = datetime.timedelta(seconds=3)
 MAX_DIGESTS = 10_000
 RUN_LEASE = datetime.timedelta(seconds=30)
 
@@ -28,7 +29,9 @@
 class _Record:
     """Crashes by upstream incarnation, and when the record ends."""
 
-    crashes: set[tuple[str, int]] = dataclasses.field(default_factory=set)
+    crashes: dict[tuple[str, int], datetime.datetime] = dataclasses.field(
+        default_factory=dict
+    )
     until: datetime.datetime
 
 
@@ -52,6 +55,7 @@
     def __init__(self) -> None:
         self._records: dict[str, _Record] = {}
         self._runs: dict[str, _Run] = {}
+        self._blamed: dict[tuple[str, int], set[str]] = {}
 
     def suspicion(self, digest: str, now: datetime.datetime) -> Suspicion:
         """Return what is thought of a digest."""
@@ -78,12 +82,38 @@
                 del self._records[next(iter(self._records))]
             record = _Record(until=event.at)
             self._records[event.digest] = record
-        record.crashes.add((event.upstream_id, event.incarnation))
+        crashed = (event.upstream_id, event.incarnation)
+        record.crashes[crashed] = event.at
+        self._blamed.setdefault(crashed, set()).add(event.digest)
         term = SUSPICION
         if len(record.crashes) >= CRASHES_TO_QUARANTINE:
             term = QUARANTINE
         record.until = max(record.until, event.at + term)
 
+    def acquit(
+        self, upstream_id: str, incarnation: int, now: datetime.datetime
+    ) -> None:
+        """Take back the crashes of an upstream that turns out to live.
+
+        A process that crashed comes back as another incarnation; one that
+        still renews its lease a while later only lost connections.
+        """
+        digests = self._blamed.get((upstream_id, incarnation), set())
+        for digest in list(digests):
+            record = self._records.get(digest)
+            if record is None:
+                digests.discard(digest)
+                continue
+            at = record.crashes.get((upstream_id, incarnation), now)
+            if now - at < ACQUIT_AFTER:
+                continue
+            digests.discard(digest)
+            del record.crashes[upstream_id, incarnation]
+            if not record.crashes:
+                del self._records[digest]
+        if not digests:
+            self._blamed.pop((upstream_id, incarnation), None)
+
     def start(
         self, event: messages.SuspectStarted, now: datetime.datetime
     ) -> None:
@@ -110,6 +140,11 @@
         self._drop_expired(now)
         return digest in self._runs
 
+    def is_run(self, digest: str, attempt_id: str) -> bool:
+        """Return whether an attempt is the known run of a suspect."""
+        run = self._runs.get(digest)
+        return run is not None and run.attempt_id == attempt_id
+
     def busy_upstreams(self, now: datetime.datetime) -> set[str]:
         """Return the upstreams that run a suspect."""
         self._drop_expired(now)
--- a/fulmarbarrow/delivery/policy.py
+++ b/fulmarbarrow/delivery/policy.py
@@ -40,7 +40,6 @@
     quarantine: bool = True
     silence: bool = True
     proof_of_not_run: bool = True
-    dispatch_lease: bool = True
 
 
 def silence_limit(
--- a/fulmarbarrow/delivery/recovery.py
+++ b/fulmarbarrow/delivery/recovery.py
@@ -159,7 +159,7 @@
         request.number += 1
         return [
             *effects_module.cancel(request, attempt),
-            *self._suspects.end(request, attempt, now, False),
+            *self._suspects.end(request, attempt, False),
             *entry.inputs.hold(now + policy.PREEMPT_PAUSE),
         ]
 
--- a/fulmarbarrow/delivery/request.py
+++ b/fulmarbarrow/delivery/request.py
@@ -84,7 +84,7 @@
 )
 
 
-def _build() -> automat.TypeMachine:
+def _build() -> tuple[automat.TypeMachine, tuple[str, ...]]:
     builder = automat.TypeMachineBuilder(RequestInputs, state.Request)
     admitting = builder.state("admitting")
     intending = builder.state("intending")
@@ -147,12 +147,24 @@
     used = set()
     for old, given, new, output in table:
         used.add((old.name, given.__name__))
-        old.upon(given).to(new)(output)
+        old.upon(given).to(new)(_staged(new.name, output))
     for old in states:
         for given in _INPUTS:
             if (old.name, given.__name__) not in used:
                 old.upon(given).loop().returns(())
-    return builder.build()
+    return builder.build(), tuple(state.name for state in states)
+
+
+def _staged(name: str, output: typing.Callable) -> typing.Callable:
+    """Return the output with the new state's name kept for the dump."""
+
+    def staged(
+        inputs: RequestInputs, request: state.Request, *args: typing.Any
+    ) -> Effects:
+        request.stage = name
+        return output(inputs, request, *args)
+
+    return staged
 
 
 def _ready(_: RequestInputs, request: state.Request) -> Effects:
@@ -302,4 +314,4 @@
     return [effects.seal(request), *left]
 
 
-make_request = _build()
+make_request, STATES = _build()
--- a/fulmarbarrow/delivery/state.py
+++ b/fulmarbarrow/delivery/state.py
@@ -34,6 +34,7 @@
     sent_at: datetime.datetime
     progress_at: datetime.datetime
     resume_offset: int = 0
+    stage: str = "sending"
     headers: messages.AttemptHeaders | None = None
     taken_events: int = 0
     taken_bytes: int = 0
@@ -78,6 +79,7 @@
 
     arrived: messages.RequestArrived
     attempts: dict[str, Attempt] = dataclasses.field(default_factory=dict)
+    stage: str = "admitting"
     number: int = 1
     purpose: Purpose = Purpose.RUN
     placing_id: str = ""
--- a/fulmarbarrow/delivery/suspects.py
+++ b/fulmarbarrow/delivery/suspects.py
@@ -46,6 +46,12 @@
         """Forget a daemon."""
         self._peers.pop(event.daemon_id, None)
 
+    def see_alive(
+        self, event: membership_messages.LoadReported, now: datetime.datetime
+    ) -> None:
+        """Learn that an upstream's incarnation still renews its lease."""
+        self._registry.acquit(event.upstream_id, event.incarnation, now)
+
     def hear(
         self,
         event: messages.PoisonSuspected
@@ -131,11 +137,11 @@
         self,
         request: state.Request,
         attempt: state.Attempt,
-        now: datetime.datetime,
         harmless: bool,
     ) -> Effects:
         """Tell that a suspect's run ended; nothing for other requests."""
-        if not self._suspect(request, now):
+        digest = request.arrived.digest
+        if not self._registry.is_run(digest, attempt.attempt_id):
             return []
         ended = messages.SuspectEnded(
             digest=request.arrived.digest,
--- a/fulmarbarrow/journal/control.py
+++ b/fulmarbarrow/journal/control.py
@@ -67,11 +67,12 @@
         daemon: membership_messages.Daemon,
         metrics: metrics_module.Metrics,
         group_commit: bool = True,
+        journal: machine.Journal | None = None,
     ) -> None:
         self._daemon = daemon
         self._metrics = metrics
         self._group_commit = group_commit
-        self._journal = machine.Journal()
+        self.journal = journal or machine.Journal()
         self._shards = [_Shard() for _ in range(SHARDS)]
         self._proposals: dict[str, _Proposal] = {}
         self._pending: dict[str, str] = {}
@@ -106,7 +107,7 @@
             case consensus_messages.SnapshotRestored(
                 group=consensus_messages.Group.JOURNAL
             ):
-                self._journal.restore(event.state)
+                self.journal.restore(event.state)
             case membership_messages.DaemonChanged():
                 daemon = event.daemon
                 self._addresses[daemon.daemon_id] = daemon.address
@@ -119,8 +120,8 @@
     def dump(self) -> dict[str, typing.Any]:
         """Return the number of entries by state, as plain data."""
         return {
-            "entries": self._journal.counts(),
-            "expired": self._journal.expired,
+            "entries": self.journal.counts(),
+            "expired": self.journal.expired,
             "calls_pending": len(self._pending),
         }
 
@@ -170,7 +171,7 @@
     def _applied(self, event: consensus_messages.Applied) -> Effects:
         """Apply a committed batch and answer the calls made here."""
         effects: Effects = []
-        for call_id, reply in self._journal.apply(event.command).items():
+        for call_id, reply in self.journal.apply(event.command).items():
             reply_to = self._pending.pop(call_id, "")
             if reply_to:
                 answer = messages.JournalReply(call_id=call_id, body=reply)
@@ -247,7 +248,7 @@
         return consensus_messages.SnapshotTaken(
             group=event.group,
             index=event.index,
-            state=self._journal.snapshot(),
+            state=self.journal.snapshot(),
         )
 
     def _reply(
--- /dev/null
+++ b/fulmarbarrow/journal/features/steps/entries.py
@@ -0,0 +1,188 @@
+"""Steps on the replicated state machine of the journal."""
+
+from __future__ import annotations
+
+import datetime
+import random
+
+import behave
+import msgspec
+
+from fulmarbarrow.journal import machine
+from fulmarbarrow.journal import messages
+
+START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+DEADLINE = START + datetime.timedelta(seconds=5)
+MINE = {"request_id": "mine", "account": "volos", "key": "k"}
+OTHER = {**MINE, "request_id": "other"}
+ANSWER = {"status": 200, "content_type": "text/plain", "body": b"done"}
+
+
+def intend(who, digest="body"):
+    return messages.Intend(
+        **who,
+        digest=digest,
+        service="register",
+        attempt_id="a",
+        deadline=DEADLINE,
+    )
+
+
+def record(who, **fields):
+    return messages.RecordOutcome(**who, attempt_id="a", **ANSWER, **fields)
+
+
+def seal(who, **fields):
+    return messages.SealEntry(**who, attempt_id="a", **fields)
+
+
+def mark(who):
+    return messages.MarkUnknown(**who, attempt_id="a")
+
+
+CALLS = {
+    "its intent": intend(MINE),
+    "another's intent": intend(OTHER),
+    "a different body": intend(OTHER, "other body"),
+    "its answer": record(MINE),
+    "another's answer": record(OTHER),
+    "a looked up answer": record(OTHER, lookup=True),
+    "its seal": seal(MINE),
+    "another's seal": seal(OTHER),
+    "a looked up seal": seal(OTHER, lookup=True),
+    "its unknown mark": mark(MINE),
+}
+REACHED = {
+    "absent": (),
+    "running": ("its intent",),
+    "done": ("its intent", "its answer"),
+    "sealed": ("its intent", "its seal"),
+    "unknown": ("its intent", "its unknown mark"),
+}
+
+
+def apply(journal, now, *bodies):
+    batch = machine.Batch(
+        shard=0,
+        now=now,
+        commands=tuple(
+            machine.Command(call_id=str(number), body=body)
+            for number, body in enumerate(bodies)
+        ),
+    )
+    return list(journal.apply(msgspec.msgpack.encode(batch)).values())
+
+
+def told(reply):
+    if isinstance(reply, messages.IntendResult):
+        return reply.standing.value
+    return "written" if reply.committed else "not written"
+
+
+@behave.given("a {state} entry")
+@behave.given("an {state} entry")
+def step_entry(context, state):
+    context.journal = machine.Journal()
+    context.now = START
+    for name in REACHED[state]:
+        apply(context.journal, START, CALLS[name])
+
+
+@behave.when("{call} is applied")
+def step_apply(context, call):
+    (context.reply,) = apply(context.journal, context.now, CALLS[call])
+
+
+@behave.then("the entry is {state} and the answer is {answer}")
+def step_state(context, state, answer):
+    counts = context.journal.counts()
+    assert counts == ({} if state == "absent" else {state: 1}), counts
+    assert told(context.reply) == answer, context.reply
+
+
+@behave.then("another's intent is answered with the recorded answer")
+def step_replay(context):
+    (reply,) = apply(context.journal, context.now, intend(OTHER))
+    assert reply.standing is messages.EntryStanding.DONE
+    assert (reply.status, reply.body) == (200, b"done")
+
+
+def later(context, seconds, call):
+    now = START + datetime.timedelta(seconds=seconds)
+    return apply(context.journal, now, CALLS[call])[0]
+
+
+@behave.then("another's intent may not look it up after {seconds:d} seconds")
+def step_no_lookup(context, seconds):
+    reply = later(context, seconds, "another's intent")
+    assert not reply.may_look_up, reply
+
+
+@behave.then("another's intent may look it up after {seconds:d} seconds")
+def step_lookup(context, seconds):
+    reply = later(context, seconds, "another's intent")
+    assert reply.may_look_up, reply
+
+
+@behave.then("another's intent is answered unknown after {seconds:d} seconds")
+def step_unknown(context, seconds):
+    reply = later(context, seconds, "another's intent")
+    assert reply.standing is messages.EntryStanding.UNKNOWN, reply
+
+
+@behave.then("a looked up seal is written after {seconds:d} seconds")
+def step_seal_later(context, seconds):
+    assert later(context, seconds, "a looked up seal").committed
+
+
+@behave.when("{hours:d} hours pass")
+def step_hours(context, hours):
+    context.now += datetime.timedelta(hours=hours)
+
+
+@behave.then("its key is new again")
+def step_new(context):
+    (reply,) = apply(context.journal, context.now, intend(OTHER))
+    assert reply.standing is messages.EntryStanding.MAY_DISPATCH, reply
+
+
+def random_calls(context, count):
+    for _ in range(count):
+        context.now += datetime.timedelta(seconds=context.rng.randrange(900))
+        body = context.rng.choice(list(CALLS.values()))
+        body = msgspec.structs.replace(
+            body, key=f"k{context.rng.randrange(40)}"
+        )
+        for journal, replies in zip(
+            context.replicas, context.replies, strict=True
+        ):
+            replies += apply(journal, context.now, body)
+
+
+@behave.given("{count:d} random calls applied to two replicas")
+def step_replicas(context, count):
+    context.rng = random.Random(5)
+    context.now = START
+    context.replicas = [machine.Journal(), machine.Journal()]
+    context.replies = [[], []]
+    random_calls(context, count)
+
+
+@behave.when("one of them is replaced from the other's snapshot")
+def step_restore(context):
+    fresh = machine.Journal()
+    fresh.restore(context.replicas[0].snapshot())
+    context.replicas[1] = fresh
+
+
+@behave.when("{count:d} more random calls are applied to both")
+def step_more(context, count):
+    random_calls(context, count)
+
+
+@behave.then("both gave the same answers and hold the same state")
+def step_alike(context):
+    assert context.replies[0] == context.replies[1]
+    first, second = context.replicas
+    assert first.snapshot() == second.snapshot()
+    assert len(first) > 0
