--- /dev/null
+++ b/fulmarbarrow/consensus/applying.py
@@ -0,0 +1,120 @@
+"""Commits entries, hands them to the state machines, takes snapshots."""
+
+from __future__ import annotations
+
+import collections.abc
+
+from fulmarbarrow.consensus import messages
+from fulmarbarrow.consensus import records
+from fulmarbarrow.consensus import state
+
+SNAPSHOT_ENTRIES = 1000
+SNAPSHOT_BYTES = 4 << 20
+KEPT_ENTRIES = 200
+
+Listener = collections.abc.Callable[[records.Entry], None]
+
+
+class Applier:
+    """Applies committed entries in their order."""
+
+    def __init__(
+        self, *, node: state.Node, snapshot_entries: int = SNAPSHOT_ENTRIES
+    ) -> None:
+        self._node = node
+        self._snapshot_entries = snapshot_entries
+        self._listeners: list[Listener] = []
+        self._bytes = 0
+        self._wanted = 0
+        self._taken: dict[str, bytes] = {}
+
+    def listen(self, listener: Listener) -> None:
+        """Call ``listener`` with each entry once it is applied."""
+        self._listeners.append(listener)
+
+    def commit(self, index: int) -> None:
+        """Apply everything up to ``index``."""
+        node = self._node
+        node.commit_index = max(node.commit_index, index)
+        while node.applied_index < node.commit_index:
+            entry = node.log.entry(node.applied_index + 1)
+            if entry is None:
+                return
+            node.applied_index = entry.index
+            self._apply(entry)
+        self._want_snapshot()
+
+    def restore(self, snapshot: records.Snapshot) -> None:
+        """Give the state machines their states of a snapshot."""
+        node = self._node
+        node.applied_index = max(node.applied_index, snapshot.index)
+        node.commit_index = max(node.commit_index, snapshot.index)
+        self._bytes = 0
+        self._wanted = 0
+        for part in snapshot.machines:
+            node.out.append(
+                messages.SnapshotRestored(
+                    group=node.group,
+                    index=snapshot.index,
+                    state=part.state,
+                    machine=part.machine,
+                )
+            )
+
+    def snapshot_taken(self, event: messages.SnapshotTaken) -> None:
+        """Store a snapshot once every state machine has given its state."""
+        node = self._node
+        if event.index != self._wanted or event.machine not in node.machines:
+            return
+        self._taken[event.machine] = event.state
+        if len(self._taken) < len(node.machines):
+            return
+        term = node.log.term_at(event.index)
+        self._wanted = 0
+        self._bytes = 0
+        if term is None:
+            return
+        snapshot = records.Snapshot(
+            index=event.index,
+            term=term,
+            log_id=node.log_id,
+            configuration=node.log.configuration_at(event.index),
+            machines=tuple(
+                records.MachineState(machine=name, state=data)
+                for name, data in sorted(self._taken.items())
+            ),
+        )
+        node.persist(snapshot=snapshot)
+        node.log.compact(snapshot, keep=KEPT_ENTRIES)
+        node.metrics.count("consensus_snapshots", group=node.group)
+
+    def _apply(self, entry: records.Entry) -> None:
+        node = self._node
+        self._bytes += len(entry.data)
+        if entry.kind is records.EntryKind.COMMAND:
+            node.out.append(
+                messages.Applied(
+                    group=node.group,
+                    index=entry.index,
+                    term=entry.term,
+                    command=entry.data,
+                    machine=entry.machine,
+                )
+            )
+        for listener in self._listeners:
+            listener(entry)
+
+    def _want_snapshot(self) -> None:
+        node = self._node
+        if not node.machines or self._wanted:
+            return
+        count = node.applied_index - node.log.snapshot.index
+        if count < self._snapshot_entries and self._bytes < SNAPSHOT_BYTES:
+            return
+        if count == 0:
+            return
+        self._wanted = node.applied_index
+        self._taken = {}
+        node.out.append(
+            messages.SnapshotWanted(group=node.group, index=node.applied_index)
+        )
--- a/fulmarbarrow/consensus/core.py
+++ b/fulmarbarrow/consensus/core.py
@@ -1,57 +1,269 @@
-"""The replicated log of a single member, in memory."""
+"""The replicated log of one group on one member."""
 
 from __future__ import annotations
 
+import dataclasses
 import datetime
+import functools
+import random
 import typing
 
+from fulmarbarrow.consensus import applying
+from fulmarbarrow.consensus import election
+from fulmarbarrow.consensus import following
+from fulmarbarrow.consensus import joining
+from fulmarbarrow.consensus import leadership
+from fulmarbarrow.consensus import log as logs
 from fulmarbarrow.consensus import messages
+from fulmarbarrow.consensus import peer
+from fulmarbarrow.consensus import proposals
+from fulmarbarrow.consensus import reading
+from fulmarbarrow.consensus import records
+from fulmarbarrow.consensus import replication
+from fulmarbarrow.consensus import state
+from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
+from fulmarbarrow.observe import metrics as metrics_module
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Inspection:
+    """A look into a member's state, for checks from outside."""
+
+    member: str
+    role: state.Role
+    term: int
+    ready: bool
+    voter: bool
+    members: tuple[str, ...]
+    applied_index: int
+    log: logs.Log | None
 
 
 class ConsensusCore:
-    """Proposals in, commands in one order out."""
+    """Proposals in, commands in one order out.
+
+    ``addresses`` gives the peer address of each control host, this one
+    included, by daemon id. ``machines`` names the state machines that give
+    their state for snapshots.
+    """
 
-    handles = (messages.Propose, messages.ReadBarrier)
+    handles = (
+        messages.Propose,
+        messages.ReadBarrier,
+        messages.SnapshotTaken,
+        messages.Persisted,
+        membership_messages.LeaveStarted,
+        message.Tick,
+        *peer.PEER_MESSAGES,
+    )
 
-    def __init__(self, *, group: messages.Group) -> None:
-        self._group = group
-        self._index = 0
-        self._term = 1
+    def __init__(
+        self,
+        *,
+        group: records.Group,
+        me: records.Member,
+        addresses: dict[str, str],
+        stored: state.Stored,
+        source: random.Random,
+        metrics: metrics_module.Metrics,
+        now: datetime.datetime,
+        machines: tuple[str, ...] = ("",),
+        snapshot_entries: int = applying.SNAPSHOT_ENTRIES,
+    ) -> None:
+        node = self._node = state.Node(
+            group=group,
+            me=me,
+            seats=frozenset(addresses),
+            stored=stored,
+            machines=machines,
+            source=source,
+            metrics=metrics,
+            now=now,
+        )
+        self._replication = replication.Replication(node=node)
+        self._applier = applying.Applier(
+            node=node, snapshot_entries=snapshot_entries
+        )
+        self._proposals = proposals.Proposals(node=node)
+        self._applier.listen(self._proposals.applied)
+        self._leadership = leadership.Leadership(
+            node=node,
+            replication=self._replication,
+            proposals=self._proposals,
+            reads=reading.Reads(node=node),
+            applier=self._applier,
+        )
+        self._joining = joining.Joining(
+            node=node, replication=self._replication, addresses=addresses
+        )
+        self._election = election.Election(
+            node=node, leadership=self._leadership
+        )
+        self._following = following.Following(
+            node=node, election=self._election, applier=self._applier
+        )
+        if stored.snapshot is not None:
+            self._applier.restore(stored.snapshot)
 
     def handle(
         self, event: message.Message, now: datetime.datetime
     ) -> list[message.Message]:
         """Take one event and return its effects."""
-        match event:
-            case messages.Propose(group=self._group):
-                return self._propose(event)
-            case messages.ReadBarrier(group=self._group):
-                return [
-                    messages.ReadReady(
-                        read_id=event.read_id, group=self._group, ready=True
-                    )
-                ]
-        return []
+        if getattr(event, "group", self._node.group) != self._node.group:
+            return []
+        formed, leader = self._node.formed, self._node.leader
+        self._on(event, now)
+        if self._node.formed and not formed:
+            self._election.formed(now)
+        self._lead(now)
+        if self._node.leader is not None and self._node.leader != leader:
+            self._proposals.leader_known()
+        return self._node.take()
+
+    def inspect(self) -> Inspection:
+        """Return a look at the state that later events change."""
+        node = self._node
+        members = node.log.configuration.members if node.formed else ()
+        return Inspection(
+            member=node.me.member_id,
+            role=node.role,
+            term=node.term,
+            ready=self._leadership.ready,
+            voter=node.is_voter,
+            members=tuple(member.member_id for member in members),
+            applied_index=node.applied_index,
+            log=node.log if node.formed else None,
+        )
 
     def dump(self) -> dict[str, typing.Any]:
-        """Return the log's position as plain data."""
-        return {"index": self._index, "term": self._term}
-
-    def _propose(self, event: messages.Propose) -> list[message.Message]:
-        self._index += 1
-        return [
-            messages.Applied(
-                group=self._group,
-                index=self._index,
-                term=self._term,
-                command=event.command,
-            ),
-            messages.ProposeResult(
-                proposal_id=event.proposal_id,
-                group=self._group,
-                committed=True,
-                index=self._index,
-                term=self._term,
-            ),
-        ]
+        """Return the log's position and members as plain data."""
+        node = self._node
+        data: dict[str, typing.Any] = {
+            "role": node.role.value,
+            "member": node.me.member_id,
+            "term": node.term,
+            "leader": node.leader.daemon_id if node.leader else "",
+            "waiting_proposals": self._proposals.count,
+        }
+        if node.formed:
+            members = node.log.configuration.members
+            data |= {
+                "members": [member.member_id for member in members],
+                "voter": node.is_voter,
+                "last_index": node.log.last_index,
+                "synced_index": node.log.synced_index,
+                "commit_index": node.commit_index,
+                "applied_index": node.applied_index,
+                "snapshot_index": node.log.snapshot.index,
+                "lease_until": self._leadership.lease_until,
+            }
+        return data
+
+    def _lead(self, now: datetime.datetime) -> None:
+        if self._node.role is not state.Role.LEADER:
+            return
+        self._leadership.progress(now)
+        if self._leadership.must_step_down:
+            self._election.step_down(now)
+
+    def _current(self, event: typing.Any, now: datetime.datetime) -> bool:
+        """Return whether a reply belongs to this leadership."""
+        if event.log_id != self._node.log_id or not self._node.formed:
+            return False
+        self._election.observe_term(event.term, now)
+        leads = self._node.role is state.Role.LEADER
+        return leads and event.term == self._node.term
+
+    @functools.singledispatchmethod
+    def _on(self, event: message.Message, now: datetime.datetime) -> None:
+        """Take one event by its type."""
+
+    @_on.register
+    def _(self, event: message.Tick, now: datetime.datetime) -> None:
+        self._joining.tick(now)
+        self._proposals.tick(now)
+        if self._node.role is state.Role.LEADER:
+            self._leadership.tick(now)
+            if self._leadership.ready:
+                self._joining.consider(now)
+        else:
+            self._election.tick(now)
+
+    @_on.register
+    def _(self, event: messages.Propose, now: datetime.datetime) -> None:
+        self._proposals.propose(event, now)
+
+    @_on.register
+    def _(self, event: messages.ReadBarrier, now: datetime.datetime) -> None:
+        self._leadership.read(event, now)
+
+    @_on.register
+    def _(self, event: messages.SnapshotTaken, now: datetime.datetime) -> None:
+        self._applier.snapshot_taken(event)
+
+    @_on.register
+    def _(self, event: messages.Persisted, now: datetime.datetime) -> None:
+        self._node.synced(event.write_id)
+        self._election.own_vote(now)
+
+    @_on.register
+    def _(
+        self,
+        event: membership_messages.LeaveStarted,
+        now: datetime.datetime,
+    ) -> None:
+        self._node.leaving = True
+        if self._node.role is state.Role.LEADER:
+            self._leadership.hand_over(now)
+
+    @_on.register
+    def _(self, event: peer.VoteRequest, now: datetime.datetime) -> None:
+        if self._node.formed and event.log_id == self._node.log_id:
+            self._election.vote_request(event, now)
+
+    @_on.register
+    def _(self, event: peer.VoteReply, now: datetime.datetime) -> None:
+        if self._node.formed and event.log_id == self._node.log_id:
+            self._election.vote_reply(event, now)
+
+    @_on.register
+    def _(self, event: peer.AppendRequest, now: datetime.datetime) -> None:
+        if self._node.formed and event.log_id == self._node.log_id:
+            self._following.append_request(event, now)
+
+    @_on.register
+    def _(self, event: peer.AppendReply, now: datetime.datetime) -> None:
+        if self._current(event, now):
+            self._replication.append_reply(event, now)
+
+    @_on.register
+    def _(self, event: peer.InstallRequest, now: datetime.datetime) -> None:
+        if self._node.log_id in ("", event.log_id):
+            self._following.install_request(event, now)
+
+    @_on.register
+    def _(self, event: peer.InstallReply, now: datetime.datetime) -> None:
+        if self._current(event, now):
+            self._replication.install_reply(event, now)
+
+    @_on.register
+    def _(self, event: peer.HandOver, now: datetime.datetime) -> None:
+        if self._node.formed and event.log_id == self._node.log_id:
+            self._election.handed_over(event, now)
+
+    @_on.register
+    def _(self, event: peer.JoinRequest, now: datetime.datetime) -> None:
+        self._joining.join_request(event, now)
+
+    @_on.register
+    def _(self, event: peer.JoinReply, now: datetime.datetime) -> None:
+        self._joining.join_reply(event)
+
+    @_on.register
+    def _(self, event: peer.ProposalCall, now: datetime.datetime) -> None:
+        self._proposals.call(event)
+
+    @_on.register
+    def _(self, event: peer.ProposalReply, now: datetime.datetime) -> None:
+        self._proposals.reply(event)
--- /dev/null
+++ b/fulmarbarrow/consensus/election.py
@@ -0,0 +1,254 @@
+"""Terms, pre-votes and votes."""
+
+from __future__ import annotations
+
+import datetime
+import logging
+import typing
+
+from fulmarbarrow.consensus import effects
+from fulmarbarrow.consensus import peer
+from fulmarbarrow.consensus import records
+from fulmarbarrow.consensus import roles as role_machine
+from fulmarbarrow.consensus import state
+from fulmarbarrow.consensus import timing
+
+log = logging.getLogger(__name__)
+
+
+class Leadership(typing.Protocol):
+    """What the election starts and ends."""
+
+    def start(self, now: datetime.datetime) -> None:
+        """Act as leader of the current term."""
+
+    def end(self) -> None:
+        """Answer everything that waits for this leader."""
+
+
+class Election:
+    """Moves a member between its roles."""
+
+    def __init__(self, *, node: state.Node, leadership: Leadership) -> None:
+        self._node = node
+        self._leadership = leadership
+        self._votes: set[str] = set()
+        self._now = node.heard_at
+        self._handover = False
+        self._roles = role_machine.make_roles(self)
+        if node.formed:
+            self._roles.formed()
+            if node.is_alone:
+                node.campaign_at = node.heard_at
+
+    def formed(self, now: datetime.datetime) -> None:
+        """Take part, now that there is a log."""
+        self._now = now
+        self._roles.formed()
+
+    def tick(self, now: datetime.datetime) -> None:
+        """Campaign when no leader was heard for too long."""
+        node = self._node
+        if node.role in (state.Role.UNFORMED, state.Role.LEADER):
+            return
+        if now < node.campaign_at:
+            return
+        if not node.is_voter or (node.leaving and not node.is_alone):
+            return
+        self._now = now
+        self._roles.timed_out()
+
+    def step_down(self, now: datetime.datetime) -> None:
+        """Follow from now on, in the same term."""
+        self._now = now
+        self._roles.step_down()
+
+    def observe_term(self, term: int, now: datetime.datetime) -> None:
+        """Enter a higher term that was seen."""
+        if term > self._node.term:
+            self._node.set_ballot(term, "")
+            self._node.leader = None
+            self.step_down(now)
+
+    def follow_leader(
+        self, leader: records.Member, now: datetime.datetime
+    ) -> None:
+        """Follow the leader of the current term, of whom was just heard."""
+        node = self._node
+        if node.role is not state.Role.FOLLOWER:
+            self.step_down(now)
+        node.heard_at = now
+        node.campaign_at = now + self._timeout()
+        if node.leader != leader:
+            node.leader = leader
+            node.out.append(effects.leader_changed(node))
+
+    def handed_over(
+        self, event: peer.HandOver, now: datetime.datetime
+    ) -> None:
+        """Start an election at the leader's wish."""
+        node = self._node
+        followers = (state.Role.FOLLOWER, state.Role.PRE_CANDIDATE)
+        if event.term != node.term or node.role not in followers:
+            return
+        if node.leaving or not node.is_voter:
+            return
+        self._now = now
+        self._handover = True
+        self._roles.called()
+
+    def vote_request(
+        self, event: peer.VoteRequest, now: datetime.datetime
+    ) -> None:
+        """Give a vote, or say why not by the term of the answer."""
+        node = self._node
+        if not event.handover and self._knows_leader(now):
+            return
+        if event.pre:
+            granted = event.term > node.term and self._up_to_date(event)
+            self._answer(event, granted)
+            return
+        self.observe_term(event.term, now)
+        free = node.ballot.vote in ("", event.candidate.member_id)
+        granted = event.term == node.term and free and self._up_to_date(event)
+        if granted:
+            node.campaign_at = now + self._timeout()
+            if not node.ballot.vote:
+                node.set_ballot(event.term, event.candidate.member_id)
+        self._answer(event, granted)
+
+    def vote_reply(
+        self, event: peer.VoteReply, now: datetime.datetime
+    ) -> None:
+        """Count a vote."""
+        node = self._node
+        if not event.granted:
+            self.observe_term(event.term, now)
+            return
+        wanted = node.term + 1 if event.pre else node.term
+        role = state.Role.PRE_CANDIDATE if event.pre else state.Role.CANDIDATE
+        if event.term != wanted or node.role is not role:
+            return
+        self._votes.add(event.voter)
+        self._now = now
+        self._count()
+
+    def own_vote(self, now: datetime.datetime) -> None:
+        """Count this member's own vote once it is synced."""
+        node = self._node
+        if node.role is not state.Role.CANDIDATE:
+            return
+        if node.synced_ballot == node.ballot:
+            self._votes.add(self._node.me.member_id)
+            self._now = now
+            self._count()
+
+    # Actions of the roles.
+
+    def follow(self) -> None:
+        """Wait for a leader."""
+        node = self._node
+        was_leading = node.role is state.Role.LEADER
+        node.role = state.Role.FOLLOWER
+        node.campaign_at = self._now + self._timeout()
+        if was_leading:
+            node.leader = None
+            node.out.append(effects.leader_changed(node))
+
+    def ask_pre_votes(self) -> None:
+        """Ask whether an election could be won, without a new term."""
+        node = self._node
+        node.role = state.Role.PRE_CANDIDATE
+        if node.leader is not None:
+            node.leader = None
+            node.out.append(effects.leader_changed(node))
+        node.campaign_at = self._now + self._timeout()
+        node.metrics.count("consensus_pre_votes", group=node.group)
+        self._handover = False
+        self._votes = {node.me.member_id}
+        for member in node.others:
+            node.send(member, self._request(node.term + 1, pre=True))
+        self._count()
+
+    def ask_votes(self) -> None:
+        """Enter a new term and ask for votes."""
+        node = self._node
+        node.role = state.Role.CANDIDATE
+        node.leader = None
+        node.campaign_at = self._now + self._timeout()
+        node.metrics.count("consensus_elections", group=node.group)
+        self._votes = set()
+        node.set_ballot(node.term + 1, node.me.member_id)
+        request = self._request(node.term, pre=False)
+        for member in node.others:
+            node.hold(effects.sending(member, request))
+
+    def take_leadership(self) -> None:
+        """Act as leader of the term that was won."""
+        node = self._node
+        node.role = state.Role.LEADER
+        node.leader = node.me
+        log.info(
+            "%s leads %s in term %d",
+            node.me.member_id,
+            node.group,
+            node.term,
+        )
+        self._leadership.start(self._now)
+
+    def give_up_leadership(self) -> None:
+        """Answer everything that waits for this leader."""
+        node = self._node
+        log.info("%s no longer leads %s", node.me.member_id, node.group)
+        self._leadership.end()
+
+    def _count(self) -> None:
+        configuration = self._node.log.configuration
+        voters = {member.member_id for member in configuration.members}
+        if len(self._votes & voters) < configuration.quorum:
+            return
+        if self._node.role is state.Role.PRE_CANDIDATE:
+            self._roles.pre_votes_won()
+        else:
+            self._roles.votes_won()
+
+    def _knows_leader(self, now: datetime.datetime) -> bool:
+        node = self._node
+        if node.role is state.Role.LEADER:
+            return True
+        return now - node.heard_at < timing.ELECTION_MIN
+
+    def _up_to_date(self, event: peer.VoteRequest) -> bool:
+        mine = (self._node.log.last_term, self._node.log.last_index)
+        return (event.last_term, event.last_index) >= mine
+
+    def _answer(self, event: peer.VoteRequest, granted: bool) -> None:
+        node = self._node
+        reply = peer.VoteReply(
+            group=node.group,
+            log_id=node.log_id,
+            term=event.term if granted else node.term,
+            voter=node.me.member_id,
+            granted=granted,
+            pre=event.pre,
+        )
+        node.hold(effects.sending(event.candidate, reply))
+
+    def _request(self, term: int, *, pre: bool) -> peer.VoteRequest:
+        node = self._node
+        return peer.VoteRequest(
+            group=node.group,
+            log_id=node.log_id,
+            term=term,
+            candidate=node.me,
+            last_index=node.log.last_index,
+            last_term=node.log.last_term,
+            pre=pre,
+            handover=self._handover,
+        )
+
+    def _timeout(self) -> datetime.timedelta:
+        if self._node.is_alone:
+            return datetime.timedelta()
+        spread = timing.ELECTION_MAX - timing.ELECTION_MIN
+        return timing.ELECTION_MIN + spread * self._node.source.random()
--- /dev/null
+++ b/fulmarbarrow/consensus/features/steps/schedules.py
@@ -0,0 +1,60 @@
+"""Steps that run random schedules over consensus cores."""
+
+from __future__ import annotations
+
+import collections
+
+import behave
+
+from benchmarks import consensus_checks
+from benchmarks import consensus_explorer
+
+
+@behave.when("{count:d} schedules of {steps:d} steps run over {hosts:d} hosts")
+def step_run(context, count, steps, hosts):
+    context.counts = collections.Counter()
+    context.broken = []
+    for seed in range(count):
+        try:
+            done = consensus_explorer.run(seed=seed, hosts=hosts, steps=steps)
+            context.counts.update(done.counts)
+        except consensus_checks.ViolationError as error:
+            context.broken.append(f"seed {seed}: {error}")
+
+
+@behave.then("nothing that must hold was broken")
+def step_whole(context):
+    assert not context.broken, context.broken
+
+
+@behave.then(
+    "leaders changed, disks were lost and proposals were acknowledged"
+)
+def step_exercised(context):
+    for name in ("leaders", "lost disks", "crashes", "hand-overs", "reads"):
+        assert context.counts[name] >= 20, context.counts
+    assert context.counts["acknowledged"] >= 500, context.counts
+
+
+@behave.when(
+    'schedules run over {hosts:d} hosts with "{fault}" until a check fails'
+)
+def step_sabotage(context, hosts, fault):
+    context.failed_after = None
+    for seed in range(1000):
+        try:
+            consensus_explorer.run(
+                seed=seed,
+                hosts=hosts,
+                steps=500,
+                sabotage=consensus_explorer.Sabotage(fault),
+            )
+        except consensus_checks.ViolationError:
+            context.failed_after = seed + 1
+            return
+
+
+@behave.then("a check failed within {count:d} schedules")
+def step_noticed(context, count):
+    assert context.failed_after is not None
+    assert context.failed_after <= count, context.failed_after
--- /dev/null
+++ b/fulmarbarrow/consensus/features/steps/storage.py
@@ -0,0 +1,301 @@
+"""Steps over real files."""
+
+from __future__ import annotations
+
+import errno
+import os
+import shutil
+from unittest import mock
+
+import behave
+
+from fulmarbarrow.consensus import files
+from fulmarbarrow.consensus import identity
+from fulmarbarrow.consensus import messages
+from fulmarbarrow.consensus import records
+from fulmarbarrow.consensus import storage
+from fulmarbarrow import exceptions
+
+GROUP = records.Group.JOURNAL
+BALLOT = records.Ballot(term=3, vote="control-0/a")
+FIRST = records.first_snapshot(
+    GROUP, (records.Member(daemon_id="c", identity="a", address="c"),)
+)
+
+
+def entry(index, term=3):
+    return records.Entry(
+        index=index,
+        term=term,
+        kind=records.EntryKind.COMMAND,
+        data=b"%d" % index * 20,
+    )
+
+
+def persist(**fields):
+    return messages.Persist(group=GROUP, write_id=1, **fields)
+
+
+def reopen(context):
+    context.log.close()
+    context.log = storage.LogStorage(folder=context.path / "log")
+    return context.log.stored()
+
+
+def fill(context, count, segment_bytes):
+    context.log = storage.LogStorage(
+        folder=context.path / "log", segment_bytes=segment_bytes
+    )
+    context.log.write([persist(snapshot=FIRST, reset=True, ballot=BALLOT)])
+    context.offsets = []
+    for index in range(1, count + 1):
+        context.offsets.append(context.log.size_bytes)
+        context.log.write([persist(entries=(entry(index),))])
+    context.files = sorted((context.path / "log").glob("*.log"))
+    context.count = count
+
+
+@behave.given("a stored log with {count:d} entries")
+def step_log(context, count):
+    fill(context, count, storage.SEGMENT_BYTES)
+
+
+@behave.given("a stored log with {count:d} entries in small files")
+def step_small(context, count):
+    fill(context, count, 512)
+    assert len(context.files) > 3
+
+
+@behave.given("a snapshot at entry {index:d}")
+def step_snapshot(context, index):
+    context.log.write([persist(snapshot=snapshot(index, 3))])
+
+
+def snapshot(index, term):
+    return records.Snapshot(
+        index=index,
+        term=term,
+        log_id=FIRST.log_id,
+        configuration=FIRST.configuration,
+    )
+
+
+@behave.given(
+    "a snapshot of another leader at entry {index:d}, "
+    "with the old log still there"
+)
+def step_reset(context, index):
+    with mock.patch.object(
+        storage.LogStorage,
+        "_append",
+        side_effect=exceptions.StorageError("crash"),
+    ):
+        try:
+            context.log.write(
+                [persist(snapshot=snapshot(index, 4), reset=True)]
+            )
+        except exceptions.StorageError:
+            return
+    raise AssertionError("the crash did not happen")
+
+
+@behave.when("it is opened again")
+def step_reopen(context):
+    context.stored = reopen(context)
+
+
+@behave.then("its ballot and {count:d} entries are found")
+def step_found(context, count):
+    assert context.stored.ballot == BALLOT
+    assert len(context.stored.entries) == count, context.stored.entries
+    last = context.count
+    found = [item.index for item in context.stored.entries]
+    assert found == list(range(last - count + 1, last + 1))
+
+
+@behave.when("the last write is cut off at each of its bytes")
+def step_cut(context):
+    context.log.close()
+    path = context.files[-1]
+    whole = path.read_bytes()
+    context.found = []
+    for size in range(context.offsets[-1], len(whole)):
+        path.write_bytes(whole[:size])
+        log = storage.LogStorage(folder=context.path / "log")
+        count = len(log.stored().entries)
+        log.write([persist(entries=(entry(5), entry(6)))])
+        log.close()
+        log = storage.LogStorage(folder=context.path / "log")
+        context.found.append((count, len(log.stored().entries)))
+        log.close()
+
+
+@behave.then("4 entries are found each time, and writing goes on")
+def step_repaired(context):
+    assert len(context.found) > 50
+    assert set(context.found) == {(4, 6)}, set(context.found)
+
+
+@behave.when("each byte of the third write is damaged in turn")
+def step_damage(context):
+    context.log.close()
+    path = context.files[-1]
+    whole = path.read_bytes()
+    context.refusals = []
+    for place in range(context.offsets[2], context.offsets[3]):
+        damaged = bytearray(whole)
+        damaged[place] ^= 0x41
+        path.write_bytes(damaged)
+        try:
+            storage.LogStorage(folder=context.path / "log")
+        except exceptions.CorruptLogError as error:
+            context.refusals.append(str(error))
+        else:
+            context.refusals.append(f"byte {place} was not noticed")
+
+
+@behave.then("opening is refused each time, naming the file and the offset")
+def step_refused_each(context):
+    expected = f"{context.files[-1]} is damaged at offset {context.offsets[2]}"
+    assert len(context.refusals) > 50
+    assert set(context.refusals) == {expected}, set(context.refusals)
+
+
+@behave.when("the end of the first file is cut off")
+def step_cut_first(context):
+    context.log.close()
+    path = context.files[0]
+    path.write_bytes(path.read_bytes()[:-5])
+    context.damaged = path
+
+
+@behave.when("a byte of the snapshot is damaged")
+def step_damage_snapshot(context):
+    context.log.close()
+    path = context.path / "log" / storage.SNAPSHOT_NAME
+    data = bytearray(path.read_bytes())
+    data[-1] ^= 1
+    path.write_bytes(data)
+    context.damaged = path
+
+
+@behave.then("opening is refused, naming that file")
+@behave.then("opening is refused, naming the snapshot")
+def step_refused(context):
+    try:
+        storage.LogStorage(folder=context.path / "log")
+    except exceptions.CorruptLogError as error:
+        assert str(context.damaged) in str(error), error
+        return
+    raise AssertionError("the damage was not noticed")
+
+
+@behave.then("fewer files are left than before")
+def step_fewer(context):
+    left = list((context.path / "log").glob("*.log"))
+    assert len(left) < len(context.files), left
+
+
+@behave.when("the disk has room for only part of the next write")
+def step_full(context):
+    real = os.write
+    calls = []
+
+    def write(descriptor, data):
+        calls.append(len(data))
+        if len(calls) == 1:
+            return real(descriptor, data[:10])
+        raise OSError(errno.ENOSPC, "No space left on device")
+
+    context.next = [persist(entries=(entry(6),))]
+    with mock.patch.object(os, "write", write):
+        try:
+            context.log.write(context.next)
+        except exceptions.StorageError as error:
+            context.error = error
+
+
+@behave.then("the write is refused as storage_full")
+def step_is_full(context):
+    assert context.error.code == "storage_full"
+
+
+@behave.then("after room is made the same write succeeds")
+def step_room(context):
+    context.log.write(context.next)
+
+
+@behave.then("{count:d} entries are found after a restart")
+def step_after(context, count):
+    assert len(reopen(context).entries) == count
+
+
+@behave.when("a sync fails")
+def step_sync_fails(context):
+    context.codes = []
+    failing = mock.patch.object(
+        os, "fdatasync", side_effect=OSError(errno.EIO, "I/O error")
+    )
+    with failing:
+        attempt(context)
+    attempt(context)
+
+
+def attempt(context):
+    try:
+        context.log.write([persist(entries=(entry(6),))])
+        context.codes.append("")
+    except exceptions.StorageError as error:
+        context.codes.append(error.code)
+
+
+@behave.then("that write and all later ones are refused as storage_failed")
+def step_never(context):
+    assert context.codes == ["storage_failed", "storage_failed"]
+
+
+@behave.given("a data folder that a process uses")
+def step_used(context):
+    context.lock = files.FolderLock(folder=context.path)
+    context.identity = identity.IdentityFile(folder=context.path)
+
+
+@behave.when("another process opens it")
+def step_second(context):
+    try:
+        files.FolderLock(folder=context.path)
+    except exceptions.StorageError as error:
+        context.error = error
+
+
+@behave.then("it is refused as {code}")
+def step_code(context, code):
+    assert context.error.code == code
+
+
+@behave.given("a data folder whose log was formed")
+def step_formed(context):
+    context.identity = identity.IdentityFile(folder=context.path)
+    context.identity.mark_formed(GROUP.value)
+
+
+@behave.when("the log is removed but the identity stays")
+def step_removed(context):
+    again = identity.IdentityFile(folder=context.path)
+    try:
+        again.check(GROUP.value, formed=False)
+    except exceptions.StorageError as error:
+        context.error = error
+
+
+@behave.when("the folder is replaced by an empty one")
+def step_replaced(context):
+    context.lock.release()
+    shutil.rmtree(context.path)
+    context.path.mkdir()
+
+
+@behave.then("the host has another identity")
+def step_other(context):
+    again = identity.IdentityFile(folder=context.path)
+    assert again.host != context.identity.host
--- /dev/null
+++ b/fulmarbarrow/consensus/following.py
@@ -0,0 +1,174 @@
+"""The follower's side of copying the log."""
+
+from __future__ import annotations
+
+import datetime
+
+import msgspec
+
+from fulmarbarrow.consensus import applying
+from fulmarbarrow.consensus import effects
+from fulmarbarrow.consensus import election as elections
+from fulmarbarrow.consensus import peer
+from fulmarbarrow.consensus import records
+from fulmarbarrow.consensus import state
+
+
+class Following:
+    """Takes entries and snapshots from the leader of the term."""
+
+    def __init__(
+        self,
+        *,
+        node: state.Node,
+        election: elections.Election,
+        applier: applying.Applier,
+    ) -> None:
+        self._node = node
+        self._election = election
+        self._applier = applier
+        self._parts = bytearray()
+        self._parts_of = ("", 0, 0)
+
+    def append_request(
+        self, event: peer.AppendRequest, now: datetime.datetime
+    ) -> None:
+        """Append entries after the point where the logs agree."""
+        node = self._node
+        if event.term < node.term:
+            self._reply(event, success=False, match_index=0)
+            return
+        self._election.observe_term(event.term, now)
+        self._election.follow_leader(event.leader, now)
+        log = node.log
+        known = log.term_at(event.previous_index)
+        below = event.previous_index < log.base_index
+        if not below and known != event.previous_term:
+            self._conflict(event, known)
+            return
+        self._append(event.entries)
+        match_index = event.previous_index + len(event.entries)
+        self._reply(event, success=True, match_index=match_index)
+        self._applier.commit(min(event.commit_index, match_index))
+
+    def install_request(
+        self, event: peer.InstallRequest, now: datetime.datetime
+    ) -> bool:
+        """Take a part of a snapshot; returns whether a log was formed."""
+        node = self._node
+        if event.term < node.term:
+            self._install_reply(event, done=False)
+            return False
+        if event.term > node.term and not node.formed:
+            node.set_ballot(event.term, "")
+        self._election.observe_term(event.term, now)
+        if node.formed:
+            self._election.follow_leader(event.leader, now)
+        parts_of = (event.leader.member_id, event.term, event.index)
+        if parts_of != self._parts_of:
+            self._parts_of = parts_of
+            self._parts = bytearray()
+        if event.offset == len(self._parts):
+            self._parts += event.data
+        whole = event.last and len(self._parts) == event.offset + len(
+            event.data
+        )
+        if not whole:
+            self._install_reply(event, done=False)
+            return False
+        snapshot = msgspec.msgpack.decode(self._parts, type=records.Snapshot)
+        self._parts = bytearray()
+        formed = self._install(snapshot)
+        self._install_reply(event, done=True)
+        return formed
+
+    def _install(self, snapshot: records.Snapshot) -> bool:
+        node = self._node
+        if not node.formed:
+            node.open_log(snapshot)
+            node.persist(snapshot=snapshot, reset=True)
+            self._applier.restore(snapshot)
+            return True
+        if snapshot.index > node.commit_index:
+            dropped = node.log.replace(snapshot)
+            node.persist(snapshot=snapshot, reset=dropped)
+            node.commit_index = node.applied_index = snapshot.index
+            self._applier.restore(snapshot)
+        return False
+
+    def _append(self, entries: tuple[records.Entry, ...]) -> None:
+        node = self._node
+        log = node.log
+        for position, entry in enumerate(entries):
+            if entry.index <= log.base_index:
+                continue
+            known = log.term_at(entry.index)
+            if known == entry.term:
+                continue
+            if known is not None:
+                if entry.index <= node.commit_index:
+                    reason = f"committed entry {entry.index} would be dropped"
+                    raise AssertionError(reason)
+                log.truncate(entry.index)
+            fresh = entries[position:]
+            for item in fresh:
+                log.append(item)
+            node.persist(entries=fresh)
+            return
+
+    def _conflict(self, event: peer.AppendRequest, known: int | None) -> None:
+        log = self._node.log
+        if known is None:
+            self._reply(
+                event,
+                success=False,
+                match_index=0,
+                conflict_index=log.last_index + 1,
+            )
+            return
+        self._reply(
+            event,
+            success=False,
+            match_index=0,
+            conflict_term=known,
+            conflict_index=log.first_of_term(event.previous_index),
+        )
+
+    def _reply(
+        self,
+        event: peer.AppendRequest,
+        *,
+        success: bool,
+        match_index: int,
+        conflict_term: int = 0,
+        conflict_index: int = 0,
+    ) -> None:
+        node = self._node
+        reply = peer.AppendReply(
+            group=node.group,
+            log_id=node.log_id,
+            term=node.term,
+            follower=node.me.member_id,
+            success=success,
+            match_index=match_index,
+            sent_at=event.sent_at,
+            conflict_term=conflict_term,
+            conflict_index=conflict_index,
+        )
+        node.hold(effects.sending(event.leader, reply))
+
+    def _install_reply(
+        self, event: peer.InstallRequest, *, done: bool
+    ) -> None:
+        node = self._node
+        reply = peer.InstallReply(
+            group=node.group,
+            log_id=event.log_id,
+            term=node.term,
+            follower=node.me.member_id,
+            index=event.index,
+            offset=len(self._parts),
+            done=done,
+            sent_at=event.sent_at,
+        )
+        node.hold(effects.sending(event.leader, reply))
--- /dev/null
+++ b/fulmarbarrow/consensus/joining.py
@@ -0,0 +1,212 @@
+"""Forms a log, and lets hosts join it one at a time.
+
+A host with an empty disk never votes: it first gets the log as a learner,
+under an identity of its own, and takes its seat once it has caught up.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+import logging
+
+import msgspec
+
+from fulmarbarrow.consensus import peer
+from fulmarbarrow.consensus import records
+from fulmarbarrow.consensus import replication as replications
+from fulmarbarrow.consensus import state
+from fulmarbarrow.consensus import timing
+from fulmarbarrow import message
+
+log = logging.getLogger(__name__)
+
+CAUGHT_UP_ENTRIES = 64
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Joiner:
+    """A host that asks to become a voting member."""
+
+    member: records.Member
+    asked_at: datetime.datetime
+
+
+class Joining:
+    """Bootstrap on the joining side, reconfiguration on the leader's."""
+
+    def __init__(
+        self,
+        *,
+        node: state.Node,
+        replication: replications.Replication,
+        addresses: dict[str, str],
+    ) -> None:
+        self._node = node
+        self._replication = replication
+        self._addresses = addresses
+        self._empty = {node.me.daemon_id: node.me}
+        self._exists = False
+        self._asked_at: datetime.datetime | None = None
+        self._joiners: dict[str, Joiner] = {}
+        self._led_since = node.heard_at
+
+    # The joining side.
+
+    def tick(self, now: datetime.datetime) -> None:
+        """Ask the other control hosts while this one is no member.
+
+        A member that hears from no leader asks too: the others may have
+        given its seat away while it was cut off.
+        """
+        node = self._node
+        if node.is_alone or node.role is state.Role.LEADER:
+            return
+        silent = now - node.heard_at >= timing.REPLACE_AFTER
+        if node.is_voter and not silent:
+            return
+        if not node.formed and self._form_if_all_empty():
+            return
+        asked_at = self._asked_at
+        if asked_at is not None and now - asked_at < timing.JOIN_INTERVAL:
+            return
+        self._asked_at = now
+        request = peer.JoinRequest(
+            group=node.group, member=node.me, log_id=node.log_id
+        )
+        for daemon_id, address in sorted(self._addresses.items()):
+            if daemon_id != node.me.daemon_id:
+                node.out.append(message.Send(address=address, message=request))
+
+    def join_reply(self, event: peer.JoinReply) -> None:
+        """Learn whether the asked host already holds a log."""
+        node = self._node
+        if node.formed:
+            return
+        if not event.log_id:
+            self._empty[event.member.daemon_id] = event.member
+            self._form_if_all_empty()
+            return
+        self._exists = True
+        first = event.first
+        mine = node.me.member_id
+        if first is not None and first.configuration.find(mine):
+            self._form(first)
+
+    # The asked side.
+
+    def join_request(
+        self, event: peer.JoinRequest, now: datetime.datetime
+    ) -> None:
+        """Tell what this host knows; as leader, let the other join."""
+        node = self._node
+        first = None
+        if node.formed and node.log.snapshot.index == 0:
+            first = node.log.snapshot
+        reply = peer.JoinReply(
+            group=node.group,
+            member=node.me,
+            log_id=node.log_id,
+            first=first,
+        )
+        node.out.append(
+            message.Send(address=event.member.address, message=reply)
+        )
+        if not node.formed:
+            if not event.log_id:
+                self._empty[event.member.daemon_id] = event.member
+        elif node.role is state.Role.LEADER:
+            self._admit(event, now)
+
+    def start(self, now: datetime.datetime) -> None:
+        """Begin to lead."""
+        self._led_since = now
+        self._joiners = {}
+
+    def consider(self, now: datetime.datetime) -> None:
+        """As leader, change the configuration by one member if one waits."""
+        node = self._node
+        self._forget(now)
+        if node.log.configuration_index > node.commit_index:
+            return
+        for joiner in self._joiners.values():
+            if self._caught_up(joiner) and self._take_in(joiner.member, now):
+                return
+
+    def _form_if_all_empty(self) -> bool:
+        node = self._node
+        if self._exists or set(self._empty) != set(self._addresses):
+            return False
+        members = tuple(self._empty.values())
+        self._form(records.first_snapshot(node.group, members))
+        return True
+
+    def _form(self, first: records.Snapshot) -> None:
+        node = self._node
+        log.info("%s starts with %d members", node.group, len(self._empty))
+        node.open_log(first)
+        node.persist(snapshot=first, reset=True)
+
+    def _admit(self, event: peer.JoinRequest, now: datetime.datetime) -> None:
+        node = self._node
+        member = event.member
+        progress = self._replication.progress(member.member_id)
+        if node.log.configuration.find(member.member_id) is not None:
+            if progress is not None and not event.log_id:
+                progress.install_offset = 0
+            return
+        holder = node.log.configuration.holder(member.daemon_id)
+        if holder is None and member.daemon_id not in node.seats:
+            return
+        if member.member_id not in self._joiners:
+            log.info("%s copies %s", member.member_id, node.group)
+        self._joiners[member.member_id] = Joiner(member=member, asked_at=now)
+        self._replication.add(member)
+        progress = self._replication.progress(member.member_id)
+        if progress is not None and not event.log_id:
+            progress.install_offset = progress.install_offset or 0
+
+    def _forget(self, now: datetime.datetime) -> None:
+        """Stop copying to hosts that no longer ask or lost their seat."""
+        configuration = self._node.log.configuration
+        for member_id, joiner in list(self._joiners.items()):
+            member = configuration.find(member_id) is not None
+            if member or now - joiner.asked_at > timing.JOINER_TIMEOUT:
+                del self._joiners[member_id]
+                if not member:
+                    self._replication.remove(member_id)
+        for member in self._node.others:
+            self._replication.add(member)
+
+    def _caught_up(self, joiner: Joiner) -> bool:
+        node = self._node
+        progress = self._replication.progress(joiner.member.member_id)
+        if progress is None or progress.answered_at is None:
+            return False
+        behind = node.log.last_index - progress.match_index
+        committed = progress.match_index >= node.commit_index
+        return committed and behind <= CAUGHT_UP_ENTRIES
+
+    def _take_in(self, member: records.Member, now: datetime.datetime) -> bool:
+        """Propose the next configuration; returns whether one was."""
+        node = self._node
+        configuration = node.log.configuration
+        holder = configuration.holder(member.daemon_id)
+        if holder is None:
+            changed = configuration.with_member(member)
+        elif holder != node.me and self._silent(holder, now):
+            changed = configuration.without(holder.member_id)
+            self._replication.remove(holder.member_id)
+        else:
+            return False
+        names = [item.member_id for item in changed.members]
+        log.info("members of %s change to %s", node.group, names)
+        node.append(
+            records.EntryKind.CONFIGURATION, msgspec.msgpack.encode(changed)
+        )
+        return True
+
+    def _silent(self, holder: records.Member, now: datetime.datetime) -> bool:
+        progress = self._replication.progress(holder.member_id)
+        heard = progress.answered_at if progress else None
+        return now - (heard or self._led_since) >= timing.REPLACE_AFTER
--- /dev/null
+++ b/fulmarbarrow/consensus/leadership.py
@@ -0,0 +1,156 @@
+"""What a leader does: heartbeats, commits, its lease, the hand-over."""
+
+from __future__ import annotations
+
+import datetime
+
+from fulmarbarrow.consensus import applying
+from fulmarbarrow.consensus import effects
+from fulmarbarrow.consensus import messages
+from fulmarbarrow.consensus import peer
+from fulmarbarrow.consensus import proposals as proposals_module
+from fulmarbarrow.consensus import reading
+from fulmarbarrow.consensus import records
+from fulmarbarrow.consensus import replication as replications
+from fulmarbarrow.consensus import state
+from fulmarbarrow.consensus import timing
+
+
+class Leadership:
+    """Acts as leader from the election until the step-down."""
+
+    def __init__(
+        self,
+        *,
+        node: state.Node,
+        replication: replications.Replication,
+        proposals: proposals_module.Proposals,
+        reads: reading.Reads,
+        applier: applying.Applier,
+    ) -> None:
+        self._node = node
+        self._replication = replication
+        self._proposals = proposals
+        self._reads = reads
+        self._applier = applier
+        self._first_index = 0
+        self._beat_at = node.heard_at
+        self._lease_until: datetime.datetime | None = None
+        self._handover_until: datetime.datetime | None = None
+        self._announced_until = node.heard_at
+        self._must_step_down = False
+
+    @property
+    def ready(self) -> bool:
+        """Whether this leader has committed an entry of its term."""
+        leads = self._node.role is state.Role.LEADER
+        return leads and self._node.applied_index >= self._first_index
+
+    @property
+    def must_step_down(self) -> bool:
+        """Whether a quorum is silent, or a hand-over was not taken up.
+
+        After a hand-over the lease of the term is never taken up again,
+        since the chosen member may still start its election late.
+        """
+        return self._must_step_down
+
+    @property
+    def lease_until(self) -> datetime.datetime | None:
+        """Until when no other member can lead; None without a lease."""
+        return self._lease_until
+
+    def start(self, now: datetime.datetime) -> None:
+        """Act as leader of the current term."""
+        self._must_step_down = False
+        self._handover_until = None
+        self._lease_until = None
+        self._announced_until = now
+        self._replication.start(now)
+        noop = self._node.append(records.EntryKind.NOOP)
+        self._first_index = noop.index
+        self._proposals.start()
+        self._beat(now)
+
+    def end(self) -> None:
+        """Answer everything that waits for this leader."""
+        self._lease_until = None
+        self._replication.end()
+        self._proposals.end()
+        self._reads.end()
+
+    def tick(self, now: datetime.datetime) -> None:
+        """Send heartbeats and look at the quorum and the hand-over."""
+        if self._handover_until is not None and now >= self._handover_until:
+            self._must_step_down = True
+        if now - self._beat_at >= timing.HEARTBEAT:
+            self._beat(now)
+        contact = self._replication.quorum_contact(now)
+        if now - contact > timing.QUORUM_TIMEOUT:
+            self._must_step_down = True
+        self.progress(now)
+        if self._node.leaving:
+            self.hand_over(now)
+
+    def progress(self, now: datetime.datetime) -> None:
+        """Commit what a quorum has synced and renew the lease."""
+        node = self._node
+        index = self._replication.quorum_index()
+        newer = index > node.commit_index
+        if newer and node.log.term_at(index) == node.term:
+            self._applier.commit(index)
+        self._renew(now)
+        if self.ready:
+            self._reads.confirm(self._replication.quorum_contact(now))
+        self._replication.send_entries(now)
+
+    def read(
+        self, event: messages.ReadBarrier, now: datetime.datetime
+    ) -> None:
+        """Answer a read barrier, at once while the lease holds."""
+        lease = self._lease_until if self.ready else None
+        if self._reads.barrier(event, now, lease_until=lease):
+            self._beat(now)
+
+    def hand_over(self, now: datetime.datetime) -> None:
+        """Ask a caught-up member to be elected, and stop to act."""
+        node = self._node
+        if self._handover_until is not None or node.is_alone:
+            return
+        self._proposals.pause()
+        for member in node.others:
+            progress = self._replication.progress(member.member_id)
+            if progress and progress.match_index == node.log.last_index:
+                self._handover_until = now + timing.HANDOVER_TIMEOUT
+                self._lease_until = None
+                node.out.append(effects.leader_changed(node))
+                request = peer.HandOver(
+                    group=node.group, log_id=node.log_id, term=node.term
+                )
+                node.send(member, request)
+                return
+
+    def _beat(self, now: datetime.datetime) -> None:
+        self._beat_at = now
+        self._replication.send_heartbeats(now)
+
+    def _renew(self, now: datetime.datetime) -> None:
+        node = self._node
+        if not self.ready or self._handover_until is not None:
+            return
+        until = self._replication.quorum_contact(now) + timing.LEASE
+        if self._lease_until is not None and until <= self._lease_until:
+            return
+        self._lease_until = until
+        if until - self._announced_until < timing.HEARTBEAT / 2:
+            return
+        self._announced_until = until
+        node.out.append(
+            effects.leader_changed(
+                node,
+                fencing_number=messages.fencing_number(
+                    node.term, self._first_index
+                ),
+                lease_until=until,
+            )
+        )
--- a/fulmarbarrow/consensus/messages.py
+++ b/fulmarbarrow/consensus/messages.py
@@ -3,24 +3,32 @@
 from __future__ import annotations
 
 import datetime
-import enum
 
+from fulmarbarrow.consensus import peer
+from fulmarbarrow.consensus import records
 from fulmarbarrow import message
 
+TERM_SHIFT_BITS = 40
 
-class Group(enum.StrEnum):
-    """The replicated logs of the system."""
+Group = records.Group
 
-    CONFIGURATION = "configuration"
-    JOURNAL = "journal"
+
+def fencing_number(term: int, index: int) -> int:
+    """Return a number that grows with the log and is never used twice."""
+    return term << TERM_SHIFT_BITS | index
 
 
 class Propose(message.Message, frozen=True, kw_only=True):
-    """Asks the log's leader to commit a command."""
+    """Asks the log's leader to commit a command.
+
+    A member that does not lead passes it on. ``machine`` names the state
+    machine that the command is for.
+    """
 
     proposal_id: str
     group: Group
     command: bytes
+    machine: str = ""
 
 
 class ProposeResult(message.Message, frozen=True, kw_only=True):
@@ -39,12 +47,13 @@
 
 
 class Applied(message.Message, frozen=True, kw_only=True):
-    """Effect: every state machine of the group applies this command."""
+    """Effect: the state machine named ``machine`` applies this command."""
 
     group: Group
     index: int
     term: int
     command: bytes
+    machine: str = ""
 
 
 class ReadBarrier(message.Message, frozen=True, kw_only=True):
@@ -70,7 +79,8 @@
     """This daemon's knowledge of the leader changed.
 
     ``fencing_number`` grows with every leader and is never used twice.
-    ``lease_until`` bounds this daemon's own leadership; None on others.
+    ``lease_until`` bounds this daemon's own leadership; None on others. It
+    is told again, with a later end, whenever the lease is renewed.
     """
 
     group: Group
@@ -82,26 +92,53 @@
 
 
 class SnapshotWanted(message.Message, frozen=True, kw_only=True):
-    """Effect: the group's state machine gives its state for a snapshot."""
+    """Effect: the group's state machines give their states.
+
+    Each answers with SnapshotTaken before it applies another command.
+    """
 
     group: Group
     index: int
 
 
 class SnapshotTaken(message.Message, frozen=True, kw_only=True):
-    """The group's state machine at ``index``."""
+    """The group's state machine ``machine`` at ``index``."""
 
     group: Group
     index: int
     state: bytes
+    machine: str = ""
 
 
 class SnapshotRestored(message.Message, frozen=True, kw_only=True):
-    """Effect: the group's state machine replaces its state with this."""
+    """Effect: the state machine ``machine`` replaces its state with this."""
 
     group: Group
     index: int
     state: bytes
+    machine: str = ""
+
+
+class Persist(message.Message, frozen=True, kw_only=True):
+    """Effect: write and sync, in the order of ``write_id``.
+
+    ``entries`` replace everything stored from the first one's index on. With
+    ``reset`` the whole stored log gives way to ``snapshot``.
+    """
+
+    group: Group
+    write_id: int
+    ballot: records.Ballot | None = None
+    entries: tuple[records.Entry, ...] = ()
+    snapshot: records.Snapshot | None = None
+    reset: bool = False
+
+
+class Persisted(message.Message, frozen=True, kw_only=True):
+    """Everything up to ``write_id`` is synced."""
+
+    group: Group
+    write_id: int
 
 
-PEER_MESSAGES: tuple[type, ...] = ()
+PEER_MESSAGES = peer.PEER_MESSAGES
--- /dev/null
+++ b/fulmarbarrow/consensus/reading.py
@@ -0,0 +1,79 @@
+"""Read barriers under the leader's lease or by a round of heartbeats."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+
+from fulmarbarrow.consensus import messages
+from fulmarbarrow.consensus import state
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Read:
+    """A barrier that waits; all committed up to ``index`` must be seen."""
+
+    read_id: str
+    index: int
+    asked_at: datetime.datetime
+
+
+class Reads:
+    """Answers read barriers on the leader."""
+
+    def __init__(self, *, node: state.Node) -> None:
+        self._node = node
+        self._reads: list[Read] = []
+
+    def barrier(
+        self,
+        event: messages.ReadBarrier,
+        now: datetime.datetime,
+        *,
+        lease_until: datetime.datetime | None,
+    ) -> bool:
+        """Answer a barrier, or let it wait; returns whether it waits."""
+        node = self._node
+        if node.role is not state.Role.LEADER:
+            self._answer(event.read_id, ready=False)
+            return False
+        if lease_until is not None and now < lease_until:
+            self._answer(event.read_id, ready=True)
+            return False
+        self._reads.append(
+            Read(
+                read_id=event.read_id,
+                index=node.log.last_index,
+                asked_at=now,
+            )
+        )
+        return True
+
+    def confirm(self, contact: datetime.datetime) -> None:
+        """Answer what was asked before a quorum's last contact."""
+        waiting = []
+        for read in self._reads:
+            applied = read.index <= self._node.applied_index
+            if applied and read.asked_at <= contact:
+                self._answer(read.read_id, ready=True)
+            else:
+                waiting.append(read)
+        self._reads = waiting
+
+    def end(self) -> None:
+        """Refuse what waits, since this member no longer leads."""
+        reads, self._reads = self._reads, []
+        for read in reads:
+            self._answer(read.read_id, ready=False)
+
+    def _answer(self, read_id: str, *, ready: bool) -> None:
+        node = self._node
+        leader = node.leader.daemon_id if node.leader else ""
+        node.out.append(
+            messages.ReadReady(
+                read_id=read_id,
+                group=node.group,
+                ready=ready,
+                leader="" if ready else leader,
+            )
+        )
--- /dev/null
+++ b/fulmarbarrow/consensus/replication.py
@@ -0,0 +1,249 @@
+"""The leader's side of copying the log to the other members."""
+
+from __future__ import annotations
+
+import datetime
+
+import msgspec
+
+from fulmarbarrow.consensus import peer
+from fulmarbarrow.consensus import records
+from fulmarbarrow.consensus import state
+from fulmarbarrow.consensus import timing
+
+MAX_BATCH_ENTRIES = 512
+MAX_BATCH_BYTES = 512 << 10
+SNAPSHOT_PART_BYTES = 512 << 10
+
+
+class Replication:
+    """Sends entries and snapshots, and counts what is synced where."""
+
+    def __init__(self, *, node: state.Node) -> None:
+        self._node = node
+        self._progress: dict[str, state.Progress] = {}
+        self._encoded: tuple[int, bytes] = (-1, b"")
+        self._started_at = node.heard_at
+
+    def start(self, now: datetime.datetime) -> None:
+        """Forget what an earlier leadership knew."""
+        self._progress = {}
+        self._started_at = now
+        for member in self._node.others:
+            self.add(member)
+
+    def end(self) -> None:
+        """Send nothing any more."""
+        self._progress = {}
+
+    def add(self, member: records.Member) -> None:
+        """Copy the log to one more member or joining host."""
+        if member.member_id not in self._progress:
+            self._progress[member.member_id] = state.Progress(
+                member=member, next_index=self._node.log.last_index + 1
+            )
+
+    def remove(self, member_id: str) -> None:
+        """Stop copying the log to a host."""
+        self._progress.pop(member_id, None)
+
+    def progress(self, member_id: str) -> state.Progress | None:
+        """Return what is known of a host, or None."""
+        return self._progress.get(member_id)
+
+    def send_entries(self, now: datetime.datetime) -> None:
+        """Send new entries to every host that waits for some."""
+        last = self._node.log.last_index
+        for progress in self._progress.values():
+            if progress.in_flight is None and progress.next_index <= last:
+                self._send(progress, now)
+
+    def send_heartbeats(self, now: datetime.datetime) -> None:
+        """Send at least a heartbeat to every host."""
+        for progress in self._progress.values():
+            lost = (
+                progress.in_flight is not None
+                and now - progress.in_flight >= timing.RESEND_AFTER
+            )
+            if lost:
+                progress.in_flight = None
+                progress.next_index = min(
+                    progress.next_index, progress.match_index + 1
+                )
+            if progress.in_flight is None:
+                self._send(progress, now)
+            else:
+                self._send_heartbeat(progress, now)
+
+    def append_reply(
+        self, event: peer.AppendReply, now: datetime.datetime
+    ) -> None:
+        """Note what a host has synced, or go back where its log conflicts."""
+        progress = self._progress.get(event.follower)
+        if progress is None:
+            return
+        self._heard(progress, event.sent_at, now)
+        if event.success:
+            progress.match_index = max(progress.match_index, event.match_index)
+            progress.next_index = max(
+                progress.next_index, progress.match_index + 1
+            )
+            progress.install_offset = None
+        elif event.sent_at == progress.in_flight or not progress.in_flight:
+            progress.next_index = self._back_up(event, progress)
+        if event.sent_at == progress.in_flight:
+            progress.in_flight = None
+        behind = progress.next_index <= self._node.log.last_index
+        if progress.in_flight is None and (behind or not event.success):
+            self._send(progress, now)
+
+    def install_reply(
+        self, event: peer.InstallReply, now: datetime.datetime
+    ) -> None:
+        """Send the next part of a snapshot, or go on with entries."""
+        progress = self._progress.get(event.follower)
+        if progress is None:
+            return
+        self._heard(progress, event.sent_at, now)
+        if event.sent_at != progress.in_flight:
+            return
+        progress.in_flight = None
+        if event.done:
+            progress.install_offset = None
+            progress.match_index = max(progress.match_index, event.index)
+            progress.next_index = progress.match_index + 1
+        elif event.index == progress.install_index:
+            progress.install_offset = event.offset
+        self._send(progress, now)
+
+    def quorum_contact(self, now: datetime.datetime) -> datetime.datetime:
+        """Return when a quorum is known to have still followed this leader.
+
+        The time is on this member's own clock: that of sending the messages
+        that a quorum has answered since.
+        """
+        times = [now] if self._node.is_voter else []
+        for member in self._node.others:
+            progress = self._progress.get(member.member_id)
+            acked = progress.acked_sent_at if progress else None
+            times.append(acked or self._started_at)
+        times.sort(reverse=True)
+        return times[self._node.log.configuration.quorum - 1]
+
+    def quorum_index(self) -> int:
+        """Return the highest index that a quorum has synced."""
+        node = self._node
+        indexes = [node.log.synced_index] if node.is_voter else []
+        for member in node.others:
+            progress = self._progress.get(member.member_id)
+            indexes.append(progress.match_index if progress else 0)
+        indexes.sort(reverse=True)
+        return indexes[node.log.configuration.quorum - 1]
+
+    def _heard(
+        self,
+        progress: state.Progress,
+        sent_at: datetime.datetime,
+        now: datetime.datetime,
+    ) -> None:
+        progress.answered_at = now
+        if progress.acked_sent_at is None or sent_at > progress.acked_sent_at:
+            progress.acked_sent_at = sent_at
+
+    def _back_up(
+        self, event: peer.AppendReply, progress: state.Progress
+    ) -> int:
+        """Return the next index to try after a conflict."""
+        candidate = event.conflict_index
+        if event.conflict_term:
+            mine = self._node.log.last_of_term(event.conflict_term)
+            if mine is not None and mine < event.conflict_index:
+                candidate = mine + 1
+        return max(progress.match_index + 1, min(candidate, 1 << 62), 1)
+
+    def _send(self, progress: state.Progress, now: datetime.datetime) -> None:
+        log = self._node.log
+        progress.next_index = min(progress.next_index, log.last_index + 1)
+        previous = progress.next_index - 1
+        term = log.term_at(previous)
+        if term is None or self._needs_snapshot(progress):
+            self._send_snapshot(progress, now)
+            return
+        entries = log.after(previous, MAX_BATCH_ENTRIES, MAX_BATCH_BYTES)
+        self._send_append(progress, previous, term, entries, now)
+        if entries:
+            progress.in_flight = now
+            progress.next_index = entries[-1].index + 1
+
+    def _send_heartbeat(
+        self, progress: state.Progress, now: datetime.datetime
+    ) -> None:
+        log = self._node.log
+        previous = progress.match_index
+        term = log.term_at(previous)
+        if term is None:
+            previous, term = log.base_index, log.term_at(log.base_index)
+        self._send_append(progress, previous, term or 0, (), now)
+
+    def _send_append(
+        self,
+        progress: state.Progress,
+        previous: int,
+        term: int,
+        entries: tuple[records.Entry, ...],
+        now: datetime.datetime,
+    ) -> None:
+        node = self._node
+        request = peer.AppendRequest(
+            group=node.group,
+            log_id=node.log_id,
+            term=node.term,
+            leader=node.me,
+            previous_index=previous,
+            previous_term=term,
+            commit_index=node.commit_index,
+            sent_at=now,
+            entries=entries,
+        )
+        node.send(progress.member, request)
+
+    def _send_snapshot(
+        self, progress: state.Progress, now: datetime.datetime
+    ) -> None:
+        node = self._node
+        data = self._encode()
+        index = node.log.snapshot.index
+        if progress.install_index != index:
+            progress.install_offset = None
+        offset = progress.install_offset or 0
+        progress.install_index = index
+        progress.install_offset = offset
+        progress.in_flight = now
+        part = data[offset : offset + SNAPSHOT_PART_BYTES]
+        request = peer.InstallRequest(
+            group=node.group,
+            log_id=node.log_id,
+            term=node.term,
+            leader=node.me,
+            index=index,
+            offset=offset,
+            data=part,
+            last=offset + len(part) >= len(data),
+            sent_at=now,
+        )
+        node.send(progress.member, request)
+
+    def _encode(self) -> bytes:
+        snapshot = self._node.log.snapshot
+        if self._encoded[0] != snapshot.index:
+            encoded = msgspec.msgpack.encode(snapshot)
+            self._encoded = (snapshot.index, encoded)
+        return self._encoded[1]
+
+    def _needs_snapshot(self, progress: state.Progress) -> bool:
+        """Return whether a host may not have a log to append to."""
+        if progress.install_offset is not None:
+            return True
+        configuration = self._node.log.configuration
+        joins = configuration.find(progress.member.member_id) is None
+        return joins and progress.answered_at is None
--- /dev/null
+++ b/fulmarbarrow/consensus/shell.py
@@ -0,0 +1,141 @@
+"""Runs the replicated logs of a control host on its disk."""
+
+from __future__ import annotations
+
+import datetime
+import logging
+import pathlib
+import time
+import typing
+
+from twisted.internet import interfaces
+
+from fulmarbarrow import bus as buses
+from fulmarbarrow.consensus import files
+from fulmarbarrow.consensus import identity
+from fulmarbarrow.consensus import messages
+from fulmarbarrow.consensus import records
+from fulmarbarrow.consensus import state
+from fulmarbarrow.consensus import storage
+from fulmarbarrow import exceptions
+from fulmarbarrow.observe import metrics as metrics_module
+
+log = logging.getLogger(__name__)
+
+FOLDER = "consensus"
+RETRY_SECONDS = 0.5
+
+
+class ConsensusShell:
+    """Carries out the writes of all groups, one sync a loop turn each.
+
+    Raises StorageError when the folder is in use or can't be read, and
+    CorruptLogError for a damaged log.
+    """
+
+    def __init__(
+        self,
+        *,
+        data_folder: pathlib.Path,
+        bus: buses.Bus,
+        reactor: interfaces.IReactorTime,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._folder = data_folder / FOLDER
+        self._bus = bus
+        self._reactor = reactor
+        self._metrics = metrics
+        files.make_folder(self._folder)
+        self._lock = files.FolderLock(folder=self._folder)
+        self._identity = identity.IdentityFile(folder=self._folder)
+        self._storages: dict[records.Group, storage.LogStorage] = {}
+        self._waiting: dict[records.Group, list[messages.Persist]] = {}
+        self._planned = False
+        self._full = False
+        self._failed = False
+        bus.subscribe(messages.Persist, self._persist)
+
+    @property
+    def host_identity(self) -> str:
+        """The identity of this host's disk."""
+        return self._identity.host
+
+    def open(self, group: records.Group) -> state.Stored:
+        """Return what is stored of a group's log."""
+        opened = storage.LogStorage(folder=self._folder / group.value)
+        self._identity.check(group.value, formed=opened.formed)
+        self._storages[group] = opened
+        return opened.stored()
+
+    def close(self) -> None:
+        """Sync what waits and let another process use the folder."""
+        self._flush()
+        for item in self._storages.values():
+            item.close()
+        self._lock.release()
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return sizes and the state of the disk."""
+        return {
+            "identity": self._identity.host,
+            "full": self._full,
+            "failed": self._failed,
+            "waiting_writes": sum(map(len, self._waiting.values())),
+            "segment_bytes": {
+                group.value: item.size_bytes
+                for group, item in self._storages.items()
+            },
+        }
+
+    def _persist(self, event: messages.Persist, _: datetime.datetime) -> None:
+        self._waiting.setdefault(event.group, []).append(event)
+        self._plan(0)
+
+    def _plan(self, delay: float) -> None:
+        if not self._planned and not self._failed:
+            self._planned = True
+            self._reactor.callLater(delay, self._flush)
+
+    def _flush(self) -> None:
+        self._planned = False
+        for group in list(self._waiting):
+            batch = self._waiting.pop(group)
+            if not self._write(group, batch):
+                later = self._waiting.get(group, [])
+                self._waiting[group] = batch + later
+                continue
+            self._bus.post(
+                messages.Persisted(group=group, write_id=batch[-1].write_id)
+            )
+        if self._waiting:
+            self._plan(RETRY_SECONDS if self._full else 0)
+
+    def _write(
+        self, group: records.Group, batch: list[messages.Persist]
+    ) -> bool:
+        """Write a batch; returns whether it is synced."""
+        started = time.perf_counter()
+        try:
+            self._storages[group].write(batch)
+        except exceptions.StorageFullError as error:
+            self._metrics.count("consensus_disk_full")
+            if not self._full:
+                log.error("nothing more is acknowledged: %s", error)
+            self._full = True
+            return False
+        except exceptions.StorageError as error:
+            if not self._failed:
+                log.error("no longer acknowledges anything: %s", error)
+            self._failed = True
+            return False
+        if self._full:
+            log.info("the disk has room again")
+            self._full = False
+        if any(persist.reset for persist in batch):
+            self._identity.mark_formed(group.value)
+        elapsed = time.perf_counter() - started
+        self._metrics.count("consensus_syncs", group=group)
+        self._metrics.record(
+            "consensus_sync", datetime.timedelta(seconds=elapsed)
+        )
+        return True
--- /dev/null
+++ b/fulmarbarrow/consensus/state.py
@@ -0,0 +1,243 @@
+"""What one member of a replicated log knows."""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+import dataclasses
+import datetime
+import enum
+import random
+
+from fulmarbarrow.consensus import log as logs
+from fulmarbarrow.consensus import messages
+from fulmarbarrow.consensus import records
+from fulmarbarrow import message
+from fulmarbarrow.observe import metrics as metrics_module
+
+
+class Role(enum.StrEnum):
+    """What a member does in its term."""
+
+    UNFORMED = "unformed"
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre_candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Stored:
+    """What a member finds on its disk at start; None for an empty disk."""
+
+    ballot: records.Ballot
+    snapshot: records.Snapshot | None
+    entries: tuple[records.Entry, ...] = ()
+
+
+@dataclasses.dataclass(kw_only=True)
+class Progress:
+    """What the leader knows of another member."""
+
+    member: records.Member
+    next_index: int
+    match_index: int = 0
+    in_flight: datetime.datetime | None = None
+    answered_at: datetime.datetime | None = None
+    acked_sent_at: datetime.datetime | None = None
+    install_offset: int | None = None
+    install_index: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Write:
+    """A write that is not synced yet and what waits for it."""
+
+    write_id: int
+    term: int
+    last_index: int
+    last_term: int
+    ballot: records.Ballot | None
+    held: list[message.Message]
+
+
+class Node:
+    """The shared state of the parts of a consensus core."""
+
+    def __init__(
+        self,
+        *,
+        group: records.Group,
+        me: records.Member,
+        seats: frozenset[str],
+        stored: Stored,
+        machines: tuple[str, ...],
+        source: random.Random,
+        metrics: metrics_module.Metrics,
+        now: datetime.datetime,
+    ) -> None:
+        self.group = group
+        self.me = me
+        self.seats = seats
+        self.machines = machines
+        self.source = source
+        self.metrics = metrics
+        self.role = Role.UNFORMED
+        self.ballot = self.synced_ballot = stored.ballot
+        self._log: logs.Log | None = None
+        self.commit_index = 0
+        self.applied_index = 0
+        self.leader: records.Member | None = None
+        self.heard_at = now
+        self.campaign_at = now
+        self.leaving = False
+        self.out: list[message.Message] = []
+        self._writes: collections.deque[Write] = collections.deque()
+        self._next_write = 1
+        if stored.snapshot is not None:
+            self.open_log(stored.snapshot, stored.entries)
+
+    @property
+    def log(self) -> logs.Log:
+        """The log; raises RuntimeError before one was formed."""
+        if self._log is None:
+            raise RuntimeError("no log was formed")
+        return self._log
+
+    @property
+    def formed(self) -> bool:
+        """Whether this host holds a log."""
+        return self._log is not None
+
+    @property
+    def log_id(self) -> str:
+        """The id of the log, empty before one was formed."""
+        return self._log.snapshot.log_id if self._log else ""
+
+    @property
+    def term(self) -> int:
+        """The current term."""
+        return self.ballot.term
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this host is a voting member."""
+        if self._log is None:
+            return False
+        return self.log.configuration.find(self.me.member_id) is not None
+
+    @property
+    def is_alone(self) -> bool:
+        """Whether this host is the only voting member."""
+        return self.is_voter and len(self.log.configuration.members) == 1
+
+    @property
+    def others(self) -> list[records.Member]:
+        """The other voting members."""
+        return [
+            member
+            for member in self.log.configuration.members
+            if member.member_id != self.me.member_id
+        ]
+
+    def open_log(
+        self,
+        snapshot: records.Snapshot,
+        entries: collections.abc.Iterable[records.Entry] = (),
+    ) -> None:
+        """Take up the log that is on the disk or was just formed."""
+        self._log = logs.Log(snapshot=snapshot, entries=entries)
+        self.commit_index = self.applied_index = snapshot.index
+
+    def send(
+        self,
+        member: records.Member,
+        body: message.Message,
+        urgent: bool = True,
+    ) -> None:
+        """Send a message to another member at once."""
+        self.out.append(
+            message.Send(address=member.address, message=body, urgent=urgent)
+        )
+
+    def persist(
+        self,
+        *,
+        entries: tuple[records.Entry, ...] = (),
+        snapshot: records.Snapshot | None = None,
+        ballot: bool = False,
+        reset: bool = False,
+    ) -> None:
+        """Write something; what is held from now on waits for its sync."""
+        write_id = self._next_write
+        self._next_write += 1
+        self._writes.append(
+            Write(
+                write_id=write_id,
+                term=self.term,
+                last_index=entries[-1].index if entries else 0,
+                last_term=entries[-1].term if entries else 0,
+                ballot=self.ballot if ballot else None,
+                held=[],
+            )
+        )
+        self.out.append(
+            messages.Persist(
+                group=self.group,
+                write_id=write_id,
+                ballot=self.ballot if ballot else None,
+                entries=entries,
+                snapshot=snapshot,
+                reset=reset,
+            )
+        )
+
+    def hold(self, effect: message.Message) -> None:
+        """Emit an effect once every write so far is synced.
+
+        An effect held in an earlier term is dropped when a later term has
+        begun by then: it would promise what this member no longer keeps.
+        """
+        if self._writes:
+            self._writes[-1].held.append(effect)
+        else:
+            self.out.append(effect)
+
+    def synced(self, write_id: int) -> None:
+        """Release what waited for the writes up to ``write_id``."""
+        while self._writes and self._writes[0].write_id <= write_id:
+            write = self._writes.popleft()
+            if write.ballot is not None:
+                self.synced_ballot = write.ballot
+            if write.last_index:
+                self.log.mark_synced(write.last_index, write.last_term)
+            if write.term == self.term:
+                self.out.extend(write.held)
+
+    def set_ballot(self, term: int, vote: str) -> None:
+        """Enter a term or vote in it, durably."""
+        self.ballot = records.Ballot(term=term, vote=vote)
+        self.persist(ballot=True)
+
+    def append(
+        self,
+        kind: records.EntryKind,
+        data: bytes = b"",
+        machine: str = "",
+    ) -> records.Entry:
+        """Add an entry of the current term to the log and write it."""
+        entry = records.Entry(
+            index=self.log.last_index + 1,
+            term=self.term,
+            kind=kind,
+            data=data,
+            machine=machine,
+        )
+        self.log.append(entry)
+        self.persist(entries=(entry,))
+        return entry
+
+    def take(self) -> list[message.Message]:
+        """Return the effects gathered so far and start anew."""
+        out, self.out = self.out, []
+        return out
--- /dev/null
+++ b/fulmarbarrow/consensus/storage.py
@@ -0,0 +1,296 @@
+"""Keeps a replicated log in segment files and snapshots."""
+
+from __future__ import annotations
+
+import dataclasses
+import os
+import pathlib
+
+import msgspec
+import xxhash
+
+from fulmarbarrow.consensus import files
+from fulmarbarrow.consensus import frames
+from fulmarbarrow.consensus import messages
+from fulmarbarrow.consensus import records
+from fulmarbarrow.consensus import state
+from fulmarbarrow import exceptions
+
+SEGMENT_BYTES = 4 << 20
+CHECKSUM_BYTES = 8
+SNAPSHOT_NAME = "snapshot"
+
+
+@dataclasses.dataclass(kw_only=True)
+class Segment:
+    """One file of the log and the highest entry index written to it."""
+
+    path: pathlib.Path
+    size: int
+    highest_index: int = 0
+
+
+class LogStorage:
+    """The stored log of one group.
+
+    Raises CorruptLogError at construction for damage that a crash during a
+    write can't have caused.
+    """
+
+    def __init__(
+        self, *, folder: pathlib.Path, segment_bytes: int = SEGMENT_BYTES
+    ) -> None:
+        files.make_folder(folder)
+        self._folder = folder
+        self._segment_bytes = segment_bytes
+        self._ballot = records.Ballot()
+        self._snapshot = self._read_snapshot()
+        self._entries: list[records.Entry] = []
+        self._segments: list[Segment] = []
+        self._next_frame = 1
+        self._broken = False
+        for path in sorted(folder.glob("*.tmp")):
+            path.unlink()
+        self._read_segments()
+        self._descriptor: int | None = None
+        if self._segments:
+            self._open_last()
+
+    @property
+    def formed(self) -> bool:
+        """Whether a log is stored here."""
+        return self._snapshot is not None
+
+    @property
+    def _snapshot_index(self) -> int:
+        return self._snapshot.index if self._snapshot else 0
+
+    @property
+    def size_bytes(self) -> int:
+        """The size of all segments."""
+        return sum(segment.size for segment in self._segments)
+
+    def stored(self) -> state.Stored:
+        """Return what was found; frees it here."""
+        entries, self._entries = self._entries, []
+        return state.Stored(
+            ballot=self._ballot,
+            snapshot=self._snapshot,
+            entries=tuple(entries),
+        )
+
+    def write(self, batch: list[messages.Persist]) -> None:
+        """Write and sync; all of the batch is stored, or an error raised.
+
+        After StorageFullError the same batch may be written again. After
+        another StorageError nothing is written until the next start, since
+        what an earlier sync left on the disk is no longer known.
+        """
+        if self._broken:
+            reason = f"{self._folder}: an earlier write failed"
+            raise exceptions.StorageError(reason)
+        try:
+            self._write(batch)
+        except exceptions.StorageFullError:
+            raise
+        except exceptions.StorageError:
+            self._broken = True
+            raise
+
+    def close(self) -> None:
+        """Close the files."""
+        if self._descriptor is not None:
+            os.close(self._descriptor)
+            self._descriptor = None
+
+    def _write(self, batch: list[messages.Persist]) -> None:
+        snapshot = None
+        for persist in batch:
+            snapshot = persist.snapshot or snapshot
+        if snapshot is not None:
+            self._write_snapshot(snapshot)
+        writes = tuple(
+            frames.Write(
+                ballot=persist.ballot,
+                entries=persist.entries,
+                reset_index=(
+                    persist.snapshot.index
+                    if persist.reset and persist.snapshot
+                    else None
+                ),
+            )
+            for persist in batch
+            if persist.ballot or persist.entries or persist.reset
+        )
+        if writes:
+            self._append(writes)
+        if snapshot is not None:
+            self._drop_segments(snapshot.index)
+
+    def _append(self, writes: tuple[frames.Write, ...]) -> None:
+        if not self._segments or self._segments[-1].size > self._segment_bytes:
+            self._start_segment()
+        segment = self._segments[-1]
+        if not segment.size:
+            header = frames.Write(ballot=self._ballot)
+            self._write_frame(segment, (header,))
+        if writes:
+            self._write_frame(segment, writes)
+        for write in writes:
+            if write.ballot is not None:
+                self._ballot = write.ballot
+            if write.entries:
+                segment.highest_index = max(
+                    segment.highest_index, write.entries[-1].index
+                )
+
+    def _write_frame(
+        self, segment: Segment, writes: tuple[frames.Write, ...]
+    ) -> None:
+        frame = frames.encode(self._next_frame, writes)
+        descriptor = self._descriptor
+        if descriptor is None:
+            raise exceptions.StorageError(f"{segment.path} is closed")
+        try:
+            with files.storage_errors(segment.path):
+                view = memoryview(frame)
+                while view:
+                    view = view[os.write(descriptor, view) :]
+        except exceptions.StorageFullError:
+            with files.storage_errors(segment.path):
+                os.ftruncate(descriptor, segment.size)
+            raise
+        with files.storage_errors(segment.path):
+            try:
+                os.fdatasync(descriptor)
+            except OSError as error:
+                # Pages that could not be written may be marked clean.
+                reason = f"{segment.path}: sync failed: {error}"
+                raise exceptions.StorageError(reason) from error
+        segment.size += len(frame)
+        self._next_frame += 1
+
+    def _start_segment(self) -> None:
+        """Start a file; it repeats the ballot, so older ones can go."""
+        self.close()
+        number = self._next_frame
+        path = self._folder / f"{number:016d}.log"
+        with files.storage_errors(path):
+            self._descriptor = os.open(
+                path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600
+            )
+            files.sync_folder(self._folder)
+        segment = Segment(path=path, size=path.stat().st_size)
+        if not self._segments or self._segments[-1].path != path:
+            self._segments.append(segment)
+
+    def _open_last(self) -> None:
+        path = self._segments[-1].path
+        with files.storage_errors(path):
+            self._descriptor = os.open(path, os.O_WRONLY | os.O_APPEND)
+
+    def _drop_segments(self, index: int) -> None:
+        if self._segments and self._segments[-1].highest_index <= index:
+            self._start_segment()
+            self._append(())
+        with files.storage_errors(self._folder):
+            while (
+                len(self._segments) > 1
+                and self._segments[0].highest_index <= index
+            ):
+                self._segments.pop(0).path.unlink()
+            files.sync_folder(self._folder)
+
+    def _write_snapshot(self, snapshot: records.Snapshot) -> None:
+        data = msgspec.msgpack.encode(snapshot)
+        checksum = xxhash.xxh3_64_digest(data)
+        files.replace(self._folder / SNAPSHOT_NAME, checksum + data)
+        self._snapshot = snapshot
+
+    def _read_snapshot(self) -> records.Snapshot | None:
+        path = self._folder / SNAPSHOT_NAME
+        if not path.exists():
+            return None
+        with files.storage_errors(path):
+            data = path.read_bytes()
+        checksum, body = data[:CHECKSUM_BYTES], data[CHECKSUM_BYTES:]
+        if xxhash.xxh3_64_digest(body) != checksum:
+            reason = f"{path} is damaged at offset 0"
+            raise exceptions.CorruptLogError(reason)
+        return msgspec.msgpack.decode(body, type=records.Snapshot)
+
+    def _read_segments(self) -> None:
+        paths = sorted(self._folder.glob("*.log"))
+        for path in paths:
+            self._read_segment(path, last=path == paths[-1])
+        if self._snapshot is None:
+            if self._entries:
+                reason = f"{self._folder / SNAPSHOT_NAME} is missing"
+                raise exceptions.CorruptLogError(reason)
+            return
+        self._entries = self._after_snapshot(self._snapshot)
+
+    def _read_segment(self, path: pathlib.Path, *, last: bool) -> None:
+        with files.storage_errors(path):
+            data = path.read_bytes()
+        segment = Segment(path=path, size=0)
+        self._segments.append(segment)
+        for frame in frames.read(path, data, last=last):
+            first = not segment.size and len(self._segments) == 1
+            if frame.number != self._next_frame and not first:
+                reason = (
+                    f"{path} lacks frame {self._next_frame} "
+                    f"at offset {segment.size}"
+                )
+                raise exceptions.CorruptLogError(reason)
+            self._next_frame = frame.number + 1
+            for write in frame.writes:
+                self._replay(write, segment)
+            segment.size = frame.end
+        if segment.size < len(data):
+            with files.storage_errors(path):
+                os.truncate(path, segment.size)
+                descriptor = os.open(path, os.O_RDWR)
+                os.fsync(descriptor)
+                os.close(descriptor)
+
+    def _replay(self, write: frames.Write, segment: Segment) -> None:
+        if write.ballot is not None:
+            self._ballot = write.ballot
+        if write.reset_index is not None:
+            self._entries = []
+        if not write.entries:
+            return
+        first = write.entries[0].index
+        if self._entries:
+            keep = first - self._entries[0].index
+            if keep > len(self._entries):
+                if first > self._snapshot_index + 1:
+                    reason = f"{segment.path} lacks entries before {first}"
+                    raise exceptions.CorruptLogError(reason)
+                keep = 0
+            del self._entries[max(0, keep) :]
+        self._entries.extend(write.entries)
+        segment.highest_index = max(
+            segment.highest_index, write.entries[-1].index
+        )
+
+    def _after_snapshot(
+        self, snapshot: records.Snapshot
+    ) -> list[records.Entry]:
+        """Return the entries that continue the snapshot.
+
+        Entries of another term at the snapshot's index belong to a log that
+        the snapshot was to replace when a crash came between.
+        """
+        for entry in self._entries:
+            if entry.index == snapshot.index and entry.term != snapshot.term:
+                return []
+        later = [e for e in self._entries if e.index > snapshot.index]
+        if later and later[0].index != snapshot.index + 1:
+            reason = (
+                f"{self._folder} lacks entry {snapshot.index + 1} "
+                f"after its snapshot"
+            )
+            raise exceptions.CorruptLogError(reason)
+        return later
--- a/fulmarbarrow/daemon/assembly.py
+++ b/fulmarbarrow/daemon/assembly.py
@@ -4,6 +4,8 @@
 
 import datetime
 import logging
+import pathlib
+import random
 import typing
 
 from twisted.internet import interfaces
@@ -15,6 +17,8 @@
 from fulmarbarrow.config import defaults
 from fulmarbarrow.consensus import core as consensus_core
 from fulmarbarrow.consensus import messages as consensus_messages
+from fulmarbarrow.consensus import records as consensus_records
+from fulmarbarrow.consensus import shell as consensus_shell
 from fulmarbarrow.daemon import lifecycle
 from fulmarbarrow.delivery import core as delivery_core
 from fulmarbarrow.edge import admin
@@ -31,6 +35,7 @@
 from fulmarbarrow.placement import core as placement_core
 from fulmarbarrow.publishing import control
 from fulmarbarrow.publishing import follower
+from fulmarbarrow.publishing import messages as publishing_messages
 from fulmarbarrow.versions import core as versions_core
 from fulmarbarrow.wire import codec
 from fulmarbarrow.wire import transport
@@ -66,6 +71,7 @@
             message.Send, lambda event, _: self._transport.send(event)
         )
         self._callers: callers.CallersEdge | None = None
+        self._consensus: consensus_shell.ConsensusShell | None = None
         self._add_common()
         if defaults.Role.CONTROL in settings.daemon.roles:
             self._add_control()
@@ -139,6 +145,8 @@
             self._ticks.stop()
         for port in self._ports:
             port.stopListening()
+        if self._consensus is not None:
+            self._consensus.close()
         self._transport.stop()
         self._reactor.callLater(0, self._reactor.stop)
 
@@ -193,13 +201,43 @@
         )
 
     def _add_control(self) -> None:
-        self._add(
-            "consensus",
-            consensus_core.ConsensusCore(
-                group=consensus_messages.Group.CONFIGURATION
-            ),
+        self._consensus = consensus_shell.ConsensusShell(
+            data_folder=pathlib.Path(self._settings.daemon.data_dir),
+            bus=self._bus,
+            reactor=self._reactor,
+            metrics=self._metrics,
         )
         self._add("control", control.PublishingControl(daemon=self._record))
+        self._add_log(
+            consensus_messages.Group.CONFIGURATION,
+            (publishing_messages.MACHINE,),
+        )
+        self._add_log(consensus_messages.Group.JOURNAL, ("",))
+
+    def _add_log(
+        self, group: consensus_messages.Group, machines: tuple[str, ...]
+    ) -> None:
+        """Add one replicated log, to be applied by the named machines."""
+        members = {
+            member.id: str(member.address)
+            for member in self._settings.control.members
+        }
+        core = consensus_core.ConsensusCore(
+            group=group,
+            me=consensus_records.Member(
+                daemon_id=self._record.daemon_id,
+                identity=self._consensus.host_identity,
+                address=self._record.address,
+            ),
+            addresses=members
+            or {self._record.daemon_id: self._record.address},
+            stored=self._consensus.open(group),
+            source=random.Random(),
+            metrics=self._metrics,
+            now=self._clock.now(),
+            machines=machines,
+        )
+        self._add(f"consensus_{group.value}", core)
 
     def _add_router(self) -> None:
         metrics = self._metrics
--- a/fulmarbarrow/publishing/control.py
+++ b/fulmarbarrow/publishing/control.py
@@ -42,9 +42,7 @@
         match event:
             case messages.PublishRequested():
                 return [self._propose(event)]
-            case consensus_messages.Applied(
-                group=consensus_messages.Group.CONFIGURATION
-            ):
+            case consensus_messages.Applied(machine=messages.MACHINE):
                 return self._applied(event)
             case messages.RevisionAck():
                 return self._acknowledge(event)
@@ -79,6 +77,7 @@
             proposal_id=event.publish_id,
             group=consensus_messages.Group.CONFIGURATION,
             command=msgspec.msgpack.encode(event),
+            machine=messages.MACHINE,
         )
 
     def _applied(
--- a/fulmarbarrow/publishing/messages.py
+++ b/fulmarbarrow/publishing/messages.py
@@ -5,6 +5,9 @@
 from fulmarbarrow.config import bundle as bundles
 from fulmarbarrow import message
 
+# The state machine of the configuration log that holds the revisions.
+MACHINE = "publishing"
+
 
 class PublishRequested(message.Message, frozen=True, kw_only=True):
     """An operator asks to replace the configuration.
