Lead version moves by sequential tests and committed steps

Cause: shares of versions were fixed; a bad version was never found and a move never finished. Change: routers compare attempts per route with a cumulative sum test and stop at once, the leader weighs the fleet's evidence, loads engines one by one under fencing numbers and works back from the deadline. A late push revived a stopped version on a restarted router; pushes now carry the receiver's incarnation.

--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,7 @@
 
 format: setup
 	$(PYTHON) -m isort --quiet $(SOURCES)
+	$(PYTHON) -m ruff format --quiet $(SOURCES)
 	$(PYTHON) -m ruff check --fix $(SOURCES)
 	$(PYTHON) -m ruff format $(SOURCES)
 
--- a/fulmarbarrow/daemon/assembly.py
+++ b/fulmarbarrow/daemon/assembly.py
@@ -21,6 +21,7 @@
 from fulmarbarrow.edge import callers
 from fulmarbarrow.edge import client
 from fulmarbarrow.edge import exchange
+from fulmarbarrow.edge import orders
 from fulmarbarrow.edge import upstreams
 from fulmarbarrow.journal import core as journal_core
 from fulmarbarrow.limits import core as limits_core
@@ -31,7 +32,8 @@
 from fulmarbarrow.placement import core as placement_core
 from fulmarbarrow.publishing import control
 from fulmarbarrow.publishing import follower
-from fulmarbarrow.versions import core as versions_core
+from fulmarbarrow.versions import control as versions_control
+from fulmarbarrow.versions import router as versions_router
 from fulmarbarrow.wire import codec
 from fulmarbarrow.wire import transport
 from fulmarbarrow.zones import core as zones_core
@@ -200,6 +202,18 @@
             ),
         )
         self._add("control", control.PublishingControl(daemon=self._record))
+        self._add(
+            "version_moves",
+            versions_control.VersionsControl(
+                daemon=self._record,
+                group=consensus_messages.Group.CONFIGURATION,
+            ),
+        )
+        self._orders = orders.OrdersClient(
+            reactor=self._reactor,
+            bus=self._bus,
+            key=self._settings.upstreams.key,
+        )
 
     def _add_router(self) -> None:
         metrics = self._metrics
@@ -217,7 +231,12 @@
         self._client = client.UpstreamClient(
             reactor=self._reactor, bus=self._bus, exchanges=self._exchanges
         )
-        self._add("versions", versions_core.VersionsCore())
+        self._add(
+            "versions",
+            versions_router.VersionsRouter(
+                daemon=self._record, metrics=metrics
+            ),
+        )
         self._add("zones", zones_core.ZonesCore())
         self._add("limits", limits_core.LimitsCore(metrics=metrics))
         self._add(
--- a/fulmarbarrow/delivery/messages.py
+++ b/fulmarbarrow/delivery/messages.py
@@ -188,7 +188,11 @@
 
 
 class AttemptObserved(message.Message, frozen=True, kw_only=True):
-    """Effect: what one attempt showed of an upstream and its version."""
+    """Effect: what one attempt showed of an upstream and its version.
+
+    ``between_tokens`` is the mean gap; ``reused`` says that the engine found
+    a prefix of the prompt in its cache.
+    """
 
     account: str
     service: str
@@ -200,6 +204,7 @@
     outcome: placement_messages.WorkOutcome
     first_token: datetime.timedelta | None = None
     between_tokens: datetime.timedelta | None = None
+    reused: bool = False
 
 
 # Messages between daemons.
--- /dev/null
+++ b/fulmarbarrow/versions/features/steps/moves.py
@@ -0,0 +1,241 @@
+"""Steps that play version moves on the cores."""
+
+from __future__ import annotations
+
+import datetime
+import random
+
+import automat
+import behave
+
+from benchmarks import version_model
+from fulmarbarrow.versions import machine
+from fulmarbarrow.versions import messages
+from fulmarbarrow.versions import sequential
+
+FEW_STEPS = 5
+
+
+def start(context, **options):
+    context.case = version_model.Case(seed=1, **options)
+    context.play = version_model.Play(context.case)
+    context.start = context.play.now
+    context.top_share = 0.0
+
+
+@behave.given("a version move")
+def step_move(context):
+    start(context)
+
+
+@behave.given("a version move whose new version {fault}")
+def step_faulty(context, fault):
+    start(context, fault=version_model.Fault(fault))
+
+
+@behave.given("a version move whose loads take {seconds:d} seconds each")
+def step_slow_loads(context, seconds):
+    start(context, load_time=datetime.timedelta(seconds=seconds))
+
+
+@behave.given("a version move of which {count:d} engine refuses orders")
+def step_refusing(context, count):
+    start(context, refusing_engines=count)
+
+
+@behave.given("a version move with engines that ignore fencing numbers")
+def step_no_fencing(context):
+    start(context, checks_fencing=False)
+
+
+@behave.when("the move is played to its end")
+def step_play(context):
+    context.outcome = context.play.run()
+
+
+@behave.when("it is played until the phase {phase}")
+def step_until(context, phase):
+    limit = context.start + context.case.length
+    while context.play.phase != phase:
+        context.top_share = max(context.top_share, context.play.share)
+        assert context.play.now < limit, context.play.phase
+        context.play.step()
+
+
+@behave.then("it is completed before its deadline")
+def step_completed(context):
+    outcome = context.outcome
+    assert outcome.phase is messages.Phase.COMPLETED, outcome
+    assert outcome.ended_at < context.start + context.case.length
+
+
+@behave.then("never fewer than {few:d} of {all_of:d} engines served")
+def step_serving(context, few, all_of):
+    assert context.outcome.lowest_serving >= few / all_of, context.outcome
+
+
+@behave.then("it is taken back for {reason}")
+def step_taken_back(context, reason):
+    assert context.outcome.phase is messages.Phase.TAKEN_BACK, context.outcome
+    assert context.outcome.reason.startswith(reason), context.outcome.reason
+
+
+@behave.then("at most 5% of the attempts were hurt until the fault was found")
+def step_hurt(context):
+    outcome = context.outcome
+    assert 0 < outcome.hurt <= 0.05 * outcome.attempts, outcome
+
+
+@behave.then("none was hurt from 2 seconds after")
+def step_hurt_late(context):
+    assert context.outcome.hurt_late == 0, context.outcome
+
+
+@behave.then("the refused order went to another engine")
+def step_went_on(context):
+    orders = [order.upstream_id for order, _ in context.play.orders]
+    assert orders[0] == "engine-0", orders
+    assert orders[1] == "engine-1", orders
+
+
+@behave.then("the share was never above 5% before")
+def step_cap(context):
+    assert 0 < context.top_share <= 0.05, context.top_share
+
+
+@behave.when("a router restarts")
+def step_restart(context):
+    context.address = context.play.restart_router()
+
+
+@behave.then("it sends nothing to the new version at first")
+def step_nothing(context):
+    assert context.play.router_share(context.address) == 0.0
+
+
+@behave.then("it has the others' share after a few messages")
+def step_learned(context):
+    for _ in range(FEW_STEPS):
+        context.play.step()
+    share = context.play.router_share(context.address)
+    assert share == context.play.share > 0, share
+
+
+@behave.then("it sends nothing to the new version after a few messages")
+def step_still_nothing(context):
+    for _ in range(FEW_STEPS):
+        context.play.step()
+    assert context.play.router_share(context.address) == 0.0
+
+
+@behave.when("the share from before the stop arrives late")
+@behave.when("the share of an earlier step arrives late")
+def step_late(context):
+    context.before = context.play.share
+    push = messages.SharesPush(
+        move_id="move-1", sequence=1, share=0.05, incarnation=1
+    )
+    address = getattr(context, "address", "127.0.0.1:7001")
+    context.play.hand(address, push)
+
+
+@behave.then("every router keeps its share")
+def step_kept(context):
+    assert context.before > 0.05
+    assert context.play.router_share("127.0.0.1:7001") == context.before
+
+
+@behave.when("another term begins")
+def step_term(context):
+    # Every order before this one has been followed to its end.
+    context.ordered = len(context.play.orders)
+    context.term_at = context.play.now
+    context.play.lead(2)
+
+
+@behave.then("no order is given for {seconds:d} seconds")
+def step_no_order(context, seconds):
+    limit = context.start + context.case.length
+    while len(context.play.orders) == context.ordered:
+        assert context.play.now < limit
+        context.play.step()
+    _, at = context.play.orders[context.ordered]
+    assert at >= context.term_at + datetime.timedelta(seconds=seconds)
+
+
+@behave.then("the next order carries a higher fencing number")
+def step_fencing(context):
+    before, _ = context.play.orders[context.ordered - 1]
+    after, _ = context.play.orders[context.ordered]
+    assert after.fencing_number > before.fencing_number
+
+
+class Entered:
+    def __init__(self):
+        self.phase = None
+
+    def enter(self, phase):
+        self.phase = phase
+
+
+INPUTS = (
+    "warm",
+    "proven",
+    "expanded",
+    "watched",
+    "all_new",
+    "fault",
+    "all_old",
+)
+
+
+@behave.when("every input is given in every phase")
+def step_every_input(context):
+    context.moved = set()
+    for phase in messages.Phase:
+        for name in INPUTS:
+            entered = Entered()
+            move = machine.resume(phase, entered)
+            try:
+                getattr(move, name)()
+            except (automat.NoTransition, LookupError):
+                continue
+            context.moved.add((phase.value, name, entered.phase.value))
+
+
+@behave.then("only these pairs move on")
+def step_pairs(context):
+    expected = {
+        (row["phase"], row["input"], row["next"]) for row in context.table
+    }
+    assert context.moved == expected, context.moved ^ expected
+
+
+@behave.given(
+    "a new version with {errors:d} errors in 100 attempts beside 1 of old"
+)
+def step_error_share(context, errors):
+    context.share = errors / 100
+
+
+@behave.when("attempts are compared until a fault is found, at most {count:d}")
+def step_compare(context, count):
+    source = random.Random(3)
+    comparison = sequential.Comparison()
+    context.fault = ""
+    for _ in range(count):
+        context.fault = comparison.add(
+            sequential.Counts(
+                attempts=1,
+                errors=int(source.random() < context.share),
+                old_attempts=1,
+                old_errors=int(source.random() < 0.01),
+            )
+        )
+        if context.fault:
+            break
+
+
+@behave.then("a fault is {found}")
+def step_found(context, found):
+    assert bool(context.fault) == (found == "found"), context.fault
--- /dev/null
+++ b/fulmarbarrow/versions/orders.py
@@ -0,0 +1,159 @@
+"""Orders to engines: one load at a time, with fencing numbers."""
+
+from __future__ import annotations
+
+import datetime
+import typing
+
+from fulmarbarrow.config import bundle as bundles
+from fulmarbarrow.membership import messages as membership_messages
+from fulmarbarrow import message
+from fulmarbarrow.observe import plain
+from fulmarbarrow.versions import messages
+from fulmarbarrow.versions import schedule
+from fulmarbarrow.versions import state
+
+LEASE_WAIT = datetime.timedelta(seconds=4)
+LOAD_TIMEOUT_FACTOR = 4
+
+_KINDS = {
+    bundles.MoveKind.MODEL: messages.OrderKind.LOAD_MODEL,
+    bundles.MoveKind.ADAPTER: messages.OrderKind.LOAD_ADAPTER,
+    bundles.MoveKind.ROLE: messages.OrderKind.CHANGE_ROLE,
+}
+
+
+class Orders:
+    """Gives loads to engines and follows them to their announcement.
+
+    An engine that checks fencing numbers refuses an old leader's order. For
+    one that does not, a new leader gives no order before the old leader's
+    lease must have ended.
+    """
+
+    def __init__(self) -> None:
+        self._fencing_number = 0
+        self._leading_since: datetime.datetime | None = None
+        self._pending: dict[str, state.PendingOrder] = {}
+        self._last_end: dict[str, datetime.datetime] = {}
+        self._refused: set[str] = set()
+        self._number = 0
+        self._load_time = schedule.DEFAULT_LOAD_TIME
+        self._measured = False
+
+    @property
+    def load_time(self) -> datetime.timedelta:
+        """The longest load seen, or a default before the first."""
+        return self._load_time
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return the orders whose effect is awaited."""
+        return {
+            "fencing_number": self._fencing_number,
+            "pending": plain.plain(list(self._pending.values())),
+            "load_time": self._load_time.total_seconds(),
+        }
+
+    def lead(self, *, fencing_number: int, now: datetime.datetime) -> None:
+        """Start to give orders under a new fencing number."""
+        self._fencing_number = fencing_number
+        self._leading_since = now
+        self._pending.clear()
+        self._refused.clear()
+
+    def loading(self, move_id: str) -> bool:
+        """Whether an engine is loading a version for the move."""
+        return any(
+            order.move_id == move_id for order in self._pending.values()
+        )
+
+    def idle_since(
+        self, move_id: str, now: datetime.datetime
+    ) -> datetime.timedelta:
+        """Return how long ago the move's last load ended."""
+        if self.loading(move_id):
+            return datetime.timedelta()
+        last = self._last_end.get(move_id)
+        return now - last if last else datetime.timedelta.max
+
+    def load(
+        self,
+        move: bundles.VersionMove,
+        version: str,
+        engines: tuple[membership_messages.Upstream, ...],
+        now: datetime.datetime,
+    ) -> list[message.Message]:
+        """Order one engine to load a version, unless one is loading."""
+        self._expire(now)
+        if self._pending:
+            return []
+        for engine in engines:
+            if engine.upstream_id in self._refused:
+                continue
+            if engine.checks_fencing or self._old_lease_over(now):
+                return [self._order(move, version, engine, now)]
+        self._refused.clear()
+        return []
+
+    def announced(
+        self, upstream: membership_messages.Upstream, now: datetime.datetime
+    ) -> None:
+        """Take an engine's offers; a load that shows in them has ended."""
+        order = self._pending.get(upstream.upstream_id)
+        serving = membership_messages.UpstreamState.SERVING
+        if order is None or upstream.state is not serving:
+            return
+        if all(offer.version != order.version for offer in upstream.offers):
+            return
+        del self._pending[upstream.upstream_id]
+        self._last_end[order.move_id] = now
+        taken = now - order.given_at
+        known = self._load_time if self._measured else taken
+        self._load_time = max(known, taken)
+        self._measured = True
+
+    def result(self, event: messages.OrderResult) -> None:
+        """Take an engine's answer; a refused order goes to another engine."""
+        order = self._pending.get(event.upstream_id)
+        if order is None or order.order_id != event.order_id or not event.code:
+            return
+        del self._pending[event.upstream_id]
+        self._refused.add(event.upstream_id)
+
+    def _old_lease_over(self, now: datetime.datetime) -> bool:
+        since = self._leading_since
+        return since is not None and now >= since + LEASE_WAIT
+
+    def _expire(self, now: datetime.datetime) -> None:
+        """Give up orders whose effect never showed."""
+        limit = LOAD_TIMEOUT_FACTOR * self._load_time
+        for upstream_id, order in list(self._pending.items()):
+            if now >= order.given_at + limit:
+                del self._pending[upstream_id]
+                self._refused.add(upstream_id)
+
+    def _order(
+        self,
+        move: bundles.VersionMove,
+        version: str,
+        engine: membership_messages.Upstream,
+        now: datetime.datetime,
+    ) -> message.Message:
+        self._number += 1
+        order_id = f"{move.id}/{self._fencing_number}/{self._number}"
+        self._pending[engine.upstream_id] = state.PendingOrder(
+            order_id=order_id,
+            move_id=move.id,
+            upstream_id=engine.upstream_id,
+            version=version,
+            given_at=now,
+        )
+        return messages.Order(
+            order_id=order_id,
+            upstream_id=engine.upstream_id,
+            url=engine.url,
+            kind=_KINDS[move.kind],
+            subject=move.model,
+            version=version,
+            fencing_number=self._fencing_number,
+        )
--- /dev/null
+++ b/fulmarbarrow/versions/router.py
@@ -0,0 +1,358 @@
+"""Watches version moves on a router and stops a bad version at once."""
+
+from __future__ import annotations
+
+import collections
+import datetime
+import logging
+import typing
+
+import msgspec
+
+from fulmarbarrow.config import bundle as bundles
+from fulmarbarrow.delivery import messages as delivery_messages
+from fulmarbarrow.membership import messages as membership_messages
+from fulmarbarrow import message
+from fulmarbarrow.observe import metrics as metrics_module
+from fulmarbarrow.placement import messages as placement_messages
+from fulmarbarrow.publishing import messages as publishing_messages
+from fulmarbarrow.versions import messages
+from fulmarbarrow.versions import sequential
+
+log = logging.getLogger(__name__)
+
+CONTROL_ROLE = "control"
+REPORT_INTERVAL = datetime.timedelta(seconds=1)
+REMIND_INTERVAL = datetime.timedelta(seconds=10)
+
+_ERRORS = (
+    placement_messages.WorkOutcome.FAILED,
+    placement_messages.WorkOutcome.CRASHED,
+)
+
+
+class RouteWatch:
+    """What this router saw of one route of a version move."""
+
+    def __init__(self) -> None:
+        self._comparison = sequential.Comparison()
+        self._first: dict[bool, sequential.LatencyReference] = (
+            collections.defaultdict(sequential.LatencyReference)
+        )
+        self._between = sequential.LatencyReference()
+        self._counts: collections.Counter[str] = collections.Counter()
+
+    @property
+    def evidence(self) -> float:
+        """The strongest evidence of a fault, 1 when it is found."""
+        return self._comparison.evidence
+
+    def add_old(
+        self,
+        event: delivery_messages.AttemptObserved,
+        now: datetime.datetime,
+    ) -> None:
+        """Add an attempt at the old version."""
+        error = int(event.outcome in _ERRORS)
+        self._add(old_attempts=1, old_errors=error)
+        if event.first_token is not None:
+            self._first[event.reused].add(event.first_token, now)
+        if event.between_tokens is not None:
+            self._between.add(event.between_tokens, now)
+
+    def add_new(
+        self,
+        event: delivery_messages.AttemptObserved,
+        now: datetime.datetime,
+    ) -> str:
+        """Add an attempt at the new version; return the fault it proves.
+
+        First tokens are compared among attempts that found their prefix in
+        a cache, and among those that did not, because the caches of a new
+        version are cold.
+        """
+        error = int(event.outcome in _ERRORS)
+        first = between = None
+        if event.first_token is not None:
+            first = self._first[event.reused].slow(event.first_token, now)
+        if event.between_tokens is not None:
+            between = self._between.slow(event.between_tokens, now)
+        return self._add(
+            attempts=1,
+            errors=error,
+            judged_first=int(first is not None),
+            slow_first=int(bool(first)),
+            judged_between=int(between is not None),
+            slow_between=int(bool(between)),
+        )
+
+    def take_report(self, route: str) -> messages.RouteEvidence | None:
+        """Return what was counted since the last report, if anything."""
+        if not self._counts:
+            return None
+        report = messages.RouteEvidence(route=route, **self._counts)
+        self._counts.clear()
+        return report
+
+    def _add(self, **amounts: int) -> str:
+        for name, amount in amounts.items():
+            if amount:
+                self._counts[name] += amount
+        return self._comparison.add(sequential.Counts(**amounts))
+
+
+class VersionsRouter:
+    """Observed attempts in, shares of versions and stops out."""
+
+    handles = (
+        publishing_messages.ConfigurationChanged,
+        delivery_messages.AttemptObserved,
+        membership_messages.DaemonChanged,
+        membership_messages.DaemonGone,
+        messages.SharesPush,
+        messages.SharesWanted,
+        messages.VersionStopped,
+        message.Tick,
+    )
+
+    def __init__(
+        self,
+        *,
+        daemon: membership_messages.Daemon,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._daemon = daemon
+        self._metrics = metrics
+        self._versions: dict[tuple[str, str], str] = {}
+        self._moves: dict[str, bundles.VersionMove] = {}
+        self._by_model: dict[tuple[str, str], bundles.VersionMove] = {}
+        self._pushes: dict[str, messages.SharesPush] = {}
+        self._stopped: dict[str, messages.VersionStopped] = {}
+        self._watches: dict[str, dict[str, RouteWatch]] = {}
+        self._daemons: dict[str, membership_messages.Daemon] = {}
+        self._report_at: datetime.datetime | None = None
+        self._remind_at: datetime.datetime | None = None
+
+    def handle(
+        self, event: message.Message, now: datetime.datetime
+    ) -> list[message.Message]:
+        """Take one event and return its effects."""
+        match event:
+            case delivery_messages.AttemptObserved():
+                return self._observe(event, now)
+            case messages.SharesPush():
+                return self._take_push(event)
+            case messages.SharesWanted():
+                return self._answer(event)
+            case messages.VersionStopped():
+                return self._stop(event)
+            case publishing_messages.ConfigurationChanged():
+                return self._configure(event.bundle)
+            case membership_messages.DaemonChanged():
+                return self._meet(event.daemon)
+            case membership_messages.DaemonGone():
+                self._daemons.pop(event.daemon_id, None)
+            case message.Tick():
+                return self._report(now)
+        return []
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return each model's shares and the evidence of its move."""
+        return {
+            "shares": {
+                f"{place[0]}/{place[1]}": dict(self._shares(place).shares)
+                for place in self._versions
+            },
+            "stopped": {
+                move_id: stopped.reason
+                for move_id, stopped in self._stopped.items()
+            },
+            "evidence": {
+                move_id: {
+                    route: round(watch.evidence, 3)
+                    for route, watch in watches.items()
+                }
+                for move_id, watches in self._watches.items()
+            },
+        }
+
+    def _configure(self, bundle: bundles.Bundle) -> list[message.Message]:
+        """Take the moves of a new configuration, forget those that ended."""
+        self._moves = {move.id: move for move in bundle.version_move}
+        self._by_model = {
+            (move.service, move.model): move for move in bundle.version_move
+        }
+        self._versions = {
+            (service.name, model.name): model.version
+            for service in bundle.service
+            for model in service.models
+        }
+        for kept in (self._pushes, self._stopped, self._watches):
+            for move_id in set(kept) - set(self._moves):
+                del kept[move_id]
+        shares = [self._shares(place) for place in self._versions]
+        return [*shares, *self._ask(tuple(self._daemons.values()))]
+
+    def _shares(self, place: tuple[str, str]) -> messages.VersionShares:
+        """Return a model's shares.
+
+        A model whose move is not known to have begun stays on its old
+        version, so that a router that restarts sends nothing to a version
+        that was stopped meanwhile.
+        """
+        move = self._by_model.get(place)
+        if move is None:
+            shares = ((self._versions[place], 1.0),)
+        else:
+            push = self._pushes.get(move.id)
+            new = push.share if push and move.id not in self._stopped else 0.0
+            shares = ((move.old, 1.0 - new), (move.new, new))
+        return messages.VersionShares(
+            service=place[0], model=place[1], shares=shares
+        )
+
+    def _move_shares(self, move: bundles.VersionMove) -> message.Message:
+        return self._shares((move.service, move.model))
+
+    def _meet(
+        self, daemon: membership_messages.Daemon
+    ) -> list[message.Message]:
+        known = self._daemons.get(daemon.daemon_id)
+        self._daemons[daemon.daemon_id] = daemon
+        if known is not None and known.incarnation == daemon.incarnation:
+            return []
+        return self._ask((daemon,))
+
+    def _ask(
+        self, daemons: tuple[membership_messages.Daemon, ...]
+    ) -> list[message.Message]:
+        """Ask other daemons about the moves that nothing is known of."""
+        unknown = tuple(
+            move_id
+            for move_id in self._moves
+            if move_id not in self._pushes and move_id not in self._stopped
+        )
+        if not unknown:
+            return []
+        wanted = messages.SharesWanted(
+            reply_to=self._daemon.address,
+            incarnation=self._daemon.incarnation,
+            move_ids=unknown,
+        )
+        return [_send(daemon.address, wanted) for daemon in daemons]
+
+    def _answer(self, event: messages.SharesWanted) -> list[message.Message]:
+        effects: list[message.Message] = []
+        for move_id in event.move_ids:
+            stopped = self._stopped.get(move_id)
+            push = self._pushes.get(move_id)
+            if stopped is not None:
+                effects.append(_send(event.reply_to, stopped))
+            elif push is not None:
+                answer = msgspec.structs.replace(
+                    push, incarnation=event.incarnation
+                )
+                effects.append(_send(event.reply_to, answer))
+        return effects
+
+    def _take_push(self, event: messages.SharesPush) -> list[message.Message]:
+        """Take the share that a control host decided."""
+        move = self._moves.get(event.move_id)
+        known = self._pushes.get(event.move_id)
+        if move is None or event.incarnation != self._daemon.incarnation:
+            return []
+        if known is not None and event.sequence <= known.sequence:
+            return []
+        self._pushes[event.move_id] = event
+        return [self._move_shares(move)]
+
+    def _observe(
+        self,
+        event: delivery_messages.AttemptObserved,
+        now: datetime.datetime,
+    ) -> list[message.Message]:
+        move = self._by_model.get((event.service, event.model))
+        cancelled = placement_messages.WorkOutcome.CANCELLED
+        if move is None or event.outcome is cancelled:
+            return []
+        watches = self._watches.setdefault(move.id, {})
+        watch = watches.get(event.route)
+        if watch is None:
+            watch = watches[event.route] = RouteWatch()
+        if event.version == move.old:
+            watch.add_old(event, now)
+            return []
+        if event.version != move.new:
+            return []
+        fault = watch.add_new(event, now)
+        if not fault or move.id in self._stopped:
+            return []
+        self._metrics.count("versions_stopped_here", service=event.service)
+        stopped = messages.VersionStopped(
+            move_id=move.id, reason=f"{fault} on {event.route}"
+        )
+        return [*self._stop(stopped), *self._tell(stopped)]
+
+    def _stop(self, event: messages.VersionStopped) -> list[message.Message]:
+        """Send nothing more to the move's new version from here."""
+        move = self._moves.get(event.move_id)
+        if move is None or event.move_id in self._stopped:
+            return []
+        self._stopped[event.move_id] = event
+        log.info("version move %s stopped: %s", event.move_id, event.reason)
+        return [self._move_shares(move)]
+
+    def _tell(self, stopped: messages.VersionStopped) -> list[message.Message]:
+        sends: list[message.Message] = [
+            _send(daemon.address, stopped, urgent=True)
+            for daemon in self._daemons.values()
+        ]
+        return [*sends, stopped]
+
+    def _report(self, now: datetime.datetime) -> list[message.Message]:
+        """Send the evidence of the last second to the control hosts."""
+        if self._report_at is not None and now < self._report_at:
+            return []
+        self._report_at = now + REPORT_INTERVAL
+        effects: list[message.Message] = []
+        for move_id, watches in self._watches.items():
+            routes = tuple(
+                report
+                for route, watch in watches.items()
+                if (report := watch.take_report(route)) is not None
+            )
+            if routes:
+                report = messages.VersionEvidence(
+                    daemon_id=self._daemon.daemon_id,
+                    move_id=move_id,
+                    routes=routes,
+                )
+                effects.extend(self._to_control(report))
+        return [*effects, *self._remind(now)]
+
+    def _remind(self, now: datetime.datetime) -> list[message.Message]:
+        """Tell stops again, for a control host that began to lead since."""
+        if self._remind_at is not None and now < self._remind_at:
+            return []
+        self._remind_at = now + REMIND_INTERVAL
+        return [
+            effect
+            for stopped in self._stopped.values()
+            for effect in self._to_control(stopped)
+        ]
+
+    def _to_control(self, item: message.Message) -> list[message.Message]:
+        effects: list[message.Message] = [
+            _send(daemon.address, item)
+            for daemon in self._daemons.values()
+            if CONTROL_ROLE in daemon.roles
+        ]
+        if CONTROL_ROLE in self._daemon.roles:
+            effects.append(item)
+        return effects
+
+
+def _send(
+    address: str, item: message.Message, *, urgent: bool = False
+) -> message.Message:
+    return message.Send(address=address, message=item, urgent=urgent)
--- /dev/null
+++ b/fulmarbarrow/versions/schedule.py
@@ -0,0 +1,52 @@
+"""Works a version move's schedule back from its deadline."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+
+DEFAULT_LOAD_TIME = datetime.timedelta(seconds=20)
+LOAD_TIME_MARGIN = 1.25
+MINIMUM_DWELL = datetime.timedelta(seconds=5)
+CANARY_SHARE_OF_SLACK = 0.4
+WATCH_SHARE_OF_SLACK = 0.3
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Schedule:
+    """When a move's phases must end for its deadline to be met.
+
+    ``step`` is the pause after one engine's load and before the next.
+    """
+
+    canary_until: datetime.datetime
+    watch_until: datetime.datetime
+    step: datetime.timedelta
+
+
+def plan(
+    *,
+    now: datetime.datetime,
+    deadline: datetime.datetime,
+    engines: int,
+    loaded: int,
+    load_time: datetime.timedelta,
+) -> Schedule:
+    """Return the schedule from now on.
+
+    The loads that remain take their time one after another, because the
+    weight store is rate limited; what is left of the time to the deadline is
+    slack, and is split between canary, expanding and watch.
+    """
+    each = max(load_time * LOAD_TIME_MARGIN, MINIMUM_DWELL)
+    remaining = max(0, engines - loaded)
+    slack = max(datetime.timedelta(), deadline - now - each * remaining)
+    last_load = each if remaining else datetime.timedelta()
+    watch_until = deadline - last_load - MINIMUM_DWELL
+    expanding = slack * (1 - CANARY_SHARE_OF_SLACK - WATCH_SHARE_OF_SLACK)
+    steps = max(1, remaining - 1)
+    return Schedule(
+        canary_until=now + slack * CANARY_SHARE_OF_SLACK,
+        watch_until=watch_until,
+        step=max(MINIMUM_DWELL, expanding / steps),
+    )
--- /dev/null
+++ b/fulmarbarrow/versions/sequential.py
@@ -0,0 +1,183 @@
+"""Sequential tests of a new version against the old one beside it."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import datetime
+import math
+
+LOG_THRESHOLD = math.log(1e6)  # one false alarm in a million attempts
+REFERENCE_SIZE = 200  # attempts
+REFERENCE_MINIMUM = 20  # attempts
+REFERENCE_QUANTILE = 0.8
+REFERENCE_REFRESH = 16  # attempts between two sortings
+REFERENCE_FRESH = datetime.timedelta(seconds=60)
+SLOW_FACTOR = 1.25
+SLOW_FACTOR_STALE = 2.0
+SLOW_SHARE_GOOD = 0.35
+SLOW_SHARE_BAD = 0.8
+ERROR_SHARE_FLOOR = 0.02
+ERROR_SHARE_CEILING = 0.5
+ERROR_MARGIN = 2.0  # times the old version's error share
+ERROR_BAD_FACTOR = 8.0
+ERROR_BAD_CEILING = 0.9
+OLD_DECAY = 0.995  # weight kept for each new attempt
+OLD_PRIOR_ATTEMPTS = 50.0
+
+
+class Cusum:
+    """Page's cumulative sum test for the share of bad attempts.
+
+    It detects a change at any time, so that a fault that shows late is found
+    as fast as one that shows at once. With the threshold ``h`` the mean
+    number of attempts to a false alarm is at least ``exp(h)``.
+    """
+
+    def __init__(self, *, threshold: float = LOG_THRESHOLD) -> None:
+        self._threshold = threshold
+        self._sum = 0.0
+
+    @property
+    def value(self) -> float:
+        """The evidence as a part of the threshold."""
+        return self._sum / self._threshold
+
+    def update(
+        self, *, attempts: int, bad: int, good_share: float, bad_share: float
+    ) -> bool:
+        """Add attempts and return whether the version is found bad."""
+        gain = math.log(bad_share / good_share)
+        loss = math.log((1 - bad_share) / (1 - good_share))
+        change = bad * gain + (attempts - bad) * loss
+        self._sum = max(0.0, self._sum + change)
+        return self._sum >= self._threshold
+
+
+class ErrorShare:
+    """The old version's recent share of errors, never below a floor."""
+
+    def __init__(self) -> None:
+        self._attempts = 0.0
+        self._errors = 0.0
+
+    @property
+    def good(self) -> float:
+        """The share of errors up to which the new version is good."""
+        share = self._errors / (self._attempts + OLD_PRIOR_ATTEMPTS)
+        allowed = max(ERROR_SHARE_FLOOR, ERROR_MARGIN * share)
+        return min(ERROR_SHARE_CEILING, allowed)
+
+    @property
+    def bad(self) -> float:
+        """The share of errors that the test looks for."""
+        return min(ERROR_BAD_CEILING, ERROR_BAD_FACTOR * self.good)
+
+    def add(self, *, attempts: int, errors: int) -> None:
+        """Add attempts of the old version."""
+        decay = OLD_DECAY**attempts
+        self._attempts = self._attempts * decay + attempts
+        self._errors = self._errors * decay + errors
+
+
+class LatencyReference:
+    """Recent durations of the old version, to compare the new one's with.
+
+    While the old version still runs beside the new one, a change of load
+    reaches both; once it no longer runs, the reference is stale and only a
+    larger difference counts.
+    """
+
+    def __init__(self) -> None:
+        self._recent: collections.deque[float] = collections.deque(
+            maxlen=REFERENCE_SIZE
+        )
+        self._bound = 0.0
+        self._unsorted = 0
+        self._last: datetime.datetime | None = None
+
+    def add(
+        self, duration: datetime.timedelta, now: datetime.datetime
+    ) -> None:
+        """Add a duration of the old version."""
+        self._recent.append(duration.total_seconds())
+        self._last = now
+        self._unsorted += 1
+        few = len(self._recent) <= REFERENCE_MINIMUM
+        if few or self._unsorted >= REFERENCE_REFRESH:
+            self._refresh()
+
+    def slow(
+        self, duration: datetime.timedelta, now: datetime.datetime
+    ) -> bool | None:
+        """Return whether a duration of the new version is slow.
+
+        None means that the old version was seen too little to compare.
+        """
+        if len(self._recent) < REFERENCE_MINIMUM or self._last is None:
+            return None
+        fresh = now - self._last <= REFERENCE_FRESH
+        factor = SLOW_FACTOR if fresh else SLOW_FACTOR_STALE
+        return duration.total_seconds() > self._bound * factor
+
+    def _refresh(self) -> None:
+        self._unsorted = 0
+        ordered = sorted(self._recent)
+        place = int(REFERENCE_QUANTILE * (len(ordered) - 1))
+        self._bound = ordered[place]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Counts:
+    """Attempts of both versions that are to be added to a comparison."""
+
+    attempts: int = 0
+    errors: int = 0
+    old_attempts: int = 0
+    old_errors: int = 0
+    judged_first: int = 0
+    slow_first: int = 0
+    judged_between: int = 0
+    slow_between: int = 0
+
+
+class Comparison:
+    """All tests of one route of one version move."""
+
+    def __init__(self) -> None:
+        self._old = ErrorShare()
+        self._errors = Cusum()
+        self._first = Cusum()
+        self._between = Cusum()
+
+    @property
+    def evidence(self) -> float:
+        """The strongest evidence of a fault, 1 when it is found."""
+        return max(self._errors.value, self._first.value, self._between.value)
+
+    def add(self, counts: Counts) -> str:
+        """Add attempts; return the fault that they prove, or nothing."""
+        self._old.add(attempts=counts.old_attempts, errors=counts.old_errors)
+        if self._errors.update(
+            attempts=counts.attempts,
+            bad=counts.errors,
+            good_share=self._old.good,
+            bad_share=self._old.bad,
+        ):
+            return "errors"
+        if self._slow(self._first, counts.judged_first, counts.slow_first):
+            return "slow first token"
+        if self._slow(
+            self._between, counts.judged_between, counts.slow_between
+        ):
+            return "slow between tokens"
+        return ""
+
+    @staticmethod
+    def _slow(test: Cusum, judged: int, slow: int) -> bool:
+        return test.update(
+            attempts=judged,
+            bad=slow,
+            good_share=SLOW_SHARE_GOOD,
+            bad_share=SLOW_SHARE_BAD,
+        )
--- a/tools/run_scenarios.py
+++ b/tools/run_scenarios.py
@@ -45,6 +45,7 @@
                 "-m",
                 "behave",
                 "--no-color",
+                "--logging-level=ERROR",
                 "--format=json",
                 f"--outfile={report.name}",
                 "--format=progress",
