--- a/fulmarbarrow/daemon/assembly.py
+++ b/fulmarbarrow/daemon/assembly.py
@@ -4,32 +4,39 @@
 
 import datetime
 import logging
+import random
 import typing
 
+import klein
 from twisted.internet import interfaces
 from twisted.internet import task
-from twisted.web import server
 
 from fulmarbarrow import bus as buses
 from fulmarbarrow import clock as clocks
 from fulmarbarrow.config import defaults
+from fulmarbarrow.config import options
 from fulmarbarrow.consensus import core as consensus_core
 from fulmarbarrow.consensus import messages as consensus_messages
 from fulmarbarrow.daemon import lifecycle
 from fulmarbarrow.delivery import core as delivery_core
+from fulmarbarrow.delivery import shell as delivery_shell
 from fulmarbarrow.edge import admin
 from fulmarbarrow.edge import callers
 from fulmarbarrow.edge import client
 from fulmarbarrow.edge import exchange
 from fulmarbarrow.edge import orders
+from fulmarbarrow.edge import site as sites
 from fulmarbarrow.edge import upstreams
-from fulmarbarrow.journal import core as journal_core
+from fulmarbarrow.journal import control as journal_control
+from fulmarbarrow.journal import router as journal_router
 from fulmarbarrow.limits import core as limits_core
+from fulmarbarrow.limits import policy as limits_policy
 from fulmarbarrow.membership import core as membership_core
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics as metrics_module
 from fulmarbarrow.placement import core as placement_core
+from fulmarbarrow.placement import messages as placement_messages
 from fulmarbarrow.publishing import control
 from fulmarbarrow.publishing import follower
 from fulmarbarrow.versions import control as versions_control
@@ -41,7 +48,9 @@
 log = logging.getLogger(__name__)
 
 TICK = datetime.timedelta(milliseconds=250)
+PLACEMENT_TICK = datetime.timedelta(milliseconds=50)
 DRAIN_CHECK = datetime.timedelta(milliseconds=50)
+MAX_OWN_BODY_BYTES = 16 << 20  # bundles and announcements
 
 
 class Daemon:
@@ -68,6 +77,7 @@
             message.Send, lambda event, _: self._transport.send(event)
         )
         self._callers: callers.CallersEdge | None = None
+        self._placement_ticks: task.LoopingCall | None = None
         self._add_common()
         if defaults.Role.CONTROL in settings.daemon.roles:
             self._add_control()
@@ -95,6 +105,7 @@
             "zone": self._settings.daemon.zone,
             "time": self._clock.now(),
             "open_requests": len(self._exchanges),
+            "callers": self._callers.dump() if self._callers else None,
             "unhandled": dict(self._bus.unhandled),
             "errors": dict(self._bus.errors),
             "cores": {name: core.dump() for name, core in self._cores.items()},
@@ -106,13 +117,16 @@
     def open_listeners(self) -> None:
         """Start to listen."""
         self._transport.start()
-        self._listen(self._settings.listen.admin, self._admin.app)
+        self._listen(self._settings.listen.admin, self._site(self._admin.app))
         if self._callers is not None:
-            self._listen(self._settings.listen.callers, self._callers.app)
+            self._listen(self._settings.listen.callers, self._callers.site)
             self._listen(
-                self._settings.listen.upstreams, self._upstreams_edge.app
+                self._settings.listen.upstreams,
+                self._site(self._upstreams_edge.app),
             )
         self._ticks.start(TICK.total_seconds())
+        if self._placement_ticks is not None:
+            self._placement_ticks.start(PLACEMENT_TICK.total_seconds())
         log.info("daemon %s serves", self._settings.daemon.id)
 
     def announce_stop(self) -> None:
@@ -137,8 +151,9 @@
         log.info("daemon %s stops", self._settings.daemon.id)
         if self._drain.running:
             self._drain.stop()
-        if self._ticks.running:
-            self._ticks.stop()
+        for ticks in (self._ticks, self._placement_ticks):
+            if ticks is not None and ticks.running:
+                ticks.stop()
         for port in self._ports:
             port.stopListening()
         self._transport.stop()
@@ -214,6 +229,18 @@
             bus=self._bus,
             key=self._settings.upstreams.key,
         )
+        self._add(
+            "journal_log",
+            consensus_core.ConsensusCore(
+                group=consensus_messages.Group.JOURNAL
+            ),
+        )
+        self._add(
+            "journal_control",
+            journal_control.JournalControl(
+                daemon=self._record, metrics=self._metrics
+            ),
+        )
 
     def _add_router(self) -> None:
         metrics = self._metrics
@@ -224,12 +251,16 @@
             clock=self._clock,
             metrics=metrics,
             exchanges=self._exchanges,
+            limits=self._settings.limits,
         )
         self._upstreams_edge = upstreams.UpstreamsEdge(
             bus=self._bus, key=self._settings.upstreams.key
         )
         self._client = client.UpstreamClient(
-            reactor=self._reactor, bus=self._bus, exchanges=self._exchanges
+            reactor=self._reactor,
+            bus=self._bus,
+            clock=self._clock,
+            exchanges=self._exchanges,
         )
         self._add(
             "versions",
@@ -238,18 +269,42 @@
             ),
         )
         self._add("zones", zones_core.ZonesCore())
-        self._add("limits", limits_core.LimitsCore(metrics=metrics))
+        policy = limits_policy.Policy()
+        self._add(
+            "limits", limits_core.LimitsCore(metrics=metrics, policy=policy)
+        )
         self._add(
             "placement",
             placement_core.PlacementCore(
-                address=self._record.address, metrics=metrics
+                daemon=self._record,
+                policy=policy,
+                metrics=metrics,
+                rng=random.Random(self._record.incarnation),
             ),
         )
-        self._add("journal", journal_core.JournalCore(metrics=metrics))
-        self._add("delivery", delivery_core.DeliveryCore(metrics=metrics))
+        self._placement_ticks = task.LoopingCall(
+            self._bus.post, placement_messages.PlacementTick()
+        )
+        self._add(
+            "journal",
+            journal_router.JournalRouter(daemon=self._record, metrics=metrics),
+        )
+        self._add(
+            "delivery",
+            delivery_core.DeliveryCore(metrics=metrics, rng=random.Random()),
+        )
+        delivery_shell.Alarm(reactor=self._reactor, bus=self._bus)
 
-    def _listen(self, address: typing.Any, app: typing.Any) -> None:
-        site = server.Site(app.resource())
+    def _site(self, app: klein.Klein) -> sites.BoundedSite:
+        return sites.BoundedSite(
+            resource=app.resource(),
+            max_body_bytes=MAX_OWN_BODY_BYTES,
+            metrics=self._metrics,
+        )
+
+    def _listen(
+        self, address: options.Address, site: sites.BoundedSite
+    ) -> None:
         port = self._reactor.listenTCP(
             address.port, site, interface=address.host
         )
