Build a daemon's cores apart from its edges

Cause: a replay and the fault matrix need the same cores as the daemon, but these were built among listeners and sockets. Change: daemon/cores.py joins the cores on a bus; daemon/assembly.py adds the I/O. Conclusion: one place decides what a role consists of.

--- a/fulmarbarrow/daemon/assembly.py
+++ b/fulmarbarrow/daemon/assembly.py
@@ -15,10 +15,8 @@
 from fulmarbarrow import clock as clocks
 from fulmarbarrow.config import defaults
 from fulmarbarrow.config import options
-from fulmarbarrow.consensus import core as consensus_core
-from fulmarbarrow.consensus import messages as consensus_messages
+from fulmarbarrow.daemon import cores
 from fulmarbarrow.daemon import lifecycle
-from fulmarbarrow.delivery import core as delivery_core
 from fulmarbarrow.delivery import shell as delivery_shell
 from fulmarbarrow.edge import admin
 from fulmarbarrow.edge import callers
@@ -27,23 +25,12 @@
 from fulmarbarrow.edge import orders
 from fulmarbarrow.edge import site as sites
 from fulmarbarrow.edge import upstreams
-from fulmarbarrow.journal import control as journal_control
-from fulmarbarrow.journal import router as journal_router
-from fulmarbarrow.limits import core as limits_core
-from fulmarbarrow.limits import policy as limits_policy
-from fulmarbarrow.membership import core as membership_core
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics as metrics_module
-from fulmarbarrow.placement import core as placement_core
 from fulmarbarrow.placement import messages as placement_messages
-from fulmarbarrow.publishing import control
-from fulmarbarrow.publishing import follower
-from fulmarbarrow.versions import control as versions_control
-from fulmarbarrow.versions import router as versions_router
 from fulmarbarrow.wire import codec
 from fulmarbarrow.wire import transport
-from fulmarbarrow.zones import core as zones_core
 
 log = logging.getLogger(__name__)
 
@@ -69,7 +56,6 @@
         self._metrics = metrics_module.Metrics()
         self._bus = buses.Bus(clock=clock)
         self._exchanges = exchange.Exchanges()
-        self._cores: dict[str, buses.Core] = {}
         self._ports: list[interfaces.IListeningPort] = []
         self._record = self._describe()
         self._transport = self._make_transport()
@@ -78,11 +64,17 @@
         )
         self._callers: callers.CallersEdge | None = None
         self._placement_ticks: task.LoopingCall | None = None
-        self._add_common()
         if defaults.Role.CONTROL in settings.daemon.roles:
-            self._add_control()
+            self._add_control_edges()
         if defaults.Role.ROUTER in settings.daemon.roles:
-            self._add_router()
+            self._add_router_edges()
+        self._cores = cores.Cores(
+            settings=settings,
+            record=self._record,
+            bus=self._bus,
+            metrics=self._metrics,
+            rng=random.Random(self._record.incarnation),
+        ).by_name
         self._admin = admin.AdminEdge(
             bus=self._bus, metrics=self._metrics, dump=self.dump
         )
@@ -188,68 +180,20 @@
             received=self._bus.post,
         )
 
-    def _add(self, name: str, core: buses.Core) -> None:
-        self._cores[name] = core
-        self._bus.attach(core)
-
-    def _add_common(self) -> None:
-        self._add(
-            "membership",
-            membership_core.MembershipCore(
-                daemon=self._record,
-                seeds=tuple(map(str, self._settings.peers.seeds)),
-                lease=self._settings.upstreams.lease,
-                metrics=self._metrics,
-            ),
-        )
-        self._add(
-            "publishing",
-            follower.PublishingFollower(
-                daemon_id=self._record.daemon_id, address=self._record.address
-            ),
-        )
-
-    def _add_control(self) -> None:
-        self._add(
-            "consensus",
-            consensus_core.ConsensusCore(
-                group=consensus_messages.Group.CONFIGURATION
-            ),
-        )
-        self._add("control", control.PublishingControl(daemon=self._record))
-        self._add(
-            "version_moves",
-            versions_control.VersionsControl(
-                daemon=self._record,
-                group=consensus_messages.Group.CONFIGURATION,
-            ),
-        )
+    def _add_control_edges(self) -> None:
         self._orders = orders.OrdersClient(
             reactor=self._reactor,
             bus=self._bus,
             key=self._settings.upstreams.key,
         )
-        self._add(
-            "journal_log",
-            consensus_core.ConsensusCore(
-                group=consensus_messages.Group.JOURNAL
-            ),
-        )
-        self._add(
-            "journal_control",
-            journal_control.JournalControl(
-                daemon=self._record, metrics=self._metrics
-            ),
-        )
 
-    def _add_router(self) -> None:
-        metrics = self._metrics
+    def _add_router_edges(self) -> None:
         self._callers = callers.CallersEdge(
             daemon_id=self._record.daemon_id,
             incarnation=self._record.incarnation,
             bus=self._bus,
             clock=self._clock,
-            metrics=metrics,
+            metrics=self._metrics,
             exchanges=self._exchanges,
             limits=self._settings.limits,
         )
@@ -262,37 +206,9 @@
             clock=self._clock,
             exchanges=self._exchanges,
         )
-        self._add(
-            "versions",
-            versions_router.VersionsRouter(
-                daemon=self._record, metrics=metrics
-            ),
-        )
-        self._add("zones", zones_core.ZonesCore())
-        policy = limits_policy.Policy()
-        self._add(
-            "limits", limits_core.LimitsCore(metrics=metrics, policy=policy)
-        )
-        self._add(
-            "placement",
-            placement_core.PlacementCore(
-                daemon=self._record,
-                policy=policy,
-                metrics=metrics,
-                rng=random.Random(self._record.incarnation),
-            ),
-        )
         self._placement_ticks = task.LoopingCall(
             self._bus.post, placement_messages.PlacementTick()
         )
-        self._add(
-            "journal",
-            journal_router.JournalRouter(daemon=self._record, metrics=metrics),
-        )
-        self._add(
-            "delivery",
-            delivery_core.DeliveryCore(metrics=metrics, rng=random.Random()),
-        )
         delivery_shell.Alarm(reactor=self._reactor, bus=self._bus)
 
     def _site(self, app: klein.Klein) -> sites.BoundedSite:
--- /dev/null
+++ b/fulmarbarrow/daemon/cores.py
@@ -0,0 +1,128 @@
+"""Joins the cores of one daemon on its bus, without any I/O.
+
+The daemon, a replay and the fault matrix all build their cores here.
+"""
+
+from __future__ import annotations
+
+import random
+
+from fulmarbarrow import bus as buses
+from fulmarbarrow.config import defaults
+from fulmarbarrow.consensus import core as consensus_core
+from fulmarbarrow.consensus import messages as consensus_messages
+from fulmarbarrow.delivery import core as delivery_core
+from fulmarbarrow.journal import control as journal_control
+from fulmarbarrow.journal import router as journal_router
+from fulmarbarrow.limits import core as limits_core
+from fulmarbarrow.limits import policy as limits_policy
+from fulmarbarrow.membership import core as membership_core
+from fulmarbarrow.membership import messages as membership_messages
+from fulmarbarrow.observe import metrics as metrics_module
+from fulmarbarrow.placement import core as placement_core
+from fulmarbarrow.publishing import control
+from fulmarbarrow.publishing import follower
+from fulmarbarrow.versions import control as versions_control
+from fulmarbarrow.versions import router as versions_router
+from fulmarbarrow.zones import core as zones_core
+
+
+class Cores:
+    """All cores of one daemon by name, attached to its bus."""
+
+    def __init__(
+        self,
+        *,
+        settings: defaults.Settings,
+        record: membership_messages.Daemon,
+        bus: buses.Bus,
+        metrics: metrics_module.Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._record = record
+        self._bus = bus
+        self._metrics = metrics
+        self._rng = rng
+        self.by_name: dict[str, buses.Core] = {}
+        self._add_common()
+        if defaults.Role.CONTROL in settings.daemon.roles:
+            self._add_control()
+        if defaults.Role.ROUTER in settings.daemon.roles:
+            self._add_router()
+
+    def _add(self, name: str, core: buses.Core) -> None:
+        self.by_name[name] = core
+        self._bus.attach(core)
+
+    def _add_common(self) -> None:
+        settings = self._settings
+        self._add(
+            "membership",
+            membership_core.MembershipCore(
+                daemon=self._record,
+                seeds=tuple(map(str, settings.peers.seeds)),
+                lease=settings.upstreams.lease,
+                metrics=self._metrics,
+            ),
+        )
+        self._add(
+            "publishing",
+            follower.PublishingFollower(
+                daemon_id=self._record.daemon_id, address=self._record.address
+            ),
+        )
+
+    def _add_control(self) -> None:
+        record = self._record
+        self._add(
+            "consensus",
+            consensus_core.ConsensusCore(
+                group=consensus_messages.Group.CONFIGURATION
+            ),
+        )
+        self._add("control", control.PublishingControl(daemon=record))
+        self._add(
+            "version_moves",
+            versions_control.VersionsControl(
+                daemon=record, group=consensus_messages.Group.CONFIGURATION
+            ),
+        )
+        self._add(
+            "journal_log",
+            consensus_core.ConsensusCore(
+                group=consensus_messages.Group.JOURNAL
+            ),
+        )
+        self._add(
+            "journal_control",
+            journal_control.JournalControl(
+                daemon=record, metrics=self._metrics
+            ),
+        )
+
+    def _add_router(self) -> None:
+        record, metrics = self._record, self._metrics
+        self._add(
+            "versions",
+            versions_router.VersionsRouter(daemon=record, metrics=metrics),
+        )
+        self._add("zones", zones_core.ZonesCore())
+        policy = limits_policy.Policy()
+        self._add(
+            "limits", limits_core.LimitsCore(metrics=metrics, policy=policy)
+        )
+        self._add(
+            "placement",
+            placement_core.PlacementCore(
+                daemon=record, policy=policy, metrics=metrics, rng=self._rng
+            ),
+        )
+        self._add(
+            "journal",
+            journal_router.JournalRouter(daemon=record, metrics=metrics),
+        )
+        self._add(
+            "delivery",
+            delivery_core.DeliveryCore(metrics=metrics, rng=self._rng),
+        )
