--- a/fulmarbarrow/__main__.py
+++ b/fulmarbarrow/__main__.py
@@ -8,6 +8,7 @@
 
 from fulmarbarrow.commands import check
 from fulmarbarrow.commands import dump
+from fulmarbarrow.commands import key
 from fulmarbarrow.commands import publish
 from fulmarbarrow.commands import status
 from fulmarbarrow import exceptions
@@ -15,6 +16,7 @@
 COMMANDS = {
     "check": check.check,
     "dump": dump.dump,
+    "key": key.key,
     "publish": publish.publish,
     "status": status.status,
 }
--- a/fulmarbarrow/commands/check.py
+++ b/fulmarbarrow/commands/check.py
@@ -5,27 +5,72 @@
 import pathlib
 import sys
 
+import msgspec
+
 from fulmarbarrow.config import bundle as bundles
 from fulmarbarrow.config import collect
 from fulmarbarrow.config import findings as findings_module
 from fulmarbarrow import exceptions
+from fulmarbarrow.observe import plain
+
 
+def check(*roots: str, json: bool = False) -> str:
+    """Check all operators' files below the given folders.
 
-def check(*roots: str) -> str:
-    """Check all operators' files below the given folders."""
-    bundle = load(roots)
-    return (
-        f"{len(bundle.service)} services, {len(bundle.account)} accounts, "
-        f"{len(bundle.zone)} zones, {len(bundle.version_move)} version moves"
+    Args:
+        roots: the folders
+        json: print the findings and counts as JSON
+    """
+    if json:
+        return _check_json(roots)
+    return "\n".join(
+        f"{count:6} {name}" for name, count in _counts(load(roots)).items()
     )
 
 
 def load(roots: tuple[str, ...]) -> bundles.Bundle:
     """Return the bundle below ``roots``; prints findings, raises on errors."""
-    bundle, found = collect.collect(pathlib.Path(root) for root in roots)
+    bundle, found = _collect(roots)
     for finding in found:
         print(finding, file=sys.stderr)
+    _raise_errors(found)
+    return bundle
+
+
+def _check_json(roots: tuple[str, ...]) -> str:
+    bundle, found = _collect(roots)
+    report = {"counts": _counts(bundle), "findings": plain.plain(found)}
+    text = msgspec.json.format(msgspec.json.encode(report)).decode()
+    if findings_module.errors(found):
+        print(text)
+    _raise_errors(found)
+    return text
+
+
+def _collect(
+    roots: tuple[str, ...],
+) -> tuple[bundles.Bundle, list[findings_module.Finding]]:
+    if not roots:
+        raise exceptions.ConfigurationError("name the folders of the files")
+    folders = [pathlib.Path(str(root)) for root in roots]
+    missing = [str(folder) for folder in folders if not folder.exists()]
+    if missing:
+        raise exceptions.ConfigurationError(
+            f"no such folder: {', '.join(missing)}"
+        )
+    return collect.collect(folders)
+
+
+def _raise_errors(found: list[findings_module.Finding]) -> None:
     problems = len(findings_module.errors(found))
     if problems:
         raise exceptions.ConfigurationError(f"{problems} errors in the files")
-    return bundle
+
+
+def _counts(bundle: bundles.Bundle) -> dict[str, int]:
+    return {
+        "services": len(bundle.service),
+        "accounts": len(bundle.account),
+        "zones": len(bundle.zone),
+        "version moves": len(bundle.version_move),
+    }
--- a/fulmarbarrow/commands/client.py
+++ b/fulmarbarrow/commands/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections.abc
+import os
 import typing
 
 import treq
@@ -10,13 +11,24 @@
 from twisted.internet import error as internet_errors
 from twisted.internet import task
 from twisted.python import failure as failures
+from twisted.web import client as web_client
 
+from fulmarbarrow.config import options
 from fulmarbarrow import exceptions
 
 TIMEOUT_SECONDS = 10
+KEY_VARIABLE = "FULMARBARROW_ADMIN_KEY"
 
 T = typing.TypeVar("T")
 
+_UNREACHABLE = (
+    internet_errors.ConnectError,
+    internet_errors.ConnectionClosed,
+    web_client.ResponseFailed,
+    web_client.RequestNotSent,
+    defer.CancelledError,
+)
+
 
 async def get_json(admin: str, path: str) -> typing.Any:
     """Return the JSON answer of a daemon; raises UnreachableError."""
@@ -31,23 +43,46 @@
 async def _json(
     admin: str, path: str, method: str, body: bytes | None
 ) -> typing.Any:
+    address = _address(admin)
+    key = os.environ.get(KEY_VARIABLE, "")
     try:
         response = await treq.request(
             method,
-            f"http://{admin}{path}",
+            f"http://{address}{path}",
             data=body,
+            headers={"Authorization": f"Bearer {key}"} if key else {},
             timeout=TIMEOUT_SECONDS,
             persistent=False,
         )
-        return await response.json()
-    except (
-        internet_errors.ConnectError,
-        internet_errors.ConnectionClosed,
-        defer.CancelledError,
-        ValueError,
-    ) as error:
+        answer = await response.json()
+    except _UNREACHABLE as error:
         reason = f"{admin} does not answer: {error}"
         raise exceptions.UnreachableError(reason) from error
+    except ValueError as error:
+        reason = f"{admin} does not answer like an admin port"
+        raise exceptions.UnreachableError(reason) from error
+    _check(admin, response.code, answer)
+    return answer
+
+
+def _address(admin: str) -> options.Address:
+    try:
+        return options.parse_address(admin)
+    except ValueError as error:
+        raise exceptions.ConfigurationError(f"--admin: {error}") from error
+
+
+def _check(admin: str, status: int, answer: typing.Any) -> None:
+    """Raise what a daemon's refusal means."""
+    if status == 401:
+        raise exceptions.UnauthorizedError(
+            f"{admin} wants the operators' key; set {KEY_VARIABLE} to the "
+            "daemon's daemon.admin_key"
+        )
+    if status >= 400:
+        error = answer.get("error", {}) if isinstance(answer, dict) else {}
+        text = error.get("message") or error.get("code") or str(answer)
+        raise exceptions.RefusedError(f"{admin} refused: {text}")
 
 
 def run(
--- /dev/null
+++ b/fulmarbarrow/config/checks.py
@@ -0,0 +1,151 @@
+"""Checks settings that only make sense together."""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+import datetime
+import ipaddress
+import logging
+
+from fulmarbarrow.config import defaults
+from fulmarbarrow.config import findings
+
+MIN_KEY_CHARACTERS = 16
+MIN_ANSWER_BUFFER_BYTES = 192 << 10
+LISTENERS = ("callers", "upstreams", "admin", "peers")
+
+_Found = collections.abc.Iterator[findings.Finding]
+
+
+def check(settings: defaults.Settings, source: findings.Source) -> _Found:
+    """Yield every error and warning about the settings as a whole."""
+    yield from _check_roles(settings, source)
+    yield from _check_keys(settings, source)
+    yield from _check_addresses(settings, source)
+    yield from _check_bounds(settings, source)
+    if settings.log.level not in logging.getLevelNamesMapping():
+        text = f"{settings.log.level!r} is not a log level"
+        yield source.finding("log.level", text)
+
+
+def _check_roles(
+    settings: defaults.Settings, source: findings.Source
+) -> _Found:
+    roles = settings.daemon.roles
+    if not roles:
+        yield source.finding("daemon.roles", "names no role")
+    if defaults.Role.ROUTER in roles:
+        for name in ("callers", "upstreams"):
+            if getattr(settings.listen, name) is None:
+                text = "required for the role 'router'"
+                yield source.finding(f"listen.{name}", text)
+    if defaults.Role.CONTROL in roles:
+        yield from _check_control(settings, source)
+    elif not settings.peers.seeds:
+        text = "empty: this daemon joins no fleet"
+        yield _warning(source, "peers.seeds", text)
+
+
+def _check_control(
+    settings: defaults.Settings, source: findings.Source
+) -> _Found:
+    if not settings.daemon.data_dir:
+        text = "required for the role 'control'"
+        yield source.finding("daemon.data_dir", text)
+    members = settings.control.members
+    own = [item for item in members if item.id == settings.daemon.id]
+    if members and not own:
+        text = f"do not name this daemon, {settings.daemon.id!r}"
+        yield source.finding("control.members", text)
+    for member in own:
+        if member.address != settings.listen.peers:
+            text = f"give this daemon {member.address}, not listen.peers"
+            yield source.finding("control.members", text)
+    if _repeated(member.id for member in members):
+        yield source.finding("control.members", "name a daemon twice")
+    if _repeated(member.address for member in members):
+        yield source.finding("control.members", "name an address twice")
+    if len(members) % 2 == 0 and members:
+        text = f"are {len(members)}: one fewer would bear as many losses"
+        yield _warning(source, "control.members", text)
+
+
+def _check_keys(
+    settings: defaults.Settings, source: findings.Source
+) -> _Found:
+    keys = {
+        "daemon.fleet_key": settings.daemon.fleet_key,
+        "daemon.admin_key": settings.daemon.admin_key,
+    }
+    for name, key in keys.items():
+        optional = name == "daemon.admin_key" and not key
+        if len(key) < MIN_KEY_CHARACTERS and not optional:
+            text = f"must have at least {MIN_KEY_CHARACTERS} characters"
+            yield source.finding(name, text)
+    host = ipaddress.ip_address(settings.listen.admin.host)
+    if not settings.daemon.admin_key and not host.is_loopback:
+        text = f"required, since listen.admin {host} is not loopback"
+        yield source.finding("daemon.admin_key", text)
+    is_router = defaults.Role.ROUTER in settings.daemon.roles
+    if is_router and not settings.upstreams.key:
+        text = "empty: anyone who reaches the port may be an upstream"
+        yield _warning(source, "upstreams.key", text)
+
+
+def _check_addresses(
+    settings: defaults.Settings, source: findings.Source
+) -> _Found:
+    seen: dict[object, str] = {}
+    for name in LISTENERS:
+        address = getattr(settings.listen, name)
+        if address is None:
+            continue
+        first = seen.setdefault(address, name)
+        if first != name and address.port:
+            text = f"{address} is also listen.{first}"
+            yield source.finding(f"listen.{name}", text)
+    if ipaddress.ip_address(settings.listen.peers.host).is_unspecified:
+        text = "must be the address at which other daemons reach this one"
+        yield source.finding("listen.peers", text)
+    if _repeated(settings.peers.seeds):
+        yield _warning(source, "peers.seeds", "name an address twice")
+    if settings.listen.peers in settings.peers.seeds:
+        yield _warning(source, "peers.seeds", "name this daemon itself")
+
+
+def _check_bounds(
+    settings: defaults.Settings, source: findings.Source
+) -> _Found:
+    zero = datetime.timedelta()
+    for name, value in (
+        ("upstreams.lease", settings.upstreams.lease),
+        ("limits.progress_timeout", settings.limits.progress_timeout),
+    ):
+        if value <= zero:
+            yield source.finding(name, "must be above 0")
+    for name in (
+        "max_body_bytes",
+        "max_answer_buffer_bytes",
+        "max_waiting_requests",
+    ):
+        if getattr(settings.limits, name) <= 0:
+            yield source.finding(f"limits.{name}", "must be above 0")
+    if settings.daemon.grace <= zero:
+        text = "0: the balancer may still send requests that are refused"
+        yield _warning(source, "daemon.grace", text)
+    buffer = settings.limits.max_answer_buffer_bytes
+    if 0 < buffer < MIN_ANSWER_BUFFER_BYTES:
+        text = f"below {MIN_ANSWER_BUFFER_BYTES}: cuts off slow callers"
+        yield _warning(source, "limits.max_answer_buffer_bytes", text)
+    if settings.trace.path and not settings.daemon.data_dir:
+        text = "required, since trace.path lies below it"
+        yield source.finding("daemon.data_dir", text)
+
+
+def _repeated(items: collections.abc.Iterable[object]) -> bool:
+    return any(count > 1 for count in collections.Counter(items).values())
+
+
+def _warning(source: findings.Source, key: str, text: str) -> findings.Finding:
+    return source.finding(key, text, findings.Severity.WARNING)
--- a/fulmarbarrow/config/defaults.py
+++ b/fulmarbarrow/config/defaults.py
@@ -28,7 +28,8 @@
     """Who this daemon is.
 
     ``grace`` is how long new requests are still taken after a stop began, so
-    that the balancer can notice ``/healthz``.
+    that the balancer can notice ``/healthz``. ``admin_key`` is the operators'
+    bearer key to the admin port; only a loopback address goes without.
     """
 
     id: str
@@ -38,6 +39,7 @@
     fleet_key: str
     data_dir: str = ""
     grace: datetime.timedelta = datetime.timedelta(seconds=5)
+    admin_key: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -98,6 +100,18 @@
     level: str = "INFO"
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TraceSection:
+    """Where to record this daemon's messages from its start.
+
+    ``path`` lies below ``daemon.data_dir``; empty records nothing.
+    Recording ends at ``max_bytes``.
+    """
+
+    path: str = ""
+    max_bytes: int = 64 << 20
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Settings:
     """All settings of one daemon."""
@@ -109,3 +123,4 @@
     upstreams: UpstreamsSection = UpstreamsSection()
     limits: LimitsSection = LimitsSection()
     log: LogSection = LogSection()
+    trace: TraceSection = TraceSection()
--- a/fulmarbarrow/config/features/steps/settings.py
+++ b/fulmarbarrow/config/features/steps/settings.py
@@ -30,14 +30,24 @@
     assert context.settings is None
 
 
+@behave.then("there are settings")
+def step_settings(context):
+    assert context.settings is not None, context.found
+
+
 @behave.then("the findings are")
 def step_findings(context):
-    places = {(item.line, item.key): item.text for item in context.found}
-    expected = {(int(row["line"]), row["key"]) for row in context.table}
-    assert set(places) == expected, places
+    left = list(context.found)
     for row in context.table:
-        text = places[int(row["line"]), row["key"]]
-        assert row["text"] in text, text
+        place = int(row["line"]), row["key"]
+        fits = [
+            item
+            for item in left
+            if (item.line, item.key) == place and row["text"] in item.text
+        ]
+        assert fits, (place, left)
+        left.remove(fits[0])
+    assert not left, left
 
 
 @behave.when("the duration {text} is read")
--- a/fulmarbarrow/config/findings.py
+++ b/fulmarbarrow/config/findings.py
@@ -28,7 +28,9 @@
 
     def __str__(self) -> str:
         """Return the finding as one line for a terminal."""
-        return f"{self.file}:{self.line}: {self.key}: {self.text}"
+        place = f"{self.file}:{self.line}" if self.line else self.file
+        parts = [place, self.severity.value, self.key, self.text]
+        return ": ".join(part for part in parts if part)
 
 
 class KeyLines:
@@ -69,6 +71,9 @@
             if header:
                 prefix = self._indexed(header, counts)
                 self._lines.setdefault(prefix, number)
+                if header.group(1) == "[[":
+                    array = prefix.rpartition("[")[0]
+                    self._lines.setdefault(array, number)
                 continue
             key = self._KEY.match(line)
             if key:
--- a/fulmarbarrow/daemon/__main__.py
+++ b/fulmarbarrow/daemon/__main__.py
@@ -12,31 +12,46 @@
 
 from fulmarbarrow import clock as clocks
 from fulmarbarrow.config import base
-from fulmarbarrow.config import findings as findings_module
+from fulmarbarrow.config import defaults
+from fulmarbarrow.config import findings
 from fulmarbarrow.observe import logs
 
 EXIT_SETTINGS = 2
 
 
 def run(settings: str) -> None:
-    """Run a daemon with the settings in a TOML file."""
-    loaded, found = base.load_settings(pathlib.Path(settings))
+    """Run a daemon.
+
+    Args:
+        settings: the path of its settings, a TOML file
+    """
+    path = pathlib.Path(str(settings))
+    loaded, found = base.load_settings(path)
     for finding in found:
         print(finding, file=sys.stderr)
-    if loaded is None or findings_module.errors(found):
+    if loaded is None:
         raise SystemExit(EXIT_SETTINGS)
     logs.set_up(loaded.log)
     loop = asyncio.new_event_loop()
     asyncio.set_event_loop(loop)
     asyncioreactor.install(loop)
+    _serve(loaded, findings.Source(path=path, text=path.read_text()))
+
+
+def _serve(settings: defaults.Settings, source: findings.Source) -> None:
     # These import the reactor, so they wait until it is installed.
     from twisted.internet import reactor
 
     from fulmarbarrow.daemon import assembly
 
     daemon = assembly.Daemon(
-        settings=loaded, reactor=reactor, clock=clocks.SystemClock()
+        settings=settings, reactor=reactor, clock=clocks.SystemClock()
     )
+    failed = daemon.bind()
+    for key, text in failed.items():
+        print(source.finding(key, text), file=sys.stderr)
+    if failed:
+        raise SystemExit(EXIT_SETTINGS)
 
     def on_signal(*_: object) -> None:
         reactor.callFromThread(daemon.stop)
--- a/fulmarbarrow/daemon/assembly.py
+++ b/fulmarbarrow/daemon/assembly.py
@@ -7,22 +7,22 @@
 import random
 import typing
 
-import klein
-from twisted.internet import interfaces
 from twisted.internet import task
+from twisted.web import resource as resources
 
 from fulmarbarrow import bus as buses
 from fulmarbarrow import clock as clocks
 from fulmarbarrow.config import defaults
-from fulmarbarrow.config import options
 from fulmarbarrow.consensus import core as consensus_core
 from fulmarbarrow.consensus import messages as consensus_messages
 from fulmarbarrow.daemon import lifecycle
+from fulmarbarrow.daemon import listeners
 from fulmarbarrow.delivery import core as delivery_core
 from fulmarbarrow.edge import admin
 from fulmarbarrow.edge import callers
 from fulmarbarrow.edge import client
 from fulmarbarrow.edge import exchange
+from fulmarbarrow.edge import guarded
 from fulmarbarrow.edge import site as sites
 from fulmarbarrow.edge import upstreams
 from fulmarbarrow.journal import core as journal_core
@@ -62,11 +62,15 @@
         self._settings = settings
         self._reactor = reactor
         self._clock = clock
-        self._metrics = metrics_module.Metrics()
+        self._metrics = metrics_module.Metrics(
+            common={
+                "daemon": settings.daemon.id,
+                "zone": settings.daemon.zone,
+            }
+        )
         self._bus = buses.Bus(clock=clock)
         self._exchanges = exchange.Exchanges()
         self._cores: dict[str, buses.Core] = {}
-        self._ports: list[interfaces.IListeningPort] = []
         self._record = self._describe()
         self._transport = self._make_transport()
         self._bus.subscribe(
@@ -84,8 +88,13 @@
         )
         self._ticks = task.LoopingCall(self._bus.post, message.Tick())
         self._drain = task.LoopingCall(self._check_drained)
+        self._listeners = self._make_listeners()
         self._lifecycle = lifecycle.make_lifecycle(self)
 
+    def bind(self) -> dict[str, str]:
+        """Bind every port; return what failed by setting."""
+        return self._listeners.bind()
+
     def start(self) -> None:
         """Start to serve."""
         self._lifecycle.start()
@@ -110,16 +119,8 @@
 
     # Actions of the lifecycle.
 
-    def open_listeners(self) -> None:
-        """Start to listen."""
-        self._transport.start()
-        self._listen(self._settings.listen.admin, self._site(self._admin.app))
-        if self._callers is not None:
-            self._listen(self._settings.listen.callers, self._callers.site)
-            self._listen(
-                self._settings.listen.upstreams,
-                self._site(self._upstreams_edge.app),
-            )
+    def begin_serving(self) -> None:
+        """Start the clockwork; the ports are bound already."""
         self._ticks.start(TICK.total_seconds())
         if self._placement_ticks is not None:
             self._placement_ticks.start(PLACEMENT_TICK.total_seconds())
@@ -150,9 +151,7 @@
         for ticks in (self._ticks, self._placement_ticks):
             if ticks is not None and ticks.running:
                 ticks.stop()
-        for port in self._ports:
-            port.stopListening()
-        self._transport.stop()
+        self._listeners.close()
         self._reactor.callLater(0, self._reactor.stop)
 
     def _check_drained(self) -> None:
@@ -252,17 +251,24 @@
         self._add("journal", journal_core.JournalCore(metrics=metrics))
         self._add("delivery", delivery_core.DeliveryCore(metrics=metrics))
 
-    def _site(self, app: klein.Klein) -> sites.BoundedSite:
+    def _make_listeners(self) -> listeners.Listeners:
+        listen = self._settings.listen
+        made = listeners.Listeners(
+            reactor=self._reactor, transport=self._transport
+        )
+        admin_resource = guarded.GuardedResource(
+            app=self._admin.app, key=self._settings.daemon.admin_key
+        )
+        made.add("admin", listen.admin, self._site(admin_resource))
+        if self._callers is not None:
+            made.add("callers", listen.callers, self._callers.site)
+            announcements = self._upstreams_edge.app.resource()
+            made.add("upstreams", listen.upstreams, self._site(announcements))
+        return made
+
+    def _site(self, resource: resources.IResource) -> sites.BoundedSite:
         return sites.BoundedSite(
-            resource=app.resource(),
+            resource=resource,
             max_body_bytes=MAX_OWN_BODY_BYTES,
             metrics=self._metrics,
         )
-
-    def _listen(
-        self, address: options.Address, site: sites.BoundedSite
-    ) -> None:
-        port = self._reactor.listenTCP(
-            address.port, site, interface=address.host
-        )
-        self._ports.append(port)
--- a/fulmarbarrow/daemon/lifecycle.py
+++ b/fulmarbarrow/daemon/lifecycle.py
@@ -10,8 +10,8 @@
 class Actions(typing.Protocol):
     """What the lifecycle has done by the assembled daemon."""
 
-    def open_listeners(self) -> None:
-        """Start to listen."""
+    def begin_serving(self) -> None:
+        """Start the clockwork; the ports are bound already."""
 
     def announce_stop(self) -> None:
         """Turn the health check to 503 and tell the other daemons."""
@@ -49,7 +49,7 @@
 
     @idle.upon(Lifecycle.start).to(serving)
     def start(_: Lifecycle, actions: Actions) -> None:
-        actions.open_listeners()
+        actions.begin_serving()
 
     @serving.upon(Lifecycle.stop).to(leaving)
     def stop(_: Lifecycle, actions: Actions) -> None:
--- a/fulmarbarrow/exceptions.py
+++ b/fulmarbarrow/exceptions.py
@@ -67,3 +67,17 @@
 
     code = "replay_mismatch"
     exit_code = 7
+
+
+class UnauthorizedError(FulmarbarrowError):
+    """A daemon's admin port does not accept the key."""
+
+    code = "unauthorized"
+    exit_code = 8
+
+
+class RefusedError(FulmarbarrowError):
+    """A daemon's admin port refused a request."""
+
+    code = "request_refused"
+    exit_code = 9
--- a/fulmarbarrow/observe/metrics.py
+++ b/fulmarbarrow/observe/metrics.py
@@ -24,9 +24,13 @@
 
 
 class Metrics:
-    """Named counters and duration histograms with labels."""
+    """Named counters and duration histograms with labels.
 
-    def __init__(self) -> None:
+    The exposition gives every one the ``common`` labels, such as the zone.
+    """
+
+    def __init__(self, *, common: dict[str, str] | None = None) -> None:
+        self._common = common or {}
         self._counters: dict[tuple[str, _Labels], int] = {}
         self._histograms: dict[
             tuple[str, _Labels], hdrh.histogram.HdrHistogram
@@ -130,7 +134,9 @@
                 )
                 families[name] = family
             family.add_sample(
-                f"fulmarbarrow_{name}_total", dict(labels), value
+                f"fulmarbarrow_{name}_total",
+                {**self._common, **dict(labels)},
+                value,
             )
         yield from families.values()
 
@@ -148,15 +154,13 @@
                     full, name.replace("_", " "), "summary"
                 ),
             )
+            own = {**self._common, **dict(labels)}
             for percentile in PERCENTILES:
                 value = histogram.get_value_at_percentile(percentile) / 1e6
-                family.add_sample(
-                    full,
-                    {**dict(labels), "quantile": f"{percentile / 100:g}"},
-                    value,
-                )
+                quantile = f"{percentile / 100:g}"
+                family.add_sample(full, {**own, "quantile": quantile}, value)
             family.add_sample(
-                f"{full}_count", dict(labels), histogram.get_total_count()
+                f"{full}_count", own, histogram.get_total_count()
             )
         yield from families.values()
 
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -103,7 +103,7 @@
     def start(self) -> None:
         """Start the daemon and wait until its admin port answers."""
         self.spawn()
-        wait_until(lambda: self.dump() is not None, f"{self.daemon_id} starts")
+        wait_until(self._serves, f"{self.daemon_id} starts")
 
     def spawn(self) -> None:
         """Start the daemon without waiting."""
@@ -120,6 +120,12 @@
                 stderr=output,
             )
 
+    def _serves(self) -> bool:
+        if self.process is not None and self.process.poll() is not None:
+            log = (self.folder / f"{self.daemon_id}.log").read_text()
+            raise RuntimeError(f"{self.daemon_id} ended:\n{log}")
+        return self.dump() is not None
+
     def dump(self) -> dict[str, typing.Any] | None:
         """Return the daemon's state, or None if it does not answer."""
         status, body = fetch(f"http://{self.admin}/dump")
