--- a/fulmarbarrow/daemon/assembly.py
+++ b/fulmarbarrow/daemon/assembly.py
@@ -18,14 +18,17 @@
 from fulmarbarrow.daemon import lifecycle
 from fulmarbarrow.daemon import listeners
 from fulmarbarrow.delivery import core as delivery_core
+from fulmarbarrow.delivery import shell as delivery_shell
 from fulmarbarrow.edge import admin
 from fulmarbarrow.edge import callers
 from fulmarbarrow.edge import client
 from fulmarbarrow.edge import exchange
 from fulmarbarrow.edge import guarded
+from fulmarbarrow.edge import orders
 from fulmarbarrow.edge import site as sites
 from fulmarbarrow.edge import upstreams
-from fulmarbarrow.journal import core as journal_core
+from fulmarbarrow.journal import control as journal_control
+from fulmarbarrow.journal import router as journal_router
 from fulmarbarrow.limits import core as limits_core
 from fulmarbarrow.limits import policy as limits_policy
 from fulmarbarrow.membership import core as membership_core
@@ -36,7 +39,8 @@
 from fulmarbarrow.placement import messages as placement_messages
 from fulmarbarrow.publishing import control
 from fulmarbarrow.publishing import follower
-from fulmarbarrow.versions import core as versions_core
+from fulmarbarrow.versions import control as versions_control
+from fulmarbarrow.versions import router as versions_router
 from fulmarbarrow.wire import codec
 from fulmarbarrow.wire import transport
 from fulmarbarrow.zones import core as zones_core
@@ -212,6 +216,30 @@
             ),
         )
         self._add("control", control.PublishingControl(daemon=self._record))
+        self._add(
+            "version_moves",
+            versions_control.VersionsControl(
+                daemon=self._record,
+                group=consensus_messages.Group.CONFIGURATION,
+            ),
+        )
+        self._orders = orders.OrdersClient(
+            reactor=self._reactor,
+            bus=self._bus,
+            key=self._settings.upstreams.key,
+        )
+        self._add(
+            "journal_log",
+            consensus_core.ConsensusCore(
+                group=consensus_messages.Group.JOURNAL
+            ),
+        )
+        self._add(
+            "journal_control",
+            journal_control.JournalControl(
+                daemon=self._record, metrics=self._metrics
+            ),
+        )
 
     def _add_router(self) -> None:
         metrics = self._metrics
@@ -228,9 +256,17 @@
             bus=self._bus, key=self._settings.upstreams.key
         )
         self._client = client.UpstreamClient(
-            reactor=self._reactor, bus=self._bus, exchanges=self._exchanges
+            reactor=self._reactor,
+            bus=self._bus,
+            clock=self._clock,
+            exchanges=self._exchanges,
+        )
+        self._add(
+            "versions",
+            versions_router.VersionsRouter(
+                daemon=self._record, metrics=metrics
+            ),
         )
-        self._add("versions", versions_core.VersionsCore())
         self._add("zones", zones_core.ZonesCore())
         policy = limits_policy.Policy()
         self._add(
@@ -248,8 +284,15 @@
         self._placement_ticks = task.LoopingCall(
             self._bus.post, placement_messages.PlacementTick()
         )
-        self._add("journal", journal_core.JournalCore(metrics=metrics))
-        self._add("delivery", delivery_core.DeliveryCore(metrics=metrics))
+        self._add(
+            "journal",
+            journal_router.JournalRouter(daemon=self._record, metrics=metrics),
+        )
+        self._add(
+            "delivery",
+            delivery_core.DeliveryCore(metrics=metrics, rng=random.Random()),
+        )
+        delivery_shell.Alarm(reactor=self._reactor, bus=self._bus)
 
     def _make_listeners(self) -> listeners.Listeners:
         listen = self._settings.listen
--- a/fulmarbarrow/placement/core.py
+++ b/fulmarbarrow/placement/core.py
@@ -46,7 +46,6 @@
         membership_messages.DaemonGone,
         zones_messages.ZoneWeights,
         versions_messages.VersionShares,
-        versions_messages.VersionStopped,
         messages.PlaceRequest,
         messages.PlaceCancelled,
         messages.WorkEnded,
@@ -191,10 +190,6 @@
                 self._directory.set_shares(
                     event.service, event.model, event.shares
                 )
-            case versions_messages.VersionStopped():
-                self._directory.stop_version(
-                    event.service, event.model, event.version
-                )
         return []
 
     def _changed(
