Hold leases at owners and spread only changes among daemons

Every daemon sent its whole list of upstreams to every other one with each tick. That grows with daemons times upstreams, cannot tell a restart from an old record that arrives late, and knows no owners.

Gossiping each renewal was ruled out: a region of 1,175 upstreams renews as many leases a second, far above the byte budget of a daemon. An announcement now goes to the daemon that holds the lease, the upstream's owner, and only changes go further: over a ring of daemons in two hops, urgent ones first, under a byte rate. Probes with suspicion and refutation find failed daemons; digests in the probes find what was missed.

The upstream names its owner with an epoch, taken from the answers to its announcements, so two daemons never hold one epoch. One that names nobody has an owner only while the routers of its zone agree on who is there. A zone that is cut off is hidden here instead of declared gone, so that its return costs no records.

--- a/fulmarbarrow/daemon/assembly.py
+++ b/fulmarbarrow/daemon/assembly.py
@@ -4,6 +4,7 @@
 
 import datetime
 import logging
+import random
 import typing
 
 from twisted.internet import interfaces
@@ -183,6 +184,7 @@
                 seeds=tuple(map(str, self._settings.peers.seeds)),
                 lease=self._settings.upstreams.lease,
                 metrics=self._metrics,
+                rng=random.Random(),
             ),
         )
         self._add(
--- a/fulmarbarrow/edge/upstreams.py
+++ b/fulmarbarrow/edge/upstreams.py
@@ -37,7 +37,9 @@
 class AnnounceBody(msgspec.Struct, frozen=True, kw_only=True):
     """What an upstream sends to ``POST /v1/announce``.
 
-    The fields are those of membership's ``Upstream``.
+    The fields are those of membership's ``Upstream``. ``owner`` and
+    ``owner_epoch`` repeat the last answer whose ``owner_epoch`` was above
+    all before it, and are empty and 0 before the first.
     """
 
     upstream_id: str
@@ -51,6 +53,8 @@
     state: messages.UpstreamState
     started_at: datetime.datetime
     checks_fencing: bool = False
+    owner: str = ""
+    owner_epoch: int = 0
     load: LoadBody = LoadBody()
 
     def upstream(self) -> messages.Upstream:
@@ -68,6 +72,14 @@
         return messages.Load(**msgspec.structs.asdict(self.load))
 
 
+class AnnounceAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """What an upstream gets for an announcement that holds."""
+
+    lease_seconds: float
+    owner: str = ""
+    owner_epoch: int = 0
+
+
 class CacheBody(msgspec.Struct, frozen=True, kw_only=True):
     """What an engine sends to ``POST /v1/cache-events``."""
 
@@ -110,8 +122,13 @@
         if self._reply is None:
             code = self._refusal.code if self._refusal else "not_taken"
             return _error(request, 409, code)
-        lease = self._reply.lease.total_seconds()
-        return msgspec.json.encode({"lease_seconds": lease})
+        return msgspec.json.encode(
+            AnnounceAnswer(
+                lease_seconds=self._reply.lease.total_seconds(),
+                owner=self._reply.owner,
+                owner_epoch=self._reply.owner_epoch,
+            )
+        )
 
     def _cache(self, request: http.Request) -> bytes:
         if not self._authentic(request):
--- /dev/null
+++ b/fulmarbarrow/membership/announcements.py
@@ -0,0 +1,217 @@
+"""Takes announcements and passes renewals on to the leases' holders."""
+
+from __future__ import annotations
+
+import collections.abc
+import datetime
+
+from fulmarbarrow.membership import daemons
+from fulmarbarrow.membership import damping
+from fulmarbarrow.membership import leases as lease_keepers
+from fulmarbarrow.membership import messages
+from fulmarbarrow.membership import outbox as outboxes
+from fulmarbarrow.membership import ownership as ownerships
+from fulmarbarrow.membership import state
+from fulmarbarrow.membership import upstreams
+
+Learned = collections.abc.Callable[
+    [state.Entry, messages.Upstream | None, datetime.datetime], None
+]
+
+
+class Announcements:
+    """Answers each announcement and keeps the lease's holder informed.
+
+    A renewal goes to the holder alone. A new or changed record goes there
+    too, and the holder tells the other daemons.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: upstreams.UpstreamTable,
+        members: daemons.DaemonTable,
+        ownership: ownerships.Ownership,
+        leases: lease_keepers.LeaseKeeper,
+        flaps: damping.Damping,
+        outbox: outboxes.Outbox,
+        lease: datetime.timedelta,
+        learned: Learned,
+    ) -> None:
+        self._table = table
+        self._members = members
+        self._ownership = ownership
+        self._leases = leases
+        self._flaps = flaps
+        self._outbox = outbox
+        self._lease = lease
+        self._learned = learned
+
+    def announced(
+        self, event: messages.Announced, now: datetime.datetime
+    ) -> None:
+        """Take an announcement that an upstream sent to this daemon."""
+        upstream = event.upstream
+        code = self._refusal(upstream)
+        if code:
+            self._outbox.emit(
+                messages.AnnounceRefused(
+                    upstream_id=upstream.upstream_id,
+                    incarnation=upstream.incarnation,
+                    code=code,
+                )
+            )
+            return
+        holder = self._ownership.holder(upstream)
+        if holder == self._members.own.daemon_id:
+            entry, known = self._enter(upstream, now), True
+        else:
+            entry, known = self._take(upstream, now)
+            self._pass_on(event, holder, known=known)
+        if entry is not None:
+            self._leases.renew(entry, upstream.sequence, now)
+            self._report_load(upstream, event.load)
+        owner, epoch = "", 0
+        if not self._held_back(upstream, entry, now):
+            learned_at = entry.learned_at if entry is not None else now
+            owner, epoch = self._ownership.suggest(upstream, learned_at, now)
+        self._outbox.emit(
+            messages.AnnounceAccepted(
+                upstream_id=upstream.upstream_id,
+                incarnation=upstream.incarnation,
+                lease=self._lease,
+                owner=owner,
+                owner_epoch=epoch,
+            )
+        )
+
+    def renewed(
+        self, event: messages.LeaseRenewal, now: datetime.datetime
+    ) -> bool:
+        """Take a renewal as holder; return whether its upstream is known."""
+        record = event.upstream
+        if record is not None and not self._refusal(record):
+            self._enter(record, now)
+        entry = self._table.get(event.upstream_id)
+        if entry is None:
+            gone = self._table.tombstone(event.upstream_id)
+            return gone is not None or record is not None
+        if event.incarnation != entry.upstream.incarnation:
+            older = event.incarnation < entry.upstream.incarnation
+            return older or record is not None
+        if event.sequence >= entry.sequence:
+            self._leases.renew(entry, event.sequence, now)
+            if event.load is not None:
+                self._report_load(entry.upstream, event.load)
+        return True
+
+    def _refusal(self, upstream: messages.Upstream) -> str:
+        """Return why an announcement can't hold, "" if it can."""
+        gone = self._table.tombstone(upstream.upstream_id)
+        if gone is not None:
+            if upstream.incarnation < gone.incarnation:
+                return "stale_incarnation"
+            if upstream.incarnation == gone.incarnation:
+                if gone.left:
+                    return "already_left"
+                if upstream.sequence <= gone.sequence:
+                    return "stale_sequence"
+        entry = self._table.get(upstream.upstream_id)
+        if entry is not None:
+            if upstream.incarnation < entry.upstream.incarnation:
+                return "stale_incarnation"
+            same = upstream.incarnation == entry.upstream.incarnation
+            if same and upstream.sequence <= entry.sequence:
+                return "stale_sequence"
+        return ""
+
+    def _enter(
+        self, upstream: messages.Upstream, now: datetime.datetime
+    ) -> state.Entry | None:
+        """Enter a record as its holder; None while it is held back."""
+        entry = self._table.get(upstream.upstream_id)
+        before = entry.upstream if entry is not None else None
+        same = before and before.incarnation == upstream.incarnation
+        if same and state.only_renews(before, upstream):
+            self._show(entry, now)
+            return entry
+        held_back = self._held_back(upstream, entry, now)
+        if held_back and not self._flaps.may_return(upstream, now):
+            return None
+        entry = self._table.learn(upstream, now)
+        if entry is not None:
+            self._learned(entry, before if same else None, now)
+        return entry
+
+    def _take(
+        self, upstream: messages.Upstream, now: datetime.datetime
+    ) -> tuple[state.Entry | None, bool]:
+        """Return the entry that an announcement renews, and whether the
+        holder can know the record as well.
+
+        A change is left to the holder, so that it is told once, but for
+        that of the state, which must not wait for a holder that may be lost.
+        """
+        entry = self._table.get(upstream.upstream_id)
+        if entry is None:
+            return None, False
+        before = entry.upstream
+        if before.incarnation != upstream.incarnation:
+            return None, False
+        if state.only_renews(before, upstream):
+            self._show(entry, now)
+            return entry, True
+        if before.state is not upstream.state:
+            self._table.learn(upstream, now)
+            self._learned(entry, before, now)
+        return entry, False
+
+    def _held_back(
+        self,
+        upstream: messages.Upstream,
+        entry: state.Entry | None,
+        now: datetime.datetime,
+    ) -> bool:
+        """Return whether an upstream must first prove to be steady."""
+        known = entry.upstream.incarnation if entry is not None else None
+        if known == upstream.incarnation:
+            return False
+        gone = self._table.tombstone(upstream.upstream_id)
+        return not self._flaps.free(upstream, gone, now)
+
+    def _show(self, entry: state.Entry, now: datetime.datetime) -> None:
+        """Use an upstream again whose zone could not be reached."""
+        if entry.hidden:
+            self._table.show(entry)
+            self._leases.refresh(entry, now)
+            self._ownership.refresh(entry)
+
+    def _pass_on(
+        self, event: messages.Announced, holder: str, *, known: bool
+    ) -> None:
+        """Send the renewal to the holder of the lease."""
+        upstream = event.upstream
+        address = self._members.address(holder)
+        if address:
+            self._outbox.send(
+                address,
+                messages.LeaseRenewal(
+                    reply_to=self._members.own.address,
+                    upstream_id=upstream.upstream_id,
+                    incarnation=upstream.incarnation,
+                    sequence=upstream.sequence,
+                    load=event.load,
+                    upstream=None if known else upstream,
+                ),
+            )
+
+    def _report_load(
+        self, upstream: messages.Upstream, load: messages.Load
+    ) -> None:
+        self._outbox.emit(
+            messages.LoadReported(
+                upstream_id=upstream.upstream_id,
+                incarnation=upstream.incarnation,
+                load=load,
+            )
+        )
--- /dev/null
+++ b/fulmarbarrow/membership/daemons.py
@@ -0,0 +1,274 @@
+"""The daemons that are known, and which of them are live routers."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import datetime
+import random
+
+import msgspec
+
+from fulmarbarrow.membership import messages
+from fulmarbarrow.membership import ranking
+from fulmarbarrow.membership import records
+
+ROUTER = "router"
+RING_END = 1 << 63
+TOMBSTONE_KEEP = datetime.timedelta(minutes=10)
+
+_RANK = {
+    messages.DaemonState.ALIVE: 0,
+    messages.DaemonState.SUSPECT: 1,
+    messages.DaemonState.LEAVING: 2,
+    messages.DaemonState.DEAD: 3,
+}
+
+
+def version_of(daemon: messages.Daemon) -> records.Version:
+    """Return the version of a daemon's record; the highest holds."""
+    return daemon.incarnation, daemon.refutation, _RANK[daemon.state]
+
+
+def suspected(daemon: messages.Daemon) -> messages.Daemon:
+    """Return the daemon's record with a suspicion."""
+    return msgspec.structs.replace(daemon, state=messages.DaemonState.SUSPECT)
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Known:
+    """A daemon's record and when it changed and was last heard."""
+
+    daemon: messages.Daemon
+    since: datetime.datetime
+    live_since: datetime.datetime
+    heard_at: datetime.datetime
+    position: int
+    view: int = 0
+
+    @property
+    def reachable(self) -> bool:
+        """Whether the daemon is not believed dead."""
+        return self.daemon.state is not messages.DaemonState.DEAD
+
+    @property
+    def serves(self) -> bool:
+        """Whether the daemon is a router that goes on."""
+        return _serves(self.daemon)
+
+
+class DaemonTable:
+    """All known daemons, this one included.
+
+    ``generation`` grows whenever a router becomes or ceases to be live or
+    reachable.
+    """
+
+    def __init__(
+        self, *, own: messages.Daemon, index: records.RecordIndex
+    ) -> None:
+        self._own = own
+        self._index = index
+        self._known: dict[str, Known] = {}
+        self._by_zone: dict[str, tuple[str, ...]] = {}
+        self._cached = -1
+        self._ring: list[Known] = []
+        self._ring_cached = -1
+        self.generation = 0
+
+    @property
+    def own(self) -> messages.Daemon:
+        """The record of this daemon."""
+        return self._own
+
+    @property
+    def others(self) -> collections.abc.Iterable[Known]:
+        """All other known daemons, dead ones included."""
+        return self._known.values()
+
+    def get(self, daemon_id: str) -> Known | None:
+        """Return what is known of another daemon."""
+        return self._known.get(daemon_id)
+
+    def set_own(
+        self, *, state: messages.DaemonState, refutation: int
+    ) -> messages.Daemon:
+        """Change and return the record of this daemon."""
+        self._own = msgspec.structs.replace(
+            self._own, state=state, refutation=refutation
+        )
+        self.publish_own()
+        return self._own
+
+    def publish_own(self) -> None:
+        """Enter this daemon's record into the index."""
+        self._index.put(
+            records.Kind.DAEMON,
+            self._own.daemon_id,
+            version_of(self._own),
+            live=True,
+        )
+        self.generation += 1
+
+    def apply(self, daemon: messages.Daemon, now: datetime.datetime) -> bool:
+        """Take a record of another daemon; return whether it is news."""
+        known = self._known.get(daemon.daemon_id)
+        dead = daemon.state is messages.DaemonState.DEAD
+        if known is None:
+            if dead:
+                return False
+            self._add(daemon, now)
+            return True
+        if version_of(known.daemon) >= version_of(daemon):
+            return False
+        self._replace(known, daemon, now)
+        return True
+
+    def forget_dead(self, now: datetime.datetime) -> None:
+        """Drop the records of daemons that died long ago."""
+        for known in list(self._known.values()):
+            if not known.reachable and now - known.since > TOMBSTONE_KEEP:
+                del self._known[known.daemon.daemon_id]
+                self._index.remove(records.Kind.DAEMON, known.daemon.daemon_id)
+
+    def routers(self, zone: str) -> tuple[str, ...]:
+        """Return the ids of a zone's live routers, sorted."""
+        return self._zones().get(zone, ())
+
+    def candidates(self, zone: str) -> tuple[str, ...]:
+        """Return who may own a zone's upstreams: its live routers.
+
+        Without any, the live routers of the whole region stand in.
+        """
+        found = self.routers(zone)
+        if found:
+            return found
+        return tuple(
+            name for names in self._zones().values() for name in names
+        )
+
+    def view(self) -> int:
+        """Return a digest of the live routers of this daemon's zone."""
+        names = self.routers(self._own.zone)
+        return ranking.digest(
+            f"{name}:{self.incarnation(name)}" for name in names
+        )
+
+    def incarnation(self, daemon_id: str) -> int:
+        """Return a daemon's incarnation, 0 if it is not known."""
+        if daemon_id == self._own.daemon_id:
+            return self._own.incarnation
+        known = self._known.get(daemon_id)
+        return known.daemon.incarnation if known else 0
+
+    def address(self, daemon_id: str) -> str:
+        """Return the address of a reachable daemon, else ""."""
+        if daemon_id == self._own.daemon_id:
+            return self._own.address
+        known = self._known.get(daemon_id)
+        return known.daemon.address if known and known.reachable else ""
+
+    def peers(self) -> list[Known]:
+        """Return the other reachable daemons of the region."""
+        return [
+            known
+            for known in self._known.values()
+            if known.reachable and known.daemon.region == self._own.region
+        ]
+
+    def ring(self, span: tuple[int, int]) -> list[Known]:
+        """Return the reachable peers within a span of the ring, in order."""
+        if self._ring_cached != self.generation:
+            self._ring = sorted(self.peers(), key=lambda known: known.position)
+            self._ring_cached = self.generation
+        low, high = span
+        return [known for known in self._ring if low <= known.position < high]
+
+    def one_per_other_region(self, rng: random.Random) -> list[Known]:
+        """Return a random reachable daemon of each other region."""
+        regions: dict[str, list[Known]] = {}
+        for known in self._known.values():
+            region = known.daemon.region
+            if known.reachable and region != self._own.region:
+                regions.setdefault(region, []).append(known)
+        return [rng.choice(found) for found in regions.values()]
+
+    def zone_reachable(self, zone: str) -> bool | None:
+        """Return whether a zone has a reachable router; None if unknown."""
+        if zone == self._own.zone:
+            return True
+        routers = [
+            known
+            for known in self._known.values()
+            if known.daemon.zone == zone and ROUTER in known.daemon.roles
+        ]
+        if not routers:
+            return None
+        return any(known.reachable for known in routers)
+
+    def _add(self, daemon: messages.Daemon, now: datetime.datetime) -> None:
+        self._known[daemon.daemon_id] = Known(
+            daemon=daemon,
+            since=now,
+            live_since=now,
+            heard_at=now,
+            position=ranking.digest((daemon.daemon_id,)) >> 1,
+        )
+        self._put(daemon)
+        self.generation += 1
+
+    def _replace(
+        self,
+        known: Known,
+        daemon: messages.Daemon,
+        now: datetime.datetime,
+    ) -> None:
+        before = known.daemon
+        known.daemon = daemon
+        known.since = now
+        restarted = daemon.incarnation > before.incarnation
+        returned = before.state is messages.DaemonState.DEAD
+        if restarted or returned:
+            known.live_since = now
+            known.heard_at = now
+        self._put(daemon)
+        if restarted or _standing(before) != _standing(daemon):
+            self.generation += 1
+
+    def _put(self, daemon: messages.Daemon) -> None:
+        self._index.put(
+            records.Kind.DAEMON,
+            daemon.daemon_id,
+            version_of(daemon),
+            live=daemon.state is not messages.DaemonState.DEAD,
+        )
+
+    def _zones(self) -> dict[str, tuple[str, ...]]:
+        if self._cached != self.generation:
+            found: dict[str, list[str]] = {}
+            for daemon in self._everyone():
+                if _serves(daemon) and daemon.region == self._own.region:
+                    found.setdefault(daemon.zone, []).append(daemon.daemon_id)
+            self._by_zone = {
+                zone: tuple(sorted(names)) for zone, names in found.items()
+            }
+            self._cached = self.generation
+        return self._by_zone
+
+    def _everyone(self) -> collections.abc.Iterator[messages.Daemon]:
+        yield self._own
+        for known in self._known.values():
+            yield known.daemon
+
+
+def _serves(daemon: messages.Daemon) -> bool:
+    live = daemon.state in (
+        messages.DaemonState.ALIVE,
+        messages.DaemonState.SUSPECT,
+    )
+    return live and ROUTER in daemon.roles
+
+
+def _standing(daemon: messages.Daemon) -> tuple[bool, bool]:
+    dead = daemon.state is messages.DaemonState.DEAD
+    return _serves(daemon), dead
--- /dev/null
+++ b/fulmarbarrow/membership/damping.py
@@ -0,0 +1,110 @@
+"""Holds back upstreams that come and go again and again."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+
+from fulmarbarrow.membership import messages
+
+HALF_LIFE = datetime.timedelta(seconds=60)
+FREE_PENALTY = 1.5  # below it a return is not held back
+FIRST_HOLD = datetime.timedelta(seconds=2)
+LONGEST_HOLD = datetime.timedelta(seconds=60)
+NEGLIGIBLE_PENALTY = 0.05
+RETURN_GAP = datetime.timedelta(milliseconds=500)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Penalty:
+    value: float
+    at: datetime.datetime
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Return:
+    """The first announcement of an upstream that wants to come back."""
+
+    incarnation: int
+    sequence: int
+    at: datetime.datetime
+
+
+class Damping:
+    """Counts departures of each upstream and delays its return.
+
+    The penalty grows by one with each departure and halves every
+    ``HALF_LIFE``. Above ``FREE_PENALTY`` a return must be renewed through a
+    hold time that doubles with each departure. An incarnation with a
+    tombstone needs a second announcement in any case, so that a single late
+    one never brings it back.
+    """
+
+    def __init__(self) -> None:
+        self._penalties: dict[str, _Penalty] = {}
+        self._returns: dict[str, _Return] = {}
+
+    @property
+    def held(self) -> int:
+        """The number of upstreams that wait for their return."""
+        return len(self._returns)
+
+    def count(self, upstream_id: str, now: datetime.datetime) -> None:
+        """Count a departure."""
+        value = self.penalty(upstream_id, now) + 1
+        self._penalties[upstream_id] = _Penalty(value=value, at=now)
+
+    def penalty(self, upstream_id: str, now: datetime.datetime) -> float:
+        """Return the decayed penalty of an upstream."""
+        penalty = self._penalties.get(upstream_id)
+        if penalty is None:
+            return 0.0
+        return penalty.value * 0.5 ** ((now - penalty.at) / HALF_LIFE)
+
+    def free(
+        self,
+        upstream: messages.Upstream,
+        gone: messages.Gone | None,
+        now: datetime.datetime,
+    ) -> bool:
+        """Return whether an upstream is live with its first announcement."""
+        if gone is not None and gone.incarnation == upstream.incarnation:
+            return False
+        return self.penalty(upstream.upstream_id, now) < FREE_PENALTY
+
+    def may_return(
+        self, upstream: messages.Upstream, now: datetime.datetime
+    ) -> bool:
+        """Return whether an upstream that is not free may be live now."""
+        penalty = self.penalty(upstream.upstream_id, now)
+        first = self._returns.get(upstream.upstream_id)
+        if first is None or first.incarnation != upstream.incarnation:
+            self._returns[upstream.upstream_id] = _Return(
+                incarnation=upstream.incarnation,
+                sequence=upstream.sequence,
+                at=now,
+            )
+            return False
+        hold = self._hold(penalty)
+        if upstream.sequence <= first.sequence or now - first.at < hold:
+            return False
+        del self._returns[upstream.upstream_id]
+        return True
+
+    def forget(
+        self, now: datetime.datetime, *, lease: datetime.timedelta
+    ) -> None:
+        """Drop what no longer matters."""
+        for upstream_id in list(self._penalties):
+            if self.penalty(upstream_id, now) < NEGLIGIBLE_PENALTY:
+                del self._penalties[upstream_id]
+        for upstream_id, first in list(self._returns.items()):
+            if now - first.at > LONGEST_HOLD + lease:
+                del self._returns[upstream_id]
+
+    @staticmethod
+    def _hold(penalty: float) -> datetime.timedelta:
+        if penalty < FREE_PENALTY:
+            return RETURN_GAP
+        hold = FIRST_HOLD * 2 ** (penalty - FREE_PENALTY)
+        return min(hold, LONGEST_HOLD)
--- /dev/null
+++ b/fulmarbarrow/membership/detector.py
@@ -0,0 +1,243 @@
+"""Detects failed daemons by probes, suspicion and refutation."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import datetime
+import itertools
+import random
+
+import msgspec
+
+from fulmarbarrow.membership import daemons
+from fulmarbarrow.membership import messages
+from fulmarbarrow.membership import outbox as outboxes
+from fulmarbarrow.membership import records
+
+PROBE_PERIOD = datetime.timedelta(seconds=1)
+INDIRECT_AFTER = datetime.timedelta(milliseconds=400)
+PROBE_TIMEOUT = datetime.timedelta(milliseconds=1_000)
+SUSPICION = datetime.timedelta(seconds=3)
+HELPERS = 3
+PAUSE = datetime.timedelta(milliseconds=1_500)
+FORWARD_KEEP = datetime.timedelta(seconds=2)
+
+Changed = collections.abc.Callable[[messages.Daemon, datetime.datetime], None]
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Open:
+    """A probe that waits for its answer."""
+
+    daemon_id: str
+    incarnation: int
+    sent_at: datetime.datetime
+    indirect: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Forward:
+    """A probe sent for another daemon, whose answer goes there."""
+
+    address: str
+    nonce: int
+    at: datetime.datetime
+
+
+class Detector:
+    """Probes one daemon of the region a period, all in turn.
+
+    Without an answer a few others are asked to probe it too; without theirs
+    it is suspected, and dead if it does not refute that in time. Any answer
+    is proof of life. A daemon that was itself paused judges nobody by the
+    answers that it missed.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: daemons.DaemonTable,
+        index: records.RecordIndex,
+        outbox: outboxes.Outbox,
+        rng: random.Random,
+        changed: Changed,
+    ) -> None:
+        self._table = table
+        self._index = index
+        self._outbox = outbox
+        self._rng = rng
+        self._changed = changed
+        self._nonces = itertools.count(1)
+        self._turn: list[str] = []
+        self._open: dict[int, _Open] = {}
+        self._forwards: dict[int, _Forward] = {}
+        self._next_probe: datetime.datetime | None = None
+        self._last_tick: datetime.datetime | None = None
+
+    def tick(self, now: datetime.datetime) -> None:
+        """Judge unanswered probes and send the next one."""
+        paused = self._last_tick and now - self._last_tick > PAUSE
+        self._last_tick = now
+        if paused:
+            self._open.clear()
+        self._judge(now)
+        self._end_suspicions(now)
+        for nonce, forward in list(self._forwards.items()):
+            if now - forward.at > FORWARD_KEEP:
+                del self._forwards[nonce]
+        if self._next_probe is None:
+            spread = self._rng.random() * PROBE_PERIOD
+            self._next_probe = now + spread
+        if now >= self._next_probe:
+            self._next_probe = max(self._next_probe + PROBE_PERIOD, now)
+            self._probe_next(now)
+
+    def probed(self, event: messages.Probe) -> None:
+        """Answer a probe."""
+        own = self._table.own
+        self._outbox.send(
+            event.reply_to,
+            messages.ProbeAck(
+                daemon_id=own.daemon_id,
+                reply_to=own.address,
+                incarnation=own.incarnation,
+                nonce=event.nonce,
+                digest=self._index.root,
+                view=self._table.view(),
+            ),
+        )
+
+    def asked(
+        self, event: messages.ProbeRequest, now: datetime.datetime
+    ) -> None:
+        """Probe a daemon for another one."""
+        nonce = next(self._nonces)
+        self._forwards[nonce] = _Forward(
+            address=event.reply_to, nonce=event.nonce, at=now
+        )
+        self._send_probe(event.address, nonce)
+
+    def answered(
+        self, event: messages.ProbeAck, now: datetime.datetime
+    ) -> None:
+        """Take an answer, or pass it on to the daemon that asked."""
+        forward = self._forwards.pop(event.nonce, None)
+        if forward is not None:
+            answer = msgspec.structs.replace(event, nonce=forward.nonce)
+            self._outbox.send(forward.address, answer)
+            return
+        probe = self._open.get(event.nonce)
+        if probe is None or probe.daemon_id != event.daemon_id:
+            return
+        del self._open[event.nonce]
+        known = self._table.get(event.daemon_id)
+        if known is None or event.incarnation < known.daemon.incarnation:
+            return
+        known.heard_at = now
+        known.view = event.view
+
+    def refute(self, daemon: messages.Daemon, now: datetime.datetime) -> bool:
+        """Contradict news of this daemon's own failure, if it is that."""
+        own = self._table.own
+        if daemon.incarnation != own.incarnation:
+            return False
+        if daemons.version_of(daemon) <= daemons.version_of(own):
+            return False
+        self._table.set_own(state=own.state, refutation=daemon.refutation + 1)
+        return True
+
+    def _judge(self, now: datetime.datetime) -> None:
+        for nonce, probe in list(self._open.items()):
+            age = now - probe.sent_at
+            if age >= PROBE_TIMEOUT:
+                del self._open[nonce]
+                self._failed(probe, now)
+            elif age >= INDIRECT_AFTER and not probe.indirect:
+                probe.indirect = True
+                self._ask_helpers(nonce, probe)
+
+    def _failed(self, probe: _Open, now: datetime.datetime) -> None:
+        known = self._table.get(probe.daemon_id)
+        if known is None or known.daemon.incarnation != probe.incarnation:
+            return
+        if known.heard_at > probe.sent_at:
+            return
+        if known.daemon.state is messages.DaemonState.ALIVE:
+            self._set(known, messages.DaemonState.SUSPECT, now)
+        elif known.daemon.state is messages.DaemonState.LEAVING:
+            self._set(known, messages.DaemonState.DEAD, now)
+
+    def _end_suspicions(self, now: datetime.datetime) -> None:
+        for known in list(self._table.peers()):
+            if known.daemon.state is not messages.DaemonState.SUSPECT:
+                continue
+            if now - known.since >= SUSPICION:
+                self._set(known, messages.DaemonState.DEAD, now)
+
+    def _set(
+        self,
+        known: daemons.Known,
+        state: messages.DaemonState,
+        now: datetime.datetime,
+    ) -> None:
+        daemon = msgspec.structs.replace(known.daemon, state=state)
+        self._changed(daemon, now)
+
+    def _probe_next(self, now: datetime.datetime) -> None:
+        known = self._next_target()
+        if known is None:
+            return
+        nonce = next(self._nonces)
+        self._open[nonce] = _Open(
+            daemon_id=known.daemon.daemon_id,
+            incarnation=known.daemon.incarnation,
+            sent_at=now,
+        )
+        self._send_probe(known.daemon.address, nonce)
+
+    def _next_target(self) -> daemons.Known | None:
+        while self._turn:
+            known = self._table.get(self._turn.pop())
+            if known is not None and known.reachable:
+                return known
+        peers = self._table.peers()
+        self._turn = [known.daemon.daemon_id for known in peers]
+        self._rng.shuffle(self._turn)
+        if not self._turn:
+            return None
+        return self._table.get(self._turn.pop())
+
+    def _send_probe(self, address: str, nonce: int) -> None:
+        own = self._table.own
+        self._outbox.send(
+            address,
+            messages.Probe(
+                daemon_id=own.daemon_id,
+                reply_to=own.address,
+                nonce=nonce,
+                digest=self._index.root,
+                view=self._table.view(),
+            ),
+        )
+
+    def _ask_helpers(self, nonce: int, probe: _Open) -> None:
+        target = self._table.get(probe.daemon_id)
+        if target is None:
+            return
+        peers = [
+            known
+            for known in self._table.peers()
+            if known is not target
+            and known.daemon.state is messages.DaemonState.ALIVE
+        ]
+        count = min(HELPERS, len(peers))
+        for helper in self._rng.sample(peers, count):
+            self._outbox.send(
+                helper.daemon.address,
+                messages.ProbeRequest(
+                    reply_to=self._table.own.address,
+                    nonce=nonce,
+                    address=target.daemon.address,
+                ),
+            )
--- /dev/null
+++ b/fulmarbarrow/membership/leases.py
@@ -0,0 +1,152 @@
+"""Ends the leases of upstreams that are no longer heard."""
+
+from __future__ import annotations
+
+import collections.abc
+import datetime
+
+from fulmarbarrow.membership import daemons
+from fulmarbarrow.membership import messages
+from fulmarbarrow.membership import outbox as outboxes
+from fulmarbarrow.membership import ownership as ownerships
+from fulmarbarrow.membership import state
+from fulmarbarrow.membership import upstreams
+
+DOUBT_WAIT = datetime.timedelta(seconds=1)
+
+Ended = collections.abc.Callable[[messages.Gone, datetime.datetime], None]
+
+
+class LeaseKeeper:
+    """Holds the leases of the upstreams that this daemon owns.
+
+    Announcements reach any router and are passed on to the holder, which
+    alone ends a lease. Before that it asks the other routers of the zone,
+    as they may have passed the renewals on to somebody else.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: upstreams.UpstreamTable,
+        members: daemons.DaemonTable,
+        ownership: ownerships.Ownership,
+        outbox: outboxes.Outbox,
+        lease: datetime.timedelta,
+        ended: Ended,
+    ) -> None:
+        self._table = table
+        self._members = members
+        self._ownership = ownership
+        self._outbox = outbox
+        self._lease = lease
+        self._ended = ended
+        self._held: dict[str, state.Entry] = {}
+
+    @property
+    def held(self) -> int:
+        """The number of leases held here."""
+        return len(self._held)
+
+    def refresh(self, entry: state.Entry, now: datetime.datetime) -> None:
+        """Find the holder of an upstream's lease again."""
+        holder = self._ownership.holder(entry.upstream)
+        upstream_id = entry.upstream.upstream_id
+        entry.holder = holder
+        if holder != self._members.own.daemon_id or entry.hidden:
+            self._held.pop(upstream_id, None)
+            entry.held_since = None
+        elif upstream_id not in self._held:
+            self._held[upstream_id] = entry
+            entry.held_since = now
+            entry.doubted_at = None
+
+    def renew(
+        self, entry: state.Entry, sequence: int, now: datetime.datetime
+    ) -> None:
+        """Count an announcement that came here or was passed on."""
+        entry.sequence = max(entry.sequence, sequence)
+        entry.heard_at = now
+        entry.doubted_at = None
+
+    def tick(self, now: datetime.datetime) -> None:
+        """Doubt the leases that ran out and end those doubted in vain."""
+        doubted = []
+        for entry in list(self._held.values()):
+            if self._table.get(entry.upstream.upstream_id) is not entry:
+                del self._held[entry.upstream.upstream_id]
+            elif self._ran_out(entry, now):
+                doubted.extend(self._doubt(entry, now))
+        self._ask(doubted)
+
+    def answer(
+        self, event: messages.LeaseDoubt, now: datetime.datetime
+    ) -> None:
+        """Tell the holder of the upstreams that still announce here."""
+        for upstream_id, incarnation, sequence in event.upstreams:
+            entry = self._table.get(upstream_id)
+            if entry is None or not entry.heard_within(self._lease, now):
+                continue
+            newest = (entry.upstream.incarnation, entry.sequence)
+            if newest > (incarnation, sequence):
+                self._outbox.send(
+                    event.reply_to,
+                    messages.LeaseRenewal(
+                        reply_to=self._members.own.address,
+                        upstream_id=upstream_id,
+                        incarnation=entry.upstream.incarnation,
+                        sequence=entry.sequence,
+                    ),
+                )
+
+    def _ran_out(self, entry: state.Entry, now: datetime.datetime) -> bool:
+        since = entry.held_since or entry.learned_at
+        heard = entry.heard_at or since
+        return now - max(since, heard) > self._lease
+
+    def _doubt(
+        self, entry: state.Entry, now: datetime.datetime
+    ) -> list[state.Entry]:
+        if entry.doubted_at is None:
+            entry.doubted_at = now
+            return [entry]
+        if now - entry.doubted_at >= DOUBT_WAIT:
+            self._end(entry, now)
+        return []
+
+    def _end(self, entry: state.Entry, now: datetime.datetime) -> None:
+        upstream = entry.upstream
+        del self._held[upstream.upstream_id]
+        left = upstream.state is messages.UpstreamState.LEAVING
+        self._ended(
+            messages.Gone(
+                upstream_id=upstream.upstream_id,
+                incarnation=upstream.incarnation,
+                sequence=entry.sequence,
+                at=now,
+                left=left,
+            ),
+            now,
+        )
+
+    def _ask(self, doubted: list[state.Entry]) -> None:
+        by_zone: dict[str, list[state.Entry]] = {}
+        for entry in doubted:
+            by_zone.setdefault(entry.upstream.zone, []).append(entry)
+        own = self._members.own
+        for zone, entries in by_zone.items():
+            doubt = messages.LeaseDoubt(
+                reply_to=own.address,
+                upstreams=tuple(
+                    (
+                        entry.upstream.upstream_id,
+                        entry.upstream.incarnation,
+                        entry.sequence,
+                    )
+                    for entry in entries
+                ),
+            )
+            for name in self._members.candidates(zone):
+                if name != own.daemon_id:
+                    address = self._members.address(name)
+                    self._outbox.send(address, doubt)
--- a/fulmarbarrow/membership/messages.py
+++ b/fulmarbarrow/membership/messages.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from fulmarbarrow import message
+from fulmarbarrow.zones import messages as zones_messages
 
 
 class UpstreamState(enum.StrEnum):
@@ -76,7 +77,11 @@
 
 
 class Daemon(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """One incarnation of a daemon as the others know it."""
+    """One incarnation of a daemon as the others know it.
+
+    ``incarnation`` is new with every start of the process; ``refutation``
+    grows when the daemon contradicts a suspicion against itself.
+    """
 
     daemon_id: str
     incarnation: int
@@ -86,6 +91,46 @@
     roles: tuple[str, ...]
     state: DaemonState = DaemonState.ALIVE
     revision: int = 0
+    refutation: int = 0
+
+
+class Gone(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Tombstone of an upstream's incarnation whose lease ended.
+
+    It holds against every record of the incarnation up to ``sequence``, and
+    against all of them if the upstream itself ``left``.
+    """
+
+    upstream_id: str
+    incarnation: int
+    sequence: int
+    at: datetime.datetime
+    left: bool = False
+
+
+class Change(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A change of an upstream's state or owner alone; small and thus quick.
+
+    It leads from the record with the sequence ``base`` to ``sequence``.
+    """
+
+    upstream_id: str
+    incarnation: int
+    base: int
+    sequence: int
+    state: UpstreamState
+    owner: str = ""
+    owner_epoch: int = 0
+
+
+class Entry(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """The key of a member and the version of its record, without the record.
+
+    ``key`` is a hash of the member's kind and id.
+    """
+
+    key: int
+    version: tuple[int, int, int]
 
 
 # Events and effects within a daemon.
@@ -190,14 +235,130 @@
 
 
 class Gossip(message.Message, frozen=True, kw_only=True):
-    """News of daemons and upstreams, changes of state first."""
+    """News of daemons, upstreams and availability zones.
+
+    The receiver passes its news on to the daemons of ``span``, a part of
+    the ring of hashed daemon ids. With ``syncs`` it mends a difference
+    between the two daemons.
+    """
 
-    sender: Daemon
-    upstreams: tuple[Upstream, ...] = ()
     daemons: tuple[Daemon, ...] = ()
-    gone: tuple[tuple[str, int], ...] = ()
-    loads: tuple[tuple[str, int, Load], ...] = ()
-    reply_wanted: bool = False
+    gone: tuple[Gone, ...] = ()
+    changes: tuple[Change, ...] = ()
+    upstreams: tuple[Upstream, ...] = ()
+    zones: tuple[zones_messages.ZoneNotice, ...] = ()
+    syncs: bool = False
+    span: tuple[int, int] | None = None
+
+
+class LeaseRenewal(message.Message, frozen=True, kw_only=True):
+    """An announcement, passed on to the daemon that holds the lease.
+
+    ``upstream`` is set when the record itself is news to the holder;
+    ``load`` is None in the answer to a doubt.
+    """
+
+    reply_to: str
+    upstream_id: str
+    incarnation: int
+    sequence: int
+    load: Load | None = None
+    upstream: Upstream | None = None
+
+
+class LeaseDoubt(message.Message, frozen=True, kw_only=True):
+    """Asks the routers of a zone whether they still hear of upstreams.
+
+    ``upstreams`` are ids with the last incarnation and sequence known.
+    """
+
+    reply_to: str
+    upstreams: tuple[tuple[str, int, int], ...]
+
+
+class Probe(message.Message, frozen=True, kw_only=True):
+    """Asks a daemon for a sign of life; ``nonce`` returns in the answer.
+
+    ``digest`` covers all records that the sender holds, ``view`` the live
+    routers of its zone.
+    """
+
+    daemon_id: str
+    reply_to: str
+    nonce: int
+    digest: int
+    view: int
+
+
+class ProbeAck(message.Message, frozen=True, kw_only=True):
+    """The sign of life of the daemon ``daemon_id``."""
+
+    daemon_id: str
+    reply_to: str
+    incarnation: int
+    nonce: int
+    digest: int
+    view: int
+
+
+class ProbeRequest(message.Message, frozen=True, kw_only=True):
+    """Asks for a probe of another daemon on behalf of the sender."""
+
+    reply_to: str
+    nonce: int
+    address: str
+
+
+class ZoneView(message.Message, frozen=True, kw_only=True):
+    """Digest of the live routers of its zone as a daemon sees them."""
+
+    daemon_id: str
+    view: int
+
+
+class Join(message.Message, frozen=True, kw_only=True):
+    """A daemon presents itself to one that may not know it.
+
+    A ``lonely`` one asks for some of the daemons known there.
+    """
+
+    daemon: Daemon
+    lonely: bool = False
+
+
+class SyncDigest(message.Message, frozen=True, kw_only=True):
+    """Digests of consecutive buckets of the sender's records."""
+
+    reply_to: str
+    first: int
+    digests: tuple[int, ...]
+
+
+class SyncListing(message.Message, frozen=True, kw_only=True):
+    """The entries of a bucket whose digests differ."""
+
+    reply_to: str
+    bucket: int
+    entries: tuple[Entry, ...]
+
+
+class SyncWanted(message.Message, frozen=True, kw_only=True):
+    """Asks for the records behind these keys."""
+
+    reply_to: str
+    keys: tuple[int, ...]
 
 
-PEER_MESSAGES = (Gossip,)
+PEER_MESSAGES = (
+    Gossip,
+    LeaseRenewal,
+    LeaseDoubt,
+    Probe,
+    ProbeAck,
+    ProbeRequest,
+    ZoneView,
+    Join,
+    SyncDigest,
+    SyncListing,
+    SyncWanted,
+)
--- /dev/null
+++ b/fulmarbarrow/membership/outbox.py
@@ -0,0 +1,76 @@
+"""Collects a core's effects and keeps its traffic within a byte rate."""
+
+from __future__ import annotations
+
+import datetime
+
+import msgspec
+
+from fulmarbarrow import message
+
+RATE_BYTES = 4_000  # a second, over a minute
+RESERVE_BYTES = 64_000  # saved up in quiet times
+PEAK_BYTES = 6_000  # a second
+FRAME_BYTES = 72  # envelope, names, sequence and MAC of a frame
+
+
+class Outbox:
+    """Effects of one event, with a limit on the bytes that are sent.
+
+    Everything sent is charged to two token buckets: one for the rate over a
+    minute, which saves up a reserve, and one for the peak within a second.
+    Heartbeats, lease renewals and urgent changes are always sent and may run
+    into debt; the rest waits until ``room`` says that the debt is paid.
+    """
+
+    def __init__(
+        self, *, rate: int = RATE_BYTES, reserve: int = RESERVE_BYTES
+    ) -> None:
+        self._rate = rate
+        self._reserve = reserve
+        self._saved = float(reserve)
+        self._peak = float(PEAK_BYTES)
+        self._refilled: datetime.datetime | None = None
+        self._effects: list[message.Message] = []
+        self._encoder = msgspec.msgpack.Encoder()
+        self.sent_bytes = 0
+
+    @property
+    def room(self) -> int:
+        """Bytes that may be sent now; below 0 in debt."""
+        return int(min(self._saved, self._peak))
+
+    def refill(self, now: datetime.datetime) -> None:
+        """Add the tokens of the time that has passed."""
+        if self._refilled is not None:
+            passed = (now - self._refilled).total_seconds()
+            saved = self._saved + passed * self._rate
+            peak = self._peak + passed * PEAK_BYTES
+            self._saved = min(self._reserve, saved)
+            self._peak = min(PEAK_BYTES / 2, peak)
+        self._refilled = now
+
+    def emit(self, effect: message.Message) -> None:
+        """Add an effect for the other cores of this daemon."""
+        self._effects.append(effect)
+
+    def send(
+        self, address: str, body: message.Message, *, urgent: bool = False
+    ) -> None:
+        """Add a message to another daemon and charge its bytes."""
+        size = len(self._encoder.encode(body)) + FRAME_BYTES
+        self._saved -= size
+        self._peak -= size
+        self.sent_bytes += size
+        self._effects.append(
+            message.Send(address=address, message=body, urgent=urgent)
+        )
+
+    def size(self, body: object) -> int:
+        """Return the encoded bytes of a message or a part of one."""
+        return len(self._encoder.encode(body))
+
+    def take(self) -> list[message.Message]:
+        """Return the effects since the last call."""
+        effects, self._effects = self._effects, []
+        return effects
--- /dev/null
+++ b/fulmarbarrow/membership/ownership.py
@@ -0,0 +1,167 @@
+"""Which daemon owns each upstream, and which holds its lease."""
+
+from __future__ import annotations
+
+import datetime
+
+from fulmarbarrow.membership import daemons
+from fulmarbarrow.membership import messages
+from fulmarbarrow.membership import outbox as outboxes
+from fulmarbarrow.membership import ranking
+from fulmarbarrow.membership import state
+
+UNKNOWN_GRACE = datetime.timedelta(seconds=5)
+CONFIRMATION = datetime.timedelta(seconds=30)
+CONFIRMATION_SPREAD_SECONDS = 30
+JOIN_WAIT = datetime.timedelta(seconds=3)
+
+
+class Ownership:
+    """Suggests owners to upstreams and follows what upstreams name.
+
+    The upstream is the arbiter: it takes a suggestion with an epoch above
+    its present one and names that owner in its next announcement, so no two
+    daemons hold the same epoch. An upstream that names nobody has an owner
+    only while all live routers of the zone report the same view of these
+    routers; it is the one ranked first, with epoch 0.
+    """
+
+    def __init__(
+        self, *, table: daemons.DaemonTable, outbox: outboxes.Outbox
+    ) -> None:
+        self._table = table
+        self._outbox = outbox
+        self._agreed = False
+        self._alone_from: datetime.datetime | None = None
+
+    def start(self, now: datetime.datetime, *, seeds: bool) -> None:
+        """Begin; with ``seeds`` others may be there though unheard."""
+        self._alone_from = now + JOIN_WAIT if seeds else now
+
+    def check_agreement(self, now: datetime.datetime) -> bool:
+        """Return whether the zone's agreement has changed."""
+        before, self._agreed = self._agreed, self._agree(now)
+        return before != self._agreed
+
+    def suggest(
+        self,
+        upstream: messages.Upstream,
+        learned_at: datetime.datetime,
+        now: datetime.datetime,
+    ) -> tuple[str, int]:
+        """Return the owner and epoch to suggest to an upstream.
+
+        ``learned_at`` is when its present record came to this daemon.
+        """
+        candidates = self._table.candidates(upstream.zone)
+        best = ranking.best(upstream.upstream_id, candidates)
+        if not best or best == upstream.owner:
+            return upstream.owner, upstream.owner_epoch
+        keeps = self._keeps(upstream, candidates, now - learned_at)
+        if keeps and not self._confirmed(upstream, best, now):
+            return upstream.owner, upstream.owner_epoch
+        return best, upstream.owner_epoch + 1
+
+    def holder(self, upstream: messages.Upstream) -> str:
+        """Return the daemon that holds the upstream's lease."""
+        if upstream.owner and self._table.address(upstream.owner):
+            return upstream.owner
+        candidates = self._table.candidates(upstream.zone)
+        return ranking.best(upstream.upstream_id, candidates)
+
+    def refresh(self, entry: state.Entry) -> None:
+        """Tell the other cores if an upstream's owner has changed."""
+        owner = self._effective(entry.upstream)
+        if owner == entry.owner or entry.hidden:
+            return
+        if entry.owner is None and not owner.daemon_id:
+            entry.owner = owner
+            return
+        entry.owner = owner
+        self._outbox.emit(
+            messages.OwnerChanged(
+                upstream_id=entry.upstream.upstream_id,
+                incarnation=entry.upstream.incarnation,
+                owner=owner.daemon_id,
+                address=owner.address,
+                owner_epoch=owner.epoch,
+            )
+        )
+
+    def _effective(self, upstream: messages.Upstream) -> state.Owner:
+        if upstream.owner:
+            return self._reached(upstream.owner, upstream.owner_epoch)
+        candidates = self._table.candidates(upstream.zone)
+        own = self._table.own
+        alone = candidates == (own.daemon_id,)
+        if not self._agreed or not (alone or upstream.zone == own.zone):
+            return state.Owner()
+        best = ranking.best(upstream.upstream_id, candidates)
+        return self._reached(best, 0)
+
+    def _reached(self, daemon_id: str, epoch: int) -> state.Owner:
+        address = self._table.address(daemon_id)
+        if not address:
+            return state.Owner(epoch=epoch)
+        return state.Owner(daemon_id=daemon_id, address=address, epoch=epoch)
+
+    def _keeps(
+        self,
+        upstream: messages.Upstream,
+        candidates: tuple[str, ...],
+        known_for: datetime.timedelta,
+    ) -> bool:
+        """Return whether the named owner can go on."""
+        owner = upstream.owner
+        if not owner:
+            return False
+        if owner in candidates:
+            return True
+        if owner == self._table.own.daemon_id:
+            return False
+        known = self._table.get(owner)
+        if known is None:
+            return known_for < UNKNOWN_GRACE
+        return known.serves
+
+    def _confirmed(
+        self,
+        upstream: messages.Upstream,
+        best: str,
+        now: datetime.datetime,
+    ) -> bool:
+        """Return whether a better owner has been there long enough.
+
+        The moment differs between upstreams, so that a new router takes
+        its part over gradually.
+        """
+        known = self._table.get(best)
+        if known is None:
+            return self._own_confirmed(upstream, now)
+        return now - known.live_since >= _confirmation(upstream)
+
+    def _own_confirmed(
+        self, upstream: messages.Upstream, now: datetime.datetime
+    ) -> bool:
+        if self._alone_from is None:
+            return False
+        return now - self._alone_from >= _confirmation(upstream)
+
+    def _agree(self, now: datetime.datetime) -> bool:
+        own = self._table.own
+        others = [
+            self._table.get(name)
+            for name in self._table.routers(own.zone)
+            if name != own.daemon_id
+        ]
+        heard_any = any(True for _ in self._table.others)
+        if not heard_any and self._alone_from and now < self._alone_from:
+            return False
+        view = self._table.view()
+        return all(known and known.view == view for known in others)
+
+
+def _confirmation(upstream: messages.Upstream) -> datetime.timedelta:
+    share = ranking.digest((upstream.upstream_id,)) / 2**64
+    spread = datetime.timedelta(seconds=CONFIRMATION_SPREAD_SECONDS)
+    return CONFIRMATION + share * spread
--- a/fulmarbarrow/membership/state.py
+++ b/fulmarbarrow/membership/state.py
@@ -1,4 +1,4 @@
-"""What a daemon knows of the other members."""
+"""What a daemon knows of an upstream."""
 
 from __future__ import annotations
 
@@ -9,30 +9,82 @@
 
 from fulmarbarrow.membership import messages
 
+# Above every sequence that an upstream can reach.
+LEFT_SEQUENCE = 1 << 53
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Lease:
-    """An upstream's record and the time until which it holds."""
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Owner:
+    """The daemon that keeps an upstream's reservations; "" for none."""
+
+    daemon_id: str = ""
+    address: str = ""
+    epoch: int = 0
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Entry:
+    """An upstream's record and its lease.
+
+    ``sequence`` is the highest heard of, renewals included, and
+    ``heard_at`` when an announcement or a renewal last came here.
+    ``holder`` is the daemon that holds the lease. ``hidden`` says that the
+    upstream's zone can't be reached from here.
+    """
 
     upstream: messages.Upstream
-    until: datetime.datetime
+    sequence: int
+    learned_at: datetime.datetime
+    heard_at: datetime.datetime | None = None
+    hidden: bool = False
+    holder: str = ""
+    held_since: datetime.datetime | None = None
+    doubted_at: datetime.datetime | None = None
+    owner: Owner | None = None
+
+    @property
+    def version(self) -> tuple[int, int, int]:
+        """The version of the record; the highest holds."""
+        return self.upstream.incarnation, self.upstream.sequence, 0
+
+    def heard_within(
+        self, period: datetime.timedelta, now: datetime.datetime
+    ) -> bool:
+        """Return whether the upstream was heard here in a period."""
+        return self.heard_at is not None and now - self.heard_at <= period
+
 
-    def older_than(self, other: messages.Upstream) -> bool:
-        """Return whether ``other`` replaces this record."""
-        mine = (self.upstream.incarnation, self.upstream.sequence)
-        return mine < (other.incarnation, other.sequence)
+def gone_version(gone: messages.Gone) -> tuple[int, int, int]:
+    """Return the version of a tombstone."""
+    if gone.left:
+        return gone.incarnation, LEFT_SEQUENCE, 2
+    return gone.incarnation, gone.sequence, 1
 
-    def same_as(self, other: messages.Upstream) -> bool:
-        """Return whether ``other`` only renews this record."""
-        renewed = msgspec.structs.replace(
-            self.upstream, sequence=other.sequence
-        )
-        return renewed == other
 
+def only_renews(before: messages.Upstream, after: messages.Upstream) -> bool:
+    """Return whether the two differ in nothing but their sequence."""
+    return msgspec.structs.replace(before, sequence=after.sequence) == after
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Heard:
-    """A daemon's record and the time of its last message."""
 
-    daemon: messages.Daemon
-    at: datetime.datetime
+def partial(
+    before: messages.Upstream, after: messages.Upstream
+) -> messages.Change | None:
+    """Return the change between two records if it is a small one."""
+    changed = msgspec.structs.replace(
+        before,
+        sequence=after.sequence,
+        state=after.state,
+        owner=after.owner,
+        owner_epoch=after.owner_epoch,
+    )
+    if changed != after:
+        return None
+    return messages.Change(
+        upstream_id=after.upstream_id,
+        incarnation=after.incarnation,
+        base=before.sequence,
+        sequence=after.sequence,
+        state=after.state,
+        owner=after.owner,
+        owner_epoch=after.owner_epoch,
+    )
--- a/fulmarbarrow/standins/announcer.py
+++ b/fulmarbarrow/standins/announcer.py
@@ -9,6 +9,7 @@
 import treq
 from twisted.internet import defer
 from twisted.internet import task
+from twisted.web import http
 
 from fulmarbarrow.edge import headers
 from fulmarbarrow.edge import upstreams
@@ -43,6 +44,8 @@
         self._entries = itertools.cycle(options.entries)
         self._sequence = itertools.count(1)
         self._loop = task.LoopingCall(self.announce)
+        self._owner = ""
+        self._owner_epoch = 0
         self.state = messages.UpstreamState.SERVING
 
     def start(self) -> None:
@@ -60,7 +63,7 @@
                     headers={headers.FLEET_KEY: self._options.key},
                     timeout=TIMEOUT_SECONDS,
                 )
-                await response.content()
+                self._take(response.code, await response.content())
             except Exception:
                 continue
             return
@@ -69,6 +72,15 @@
         """Announce once, to the first entry host that answers."""
         return defer.ensureDeferred(self._send())
 
+    def _take(self, status: int, content: bytes) -> None:
+        """Name the suggested owner from now on if its epoch is higher."""
+        if status != http.OK:
+            return
+        answer = msgspec.json.decode(content, type=upstreams.AnnounceAnswer)
+        if answer.owner_epoch > self._owner_epoch:
+            self._owner = answer.owner
+            self._owner_epoch = answer.owner_epoch
+
     def _body(self) -> upstreams.AnnounceBody:
         options = self._options
         return upstreams.AnnounceBody(
@@ -83,5 +95,7 @@
             state=self.state,
             started_at=self._started,
             checks_fencing=options.checks_fencing,
+            owner=self._owner,
+            owner_epoch=self._owner_epoch,
             load=self._load(),
         )
--- a/fulmarbarrow/zones/messages.py
+++ b/fulmarbarrow/zones/messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from fulmarbarrow import message
 
 
@@ -15,6 +17,26 @@
     weights: tuple[tuple[str, float], ...]
 
 
+class ZoneNotice(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Whether a published revision has an availability zone out."""
+
+    zone: str
+    out: bool
+    revision: int
+
+
+class ZoneAnnounced(message.Message, frozen=True, kw_only=True):
+    """A revision changed zones; membership tells the other daemons."""
+
+    notices: tuple[ZoneNotice, ...]
+
+
+class ZoneHeard(message.Message, frozen=True, kw_only=True):
+    """Another daemon told of zones, maybe ahead of the revision itself."""
+
+    notices: tuple[ZoneNotice, ...]
+
+
 class ZoneSummary(message.Message, frozen=True, kw_only=True):
     """Capacity and work of a zone, for daemons elsewhere."""
 
