--- a/fulmarbarrow/daemon/assembly.py
+++ b/fulmarbarrow/daemon/assembly.py
@@ -7,40 +7,37 @@
 import random
 import typing
 
-from twisted.internet import interfaces
 from twisted.internet import task
-from twisted.web import server
+from twisted.web import resource as resources
 
 from fulmarbarrow import bus as buses
 from fulmarbarrow import clock as clocks
 from fulmarbarrow.config import defaults
-from fulmarbarrow.consensus import core as consensus_core
-from fulmarbarrow.consensus import messages as consensus_messages
+from fulmarbarrow.daemon import cores
 from fulmarbarrow.daemon import lifecycle
-from fulmarbarrow.delivery import core as delivery_core
+from fulmarbarrow.daemon import listeners
+from fulmarbarrow.delivery import shell as delivery_shell
 from fulmarbarrow.edge import admin
 from fulmarbarrow.edge import callers
 from fulmarbarrow.edge import client
 from fulmarbarrow.edge import exchange
+from fulmarbarrow.edge import guarded
+from fulmarbarrow.edge import orders
+from fulmarbarrow.edge import site as sites
 from fulmarbarrow.edge import upstreams
-from fulmarbarrow.journal import core as journal_core
-from fulmarbarrow.limits import core as limits_core
-from fulmarbarrow.membership import core as membership_core
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics as metrics_module
-from fulmarbarrow.placement import core as placement_core
-from fulmarbarrow.publishing import control
-from fulmarbarrow.publishing import follower
-from fulmarbarrow.versions import core as versions_core
+from fulmarbarrow.placement import messages as placement_messages
 from fulmarbarrow.wire import codec
 from fulmarbarrow.wire import transport
-from fulmarbarrow.zones import core as zones_core
 
 log = logging.getLogger(__name__)
 
 TICK = datetime.timedelta(milliseconds=250)
+PLACEMENT_TICK = datetime.timedelta(milliseconds=50)
 DRAIN_CHECK = datetime.timedelta(milliseconds=50)
+MAX_OWN_BODY_BYTES = 16 << 20  # bundles and announcements
 
 
 class Daemon:
@@ -56,29 +53,44 @@
         self._settings = settings
         self._reactor = reactor
         self._clock = clock
-        self._metrics = metrics_module.Metrics()
+        self._metrics = metrics_module.Metrics(
+            common={
+                "daemon": settings.daemon.id,
+                "zone": settings.daemon.zone,
+            }
+        )
         self._bus = buses.Bus(clock=clock)
         self._exchanges = exchange.Exchanges()
-        self._cores: dict[str, buses.Core] = {}
-        self._ports: list[interfaces.IListeningPort] = []
         self._record = self._describe()
         self._transport = self._make_transport()
         self._bus.subscribe(
             message.Send, lambda event, _: self._transport.send(event)
         )
         self._callers: callers.CallersEdge | None = None
-        self._add_common()
+        self._placement_ticks: task.LoopingCall | None = None
         if defaults.Role.CONTROL in settings.daemon.roles:
-            self._add_control()
+            self._add_control_edges()
         if defaults.Role.ROUTER in settings.daemon.roles:
-            self._add_router()
+            self._add_router_edges()
+        self._cores = cores.Cores(
+            settings=settings,
+            record=self._record,
+            bus=self._bus,
+            metrics=self._metrics,
+            rng=random.Random(self._record.incarnation),
+        ).by_name
         self._admin = admin.AdminEdge(
             bus=self._bus, metrics=self._metrics, dump=self.dump
         )
         self._ticks = task.LoopingCall(self._bus.post, message.Tick())
         self._drain = task.LoopingCall(self._check_drained)
+        self._listeners = self._make_listeners()
         self._lifecycle = lifecycle.make_lifecycle(self)
 
+    def bind(self) -> dict[str, str]:
+        """Bind every port; return what failed by setting."""
+        return self._listeners.bind()
+
     def start(self) -> None:
         """Start to serve."""
         self._lifecycle.start()
@@ -94,6 +106,7 @@
             "zone": self._settings.daemon.zone,
             "time": self._clock.now(),
             "open_requests": len(self._exchanges),
+            "callers": self._callers.dump() if self._callers else None,
             "unhandled": dict(self._bus.unhandled),
             "errors": dict(self._bus.errors),
             "cores": {name: core.dump() for name, core in self._cores.items()},
@@ -102,16 +115,11 @@
 
     # Actions of the lifecycle.
 
-    def open_listeners(self) -> None:
-        """Start to listen."""
-        self._transport.start()
-        self._listen(self._settings.listen.admin, self._admin.app)
-        if self._callers is not None:
-            self._listen(self._settings.listen.callers, self._callers.app)
-            self._listen(
-                self._settings.listen.upstreams, self._upstreams_edge.app
-            )
+    def begin_serving(self) -> None:
+        """Start the clockwork; the ports are bound already."""
         self._ticks.start(TICK.total_seconds())
+        if self._placement_ticks is not None:
+            self._placement_ticks.start(PLACEMENT_TICK.total_seconds())
         log.info("daemon %s serves", self._settings.daemon.id)
 
     def announce_stop(self) -> None:
@@ -136,11 +144,10 @@
         log.info("daemon %s stops", self._settings.daemon.id)
         if self._drain.running:
             self._drain.stop()
-        if self._ticks.running:
-            self._ticks.stop()
-        for port in self._ports:
-            port.stopListening()
-        self._transport.stop()
+        for ticks in (self._ticks, self._placement_ticks):
+            if ticks is not None and ticks.running:
+                ticks.stop()
+        self._listeners.close()
         self._reactor.callLater(0, self._reactor.stop)
 
     def _check_drained(self) -> None:
@@ -172,68 +179,55 @@
             received=self._bus.post,
         )
 
-    def _add(self, name: str, core: buses.Core) -> None:
-        self._cores[name] = core
-        self._bus.attach(core)
-
-    def _add_common(self) -> None:
-        self._add(
-            "membership",
-            membership_core.MembershipCore(
-                daemon=self._record,
-                seeds=tuple(map(str, self._settings.peers.seeds)),
-                lease=self._settings.upstreams.lease,
-                metrics=self._metrics,
-                rng=random.Random(),
-            ),
-        )
-        self._add(
-            "publishing",
-            follower.PublishingFollower(
-                daemon_id=self._record.daemon_id, address=self._record.address
-            ),
-        )
-
-    def _add_control(self) -> None:
-        self._add(
-            "consensus",
-            consensus_core.ConsensusCore(
-                group=consensus_messages.Group.CONFIGURATION
-            ),
+    def _add_control_edges(self) -> None:
+        self._orders = orders.OrdersClient(
+            reactor=self._reactor,
+            bus=self._bus,
+            key=self._settings.upstreams.key,
         )
-        self._add("control", control.PublishingControl(daemon=self._record))
 
-    def _add_router(self) -> None:
-        metrics = self._metrics
+    def _add_router_edges(self) -> None:
         self._callers = callers.CallersEdge(
             daemon_id=self._record.daemon_id,
             incarnation=self._record.incarnation,
             bus=self._bus,
             clock=self._clock,
-            metrics=metrics,
+            metrics=self._metrics,
             exchanges=self._exchanges,
+            limits=self._settings.limits,
         )
         self._upstreams_edge = upstreams.UpstreamsEdge(
             bus=self._bus, key=self._settings.upstreams.key
         )
         self._client = client.UpstreamClient(
-            reactor=self._reactor, bus=self._bus, exchanges=self._exchanges
+            reactor=self._reactor,
+            bus=self._bus,
+            clock=self._clock,
+            exchanges=self._exchanges,
         )
-        self._add("versions", versions_core.VersionsCore())
-        self._add("zones", zones_core.ZonesCore())
-        self._add("limits", limits_core.LimitsCore(metrics=metrics))
-        self._add(
-            "placement",
-            placement_core.PlacementCore(
-                address=self._record.address, metrics=metrics
-            ),
+        self._placement_ticks = task.LoopingCall(
+            self._bus.post, placement_messages.PlacementTick()
         )
-        self._add("journal", journal_core.JournalCore(metrics=metrics))
-        self._add("delivery", delivery_core.DeliveryCore(metrics=metrics))
+        delivery_shell.Alarm(reactor=self._reactor, bus=self._bus)
 
-    def _listen(self, address: typing.Any, app: typing.Any) -> None:
-        site = server.Site(app.resource())
-        port = self._reactor.listenTCP(
-            address.port, site, interface=address.host
+    def _make_listeners(self) -> listeners.Listeners:
+        listen = self._settings.listen
+        made = listeners.Listeners(
+            reactor=self._reactor, transport=self._transport
+        )
+        admin_resource = guarded.GuardedResource(
+            app=self._admin.app, key=self._settings.daemon.admin_key
+        )
+        made.add("admin", listen.admin, self._site(admin_resource))
+        if self._callers is not None:
+            made.add("callers", listen.callers, self._callers.site)
+            announcements = self._upstreams_edge.app.resource()
+            made.add("upstreams", listen.upstreams, self._site(announcements))
+        return made
+
+    def _site(self, resource: resources.IResource) -> sites.BoundedSite:
+        return sites.BoundedSite(
+            resource=resource,
+            max_body_bytes=MAX_OWN_BODY_BYTES,
+            metrics=self._metrics,
         )
-        self._ports.append(port)
--- a/fulmarbarrow/exceptions.py
+++ b/fulmarbarrow/exceptions.py
@@ -48,6 +48,12 @@
     exit_code = 4
 
 
+class DispatchLeaseError(FulmarbarrowError):
+    """The right to dispatch an action ended before it was sent."""
+
+    code = "dispatch_lease_passed"
+
+
 class ConflictError(FulmarbarrowError):
     """Another publish won the race for the revision."""
 
@@ -67,3 +73,17 @@
 
     code = "replay_mismatch"
     exit_code = 7
+
+
+class UnauthorizedError(FulmarbarrowError):
+    """A daemon's admin port does not accept the key."""
+
+    code = "unauthorized"
+    exit_code = 8
+
+
+class RefusedError(FulmarbarrowError):
+    """A daemon's admin port refused a request."""
+
+    code = "request_refused"
+    exit_code = 9
--- a/fulmarbarrow/observe/metrics.py
+++ b/fulmarbarrow/observe/metrics.py
@@ -9,18 +9,28 @@
 import prometheus_client
 import prometheus_client.core
 
-LOWEST_MICROSECONDS = 1
-HIGHEST_MICROSECONDS = 3_600_000_000
+LOWEST_MICROSECONDS = 10
+HIGHEST_MICROSECONDS = 600_000_000
 SIGNIFICANT_DIGITS = 2
+LABELLED_LOWEST_MICROSECONDS = 100
+LABELLED_SIGNIFICANT_DIGITS = 1
+MAX_LABELLED_HISTOGRAMS = 256
+OTHER = "other"
 PERCENTILES = (50.0, 95.0, 99.0, 99.9)
 
+_MICROSECOND = datetime.timedelta(microseconds=1)
+
 _Labels = tuple[tuple[str, str], ...]
 
 
 class Metrics:
-    """Named counters and duration histograms with labels."""
+    """Named counters and duration histograms with labels.
+
+    The exposition gives every one the ``common`` labels, such as the zone.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, *, common: dict[str, str] | None = None) -> None:
+        self._common = common or {}
         self._counters: dict[tuple[str, _Labels], int] = {}
         self._histograms: dict[
             tuple[str, _Labels], hdrh.histogram.HdrHistogram
@@ -34,16 +44,37 @@
     def record(
         self, name: str, duration: datetime.timedelta, **labels: str
     ) -> None:
-        """Add a duration to a histogram."""
+        """Add a duration to a histogram.
+
+        Durations above the highest count as the highest. Beyond
+        ``MAX_LABELLED_HISTOGRAMS`` the labels' values become ``OTHER``.
+        """
         key = (name, tuple(sorted(labels.items())))
         histogram = self._histograms.get(key)
+        if histogram is None:
+            histogram = self._add_histogram(key)
+        micros = duration // _MICROSECOND
+        histogram.record_value(
+            min(max(LOWEST_MICROSECONDS, micros), HIGHEST_MICROSECONDS)
+        )
+
+    def _add_histogram(
+        self, key: tuple[str, _Labels]
+    ) -> hdrh.histogram.HdrHistogram:
+        name, labels = key
+        lowest, digits = LOWEST_MICROSECONDS, SIGNIFICANT_DIGITS
+        if labels:
+            lowest = LABELLED_LOWEST_MICROSECONDS
+            digits = LABELLED_SIGNIFICANT_DIGITS
+            if len(self._histograms) >= MAX_LABELLED_HISTOGRAMS:
+                key = (name, tuple((label, OTHER) for label, _ in labels))
+        histogram = self._histograms.get(key)
         if histogram is None:
             histogram = hdrh.histogram.HdrHistogram(
-                LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS
+                lowest, HIGHEST_MICROSECONDS, digits
             )
             self._histograms[key] = histogram
-        micros = duration // datetime.timedelta(microseconds=1)
-        histogram.record_value(max(LOWEST_MICROSECONDS, micros))
+        return histogram
 
     def value(self, name: str, **labels: str) -> int:
         """Return a counter's value, 0 before its first count."""
@@ -103,7 +134,9 @@
                 )
                 families[name] = family
             family.add_sample(
-                f"fulmarbarrow_{name}_total", dict(labels), value
+                f"fulmarbarrow_{name}_total",
+                {**self._common, **dict(labels)},
+                value,
             )
         yield from families.values()
 
@@ -121,15 +154,13 @@
                     full, name.replace("_", " "), "summary"
                 ),
             )
+            own = {**self._common, **dict(labels)}
             for percentile in PERCENTILES:
                 value = histogram.get_value_at_percentile(percentile) / 1e6
-                family.add_sample(
-                    full,
-                    {**dict(labels), "quantile": f"{percentile / 100:g}"},
-                    value,
-                )
+                quantile = f"{percentile / 100:g}"
+                family.add_sample(full, {**own, "quantile": quantile}, value)
             family.add_sample(
-                f"{full}_count", dict(labels), histogram.get_total_count()
+                f"{full}_count", own, histogram.get_total_count()
             )
         yield from families.values()
 
