--- a/fulmarbarrow/daemon/cores.py
+++ b/fulmarbarrow/daemon/cores.py
@@ -72,6 +72,7 @@
                 seeds=tuple(map(str, settings.peers.seeds)),
                 lease=settings.upstreams.lease,
                 metrics=self._metrics,
+                rng=self._rng,
             ),
         )
         self._add(
