Publish by deltas over the replicated log, with status by zone

A publish replaced the whole bundle in memory and a resend after another publish was refused as a conflict. Accepted revisions now live in the configuration log with the results of the last 1000 publishes, so a resend gets its first result and the loser of a race is told who won and which items differ. Daemons get deltas, by a relay per zone when there are many, fetch from peers in their zone, and sync a revision before it is in force when they have a disk. Status and publish go to any control host, which passes them to the leader, or says plainly that it reaches none.

--- /dev/null
+++ b/fulmarbarrow/commands/fleet_status.py
@@ -0,0 +1,71 @@
+"""Reads and prints how far a revision has come, zone by zone."""
+
+from __future__ import annotations
+
+import datetime
+
+import msgspec
+
+from fulmarbarrow.commands import client
+from fulmarbarrow.publishing import messages
+
+
+async def read(admin: str) -> messages.Status:
+    """Return the status as a control host gives it."""
+    answer = await client.get_json(admin, "/v1/status")
+    return msgspec.convert(answer, messages.Status)
+
+
+def complete(status: messages.Status, revision: int) -> bool:
+    """Return whether every daemon has the revision in force."""
+    if not status.current or status.revision < revision:
+        return False
+    return all(zone.in_force == zone.daemons for zone in status.zones)
+
+
+def head(status: messages.Status) -> str:
+    """Return one line about the revision and who says so."""
+    text = f"revision {status.revision}"
+    if status.publisher:
+        text += f" by {status.publisher}"
+    if status.current:
+        return f"{text}, leader {status.leader}"
+    since = ""
+    if status.leaderless_since is not None:
+        since = f" since {_time(status.leaderless_since)}"
+    return (
+        f"{text} as last known to {status.answered_by}, "
+        f"which reaches no leader{since}"
+    )
+
+
+def table(status: messages.Status) -> str:
+    """Return a line for each zone, and for each daemon that is cut off."""
+    lines = [f"{'zone':20} {'in force':>10}  waits for"]
+    for zone in status.zones:
+        count = f"{zone.in_force}/{zone.daemons}"
+        lines.append(f"{zone.zone:20} {count:>10}  {', '.join(zone.behind)}")
+        lines.extend(
+            f"  {item.daemon_id} cut off since {_time(item.since)}, "
+            f"had revision {item.revision}"
+            for item in zone.cut_off
+        )
+    return "\n".join(line.rstrip() for line in lines)
+
+
+def missing(status: messages.Status) -> list[str]:
+    """Return the daemons without the revision, and since when."""
+    names = []
+    for zone in status.zones:
+        names += [f"{name} ({zone.zone})" for name in zone.behind]
+        names += [
+            f"{item.daemon_id} ({zone.zone}, cut off since "
+            f"{_time(item.since)})"
+            for item in zone.cut_off
+            if item.revision < status.revision
+        ]
+    return names
+
+
+def _time(moment: datetime.datetime) -> str:
+    return moment.strftime("%Y-%m-%d %H:%M:%S UTC")
--- a/fulmarbarrow/commands/publish.py
+++ b/fulmarbarrow/commands/publish.py
@@ -3,79 +3,152 @@
 from __future__ import annotations
 
 import getpass
-import hashlib
+import sys
 import time
-import typing
 import uuid
 
 import msgspec
 
 from fulmarbarrow.commands import check
 from fulmarbarrow.commands import client
+from fulmarbarrow.commands import fleet_status
 from fulmarbarrow.config import bundle as bundles
 from fulmarbarrow.edge import admin as admin_edge
 from fulmarbarrow import exceptions
+from fulmarbarrow.publishing import delta as deltas
+from fulmarbarrow.publishing import messages
 
 POLL_SECONDS = 0.2
+# Answers after which the same publish may be sent again.
+RESEND_CODES = ("no_quorum", "outcome_unknown")
 
 
 def publish(
     *roots: str,
     admin: str,
     base: int | None = None,
-    wait_seconds: float = 19.0,
+    wait: float = 19.0,
+    publish_id: str = "",
+    json: bool = False,
 ) -> str:
     """Publish all files below the given folders and wait until in force.
 
-    ``admin`` is a control host's admin address. ``base`` is the revision
-    that the files replace; by default the one in force now.
+    Args:
+        roots: the folders
+        admin: a control host's admin address
+        base: the revision that the files replace; by default the latest
+        wait: how long to wait for the outcome, in seconds
+        publish_id: that of an earlier run whose outcome stayed unknown
+        json: print the status at the end as JSON
     """
     data = bundles.encode(check.load(roots))
-    return client.run(lambda: _publish(admin, data, base, wait_seconds))
+    run = Publish(
+        admin=admin,
+        data=data,
+        base=base,
+        publish_id=publish_id or uuid.uuid4().hex,
+        until=time.monotonic() + wait,
+    )
+    status = client.run(run.run)
+    if json:
+        return msgspec.json.format(msgspec.json.encode(status)).decode()
+    return f"revision {run.revision} in force on {run.daemons} daemons"
 
 
-async def _publish(
-    admin: str, data: bytes, base: int | None, wait_seconds: float
-) -> str:
-    if base is None:
-        dump = await client.get_json(admin, "/dump")
-        base = dump["cores"]["control"]["revision"]
-    body = admin_edge.PublishBody(
-        publish_id=uuid.uuid4().hex,
-        publisher=getpass.getuser(),
-        base_revision=base,
-        digest=hashlib.blake2b(data, digest_size=16).hexdigest(),
-        bundle=msgspec.Raw(data),
-    )
-    result = await client.post_json(
-        admin, "/v1/publish", msgspec.json.encode(body)
-    )
-    if result["code"]:
-        raise exceptions.ConflictError(
-            f"revision {result['revision']} by {result['winner']} came first"
+class Publish:
+    """One publish, sent again until its outcome is known."""
+
+    def __init__(
+        self,
+        *,
+        admin: str,
+        data: bytes,
+        base: int | None,
+        publish_id: str,
+        until: float,
+    ) -> None:
+        self._admin = admin
+        self._data = data
+        self._base = base
+        self._publish_id = publish_id
+        self._until = until
+        self._shown = ""
+        self.revision = 0
+        self.daemons = 0
+
+    async def run(self) -> messages.Status:
+        """Publish and wait; raises ConflictError and NotInForceError."""
+        if self._base is None:
+            self._base = (await fleet_status.read(self._admin)).revision
+        answer = await self._send()
+        self.revision = answer.revision
+        print(f"accepted as revision {answer.revision}", file=sys.stderr)
+        return await self._wait()
+
+    async def _send(self) -> admin_edge.PublishAnswer:
+        body = admin_edge.PublishBody(
+            publish_id=self._publish_id,
+            publisher=getpass.getuser(),
+            base_revision=self._base or 0,
+            digest=deltas.digest(self._data),
+            bundle=msgspec.Raw(self._data),
         )
-    return await _wait(admin, result["revision"], wait_seconds)
+        while True:
+            given = await client.post_json(
+                self._admin, "/v1/publish", msgspec.json.encode(body)
+            )
+            answer = msgspec.convert(given, admin_edge.PublishAnswer)
+            if answer.code not in RESEND_CODES:
+                break
+            if time.monotonic() > self._until:
+                raise exceptions.NotInForceError(
+                    f"not known to be accepted ({answer.code}); publish "
+                    f"again with --publish_id={self._publish_id} "
+                    f"--base={self._base}"
+                )
+            await _pause()
+        if answer.code == "revision_conflict":
+            raise exceptions.ConflictError(
+                f"revision {self._base} was replaced by {answer.winner}; now "
+                f"revision {answer.revision} is in force. Differences: "
+                f"{', '.join(answer.differs)}"
+            )
+        if answer.code:
+            raise exceptions.RefusedError(f"refused: {answer.code}")
+        return answer
+
+    async def _wait(self) -> messages.Status:
+        while True:
+            status = await fleet_status.read(self._admin)
+            self._show(status)
+            if fleet_status.complete(status, self.revision):
+                self.daemons = sum(zone.daemons for zone in status.zones)
+                return status
+            if time.monotonic() > self._until:
+                raise exceptions.NotInForceError(self._reason(status))
+            await _pause()
+
+    def _show(self, status: messages.Status) -> None:
+        """Print the progress by zone when it has changed."""
+        text = ", ".join(
+            f"{zone.zone} {zone.in_force}/{zone.daemons}"
+            for zone in status.zones
+        )
+        if text != self._shown:
+            print(f"in force: {text}", file=sys.stderr)
+            self._shown = text
 
+    def _reason(self, status: messages.Status) -> str:
+        text = f"revision {self.revision} accepted"
+        if not status.current:
+            return f"{text}; {fleet_status.head(status)}"
+        names = ", ".join(fleet_status.missing(status))
+        return f"{text}, not in force on {names}"
 
-async def _wait(admin: str, revision: int, wait_seconds: float) -> str:
+
+async def _pause() -> None:
     # Waiting here is the command line's, not a core's: real time is meant.
     from twisted.internet import reactor
     from twisted.internet import task
 
-    until = time.monotonic() + wait_seconds
-    while True:
-        dump = await client.get_json(admin, "/dump")
-        daemons: dict[str, typing.Any] = dump["cores"]["control"]["daemons"]
-        missing = sorted(
-            name
-            for name, daemon in daemons.items()
-            if daemon["revision"] < revision
-        )
-        if not missing:
-            return f"revision {revision} in force on {len(daemons)} daemons"
-        if time.monotonic() > until:
-            raise exceptions.NotInForceError(
-                f"revision {revision} accepted, not in force on "
-                + ", ".join(missing)
-            )
-        await task.deferLater(reactor, POLL_SECONDS)
+    await task.deferLater(reactor, POLL_SECONDS)
--- a/fulmarbarrow/commands/status.py
+++ b/fulmarbarrow/commands/status.py
@@ -2,12 +2,20 @@
 
 from __future__ import annotations
 
-import typing
+import msgspec
 
 from fulmarbarrow.commands import client
+from fulmarbarrow.commands import fleet_status
 
 
-def status(*, admin: str) -> typing.Any:
-    """Print the revision and which daemons have it in force."""
-    dump = client.run(lambda: client.get_json(admin, "/dump"))
-    return dump["cores"]["control"]
+def status(*, admin: str, json: bool = False) -> str:
+    """Print the revision and which daemons have it in force, by zone.
+
+    Args:
+        admin: a control host's admin address
+        json: print JSON
+    """
+    found = client.run(lambda: fleet_status.read(admin))
+    if json:
+        return msgspec.json.format(msgspec.json.encode(found)).decode()
+    return f"{fleet_status.head(found)}\n{fleet_status.table(found)}"
--- a/fulmarbarrow/daemon/assembly.py
+++ b/fulmarbarrow/daemon/assembly.py
@@ -31,6 +31,7 @@
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics as metrics_module
 from fulmarbarrow.placement import messages as placement_messages
+from fulmarbarrow.publishing import shell as publishing_shell
 from fulmarbarrow.wire import codec
 from fulmarbarrow.wire import transport
 
@@ -71,6 +72,13 @@
         self._callers: callers.CallersEdge | None = None
         self._placement_ticks: task.LoopingCall | None = None
         self._consensus: consensus_shell.ConsensusShell | None = None
+        self._revisions: publishing_shell.RevisionFile | None = None
+        if settings.daemon.data_dir:
+            self._revisions = publishing_shell.RevisionFile(
+                data_folder=pathlib.Path(settings.daemon.data_dir),
+                bus=self._bus,
+                metrics=self._metrics,
+            )
         if defaults.Role.CONTROL in settings.daemon.roles:
             self._add_control_edges()
         if defaults.Role.ROUTER in settings.daemon.roles:
@@ -83,9 +91,14 @@
             rng=random.Random(self._record.incarnation),
             now=clock.now(),
             logs=self._consensus,
+            restored=self._revisions.restored if self._revisions else None,
+            stores_revisions=self._revisions is not None,
         ).by_name
         self._admin = admin.AdminEdge(
-            bus=self._bus, metrics=self._metrics, dump=self.dump
+            bus=self._bus,
+            metrics=self._metrics,
+            dump=self.dump,
+            publishes=self._consensus is not None,
         )
         self._ticks = task.LoopingCall(self._bus.post, message.Tick())
         self._drain = task.LoopingCall(self._check_drained)
--- a/fulmarbarrow/daemon/cores.py
+++ b/fulmarbarrow/daemon/cores.py
@@ -44,6 +44,8 @@
         rng: random.Random,
         now: datetime.datetime,
         logs: consensus_memory.Logs | None = None,
+        restored: publishing_messages.StoreRevision | None = None,
+        stores_revisions: bool = False,
     ) -> None:
         self._settings = settings
         self._record = record
@@ -52,6 +54,8 @@
         self._rng = rng
         self._now = now
         self._logs = logs
+        self._restored = restored
+        self._stores_revisions = stores_revisions
         self.by_name: dict[str, buses.Core] = {}
         self._add_common()
         if defaults.Role.CONTROL in settings.daemon.roles:
@@ -78,7 +82,11 @@
         self._add(
             "publishing",
             follower.PublishingFollower(
-                daemon_id=self._record.daemon_id, address=self._record.address
+                daemon=self._record,
+                source=self._rng,
+                metrics=self._metrics,
+                stores=self._stores_revisions,
+                restored=self._restored,
             ),
         )
 
@@ -93,7 +101,9 @@
             logs,
             (publishing_messages.MACHINE, "versions"),
         )
-        self._add("control", control.PublishingControl(daemon=record))
+        self._add(
+            "control", control.PublishingControl(daemon=record, now=self._now)
+        )
         self._add(
             "version_moves",
             versions_control.VersionsControl(
--- a/fulmarbarrow/publishing/control.py
+++ b/fulmarbarrow/publishing/control.py
@@ -3,15 +3,25 @@
 from __future__ import annotations
 
 import datetime
+import functools
 import typing
 
 import msgspec
 
+from fulmarbarrow.config import bundle as bundles
 from fulmarbarrow.consensus import messages as consensus_messages
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
+from fulmarbarrow.publishing import delta as deltas
+from fulmarbarrow.publishing import fanout
 from fulmarbarrow.publishing import messages
 from fulmarbarrow.publishing import state
+from fulmarbarrow.publishing import status as status_module
+
+GROUP = consensus_messages.Group.CONFIGURATION
+INVALID = "bundle_invalid"
+NO_QUORUM = "no_quorum"
+UNKNOWN = "outcome_unknown"
 
 
 class PublishingControl:
@@ -21,103 +31,254 @@
         messages.PublishRequested,
         messages.RevisionAck,
         messages.RevisionFetch,
+        messages.StatusRequested,
+        messages.StatusCall,
+        messages.StatusReply,
         consensus_messages.Applied,
+        consensus_messages.ProposeResult,
+        consensus_messages.ReadReady,
+        consensus_messages.LeaderChanged,
+        consensus_messages.SnapshotWanted,
+        consensus_messages.SnapshotRestored,
         membership_messages.DaemonChanged,
         membership_messages.DaemonGone,
         message.Tick,
     )
 
-    def __init__(self, *, daemon: membership_messages.Daemon) -> None:
+    def __init__(
+        self, *, daemon: membership_messages.Daemon, now: datetime.datetime
+    ) -> None:
         self._daemon = daemon
-        self._current = state.EMPTY
-        self._daemons: dict[str, membership_messages.Daemon] = {
-            daemon.daemon_id: daemon
-        }
-        self._acknowledged: dict[str, int] = {}
+        self._state = state.PublishedState()
+        self._fanout = fanout.FanOut(daemon=daemon, now=now)
+        self._requested: set[str] = set()
+        self._leads = False
+        self._status = status_module.StatusDesk(
+            daemon=daemon, describe=self._describe, now=now
+        )
 
     def handle(
         self, event: message.Message, now: datetime.datetime
     ) -> list[message.Message]:
         """Take one event and return its effects."""
-        match event:
-            case messages.PublishRequested():
-                return [self._propose(event)]
-            case consensus_messages.Applied(machine=messages.MACHINE):
-                return self._applied(event)
-            case messages.RevisionAck():
-                return self._acknowledge(event)
-            case messages.RevisionFetch():
-                if event.revision < self._current.number:
-                    return [self._push(event.reply_to)]
-            case membership_messages.DaemonChanged():
-                self._daemons[event.daemon.daemon_id] = event.daemon
-            case membership_messages.DaemonGone():
-                self._daemons.pop(event.daemon_id, None)
-            case message.Tick():
-                return self._push_missing()
-        return []
+        if getattr(event, "group", GROUP) is not GROUP:
+            return []
+        return self._on(event, now) or []
 
     def dump(self) -> dict[str, typing.Any]:
-        """Return the current revision and who has it in force."""
+        """Return the current revision."""
         return {
-            "revision": self._current.number,
-            "digest": self._current.digest,
-            "publisher": self._current.publisher,
-            "daemons": {
-                daemon.daemon_id: {
-                    "zone": daemon.zone,
-                    "revision": self._acknowledged.get(daemon.daemon_id, 0),
-                }
-                for daemon in self._daemons.values()
-            },
+            "revision": self._state.revision,
+            "digest": self._state.digest,
+            "publisher": self._state.publisher,
+            "leads": self._leads,
         }
 
-    def _propose(self, event: messages.PublishRequested) -> message.Message:
-        return consensus_messages.Propose(
-            proposal_id=event.publish_id,
-            group=consensus_messages.Group.CONFIGURATION,
-            command=msgspec.msgpack.encode(event),
-            machine=messages.MACHINE,
+    def _describe(self, now: datetime.datetime) -> messages.Status:
+        """Return the status as this host knows it."""
+        return messages.Status(
+            answered_by=self._daemon.daemon_id,
+            current=self._leads,
+            leader=self._status.leader,
+            revision=self._state.revision,
+            digest=self._state.digest,
+            publisher=self._state.publisher,
+            zones=self._fanout.zones(self._state.revision, now),
+            leaderless_since=self._status.leaderless_since,
         )
 
-    def _applied(
-        self, event: consensus_messages.Applied
+    @functools.singledispatchmethod
+    def _on(
+        self, event: message.Message, now: datetime.datetime
+    ) -> list[message.Message] | None:
+        """Take one event by its type."""
+
+    @_on.register
+    def _(
+        self, event: messages.PublishRequested, now: datetime.datetime
+    ) -> list[message.Message]:
+        try:
+            bundle = bundles.decode(event.bundle)
+        except msgspec.DecodeError:
+            return [self._refused(event, INVALID)]
+        given = {
+            deltas.digest(event.bundle),
+            deltas.digest(bundles.encode(bundle)),
+        }
+        if event.digest not in given:
+            return [self._refused(event, INVALID)]
+        self._requested.add(event.publish_id)
+        command = self._state.command(event, bundle)
+        return [
+            consensus_messages.Propose(
+                proposal_id=event.publish_id,
+                group=GROUP,
+                command=msgspec.msgpack.encode(command),
+                machine=messages.MACHINE,
+            )
+        ]
+
+    @_on.register
+    def _(
+        self,
+        event: consensus_messages.ProposeResult,
+        now: datetime.datetime,
+    ) -> list[message.Message]:
+        if event.proposal_id not in self._requested:
+            return []
+        self._requested.discard(event.proposal_id)
+        if event.committed:
+            return []
+        code = UNKNOWN if event.unknown else NO_QUORUM
+        return [
+            messages.PublishResult(
+                publish_id=event.proposal_id, code=code, revision=0
+            )
+        ]
+
+    @_on.register
+    def _(
+        self, event: consensus_messages.Applied, now: datetime.datetime
     ) -> list[message.Message]:
-        request = msgspec.msgpack.decode(
-            event.command, type=messages.PublishRequested
+        if event.machine != messages.MACHINE:
+            return []
+        command = msgspec.msgpack.decode(
+            event.command, type=state.PublishCommand
         )
-        before = self._current
-        self._current, result = state.decide(before, request)
-        if self._current is before:
+        before = self._state.revision
+        result = self._state.apply(command)
+        if self._state.revision == before or not self._leads:
             return [result]
-        return [result, *self._push_missing()]
+        step = self._state.history.deltas[-1:]
+        return [result, *(self._fanout.push(step[0], now) if step else ())]
 
-    def _acknowledge(
-        self, event: messages.RevisionAck
+    @_on.register
+    def _(
+        self, event: messages.RevisionAck, now: datetime.datetime
     ) -> list[message.Message]:
-        known = self._acknowledged.get(event.daemon_id, 0)
-        self._acknowledged[event.daemon_id] = max(known, event.revision)
+        self._fanout.acknowledged(event, now)
         return [
             messages.DaemonInForce(
                 daemon_id=event.daemon_id, revision=event.revision
             )
         ]
 
-    def _push_missing(self) -> list[message.Message]:
+    @_on.register
+    def _(
+        self, event: messages.RevisionFetch, now: datetime.datetime
+    ) -> list[message.Message]:
+        if event.revision >= self._state.revision:
+            return []
+        answer = self._answer(event.revision)
+        if event.reply_to == self._daemon.address:
+            return [answer]
+        return [message.Send(address=event.reply_to, message=answer)]
+
+    @_on.register
+    def _(
+        self,
+        event: consensus_messages.LeaderChanged,
+        now: datetime.datetime,
+    ) -> list[message.Message]:
+        leads = event.lease_until is not None
+        if leads and not self._leads:
+            self._fanout.lead(now)
+        self._leads = leads
+        self._status.leader_changed(event, now)
+        return []
+
+    @_on.register
+    def _(
+        self,
+        event: consensus_messages.SnapshotWanted,
+        now: datetime.datetime,
+    ) -> list[message.Message]:
         return [
-            self._push(daemon.address)
-            for daemon in self._daemons.values()
-            if self._acknowledged.get(daemon.daemon_id, 0)
-            < self._current.number
+            consensus_messages.SnapshotTaken(
+                group=GROUP,
+                index=event.index,
+                state=self._state.encode(),
+                machine=messages.MACHINE,
+            )
         ]
 
-    def _push(self, address: str) -> message.Message:
-        push = messages.RevisionPush(
+    @_on.register
+    def _(
+        self,
+        event: consensus_messages.SnapshotRestored,
+        now: datetime.datetime,
+    ) -> None:
+        if event.machine == messages.MACHINE:
+            self._state.restore(event.state)
+
+    @_on.register
+    def _(
+        self,
+        event: membership_messages.DaemonChanged,
+        now: datetime.datetime,
+    ) -> None:
+        self._fanout.changed(event.daemon, now)
+
+    @_on.register
+    def _(
+        self, event: membership_messages.DaemonGone, now: datetime.datetime
+    ) -> None:
+        self._fanout.gone(event)
+
+    @_on.register
+    def _(
+        self, event: messages.StatusRequested, now: datetime.datetime
+    ) -> list[message.Message]:
+        return self._status.requested(event, now)
+
+    @_on.register
+    def _(
+        self, event: messages.StatusCall, now: datetime.datetime
+    ) -> list[message.Message]:
+        return self._status.called(event)
+
+    @_on.register
+    def _(
+        self, event: messages.StatusReply, now: datetime.datetime
+    ) -> list[message.Message]:
+        return self._status.replied(event)
+
+    @_on.register
+    def _(
+        self, event: consensus_messages.ReadReady, now: datetime.datetime
+    ) -> list[message.Message]:
+        return self._status.read(event, now)
+
+    @_on.register
+    def _(
+        self, event: message.Tick, now: datetime.datetime
+    ) -> list[message.Message]:
+        effects = self._status.tick(now)
+        if self._leads:
+            self._fanout.forget(now)
+            effects += self._fanout.notices(self._state.revision, now)
+        return effects
+
+    def _answer(self, revision: int) -> message.Message:
+        steps = self._state.history.after(revision)
+        if steps and revision:
+            return messages.RevisionDeltas(
+                sender=self._daemon.address,
+                control=self._daemon.address,
+                deltas=steps,
+            )
+        return messages.RevisionPush(
             sender=self._daemon.address,
-            revision=self._current.number,
-            digest=self._current.digest,
-            bundle=self._current.bundle,
+            revision=self._state.revision,
+            digest=self._state.digest,
+            bundle=self._state.content.encode(),
+            publisher=self._state.publisher,
+        )
+
+    @staticmethod
+    def _refused(
+        event: messages.PublishRequested, code: str
+    ) -> messages.PublishResult:
+        return messages.PublishResult(
+            publish_id=event.publish_id, code=code, revision=0
         )
-        if address == self._daemon.address:
-            return push
-        return message.Send(address=address, message=push, urgent=True)
--- /dev/null
+++ b/fulmarbarrow/publishing/delta.py
@@ -0,0 +1,95 @@
+"""What changes from one revision of the configuration to the next."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import hashlib
+import typing
+
+from fulmarbarrow.config import bundle as bundles
+from fulmarbarrow.publishing import messages
+
+DIGEST_BYTES = 16
+
+Key = tuple[str, str]
+
+
+def digest(data: bytes) -> str:
+    """Return the digest that identifies an encoded bundle."""
+    return hashlib.blake2b(data, digest_size=DIGEST_BYTES).hexdigest()
+
+
+class Content:
+    """The items of a bundle by section and name."""
+
+    def __init__(self, *, bundle: bundles.Bundle) -> None:
+        self._items: dict[Key, typing.Any] = dict(_items(bundle))
+
+    def bundle(self) -> bundles.Bundle:
+        """Return the items as a bundle."""
+        sections: dict[str, list[typing.Any]] = {}
+        for section, name in sorted(self._items):
+            item = self._items[section, name]
+            sections.setdefault(section, []).append(item)
+        return bundles.Bundle(
+            **{section: tuple(items) for section, items in sections.items()}
+        )
+
+    def encode(self) -> bytes:
+        """Return the bundle in the form that is digested."""
+        return bundles.encode(self.bundle())
+
+    def delta_to(
+        self, bundle: bundles.Bundle, *, base: int, publisher: str
+    ) -> messages.Delta:
+        """Return what turns these items into those of ``bundle``."""
+        wanted = dict(_items(bundle))
+        changed = {
+            key: item
+            for key, item in wanted.items()
+            if self._items.get(key) != item
+        }
+        part = Content(bundle=bundles.Bundle())
+        part._items = changed
+        return messages.Delta(
+            base=base,
+            digest=digest(bundles.encode(bundle)),
+            publisher=publisher,
+            changed=part.encode(),
+            removed=tuple(
+                label(key) for key in sorted(self._items) if key not in wanted
+            ),
+        )
+
+    def apply(self, delta: messages.Delta) -> None:
+        """Change the items."""
+        for section, name in map(parse_label, delta.removed):
+            self._items.pop((section, name), None)
+        self._items.update(_items(bundles.decode(delta.changed)))
+
+
+def touched(delta: messages.Delta) -> set[str]:
+    """Return the labels of the items that a delta changes."""
+    changed = _items(bundles.decode(delta.changed))
+    return {label(key) for key, _ in changed} | set(delta.removed)
+
+
+def label(key: Key) -> str:
+    """Return how an item is named to operators."""
+    return f"{key[0]} {key[1]}"
+
+
+def parse_label(text: str) -> Key:
+    """Return the section and name of an item."""
+    section, _, name = text.partition(" ")
+    return section, name
+
+
+def _items(
+    bundle: bundles.Bundle,
+) -> collections.abc.Iterator[tuple[Key, typing.Any]]:
+    for field in dataclasses.fields(bundle):
+        for item in getattr(bundle, field.name):
+            name = item.id if hasattr(item, "id") else item.name
+            yield (field.name, name), item
--- /dev/null
+++ b/fulmarbarrow/publishing/fanout.py
@@ -0,0 +1,198 @@
+"""Spreads the accepted revision and knows who has it in force."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import datetime
+
+from fulmarbarrow.membership import messages as membership_messages
+from fulmarbarrow import message
+from fulmarbarrow.publishing import messages
+
+# Up to this many daemons are pushed to directly, more by a relay per zone.
+DIRECT_DAEMONS = 16
+NOTICE_INTERVAL = datetime.timedelta(seconds=1)
+ACK_LEASE = datetime.timedelta(seconds=30)
+# A daemon that is gone for longer is no longer counted.
+FORGET_AFTER = datetime.timedelta(minutes=10)
+
+
+@dataclasses.dataclass(kw_only=True)
+class Follower:
+    """What a control host knows of one daemon."""
+
+    daemon: membership_messages.Daemon
+    seen_at: datetime.datetime
+    revision: int = 0
+    gone: bool = False
+    noticed_at: datetime.datetime | None = None
+
+    def cut_off(self, now: datetime.datetime) -> bool:
+        """Return whether the daemon no longer answers."""
+        return self.gone or now - self.seen_at > ACK_LEASE
+
+    def notice_due(self, revision: int, now: datetime.datetime) -> bool:
+        """Return whether to tell the daemon the revision, or tell it again.
+
+        Each daemon is told once, so that it knows whom to acknowledge to.
+        """
+        if self.noticed_at is None:
+            return True
+        if now - self.noticed_at < NOTICE_INTERVAL:
+            return False
+        return self.revision < revision or self.cut_off(now)
+
+
+class FanOut:
+    """The daemons and the revision that each has in force."""
+
+    def __init__(
+        self, *, daemon: membership_messages.Daemon, now: datetime.datetime
+    ) -> None:
+        self._daemon = daemon
+        self._followers = {
+            daemon.daemon_id: Follower(daemon=daemon, seen_at=now)
+        }
+
+    def changed(
+        self, daemon: membership_messages.Daemon, now: datetime.datetime
+    ) -> None:
+        """Learn of a daemon; one that leaves is no longer counted."""
+        if daemon.state is membership_messages.DaemonState.LEAVING:
+            self._followers.pop(daemon.daemon_id, None)
+            return
+        known = self._followers.get(daemon.daemon_id)
+        if known is None or known.daemon.incarnation < daemon.incarnation:
+            self._followers[daemon.daemon_id] = Follower(
+                daemon=daemon, seen_at=now
+            )
+            return
+        known.daemon = daemon
+        if known.gone:
+            known.gone = False
+            known.seen_at = now
+
+    def gone(self, event: membership_messages.DaemonGone) -> None:
+        """Learn that a daemon is believed dead."""
+        known = self._followers.get(event.daemon_id)
+        if known and known.daemon.incarnation <= event.incarnation:
+            known.gone = True
+
+    def acknowledged(
+        self, event: messages.RevisionAck, now: datetime.datetime
+    ) -> None:
+        """Note what a daemon has in force."""
+        known = self._followers.get(event.daemon_id)
+        if known is not None:
+            known.seen_at = now
+            known.revision = max(known.revision, event.revision)
+
+    def push(
+        self, delta: messages.Delta, now: datetime.datetime
+    ) -> list[message.Message]:
+        """Return the messages that carry a step to every daemon."""
+        reachable = [
+            item.daemon
+            for item in self._followers.values()
+            if not item.cut_off(now)
+        ]
+        for item in self._followers.values():
+            item.noticed_at = now
+        if len(reachable) <= DIRECT_DAEMONS:
+            return [self._push(delta, daemon, ()) for daemon in reachable]
+        zones: dict[str, list[membership_messages.Daemon]] = {}
+        for daemon in sorted(reachable, key=lambda item: item.daemon_id):
+            zones.setdefault(daemon.zone, []).append(daemon)
+        effects = []
+        for daemons in zones.values():
+            relay = daemons.pop(delta.base % len(daemons))
+            addresses = tuple(daemon.address for daemon in daemons)
+            effects.append(self._push(delta, relay, addresses))
+        return effects
+
+    def notices(
+        self, revision: int, now: datetime.datetime
+    ) -> list[message.Message]:
+        """Return notices to the daemons that have not acknowledged."""
+        effects = []
+        notice = messages.RevisionNotice(
+            control=self._daemon.address, revision=revision
+        )
+        for item in self._followers.values():
+            if item.notice_due(revision, now):
+                item.noticed_at = now
+                effects.append(self._send(item.daemon.address, notice))
+        return effects
+
+    def forget(self, now: datetime.datetime) -> None:
+        """Stop counting daemons that are gone for long."""
+        for daemon_id, item in list(self._followers.items()):
+            if item.gone and now - item.seen_at > FORGET_AFTER:
+                del self._followers[daemon_id]
+
+    def lead(self, now: datetime.datetime) -> None:
+        """Start to count as a new leader, which has heard no one yet."""
+        for item in self._followers.values():
+            item.noticed_at = None
+            if not item.gone:
+                item.seen_at = now
+
+    def zones(
+        self, revision: int, now: datetime.datetime
+    ) -> tuple[messages.ZoneStatus, ...]:
+        """Return how far a revision has come, by zone."""
+        zones = collections.defaultdict(list)
+        for item in self._followers.values():
+            zones[item.daemon.zone].append(item)
+        return tuple(
+            _zone(zone, items, revision, now)
+            for zone, items in sorted(zones.items())
+        )
+
+    def _push(
+        self,
+        delta: messages.Delta,
+        daemon: membership_messages.Daemon,
+        relay_to: tuple[str, ...],
+    ) -> message.Message:
+        push = messages.RevisionDeltas(
+            sender=self._daemon.address,
+            control=self._daemon.address,
+            deltas=(delta,),
+            relay_to=relay_to,
+        )
+        return self._send(daemon.address, push)
+
+    def _send(self, address: str, body: message.Message) -> message.Message:
+        if address == self._daemon.address:
+            return body
+        return message.Send(address=address, message=body, urgent=True)
+
+
+def _zone(
+    zone: str,
+    items: list[Follower],
+    revision: int,
+    now: datetime.datetime,
+) -> messages.ZoneStatus:
+    missing = [item for item in items if item.revision < revision]
+    names = sorted(
+        item.daemon.daemon_id for item in missing if not item.cut_off(now)
+    )
+    cut_off = [
+        messages.CutOff(
+            daemon_id=item.daemon.daemon_id,
+            revision=item.revision,
+            since=item.seen_at,
+        )
+        for item in items
+        if item.cut_off(now)
+    ]
+    return messages.ZoneStatus(
+        zone=zone,
+        daemons=len(items),
+        in_force=len(items) - len(missing),
+        behind=tuple(names),
+        cut_off=tuple(sorted(cut_off, key=lambda item: item.daemon_id)),
+    )
--- a/fulmarbarrow/publishing/follower.py
+++ b/fulmarbarrow/publishing/follower.py
@@ -3,45 +3,300 @@
 from __future__ import annotations
 
 import datetime
+import logging
+import random
 import typing
 
 from fulmarbarrow.config import bundle as bundles
+from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
+from fulmarbarrow.observe import metrics as metrics_module
+from fulmarbarrow.publishing import delta as deltas
+from fulmarbarrow.publishing import history
 from fulmarbarrow.publishing import messages
 
+log = logging.getLogger(__name__)
+
+ACK_INTERVAL = datetime.timedelta(seconds=10)
+PEER_INTERVAL = datetime.timedelta(seconds=5)
+STORE_TIMEOUT = datetime.timedelta(seconds=2)
+
 
 class PublishingFollower:
-    """Pushed revisions in, the configuration in force out."""
+    """Pushed revisions in, the configuration in force out.
+
+    With ``stores`` a revision is synced before it is put in force, so that
+    a restart never goes back behind it; ``restored`` is what was found.
+    """
 
-    handles = (messages.RevisionPush,)
+    handles = (
+        messages.RevisionPush,
+        messages.RevisionDeltas,
+        messages.RevisionNotice,
+        messages.RevisionFetch,
+        messages.RevisionStored,
+        membership_messages.DaemonChanged,
+        membership_messages.DaemonGone,
+        message.Tick,
+    )
 
-    def __init__(self, *, daemon_id: str, address: str) -> None:
-        self._daemon_id = daemon_id
-        self._address = address
-        self._revision = 0
+    def __init__(
+        self,
+        *,
+        daemon: membership_messages.Daemon,
+        source: random.Random,
+        metrics: metrics_module.Metrics,
+        stores: bool = False,
+        restored: messages.StoreRevision | None = None,
+    ) -> None:
+        self._daemon = daemon
+        self._source = source
+        self._metrics = metrics
+        self._stores = stores
+        self._restored = restored
+        self._revision = restored.revision if restored else 0
+        self._digest = restored.digest if restored else ""
+        self._publisher = restored.publisher if restored else ""
+        bundle = bundles.decode(restored.bundle if restored else b"{}")
+        self._content = deltas.Content(bundle=bundle)
+        self._history = history.History()
+        self._control = ""
+        self._storing: tuple[messages.StoreRevision, datetime.datetime] | None
+        self._storing = None
+        self._steps: tuple[messages.Delta, ...] = ()
+        self._peers: dict[str, str] = {}
+        self._acked_at: datetime.datetime | None = None
+        self._asked_at: datetime.datetime | None = None
 
     def handle(
         self, event: message.Message, now: datetime.datetime
     ) -> list[message.Message]:
         """Take one event and return its effects."""
-        effects: list[message.Message] = []
+        match event:
+            case messages.RevisionPush():
+                return self._pushed(event, now)
+            case messages.RevisionDeltas():
+                return self._deltas(event, now)
+            case messages.RevisionNotice():
+                return self._noticed(event, now)
+            case messages.RevisionFetch():
+                return self._fetched(event)
+            case messages.RevisionStored():
+                return self._stored(event, now)
+            case message.Tick():
+                return self._tick(now)
+        self._membership(event)
+        return []
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return the revision in force."""
+        return {
+            "revision": self._revision,
+            "digest": self._digest,
+            "publisher": self._publisher,
+            "storing": self._storing[0].revision if self._storing else 0,
+        }
+
+    def _pushed(
+        self, event: messages.RevisionPush, now: datetime.datetime
+    ) -> list[message.Message]:
+        if event.revision <= self._revision:
+            return []
+        revision = messages.StoreRevision(
+            revision=event.revision,
+            digest=event.digest,
+            publisher=event.publisher,
+            bundle=event.bundle,
+        )
+        return self._take(revision, (), now)
+
+    def _deltas(
+        self, event: messages.RevisionDeltas, now: datetime.datetime
+    ) -> list[message.Message]:
+        effects = self._relay(event)
+        self._control = event.control
+        last = event.deltas[-1].base + 1
+        if last <= self._revision:
+            return [*effects, self._acknowledge(now)]
+        steps = tuple(d for d in event.deltas if d.base >= self._revision)
+        if steps[0].base != self._revision:
+            return [*effects, self._fetch(event.sender)]
+        content = deltas.Content(bundle=self._content.bundle())
+        for step in steps:
+            content.apply(step)
+        data = content.encode()
+        if deltas.digest(data) != steps[-1].digest:
+            self._metrics.count("revision_digest_mismatches")
+            whole = messages.RevisionFetch(
+                daemon_id=self._daemon.daemon_id,
+                reply_to=self._daemon.address,
+                revision=0,
+            )
+            return [*effects, self._send(event.sender, whole)]
+        revision = messages.StoreRevision(
+            revision=last,
+            digest=steps[-1].digest,
+            publisher=steps[-1].publisher,
+            bundle=data,
+        )
+        return [*effects, *self._take(revision, steps, now)]
+
+    def _relay(self, event: messages.RevisionDeltas) -> list[message.Message]:
+        passed = messages.RevisionDeltas(
+            sender=self._daemon.address,
+            control=event.control,
+            deltas=event.deltas,
+        )
+        return [
+            message.Send(address=address, message=passed, urgent=True)
+            for address in event.relay_to
+        ]
+
+    def _noticed(
+        self, event: messages.RevisionNotice, now: datetime.datetime
+    ) -> list[message.Message]:
+        self._control = event.control
+        if event.revision <= self._revision:
+            return [self._acknowledge(now)]
+        return [self._fetch(event.control)]
+
+    def _fetched(self, event: messages.RevisionFetch) -> list[message.Message]:
+        if event.daemon_id == self._daemon.daemon_id:
+            return []
         if event.revision > self._revision:
-            self._revision = event.revision
-            effects.append(
-                messages.ConfigurationChanged(
-                    revision=event.revision,
-                    bundle=bundles.decode(event.bundle),
-                )
+            return [self._fetch(event.reply_to)]
+        if event.revision == self._revision or self._is_control:
+            return []
+        return [self._send(event.reply_to, self._answer(event.revision))]
+
+    def _answer(self, revision: int) -> message.Message:
+        steps = self._history.after(revision)
+        if steps:
+            return messages.RevisionDeltas(
+                sender=self._daemon.address,
+                control=self._control,
+                deltas=steps,
             )
+        return messages.RevisionPush(
+            sender=self._daemon.address,
+            revision=self._revision,
+            digest=self._digest,
+            bundle=self._content.encode(),
+            publisher=self._publisher,
+        )
+
+    @property
+    def _is_control(self) -> bool:
+        """Whether this daemon's control core answers fetches."""
+        return "control" in self._daemon.roles
+
+    def _take(
+        self,
+        revision: messages.StoreRevision,
+        steps: tuple[messages.Delta, ...],
+        now: datetime.datetime,
+    ) -> list[message.Message]:
+        if not self._stores:
+            return self._put_in_force(revision, steps, now)
+        if self._storing is not None:
+            storing, since = self._storing
+            newer = revision.revision > storing.revision
+            if not newer and now - since < STORE_TIMEOUT:
+                return []
+        self._storing = (revision, now)
+        self._steps = steps
+        return [revision]
+
+    def _stored(
+        self, event: messages.RevisionStored, now: datetime.datetime
+    ) -> list[message.Message]:
+        if self._storing is None:
+            return []
+        revision, _ = self._storing
+        if revision.revision != event.revision:
+            return []
+        self._storing = None
+        if not event.stored:
+            return []
+        return self._put_in_force(revision, self._steps, now)
+
+    def _put_in_force(
+        self,
+        revision: messages.StoreRevision,
+        steps: tuple[messages.Delta, ...],
+        now: datetime.datetime,
+    ) -> list[message.Message]:
+        if revision.revision <= self._revision:
+            return []
+        bundle = bundles.decode(revision.bundle)
+        self._revision = revision.revision
+        self._digest = revision.digest
+        self._publisher = revision.publisher
+        self._content = deltas.Content(bundle=bundle)
+        if not steps:
+            self._history = history.History()
+        for step in steps:
+            self._history.add(step)
+        self._metrics.count("revisions_in_force")
+        log.info("revision %d is in force", self._revision)
+        changed = messages.ConfigurationChanged(
+            revision=self._revision, bundle=bundle
+        )
+        return [changed, self._acknowledge(now)]
+
+    def _acknowledge(self, now: datetime.datetime) -> message.Message:
+        self._acked_at = now
         ack = messages.RevisionAck(
-            daemon_id=self._daemon_id,
-            address=self._address,
+            daemon_id=self._daemon.daemon_id,
+            address=self._daemon.address,
             revision=self._revision,
         )
-        if event.sender == self._address:
-            return [*effects, ack]
-        return [*effects, message.Send(address=event.sender, message=ack)]
+        return self._send(self._control or self._daemon.address, ack)
 
-    def dump(self) -> dict[str, typing.Any]:
-        """Return the revision in force."""
-        return {"revision": self._revision}
+    def _fetch(self, address: str) -> message.Message:
+        fetch = messages.RevisionFetch(
+            daemon_id=self._daemon.daemon_id,
+            reply_to=self._daemon.address,
+            revision=self._revision,
+        )
+        return self._send(address, fetch)
+
+    def _send(self, address: str, body: message.Message) -> message.Message:
+        if address == self._daemon.address:
+            return body
+        return message.Send(address=address, message=body, urgent=True)
+
+    def _membership(self, event: message.Message) -> None:
+        match event:
+            case membership_messages.DaemonChanged():
+                daemon = event.daemon
+                if daemon.zone == self._daemon.zone:
+                    self._peers[daemon.daemon_id] = daemon.address
+            case membership_messages.DaemonGone():
+                self._peers.pop(event.daemon_id, None)
+
+    def _tick(self, now: datetime.datetime) -> list[message.Message]:
+        effects: list[message.Message] = []
+        if self._restored is not None:
+            bundle = bundles.decode(self._restored.bundle)
+            self._restored = None
+            effects.append(
+                messages.ConfigurationChanged(
+                    revision=self._revision, bundle=bundle
+                )
+            )
+        if self._control and _passed(self._acked_at, ACK_INTERVAL, now):
+            effects.append(self._acknowledge(now))
+        if self._peers and _passed(self._asked_at, PEER_INTERVAL, now):
+            self._asked_at = now
+            peer = self._source.choice(sorted(self._peers.values()))
+            effects.append(self._fetch(peer))
+        return effects
+
+
+def _passed(
+    since: datetime.datetime | None,
+    interval: datetime.timedelta,
+    now: datetime.datetime,
+) -> bool:
+    return since is None or now - since >= interval
--- a/fulmarbarrow/publishing/state.py
+++ b/fulmarbarrow/publishing/state.py
@@ -2,47 +2,164 @@
 
 from __future__ import annotations
 
-import dataclasses
+import collections
 
+import msgspec
+
+from fulmarbarrow.config import bundle as bundles
+from fulmarbarrow.publishing import delta as deltas
+from fulmarbarrow.publishing import history
 from fulmarbarrow.publishing import messages
 
+KEPT_RESULTS = 1000
+CONFLICT = "revision_conflict"
+
+
+class PublishCommand(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
+    """What is replicated of a publish: a delta to its base or a whole."""
+
+    publish_id: str
+    publisher: str
+    base_revision: int
+    digest: str
+    delta: messages.Delta | None = None
+    bundle: bytes = b""
+
+
+class AcceptedPublish(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True
+):
+    """The first result of a publish, for its resends."""
+
+    publish_id: str
+    revision: int
+
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Revision:
-    """One accepted revision of the configuration."""
+class StoredState(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """The replicated state within a snapshot."""
 
-    number: int
+    revision: int
     digest: str
     publisher: str
     bundle: bytes
+    deltas: tuple[messages.Delta, ...]
+    accepted: tuple[AcceptedPublish, ...]
+
+
+class PublishedState:
+    """The accepted revision, the steps to it, and the results so far."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.digest = ""
+        self.publisher = ""
+        self.content = deltas.Content(bundle=bundles.Bundle())
+        self.history = history.History()
+        self._accepted: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+
+    def command(
+        self, request: messages.PublishRequested, bundle: bundles.Bundle
+    ) -> PublishCommand:
+        """Return what to replicate for a request."""
+        command = PublishCommand(
+            publish_id=request.publish_id,
+            publisher=request.publisher,
+            base_revision=request.base_revision,
+            digest=deltas.digest(bundles.encode(bundle)),
+        )
+        if request.base_revision != self.revision:
+            return msgspec.structs.replace(
+                command, bundle=bundles.encode(bundle)
+            )
+        step = self.content.delta_to(
+            bundle, base=self.revision, publisher=request.publisher
+        )
+        return msgspec.structs.replace(command, delta=step)
+
+    def apply(self, command: PublishCommand) -> messages.PublishResult:
+        """Decide on a publish; of two with the same base the first wins."""
+        known = self._accepted.get(command.publish_id)
+        if known is not None:
+            return self._result(command, "", known)
+        if command.digest == self.digest:
+            return self._result(command, "", self.revision)
+        if command.base_revision != self.revision:
+            return self._conflict(command)
+        self._accept(command)
+        return self._result(command, "", self.revision)
+
+    def encode(self) -> bytes:
+        """Return the state for a snapshot."""
+        stored = StoredState(
+            revision=self.revision,
+            digest=self.digest,
+            publisher=self.publisher,
+            bundle=self.content.encode(),
+            deltas=self.history.deltas,
+            accepted=tuple(
+                AcceptedPublish(publish_id=name, revision=number)
+                for name, number in self._accepted.items()
+            ),
+        )
+        return msgspec.msgpack.encode(stored)
+
+    def restore(self, data: bytes) -> None:
+        """Take the state of a snapshot."""
+        stored = msgspec.msgpack.decode(data, type=StoredState)
+        self.revision = stored.revision
+        self.digest = stored.digest
+        self.publisher = stored.publisher
+        self.content = deltas.Content(bundle=bundles.decode(stored.bundle))
+        self.history = history.History(deltas=stored.deltas)
+        self._accepted = collections.OrderedDict(
+            (item.publish_id, item.revision) for item in stored.accepted
+        )
+
+    def _accept(self, command: PublishCommand) -> None:
+        step = self._step(command)
+        self.content.apply(step)
+        self.history.add(step)
+        self.revision += 1
+        self.digest = command.digest
+        self.publisher = command.publisher
+        self._accepted[command.publish_id] = self.revision
+        while len(self._accepted) > KEPT_RESULTS:
+            self._accepted.popitem(last=False)
+
+    def _step(self, command: PublishCommand) -> messages.Delta:
+        if command.delta is not None:
+            return command.delta
+        return self.content.delta_to(
+            bundles.decode(command.bundle),
+            base=self.revision,
+            publisher=command.publisher,
+        )
 
+    def _conflict(self, command: PublishCommand) -> messages.PublishResult:
+        since = self.history.after(command.base_revision) or ()
+        differs = set().union(*map(deltas.touched, since))
+        if command.delta is not None:
+            differs |= deltas.touched(command.delta)
+        else:
+            differs |= deltas.touched(self._step(command))
+        return messages.PublishResult(
+            publish_id=command.publish_id,
+            code=CONFLICT,
+            revision=self.revision,
+            winner=since[0].publisher if since else self.publisher,
+            differs=tuple(sorted(differs)),
+        )
 
-EMPTY = Revision(number=0, digest="", publisher="", bundle=b"{}")
-
-
-def decide(
-    current: Revision, request: messages.PublishRequested
-) -> tuple[Revision, messages.PublishResult]:
-    """Return the revision after a request and the publisher's result."""
-    if request.digest == current.digest:
-        return current, _result(request, "", current)
-    if request.base_revision != current.number:
-        return current, _result(request, "revision_conflict", current)
-    accepted = Revision(
-        number=current.number + 1,
-        digest=request.digest,
-        publisher=request.publisher,
-        bundle=request.bundle,
-    )
-    return accepted, _result(request, "", accepted)
-
-
-def _result(
-    request: messages.PublishRequested, code: str, revision: Revision
-) -> messages.PublishResult:
-    return messages.PublishResult(
-        publish_id=request.publish_id,
-        code=code,
-        revision=revision.number,
-        winner=revision.publisher,
-    )
+    def _result(
+        self, command: PublishCommand, code: str, revision: int
+    ) -> messages.PublishResult:
+        return messages.PublishResult(
+            publish_id=command.publish_id,
+            code=code,
+            revision=revision,
+            winner=self.publisher,
+        )
--- /dev/null
+++ b/fulmarbarrow/publishing/status.py
@@ -0,0 +1,134 @@
+"""Answers for the status: by the leader, or plainly without one."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import datetime
+
+import msgspec
+
+from fulmarbarrow.consensus import messages as consensus_messages
+from fulmarbarrow.membership import messages as membership_messages
+from fulmarbarrow import message
+from fulmarbarrow.publishing import messages
+
+ANSWER_TIMEOUT = datetime.timedelta(seconds=2)
+
+Describe = collections.abc.Callable[[datetime.datetime], messages.Status]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Question:
+    """A request for the status; ``reply_to`` is empty for this host's."""
+
+    until: datetime.datetime
+    reply_to: str = ""
+
+
+class StatusDesk:
+    """Passes requests for the status to the leader and back."""
+
+    def __init__(
+        self,
+        *,
+        daemon: membership_messages.Daemon,
+        describe: Describe,
+        now: datetime.datetime,
+    ) -> None:
+        self._daemon = daemon
+        self._describe = describe
+        self._questions: dict[str, Question] = {}
+        self._leader_address = ""
+        self.leader = ""
+        self.leaderless_since: datetime.datetime | None = now
+
+    def leader_changed(
+        self,
+        event: consensus_messages.LeaderChanged,
+        now: datetime.datetime,
+    ) -> None:
+        """Learn who leads."""
+        self.leader = event.leader
+        self._leader_address = event.address
+        if event.leader:
+            self.leaderless_since = None
+        elif self.leaderless_since is None:
+            self.leaderless_since = now
+
+    def requested(
+        self, event: messages.StatusRequested, now: datetime.datetime
+    ) -> list[message.Message]:
+        """Take a request on this host."""
+        return self._ask(event.status_id, Question(until=now + ANSWER_TIMEOUT))
+
+    def called(self, event: messages.StatusCall) -> list[message.Message]:
+        """Take a request that another control host passed on."""
+        question = Question(
+            until=datetime.datetime.max.replace(tzinfo=datetime.UTC),
+            reply_to=event.reply_to,
+        )
+        return self._ask(event.status_id, question)
+
+    def read(
+        self, event: consensus_messages.ReadReady, now: datetime.datetime
+    ) -> list[message.Message]:
+        """Answer as leader, or pass the request on."""
+        question = self._questions.get(event.read_id)
+        if question is None:
+            return []
+        if event.ready:
+            del self._questions[event.read_id]
+            status = msgspec.structs.replace(self._describe(now), current=True)
+            return [self._answer(event.read_id, question, status)]
+        if question.reply_to:
+            del self._questions[event.read_id]
+            return []
+        if not self._leader_address or event.leader == self._daemon.daemon_id:
+            return []
+        call = messages.StatusCall(
+            status_id=event.read_id, reply_to=self._daemon.address
+        )
+        return [message.Send(address=self._leader_address, message=call)]
+
+    def replied(self, event: messages.StatusReply) -> list[message.Message]:
+        """Give the leader's answer."""
+        if self._questions.pop(event.status_id, None) is None:
+            return []
+        return [
+            messages.StatusGiven(
+                status_id=event.status_id, status=event.status
+            )
+        ]
+
+    def tick(self, now: datetime.datetime) -> list[message.Message]:
+        """Answer without a leader what no leader answered in time."""
+        effects = []
+        for status_id, question in list(self._questions.items()):
+            if question.until <= now:
+                del self._questions[status_id]
+                status = msgspec.structs.replace(
+                    self._describe(now), current=False
+                )
+                effects.append(self._answer(status_id, question, status))
+        return effects
+
+    def _ask(
+        self, status_id: str, question: Question
+    ) -> list[message.Message]:
+        self._questions[status_id] = question
+        return [
+            consensus_messages.ReadBarrier(
+                read_id=status_id,
+                group=consensus_messages.Group.CONFIGURATION,
+            )
+        ]
+
+    @staticmethod
+    def _answer(
+        status_id: str, question: Question, status: messages.Status
+    ) -> message.Message:
+        if not question.reply_to:
+            return messages.StatusGiven(status_id=status_id, status=status)
+        reply = messages.StatusReply(status_id=status_id, status=status)
+        return message.Send(address=question.reply_to, message=reply)
