--- a/fulmarbarrow/limits/messages.py
+++ b/fulmarbarrow/limits/messages.py
@@ -46,7 +46,8 @@
     """An attempt that waits at an upstream's owner; ``cost`` is in tokens.
 
     The attempt leaves the queue unserved at ``expires``; an answer after
-    ``deadline`` is of no use to its caller.
+    ``deadline`` is of no use to its caller. It may use ``part`` of what the
+    bound allows.
     """
 
     attempt_id: str
@@ -58,6 +59,8 @@
     expires: datetime.datetime
     deadline: datetime.datetime
     best_effort: bool = False
+    chat: int = 0
+    part: float = 1.0
 
 
 PEER_MESSAGES: tuple[type, ...] = ()
--- a/fulmarbarrow/placement/bounds.py
+++ b/fulmarbarrow/placement/bounds.py
@@ -15,6 +15,10 @@
     ``mean_factor`` is the multiple of the pool's mean load above which no
     upstream gets more work, but ``floor`` batches are always allowed.
     ``ceiling`` bounds all work, that of priority accounts included.
+    ``placed_factor`` is the multiple of the pool's mean above which the work
+    placed within ``placed_window`` may not rise. A chat that is not in the
+    cache of its home may use ``uncached_part`` of these bounds there, and
+    ``stranger_part`` elsewhere, so that it makes way for chats that are.
     A fresh upstream starts at ``ramp_start`` and reaches a full batch after
     ``ramp``.
     """
@@ -22,7 +26,9 @@
     mean_factor: float = 1.25
     floor: float = 1.0
     ceiling: float = 1.25
-    placed_factor: float = 0.0
+    placed_factor: float = 1.22
+    uncached_part: float = 0.88
+    stranger_part: float = 0.84
     placed_window: datetime.timedelta = datetime.timedelta(seconds=10)
     ramp_start: float = 0.1
     ramp: datetime.timedelta = datetime.timedelta(seconds=30)
--- a/fulmarbarrow/placement/cold.py
+++ b/fulmarbarrow/placement/cold.py
@@ -2,63 +2,49 @@
 
 from __future__ import annotations
 
-import dataclasses
-import datetime
+import math
 
-from fulmarbarrow.placement import messages
-
-FAST_GAIN = 0.25
-SLOW_GAIN = 0.02
-LEAST_SAMPLES = 8
-COLD_RATIO = 0.4
-LEAST_REUSE = 0.1  # part of the prompt; below it a loss can't be told
-REPEAT_AFTER = datetime.timedelta(seconds=30)
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Reuse:
-    """Reused part of prompts: its usual value and its value of late."""
-
-    incarnation: int
-    slow: float
-    fast: float
-    samples: int = 1
-    told_at: datetime.datetime | None = None
+LEAST_SAMPLES = 40
+GAIN = 0.01
+LEAST_RATE = 0.3  # of answers; below it a loss can't be told from chance
+COLD_PART = 0.1  # of the usual hit rate, while an upstream is cold
+THRESHOLD = 12.0  # natural logarithm of the odds
 
 
 class ColdDetector:
-    """Watches the part of each prompt that an upstream found in its cache."""
-
-    def __init__(self) -> None:
-        self._seen: dict[str, _Reuse] = {}
+    """A cumulative sum test for a fall of an upstream's cache hit rate.
 
-    def forget(self, upstream_id: str) -> None:
-        """Start anew for a fresh incarnation."""
-        self._seen.pop(upstream_id, None)
+    Only chats that are expected in the cache count. A hit is an answer whose
+    prompt was found there at least in part.
+    """
 
-    def observe(
-        self, event: messages.WorkEnded, cost: int, now: datetime.datetime
-    ) -> bool:
-        """Return whether the upstream seems to have turned cold just now."""
-        if event.outcome is not messages.WorkOutcome.COMPLETED:
-            return False
-        prompt = event.prompt_tokens or cost
-        part = min(1.0, event.reused_tokens / max(1, prompt))
-        reuse = self._seen.get(event.upstream_id)
-        if reuse is None or reuse.incarnation != event.incarnation:
-            self._seen[event.upstream_id] = _Reuse(
-                incarnation=event.incarnation, slow=part, fast=part
-            )
-            return False
-        reuse.samples += 1
-        gain = max(SLOW_GAIN, 1 / reuse.samples)
-        reuse.slow += gain * (part - reuse.slow)
-        reuse.fast += max(FAST_GAIN, 1 / reuse.samples) * (part - reuse.fast)
-        if reuse.samples < LEAST_SAMPLES or reuse.slow < LEAST_REUSE:
-            return False
-        if reuse.fast > COLD_RATIO * reuse.slow:
-            return False
-        if reuse.told_at and now - reuse.told_at < REPEAT_AFTER:
+    def __init__(self) -> None:
+        self._rate = 0.0
+        self._samples = 0
+        self._sum = 0.0
+
+    @property
+    def rate(self) -> float:
+        """The usual hit rate."""
+        return self._rate
+
+    def observe(self, hit: bool) -> bool:
+        """Take an answer; return whether the upstream just turned cold."""
+        self._sum = max(0.0, self._sum + self._evidence(hit))
+        self._samples += 1
+        gain = max(GAIN, 1 / self._samples)
+        self._rate += gain * (float(hit) - self._rate)
+        if self._sum < THRESHOLD:
             return False
-        reuse.told_at = now
+        self._sum = 0.0
         return True
+
+    def _evidence(self, hit: bool) -> float:
+        """Return how much an answer speaks for a cold upstream."""
+        if self._samples < LEAST_SAMPLES or self._rate < LEAST_RATE:
+            return 0.0
+        rate = min(0.95, self._rate)
+        cold = COLD_PART * rate
+        if hit:
+            return math.log(cold / rate)
+        return math.log((1 - cold) / (1 - rate))
--- a/fulmarbarrow/placement/core.py
+++ b/fulmarbarrow/placement/core.py
@@ -12,7 +12,6 @@
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics as metrics_module
 from fulmarbarrow.placement import bounds as bounds_module
-from fulmarbarrow.placement import cold
 from fulmarbarrow.placement import directory as directories
 from fulmarbarrow.placement import entry as entries
 from fulmarbarrow.placement import holdings as holdings_module
@@ -55,9 +54,9 @@
         messages.ReserveRefused,
         messages.Release,
         messages.Renew,
+        messages.ChatMoved,
         messages.Preempt,
         messages.OwnerSummary,
-        messages.ColdSuspected,
         messages.PlacementTick,
     )
 
@@ -81,7 +80,6 @@
         self._sliver = slivers.SliverRules(
             router=daemon.daemon_id, bounds=bounds
         )
-        self._cold = cold.ColdDetector()
         self._owner = owners.OwnerCore(
             directory=self._directory,
             means=self._means,
@@ -158,10 +156,10 @@
                 return self._owner.renew(event, now)
             case messages.Preempt():
                 return self._preempt(event)
+            case messages.ChatMoved():
+                self._owner.chat_moved(event)
             case messages.OwnerSummary():
                 self._means.hear(event, now)
-            case messages.ColdSuspected():
-                self._owner.cold(event, now)
             case _:
                 return self._learn(event, now)
         return []
@@ -204,7 +202,6 @@
         upstream_id = upstream.upstream_id
         if fresh:
             self._sliver.forget(upstream_id)
-            self._cold.forget(upstream_id)
         owner = self._directory.owners.get(upstream_id)
         if owner is not None and owner.daemon_id == self._daemon.daemon_id:
             self._owner.take(upstream, owner.epoch, now)
@@ -216,7 +213,6 @@
         if not self._directory.forget(event.upstream_id, event.incarnation):
             return []
         self._sliver.forget(event.upstream_id)
-        self._cold.forget(event.upstream_id)
         return self._owner.drop(event.upstream_id, "not_serving")
 
     def _owner_changed(
@@ -292,28 +288,12 @@
     def _ended(
         self, event: messages.WorkEnded, now: datetime.datetime
     ) -> list[message.Message]:
-        holding = self._holdings.end(event.attempt_id)
-        if holding is None:
+        if not self._holdings.end(event):
             return []
         owner = self._directory.owners.get(event.upstream_id)
-        effects: list[message.Message] = []
-        if owner is not None and owner.address == self._address:
-            effects.extend(self._holdings.take_releases(self._directory))
-        if (
-            self._cold.observe(event, holding.request.cost, now)
-            and owner is not None
-            and owner.address
-        ):
-            effects.append(
-                message.Send(
-                    address=owner.address,
-                    message=messages.ColdSuspected(
-                        upstream_id=event.upstream_id,
-                        incarnation=event.incarnation,
-                    ),
-                )
-            )
-        return effects
+        if owner is None or owner.address != self._address:
+            return []
+        return self._holdings.take_releases(self._directory)
 
     def _preempt(self, event: messages.Preempt) -> list[message.Message]:
         return [
--- a/fulmarbarrow/placement/entry.py
+++ b/fulmarbarrow/placement/entry.py
@@ -14,14 +14,16 @@
 from fulmarbarrow.placement import directory as directories
 from fulmarbarrow.placement import holdings as holdings_module
 from fulmarbarrow.placement import messages
+from fulmarbarrow.placement import recent
 from fulmarbarrow.placement import sliver as slivers
 
 MILLISECOND = datetime.timedelta(milliseconds=1)
 REPLY_TIMEOUT = datetime.timedelta(milliseconds=150)
 OWNER_RETRY = datetime.timedelta(seconds=1)
-HOME_WAIT = datetime.timedelta(milliseconds=100)
+HOME_WAIT = datetime.timedelta(milliseconds=300)
 QUEUE_WAIT = datetime.timedelta(seconds=2)
 WALK_PAUSE = datetime.timedelta(milliseconds=50)
+CACHE_WORTH_MS = 400  # of waiting, rather than to lose the chat's cache
 NO_WAIT = datetime.timedelta(0)
 
 
@@ -38,13 +40,17 @@
     """A request on its way along the upstreams of its order.
 
     ``asked`` is the upstream whose owner has not answered yet. ``offers``
-    keeps the waits that refusing owners told.
+    keeps the waits that refusing owners told, ``moved_to`` where the home's
+    owner said that the chat's cache is.
     """
 
     request: messages.PlaceRequest
     candidates: list[str]
+    chat: int = 0
+    moved_to: str = ""
     stage: Stage = Stage.TRYING
     position: int = 0
+    asks: int = 0
     asked: str = ""
     until: datetime.datetime | None = None
     offers: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -88,7 +94,11 @@
         candidates = self._candidates(request)
         if not candidates:
             return [self._refuse(request, "no_upstream")]
-        walk = Walk(request=request, candidates=candidates)
+        walk = Walk(
+            request=request,
+            candidates=candidates,
+            chat=recent.chat_hash(request.chat) if request.model else 0,
+        )
         self._walks[request.attempt_id] = walk
         return self._advance(walk, now)
 
@@ -110,7 +120,8 @@
         if upstream is None or upstream.incarnation != event.incarnation:
             self._holdings.release(event.upstream_id, event.attempt_id)
             return self._next(walk, now)
-        return [self._placed(walk, upstream, event.priority, now)]
+        placed = self._placed(walk, upstream, event.priority, now)
+        return [placed, *self._tell_home(walk, event.upstream_id)]
 
     def refused(
         self, event: messages.ReserveRefused, now: datetime.datetime
@@ -125,6 +136,8 @@
         if event.code in ("queue_full", "deadline_exceeded"):
             if walk.stage is Stage.QUEUEING:
                 return [self._give_up(walk, event.code)]
+        elif event.code == "moved":
+            self._follow(walk, event)
         elif event.code == "bound_reached":
             walk.offers[event.upstream_id] = event.wait_ms
         return self._next(walk, now)
@@ -199,6 +212,17 @@
             walk.position += 1
         return self._wait(walk, now)
 
+    def _follow(self, walk: Walk, event: messages.ReserveRefused) -> None:
+        """Ask next where the chat's cache is, then at its home again."""
+        home = walk.candidates[0]
+        walk.moved_to = event.moved_to
+        others = [
+            item
+            for item in walk.candidates
+            if item not in (home, event.moved_to)
+        ]
+        walk.candidates = [home, event.moved_to, home, *others]
+
     def _next(
         self, walk: Walk, now: datetime.datetime
     ) -> list[message.Message]:
@@ -213,8 +237,13 @@
         self, walk: Walk, now: datetime.datetime
     ) -> list[message.Message]:
         """Queue at the owner that told the shortest wait, or pause."""
+        cached = (walk.candidates[0], walk.moved_to)
         offers = [
-            (wait, walk.candidates.index(upstream_id), upstream_id)
+            (
+                wait + (0 if upstream_id in cached else CACHE_WORTH_MS),
+                walk.candidates.index(upstream_id),
+                upstream_id,
+            )
             for upstream_id, wait in walk.offers.items()
             if upstream_id in self._directory.upstreams
         ]
@@ -304,6 +333,12 @@
         now: datetime.datetime,
     ) -> message.Message:
         request = walk.request
+        stage = messages.ReserveStage.NEXT
+        if walk.stage is Stage.QUEUEING:
+            stage = messages.ReserveStage.LAST
+        elif not walk.asks and upstream.upstream_id == walk.candidates[0]:
+            stage = messages.ReserveStage.HOME
+        walk.asks += 1
         walk.asked = upstream.upstream_id
         walk.until = now + wait + REPLY_TIMEOUT
         return message.Send(
@@ -322,6 +357,8 @@
                 wait_ms=wait // MILLISECOND,
                 deadline_ms=(request.deadline - now) // MILLISECOND,
                 best_effort=request.best_effort,
+                chat=walk.chat,
+                stage=stage,
             ),
         )
 
@@ -355,6 +392,25 @@
             priority=priority,
         )
 
+    def _tell_home(
+        self, walk: Walk, upstream_id: str
+    ) -> list[message.Message]:
+        """Tell the home's owner where a chat went that was placed away."""
+        home = walk.candidates[0]
+        if upstream_id in (home, walk.moved_to) or not walk.chat:
+            return []
+        owner = self._directory.owners.get(home)
+        if owner is None or not owner.address:
+            return []
+        return [
+            message.Send(
+                address=owner.address,
+                message=messages.ChatMoved(
+                    upstream_id=home, chat=walk.chat, moved_to=upstream_id
+                ),
+            )
+        ]
+
     def _give_back(self, event: messages.Reserved) -> None:
         """Release a grant that nobody waits for any more."""
         holding = self._holdings.get(event.attempt_id)
--- a/fulmarbarrow/placement/holdings.py
+++ b/fulmarbarrow/placement/holdings.py
@@ -12,6 +12,7 @@
 
 RENEW_AFTER = datetime.timedelta(seconds=4)
 MAX_HELD_IN_RENEWAL = 64
+MAX_RELEASED_TOGETHER = 32
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -24,6 +25,16 @@
     renewed_at: datetime.datetime
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Planned:
+    """What the next release of an upstream will say."""
+
+    upstream_id: str
+    attempt_ids: list[str] = dataclasses.field(default_factory=list)
+    hits: int = 0
+    misses: int = 0
+
+
 class Holdings:
     """Attempts of this host that run, and their sums by upstream."""
 
@@ -31,7 +42,7 @@
         self._address = address
         self._held: dict[str, Holding] = {}
         self._work: collections.Counter[str] = collections.Counter()
-        self._releases: dict[str, list[str]] = {}
+        self._releases: list[_Planned] = []
 
     def __len__(self) -> int:
         """Return the number of attempts that run."""
@@ -50,38 +61,61 @@
         self._held[holding.request.attempt_id] = holding
         self._work[holding.upstream_id] += holding.request.cost
 
-    def end(self, attempt_id: str) -> Holding | None:
+    def end(self, event: messages.WorkEnded) -> bool:
         """Drop an ended attempt and plan the release of its work."""
-        holding = self._held.pop(attempt_id, None)
+        holding = self._held.pop(event.attempt_id, None)
         if holding is None:
-            return None
+            return False
         upstream_id = holding.upstream_id
         self._work[upstream_id] -= holding.request.cost
         if not self._work[upstream_id]:
             del self._work[upstream_id]
-        self.release(upstream_id, attempt_id)
-        return holding
+        planned = self._plan(upstream_id, event.attempt_id)
+        if event.outcome is messages.WorkOutcome.COMPLETED:
+            bit = 1 << (len(planned.attempt_ids) - 1)
+            if event.reused_tokens:
+                planned.hits |= bit
+            else:
+                planned.misses |= bit
+        return True
 
     def release(self, upstream_id: str, attempt_id: str) -> None:
         """Plan the release of a reservation that may exist."""
-        self._releases.setdefault(upstream_id, []).append(attempt_id)
+        self._plan(upstream_id, attempt_id)
 
     def take_releases(
         self, directory: directories.Directory
     ) -> list[message.Message]:
         """Return the planned releases, one message an upstream."""
-        planned, self._releases = self._releases, {}
+        planned, self._releases = self._releases, []
         return [
             message.Send(
                 address=owner.address,
                 message=messages.Release(
-                    attempt_ids=tuple(attempt_ids), upstream_id=upstream_id
+                    attempt_ids=tuple(item.attempt_ids),
+                    upstream_id=item.upstream_id,
+                    hits=item.hits,
+                    misses=item.misses,
                 ),
             )
-            for upstream_id, attempt_ids in planned.items()
-            if (owner := directory.owners.get(upstream_id)) and owner.address
+            for item in planned
+            if (owner := directory.owners.get(item.upstream_id))
+            and owner.address
         ]
 
+    def _plan(self, upstream_id: str, attempt_id: str) -> _Planned:
+        for planned in self._releases:
+            if (
+                planned.upstream_id == upstream_id
+                and len(planned.attempt_ids) < MAX_RELEASED_TOGETHER
+            ):
+                break
+        else:
+            planned = _Planned(upstream_id=upstream_id)
+            self._releases.append(planned)
+        planned.attempt_ids.append(attempt_id)
+        return planned
+
     def renewals(
         self,
         directory: directories.Directory,
--- a/fulmarbarrow/placement/ledger.py
+++ b/fulmarbarrow/placement/ledger.py
@@ -8,7 +8,9 @@
 import enum
 
 from fulmarbarrow.membership import messages as membership_messages
+from fulmarbarrow.placement import cold
 from fulmarbarrow.placement import messages
+from fulmarbarrow.placement import recent
 
 LEASE = datetime.timedelta(seconds=12)
 MAX_RELEASED = 512  # attempts whose release came before their reservation
@@ -26,7 +28,10 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Reservation:
-    """Work in tokens that an entry host may have at the upstream."""
+    """Work in tokens that an entry host may have at the upstream.
+
+    ``expected`` says that the chat was probably in the cache.
+    """
 
     attempt_id: str
     holder: str
@@ -35,6 +40,8 @@
     cost_class: messages.CostClass
     priority: Priority
     until: datetime.datetime
+    chat: int = 0
+    expected: bool = False
 
     @property
     def by_right(self) -> bool:
@@ -64,6 +71,8 @@
     ) -> None:
         self.upstream = upstream
         self.epoch = epoch
+        self.chats = recent.RecentChats()
+        self.cold = cold.ColdDetector()
         self.cold_since: datetime.datetime | None = None
         self._since = since
         self._placed_window = placed_window
@@ -167,6 +176,22 @@
             self._released.popitem(last=False)
         return None
 
+    def release(self, event: messages.Release) -> bool:
+        """Release attempts; return whether the upstream just turned cold.
+
+        Their answers tell which chats the cache holds.
+        """
+        turned_cold = False
+        for number, attempt_id in enumerate(event.attempt_ids):
+            item = self.remove(attempt_id)
+            hit = bool(event.hits >> number & 1)
+            if not hit and not event.misses >> number & 1:
+                continue
+            if item is not None and item.chat:
+                self.chats.found(item.chat, item.expected, hit)
+                turned_cold |= item.expected and self.cold.observe(hit)
+        return turned_cold
+
     def expire(self, now: datetime.datetime) -> list[Reservation]:
         """Remove and return the reservations that nobody renewed."""
         over = [
--- a/fulmarbarrow/placement/messages.py
+++ b/fulmarbarrow/placement/messages.py
@@ -109,12 +109,25 @@
 # Messages between daemons.
 
 
+class ReserveStage(enum.IntEnum):
+    """How far an attempt has walked along its upstreams.
+
+    ``HOME`` is the first ask, ``NEXT`` any other, and ``LAST`` the ask that
+    follows when none had room; it may use all that the bound allows.
+    """
+
+    HOME = 0
+    NEXT = 1
+    LAST = 2
+
+
 class Reserve(message.Message, frozen=True, kw_only=True):
     """Asks an upstream's owner to reserve an attempt's work.
 
     Idempotent by ``attempt_id`` and ``upstream_id``. ``wait_ms`` is how long
     the owner may queue the attempt, ``deadline_ms`` the time left for the
-    whole answer, both from now.
+    whole answer, both from now. ``chat`` is a hash of the chat, 0 where no
+    cache is at stake.
     """
 
     reply_to: str
@@ -130,6 +143,8 @@
     wait_ms: int
     deadline_ms: int
     best_effort: bool = False
+    chat: int = 0
+    stage: ReserveStage = ReserveStage.NEXT
 
 
 class Reserved(message.Message, frozen=True, kw_only=True):
@@ -145,7 +160,8 @@
 class ReserveRefused(message.Message, frozen=True, kw_only=True):
     """The owner did not reserve the work; ``code`` says why.
 
-    ``wait_ms`` is the delay that the owner expects for such an attempt.
+    ``wait_ms`` is the delay that the owner expects for such an attempt;
+    ``moved_to`` the upstream that has the chat's cache.
     """
 
     attempt_id: str
@@ -153,16 +169,30 @@
     code: str
     retry_after: datetime.timedelta | None = None
     wait_ms: int = 0
+    moved_to: str = ""
+
+
+class ChatMoved(message.Message, frozen=True, kw_only=True):
+    """A chat whose home is ``upstream_id`` was placed elsewhere."""
+
+    upstream_id: str
+    chat: int
+    moved_to: str
 
 
 class Release(message.Message, frozen=True, kw_only=True):
     """Reservations whose attempts ended, for their owner.
 
-    An empty ``upstream_id`` releases the attempts at every upstream.
+    An empty ``upstream_id`` releases the attempts at every upstream. Bit
+    ``n`` of ``hits`` says that the ``n``-th attempt found a part of its
+    prompt in the cache, of ``misses`` that it found none; at most 32
+    attempts share a message.
     """
 
     attempt_ids: tuple[str, ...]
     upstream_id: str = ""
+    hits: int = 0
+    misses: int = 0
 
 
 class HeldWork(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -194,7 +224,8 @@
 class PoolWork(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Reserved work and full batches of one owner's upstreams in a pool.
 
-    ``pool`` is a hash of service and model.
+    ``pool`` is a hash of service and model, ``placed`` the work placed of
+    late.
     """
 
     pool: int
@@ -211,20 +242,13 @@
     pools: tuple[PoolWork, ...]
 
 
-class ColdSuspected(message.Message, frozen=True, kw_only=True):
-    """An upstream seems to have lost its cache; its owner ramps it again."""
-
-    upstream_id: str
-    incarnation: int
-
-
 PEER_MESSAGES = (
     Reserve,
     Reserved,
     ReserveRefused,
     Release,
+    ChatMoved,
     Renew,
     Preempt,
     OwnerSummary,
-    ColdSuspected,
 )
--- a/fulmarbarrow/placement/owner.py
+++ b/fulmarbarrow/placement/owner.py
@@ -93,21 +93,6 @@
         if owned and owned.ledger.upstream.incarnation == event.incarnation:
             owned.ledger.report(event.load)
 
-    def cold(
-        self, event: messages.ColdSuspected, now: datetime.datetime
-    ) -> None:
-        """Ramp an upstream again that seems to have lost its cache."""
-        owned = self._owned.get(event.upstream_id)
-        if owned is None:
-            return
-        ledger = owned.ledger
-        if ledger.upstream.incarnation != event.incarnation:
-            return
-        if self._ramp_share(ledger, now) < 1.0:
-            return
-        ledger.cold_since = now
-        self._metrics.count("upstreams_cold")
-
     def reserve(
         self, event: messages.Reserve, now: datetime.datetime
     ) -> list[message.Message]:
@@ -126,11 +111,18 @@
         if event.attempt_id in owned.waiting:
             owned.waiting[event.attempt_id] = event.reply_to
             return []
-        work = _queued(event, now)
+        moved_to = self._moved_to(ledger, event)
+        if moved_to:
+            return [_moved(event, moved_to)]
+        work = _queued(event, now, self._part(ledger, event))
         owned.mixed = max(owned.mixed, self._policy.short_share(work.service))
         if self._may_pass(owned, work) and self._fits(owned, work, now):
             owned.queue.charge(work.account, work.cost)
             return [self._place(owned, work, event.reply_to, now)]
+        if event.stage is messages.ReserveStage.HOME and (
+            work.part < 1.0 or not self._evenly(ledger, work, now)
+        ):
+            return [self._refuse(event, "bound_reached")]
         return self._queue(owned, work, event, now)
 
     def release(
@@ -146,10 +138,17 @@
             for attempt_id in event.attempt_ids:
                 owned.queue.remove(attempt_id)
                 owned.waiting.pop(attempt_id, None)
-                owned.ledger.remove(attempt_id)
+            if owned.ledger.release(event):
+                self._turned_cold(owned.ledger, now)
             effects.extend(self._serve(owned, now))
         return effects
 
+    def chat_moved(self, event: messages.ChatMoved) -> None:
+        """Remember where a chat went whose home is an owned upstream."""
+        owned = self._owned.get(event.upstream_id)
+        if owned is not None:
+            owned.ledger.chats.move(event.chat, event.moved_to)
+
     def renew(
         self, event: messages.Renew, now: datetime.datetime
     ) -> list[message.Message]:
@@ -214,7 +213,10 @@
                 total[2] += ledger.placed(now)
         return [
             messages.PoolWork(
-                pool=pool, work=total[0], capacity=total[1], placed=total[2]
+                pool=pool,
+                work=total[0],
+                capacity=total[1],
+                placed=total[2],
             )
             for pool, total in sorted(sums.items())
         ]
@@ -227,6 +229,7 @@
                 "reservations": len(owned.ledger),
                 "reserved_tokens": owned.ledger.reserved,
                 "queued": len(owned.queue),
+                "recent_chats": len(owned.ledger.chats),
                 "cold_since": owned.ledger.cold_since,
             }
             for upstream_id, owned in self._owned.items()
@@ -249,6 +252,39 @@
             and self._directory.usable(ledger.upstream)
         )
 
+    def _moved_to(
+        self, ledger: ledgers.Ledger, event: messages.Reserve
+    ) -> str:
+        """Return the usable upstream that has a chat's cache, if another."""
+        if event.stage is not messages.ReserveStage.HOME:
+            return ""
+        if event.chat in ledger.chats:
+            return ""
+        upstream_id = ledger.chats.moved_to(event.chat)
+        upstream = self._directory.upstreams.get(upstream_id)
+        if upstream is None or not self._directory.usable(upstream):
+            return ""
+        return upstream_id
+
+    def _part(self, ledger: ledgers.Ledger, event: messages.Reserve) -> float:
+        """Return the part of the bounds that an attempt may use."""
+        if not event.chat or event.stage is messages.ReserveStage.LAST:
+            return 1.0
+        if event.chat in ledger.chats:
+            return 1.0
+        if event.stage is messages.ReserveStage.HOME:
+            return self._bounds.uncached_part
+        return self._bounds.stranger_part
+
+    def _turned_cold(
+        self, ledger: ledgers.Ledger, now: datetime.datetime
+    ) -> None:
+        """Ramp an upstream again that seems to have lost its cache."""
+        if self._ramp_share(ledger, now) >= 1.0:
+            ledger.cold_since = now
+            ledger.chats.clear()
+            self._metrics.count("upstreams_cold")
+
     def _ramp_share(
         self, ledger: ledgers.Ledger, now: datetime.datetime
     ) -> float:
@@ -299,16 +335,19 @@
         if self._by_right(ledger, work.account, work.cost):
             return True
         unknown = carried - ledger.reserved
-        if ledger.shared + unknown + work.cost > room.shared:
+        if ledger.shared + unknown + work.cost > work.part * room.shared:
             return False
-        if not self._evenly(ledger, work.cost, now):
+        if not self._evenly(ledger, work, now):
             return False
         if work.cost_class is messages.CostClass.SHORT:
             return True
         return ledger.long + unknown + work.cost <= room.long_work
 
     def _evenly(
-        self, ledger: ledgers.Ledger, cost: int, now: datetime.datetime
+        self,
+        ledger: ledgers.Ledger,
+        work: limits_messages.QueuedWork,
+        now: datetime.datetime,
     ) -> bool:
         """Return whether work placed of late stays near the pool's mean."""
         factor = self._bounds.placed_factor
@@ -316,8 +355,8 @@
             return True
         mean = self._means.placed(ledger.upstream)
         batch = ledger.upstream.batch_tokens
-        limit = max(factor * mean, self._bounds.floor) * batch
-        return ledger.placed(now) + cost <= limit
+        limit = max(work.part * factor * mean, self._bounds.floor) * batch
+        return ledger.placed(now) + work.cost <= limit
 
     def _by_right(
         self, ledger: ledgers.Ledger, account: str, cost: int
@@ -373,7 +412,10 @@
             cost_class=work.cost_class,
             priority=self._priority(ledger, work.account, work.cost, work),
             until=now + ledgers.LEASE,
+            chat=work.chat,
+            expected=bool(work.chat) and ledger.chats.used(work.chat),
         )
+        ledger.chats.returned(work.chat)
         ledger.add(item, now)
         return _grant(ledger, item, address)
 
@@ -491,7 +533,7 @@
 
 
 def _queued(
-    event: messages.Reserve, now: datetime.datetime
+    event: messages.Reserve, now: datetime.datetime, part: float
 ) -> limits_messages.QueuedWork:
     return limits_messages.QueuedWork(
         attempt_id=event.attempt_id,
@@ -503,6 +545,8 @@
         expires=now + event.wait_ms * MILLISECOND,
         deadline=now + event.deadline_ms * MILLISECOND,
         best_effort=event.best_effort,
+        chat=event.chat,
+        part=part,
     )
 
 
@@ -521,6 +565,18 @@
     )
 
 
+def _moved(event: messages.Reserve, upstream_id: str) -> message.Message:
+    return message.Send(
+        address=event.reply_to,
+        message=messages.ReserveRefused(
+            attempt_id=event.attempt_id,
+            upstream_id=event.upstream_id,
+            code="moved",
+            moved_to=upstream_id,
+        ),
+    )
+
+
 def _refusal(
     address: str,
     upstream_id: str,
