--- a/fulmarbarrow/bus.py
+++ b/fulmarbarrow/bus.py
@@ -4,6 +4,7 @@
 
 import collections
 import collections.abc
+import dataclasses
 import datetime
 import logging
 import typing
@@ -17,12 +18,29 @@
     [typing.Any, datetime.datetime],
     collections.abc.Iterable[messages.Message] | None,
 ]
-Recorder = collections.abc.Callable[
-    [messages.Message, datetime.datetime], None
-]
 ErrorWatcher = collections.abc.Callable[[messages.Message], None]
 
 
+@dataclasses.dataclass(kw_only=True)
+class Turn:
+    """A message posted from outside and all that was posted meanwhile.
+
+    ``nested`` holds each message that was posted while this one was being
+    handled, after how many queued messages. ``queued`` is the number of all
+    messages of the turn, with their effects.
+    """
+
+    at: datetime.datetime
+    message: messages.Message
+    nested: list[tuple[int, messages.Message]] = dataclasses.field(
+        default_factory=list
+    )
+    queued: int = 0
+
+
+Recorder = collections.abc.Callable[[Turn], None]
+
+
 class Core(typing.Protocol):
     """A duty without I/O: typed messages in, typed messages out."""
 
@@ -50,9 +68,13 @@
         self._clock = clock
         self._strict = strict
         self._handlers: dict[type, list[Handler]] = {}
-        self._queue: collections.deque[
-            tuple[messages.Message, datetime.datetime]
-        ] = collections.deque()
+        self._queue: collections.deque[messages.Message] = collections.deque()
+        self._now = clock.now()
+        self._queued = 0
+        self._turn: Turn | None = None
+        self._replayed: collections.deque[tuple[int, messages.Message]] = (
+            collections.deque()
+        )
         self._draining = False
         self._recorder: Recorder | None = None
         self._error_watchers: list[ErrorWatcher] = []
@@ -69,7 +91,7 @@
             self.subscribe(message_type, core.handle)
 
     def record(self, recorder: Recorder | None) -> None:
-        """Give every posted message to ``recorder``; None stops it."""
+        """Give every turn to ``recorder`` when it has ended; None stops it."""
         self._recorder = recorder
 
     def watch_errors(self, watcher: ErrorWatcher) -> None:
@@ -79,38 +101,71 @@
     def post(self, message: messages.Message) -> None:
         """Deliver a message and everything that follows from it.
 
-        The clock is read once, so that a replay of the posted messages at
-        their recorded times takes every decision again.
+        The clock is read once a turn, so that a replay of the turns at their
+        recorded times takes every decision again.
         """
-        now = self._clock.now()
-        if self._recorder is not None:
-            self._recorder(message, now)
-        self._queue.append((message, now))
         if self._draining:
+            if self._turn is not None:
+                self._turn.nested.append((self._queued, message))
+            self._enqueue(message)
             return
+        self._now = self._clock.now()
+        if self._recorder is not None:
+            self._turn = Turn(at=self._now, message=message)
+        self._drain(message)
+        if self._turn is not None:
+            turn, self._turn = self._turn, None
+            turn.queued = self._queued
+            if self._recorder is not None:
+                self._recorder(turn)
+
+    def replay(self, turn: Turn) -> int:
+        """Deliver a recorded turn; return the number of queued messages.
+
+        The clock shows the turn's time already.
+        """
+        self._now = turn.at
+        self._replayed.extend(turn.nested)
+        self._drain(turn.message)
+        return self._queued
+
+    def _drain(self, message: messages.Message) -> None:
         self._draining = True
+        self._queued = 0
+        self._enqueue(message)
         try:
-            while self._queue:
-                self._deliver(*self._queue.popleft())
+            while self._queue or self._replayed:
+                if not self._queue:
+                    self._enqueue(self._replayed.popleft()[1])
+                self._deliver(self._queue.popleft())
         finally:
             self._draining = False
 
-    def _deliver(
-        self, message: messages.Message, now: datetime.datetime
-    ) -> None:
+    def _enqueue(self, message: messages.Message) -> None:
+        self._queue.append(message)
+        self._queued += 1
+
+    def _deliver(self, message: messages.Message) -> None:
         handlers = self._handlers.get(type(message))
         if not handlers:
             self.unhandled[type(message).__name__] += 1
             return
         for handler in handlers:
             try:
-                effects = handler(message, now)
+                effects = handler(message, self._now)
+                for effect in effects or ():
+                    while self._replayed and (
+                        self._replayed[0][0] <= self._queued
+                    ):
+                        self._enqueue(self._replayed.popleft()[1])
+                    self._enqueue(effect)
             except Exception:
                 if self._strict:
                     raise
-                self.errors[type(message).__name__] += 1
-                log.exception("no handling of %s", type(message).__name__)
-                for watcher in self._error_watchers:
-                    watcher(message)
-                continue
-            self._queue.extend((effect, now) for effect in effects or ())
+                self._failed(message)
+
+    def _failed(self, message: messages.Message) -> None:
+        self.errors[type(message).__name__] += 1
+        log.exception("no handling of %s", type(message).__name__)
+        for watcher in self._error_watchers:
+            watcher(message)
--- /dev/null
+++ b/fulmarbarrow/tracing/__init__.py
@@ -0,0 +1,3 @@
+"""Recorded traces of a daemon's messages and their replay."""
+
+from __future__ import annotations
