--- a/fulmarbarrow/__main__.py
+++ b/fulmarbarrow/__main__.py
@@ -10,6 +10,8 @@
 from fulmarbarrow.commands import dump
 from fulmarbarrow.commands import key
 from fulmarbarrow.commands import publish
+from fulmarbarrow.commands import record
+from fulmarbarrow.commands import replay
 from fulmarbarrow.commands import status
 from fulmarbarrow import exceptions
 
@@ -18,6 +20,8 @@
     "dump": dump.dump,
     "key": key.key,
     "publish": publish.publish,
+    "record": record.record,
+    "replay": replay.replay,
     "status": status.status,
 }
 
--- /dev/null
+++ b/fulmarbarrow/commands/replay.py
@@ -0,0 +1,53 @@
+"""``fulmarbarrow replay``: replays a trace against its stated outcome."""
+
+from __future__ import annotations
+
+import pathlib
+
+import msgspec
+
+from fulmarbarrow import exceptions
+from fulmarbarrow.tracing import outcome
+from fulmarbarrow.tracing import player
+
+OUTCOME_SUFFIX = ".toml"
+
+
+def replay(trace: str, *, json: bool = False, describe: bool = False) -> str:
+    """Replay a recorded trace and compare it with its stated outcome.
+
+    The outcome is in a file of the same name that ends in .toml. Without
+    one, only the invariants and the recorded decisions are checked.
+
+    Args:
+        trace: the trace file
+        json: print JSON
+        describe: print what happened as TOML, to state an outcome from
+    """
+    path = pathlib.Path(str(trace))
+    beside = path.with_suffix(OUTCOME_SUFFIX)
+    stated = outcome.load(beside) if beside.exists() else None
+    report, observer = player.play(path, None if describe else stated)
+    if describe:
+        return outcome.describe(observer)
+    text = _text(report, stated)
+    if json:
+        text = msgspec.json.format(msgspec.json.encode(report)).decode()
+    if report.differences:
+        print(text)
+        raise exceptions.ReplayMismatchError(
+            f"{len(report.differences)} differences"
+        )
+    return text
+
+
+def _text(report: outcome.Report, stated: outcome.Outcome | None) -> str:
+    lines = [f"{report.turns} turns, {report.messages} messages"]
+    if stated is None:
+        lines.append("no outcome is stated beside the trace")
+    elif stated.story:
+        lines.append(f"story: {stated.story}")
+    lines.extend(f"differs: {item}" for item in report.differences)
+    if not report.differences:
+        lines.append("as stated")
+    return "\n".join(lines)
--- a/fulmarbarrow/daemon/__main__.py
+++ b/fulmarbarrow/daemon/__main__.py
@@ -14,6 +14,7 @@
 from fulmarbarrow.config import base
 from fulmarbarrow.config import defaults
 from fulmarbarrow.config import findings
+from fulmarbarrow import exceptions
 from fulmarbarrow.observe import logs
 
 EXIT_SETTINGS = 2
@@ -44,10 +45,17 @@
 
     from fulmarbarrow.daemon import assembly
 
-    daemon = assembly.Daemon(
-        settings=settings, reactor=reactor, clock=clocks.SystemClock()
-    )
-    failed = daemon.bind()
+    try:
+        daemon = assembly.Daemon(
+            settings=settings,
+            reactor=reactor,
+            clock=clocks.SystemClock(),
+            settings_text=source.text,
+        )
+        failed = daemon.bind()
+    except exceptions.FulmarbarrowError as error:
+        print(f"fulmarbarrowd: {error.code}: {error}", file=sys.stderr)
+        raise SystemExit(error.exit_code) from error
     for key, text in failed.items():
         print(source.finding(key, text), file=sys.stderr)
     if failed:
--- a/fulmarbarrow/daemon/assembly.py
+++ b/fulmarbarrow/daemon/assembly.py
@@ -4,6 +4,7 @@
 
 import datetime
 import logging
+import pathlib
 import random
 import typing
 
@@ -29,6 +30,8 @@
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics as metrics_module
 from fulmarbarrow.placement import messages as placement_messages
+from fulmarbarrow.tracing import edge as tracing_edge
+from fulmarbarrow.tracing import recorder
 from fulmarbarrow.wire import codec
 from fulmarbarrow.wire import transport
 
@@ -49,8 +52,10 @@
         settings: defaults.Settings,
         reactor: typing.Any,
         clock: clocks.Clock,
+        settings_text: str = "",
     ) -> None:
         self._settings = settings
+        self._settings_text = settings_text
         self._reactor = reactor
         self._clock = clock
         self._metrics = metrics_module.Metrics(
@@ -61,7 +66,9 @@
         )
         self._bus = buses.Bus(clock=clock)
         self._exchanges = exchange.Exchanges()
-        self._record = self._describe()
+        self._started = clock.now()
+        self._record = cores.describe(settings, self._started)
+        self._recorder: recorder.Recorder | None = None
         self._transport = self._make_transport()
         self._bus.subscribe(
             message.Send, lambda event, _: self._transport.send(event)
@@ -82,14 +89,22 @@
         self._admin = admin.AdminEdge(
             bus=self._bus, metrics=self._metrics, dump=self.dump
         )
+        tracing_edge.TracingEdge(app=self._admin.app, record=self.record)
         self._ticks = task.LoopingCall(self._bus.post, message.Tick())
         self._drain = task.LoopingCall(self._check_drained)
         self._listeners = self._make_listeners()
         self._lifecycle = lifecycle.make_lifecycle(self)
 
     def bind(self) -> dict[str, str]:
-        """Bind every port; return what failed by setting."""
-        return self._listeners.bind()
+        """Bind every port; return what failed by setting.
+
+        If none failed, a trace that the settings ask for begins.
+        """
+        failed = self._listeners.bind()
+        wanted = self._settings.trace
+        if not failed and wanted.path:
+            self.record(wanted.path, wanted.max_bytes, from_start=True)
+        return failed
 
     def start(self) -> None:
         """Start to serve."""
@@ -113,6 +128,32 @@
             "metrics": self._metrics.dump(),
         }
 
+    def record(
+        self, name: str, max_bytes: int, from_start: bool = False
+    ) -> pathlib.Path:
+        """Record a trace below the data folder; return its path.
+
+        An empty name only ends the one that is being recorded. Raises
+        ConfigurationError or StorageError.
+        """
+        if self._recorder is not None:
+            self._recorder.stop()
+            self._recorder = None
+        if not name:
+            return pathlib.Path()
+        made = recorder.Recorder(
+            bus=self._bus,
+            data_dir=pathlib.Path(self._settings.daemon.data_dir),
+            name=name,
+            max_bytes=max_bytes,
+            settings=self._settings_text,
+            started=self._started,
+            from_start=from_start,
+        )
+        made.start()
+        self._recorder = made
+        return made.path
+
     # Actions of the lifecycle.
 
     def begin_serving(self) -> None:
@@ -148,24 +189,14 @@
             if ticks is not None and ticks.running:
                 ticks.stop()
         self._listeners.close()
+        if self._recorder is not None:
+            self._recorder.stop()
         self._reactor.callLater(0, self._reactor.stop)
 
     def _check_drained(self) -> None:
         if len(self._exchanges) == 0:
             self._lifecycle.drained()
 
-    def _describe(self) -> membership_messages.Daemon:
-        settings = self._settings
-        started = self._clock.now().timestamp()
-        return membership_messages.Daemon(
-            daemon_id=settings.daemon.id,
-            incarnation=int(started * 1000),
-            zone=settings.daemon.zone,
-            region=settings.daemon.region,
-            address=str(settings.listen.peers),
-            roles=tuple(role.value for role in settings.daemon.roles),
-        )
-
     def _make_transport(self) -> transport.Transport:
         return transport.Transport(
             address=self._record.address,
--- a/fulmarbarrow/daemon/cores.py
+++ b/fulmarbarrow/daemon/cores.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import datetime
 import random
 
 from fulmarbarrow import bus as buses
@@ -27,6 +28,20 @@
 from fulmarbarrow.zones import core as zones_core
 
 
+def describe(
+    settings: defaults.Settings, started: datetime.datetime
+) -> membership_messages.Daemon:
+    """Return a daemon's own record; its start makes its incarnation."""
+    return membership_messages.Daemon(
+        daemon_id=settings.daemon.id,
+        incarnation=int(started.timestamp() * 1000),
+        zone=settings.daemon.zone,
+        region=settings.daemon.region,
+        address=str(settings.listen.peers),
+        roles=tuple(role.value for role in settings.daemon.roles),
+    )
+
+
 class Cores:
     """All cores of one daemon by name, attached to its bus."""
 
--- a/fulmarbarrow/tracing/outcome.py
+++ b/fulmarbarrow/tracing/outcome.py
@@ -68,6 +68,16 @@
     for ending, count in stated.requests.items():
         if endings.get(ending, 0) != count:
             yield f"requests {ending}: {endings.get(ending, 0)}, not {count}"
+    yield from _count_differences(stated, observer)
+    numbered = _numbered(observer)
+    for request in stated.request:
+        seen = numbered.get((request.account, request.number))
+        yield from _request_differences(request, seen)
+
+
+def _count_differences(
+    stated: Outcome, observer: observed.Observer
+) -> collections.abc.Iterator[str]:
     for name, count in stated.counts.items():
         if observer.counts[name] != count:
             yield f"{name}: {observer.counts[name]} times, not {count}"
@@ -77,22 +87,19 @@
     for name, count in stated.at_least.items():
         if observer.counts[name] < count:
             yield f"{name}: {observer.counts[name]} times, below {count}"
-    numbered = _numbered(observer)
-    for request in stated.request:
-        place = f"request {request.number} of {request.account}"
-        seen = numbered.get((request.account, request.number))
-        if seen is None:
-            yield f"{place} did not arrive"
-            continue
-        facts = _facts(seen)
-        for field in msgspec.structs.fields(request):
-            wanted = getattr(request, field.name)
-            if field.name in facts and wanted not in (None, ""):
-                if facts[field.name] != wanted:
-                    yield (
-                        f"{place}: {field.name} {facts[field.name]!r}, "
-                        f"not {wanted!r}"
-                    )
+
+
+def _request_differences(
+    request: RequestOutcome, seen: observed.RequestSeen | None
+) -> collections.abc.Iterator[str]:
+    place = f"request {request.number} of {request.account}"
+    if seen is None:
+        yield f"{place} did not arrive"
+        return
+    for name, fact in _facts(seen).items():
+        wanted = getattr(request, name)
+        if wanted not in (None, "") and fact != wanted:
+            yield f"{place}: {name} {fact!r}, not {wanted!r}"
 
 
 def describe(observer: observed.Observer) -> str:
--- a/fulmarbarrow/tracing/player.py
+++ b/fulmarbarrow/tracing/player.py
@@ -3,19 +3,17 @@
 from __future__ import annotations
 
 import collections.abc
-import dataclasses
 import pathlib
-import tempfile
-
-from twisted.internet import testing
+import random
 
 from fulmarbarrow import bus as buses
 from fulmarbarrow import clock as clocks
 from fulmarbarrow.config import defaults
 from fulmarbarrow.config import findings
 from fulmarbarrow.config import options
-from fulmarbarrow.daemon import assembly
+from fulmarbarrow.daemon import cores
 from fulmarbarrow import exceptions
+from fulmarbarrow.observe import metrics
 from fulmarbarrow.tracing import invariants
 from fulmarbarrow.tracing import observed
 from fulmarbarrow.tracing import outcome
@@ -38,12 +36,8 @@
             f"{path} was not recorded from the daemon's start"
         )
     observer = observed.Observer()
-    with tempfile.TemporaryDirectory() as folder:
-        player = _Player(
-            header=header, observer=observer, folder=pathlib.Path(folder)
-        )
-        found = [*player.feed(turns), *invariants.check(observer)]
-        player.close()
+    player = _Player(header=header, observer=observer)
+    found = [*player.feed(turns), *invariants.check(observer)]
     if stated is not None:
         found.extend(outcome.differences(stated, observer))
     report = outcome.Report(
@@ -58,24 +52,22 @@
     """The cores of one daemon on a bus without its shells."""
 
     def __init__(
-        self,
-        *,
-        header: trace.Header,
-        observer: observed.Observer,
-        folder: pathlib.Path,
+        self, *, header: trace.Header, observer: observed.Observer
     ) -> None:
         self.turns = 0
         self._clock = clocks.ManualClock(start=header.started)
-        self._daemon = assembly.Daemon(
-            settings=_settings(header, folder),
-            reactor=testing.MemoryReactorClock(),
-            clock=self._clock,
-        )
-        self._bus = buses.Bus(clock=self._clock)
+        self.bus = buses.Bus(clock=self._clock)
         for kind in registry.classes().values():
-            self._bus.subscribe(kind, observer.see)
-        for core in self._daemon.cores.values():
-            self._bus.attach(core)
+            self.bus.subscribe(kind, observer.see)
+        settings = _settings(header)
+        record = cores.describe(settings, header.started)
+        cores.Cores(
+            settings=settings,
+            record=record,
+            bus=self.bus,
+            metrics=metrics.Metrics(),
+            rng=random.Random(record.incarnation),
+        )
 
     def feed(
         self, turns: collections.abc.Iterable[buses.Turn]
@@ -84,7 +76,7 @@
         divergences = 0
         for turn in turns:
             self._clock.advance(turn.at - self._clock.now())
-            queued = self._bus.replay(turn)
+            queued = self.bus.replay(turn)
             self.turns += 1
             if queued != turn.queued and divergences < MAX_DIVERGENCES:
                 divergences += 1
@@ -93,18 +85,11 @@
                     f"({type(turn.message).__name__}): {queued} messages "
                     f"instead of the {turn.queued} recorded"
                 )
-        for name, count in self._bus.errors.items():
+        for name, count in self.bus.errors.items():
             yield f"{count} errors in the handling of {name}"
 
-    def close(self) -> None:
-        """Let go of the folder."""
-        self._daemon.release()
-
 
-def _settings(
-    header: trace.Header, folder: pathlib.Path
-) -> defaults.Settings:
-    """Return the recorded settings with another data folder."""
+def _settings(header: trace.Header) -> defaults.Settings:
     source = findings.Source(
         path=pathlib.Path("settings in the trace"), text=header.settings
     )
@@ -113,7 +98,4 @@
         raise exceptions.ConfigurationError(
             "; ".join(str(finding) for finding in found)
         )
-    section = dataclasses.replace(settings.daemon, data_dir=str(folder))
-    return dataclasses.replace(
-        settings, daemon=section, trace=defaults.TraceSection()
-    )
+    return settings
--- a/fulmarbarrow/tracing/trace.py
+++ b/fulmarbarrow/tracing/trace.py
@@ -18,7 +18,7 @@
 REDACTED = "x" * 16
 
 _SECRET = re.compile(
-    r'^(\s*(?:fleet_key|admin_key|key)\s*=\s*)"[^"]*"', re.MULTILINE
+    r"""((?:fleet_key|admin_key|key)["']?\s*=\s*)(["']).*?\2""", re.MULTILINE
 )
 
 
@@ -52,7 +52,7 @@
 
 def redact(settings: str) -> str:
     """Return the text of settings with every key made unreadable."""
-    return _SECRET.sub(rf'\1"{REDACTED}"', settings)
+    return _SECRET.sub(rf"\1\2{REDACTED}\2", settings)
 
 
 class TurnCodec:
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -73,6 +73,7 @@
         members: tuple[tuple[str, str], ...] = (),
         grace: str = "200ms",
         ports: list[int] | None = None,
+        more: str = "",
     ) -> None:
         self.daemon_id = daemon_id
         self.folder = folder
@@ -97,7 +98,7 @@
             f'callers = "{self.callers}"\nupstreams = "{self.upstreams}"\n'
             f'admin = "{self.admin}"\npeers = "{self.peers}"\n'
             f"[peers]\nseeds = {json.dumps(seeds)}\n"
-            f'[upstreams]\nkey = "{UPSTREAM_KEY}"\n' + member_lines
+            f'[upstreams]\nkey = "{UPSTREAM_KEY}"\n' + member_lines + more
         )
 
     def start(self) -> None:
