Run measurements side by side and write a page with plots about them

Cause: measurements ran one after another in one process, in which a second reactor can't be installed, and no page showed them. Change: each module runs in a fresh process, four side by side, exclusive ones alone; a run of all writes docs/measures.json, a page and a plot for each slice.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -1,38 +1,91 @@
-"""Runs all measurements, or those of the modules named as arguments."""
+"""Runs all measurements, or those of the modules named as arguments.
+
+Modules run side by side, but for those with ``EXCLUSIVE`` set, which measure
+real time or processor time and run alone afterwards.
+"""
 
 from __future__ import annotations
 
+import concurrent.futures as futures
+import dataclasses
 import importlib
 import json
+import multiprocessing
 import pathlib
 import pkgutil
 import sys
 
 import benchmarks
 from benchmarks import measure as measures
+from benchmarks import report
 
 ROOT = pathlib.Path(__file__).parent.parent
 RESULTS = ROOT / "docs" / "measures.json"
+KEEP = "--keep"
+PROCESSES = 4
 
 
 def main() -> None:
-    """Run, print a table and write ``docs/measures.json``."""
-    chosen = set(sys.argv[1:])
-    rows: list[measures.Measure] = []
-    for info in pkgutil.iter_modules(benchmarks.__path__):
-        if chosen and info.name not in chosen:
-            continue
-        module = importlib.import_module(f"benchmarks.{info.name}")
-        if hasattr(module, "measure"):
-            rows.extend(module.measure())
+    """Run and print a table; with no module named, keep the results too.
+
+    ``--keep`` keeps the results of the named modules.
+    """
+    arguments = set(sys.argv[1:])
+    keep = KEEP in arguments or not arguments
+    names = _chosen(arguments - {KEEP})
     before = _read()
-    for row in rows:
+    rows = []
+    for row in _run(names):
+        rows.append(row)
         _print(row, before.get((row.slice, row.name)))
+    if keep:
+        _keep(rows, before if arguments else {})
+    missed = [row for row in rows if row.met is False]
+    print(f"measures: {len(rows) - len(missed)} met, {len(missed)} missed")
+    if missed:
+        raise SystemExit(1)
+
+
+def _keep(
+    rows: list[measures.Measure], before: dict[tuple[str, str], dict]
+) -> None:
+    """Write the results, with those of earlier runs that were not rerun."""
     after = {**before, **{(row.slice, row.name): _plain(row) for row in rows}}
     kept = [after[key] for key in sorted(after)]
     RESULTS.write_text(json.dumps(kept, indent=1) + "\n")
-    if any(row.met is False for row in rows):
-        raise SystemExit(1)
+    report.write(kept, RESULTS.parent)
+
+
+def _chosen(wanted: set[str]) -> list[str]:
+    """Return the names of the modules that measure something."""
+    found = []
+    for info in pkgutil.iter_modules(benchmarks.__path__):
+        if info.name.startswith("_") or (wanted and info.name not in wanted):
+            continue
+        module = importlib.import_module(f"benchmarks.{info.name}")
+        if hasattr(module, "measure"):
+            found.append(info.name)
+    return found
+
+
+def _run(names: list[str]) -> list[measures.Measure]:
+    alone = [name for name in names if _exclusive(name)]
+    shared = [name for name in names if name not in alone]
+    rows: list[measures.Measure] = []
+    # Modules may install a reactor, so each has a fresh process.
+    context = multiprocessing.get_context("spawn")
+    for group, processes in ((shared, PROCESSES), (alone, 1)):
+        with futures.ProcessPoolExecutor(
+            processes, mp_context=context, max_tasks_per_child=1
+        ) as pool:
+            for part in pool.map(measures.run, group):
+                rows.extend(part)
+    return rows
+
+
+def _exclusive(name: str) -> bool:
+    module = importlib.import_module(f"benchmarks.{name}")
+    return getattr(module, "EXCLUSIVE", False)
 
 
 def _read() -> dict[tuple[str, str], dict]:
@@ -43,17 +96,8 @@
 
 
 def _plain(row: measures.Measure) -> dict:
-    return {
-        "slice": row.slice,
-        "name": row.name,
-        "value": row.value,
-        "unit": row.unit,
-        "target": row.target,
-        "bound": row.bound.value,
-        "met": row.met,
-        "seed": row.seed,
-        "command": row.command,
-    }
+    fields = dataclasses.asdict(row)
+    return {**fields, "bound": row.bound.value, "met": row.met}
 
 
 def _print(row: measures.Measure, before: dict | None) -> None:
@@ -62,7 +106,8 @@
     target = "-" if row.target is None else f"{row.target:g}"
     print(
         f"{row.slice:11} {row.name:58} {row.value:12.5g} {row.unit:12} "
-        f"target {target:>8} before {earlier:>10} {verdict}"
+        f"target {target:>8} before {earlier:>10} {verdict}",
+        flush=True,
     )
 
 
--- a/benchmarks/measure.py
+++ b/benchmarks/measure.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import importlib
 
 
 class Bound(enum.StrEnum):
@@ -35,3 +36,8 @@
         if self.bound is Bound.AT_MOST:
             return self.value <= self.target
         return self.value >= self.target
+
+
+def run(name: str) -> list[Measure]:
+    """Run the measurements of one module of this package."""
+    return importlib.import_module(f"benchmarks.{name}").measure()
