--- a/fulmarbarrow/daemon/assembly.py
+++ b/fulmarbarrow/daemon/assembly.py
@@ -14,6 +14,7 @@
 from fulmarbarrow import bus as buses
 from fulmarbarrow import clock as clocks
 from fulmarbarrow.config import defaults
+from fulmarbarrow.consensus import shell as consensus_shell
 from fulmarbarrow.daemon import cores
 from fulmarbarrow.daemon import lifecycle
 from fulmarbarrow.daemon import listeners
@@ -75,6 +76,7 @@
         )
         self._callers: callers.CallersEdge | None = None
         self._placement_ticks: task.LoopingCall | None = None
+        self._consensus: consensus_shell.ConsensusShell | None = None
         if defaults.Role.CONTROL in settings.daemon.roles:
             self._add_control_edges()
         if defaults.Role.ROUTER in settings.daemon.roles:
@@ -85,6 +87,8 @@
             bus=self._bus,
             metrics=self._metrics,
             rng=random.Random(self._record.incarnation),
+            now=clock.now(),
+            logs=self._consensus,
         ).by_name
         self._admin = admin.AdminEdge(
             bus=self._bus, metrics=self._metrics, dump=self.dump
@@ -124,6 +128,7 @@
             "callers": self._callers.dump() if self._callers else None,
             "unhandled": dict(self._bus.unhandled),
             "errors": dict(self._bus.errors),
+            "disk": self._consensus.dump() if self._consensus else None,
             "cores": {name: core.dump() for name, core in self._cores.items()},
             "metrics": self._metrics.dump(),
         }
@@ -188,6 +193,8 @@
         for ticks in (self._ticks, self._placement_ticks):
             if ticks is not None and ticks.running:
                 ticks.stop()
+        if self._consensus is not None:
+            self._consensus.close()
         self._listeners.close()
         if self._recorder is not None:
             self._recorder.stop()
@@ -211,6 +218,12 @@
         )
 
     def _add_control_edges(self) -> None:
+        self._consensus = consensus_shell.ConsensusShell(
+            data_folder=pathlib.Path(self._settings.daemon.data_dir),
+            bus=self._bus,
+            reactor=self._reactor,
+            metrics=self._metrics,
+        )
         self._orders = orders.OrdersClient(
             reactor=self._reactor,
             bus=self._bus,
