Replay the logs of control hosts from the trace

The consensus logs now write to a disk, whose acknowledgements reach the cores as messages of their own; a replay must take these from the trace and not answer writes itself.

A trace holds the identity of the disk, a replay starts with empty logs, and a daemon whose data folder was not empty is not recorded as from its start. The core's start time is the one in the trace.

--- a/fulmarbarrow/daemon/assembly.py
+++ b/fulmarbarrow/daemon/assembly.py
@@ -69,6 +69,7 @@
         self._exchanges = exchange.Exchanges()
         self._started = clock.now()
         self._record = cores.describe(settings, self._started)
+        self._fresh = _is_fresh(settings.daemon.data_dir)
         self._recorder: recorder.Recorder | None = None
         self._transport = self._make_transport()
         self._bus.subscribe(
@@ -87,7 +88,7 @@
             bus=self._bus,
             metrics=self._metrics,
             rng=random.Random(self._record.incarnation),
-            now=clock.now(),
+            now=self._started,
             logs=self._consensus,
         ).by_name
         self._admin = admin.AdminEdge(
@@ -107,7 +108,7 @@
         failed = self._listeners.bind()
         wanted = self._settings.trace
         if not failed and wanted.path:
-            self.record(wanted.path, wanted.max_bytes, from_start=True)
+            self.record(wanted.path, wanted.max_bytes, from_start=self._fresh)
         return failed
 
     def start(self) -> None:
@@ -153,6 +154,9 @@
             max_bytes=max_bytes,
             settings=self._settings_text,
             started=self._started,
+            host_identity=(
+                self._consensus.host_identity if self._consensus else ""
+            ),
             from_start=from_start,
         )
         made.start()
@@ -275,3 +279,9 @@
             max_body_bytes=MAX_OWN_BODY_BYTES,
             metrics=self._metrics,
         )
+
+
+def _is_fresh(data_dir: str) -> bool:
+    """Return whether no earlier run has left anything."""
+    folder = pathlib.Path(data_dir)
+    return not data_dir or not folder.exists() or not any(folder.iterdir())
--- a/fulmarbarrow/tracing/player.py
+++ b/fulmarbarrow/tracing/player.py
@@ -11,6 +11,9 @@
 from fulmarbarrow.config import defaults
 from fulmarbarrow.config import findings
 from fulmarbarrow.config import options
+from fulmarbarrow.consensus import memory as consensus_memory
+from fulmarbarrow.consensus import records as consensus_records
+from fulmarbarrow.consensus import state as consensus_state
 from fulmarbarrow.daemon import cores
 from fulmarbarrow import exceptions
 from fulmarbarrow.observe import metrics
@@ -33,7 +36,7 @@
     header, turns = trace.read(path)
     if not header.from_start:
         raise exceptions.ConfigurationError(
-            f"{path} was not recorded from the daemon's start"
+            f"{path} was not recorded from a daemon's first start"
         )
     observer = observed.Observer()
     player = _Player(header=header, observer=observer)
@@ -48,6 +51,17 @@
     return report, observer
 
 
+class _RecordedLogs:
+    """Empty logs whose writes are acknowledged by the trace itself."""
+
+    def __init__(self, *, host_identity: str) -> None:
+        self.host_identity = host_identity
+
+    def open(self, group: consensus_records.Group) -> consensus_state.Stored:
+        """Return an empty disk."""
+        return consensus_memory.MemoryLogs().open(group)
+
+
 class _Player:
     """The cores of one daemon on a bus without its shells."""
 
@@ -67,6 +81,8 @@
             bus=self.bus,
             metrics=metrics.Metrics(),
             rng=random.Random(record.incarnation),
+            now=header.started,
+            logs=_RecordedLogs(host_identity=header.host_identity),
         )
 
     def feed(
--- a/fulmarbarrow/tracing/recorder.py
+++ b/fulmarbarrow/tracing/recorder.py
@@ -35,6 +35,7 @@
         settings: str,
         started: datetime.datetime,
         from_start: bool,
+        host_identity: str = "",
     ) -> None:
         self._bus = bus
         self._path = _below(data_dir, name)
@@ -45,6 +46,7 @@
             settings=trace.redact(settings),
             started=started,
             from_start=from_start,
+            host_identity=host_identity,
         )
         self.written_bytes = 0
 
--- a/fulmarbarrow/tracing/trace.py
+++ b/fulmarbarrow/tracing/trace.py
@@ -26,13 +26,15 @@
     """What a replay needs to know of the daemon that was recorded.
 
     ``settings`` is the text of its settings without keys. ``from_start``
-    says that nothing happened in the daemon before the first turn.
+    says that nothing happened before the first turn, neither in the daemon
+    nor in an earlier run. ``host_identity`` is that of its disk.
     """
 
     format: int
     settings: str
     started: datetime.datetime
     from_start: bool
+    host_identity: str = ""
 
 
 class Line(
