--- a/benchmarks/version_model.py
+++ b/benchmarks/version_model.py
@@ -312,6 +312,27 @@
     def _record(self) -> dict:
         return self._control.dump()["moves"]["move-1"]
 
+    def restart_control(self) -> None:
+        """Replace the control host by one that has only a snapshot."""
+        wanted = consensus_messages.SnapshotWanted(
+            group=consensus_messages.Group.CONFIGURATION, index=self._index
+        )
+        (taken,) = self._control.handle(wanted, self._clock.now())
+        restored = consensus_messages.SnapshotRestored(
+            group=taken.group,
+            index=taken.index,
+            state=taken.state,
+            machine=taken.machine,
+        )
+        self._control = control.VersionsControl(
+            daemon=self._leader,
+            group=consensus_messages.Group.CONFIGURATION,
+        )
+        self._hand(self._leader.address, restored, self._clock.now())
+        self._introduce(self._leader.address)
+        for engine in self._engines:
+            self._announce(engine)
+
     def lead(self, term: int) -> None:
         """Make the control host the leader of a term."""
         led = consensus_messages.LeaderChanged(
@@ -403,6 +424,7 @@
             index=self._index,
             term=1,
             command=propose.command,
+            machine=propose.machine,
         )
         done = consensus_messages.ProposeResult(
             proposal_id=propose.proposal_id,
--- a/fulmarbarrow/daemon/cores.py
+++ b/fulmarbarrow/daemon/cores.py
@@ -27,6 +27,7 @@
 from fulmarbarrow.publishing import follower
 from fulmarbarrow.publishing import messages as publishing_messages
 from fulmarbarrow.versions import control as versions_control
+from fulmarbarrow.versions import messages as versions_messages
 from fulmarbarrow.versions import router as versions_router
 from fulmarbarrow.zones import core as zones_core
 
@@ -91,7 +92,7 @@
             "consensus",
             consensus_messages.Group.CONFIGURATION,
             logs,
-            (publishing_messages.MACHINE, "versions"),
+            (publishing_messages.MACHINE, versions_messages.MACHINE),
         )
         self._add("control", control.PublishingControl(daemon=record))
         self._add(
--- a/fulmarbarrow/versions/control.py
+++ b/fulmarbarrow/versions/control.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import datetime
 import logging
 import typing
@@ -46,6 +45,8 @@
         consensus_messages.Applied,
         consensus_messages.LeaderChanged,
         consensus_messages.ProposeResult,
+        consensus_messages.SnapshotWanted,
+        consensus_messages.SnapshotRestored,
         membership_messages.UpstreamChanged,
         membership_messages.UpstreamGone,
         membership_messages.DaemonChanged,
@@ -65,6 +66,7 @@
         self._daemon = daemon
         self._group = group
         self._leader: consensus_messages.LeaderChanged | None = None
+        self._steps = state.StepStore()
         self._records: dict[str, state.MoveRecord] = {}
         self._upstreams: dict[str, membership_messages.Upstream] = {}
         self._daemons: dict[str, membership_messages.Daemon] = {
@@ -88,18 +90,19 @@
                 return self._fault(event.move_id, event.reason, now)
             case messages.OrderResult():
                 self._orders.result(event)
-            case consensus_messages.Applied(group=self._group):
-                return self._applied(event)
-            case consensus_messages.LeaderChanged(group=self._group):
-                self._lead(event, now)
             case consensus_messages.ProposeResult(group=self._group):
                 self._proposal_ended(event)
+            case consensus_messages.LeaderChanged(group=self._group):
+                self._lead(event, now)
             case publishing_messages.ConfigurationChanged():
                 self._configure(event.bundle, now)
             case message.Tick():
                 return self._tick(now)
             case _:
-                return self._membership(event, now)
+                return [
+                    *self._replicate(event, now),
+                    *self._meet(event, now),
+                ]
         return []
 
     def dump(self) -> dict[str, typing.Any]:
@@ -116,12 +119,42 @@
             "orders": self._orders.dump(),
         }
 
-    @property
-    def _leading(self) -> bool:
+    def _leading(self, now: datetime.datetime) -> bool:
+        """Whether this host leads and its lease has not ended."""
         leader = self._leader
-        return leader is not None and leader.leader == self._daemon.daemon_id
+        if leader is None or leader.leader != self._daemon.daemon_id:
+            return False
+        return leader.lease_until is None or now < leader.lease_until
+
+    def _replicate(
+        self, event: message.Message, now: datetime.datetime
+    ) -> list[message.Message]:
+        """Take an event of this slice's state machine."""
+        match event:
+            case consensus_messages.Applied(
+                group=self._group, machine=messages.MACHINE
+            ):
+                return self._applied(event, now)
+            case consensus_messages.SnapshotWanted(group=self._group):
+                return [
+                    consensus_messages.SnapshotTaken(
+                        group=self._group,
+                        index=event.index,
+                        state=self._steps.snapshot(),
+                        machine=messages.MACHINE,
+                    )
+                ]
+            case consensus_messages.SnapshotRestored(
+                group=self._group, machine=messages.MACHINE
+            ):
+                self._steps.restore(event.state)
+                self._records = {
+                    move_id: self._record(record.move, record.since)
+                    for move_id, record in self._records.items()
+                }
+        return []
 
-    def _membership(
+    def _meet(
         self, event: message.Message, now: datetime.datetime
     ) -> list[message.Message]:
         match event:
@@ -132,7 +165,7 @@
                 self._upstreams.pop(event.upstream_id, None)
             case membership_messages.DaemonChanged():
                 self._daemons[event.daemon.daemon_id] = event.daemon
-                if self._leading:
+                if self._leading(now):
                     return self._push_to(event.daemon)
             case membership_messages.DaemonGone():
                 self._daemons.pop(event.daemon_id, None)
@@ -154,20 +187,30 @@
         self, bundle: bundles.Bundle, now: datetime.datetime
     ) -> None:
         """Take the moves of a new configuration."""
-        records = {}
-        for move in bundle.version_move:
-            known = self._records.get(move.id)
-            if known is not None:
-                records[move.id] = dataclasses.replace(known, move=move)
-                continue
-            records[move.id] = state.MoveRecord(
+        self._records = {
+            move.id: self._record(move, now) for move in bundle.version_move
+        }
+
+    def _record(
+        self, move: bundles.VersionMove, now: datetime.datetime
+    ) -> state.MoveRecord:
+        """Return a move with its last committed step, if it has one."""
+        committed = self._steps.get(move.id)
+        if committed is None:
+            return state.MoveRecord(
                 move=move,
                 phase=messages.Phase.LOADING,
                 share=0.0,
                 since=now,
-                started=now,
             )
-        self._records = records
+        return state.MoveRecord(
+            move=move,
+            phase=committed.step.phase,
+            share=committed.step.share,
+            since=committed.since,
+            reason=committed.step.reason,
+            sequence=committed.index,
+        )
 
     def _evidence_of(self, move_id: str) -> evidence_module.MoveEvidence:
         found = self._evidence.get(move_id)
@@ -191,7 +234,7 @@
     ) -> list[message.Message]:
         """Stop a bad version everywhere, then take it back."""
         record = self._records.get(move_id)
-        if record is None or not self._leading or move_id in self._faults:
+        if record is None or not self._leading(now) or move_id in self._faults:
             return []
         self._faults[move_id] = reason
         stopped = messages.VersionStopped(move_id=move_id, reason=reason)
@@ -210,7 +253,7 @@
         ]
 
     def _tick(self, now: datetime.datetime) -> list[message.Message]:
-        if not self._leading:
+        if not self._leading(now):
             return []
         effects: list[message.Message] = []
         for record in list(self._records.values()):
@@ -354,34 +397,24 @@
             f"/{self._proposals}",
             group=self._group,
             command=msgspec.msgpack.encode(step),
+            machine=messages.MACHINE,
         )
 
     def _proposal_ended(self, event: consensus_messages.ProposeResult) -> None:
         self._proposed.pop(event.proposal_id.partition("/")[0], None)
 
     def _applied(
-        self, event: consensus_messages.Applied
+        self, event: consensus_messages.Applied, now: datetime.datetime
     ) -> list[message.Message]:
-        """Apply a committed step; other commands are not ours."""
-        try:
-            step = _STEPS.decode(event.command)
-        except msgspec.ValidationError:
+        """Apply a committed step."""
+        step = _STEPS.decode(event.command)
+        self._steps.apply(step, event.index)
+        before = self._records.get(step.move_id)
+        if before is None:
             return []
-        record = self._records.get(step.move_id)
-        if record is None:
-            return []
-        before = record.phase
-        record = state.MoveRecord(
-            move=record.move,
-            phase=step.phase,
-            share=step.share,
-            since=step.at if step.phase is not before else record.since,
-            started=record.started,
-            reason=step.reason,
-            sequence=event.index,
-        )
+        record = self._record(before.move, step.at)
         self._records[step.move_id] = record
-        if step.phase is not before:
+        if step.phase is not before.phase:
             log.info(
                 "version move %s is %s at share %.3f %s",
                 step.move_id,
@@ -389,12 +422,14 @@
                 step.share,
                 step.reason,
             )
-        return [messages.MoveChanged(step=step), *self._push(record)]
+        return [messages.MoveChanged(step=step), *self._push(record, now)]
 
-    def _push(self, record: state.MoveRecord) -> list[message.Message]:
+    def _push(
+        self, record: state.MoveRecord, now: datetime.datetime
+    ) -> list[message.Message]:
         """Tell every router a move's share; the leader does."""
         effects: list[message.Message] = [_shares_push(record, self._daemon)]
-        if self._leading:
+        if self._leading(now):
             effects.extend(
                 message.Send(
                     address=daemon.address,
--- a/fulmarbarrow/versions/features/moves.feature
+++ b/fulmarbarrow/versions/features/moves.feature
@@ -66,3 +66,10 @@
     And another term begins
     Then no order is given for 4 seconds
     And the next order carries a higher fencing number
+
+  Scenario: A control host that restarts goes on with the move
+    Given a version move
+    When it is played until the phase expanding
+    And the control host restarts from its snapshot and leads again
+    Then the move is still expanding at the same share
+    And it is played until the phase completed
--- a/fulmarbarrow/versions/features/steps/moves.py
+++ b/fulmarbarrow/versions/features/steps/moves.py
@@ -53,7 +53,7 @@
     context.outcome = context.play.run()
 
 
-@behave.when("it is played until the phase {phase}")
+@behave.step("it is played until the phase {phase}")
 def step_until(context, phase):
     limit = context.start + context.case.length
     while context.play.phase != phase:
@@ -170,6 +170,19 @@
     assert after.fencing_number > before.fencing_number
 
 
+@behave.when("the control host restarts from its snapshot and leads again")
+def step_restart_control(context):
+    context.before = (context.play.phase, context.play.share)
+    context.play.restart_control()
+    context.play.lead(2)
+
+
+@behave.then("the move is still expanding at the same share")
+def step_same_phase(context):
+    assert context.before[0] is messages.Phase.EXPANDING
+    assert (context.play.phase, context.play.share) == context.before
+
+
 class Entered:
     def __init__(self):
         self.phase = None
--- a/fulmarbarrow/versions/messages.py
+++ b/fulmarbarrow/versions/messages.py
@@ -9,6 +9,8 @@
 
 from fulmarbarrow import message
 
+MACHINE = "versions"  # this slice's state machine on the replicated log
+
 
 class OrderKind(enum.StrEnum):
     """What an engine can be told to do."""
--- a/fulmarbarrow/versions/state.py
+++ b/fulmarbarrow/versions/state.py
@@ -5,10 +5,14 @@
 import dataclasses
 import datetime
 
+import msgspec
+
 from fulmarbarrow.config import bundle as bundles
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow.versions import messages
 
+MAX_KEPT_MOVES = 1000
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class MoveRecord:
@@ -18,11 +22,61 @@
     phase: messages.Phase
     share: float
     since: datetime.datetime
-    started: datetime.datetime
     reason: str = ""
     sequence: int = 0
 
 
+class CommittedStep(msgspec.Struct, frozen=True, kw_only=True):
+    """The last step of a move and the index at which it was committed.
+
+    ``since`` is the time of the first step of its phase.
+    """
+
+    step: messages.MoveStep
+    index: int
+    since: datetime.datetime
+
+
+class StepStore:
+    """The replicated state of version moves: each one's last step.
+
+    It is kept apart from the configuration, because a restarted host applies
+    the log before it has a configuration in force.
+    """
+
+    def __init__(self) -> None:
+        self._steps: dict[str, CommittedStep] = {}
+
+    def get(self, move_id: str) -> CommittedStep | None:
+        """Return a move's last step."""
+        return self._steps.get(move_id)
+
+    def apply(self, step: messages.MoveStep, index: int) -> None:
+        """Take a committed step; the oldest move is forgotten beyond a bound.
+
+        The bound is applied in the order of the log, so that every host
+        keeps the same steps.
+        """
+        known = self._steps.pop(step.move_id, None)
+        since = step.at
+        if known is not None and known.step.phase is step.phase:
+            since = known.since
+        self._steps[step.move_id] = CommittedStep(
+            step=step, index=index, since=since
+        )
+        if len(self._steps) > MAX_KEPT_MOVES:
+            del self._steps[next(iter(self._steps))]
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        return msgspec.msgpack.encode(list(self._steps.values()))
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state."""
+        steps = msgspec.msgpack.decode(data, type=list[CommittedStep])
+        self._steps = {item.step.move_id: item for item in steps}
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class PendingOrder:
     """An order whose effect has not been announced yet."""
