--- a/fulmarbarrow/placement/directory.py
+++ b/fulmarbarrow/placement/directory.py
@@ -33,7 +33,6 @@
         self._owners: dict[str, Owner] = {}
         self._zone_weights: dict[str, float] = {}
         self._shares: dict[tuple[str, str], tuple[tuple[str, float], ...]] = {}
-        self._stopped: set[tuple[str, str, str]] = set()
         self._pools: dict[tuple[str, str, str], rendezvous.Ring] = {}
         self._versions: dict[tuple[str, str], rendezvous.Ring] = {}
 
@@ -94,12 +93,6 @@
         self._shares[service, model] = shares
         self._versions.pop((service, model), None)
 
-    def stop_version(self, service: str, model: str, version: str) -> None:
-        """Send nothing more to a version, whatever its share."""
-        self._stopped.add((service, model, version))
-        self._versions.pop((service, model), None)
-        self._forget_pools()
-
     def zone_weight(self, zone: str) -> float:
         """Return the part of its usual work that a zone gets."""
         return self._zone_weights.get(zone, 1.0)
@@ -192,16 +185,11 @@
             offer.service == service
             and offer.model == model
             and version in ("", offer.version)
-            and (service, model, offer.version) not in self._stopped
             for offer in upstream.offers
         )
 
     def _version_weights(self, service: str, model: str) -> dict[str, float]:
-        return {
-            version: share
-            for version, share in self._shares.get((service, model), ())
-            if (service, model, version) not in self._stopped
-        }
+        return dict(self._shares.get((service, model), ()))
 
     def _forget_pools(self) -> None:
         self._pools.clear()
--- a/fulmarbarrow/standins/engine.py
+++ b/fulmarbarrow/standins/engine.py
@@ -162,6 +162,9 @@
         request.notifyFinish().addErrback(self._gone, job.attempt_id)
         kind = "text/event-stream" if run.stream else "application/json"
         request.setHeader("Content-Type", kind)
+        offset = requests.header(request, headers.RESUME_OFFSET)
+        if run.stream and offset:
+            request.setHeader(headers.RESUME_OFFSET, offset)
         self._plan_step()
         return await run.done
 
