--- a/fulmarbarrow/daemon/__main__.py
+++ b/fulmarbarrow/daemon/__main__.py
@@ -47,12 +47,15 @@
 
     try:
         daemon = assembly.Daemon(
-            settings=settings, reactor=reactor, clock=clocks.SystemClock()
+            settings=settings,
+            reactor=reactor,
+            clock=clocks.SystemClock(),
+            settings_text=source.text,
         )
-    except exceptions.StorageError as error:
+        failed = daemon.bind()
+    except exceptions.FulmarbarrowError as error:
         print(f"fulmarbarrowd: {error.code}: {error}", file=sys.stderr)
-        raise SystemExit(error.exit_code) from None
-    failed = daemon.bind()
+        raise SystemExit(error.exit_code) from error
     for key, text in failed.items():
         print(source.finding(key, text), file=sys.stderr)
     if failed:
--- a/fulmarbarrow/daemon/cores.py
+++ b/fulmarbarrow/daemon/cores.py
@@ -27,10 +27,25 @@
 from fulmarbarrow.publishing import follower
 from fulmarbarrow.publishing import messages as publishing_messages
 from fulmarbarrow.versions import control as versions_control
+from fulmarbarrow.versions import messages as versions_messages
 from fulmarbarrow.versions import router as versions_router
 from fulmarbarrow.zones import core as zones_core
 
 
+def describe(
+    settings: defaults.Settings, started: datetime.datetime
+) -> membership_messages.Daemon:
+    """Return a daemon's own record; its start makes its incarnation."""
+    return membership_messages.Daemon(
+        daemon_id=settings.daemon.id,
+        incarnation=int(started.timestamp() * 1000),
+        zone=settings.daemon.zone,
+        region=settings.daemon.region,
+        address=str(settings.listen.peers),
+        roles=tuple(role.value for role in settings.daemon.roles),
+    )
+
+
 class Cores:
     """All cores of one daemon by name, attached to its bus."""
 
@@ -99,7 +114,7 @@
             "consensus",
             consensus_messages.Group.CONFIGURATION,
             logs,
-            (publishing_messages.MACHINE, "versions"),
+            (publishing_messages.MACHINE, versions_messages.MACHINE),
         )
         self._add(
             "control", control.PublishingControl(daemon=record, now=self._now)
