Record when a revision is stored

The replay of a daemon with a data folder never put a revision in force, as the answer of the revision file was an effect of its handler and not a turn. It is posted now, so that a trace holds it and the replay waits for it too.

--- a/fulmarbarrow/publishing/shell.py
+++ b/fulmarbarrow/publishing/shell.py
@@ -38,6 +38,7 @@
         folder = data_folder / FOLDER
         files.make_folder(folder)
         self._path = folder / NAME
+        self._bus = bus
         self._metrics = metrics
         self._failing = False
         self.restored = self._read()
@@ -56,7 +57,7 @@
 
     def _store(
         self, event: messages.StoreRevision, _: datetime.datetime
-    ) -> list[messages.RevisionStored]:
+    ) -> None:
         body = msgspec.msgpack.encode(event)
         try:
             files.replace(self._path, xxhash.xxh3_64_digest(body) + body)
@@ -67,6 +68,6 @@
             if not self._failing:
                 log.error("revision %d not stored: %s", event.revision, error)
         self._failing = not stored
-        return [
+        self._bus.post(
             messages.RevisionStored(revision=event.revision, stored=stored)
-        ]
+        )
--- a/fulmarbarrow/tracing/player.py
+++ b/fulmarbarrow/tracing/player.py
@@ -83,6 +83,7 @@
             rng=random.Random(record.incarnation),
             now=header.started,
             logs=_RecordedLogs(host_identity=header.host_identity),
+            stores_revisions=bool(settings.daemon.data_dir),
         )
 
     def feed(
