--- a/benchmarks/membership_fleet.py
+++ b/benchmarks/membership_fleet.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from fulmarbarrow import bus as buses
 from fulmarbarrow.membership import core as membership_core
 from fulmarbarrow.membership import messages
 from fulmarbarrow import message
@@ -28,6 +29,11 @@
 SECOND = datetime.timedelta(seconds=1)
 
 
+Others = collections.abc.Callable[
+    [messages.Daemon, random.Random], tuple[buses.Core, ...]
+]
+
+
 @dataclasses.dataclass(kw_only=True)
 class Node:
     """One daemon's core, its counters and what it told the other cores."""
@@ -35,6 +41,7 @@
     daemon: messages.Daemon
     core: membership_core.MembershipCore
     codec: codec.Codec
+    others: tuple[buses.Core, ...] = ()
     running: bool = True
     sent_bytes: int = 0
     sent_frames: int = 0
@@ -76,8 +83,17 @@
     part of frames that is lost. Frames are really encoded to count bytes.
     """
 
-    def __init__(self, *, seed: int, loss: float = 0.0) -> None:
+    def __init__(
+        self,
+        *,
+        seed: int,
+        loss: float = 0.0,
+        others: Others | None = None,
+        node_type: type[Node] = Node,
+    ) -> None:
         self.rng = random.Random(seed)
+        self._node_type = node_type
+        self._others = others
         self.loss = loss
         self.now = START
         self.nodes: dict[str, Node] = {}
@@ -86,7 +102,6 @@
         self._by_address: dict[str, Node] = {}
         self._heap: list[tuple[typing.Any, ...]] = []
         self._order = itertools.count()
-        self._counted = True
 
     def add_daemon(
         self,
@@ -112,7 +127,7 @@
             address=address,
             roles=("router",),
         )
-        node = Node(
+        node = self._node_type(
             daemon=daemon,
             core=membership_core.MembershipCore(
                 daemon=daemon,
@@ -128,6 +143,9 @@
                 incarnation=daemon.incarnation,
             ),
         )
+        if self._others is not None:
+            rng = random.Random(self.rng.random())
+            node.others = self._others(daemon, rng)
         self.nodes[daemon_id] = node
         self._by_address[address] = node
         self._at(self.now + self.rng.random() * TICK, self._tick, node)
@@ -201,15 +219,17 @@
 
     def post(self, node: Node, event: message.Message) -> None:
         """Give an event to a daemon's core and carry out its effects."""
-        started = time.perf_counter()
-        effects = node.core.handle(event, self.now)
-        node.cpu_seconds += time.perf_counter() - started
         frames: dict[str, list[message.Message]] = {}
-        for effect in effects:
-            if isinstance(effect, message.Send):
-                frames.setdefault(effect.address, []).append(effect.message)
-            else:
+        queue = collections.deque((event,))
+        while queue:
+            for effect in self._handle(node, queue.popleft()):
+                if isinstance(effect, message.Send):
+                    bodies = frames.setdefault(effect.address, [])
+                    bodies.append(effect.message)
+                    continue
                 self._observe(node, effect)
+                if node.others:
+                    queue.append(effect)
         for address, bodies in frames.items():
             self._send(node, address, tuple(bodies))
 
@@ -292,6 +312,18 @@
         if not isinstance(effect, messages.LoadReported):
             node.heard.append((self.now, effect))
 
+    def _handle(
+        self, node: Node, event: message.Message
+    ) -> list[message.Message]:
+        """Give an event to every core of a daemon that handles it."""
+        started = time.perf_counter()
+        effects: list[message.Message] = []
+        for core in (node.core, *node.others):
+            if type(event) in core.handles:
+                effects.extend(core.handle(event, self.now))
+        node.cpu_seconds += time.perf_counter() - started
+        return effects
+
     def _accepted(self, event: messages.AnnounceAccepted) -> None:
         upstream = self.upstreams[event.upstream_id]
         if upstream.record.incarnation != event.incarnation:
--- a/fulmarbarrow/daemon/cores.py
+++ b/fulmarbarrow/daemon/cores.py
@@ -24,6 +24,7 @@
 from fulmarbarrow.publishing import follower
 from fulmarbarrow.versions import control as versions_control
 from fulmarbarrow.versions import router as versions_router
+from fulmarbarrow.zones import control as zones_control
 from fulmarbarrow.zones import core as zones_core
 
 
@@ -89,6 +90,10 @@
                 daemon=record, group=consensus_messages.Group.CONFIGURATION
             ),
         )
+        self._add(
+            "kv_moves",
+            zones_control.ZonesControl(daemon=record, metrics=self._metrics),
+        )
         self._add(
             "journal_log",
             consensus_core.ConsensusCore(
@@ -108,7 +113,12 @@
             "versions",
             versions_router.VersionsRouter(daemon=record, metrics=metrics),
         )
-        self._add("zones", zones_core.ZonesCore())
+        self._add(
+            "zones",
+            zones_core.ZonesCore(
+                daemon=record, metrics=metrics, rng=self._rng
+            ),
+        )
         policy = limits_policy.Policy()
         self._add(
             "limits", limits_core.LimitsCore(metrics=metrics, policy=policy)
--- /dev/null
+++ b/fulmarbarrow/zones/capacity.py
@@ -0,0 +1,81 @@
+"""The capacity of the upstreams that can be reached, by service."""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+
+from fulmarbarrow.membership import messages as membership_messages
+
+
+class Capacity:
+    """Upstreams by id with the work that they do in a second."""
+
+    def __init__(self) -> None:
+        self.upstreams: dict[str, membership_messages.Upstream] = {}
+        self._owned: dict[str, int] = {}
+
+    def changed(self, upstream: membership_messages.Upstream) -> None:
+        """Take an upstream's record."""
+        self.upstreams[upstream.upstream_id] = upstream
+
+    def gone(self, upstream_id: str) -> None:
+        """Forget an upstream."""
+        self.upstreams.pop(upstream_id, None)
+        self._owned.pop(upstream_id, None)
+
+    def owned(self, upstream_id: str, mine: bool) -> None:
+        """Note whether this daemon owns an upstream."""
+        if mine:
+            self._owned.setdefault(upstream_id, 0)
+        else:
+            self._owned.pop(upstream_id, None)
+
+    def reported(
+        self, upstream_id: str, load: membership_messages.Load
+    ) -> None:
+        """Take an owned upstream's load."""
+        if upstream_id in self._owned:
+            self._owned[upstream_id] = load.running_tokens + load.queued_tokens
+
+    @property
+    def reserved_tokens(self) -> int:
+        """Work that the owned upstreams report."""
+        return sum(self._owned.values())
+
+    def by_service(
+        self, weights: collections.abc.Mapping[str, float]
+    ) -> dict[str, float]:
+        """Return tokens a second of each service in zones by weight."""
+        found: collections.Counter[str] = collections.Counter()
+        for upstream in self._serving():
+            services = {offer.service for offer in upstream.offers}
+            weight = weights.get(upstream.zone, 1.0)
+            for service in services:
+                part = upstream.tokens_per_second / len(services)
+                found[service] += part * weight
+        return dict(found)
+
+    def of_zone(self, zone: str) -> tuple[int, int]:
+        """Return a zone's upstreams that serve, and their tokens a second."""
+        rates = [
+            upstream.tokens_per_second
+            for upstream in self._serving()
+            if upstream.zone == zone
+        ]
+        return len(rates), sum(rates)
+
+    def ids(self, zone: str) -> frozenset[str]:
+        """Return the ids of a zone's upstreams."""
+        return frozenset(
+            upstream.upstream_id
+            for upstream in self.upstreams.values()
+            if upstream.zone == zone
+        )
+
+    def _serving(
+        self,
+    ) -> collections.abc.Iterator[membership_messages.Upstream]:
+        for upstream in self.upstreams.values():
+            if upstream.state is membership_messages.UpstreamState.SERVING:
+                yield upstream
--- /dev/null
+++ b/fulmarbarrow/zones/chats.py
@@ -0,0 +1,111 @@
+"""The recently active chats and the upstreams that hold their cache."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+from fulmarbarrow.membership import messages as membership_messages
+from fulmarbarrow.zones import messages
+
+MAX_CHATS = 2_000
+MAX_OPEN = 4_000
+MAX_MOVES = 16
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Chat:
+    """A chat's upstream, and the one that it left with its zone."""
+
+    upstream_id: str
+    version: str
+    tokens: int = 0
+    requests: int = 0
+    home_id: str = ""
+
+
+class RecentChats:
+    """A bounded table of the chats that were active last."""
+
+    def __init__(self) -> None:
+        self._chats: collections.OrderedDict[str, Chat] = (
+            collections.OrderedDict()
+        )
+        self._open: collections.OrderedDict[str, str] = (
+            collections.OrderedDict()
+        )
+
+    def __len__(self) -> int:
+        """Return the number of chats in the table."""
+        return len(self._chats)
+
+    def asked(self, attempt_id: str, chat: str) -> None:
+        """Remember the chat of an attempt that wants a place."""
+        if not chat:
+            return
+        self._open[attempt_id] = chat
+        if len(self._open) > MAX_OPEN:
+            self._open.popitem(last=False)
+
+    def placed(self, attempt_id: str, upstream_id: str, version: str) -> None:
+        """Note where a chat's attempt runs."""
+        name = self._open.get(attempt_id)
+        if name is None:
+            return
+        chat = self._chats.get(name)
+        if chat is None:
+            chat = Chat(upstream_id=upstream_id, version=version)
+            self._chats[name] = chat
+        chat.upstream_id = upstream_id
+        chat.version = version
+        chat.requests += 1
+        self._chats.move_to_end(name)
+        if len(self._chats) > MAX_CHATS:
+            self._chats.popitem(last=False)
+
+    def ended(self, attempt_id: str, tokens: int) -> None:
+        """Note the size of a chat after an attempt; 0 if it is unknown."""
+        name = self._open.pop(attempt_id, None)
+        chat = self._chats.get(name) if name is not None else None
+        if chat is not None and tokens:
+            chat.tokens = tokens
+
+    def zone_left(self, upstream_ids: frozenset[str]) -> None:
+        """Remember the homes of chats whose zone has been taken out."""
+        for chat in self._chats.values():
+            if chat.upstream_id in upstream_ids:
+                chat.home_id = chat.upstream_id
+
+    def moves_back(
+        self, upstreams: dict[str, membership_messages.Upstream], zone: str
+    ) -> tuple[messages.KvMove, ...]:
+        """Return the hottest chats that return to a zone, and forget it."""
+        found = []
+        for name, chat in self._chats.items():
+            home = upstreams.get(chat.home_id)
+            if home is None or home.zone != zone:
+                continue
+            chat.home_id = ""
+            source = upstreams.get(chat.upstream_id)
+            if source is not None and source is not home:
+                found.append(_move(name, chat, source, home))
+        found.sort(key=lambda move: move.requests, reverse=True)
+        return tuple(found[:MAX_MOVES])
+
+
+def _move(
+    name: str,
+    chat: Chat,
+    source: membership_messages.Upstream,
+    home: membership_messages.Upstream,
+) -> messages.KvMove:
+    return messages.KvMove(
+        chat=name,
+        version=chat.version,
+        source_id=source.upstream_id,
+        source_url=source.url,
+        target_id=home.upstream_id,
+        target_url=home.url,
+        tokens=chat.tokens,
+        requests=chat.requests,
+    )
--- /dev/null
+++ b/fulmarbarrow/zones/control.py
@@ -0,0 +1,242 @@
+"""Moves the KV cache of hot chats before a zone's traffic returns."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import datetime
+import typing
+
+import msgspec
+
+from fulmarbarrow.consensus import messages as consensus_messages
+from fulmarbarrow.membership import messages as membership_messages
+from fulmarbarrow import message
+from fulmarbarrow.observe import metrics as metrics_module
+from fulmarbarrow.versions import messages as versions_messages
+from fulmarbarrow.zones import messages
+
+TOKENS_PER_SECOND = 200_000  # of KV cache moved in the whole fleet
+MOVES_PER_ENGINE = 2  # at a time, as source and as target
+ORDER_TIMEOUT = datetime.timedelta(seconds=5)
+MAX_WAITING = 4_000
+MAX_ENTERED = 20_000
+DEFAULT_TOKENS = 2_000
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Move:
+    """A chat's move: an export to its target, or an import from its source."""
+
+    move: messages.KvMove
+    requests: int
+    zone: str
+    revision: int
+    until: datetime.datetime
+    kind: versions_messages.OrderKind = versions_messages.OrderKind.EXPORT_KV
+    ordered_at: datetime.datetime | None = None
+
+    @property
+    def tokens(self) -> int:
+        """The part of a second's budget that the move takes."""
+        return min(self.move.tokens or DEFAULT_TOKENS, TOKENS_PER_SECOND)
+
+    @property
+    def order_id(self) -> str:
+        """The id of the present order, the same for a repeated one."""
+        return f"{self.kind}/{self.zone}/{self.revision}/{self.move.chat}"
+
+
+class ZonesControl:
+    """Gives the orders for KV moves while this daemon leads the log.
+
+    The chats with the most requests go first, within a rate of tokens, a
+    few at a time for each engine, and none after the zone's warm-up has
+    ended. The source is told to export; if it refuses, the target is told
+    to import. Orders carry the leader's fencing number. A move that fails
+    costs its chat a new prefill and nothing else, so it is not repeated.
+    """
+
+    handles = (
+        consensus_messages.LeaderChanged,
+        message.Tick,
+        messages.KvMovesWanted,
+        versions_messages.OrderResult,
+    )
+
+    def __init__(
+        self,
+        *,
+        daemon: membership_messages.Daemon,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._daemon = daemon
+        self._metrics = metrics
+        self._leader: consensus_messages.LeaderChanged | None = None
+        self._waiting: dict[tuple[str, str], _Move] = {}
+        self._entered: dict[tuple[str, str], int] = {}
+        self._running: dict[str, _Move] = {}
+        self._engines: collections.Counter[str] = collections.Counter()
+        self._tokens = 0.0
+        self._refilled: datetime.datetime | None = None
+
+    def handle(
+        self, event: message.Message, now: datetime.datetime
+    ) -> list[message.Message]:
+        """Take one event and return its effects."""
+        match event:
+            case consensus_messages.LeaderChanged():
+                self._leader_changed(event)
+            case messages.KvMovesWanted():
+                return self._wanted(event, now)
+            case versions_messages.OrderResult():
+                return self._result(event, now)
+            case message.Tick():
+                return self._tick(now)
+        return []
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return the moves that wait and run."""
+        return {
+            "waiting": len(self._waiting),
+            "running": sorted(self._running),
+            "leads": self._leads,
+        }
+
+    @property
+    def _leads(self) -> bool:
+        leader = self._leader
+        return leader is not None and leader.leader == self._daemon.daemon_id
+
+    def _leader_changed(self, event: consensus_messages.LeaderChanged) -> None:
+        if event.group is not consensus_messages.Group.CONFIGURATION:
+            return
+        self._leader = event
+        if not self._leads:
+            self._waiting.clear()
+            self._running.clear()
+            self._engines.clear()
+
+    def _wanted(
+        self, event: messages.KvMovesWanted, now: datetime.datetime
+    ) -> list[message.Message]:
+        if not self._leads:
+            return self._forward(event)
+        if now < event.until:
+            for move in event.moves:
+                self._enter(event, move)
+        return self._start(now)
+
+    def _enter(
+        self, event: messages.KvMovesWanted, move: messages.KvMove
+    ) -> None:
+        """Let a move wait for its turn, each chat once a return."""
+        key = (event.zone, move.chat)
+        waiting = self._waiting.get(key)
+        if waiting is not None:
+            waiting.requests += move.requests
+            return
+        if self._entered.get(key, 0) >= event.revision:
+            return
+        if len(self._entered) >= MAX_ENTERED:
+            self._entered.pop(next(iter(self._entered)))
+        self._entered[key] = event.revision
+        if len(self._waiting) < MAX_WAITING:
+            self._waiting[key] = _Move(
+                move=move,
+                requests=move.requests,
+                zone=event.zone,
+                revision=event.revision,
+                until=event.until,
+            )
+
+    def _forward(self, event: messages.KvMovesWanted) -> list[message.Message]:
+        leader = self._leader
+        if event.forwarded or leader is None or not leader.address:
+            return []
+        once = msgspec.structs.replace(event, forwarded=True)
+        return [message.Send(address=leader.address, message=once)]
+
+    def _tick(self, now: datetime.datetime) -> list[message.Message]:
+        self._refill(now)
+        for key, item in list(self._waiting.items()):
+            if now >= item.until:
+                del self._waiting[key]
+                self._metrics.count("kv_moves", outcome="late")
+        for item in list(self._running.values()):
+            late = item.ordered_at and now - item.ordered_at > ORDER_TIMEOUT
+            if late:
+                self._finish(item, "timeout")
+        return self._start(now)
+
+    def _refill(self, now: datetime.datetime) -> None:
+        if self._refilled is not None:
+            passed = (now - self._refilled).total_seconds()
+            tokens = self._tokens + passed * TOKENS_PER_SECOND
+            self._tokens = min(tokens, TOKENS_PER_SECOND)
+        else:
+            self._tokens = TOKENS_PER_SECOND
+        self._refilled = now
+
+    def _start(self, now: datetime.datetime) -> list[message.Message]:
+        """Start the hottest moves that the budgets allow."""
+        if not self._leads:
+            return []
+        orders: list[message.Message] = []
+        hottest = sorted(
+            self._waiting.items(),
+            key=lambda item: item[1].requests,
+            reverse=True,
+        )
+        for key, item in hottest:
+            if self._tokens < item.tokens:
+                break
+            engines = (item.move.source_id, item.move.target_id)
+            if any(
+                self._engines[name] >= MOVES_PER_ENGINE for name in engines
+            ):
+                continue
+            del self._waiting[key]
+            self._tokens -= item.tokens
+            self._engines.update(engines)
+            orders.append(self._order(item, now))
+        return orders
+
+    def _order(self, item: _Move, now: datetime.datetime) -> message.Message:
+        item.ordered_at = now
+        self._running[item.order_id] = item
+        move = item.move
+        exports = item.kind is versions_messages.OrderKind.EXPORT_KV
+        own = (move.source_id, move.source_url)
+        other = (move.target_id, move.target_url)
+        if not exports:
+            own, other = other, own
+        leader = typing.cast("consensus_messages.LeaderChanged", self._leader)
+        return versions_messages.Order(
+            order_id=item.order_id,
+            upstream_id=own[0],
+            url=own[1],
+            kind=item.kind,
+            subject=move.chat,
+            version=move.version,
+            fencing_number=leader.fencing_number,
+            argument=other[1],
+        )
+
+    def _result(
+        self, event: versions_messages.OrderResult, now: datetime.datetime
+    ) -> list[message.Message]:
+        item = self._running.pop(event.order_id, None)
+        if item is None:
+            return []
+        exported = item.kind is versions_messages.OrderKind.EXPORT_KV
+        if event.code and exported and self._leads:
+            item.kind = versions_messages.OrderKind.IMPORT_KV
+            return [self._order(item, now)]
+        self._finish(item, event.code or "taken")
+        return self._start(now)
+
+    def _finish(self, item: _Move, outcome: str) -> None:
+        self._running.pop(item.order_id, None)
+        self._engines.subtract((item.move.source_id, item.move.target_id))
+        self._metrics.count("kv_moves", outcome=outcome)
--- a/fulmarbarrow/zones/core.py
+++ b/fulmarbarrow/zones/core.py
@@ -1,39 +1,359 @@
-"""Gives the weight of each availability zone."""
+"""Gives the weight of each availability zone and what to admit."""
 
 from __future__ import annotations
 
 import datetime
+import functools
+import logging
+import random
 import typing
 
 from fulmarbarrow.config import bundle as bundles
+from fulmarbarrow.limits import messages as limits_messages
+from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
+from fulmarbarrow.observe import metrics as metrics_module
+from fulmarbarrow.observe import plain
+from fulmarbarrow.placement import messages as placement_messages
 from fulmarbarrow.publishing import messages as publishing_messages
+from fulmarbarrow.zones import capacity as capacities
+from fulmarbarrow.zones import chats as chats_module
 from fulmarbarrow.zones import messages
+from fulmarbarrow.zones import peers as peers_module
+from fulmarbarrow.zones import shortage
+from fulmarbarrow.zones import state
+from fulmarbarrow.zones import summaries as summaries_module
+
+log = logging.getLogger(__name__)
+
+ANNOUNCE_SPREAD = datetime.timedelta(milliseconds=500)
+PART_STEP = 0.02
+DECISION_PERIOD = datetime.timedelta(seconds=1)
 
 
 class ZonesCore:
-    """The configuration in, weights of availability zones out."""
+    """The configuration and other daemons' news in, zone weights out.
+
+    A router that puts a revision in force tells the others which zones are
+    out, unless it has heard so already; they follow before they have the
+    revision itself. A zone's return waits for the KV moves of its hottest
+    chats and then climbs step by step.
+    """
 
-    handles = (publishing_messages.ConfigurationChanged,)
+    handles = (
+        limits_messages.AdmitRequest,
+        membership_messages.DaemonChanged,
+        membership_messages.DaemonGone,
+        membership_messages.LoadReported,
+        membership_messages.OwnerChanged,
+        membership_messages.UpstreamChanged,
+        membership_messages.UpstreamGone,
+        message.Tick,
+        messages.RouterDemand,
+        messages.ZoneHeard,
+        messages.ZoneSummary,
+        placement_messages.PlaceRequest,
+        placement_messages.Placed,
+        placement_messages.WorkEnded,
+        publishing_messages.ConfigurationChanged,
+    )
 
-    def __init__(self) -> None:
-        self._weights: dict[str, float] = {}
+    def __init__(
+        self,
+        *,
+        daemon: membership_messages.Daemon,
+        metrics: metrics_module.Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._daemon = daemon
+        self._metrics = metrics
+        self._rng = rng
+        self._zones: dict[str, state.Zone] = {}
+        self._peers = peers_module.Peers(own=daemon)
+        self._capacity = capacities.Capacity()
+        self._chats = chats_module.RecentChats()
+        self._summaries = summaries_module.Summaries(
+            own=daemon, peers=self._peers, capacity=self._capacity, rng=rng
+        )
+        self._short: dict[str, messages.CapacityShort] = {}
+        self._given: tuple[tuple[str, float], ...] | None = None
+        self._revision = 0
+        self._untold: dict[str, messages.ZoneNotice] = {}
+        self._tell_at: datetime.datetime | None = None
+        self._decided: datetime.datetime | None = None
 
     def handle(
         self, event: message.Message, now: datetime.datetime
     ) -> list[message.Message]:
         """Take one event and return its effects."""
-        self._weights = {
-            zone.name: 0.0 if zone.state is bundles.ZoneState.OUT else 1.0
-            for zone in event.bundle.zone
+        return self._take(event, now) or []
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return zones, summaries and what is admitted, as plain data."""
+        return {
+            "revision": self._revision,
+            "zones": {
+                name: plain.plain(zone.standing)
+                for name, zone in self._zones.items()
+            },
+            "summaries": plain.plain(self._summaries.zones),
+            "short": plain.plain(self._short),
+            "recent_chats": len(self._chats),
         }
-        return [
-            messages.ZoneWeights(
+
+    @functools.singledispatchmethod
+    def _take(
+        self, event: message.Message, now: datetime.datetime
+    ) -> list[message.Message] | None:
+        raise TypeError(type(event).__name__)
+
+    @_take.register
+    def _(
+        self,
+        event: publishing_messages.ConfigurationChanged,
+        now: datetime.datetime,
+    ) -> list[message.Message]:
+        first = self._revision == 0
+        self._revision = event.revision
+        effects = []
+        for zone in event.bundle.zone:
+            notice = messages.ZoneNotice(
+                zone=zone.name,
+                out=zone.state is bundles.ZoneState.OUT,
                 revision=event.revision,
-                weights=tuple(sorted(self._weights.items())),
             )
-        ]
+            if self._newer(notice):
+                known = zone.name in self._zones
+                changed, more = self._apply(notice, now)
+                effects.extend(more)
+                if changed and (known or notice.out) and not first:
+                    self._plan_telling(notice, now)
+        self._drop_zones({zone.name for zone in event.bundle.zone})
+        return [*effects, *self._weights()]
 
-    def dump(self) -> dict[str, typing.Any]:
-        """Return the weight of each availability zone."""
-        return {"weights": dict(self._weights)}
+    @_take.register
+    def _(
+        self, event: messages.ZoneHeard, now: datetime.datetime
+    ) -> list[message.Message]:
+        effects = []
+        for notice in event.notices:
+            untold = self._untold.get(notice.zone)
+            if untold is not None and untold.revision <= notice.revision:
+                del self._untold[notice.zone]
+            if self._newer(notice):
+                effects.extend(self._apply(notice, now)[1])
+        return [*effects, *self._weights()]
+
+    @_take.register
+    def _(
+        self, event: message.Tick, now: datetime.datetime
+    ) -> list[message.Message]:
+        for zone in self._zones.values():
+            zone.tick(now)
+        effects = self._weights()
+        effects.extend(self._tell(now))
+        by_service = self._capacity.by_service(dict(self._given or ()))
+        effects.extend(self._summaries.tick(now, by_service))
+        if self._decided is None or now - self._decided >= DECISION_PERIOD:
+            self._decided = now
+            effects.extend(self._decide(by_service, now))
+        return effects
+
+    @_take.register
+    def _(
+        self, event: limits_messages.AdmitRequest, now: datetime.datetime
+    ) -> None:
+        self._summaries.count(
+            event.service, cost=event.cost, worth=event.worth
+        )
+
+    @_take.register
+    def _(self, event: messages.RouterDemand, now: datetime.datetime) -> None:
+        self._summaries.router_demand(event, now)
+
+    @_take.register
+    def _(
+        self, event: messages.ZoneSummary, now: datetime.datetime
+    ) -> list[message.Message]:
+        return self._summaries.heard(event, now)
+
+    @_take.register
+    def _(
+        self, event: membership_messages.DaemonChanged, now: datetime.datetime
+    ) -> None:
+        self._peers.changed(event.daemon)
+
+    @_take.register
+    def _(
+        self, event: membership_messages.DaemonGone, now: datetime.datetime
+    ) -> None:
+        self._peers.gone(event.daemon_id)
+
+    @_take.register
+    def _(
+        self,
+        event: membership_messages.UpstreamChanged,
+        now: datetime.datetime,
+    ) -> None:
+        self._capacity.changed(event.upstream)
+
+    @_take.register
+    def _(
+        self, event: membership_messages.UpstreamGone, now: datetime.datetime
+    ) -> None:
+        self._capacity.gone(event.upstream_id)
+
+    @_take.register
+    def _(
+        self, event: membership_messages.OwnerChanged, now: datetime.datetime
+    ) -> None:
+        mine = event.owner == self._daemon.daemon_id
+        self._capacity.owned(event.upstream_id, mine)
+
+    @_take.register
+    def _(
+        self, event: membership_messages.LoadReported, now: datetime.datetime
+    ) -> None:
+        self._capacity.reported(event.upstream_id, event.load)
+
+    @_take.register
+    def _(
+        self, event: placement_messages.PlaceRequest, now: datetime.datetime
+    ) -> None:
+        self._chats.asked(event.attempt_id, event.chat)
+
+    @_take.register
+    def _(
+        self, event: placement_messages.Placed, now: datetime.datetime
+    ) -> None:
+        self._chats.placed(event.attempt_id, event.upstream_id, event.version)
+
+    @_take.register
+    def _(
+        self, event: placement_messages.WorkEnded, now: datetime.datetime
+    ) -> None:
+        tokens = event.prompt_tokens + event.generated_tokens
+        self._chats.ended(event.attempt_id, tokens)
+
+    # Zones out and back.
+
+    def _newer(self, notice: messages.ZoneNotice) -> bool:
+        zone = self._zones.get(notice.zone)
+        return zone is None or zone.standing.revision < notice.revision
+
+    def _apply(
+        self, notice: messages.ZoneNotice, now: datetime.datetime
+    ) -> tuple[bool, list[message.Message]]:
+        """Take a zone's state; return whether it changed, and effects."""
+        zone = self._zones.get(notice.zone)
+        if zone is None:
+            zone = state.Zone(name=notice.zone)
+            self._zones[notice.zone] = zone
+        before = zone.standing.phase
+        zone.set_out(notice.out, notice.revision, now)
+        after = zone.standing.phase
+        if before == after:
+            return False, []
+        log.info("availability zone %s is %s", notice.zone, after)
+        self._metrics.count("zone_changes", zone=notice.zone, to=after)
+        if notice.out:
+            self._chats.zone_left(self._capacity.ids(notice.zone))
+            return True, []
+        return True, self._want_moves(zone)
+
+    def _want_moves(self, zone: state.Zone) -> list[message.Message]:
+        """Ask a control host to move the hottest chats' KV cache back."""
+        standing = zone.standing
+        control = self._peers.control(self._rng)
+        moves = self._chats.moves_back(self._capacity.upstreams, standing.zone)
+        if control is None or not moves or zone.warm_until is None:
+            return []
+        wanted = messages.KvMovesWanted(
+            zone=standing.zone,
+            revision=standing.revision,
+            until=zone.warm_until,
+            moves=moves,
+        )
+        if control.daemon_id == self._daemon.daemon_id:
+            return [wanted]
+        return [message.Send(address=control.address, message=wanted)]
+
+    def _drop_zones(self, named: set[str]) -> None:
+        for name in list(self._zones):
+            zone = self._zones[name]
+            if name not in named and zone.standing.revision < self._revision:
+                del self._zones[name]
+
+    def _weights(self) -> list[message.Message]:
+        """Return the weights if they have changed."""
+        weights = tuple(
+            sorted((name, zone.weight) for name, zone in self._zones.items())
+        )
+        if weights == self._given:
+            return []
+        self._given = weights
+        return [messages.ZoneWeights(revision=self._revision, weights=weights)]
+
+    def _plan_telling(
+        self, notice: messages.ZoneNotice, now: datetime.datetime
+    ) -> None:
+        """Tell the others after a short random time.
+
+        Most routers hear of the change meanwhile and need not tell it.
+        """
+        self._untold[notice.zone] = notice
+        if self._tell_at is None:
+            self._tell_at = now + self._rng.random() * ANNOUNCE_SPREAD
+
+    def _tell(self, now: datetime.datetime) -> list[message.Message]:
+        if self._tell_at is None or now < self._tell_at:
+            return []
+        self._tell_at = None
+        notices = tuple(self._untold.values())
+        self._untold.clear()
+        if not notices:
+            return []
+        return [messages.ZoneAnnounced(notices=notices)]
+
+    # Admission while capacity is short.
+
+    def _decide(
+        self, capacity: dict[str, float], now: datetime.datetime
+    ) -> list[message.Message]:
+        demand = self._summaries.demand(now)
+        effects: list[message.Message] = []
+        for service in sorted({*demand, *self._short}):
+            before = self._short.get(service)
+            after = shortage.decide(
+                service,
+                steps=demand.get(service, {}),
+                capacity=capacity.get(service, 0.0),
+                short=before is not None,
+            )
+            if _differs(before, after):
+                effects.append(after)
+                self._remember(after)
+        return effects
+
+    def _remember(self, decided: messages.CapacityShort) -> None:
+        was_short = decided.service in self._short
+        if decided.floor > 0:
+            self._short[decided.service] = decided
+        else:
+            self._short.pop(decided.service, None)
+        if was_short != (decided.floor > 0):
+            log.info(
+                "capacity of service %s is %s",
+                decided.service,
+                "enough" if was_short else "short",
+            )
+
+
+def _differs(
+    before: messages.CapacityShort | None, after: messages.CapacityShort
+) -> bool:
+    if before is None:
+        return after.floor > 0
+    if before.floor != after.floor:
+        return True
+    return abs(before.part - after.part) >= PART_STEP
--- /dev/null
+++ b/fulmarbarrow/zones/demand.py
@@ -0,0 +1,83 @@
+"""Measures the work that is offered, by service and worth per token."""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+import datetime
+
+from fulmarbarrow.zones import messages
+
+WINDOW = datetime.timedelta(seconds=1)
+WINDOWS = 5
+
+Steps = dict[str, collections.Counter[int]]
+
+
+class DemandMeter:
+    """Tokens a second offered here, as the mean over the last windows."""
+
+    def __init__(self) -> None:
+        self._windows: collections.deque[Steps] = collections.deque(
+            maxlen=WINDOWS
+        )
+        self._current: Steps = {}
+        self._started: datetime.datetime | None = None
+
+    def count(self, service: str, *, cost: int, worth: float) -> None:
+        """Count a request at its arrival, whether it is admitted or not."""
+        step = messages.density_step(worth=worth, cost=cost)
+        self._current.setdefault(service, collections.Counter())[step] += cost
+
+    def tick(self, now: datetime.datetime) -> None:
+        """Close the window when its time has passed."""
+        if self._started is None:
+            self._started = now
+        while now - self._started >= WINDOW:
+            self._windows.append(self._current)
+            self._current = {}
+            self._started += WINDOW
+
+    def services(self) -> tuple[messages.ServiceDemand, ...]:
+        """Return the mean demand on each service."""
+        total = add(self._windows)
+        count = max(1, len(self._windows))
+        return tuple(
+            messages.ServiceDemand(
+                service=service,
+                steps=tuple(
+                    (step, round(tokens / count))
+                    for step, tokens in sorted(steps.items())
+                ),
+            )
+            for service, steps in sorted(total.items())
+        )
+
+
+def add(parts: collections.abc.Iterable[Steps]) -> Steps:
+    """Return the sum of several demands."""
+    total: Steps = {}
+    for part in parts:
+        for service, steps in part.items():
+            total.setdefault(service, collections.Counter()).update(steps)
+    return total
+
+
+def unpack(
+    services: collections.abc.Iterable[messages.ServiceDemand],
+) -> Steps:
+    """Return a demand as it came in a message."""
+    return {
+        item.service: collections.Counter(dict(item.steps))
+        for item in services
+    }
+
+
+def pack(steps: Steps) -> tuple[messages.ServiceDemand, ...]:
+    """Return a demand as it goes into a message."""
+    return tuple(
+        messages.ServiceDemand(
+            service=service, steps=tuple(sorted(found.items()))
+        )
+        for service, found in sorted(steps.items())
+    )
--- /dev/null
+++ b/fulmarbarrow/zones/features/steps/fleet.py
@@ -0,0 +1,169 @@
+"""Steps over a fleet with membership, placement and zones cores."""
+
+from __future__ import annotations
+
+import datetime
+
+import behave
+
+from benchmarks import zones_fleet
+
+SECOND = datetime.timedelta(seconds=1)
+
+
+def zone_ids(context, zone):
+    return {
+        name
+        for name, upstream in context.fleet.upstreams.items()
+        if upstream.record.zone == zone
+    }
+
+
+@behave.given(
+    "{zones:d} zones with {routers:d} routers and {upstreams:d} upstreams each"
+)
+def step_fleet(context, zones, routers, upstreams):
+    context.fleet = zones_fleet.make(
+        seed=5, zones=zones, routers=routers, upstreams=upstreams
+    )
+    context.revision = 1
+    zones_fleet.publish(context.fleet, revision=1)
+    context.fleet.run(75 * SECOND)
+
+
+@behave.when("one router puts a revision in force that has {zone} out")
+def step_one(context, zone):
+    context.zone = zone
+    context.revision += 1
+    node = context.fleet.nodes["entry-0"]
+    zones_fleet.publish(
+        context.fleet, revision=context.revision, out=(zone,), nodes=(node,)
+    )
+
+
+@behave.when("every router puts a revision in force that has {zone} out")
+def step_every(context, zone):
+    context.revision += 1
+    zones_fleet.publish(context.fleet, revision=context.revision, out=(zone,))
+    context.fleet.run(SECOND)
+
+
+@behave.when("every router puts a revision in force that has all zones in")
+def step_all_in(context):
+    context.revision += 1
+    zones_fleet.publish(context.fleet, revision=context.revision)
+
+
+@behave.when("{seconds:d} s have gone by")
+def step_gone_by(context, seconds):
+    context.fleet.run(seconds * SECOND)
+
+
+@behave.then("within {seconds:d} s no router gives new work to {zone}")
+def step_none(context, seconds, zone):
+    def check():
+        return all(
+            node.weights.get(zone) == 0.0
+            for node in context.fleet.nodes.values()
+        )
+
+    took = context.fleet.run_until(check, within=seconds * SECOND)
+    assert took is not None
+
+
+@behave.when("the zone {zone} is cut off for {seconds:d} s")
+def step_cut(context, zone, seconds):
+    context.fleet.cut = {zone}
+    context.fleet.run(seconds * SECOND)
+
+
+@behave.when("{count:d} chats ask the routers of {zone}")
+def step_ask(context, count, zone):
+    context.chats = [f"chat-{number}" for number in range(count)]
+    context.asked = zone
+    context.first = ask(context, zone)
+
+
+@behave.when("the same chats ask again")
+def step_ask_again(context):
+    context.again = ask(context, context.asked)
+
+
+def ask(context, zone):
+    """Place every chat once, end the work, and return the upstreams."""
+    nodes = [
+        node
+        for node in context.fleet.nodes.values()
+        if node.daemon.zone == zone
+    ]
+    found = {}
+    context.turn = getattr(context, "turn", 0) + 1
+    for number, chat in enumerate(context.chats):
+        node = nodes[number % len(nodes)]
+        attempt = f"{chat}-{context.turn}"
+        placed = zones_fleet.place(context.fleet, node, chat, attempt)
+        found[chat] = placed
+    return found
+
+
+@behave.then("all are placed and none in {zone}")
+def step_placed_elsewhere(context, zone):
+    assert None not in context.first.values()
+    assert not set(context.first.values()) & zone_ids(context, zone)
+
+
+@behave.then("all are placed and all in {zone}")
+def step_placed_inside(context, zone):
+    assert None not in context.first.values()
+    assert set(context.first.values()) <= zone_ids(context, zone)
+
+
+@behave.then("only those of {zone} have moved")
+def step_moved(context, zone):
+    inside = zone_ids(context, zone)
+    moved = [
+        chat
+        for chat in context.chats
+        if context.first[chat] != context.again[chat]
+    ]
+    assert moved
+    assert all(context.first[chat] in inside for chat in moved)
+    assert not set(context.again.values()) & inside
+
+
+@behave.then("every chat is where it was at first")
+def step_back(context):
+    moved = {
+        chat
+        for chat in context.chats
+        if context.first[chat] != context.again[chat]
+    }
+    assert not moved, moved
+
+
+@behave.given("requests for {part:g} of the capacity in three kinds of worth")
+def step_requests(context, part):
+    capacity = sum(
+        upstream.record.tokens_per_second
+        for upstream in context.fleet.upstreams.values()
+    )
+    context.load = zones_fleet.Load(
+        fleet=context.fleet,
+        tokens_per_second=part * capacity,
+        kinds=((100, 4.0), (100, 2.0), (100, 1.0)),
+    )
+    context.load.run(10 * SECOND)
+
+
+@behave.then("within {seconds:d} s all routers refuse the same work")
+def step_same_floor(context, seconds):
+    context.load.run(seconds * SECOND)
+    shorts = [
+        node.short.get("consultations")
+        for node in context.fleet.nodes.values()
+    ]
+    assert None not in shorts
+    assert len({short.floor for short in shorts}) == 1, shorts
+    parts = [short.part for short in shorts]
+    assert max(parts) - min(parts) < 0.1, parts
+    assert 0 < shorts[0].floor < 0.04
--- /dev/null
+++ b/fulmarbarrow/zones/features/steps/kv_moves.py
@@ -0,0 +1,206 @@
+"""Steps over the control host that moves KV cache."""
+
+from __future__ import annotations
+
+import datetime
+
+import behave
+
+from fulmarbarrow.consensus import messages as consensus_messages
+from fulmarbarrow.membership import messages as membership_messages
+from fulmarbarrow import message
+from fulmarbarrow.observe import metrics
+from fulmarbarrow.versions import messages as versions_messages
+from fulmarbarrow.zones import control
+from fulmarbarrow.zones import messages
+
+SECOND = datetime.timedelta(seconds=1)
+TICK = datetime.timedelta(milliseconds=250)
+WARM_UP = 8 * SECOND
+
+
+def leader(name, fencing_number):
+    return consensus_messages.LeaderChanged(
+        group=consensus_messages.Group.CONFIGURATION,
+        term=1,
+        leader=name,
+        address=f"{name}:7004",
+        fencing_number=fencing_number,
+    )
+
+
+def give(context, event):
+    effects = context.control.handle(event, context.now)
+    for effect in effects:
+        if isinstance(effect, versions_messages.Order):
+            context.orders.append(effect)
+            context.open.append(effect)
+    return effects
+
+
+def start(context):
+    context.now = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+    context.orders = []
+    context.open = []
+    context.control = control.ZonesControl(
+        daemon=membership_messages.Daemon(
+            daemon_id="control-1",
+            incarnation=1,
+            zone="attica-a",
+            region="attica",
+            address="control-1:7004",
+            roles=("control",),
+        ),
+        metrics=metrics.Metrics(),
+    )
+    give(context, message.Tick())
+
+
+@behave.given("a control host that leads with fencing number {number:d}")
+def step_leads(context, number):
+    start(context)
+    give(context, leader("control-1", number))
+
+
+@behave.given("a control host that does not lead")
+def step_follows(context):
+    start(context)
+    give(context, leader("control-2", 7))
+
+
+@behave.when("another control host leads with fencing number {number:d}")
+def step_replaced(context, number):
+    give(context, leader("control-2", number))
+    context.before = len(context.orders)
+
+
+def wanted(context, count, tokens, engines):
+    return messages.KvMovesWanted(
+        zone="attica-b",
+        revision=3,
+        until=context.now + WARM_UP,
+        moves=tuple(
+            messages.KvMove(
+                chat=f"chat-{number}",
+                version="1",
+                source_id=f"engine-{number % (engines // 2)}",
+                source_url="http://source",
+                target_id=f"engine-{engines // 2 + number % (engines // 2)}",
+                target_url="http://target",
+                tokens=tokens,
+                requests=number,
+            )
+            for number in range(count)
+        ),
+    )
+
+
+@behave.when(
+    "{count:d} moves of {tokens:d} tokens between {engines:d} engines are "
+    "wanted"
+)
+def step_wanted(context, count, tokens, engines):
+    context.wanted = wanted(context, count, tokens, engines)
+    context.effects = give(context, context.wanted)
+    context.before = len(context.orders)
+
+
+@behave.then(
+    "{count:d} orders are given at once, for the chats with most requests"
+)
+def step_orders(context, count):
+    chats = [order.subject for order in context.orders]
+    assert chats == [f"chat-{39 - place}" for place in range(count)], chats
+
+
+@behave.then("each carries fencing number {number:d}")
+def step_fenced(context, number):
+    assert {order.fencing_number for order in context.orders} == {number}
+
+
+@behave.when("1 s passes with all orders taken")
+def step_taken(context):
+    context.most = 0
+    until = context.now + SECOND
+    while context.now < until:
+        busy = [order.upstream_id for order in context.open]
+        context.most = max(
+            [context.most, *(busy.count(name) for name in busy)]
+        )
+        open_orders, context.open = context.open, []
+        for order in open_orders:
+            answer(context, order, "")
+        context.now += TICK
+        give(context, message.Tick())
+
+
+def answer(context, order, code):
+    give(
+        context,
+        versions_messages.OrderResult(
+            order_id=order.order_id,
+            upstream_id=order.upstream_id,
+            code=code,
+        ),
+    )
+
+
+@behave.then("at most {count:d} orders were given")
+def step_at_most(context, count):
+    assert 3 < len(context.orders) <= count, len(context.orders)
+
+
+@behave.then("no engine took part in more than {count:d} moves at a time")
+def step_busy(context, count):
+    assert 1 <= context.most <= count, context.most
+
+
+@behave.when("{seconds:d} s pass without any answer")
+def step_unanswered(context, seconds):
+    for _ in range(4 * seconds):
+        context.now += TICK
+        give(context, message.Tick())
+    context.before = len(context.orders)
+
+
+@behave.when("its order is refused")
+def step_refused(context):
+    answer(context, context.orders[-1], "not_supported")
+    context.before = len(context.orders)
+
+
+@behave.then("the target is told to import the chat")
+def step_import(context):
+    order = context.orders[-1]
+    assert order.kind is versions_messages.OrderKind.IMPORT_KV
+    assert order.upstream_id == "engine-1"
+    assert order.argument == "http://source"
+
+
+@behave.then("no more orders are given")
+def step_no_more(context):
+    give(context, context.wanted)
+    for _ in range(20):
+        context.now += TICK
+        give(context, message.Tick())
+    late = context.orders[context.before :]
+    assert not late, late
+
+
+@behave.then("the wish goes to the leader")
+def step_passed_on(context):
+    (sent,) = context.effects
+    assert sent.address == "control-2:7004"
+    assert sent.message.forwarded
+
+
+@behave.then("a wish that was passed on before is dropped")
+def step_dropped(context):
+    passed_on = messages.KvMovesWanted(
+        zone="attica-b",
+        revision=3,
+        until=context.now + WARM_UP,
+        moves=(),
+        forwarded=True,
+    )
+    assert give(context, passed_on) == []
--- /dev/null
+++ b/fulmarbarrow/zones/features/steps/shortage.py
@@ -0,0 +1,130 @@
+"""Steps over the decision on what to admit."""
+
+from __future__ import annotations
+
+import behave
+import hypothesis
+from hypothesis import strategies
+
+from fulmarbarrow.zones import messages
+from fulmarbarrow.zones import shortage
+
+SERVICE = "consultations"
+COST = 100
+
+DEMANDS = strategies.dictionaries(
+    strategies.integers(min_value=-40, max_value=40),
+    strategies.integers(min_value=1, max_value=5_000),
+    min_size=1,
+    max_size=12,
+)
+CAPACITIES = strategies.integers(min_value=1, max_value=20_000)
+
+
+def decide(demand, capacity, short=False):
+    return shortage.decide(
+        SERVICE, steps=demand, capacity=capacity, short=short
+    )
+
+
+def admitted_part(decided, worth, cost=COST):
+    admitted = sum(
+        decided.admits(worth=worth, cost=cost, request_id=f"r-{number}")
+        for number in range(2_000)
+    )
+    return admitted / 2_000
+
+
+def step_of(worth):
+    return messages.density_step(worth=worth, cost=COST)
+
+
+@behave.given("a shortage of capacity")
+def step_short(context):
+    context.short = True
+
+
+@behave.when(
+    "a demand of {tokens:d} tokens a second meets a capacity of {capacity:d}"
+)
+def step_meets(context, tokens, capacity):
+    short = getattr(context, "short", False)
+    context.decided = decide({step_of(1.0): tokens}, capacity, short)
+
+
+@behave.when(
+    "a demand of {tokens:d} tokens a second each at worth 4, 2 and 1 meets "
+    "{capacity:d}"
+)
+def step_three(context, tokens, capacity):
+    demand = {step_of(worth): tokens for worth in (4.0, 2.0, 1.0)}
+    context.decided = decide(demand, capacity)
+
+
+@behave.then("everything is admitted")
+def step_everything(context):
+    assert context.decided.floor == 0
+    assert admitted_part(context.decided, 0.001) == 1
+
+
+@behave.then("it is still short")
+def step_still(context):
+    assert context.decided.floor > 0
+
+
+@behave.then("all work of worth {worth:g} is admitted")
+def step_all(context, worth):
+    assert admitted_part(context.decided, worth) == 1
+
+
+@behave.then("about {part:g} of the work of worth {worth:g} is admitted")
+def step_part(context, part, worth):
+    assert abs(admitted_part(context.decided, worth) - part) < 0.04
+
+
+@behave.then("no work of worth {worth:g} is admitted")
+def step_no_work(context, worth):
+    assert admitted_part(context.decided, worth) == 0
+
+
+def admitted_tokens(decided, demand):
+    if decided.floor <= 0:
+        return dict(demand)
+    floor = messages.density_step(worth=decided.floor, cost=1)
+    parts = {
+        step: 1.0 if step > floor else decided.part * (step == floor)
+        for step in demand
+    }
+    return {step: demand[step] * parts[step] for step in demand}
+
+
+@behave.then(
+    "over {count:d} random demands the admitted work fits the capacity"
+)
+def step_fits(context, count):
+    @hypothesis.settings(max_examples=count, derandomize=True, deadline=None)
+    @hypothesis.given(DEMANDS, CAPACITIES)
+    def check(demand, capacity):
+        admitted = admitted_tokens(decide(demand, capacity), demand)
+        assert sum(admitted.values()) <= capacity + 1e-6
+
+    check()
+
+
+@behave.then(
+    "over {count:d} random demands no refused work is worth more than admitted"
+)
+def step_worth(context, count):
+    @hypothesis.settings(max_examples=count, derandomize=True, deadline=None)
+    @hypothesis.given(DEMANDS, CAPACITIES)
+    def check(demand, capacity):
+        decided = decide(demand, capacity)
+        admitted = admitted_tokens(decided, demand)
+        refused = [step for step in demand if admitted[step] < demand[step]]
+        served = [step for step in demand if admitted[step] > 0]
+        assert not refused or not served or max(refused) <= min(served)
+        if refused:
+            used = sum(admitted.values())
+            assert used >= shortage.USABLE_PART * capacity - 1e-6
+
+    check()
--- /dev/null
+++ b/fulmarbarrow/zones/state.py
@@ -0,0 +1,136 @@
+"""The life of an availability zone between being in and being out."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+import typing
+
+import automat
+
+WARM_UP = datetime.timedelta(seconds=8)
+RAMP = datetime.timedelta(seconds=30)
+RAMP_STEPS = 12
+
+
+@dataclasses.dataclass(kw_only=True)
+class Standing:
+    """A zone's weight and since when it has warmed up or ramped."""
+
+    zone: str
+    revision: int = 0
+    weight: float = 1.0
+    since: datetime.datetime | None = None
+    phase: str = "in"
+
+
+class ZoneLife(typing.Protocol):
+    """Inputs of a zone's life."""
+
+    def taken_out(self, now: datetime.datetime) -> None:
+        """Operators have taken the zone out."""
+
+    def brought_back(self, now: datetime.datetime) -> None:
+        """Operators have brought the zone back."""
+
+    def passed(self, now: datetime.datetime) -> None:
+        """Time has passed."""
+
+    def warmed(self, now: datetime.datetime) -> None:
+        """The time for the warm-up is over."""
+
+    def ramped(self, now: datetime.datetime) -> None:
+        """The ramp is over."""
+
+
+def _build() -> typing.Callable[[Standing], ZoneLife]:
+    builder = automat.TypeMachineBuilder(ZoneLife, Standing)
+    zone_in = builder.state("in")
+    out = builder.state("out")
+    warming = builder.state("warming")
+    ramping = builder.state("ramping")
+
+    def leave(_: ZoneLife, standing: Standing, now: datetime.datetime) -> None:
+        standing.phase = "out"
+        standing.weight = 0.0
+        standing.since = None
+
+    for state in (zone_in, warming, ramping):
+        state.upon(ZoneLife.taken_out).to(out)(leave)
+
+    @out.upon(ZoneLife.brought_back).to(warming)
+    def warm(_: ZoneLife, standing: Standing, now: datetime.datetime) -> None:
+        standing.phase = "warming"
+        standing.since = now
+
+    @warming.upon(ZoneLife.warmed).to(ramping)
+    def ramp(_: ZoneLife, standing: Standing, now: datetime.datetime) -> None:
+        standing.phase = "ramping"
+        standing.since = now
+        standing.weight = 1 / RAMP_STEPS
+
+    @ramping.upon(ZoneLife.passed).loop()
+    def climb(_: ZoneLife, standing: Standing, now: datetime.datetime) -> None:
+        part = (now - standing.since) / RAMP if standing.since else 1.0
+        step = int(part * RAMP_STEPS) + 1
+        standing.weight = min(step, RAMP_STEPS) / RAMP_STEPS
+
+    @ramping.upon(ZoneLife.ramped).to(zone_in)
+    def done(_: ZoneLife, standing: Standing, now: datetime.datetime) -> None:
+        standing.phase = "in"
+        standing.weight = 1.0
+        standing.since = None
+
+    out.upon(ZoneLife.taken_out).loop().returns(None)
+    for state in (zone_in, warming, ramping):
+        state.upon(ZoneLife.brought_back).loop().returns(None)
+    for state in (zone_in, out, warming):
+        state.upon(ZoneLife.passed).loop().returns(None)
+    for state in (zone_in, out, ramping):
+        state.upon(ZoneLife.warmed).loop().returns(None)
+    for state in (zone_in, out, warming):
+        state.upon(ZoneLife.ramped).loop().returns(None)
+    return builder.build()
+
+
+make_zone_life = _build()
+
+
+class Zone:
+    """One zone's life and weight."""
+
+    def __init__(self, *, name: str) -> None:
+        self.standing = Standing(zone=name)
+        self._life = make_zone_life(self.standing)
+
+    @property
+    def weight(self) -> float:
+        """The part of its usual new work that the zone gets."""
+        return self.standing.weight
+
+    @property
+    def warm_until(self) -> datetime.datetime | None:
+        """The end of the warm-up while the zone warms up."""
+        if self.standing.phase != "warming" or self.standing.since is None:
+            return None
+        return self.standing.since + WARM_UP
+
+    def set_out(
+        self, out: bool, revision: int, now: datetime.datetime
+    ) -> None:
+        """Take the state of a published revision."""
+        self.standing.revision = revision
+        if out:
+            self._life.taken_out(now)
+        else:
+            self._life.brought_back(now)
+
+    def tick(self, now: datetime.datetime) -> None:
+        """Go on with the warm-up and the ramp."""
+        since = self.standing.since
+        if since is not None and now - since >= WARM_UP:
+            self._life.warmed(now)
+        since = self.standing.since
+        if since is not None and now - since >= RAMP:
+            self._life.ramped(now)
+        self._life.passed(now)
--- /dev/null
+++ b/fulmarbarrow/zones/summaries.py
@@ -0,0 +1,195 @@
+"""Sums up the work of a zone and tells the other zones."""
+
+from __future__ import annotations
+
+import datetime
+import random
+
+import msgspec
+
+from fulmarbarrow.membership import messages as membership_messages
+from fulmarbarrow import message
+from fulmarbarrow.zones import capacity as capacities
+from fulmarbarrow.zones import demand as demands
+from fulmarbarrow.zones import messages
+from fulmarbarrow.zones import peers as peers_module
+
+PERIOD = datetime.timedelta(seconds=2)
+FAR_PERIOD = datetime.timedelta(seconds=10)
+STALE = datetime.timedelta(seconds=7)
+FAR_STALE = datetime.timedelta(seconds=30)
+DETAIL_FROM = 0.4  # of a service's capacity
+HOPS = 2
+
+
+class Summaries:
+    """Collects the routers' demand at the zone's first router.
+
+    That router sends the zone's summary through its zone in two hops, and
+    to one router of each other zone, which does the same there.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: membership_messages.Daemon,
+        peers: peers_module.Peers,
+        capacity: capacities.Capacity,
+        rng: random.Random,
+    ) -> None:
+        self._own = own
+        self._peers = peers
+        self._capacity = capacity
+        self._rng = rng
+        self._meter = demands.DemandMeter()
+        self._routers: dict[
+            str, tuple[messages.RouterDemand, datetime.datetime]
+        ] = {}
+        self._zones: dict[
+            str, tuple[messages.ZoneSummary, datetime.datetime]
+        ] = {}
+        self._next: datetime.datetime | None = None
+        self._next_far: datetime.datetime | None = None
+
+    @property
+    def zones(self) -> dict[str, messages.ZoneSummary]:
+        """The last summary of each zone."""
+        return {name: summary for name, (summary, _) in self._zones.items()}
+
+    def count(self, service: str, *, cost: int, worth: float) -> None:
+        """Count a request that arrived here."""
+        self._meter.count(service, cost=cost, worth=worth)
+
+    def router_demand(
+        self, event: messages.RouterDemand, now: datetime.datetime
+    ) -> None:
+        """Take the demand of a router of this zone."""
+        self._routers[event.daemon_id] = (event, now)
+
+    def heard(
+        self, summary: messages.ZoneSummary, now: datetime.datetime
+    ) -> list[message.Message]:
+        """Take a zone's summary and pass it on within this zone."""
+        known = self._zones.get(summary.zone)
+        fresh = known is None or now - known[1] > STALE
+        if not fresh and known[0].sequence >= summary.sequence:
+            return []
+        self._zones[summary.zone] = (summary, now)
+        return self._pass_on(summary)
+
+    def demand(self, now: datetime.datetime) -> demands.Steps:
+        """Return the region's demand as far as it is known now."""
+        parts = [
+            demands.unpack(summary.demand)
+            for summary, at in self._zones.values()
+            if now - at <= STALE and summary.region == self._own.region
+        ]
+        return demands.add(parts)
+
+    def tick(
+        self, now: datetime.datetime, service_capacity: dict[str, float]
+    ) -> list[message.Message]:
+        """Send this router's demand and, as speaker, the zone's summary."""
+        self._meter.tick(now)
+        if self._next is None:
+            self._next = now + self._rng.random() * PERIOD
+            self._next_far = self._next
+        if now < self._next:
+            return []
+        self._next = max(self._next + PERIOD, now)
+        self._forget(now)
+        speaker = self._peers.speaker()
+        mine = messages.RouterDemand(
+            daemon_id=self._own.daemon_id,
+            services=self._meter.services(),
+            reserved_tokens=self._capacity.reserved_tokens,
+        )
+        if speaker.daemon_id != self._own.daemon_id:
+            return [message.Send(address=speaker.address, message=mine)]
+        self._routers[self._own.daemon_id] = (mine, now)
+        return self._speak(now, service_capacity)
+
+    def _speak(
+        self, now: datetime.datetime, service_capacity: dict[str, float]
+    ) -> list[message.Message]:
+        summary = self._summary(service_capacity, now)
+        self._zones[summary.zone] = (summary, now)
+        effects = self._pass_on(summary)
+        receivers = self._peers.one_per_other_zone(self._rng, far=False)
+        if self._next_far is None or now >= self._next_far:
+            self._next_far = now + FAR_PERIOD
+            receivers += self._peers.one_per_other_zone(self._rng, far=True)
+        effects.extend(
+            message.Send(address=daemon.address, message=summary)
+            for daemon in receivers
+        )
+        return effects
+
+    def _summary(
+        self, service_capacity: dict[str, float], now: datetime.datetime
+    ) -> messages.ZoneSummary:
+        found = [event for event, _ in self._routers.values()]
+        total = demands.add(demands.unpack(item.services) for item in found)
+        count, rate = self._capacity.of_zone(self._own.zone)
+        started = int(now.timestamp() * 1000)
+        return messages.ZoneSummary(
+            zone=self._own.zone,
+            region=self._own.region,
+            sequence=started,
+            capacity_tokens=rate,
+            reserved_tokens=sum(item.reserved_tokens for item in found),
+            upstreams=count,
+            lacking=count == 0,
+            demand=_brief(total, service_capacity),
+            hops=HOPS,
+        )
+
+    def _pass_on(self, summary: messages.ZoneSummary) -> list[message.Message]:
+        if summary.hops <= 0:
+            return []
+        mine: list[membership_messages.Daemon] = []
+        heads: list[membership_messages.Daemon] = []
+        for chunk in self._peers.chunks():
+            if any(item.daemon_id == self._own.daemon_id for item in chunk):
+                mine = chunk
+            else:
+                heads.append(chunk[0])
+        effects = self._send(mine, summary, 0)
+        if summary.hops == HOPS:
+            effects.extend(self._send(heads, summary, 1))
+        return effects
+
+    def _send(
+        self,
+        receivers: list[membership_messages.Daemon],
+        summary: messages.ZoneSummary,
+        hops: int,
+    ) -> list[message.Message]:
+        less = msgspec.structs.replace(summary, hops=hops)
+        return [
+            message.Send(address=daemon.address, message=less)
+            for daemon in receivers
+            if daemon.daemon_id != self._own.daemon_id
+        ]
+
+    def _forget(self, now: datetime.datetime) -> None:
+        for name, (_, at) in list(self._routers.items()):
+            if now - at > STALE:
+                del self._routers[name]
+        for name, (_, at) in list(self._zones.items()):
+            if now - at > FAR_STALE:
+                del self._zones[name]
+
+
+def _brief(
+    total: demands.Steps, service_capacity: dict[str, float]
+) -> tuple[messages.ServiceDemand, ...]:
+    """Return the demand, in detail only where capacity may run short."""
+    brief: demands.Steps = {}
+    for service, steps in total.items():
+        tokens = sum(steps.values())
+        if tokens < DETAIL_FROM * service_capacity.get(service, 0.0):
+            brief[service] = type(steps)({messages.LOWEST_STEP: tokens})
+        else:
+            brief[service] = steps
+    return demands.pack(brief)
