--- a/fulmarbarrow/daemon/cores.py
+++ b/fulmarbarrow/daemon/cores.py
@@ -5,12 +5,15 @@
 
 from __future__ import annotations
 
+import datetime
 import random
 
 from fulmarbarrow import bus as buses
 from fulmarbarrow.config import defaults
 from fulmarbarrow.consensus import core as consensus_core
+from fulmarbarrow.consensus import memory as consensus_memory
 from fulmarbarrow.consensus import messages as consensus_messages
+from fulmarbarrow.consensus import records as consensus_records
 from fulmarbarrow.delivery import core as delivery_core
 from fulmarbarrow.journal import control as journal_control
 from fulmarbarrow.journal import router as journal_router
@@ -22,12 +25,28 @@
 from fulmarbarrow.placement import core as placement_core
 from fulmarbarrow.publishing import control
 from fulmarbarrow.publishing import follower
+from fulmarbarrow.publishing import messages as publishing_messages
 from fulmarbarrow.versions import control as versions_control
+from fulmarbarrow.versions import messages as versions_messages
 from fulmarbarrow.versions import router as versions_router
 from fulmarbarrow.zones import control as zones_control
 from fulmarbarrow.zones import core as zones_core
 
 
+def describe(
+    settings: defaults.Settings, started: datetime.datetime
+) -> membership_messages.Daemon:
+    """Return a daemon's own record; its start makes its incarnation."""
+    return membership_messages.Daemon(
+        daemon_id=settings.daemon.id,
+        incarnation=int(started.timestamp() * 1000),
+        zone=settings.daemon.zone,
+        region=settings.daemon.region,
+        address=str(settings.listen.peers),
+        roles=tuple(role.value for role in settings.daemon.roles),
+    )
+
+
 class Cores:
     """All cores of one daemon by name, attached to its bus."""
 
@@ -39,12 +58,16 @@
         bus: buses.Bus,
         metrics: metrics_module.Metrics,
         rng: random.Random,
+        now: datetime.datetime,
+        logs: consensus_memory.Logs | None = None,
     ) -> None:
         self._settings = settings
         self._record = record
         self._bus = bus
         self._metrics = metrics
         self._rng = rng
+        self._now = now
+        self._logs = logs
         self.by_name: dict[str, buses.Core] = {}
         self._add_common()
         if defaults.Role.CONTROL in settings.daemon.roles:
@@ -77,11 +100,14 @@
 
     def _add_control(self) -> None:
         record = self._record
-        self._add(
+        logs = self._logs or consensus_memory.MemoryLogs()
+        if isinstance(logs, consensus_memory.MemoryLogs):
+            self._add("memory_logs", logs)
+        self._add_log(
             "consensus",
-            consensus_core.ConsensusCore(
-                group=consensus_messages.Group.CONFIGURATION
-            ),
+            consensus_messages.Group.CONFIGURATION,
+            logs,
+            (publishing_messages.MACHINE, versions_messages.MACHINE),
         )
         self._add("control", control.PublishingControl(daemon=record))
         self._add(
@@ -94,11 +120,8 @@
             "kv_moves",
             zones_control.ZonesControl(daemon=record, metrics=self._metrics),
         )
-        self._add(
-            "journal_log",
-            consensus_core.ConsensusCore(
-                group=consensus_messages.Group.JOURNAL
-            ),
+        self._add_log(
+            "journal_log", consensus_messages.Group.JOURNAL, logs, ("",)
         )
         self._add(
             "journal_control",
@@ -107,6 +130,35 @@
             ),
         )
 
+    def _add_log(
+        self,
+        name: str,
+        group: consensus_messages.Group,
+        logs: consensus_memory.Logs,
+        machines: tuple[str, ...],
+    ) -> None:
+        """Add the replicated log that the named machines apply."""
+        record = self._record
+        members = {
+            member.id: str(member.address)
+            for member in self._settings.control.members
+        }
+        core = consensus_core.ConsensusCore(
+            group=group,
+            me=consensus_records.Member(
+                daemon_id=record.daemon_id,
+                identity=logs.host_identity,
+                address=record.address,
+            ),
+            addresses=members or {record.daemon_id: record.address},
+            stored=logs.open(group),
+            source=self._rng,
+            metrics=self._metrics,
+            now=self._now,
+            machines=machines,
+        )
+        self._add(name, core)
+
     def _add_router(self) -> None:
         record, metrics = self._record, self._metrics
         self._add(
