Let the zones' scenarios place chats over time

Placement now bounds the work placed in any 10 s too, so several hundred chats placed at one instant are moved by that bound, rightly, and hide what the zone's leave moves. They now arrive 50 ms apart, far below capacity; the outcomes asked for are the same.

--- a/fulmarbarrow/zones/features/steps/fleet.py
+++ b/fulmarbarrow/zones/features/steps/fleet.py
@@ -9,6 +9,7 @@
 from benchmarks import zones_fleet
 
 SECOND = datetime.timedelta(seconds=1)
+GAP = datetime.timedelta(milliseconds=50)  # far below the zones' capacity
 
 
 def zone_ids(context, zone):
@@ -103,6 +104,7 @@
         attempt = f"{chat}-{context.turn}"
         placed = zones_fleet.place(context.fleet, node, chat, attempt)
         found[chat] = placed
+        context.fleet.run(GAP)
     return found
 
 
--- a/fulmarbarrow/zones/features/zones.feature
+++ b/fulmarbarrow/zones/features/zones.feature
@@ -50,18 +50,18 @@
   Scenario: Entry hosts of an out zone go on by the other zones' upstreams
     Given 3 zones with 3 routers and 4 upstreams each
     When every router puts a revision in force that has attica-1 out
-    And 200 chats ask the routers of attica-1
+    And 100 chats ask the routers of attica-1
     Then all are placed and none in attica-1
 
   Scenario: A zone cut off goes on with its own upstreams
     Given 3 zones with 3 routers and 4 upstreams each
     When the zone attica-1 is cut off for 12 s
-    And 200 chats ask the routers of attica-1
+    And 100 chats ask the routers of attica-1
     Then all are placed and all in attica-1
 
   Scenario: Only chats of an out zone move, and the same ones come back
     Given 3 zones with 3 routers and 4 upstreams each
-    When 600 chats ask the routers of attica-0
+    When 300 chats ask the routers of attica-0
     And every router puts a revision in force that has attica-1 out
     And the same chats ask again
     Then only those of attica-1 have moved
