--- a/fulmarbarrow/daemon/cores.py
+++ b/fulmarbarrow/daemon/cores.py
@@ -29,6 +29,7 @@
 from fulmarbarrow.versions import control as versions_control
 from fulmarbarrow.versions import messages as versions_messages
 from fulmarbarrow.versions import router as versions_router
+from fulmarbarrow.zones import control as zones_control
 from fulmarbarrow.zones import core as zones_core
 
 
@@ -125,6 +126,10 @@
                 daemon=record, group=consensus_messages.Group.CONFIGURATION
             ),
         )
+        self._add(
+            "kv_moves",
+            zones_control.ZonesControl(daemon=record, metrics=self._metrics),
+        )
         self._add_log(
             "journal_log", consensus_messages.Group.JOURNAL, logs, ("",)
         )
@@ -170,7 +175,12 @@
             "versions",
             versions_router.VersionsRouter(daemon=record, metrics=metrics),
         )
-        self._add("zones", zones_core.ZonesCore())
+        self._add(
+            "zones",
+            zones_core.ZonesCore(
+                daemon=record, metrics=metrics, rng=self._rng
+            ),
+        )
         policy = limits_policy.Policy()
         self._add(
             "limits", limits_core.LimitsCore(metrics=metrics, policy=policy)
