--- a/benchmarks/consensus_explorer.py
+++ b/benchmarks/consensus_explorer.py
@@ -138,10 +138,7 @@
 
     def run(self, steps: int) -> None:
         """Run a schedule, then heal everything and check convergence."""
-        for _ in range(200):
-            self._calm()
-            if self._leader() is not None:
-                break
+        self._calm_until(self._leader, 200)
         for _ in range(steps):
             self._step()
             self.checks.leases(self._lease_holders(), self.time)
@@ -155,11 +152,9 @@
                 self.crash(host)
             if host.core is None:
                 self.start(host)
-        for _ in range(120):
-            self._calm()
+        self._calm_until(self._whole, 150)
         self.propose(self._leader() or next(iter(self.hosts.values())))
-        for _ in range(60):
-            self._calm()
+        self._calm_until(self._equal, 60)
         machines = [host.machine for host in self.hosts.values()]
         self.checks.converged(machines, self._leader() is not None)
         self.counts["leaders"] = self.checks.leaders
@@ -417,6 +412,26 @@
                 self.sync(host, len(host.pending))
         self.checks.leases(self._lease_holders(), self.time)
 
+    def _calm_until(
+        self, done: typing.Callable[[], typing.Any], ticks: int
+    ) -> None:
+        for _ in range(ticks):
+            self._calm()
+            if done():
+                return
+
+    def _whole(self) -> bool:
+        """Return whether every host is a voting member and one leads."""
+        voters = [host.core.inspect().voter for host in self.hosts.values()]
+        return self._leader() is not None and all(voters) and self._equal()
+
+    def _equal(self) -> bool:
+        """Return whether all hosts have applied the same."""
+        seen = {
+            host.core.inspect().applied_index for host in self.hosts.values()
+        }
+        return len(seen) == 1
+
     def _leader(self) -> Host | None:
         for host in self.hosts.values():
             if host.core is not None:
--- a/fulmarbarrow/publishing/control.py
+++ b/fulmarbarrow/publishing/control.py
@@ -169,7 +169,7 @@
     ) -> list[message.Message]:
         if event.revision >= self._state.revision:
             return []
-        answer = self._answer(event.revision)
+        answer = self._answer(event)
         if event.reply_to == self._daemon.address:
             return [answer]
         return [message.Send(address=event.reply_to, message=answer)]
@@ -259,9 +259,9 @@
             effects += self._fanout.notices(self._state.revision, now)
         return effects
 
-    def _answer(self, revision: int) -> message.Message:
-        steps = self._state.history.after(revision)
-        if steps and revision:
+    def _answer(self, event: messages.RevisionFetch) -> message.Message:
+        steps = self._state.history.after(event.revision)
+        if steps and not event.whole:
             return messages.RevisionDeltas(
                 sender=self._daemon.address,
                 control=self._daemon.address,
--- a/fulmarbarrow/publishing/delta.py
+++ b/fulmarbarrow/publishing/delta.py
@@ -21,7 +21,10 @@
 
 
 class Content:
-    """The items of a bundle by section and name."""
+    """The items of a bundle by section and name.
+
+    Their order in a bundle has no meaning; it is encoded sorted by name.
+    """
 
     def __init__(self, *, bundle: bundles.Bundle) -> None:
         self._items: dict[Key, typing.Any] = dict(_items(bundle))
@@ -54,7 +57,7 @@
         part._items = changed
         return messages.Delta(
             base=base,
-            digest=digest(bundles.encode(bundle)),
+            digest=digest(Content(bundle=bundle).encode()),
             publisher=publisher,
             changed=part.encode(),
             removed=tuple(
--- a/fulmarbarrow/publishing/fanout.py
+++ b/fulmarbarrow/publishing/fanout.py
@@ -103,8 +103,9 @@
             return [self._push(delta, daemon, ()) for daemon in reachable]
         zones: dict[str, list[membership_messages.Daemon]] = {}
         for daemon in sorted(reachable, key=lambda item: item.daemon_id):
-            zones.setdefault(daemon.zone, []).append(daemon)
-        effects = []
+            if daemon.daemon_id != self._daemon.daemon_id:
+                zones.setdefault(daemon.zone, []).append(daemon)
+        effects = [self._push(delta, self._daemon, ())]
         for daemons in zones.values():
             relay = daemons.pop(delta.base % len(daemons))
             addresses = tuple(daemon.address for daemon in daemons)
--- /dev/null
+++ b/fulmarbarrow/publishing/features/steps/fleet.py
@@ -0,0 +1,230 @@
+"""A control host and many followers, joined without sockets."""
+
+from __future__ import annotations
+
+import collections
+import datetime
+import random
+
+import msgspec
+
+from fulmarbarrow import clock as clocks
+from fulmarbarrow.config import bundle as bundles
+from fulmarbarrow.consensus import messages as consensus_messages
+from fulmarbarrow.membership import messages as membership_messages
+from fulmarbarrow import message
+from fulmarbarrow.observe import metrics
+from fulmarbarrow.publishing import control
+from fulmarbarrow.publishing import delta as deltas
+from fulmarbarrow.publishing import follower
+from fulmarbarrow.publishing import messages
+
+TICK = datetime.timedelta(milliseconds=250)
+CONTROL = 0
+
+
+def account(name):
+    return bundles.Account(name=name, key_salt="00", key_digest="11" * 32)
+
+
+class Node:
+    """One daemon: its follower, disk and, on the control host, control."""
+
+    def __init__(self, number, zone, roles):
+        self.number = number
+        self.record = membership_messages.Daemon(
+            daemon_id=f"daemon-{number}",
+            incarnation=1,
+            zone=f"zone-{zone}",
+            region="attica",
+            address=f"address-{number}",
+            roles=roles,
+        )
+        self.disk = None
+        self.disk_full = False
+        self.control = None
+        self.start()
+
+    def start(self):
+        self.follower = follower.PublishingFollower(
+            daemon=self.record,
+            source=random.Random(self.number),
+            metrics=metrics.Metrics(),
+            stores=True,
+            restored=self.disk,
+        )
+
+    @property
+    def revision(self):
+        return self.follower.dump()["revision"]
+
+
+class Fleet:
+    """Delivers messages between nodes at once, but for those cut off."""
+
+    def __init__(self, daemons, zones):
+        self.clock = clocks.ManualClock()
+        self.nodes = [
+            Node(
+                number,
+                number % zones,
+                ("control",) if number == CONTROL else ("router",),
+            )
+            for number in range(daemons)
+        ]
+        self.by_address = {node.record.address: node for node in self.nodes}
+        self.deaf = set()
+        self.lossy_relays = False
+        self.sent = collections.Counter()
+        self.results = []
+        self.status = None
+        self.published = []
+        self.leads = True
+        self.index = 0
+        self.start_control()
+        for node in self.nodes:
+            self.introduce(node)
+        self.lead()
+        self.run(datetime.timedelta(seconds=1))
+
+    def start_control(self):
+        node = self.nodes[CONTROL]
+        node.control = control.PublishingControl(
+            daemon=node.record, now=self.clock.now()
+        )
+
+    def introduce(self, node):
+        for other in self.nodes:
+            if other is not node:
+                changed = membership_messages.DaemonChanged(daemon=node.record)
+                self.post(other, changed)
+
+    def lead(self):
+        lease = self.clock.now() + datetime.timedelta(days=1)
+        changed = consensus_messages.LeaderChanged(
+            group=control.GROUP,
+            term=1,
+            leader="daemon-0" if self.leads else "",
+            address="address-0" if self.leads else "",
+            fencing_number=1,
+            lease_until=lease if self.leads else None,
+        )
+        self.post(self.nodes[CONTROL], changed)
+
+    def run(self, duration):
+        until = self.clock.now() + duration
+        while self.clock.now() < until:
+            self.clock.advance(TICK)
+            for node in self.nodes:
+                self.post(node, message.Tick())
+
+    def post(self, node, event):
+        queue = collections.deque([(node, event)])
+        while queue:
+            at, item = queue.popleft()
+            queue.extend(self.handle(at, item))
+
+    def handle(self, node, event):
+        now = self.clock.now()
+        effects = []
+        for core in (node.control, node.follower):
+            if core is not None and type(event) in core.handles:
+                effects.extend(core.handle(event, now))
+        for effect in effects:
+            yield from self.carry_out(node, effect)
+
+    def carry_out(self, node, effect):
+        match effect:
+            case message.Send():
+                target = self.by_address[effect.address]
+                relayed = (
+                    isinstance(effect.message, messages.RevisionDeltas)
+                    and node.number != CONTROL
+                )
+                if isinstance(effect.message, messages.RevisionDeltas):
+                    self.sent[node.number] += 1
+                if self.reaches(node, target) and not (
+                    relayed and self.lossy_relays
+                ):
+                    yield target, effect.message
+            case messages.StoreRevision():
+                stored = not node.disk_full
+                if stored:
+                    node.disk = effect
+                yield (
+                    node,
+                    messages.RevisionStored(
+                        revision=effect.revision, stored=stored
+                    ),
+                )
+            case consensus_messages.Propose():
+                self.index += 1
+                yield (
+                    node,
+                    consensus_messages.Applied(
+                        group=effect.group,
+                        index=self.index,
+                        term=1,
+                        command=effect.command,
+                        machine=effect.machine,
+                    ),
+                )
+            case consensus_messages.ReadBarrier():
+                yield (
+                    node,
+                    consensus_messages.ReadReady(
+                        read_id=effect.read_id,
+                        group=effect.group,
+                        ready=self.leads,
+                    ),
+                )
+            case messages.PublishResult():
+                self.results.append(effect)
+            case messages.StatusGiven():
+                self.status = effect.status
+            case _:
+                yield node, effect
+
+    def reaches(self, node, target):
+        one, other = node.number in self.deaf, target.number in self.deaf
+        if not one and not other:
+            return True
+        same = node.record.zone == target.record.zone
+        return one and other and same
+
+    def publish(self, publisher, names, base):
+        bundle = bundles.Bundle(account=tuple(map(account, names)))
+        data = bundles.encode(bundle)
+        request = messages.PublishRequested(
+            publish_id=f"publish-{len(self.published)}",
+            publisher=publisher,
+            base_revision=base,
+            digest=deltas.digest(data),
+            bundle=data,
+        )
+        self.published.append(request)
+        self.post(self.nodes[CONTROL], request)
+
+    def resend(self, number):
+        self.post(self.nodes[CONTROL], self.published[number])
+
+    def restart_control(self):
+        node = self.nodes[CONTROL]
+        (taken,) = node.control.handle(
+            consensus_messages.SnapshotWanted(
+                group=control.GROUP, index=self.index
+            ),
+            self.clock.now(),
+        )
+        self.start_control()
+        restored = consensus_messages.SnapshotRestored(
+            group=control.GROUP,
+            index=taken.index,
+            state=taken.state,
+            machine=taken.machine,
+        )
+        self.post(node, restored)
+        self.lead()
+
+    def damage(self, request):
+        return msgspec.structs.replace(request, bundle=b'{"account":[]}')
--- /dev/null
+++ b/fulmarbarrow/publishing/features/steps/publishing.py
@@ -0,0 +1,243 @@
+"""Steps over publishing cores."""
+
+from __future__ import annotations
+
+import datetime
+import importlib.util
+import pathlib
+
+import behave
+
+from fulmarbarrow.config import bundle as bundles
+from fulmarbarrow.publishing import delta as deltas
+from fulmarbarrow.publishing import messages
+
+# Behave loads step files by path, so they can't import each other.
+_SPEC = importlib.util.spec_from_file_location(
+    "publishing_fleet", pathlib.Path(__file__).with_name("fleet.py")
+)
+fleet = importlib.util.module_from_spec(_SPEC)
+_SPEC.loader.exec_module(fleet)
+
+
+@behave.given("a control host and {daemons:d} daemons in {zones:d} zones")
+def step_fleet(context, daemons, zones):
+    context.fleet = fleet.Fleet(daemons, zones)
+    context.names = []
+
+
+@behave.when('"{publisher}" publishes a change on revision {base:d}')
+def step_change(context, publisher, base):
+    context.fleet.sent.clear()
+    context.fleet.publish(publisher, ["volos"], base)
+
+
+@behave.given(
+    '"{publisher}" has published account "{name}" on revision {base:d}'
+)
+@behave.when('"{publisher}" publishes account "{name}" on revision {base:d}')
+def step_publish(context, publisher, name, base):
+    names = [*context.names, name] if base else [name]
+    context.fleet.publish(publisher, names, base)
+    context.names = names
+
+
+@behave.when("the first publish is sent again")
+def step_resend(context):
+    context.fleet.resend(0)
+
+
+@behave.when("a damaged bundle is published")
+def step_damaged(context):
+    data = bundles.encode(bundles.Bundle(account=(fleet.account("volos"),)))
+    request = messages.PublishRequested(
+        publish_id="damaged",
+        publisher="amina",
+        base_revision=0,
+        digest=deltas.digest(data),
+        bundle=b'{"account":[]}',
+    )
+    context.fleet.post(context.fleet.nodes[0], request)
+
+
+@behave.then("it is accepted as revision {revision:d}")
+def step_accepted(context, revision):
+    result = context.fleet.results[-1]
+    assert (result.code, result.revision) == ("", revision), result
+
+
+@behave.then("it is refused as {code}")
+def step_refused(context, code):
+    assert context.fleet.results[-1].code == code, context.fleet.results
+
+
+@behave.then('the winner is "{winner}" with revision {revision:d}')
+def step_winner(context, winner, revision):
+    result = context.fleet.results[-1]
+    assert (result.winner, result.revision) == (winner, revision), result
+
+
+@behave.then('the differences are "{text}"')
+def step_differs(context, text):
+    assert ", ".join(context.fleet.results[-1].differs) == text
+
+
+@behave.then("revision {revision:d} is in force on all daemons")
+def step_all(context, revision):
+    found = {node.number: node.revision for node in context.fleet.nodes}
+    assert set(found.values()) == {revision}, found
+
+
+@behave.then("revision {revision:d} is in force on daemon {number:d}")
+def step_one(context, revision, number):
+    assert context.fleet.nodes[number].revision == revision
+
+
+@behave.given("revision {revision:d} is not in force on daemon {number:d}")
+@behave.then("revision {revision:d} is not in force on daemon {number:d}")
+def step_not(context, revision, number):
+    assert context.fleet.nodes[number].revision < revision
+
+
+@behave.then(
+    "the control host sent the change to {count:d} other daemons at most"
+)
+def step_sent(context, count):
+    assert 0 < context.fleet.sent[fleet.CONTROL] <= count, context.fleet.sent
+
+
+@behave.given("daemon {number:d} receives nothing")
+def step_deaf(context, number):
+    context.fleet.deaf.add(number)
+
+
+@behave.when("daemon {number:d} receives again and {seconds:d} seconds pass")
+def step_hears(context, number, seconds):
+    context.fleet.deaf.discard(number)
+    context.fleet.run(datetime.timedelta(seconds=seconds))
+
+
+@behave.given("no daemon passes anything on")
+def step_lossy(context):
+    context.fleet.lossy_relays = True
+
+
+@behave.given("zone {zone:d} is cut off except for daemon {number:d}")
+def step_zone(context, zone, number):
+    context.fleet.deaf = {
+        node.number
+        for node in context.fleet.nodes
+        if node.record.zone == f"zone-{zone}" and node.number != number
+    }
+
+
+@behave.given("zone {zone:d} is cut off completely")
+def step_whole_zone(context, zone):
+    inside = {
+        node.number
+        for node in context.fleet.nodes
+        if node.record.zone == f"zone-{zone}"
+    }
+    revisions = {context.fleet.nodes[number].revision for number in inside}
+    assert revisions == {0, 1}, revisions
+    context.fleet.deaf = inside
+
+
+@behave.when("{seconds:d} seconds pass")
+def step_pass(context, seconds):
+    context.fleet.run(datetime.timedelta(seconds=seconds))
+
+
+def ask_status(context):
+    request = messages.StatusRequested(status_id="status")
+    context.fleet.status = None
+    context.fleet.post(context.fleet.nodes[0], request)
+
+
+@behave.then(
+    "the status counts {count:d} of {daemons:d} daemons in zone {zone:d}"
+)
+def step_status(context, count, daemons, zone):
+    ask_status(context)
+    assert context.fleet.status.current
+    (context.zone,) = (
+        item
+        for item in context.fleet.status.zones
+        if item.zone == f"zone-{zone}"
+    )
+    found = (context.zone.in_force, context.zone.daemons)
+    assert found == (count, daemons), context.zone
+
+
+@behave.then(
+    "it names daemon {number:d} as cut off at revision {revision:d} "
+    "for about {seconds:d} seconds"
+)
+def step_cut_off(context, number, revision, seconds):
+    (item,) = context.zone.cut_off
+    assert item.daemon_id == f"daemon-{number}"
+    assert item.revision == revision
+    silent = context.fleet.clock.now() - item.since
+    assert abs(silent.total_seconds() - seconds) <= 1, silent
+
+
+@behave.when("daemon {number:d} is pushed revision {revision:d} again")
+def step_old(context, number, revision):
+    push_first(context, number, revision)
+
+
+def push_first(context, number, revision):
+    request = context.fleet.published[revision - 1]
+    push = messages.RevisionPush(
+        sender="address-0",
+        revision=revision,
+        digest=request.digest,
+        bundle=request.bundle,
+    )
+    context.fleet.post(context.fleet.nodes[number], push)
+
+
+@behave.when(
+    "daemon {number:d} restarts from its disk and is pushed revision "
+    "{revision:d}"
+)
+def step_restart(context, number, revision):
+    context.fleet.nodes[number].start()
+    push_first(context, number, revision)
+
+
+@behave.given("the disk of daemon {number:d} is full")
+def step_full(context, number):
+    context.number = number
+    context.fleet.nodes[number].disk_full = True
+
+
+@behave.then("it comes into force once the disk has room")
+def step_room(context):
+    context.fleet.nodes[context.number].disk_full = False
+    context.fleet.run(datetime.timedelta(seconds=5))
+    assert context.fleet.nodes[context.number].revision == 1
+
+
+@behave.when(
+    "the control host loses its leadership and {seconds:d} seconds pass"
+)
+def step_lost(context, seconds):
+    context.fleet.leads = False
+    context.lost_at = context.fleet.clock.now()
+    context.fleet.lead()
+    ask_status(context)
+    context.fleet.run(datetime.timedelta(seconds=seconds))
+
+
+@behave.then("the status is marked as not current since then")
+def step_not_current(context):
+    status = context.fleet.status
+    assert not status.current
+    assert status.leader == ""
+    assert status.leaderless_since == context.lost_at
+
+
+@behave.when("the control host restarts from a snapshot")
+def step_snapshot(context):
+    context.fleet.restart_control()
--- a/fulmarbarrow/publishing/follower.py
+++ b/fulmarbarrow/publishing/follower.py
@@ -130,7 +130,8 @@
             whole = messages.RevisionFetch(
                 daemon_id=self._daemon.daemon_id,
                 reply_to=self._daemon.address,
-                revision=0,
+                revision=self._revision,
+                whole=True,
             )
             return [*effects, self._send(event.sender, whole)]
         revision = messages.StoreRevision(
@@ -167,11 +168,11 @@
             return [self._fetch(event.reply_to)]
         if event.revision == self._revision or self._is_control:
             return []
-        return [self._send(event.reply_to, self._answer(event.revision))]
+        return [self._send(event.reply_to, self._answer(event))]
 
-    def _answer(self, revision: int) -> message.Message:
-        steps = self._history.after(revision)
-        if steps:
+    def _answer(self, event: messages.RevisionFetch) -> message.Message:
+        steps = self._history.after(event.revision)
+        if steps and not event.whole:
             return messages.RevisionDeltas(
                 sender=self._daemon.address,
                 control=self._control,
--- a/fulmarbarrow/publishing/messages.py
+++ b/fulmarbarrow/publishing/messages.py
@@ -175,11 +175,15 @@
 
 
 class RevisionFetch(message.Message, frozen=True, kw_only=True):
-    """Asks a control host or a peer for anything above ``revision``."""
+    """Asks a control host or a peer for anything above ``revision``.
+
+    With ``whole`` no deltas are wanted, as they did not fit.
+    """
 
     daemon_id: str
     reply_to: str
     revision: int
+    whole: bool = False
 
 
 class StatusCall(message.Message, frozen=True, kw_only=True):
--- a/fulmarbarrow/publishing/state.py
+++ b/fulmarbarrow/publishing/state.py
@@ -65,16 +65,15 @@
         self, request: messages.PublishRequested, bundle: bundles.Bundle
     ) -> PublishCommand:
         """Return what to replicate for a request."""
+        data = deltas.Content(bundle=bundle).encode()
         command = PublishCommand(
             publish_id=request.publish_id,
             publisher=request.publisher,
             base_revision=request.base_revision,
-            digest=deltas.digest(bundles.encode(bundle)),
+            digest=deltas.digest(data),
         )
         if request.base_revision != self.revision:
-            return msgspec.structs.replace(
-                command, bundle=bundles.encode(bundle)
-            )
+            return msgspec.structs.replace(command, bundle=data)
         step = self.content.delta_to(
             bundle, base=self.revision, publisher=request.publisher
         )
