--- a/fulmarbarrow/daemon/__main__.py
+++ b/fulmarbarrow/daemon/__main__.py
@@ -68,6 +68,7 @@
     reactor.callWhenRunning(signal.signal, signal.SIGTERM, on_signal)
     reactor.callWhenRunning(signal.signal, signal.SIGINT, on_signal)
     reactor.run()
+    raise SystemExit(daemon.exit_code)
 
 
 def main() -> None:
--- a/fulmarbarrow/daemon/assembly.py
+++ b/fulmarbarrow/daemon/assembly.py
@@ -67,6 +67,7 @@
         )
         self._bus = buses.Bus(clock=clock)
         self._exchanges = exchange.Exchanges()
+        self._cut = 0
         self._started = clock.now()
         self._record = cores.describe(settings, self._started)
         self._fresh = _is_fresh(settings.daemon.data_dir)
@@ -119,6 +120,11 @@
         """Begin the graceful shutdown; a second call ends at once."""
         self._lifecycle.stop()
 
+    @property
+    def exit_code(self) -> int:
+        """0 after a graceful shutdown, 1 if it cut open requests."""
+        return 1 if self._cut else 0
+
     def dump(self) -> dict[str, typing.Any]:
         """Return the state of every core, as plain data."""
         return {
@@ -191,7 +197,12 @@
 
     def close(self) -> None:
         """Close everything and end the process."""
-        log.info("daemon %s stops", self._settings.daemon.id)
+        self._cut = len(self._exchanges)
+        log.info(
+            "daemon %s stops, %d requests cut",
+            self._settings.daemon.id,
+            self._cut,
+        )
         if self._drain.running:
             self._drain.stop()
         for ticks in (self._ticks, self._placement_ticks):
