Send every answer to its last byte before a planned stop ends

A stop ended once no exchange was open, but up to a transport buffer of an answer could still wait for a slow caller; the process ended with it. A scenario that reads 40,000 tokens slowly while the daemon stops lost the end of its answer.

The daemon now closes idle connections, which first sends what was written, and ends when none is left, or 30 s after the last answer ended.

The scenario passes and fails with the old condition put back.

--- a/fulmarbarrow/daemon/assembly.py
+++ b/fulmarbarrow/daemon/assembly.py
@@ -41,6 +41,7 @@
 TICK = datetime.timedelta(milliseconds=250)
 PLACEMENT_TICK = datetime.timedelta(milliseconds=50)
 DRAIN_CHECK = datetime.timedelta(milliseconds=50)
+MAX_FLUSH = datetime.timedelta(seconds=30)  # for callers that read slowly
 MAX_OWN_BODY_BYTES = 16 << 20  # bundles and announcements
 
 
@@ -68,6 +69,7 @@
         self._bus = buses.Bus(clock=clock)
         self._exchanges = exchange.Exchanges()
         self._cut = 0
+        self._flush_until: datetime.datetime | None = None
         self._started = clock.now()
         self._record = cores.describe(settings, self._started)
         self._fresh = _is_fresh(settings.daemon.data_dir)
@@ -216,7 +218,16 @@
         self._reactor.callLater(0, self._reactor.stop)
 
     def _check_drained(self) -> None:
-        if len(self._exchanges) == 0:
+        if self._callers is None or self._callers.drained():
+            self._lifecycle.drained()
+            return
+        if len(self._exchanges):
+            self._flush_until = None
+            return
+        now = self._clock.now()
+        if self._flush_until is None:
+            self._flush_until = now + MAX_FLUSH
+        elif now > self._flush_until:
             self._lifecycle.drained()
 
     def _make_transport(self) -> transport.Transport:
--- a/fulmarbarrow/daemon/features/path.feature
+++ b/fulmarbarrow/daemon/features/path.feature
@@ -17,3 +17,9 @@
     When a chat of 200 tokens is streamed while the daemon stops
     Then the answer has the 200 tokens and the end marker
     And the daemon's exit code is 0
+
+  Scenario: A planned stop waits until a slow caller has read its answer
+    Given a fast engine
+    When a chat of 40000 tokens is read slowly while the daemon stops
+    Then the slow caller has the 40000 tokens and the end marker
+    And the daemon's exit code is 0
--- a/fulmarbarrow/daemon/features/steps/path.py
+++ b/fulmarbarrow/daemon/features/steps/path.py
@@ -4,7 +4,10 @@
 
 import json
 import pathlib
+import signal
+import socket
 import threading
+import time
 
 import behave
 
@@ -129,3 +132,59 @@
 @behave.then("the daemon's exit code is {code:d}")
 def step_exit(context, code):
     assert context.exit_code == code
+
+
+@behave.given("a fast engine")
+def step_fast(context):
+    context.engine.stop()
+    fleet.wait_until(lambda: len(upstreams(context.daemon)) == 1, "left")
+    fast = fleet.StandinProcess(
+        folder=context.path,
+        kind="engine",
+        upstream_id="engine-2",
+        zone="attica-a",
+        offers="consultations/lacework/1",
+        entries=(context.daemon.upstreams,),
+        batch_tokens=500_000,
+        tokens_per_second=200_000,
+        token_interval_ms=0.005,
+    )
+    context.processes.append(fast)
+    fast.start()
+    fleet.wait_until(lambda: len(upstreams(context.daemon)) == 2, "joined")
+
+
+@behave.when(
+    "a chat of {tokens:d} tokens is read slowly while the daemon stops"
+)
+def step_slowly(context, tokens):
+    body = json.dumps(
+        {
+            "model": "lacework",
+            "stream": True,
+            "max_tokens": tokens,
+            "messages": [],
+        }
+    )
+    host, port = context.daemon.callers.split(":")
+    with socket.socket() as plug:
+        plug.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        plug.settimeout(fleet.WAIT_SECONDS)
+        plug.connect((host, int(port)))
+        plug.sendall(
+            f"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+            f"Authorization: {HEADERS['Authorization']}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n{body}".encode()
+        )
+        context.slow_answer = bytearray(plug.recv(1))
+        context.daemon.process.send_signal(signal.SIGTERM)
+        while part := plug.recv(64 * 1024):
+            context.slow_answer += part
+            time.sleep(0.01)
+    context.exit_code = context.daemon.stop()
+
+
+@behave.then("the slow caller has the {tokens:d} tokens and the end marker")
+def step_slow_whole(context, tokens):
+    assert context.slow_answer.count(b'"delta"') == tokens
+    assert b"data: [DONE]" in context.slow_answer
--- a/fulmarbarrow/edge/callers.py
+++ b/fulmarbarrow/edge/callers.py
@@ -84,6 +84,10 @@
         """Refuse new requests; open ones go on."""
         self._accepting = False
 
+    def drained(self) -> bool:
+        """Return whether every answer has been sent to its last byte."""
+        return not self._answers and self.site.close_idle() == 0
+
     def dump(self) -> dict[str, typing.Any]:
         """Return the open answers and the largest backlog of any."""
         return {
--- a/fulmarbarrow/edge/site.py
+++ b/fulmarbarrow/edge/site.py
@@ -73,6 +73,16 @@
     maxHeaders = MAX_HEADERS  # noqa: N815
     rejected = False
 
+    def connectionMade(self) -> None:  # noqa: N802
+        """Take part in the site's shutdown."""
+        super().connectionMade()
+        self.site.channels.add(self)
+
+    def connectionLost(self, reason: failures.Failure) -> None:  # noqa: N802
+        """Leave the site."""
+        self.site.channels.discard(self)
+        super().connectionLost(reason)
+
     def reject(self, code: str) -> None:
         """Refuse the request that is being received; closes afterwards.
 
@@ -144,6 +154,17 @@
         )
         self.max_body_bytes = max_body_bytes
         self.metrics = metrics
+        self.channels: set[BoundedChannel] = set()
+
+    def close_idle(self) -> int:
+        """Close connections without a request; return how many are left.
+
+        A connection is closed only when all that was written is sent.
+        """
+        for channel in list(self.channels):
+            if not channel.requests:
+                channel.transport.loseConnection()
+        return len(self.channels)
 
     def getContentFile(  # noqa: N802
         self, length: int | None
