--- a/fulmarbarrow/daemon/assembly.py
+++ b/fulmarbarrow/daemon/assembly.py
@@ -31,6 +31,7 @@
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics as metrics_module
 from fulmarbarrow.placement import messages as placement_messages
+from fulmarbarrow.publishing import shell as publishing_shell
 from fulmarbarrow.tracing import edge as tracing_edge
 from fulmarbarrow.tracing import recorder
 from fulmarbarrow.wire import codec
@@ -81,6 +82,13 @@
         self._callers: callers.CallersEdge | None = None
         self._placement_ticks: task.LoopingCall | None = None
         self._consensus: consensus_shell.ConsensusShell | None = None
+        self._revisions: publishing_shell.RevisionFile | None = None
+        if settings.daemon.data_dir:
+            self._revisions = publishing_shell.RevisionFile(
+                data_folder=pathlib.Path(settings.daemon.data_dir),
+                bus=self._bus,
+                metrics=self._metrics,
+            )
         if defaults.Role.CONTROL in settings.daemon.roles:
             self._add_control_edges()
         if defaults.Role.ROUTER in settings.daemon.roles:
@@ -93,9 +101,14 @@
             rng=random.Random(self._record.incarnation),
             now=self._started,
             logs=self._consensus,
+            restored=self._revisions.restored if self._revisions else None,
+            stores_revisions=self._revisions is not None,
         ).by_name
         self._admin = admin.AdminEdge(
-            bus=self._bus, metrics=self._metrics, dump=self.dump
+            bus=self._bus,
+            metrics=self._metrics,
+            dump=self.dump,
+            publishes=self._consensus is not None,
         )
         tracing_edge.TracingEdge(app=self._admin.app, record=self.record)
         self._ticks = task.LoopingCall(self._bus.post, message.Tick())
--- a/fulmarbarrow/daemon/cores.py
+++ b/fulmarbarrow/daemon/cores.py
@@ -29,6 +29,7 @@
 from fulmarbarrow.versions import control as versions_control
 from fulmarbarrow.versions import messages as versions_messages
 from fulmarbarrow.versions import router as versions_router
+from fulmarbarrow.zones import control as zones_control
 from fulmarbarrow.zones import core as zones_core
 
 
@@ -59,6 +60,8 @@
         rng: random.Random,
         now: datetime.datetime,
         logs: consensus_memory.Logs | None = None,
+        restored: publishing_messages.StoreRevision | None = None,
+        stores_revisions: bool = False,
     ) -> None:
         self._settings = settings
         self._record = record
@@ -67,6 +70,8 @@
         self._rng = rng
         self._now = now
         self._logs = logs
+        self._restored = restored
+        self._stores_revisions = stores_revisions
         self.by_name: dict[str, buses.Core] = {}
         self._add_common()
         if defaults.Role.CONTROL in settings.daemon.roles:
@@ -93,7 +98,11 @@
         self._add(
             "publishing",
             follower.PublishingFollower(
-                daemon_id=self._record.daemon_id, address=self._record.address
+                daemon=self._record,
+                source=self._rng,
+                metrics=self._metrics,
+                stores=self._stores_revisions,
+                restored=self._restored,
             ),
         )
 
@@ -108,13 +117,19 @@
             logs,
             (publishing_messages.MACHINE, versions_messages.MACHINE),
         )
-        self._add("control", control.PublishingControl(daemon=record))
+        self._add(
+            "control", control.PublishingControl(daemon=record, now=self._now)
+        )
         self._add(
             "version_moves",
             versions_control.VersionsControl(
                 daemon=record, group=consensus_messages.Group.CONFIGURATION
             ),
         )
+        self._add(
+            "kv_moves",
+            zones_control.ZonesControl(daemon=record, metrics=self._metrics),
+        )
         self._add_log(
             "journal_log", consensus_messages.Group.JOURNAL, logs, ("",)
         )
@@ -160,7 +175,12 @@
             "versions",
             versions_router.VersionsRouter(daemon=record, metrics=metrics),
         )
-        self._add("zones", zones_core.ZonesCore())
+        self._add(
+            "zones",
+            zones_core.ZonesCore(
+                daemon=record, metrics=metrics, rng=self._rng
+            ),
+        )
         policy = limits_policy.Policy()
         self._add(
             "limits", limits_core.LimitsCore(metrics=metrics, policy=policy)
