--- a/fulmarbarrow/daemon/assembly.py
+++ b/fulmarbarrow/daemon/assembly.py
@@ -4,50 +4,45 @@
 
 import datetime
 import logging
+import pathlib
 import random
 import typing
 
-import klein
-from twisted.internet import interfaces
 from twisted.internet import task
+from twisted.web import resource as resources
 
 from fulmarbarrow import bus as buses
 from fulmarbarrow import clock as clocks
 from fulmarbarrow.config import defaults
-from fulmarbarrow.config import options
-from fulmarbarrow.consensus import core as consensus_core
-from fulmarbarrow.consensus import messages as consensus_messages
+from fulmarbarrow.consensus import shell as consensus_shell
+from fulmarbarrow.daemon import cores
 from fulmarbarrow.daemon import lifecycle
-from fulmarbarrow.delivery import core as delivery_core
+from fulmarbarrow.daemon import listeners
 from fulmarbarrow.delivery import shell as delivery_shell
 from fulmarbarrow.edge import admin
 from fulmarbarrow.edge import callers
 from fulmarbarrow.edge import client
 from fulmarbarrow.edge import exchange
+from fulmarbarrow.edge import guarded
+from fulmarbarrow.edge import orders
 from fulmarbarrow.edge import site as sites
 from fulmarbarrow.edge import upstreams
-from fulmarbarrow.journal import control as journal_control
-from fulmarbarrow.journal import router as journal_router
-from fulmarbarrow.limits import core as limits_core
-from fulmarbarrow.limits import policy as limits_policy
-from fulmarbarrow.membership import core as membership_core
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics as metrics_module
-from fulmarbarrow.placement import core as placement_core
 from fulmarbarrow.placement import messages as placement_messages
-from fulmarbarrow.publishing import control
-from fulmarbarrow.publishing import follower
-from fulmarbarrow.versions import core as versions_core
+from fulmarbarrow.publishing import shell as publishing_shell
+from fulmarbarrow.tracing import edge as tracing_edge
+from fulmarbarrow.tracing import recorder
 from fulmarbarrow.wire import codec
 from fulmarbarrow.wire import transport
-from fulmarbarrow.zones import core as zones_core
 
 log = logging.getLogger(__name__)
 
 TICK = datetime.timedelta(milliseconds=250)
 PLACEMENT_TICK = datetime.timedelta(milliseconds=50)
 DRAIN_CHECK = datetime.timedelta(milliseconds=50)
+MAX_FLUSH = datetime.timedelta(seconds=30)  # for callers that read slowly
 MAX_OWN_BODY_BYTES = 16 << 20  # bundles and announcements
 
 
@@ -60,34 +55,78 @@
         settings: defaults.Settings,
         reactor: typing.Any,
         clock: clocks.Clock,
+        settings_text: str = "",
     ) -> None:
         self._settings = settings
+        self._settings_text = settings_text
         self._reactor = reactor
         self._clock = clock
-        self._metrics = metrics_module.Metrics()
+        self._metrics = metrics_module.Metrics(
+            common={
+                "daemon": settings.daemon.id,
+                "zone": settings.daemon.zone,
+            }
+        )
         self._bus = buses.Bus(clock=clock)
         self._exchanges = exchange.Exchanges()
-        self._cores: dict[str, buses.Core] = {}
-        self._ports: list[interfaces.IListeningPort] = []
-        self._record = self._describe()
+        self._cut = 0
+        self._flush_until: datetime.datetime | None = None
+        self._started = clock.now()
+        self._record = cores.describe(settings, self._started)
+        self._fresh = _is_fresh(settings.daemon.data_dir)
+        self._recorder: recorder.Recorder | None = None
         self._transport = self._make_transport()
         self._bus.subscribe(
             message.Send, lambda event, _: self._transport.send(event)
         )
         self._callers: callers.CallersEdge | None = None
         self._placement_ticks: task.LoopingCall | None = None
-        self._add_common()
+        self._consensus: consensus_shell.ConsensusShell | None = None
+        self._revisions: publishing_shell.RevisionFile | None = None
+        if settings.daemon.data_dir:
+            self._revisions = publishing_shell.RevisionFile(
+                data_folder=pathlib.Path(settings.daemon.data_dir),
+                bus=self._bus,
+                metrics=self._metrics,
+            )
         if defaults.Role.CONTROL in settings.daemon.roles:
-            self._add_control()
+            self._add_control_edges()
         if defaults.Role.ROUTER in settings.daemon.roles:
-            self._add_router()
+            self._add_router_edges()
+        self._cores = cores.Cores(
+            settings=settings,
+            record=self._record,
+            bus=self._bus,
+            metrics=self._metrics,
+            rng=random.Random(self._record.incarnation),
+            now=self._started,
+            logs=self._consensus,
+            restored=self._revisions.restored if self._revisions else None,
+            stores_revisions=self._revisions is not None,
+        ).by_name
         self._admin = admin.AdminEdge(
-            bus=self._bus, metrics=self._metrics, dump=self.dump
+            bus=self._bus,
+            metrics=self._metrics,
+            dump=self.dump,
+            publishes=self._consensus is not None,
         )
+        tracing_edge.TracingEdge(app=self._admin.app, record=self.record)
         self._ticks = task.LoopingCall(self._bus.post, message.Tick())
         self._drain = task.LoopingCall(self._check_drained)
+        self._listeners = self._make_listeners()
         self._lifecycle = lifecycle.make_lifecycle(self)
 
+    def bind(self) -> dict[str, str]:
+        """Bind every port; return what failed by setting.
+
+        If none failed, a trace that the settings ask for begins.
+        """
+        failed = self._listeners.bind()
+        wanted = self._settings.trace
+        if not failed and wanted.path:
+            self.record(wanted.path, wanted.max_bytes, from_start=self._fresh)
+        return failed
+
     def start(self) -> None:
         """Start to serve."""
         self._lifecycle.start()
@@ -96,6 +135,11 @@
         """Begin the graceful shutdown; a second call ends at once."""
         self._lifecycle.stop()
 
+    @property
+    def exit_code(self) -> int:
+        """0 after a graceful shutdown, 1 if it cut open requests."""
+        return 1 if self._cut else 0
+
     def dump(self) -> dict[str, typing.Any]:
         """Return the state of every core, as plain data."""
         return {
@@ -106,22 +150,44 @@
             "callers": self._callers.dump() if self._callers else None,
             "unhandled": dict(self._bus.unhandled),
             "errors": dict(self._bus.errors),
+            "disk": self._consensus.dump() if self._consensus else None,
             "cores": {name: core.dump() for name, core in self._cores.items()},
             "metrics": self._metrics.dump(),
         }
 
+    def record(
+        self, name: str, max_bytes: int, from_start: bool = False
+    ) -> pathlib.Path:
+        """Record a trace below the data folder; return its path.
+
+        An empty name only ends the one that is being recorded. Raises
+        ConfigurationError or StorageError.
+        """
+        if self._recorder is not None:
+            self._recorder.stop()
+            self._recorder = None
+        if not name:
+            return pathlib.Path()
+        made = recorder.Recorder(
+            bus=self._bus,
+            data_dir=pathlib.Path(self._settings.daemon.data_dir),
+            name=name,
+            max_bytes=max_bytes,
+            settings=self._settings_text,
+            started=self._started,
+            host_identity=(
+                self._consensus.host_identity if self._consensus else ""
+            ),
+            from_start=from_start,
+        )
+        made.start()
+        self._recorder = made
+        return made.path
+
     # Actions of the lifecycle.
 
-    def open_listeners(self) -> None:
-        """Start to listen."""
-        self._transport.start()
-        self._listen(self._settings.listen.admin, self._site(self._admin.app))
-        if self._callers is not None:
-            self._listen(self._settings.listen.callers, self._callers.site)
-            self._listen(
-                self._settings.listen.upstreams,
-                self._site(self._upstreams_edge.app),
-            )
+    def begin_serving(self) -> None:
+        """Start the clockwork; the ports are bound already."""
         self._ticks.start(TICK.total_seconds())
         if self._placement_ticks is not None:
             self._placement_ticks.start(PLACEMENT_TICK.total_seconds())
@@ -146,32 +212,36 @@
 
     def close(self) -> None:
         """Close everything and end the process."""
-        log.info("daemon %s stops", self._settings.daemon.id)
+        self._cut = len(self._exchanges)
+        log.info(
+            "daemon %s stops, %d requests cut",
+            self._settings.daemon.id,
+            self._cut,
+        )
         if self._drain.running:
             self._drain.stop()
         for ticks in (self._ticks, self._placement_ticks):
             if ticks is not None and ticks.running:
                 ticks.stop()
-        for port in self._ports:
-            port.stopListening()
-        self._transport.stop()
+        if self._consensus is not None:
+            self._consensus.close()
+        self._listeners.close()
+        if self._recorder is not None:
+            self._recorder.stop()
         self._reactor.callLater(0, self._reactor.stop)
 
     def _check_drained(self) -> None:
-        if len(self._exchanges) == 0:
+        if self._callers is None or self._callers.drained():
+            self._lifecycle.drained()
+            return
+        if len(self._exchanges):
+            self._flush_until = None
+            return
+        now = self._clock.now()
+        if self._flush_until is None:
+            self._flush_until = now + MAX_FLUSH
+        elif now > self._flush_until:
             self._lifecycle.drained()
-
-    def _describe(self) -> membership_messages.Daemon:
-        settings = self._settings
-        started = self._clock.now().timestamp()
-        return membership_messages.Daemon(
-            daemon_id=settings.daemon.id,
-            incarnation=int(started * 1000),
-            zone=settings.daemon.zone,
-            region=settings.daemon.region,
-            address=str(settings.listen.peers),
-            roles=tuple(role.value for role in settings.daemon.roles),
-        )
 
     def _make_transport(self) -> transport.Transport:
         return transport.Transport(
@@ -186,56 +256,26 @@
             received=self._bus.post,
         )
 
-    def _add(self, name: str, core: buses.Core) -> None:
-        self._cores[name] = core
-        self._bus.attach(core)
-
-    def _add_common(self) -> None:
-        self._add(
-            "membership",
-            membership_core.MembershipCore(
-                daemon=self._record,
-                seeds=tuple(map(str, self._settings.peers.seeds)),
-                lease=self._settings.upstreams.lease,
-                metrics=self._metrics,
-            ),
-        )
-        self._add(
-            "publishing",
-            follower.PublishingFollower(
-                daemon_id=self._record.daemon_id, address=self._record.address
-            ),
-        )
-
-    def _add_control(self) -> None:
-        self._add(
-            "consensus",
-            consensus_core.ConsensusCore(
-                group=consensus_messages.Group.CONFIGURATION
-            ),
-        )
-        self._add("control", control.PublishingControl(daemon=self._record))
-        self._add(
-            "journal_log",
-            consensus_core.ConsensusCore(
-                group=consensus_messages.Group.JOURNAL
-            ),
+    def _add_control_edges(self) -> None:
+        self._consensus = consensus_shell.ConsensusShell(
+            data_folder=pathlib.Path(self._settings.daemon.data_dir),
+            bus=self._bus,
+            reactor=self._reactor,
+            metrics=self._metrics,
         )
-        self._add(
-            "journal_control",
-            journal_control.JournalControl(
-                daemon=self._record, metrics=self._metrics
-            ),
+        self._orders = orders.OrdersClient(
+            reactor=self._reactor,
+            bus=self._bus,
+            key=self._settings.upstreams.key,
         )
 
-    def _add_router(self) -> None:
-        metrics = self._metrics
+    def _add_router_edges(self) -> None:
         self._callers = callers.CallersEdge(
             daemon_id=self._record.daemon_id,
             incarnation=self._record.incarnation,
             bus=self._bus,
             clock=self._clock,
-            metrics=metrics,
+            metrics=self._metrics,
             exchanges=self._exchanges,
             limits=self._settings.limits,
         )
@@ -248,45 +288,35 @@
             clock=self._clock,
             exchanges=self._exchanges,
         )
-        self._add("versions", versions_core.VersionsCore())
-        self._add("zones", zones_core.ZonesCore())
-        policy = limits_policy.Policy()
-        self._add(
-            "limits", limits_core.LimitsCore(metrics=metrics, policy=policy)
-        )
-        self._add(
-            "placement",
-            placement_core.PlacementCore(
-                daemon=self._record,
-                policy=policy,
-                metrics=metrics,
-                rng=random.Random(self._record.incarnation),
-            ),
-        )
         self._placement_ticks = task.LoopingCall(
             self._bus.post, placement_messages.PlacementTick()
         )
-        self._add(
-            "journal",
-            journal_router.JournalRouter(daemon=self._record, metrics=metrics),
+        delivery_shell.Alarm(reactor=self._reactor, bus=self._bus)
+
+    def _make_listeners(self) -> listeners.Listeners:
+        listen = self._settings.listen
+        made = listeners.Listeners(
+            reactor=self._reactor, transport=self._transport
         )
-        self._add(
-            "delivery",
-            delivery_core.DeliveryCore(metrics=metrics, rng=random.Random()),
+        admin_resource = guarded.GuardedResource(
+            app=self._admin.app, key=self._settings.daemon.admin_key
         )
-        delivery_shell.Alarm(reactor=self._reactor, bus=self._bus)
+        made.add("admin", listen.admin, self._site(admin_resource))
+        if self._callers is not None:
+            made.add("callers", listen.callers, self._callers.site)
+            announcements = self._upstreams_edge.app.resource()
+            made.add("upstreams", listen.upstreams, self._site(announcements))
+        return made
 
-    def _site(self, app: klein.Klein) -> sites.BoundedSite:
+    def _site(self, resource: resources.IResource) -> sites.BoundedSite:
         return sites.BoundedSite(
-            resource=app.resource(),
+            resource=resource,
             max_body_bytes=MAX_OWN_BODY_BYTES,
             metrics=self._metrics,
         )
 
-    def _listen(
-        self, address: options.Address, site: sites.BoundedSite
-    ) -> None:
-        port = self._reactor.listenTCP(
-            address.port, site, interface=address.host
-        )
-        self._ports.append(port)
+
+def _is_fresh(data_dir: str) -> bool:
+    """Return whether no earlier run has left anything."""
+    folder = pathlib.Path(data_dir)
+    return not data_dir or not folder.exists() or not any(folder.iterdir())
