--- a/benchmarks/delivery_world.py
+++ b/benchmarks/delivery_world.py
@@ -161,7 +161,7 @@
             node.post(message.Tick())
         self.after(TICK, self._tick)
 
-    def _count(self, _: message.Message, __: datetime.datetime) -> None:
+    def _count(self, _: buses.Turn) -> None:
         self.steps += 1
         step = self.steps
         self.after(datetime.timedelta(0), self.on_step, step)
