--- a/fulmarbarrow/commands/check.py
+++ b/fulmarbarrow/commands/check.py
@@ -10,12 +10,16 @@
 from fulmarbarrow.config import bundle as bundles
 from fulmarbarrow.config import collect
 from fulmarbarrow.config import findings as findings_module
+from fulmarbarrow.config import hosts
 from fulmarbarrow import exceptions
 from fulmarbarrow.observe import plain
 
 
 def check(*roots: str, json: bool = False) -> str:
-    """Check all operators' files below the given folders.
+    """Check all files below the given folders.
+
+    These are the operators' files and, in folders named hosts, the settings
+    of daemons.
 
     Args:
         roots: the folders
@@ -58,7 +62,9 @@
         raise exceptions.ConfigurationError(
             f"no such folder: {', '.join(missing)}"
         )
-    return collect.collect(folders)
+    bundle, found = collect.collect(folders)
+    daemons, problems = hosts.collect(folders)
+    return bundle, [*found, *problems, *hosts.check(daemons, bundle)]
 
 
 def _raise_errors(found: list[findings_module.Finding]) -> None:
--- /dev/null
+++ b/fulmarbarrow/config/features/steps/examples.py
@@ -0,0 +1,61 @@
+"""Steps that check whole folders."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import shutil
+import tempfile
+
+import behave
+
+from fulmarbarrow.commands import check
+from fulmarbarrow.config import collect
+from fulmarbarrow.config import hosts
+
+
+@behave.when('the folder "{folder}" is checked')
+def step_check(context, folder):
+    context.roots = [pathlib.Path(folder)]
+    context.report = json.loads(check.check(folder, json=True))
+
+
+@behave.then("it has no finding")
+def step_none(context):
+    assert context.report["findings"] == [], context.report
+
+
+@behave.then(
+    "it has {daemons:d} entry hosts in {zones:d} zones and {accounts:d} "
+    "accounts"
+)
+def step_sizes(context, daemons, zones, accounts):
+    found, _ = hosts.collect(context.roots)
+    bundle, _ = collect.collect(context.roots)
+    assert len(found) == daemons
+    assert len({host.settings.daemon.zone for host in found}) == zones
+    assert len(bundle.zone) == zones
+    assert len(bundle.account) == accounts
+    assert len([a for a in bundle.account if a.priority]) == 1
+
+
+@behave.given('a copy of "{folder}"')
+def step_copy(context, folder):
+    context.copy = pathlib.Path(tempfile.mkdtemp())
+    shutil.copytree(folder, context.copy, dirs_exist_ok=True)
+
+
+@behave.given('in "{name}" "{old}" is replaced by "{new}"')
+def step_replace(context, name, old, new):
+    path = context.copy / name
+    text = path.read_text()
+    assert old in text
+    path.write_text(text.replace(old, new))
+
+
+@behave.when("the copy is checked")
+def step_check_copy(context):
+    daemons, context.found = hosts.collect([context.copy])
+    bundle, _ = collect.collect([context.copy])
+    context.found.extend(hosts.check(daemons, bundle))
+    shutil.rmtree(context.copy)
--- /dev/null
+++ b/fulmarbarrow/config/hosts.py
@@ -0,0 +1,118 @@
+"""Checks the settings of all daemons of a fleet against each other."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import pathlib
+
+from fulmarbarrow.config import base
+from fulmarbarrow.config import bundle as bundles
+from fulmarbarrow.config import defaults
+from fulmarbarrow.config import findings
+
+FOLDER = "hosts"
+
+_Found = collections.abc.Iterator[findings.Finding]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Host:
+    """One daemon's settings and the file that they are from."""
+
+    settings: defaults.Settings
+    source: findings.Source
+
+
+def collect(
+    roots: collections.abc.Iterable[pathlib.Path],
+) -> tuple[list[Host], list[findings.Finding]]:
+    """Return the settings in all ``hosts`` folders below the roots."""
+    found: list[findings.Finding] = []
+    hosts = []
+    for path in _paths(roots):
+        settings, problems = base.load_settings(path)
+        found.extend(problems)
+        if settings is not None:
+            source = findings.Source(path=path, text=path.read_text())
+            hosts.append(Host(settings=settings, source=source))
+    return hosts, found
+
+
+def check(hosts: list[Host], bundle: bundles.Bundle) -> _Found:
+    """Yield what does not fit together in one fleet."""
+    yield from _check_unique(hosts)
+    yield from _check_zones(hosts, bundle)
+    yield from _check_keys(hosts)
+    yield from _check_control(hosts)
+
+
+def _paths(
+    roots: collections.abc.Iterable[pathlib.Path],
+) -> list[pathlib.Path]:
+    return sorted(
+        {path for root in roots for path in root.rglob(f"{FOLDER}/*.toml")}
+    )
+
+
+def _check_unique(hosts: list[Host]) -> _Found:
+    names: dict[str, pathlib.Path] = {}
+    addresses: dict[object, pathlib.Path] = {}
+    for host in hosts:
+        path = host.source.path
+        name = host.settings.daemon.id
+        first = names.setdefault(name, path)
+        if first != path:
+            text = f"{name!r} is also the id in {first}"
+            yield host.source.finding("daemon.id", text)
+        for listener in ("admin", "peers", "callers", "upstreams"):
+            address = getattr(host.settings.listen, listener)
+            if address is None or address.host == "127.0.0.1":
+                continue
+            first = addresses.setdefault(address, path)
+            if first != path:
+                text = f"{address} is also listened on in {first}"
+                yield host.source.finding(f"listen.{listener}", text)
+
+
+def _check_zones(hosts: list[Host], bundle: bundles.Bundle) -> _Found:
+    regions = {zone.name: zone.region for zone in bundle.zone}
+    for host in hosts:
+        daemon = host.settings.daemon
+        if regions and daemon.zone not in regions:
+            text = f"no zone is named {daemon.zone!r}"
+            yield host.source.finding("daemon.zone", text)
+        elif regions and daemon.region != regions[daemon.zone]:
+            text = f"the zone is in region {regions[daemon.zone]!r}"
+            yield host.source.finding("daemon.region", text)
+
+
+def _check_keys(hosts: list[Host]) -> _Found:
+    for key, section, name in (
+        ("daemon.fleet_key", "daemon", "fleet_key"),
+        ("upstreams.key", "upstreams", "key"),
+    ):
+        first = None
+        for host in hosts:
+            value = getattr(getattr(host.settings, section), name)
+            first = value if first is None else first
+            if value != first:
+                text = f"differs from that in {hosts[0].source.path}"
+                yield host.source.finding(key, text)
+
+
+def _check_control(hosts: list[Host]) -> _Found:
+    peers = {host.settings.listen.peers for host in hosts}
+    members = None
+    for host in hosts:
+        for seed in host.settings.peers.seeds:
+            if seed not in peers:
+                text = f"no host's listen.peers is {seed}"
+                yield host.source.finding("peers.seeds", text)
+        if defaults.Role.CONTROL not in host.settings.daemon.roles:
+            continue
+        own = set(host.settings.control.members)
+        members = own if members is None else members
+        if own != members:
+            text = "differ from those of another control host"
+            yield host.source.finding("control.members", text)
--- a/fulmarbarrow/daemon/features/steps/path.py
+++ b/fulmarbarrow/daemon/features/steps/path.py
@@ -168,7 +168,7 @@
     )
     host, port = context.daemon.callers.split(":")
     with socket.socket() as plug:
-        plug.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        plug.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
         plug.settimeout(fleet.WAIT_SECONDS)
         plug.connect((host, int(port)))
         plug.sendall(
@@ -180,7 +180,7 @@
         context.daemon.process.send_signal(signal.SIGTERM)
         while part := plug.recv(64 * 1024):
             context.slow_answer += part
-            time.sleep(0.01)
+            time.sleep(0.002)
     context.exit_code = context.daemon.stop()
 
 
