--- a/fulmarbarrow/edge/features/callers.feature
+++ b/fulmarbarrow/edge/features/callers.feature
@@ -42,7 +42,7 @@
 
   Scenario: Models are listed for a valid key
     When the models are fetched with a valid key
-    Then the models are lacework
+    Then the models are die-wear, lacework, motif-check
 
   Scenario: A slow caller makes the daemon buffer no more than its bound
     When a caller asks for 100000 tokens and reads nothing for a while
