--- /dev/null
+++ b/fulmarbarrow/journal/features/steps/kills.py
@@ -0,0 +1,289 @@
+"""Steps over real sockets on loopback, with processes that are killed."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import json
+import pathlib
+import time
+
+import behave
+
+from tools import fleet
+
+OFFICE = pathlib.Path("examples/office").resolve()
+HEADERS = {"Authorization": "Bearer demo-key-volos"}
+RESENDS = 40
+FATES = ("not_run", "outcome_unknown")
+RESEND_SECONDS = 0.3
+
+
+def standin(context, kind, number, offers, **options):
+    process = fleet.StandinProcess(
+        folder=context.path,
+        kind=kind,
+        upstream_id=f"{kind}-{number}",
+        zone="attica-a",
+        offers=offers,
+        entries=tuple(daemon.upstreams for daemon in context.daemons),
+        **options,
+    )
+    context.processes.append(process)
+    process.start()
+    return process
+
+
+def known(daemon):
+    state = daemon.dump()
+    return state["cores"]["membership"]["upstreams"] if state else []
+
+
+@behave.given("three daemons that are routers and control hosts")
+def step_daemons(context):
+    ports = [fleet.free_ports(4) for _ in range(3)]
+    members = tuple(
+        (f"entry-{number}", f"127.0.0.1:{group[3]}")
+        for number, group in enumerate(ports, 1)
+    )
+    context.daemons = [
+        fleet.DaemonProcess(
+            folder=context.path,
+            daemon_id=name,
+            zone="attica-a",
+            roles=("router", "control"),
+            seeds=tuple(address for _, address in members),
+            members=members,
+            ports=group,
+        )
+        for (name, _), group in zip(members, ports, strict=True)
+    ]
+    context.processes += context.daemons
+    for daemon in context.daemons:
+        daemon.spawn()
+    for daemon in context.daemons:
+        fleet.wait_until(daemon.dump, f"{daemon.daemon_id} starts")
+
+
+@behave.given(
+    "a register that takes {work_ms:d} ms for an order and three engines"
+)
+def step_standins(context, work_ms):
+    context.register = standin(
+        context, "plain", 1, "register", work_ms=work_ms
+    )
+    context.engines = [
+        standin(context, "engine", number, "consultations/lacework/1")
+        for number in (1, 2, 3)
+    ]
+    for daemon in context.daemons:
+        fleet.wait_until(lambda d=daemon: len(known(d)) == 4, "announced")
+
+
+@behave.given("the files of the Office are in force")
+def step_publish(context):
+    def published():
+        done = fleet.command(
+            "publish", str(OFFICE), "--admin", context.daemons[0].admin
+        )
+        return done.returncode == 0
+
+    fleet.wait_until(published, "published")
+
+
+def place(daemon, key):
+    status, body = fleet.fetch(
+        f"http://{daemon.callers}/register/orders",
+        method="POST",
+        body=b'{"die": "rosette-12"}',
+        headers={**HEADERS, "Idempotency-Key": key},
+    )
+    try:
+        return status, json.loads(body)
+    except ValueError:
+        return status, {}
+
+
+def fate(daemons, key):
+    """Send an order again until it is answered or sealed, or its run over."""
+    for number in range(RESENDS):
+        status, body = place(daemons[number % len(daemons)], key)
+        code = body.get("error", {}).get("code", "")
+        if status == 200 or code in FATES:
+            return key, code
+        time.sleep(RESEND_SECONDS)
+    raise AssertionError((key, status, body))
+
+
+def working(context):
+    _, body = fleet.fetch(f"{context.register.url}/admin/state")
+    return json.loads(body or b"{}").get("open", 0)
+
+
+def counts(context):
+    _, body = fleet.fetch(f"{context.register.url}/counts")
+    return json.loads(body)
+
+
+def daemon_named(context, name):
+    return next(d for d in context.daemons if d.daemon_id == name)
+
+
+@behave.when("an order is placed through {name}")
+def step_place(context, name):
+    context.keys = ["order-1"]
+    pool = concurrent.futures.ThreadPoolExecutor(1)
+    context.first = pool.submit(place, daemon_named(context, name), "order-1")
+
+
+@behave.when("{name} is killed while the register works on it")
+def step_kill_router(context, name):
+    fleet.wait_until(lambda: working(context), "the register works")
+    daemon_named(context, name).kill()
+    status, _ = context.first.result()
+    assert status == 0, status
+
+
+@behave.when("the order is sent again through {name} until its fate is told")
+def step_resend(context, name):
+    context.fates = [fate([daemon_named(context, name)], "order-1")]
+
+
+@behave.then("no order ran twice and every fate is true")
+def step_true(context):
+    ran = counts(context)
+    assert all(count == 1 for count in ran.values()), ran
+    for key, code in context.fates:
+        if not code:
+            assert ran[key] == 1, key
+        if code == "not_run":
+            assert key not in ran, key
+
+
+@behave.when("the register cuts the next answer")
+def step_cut(context):
+    status, _ = fleet.fetch(
+        f"{context.register.url}/admin/faults",
+        method="POST",
+        body=b'{"fault": "cut", "count": 1}',
+    )
+    assert status == 200
+
+
+@behave.then("the order is answered and ran once")
+def step_answered(context):
+    status, body = context.first.result()
+    assert (status, body.get("runs")) == (200, 1), (status, body)
+    assert counts(context) == {"order-1": 1}
+
+
+@behave.when("{count:d} orders are placed through the other daemons")
+def step_many(context, count):
+    def leader():
+        state = context.daemons[0].dump()
+        return state["cores"]["journal_log"].get("leader")
+
+    fleet.wait_until(leader, "a leader")
+    context.leader = daemon_named(context, leader())
+    context.others = [d for d in context.daemons if d is not context.leader]
+    context.keys = [f"order-{number}" for number in range(count)]
+    context.pool = concurrent.futures.ThreadPoolExecutor(count)
+    context.first = [
+        context.pool.submit(place, context.others[number % 2], key)
+        for number, key in enumerate(context.keys)
+    ]
+
+
+@behave.when("the journal's leader is killed while the register works on them")
+def step_kill_leader(context):
+    fleet.wait_until(lambda: working(context), "the register works")
+    context.leader.kill()
+    context.outcomes = [item.result() for item in context.first]
+
+
+@behave.when("each order is sent again under its key until its fate is told")
+def step_resend_all(context):
+    context.fates = list(
+        context.pool.map(lambda key: fate(context.others, key), context.keys)
+    )
+
+
+@behave.then("a new order through the other daemons is answered")
+def step_new_order(context):
+    assert fate(context.others, "new-order") == ("new-order", "")
+
+
+@behave.when("the register is killed while it works on it")
+def step_kill_register(context):
+    fleet.wait_until(lambda: working(context), "the register works")
+    context.register.kill()
+    context.answer = context.first.result()
+
+
+@behave.then("the caller is told that the outcome is unknown")
+def step_unknown(context):
+    _, body = context.answer
+    assert body["error"]["ran"] == "unknown", context.answer
+
+
+@behave.when("the register is back and the order is sent again through {name}")
+def step_register_back(context, name):
+    context.register.start()
+    fleet.wait_until(
+        lambda: fleet.fetch(f"{context.register.url}/counts")[0] == 200,
+        "the register is back",
+    )
+    context.answer = place(daemon_named(context, name), "order-1")
+
+
+@behave.then("the register that came back ran nothing")
+def step_nothing(context):
+    assert counts(context) == {}, counts(context)
+
+
+@behave.when("a chat of {tokens:d} tokens is streamed through {name}")
+def step_stream(context, tokens, name):
+    body = {
+        "model": "lacework",
+        "stream": True,
+        "max_tokens": tokens,
+        "messages": [{"role": "user", "content": "motif"}],
+    }
+    pool = concurrent.futures.ThreadPoolExecutor(1)
+    context.first = pool.submit(
+        fleet.fetch,
+        f"http://{daemon_named(context, name).callers}/v1/chat/completions",
+        method="POST",
+        body=json.dumps(body).encode(),
+        headers=HEADERS,
+    )
+
+
+@behave.when("the engine that runs it is killed")
+def step_kill_engine(context):
+    def running():
+        for engine in context.engines:
+            _, body = fleet.fetch(f"{engine.url}/admin/state")
+            if json.loads(body or b"{}").get("running"):
+                return engine
+        return None
+
+    fleet.wait_until(running, "an engine runs the chat")
+    time.sleep(RESEND_SECONDS)
+    running().kill()
+
+
+@behave.then(
+    "the caller's stream has the {tokens:d} tokens once and the end marker"
+)
+def step_whole(context, tokens):
+    status, answer = context.first.result()
+    events = answer.decode().strip().split("\n\n")
+    assert (status, events[-1]) == (200, "data: [DONE]"), events[-2:]
+    words = [
+        json.loads(event.removeprefix("data: "))["choices"][0]["delta"].get(
+            "content", ""
+        )
+        for event in events[:-1]
+    ]
+    spoken = [word for word in words if word]
+    assert spoken == [f"w{number} " for number in range(tokens)], spoken
--- a/fulmarbarrow/standins/plain.py
+++ b/fulmarbarrow/standins/plain.py
@@ -99,6 +99,7 @@
         cut = self._guard.cut_after()
         if cut is not None:
             self._cut(request, answer, cut)
+            return b""
         return answer
 
     def _cut(self, request: http.Request, answer: bytes, cut: int) -> None:
