--- a/benchmarks/delivery_world.py
+++ b/benchmarks/delivery_world.py
@@ -107,6 +107,7 @@
                 self.upstreams[upstream.upstream_id] = upstream
         self.callers: dict[str, typing.Any] = {}
         self._introduce()
+        self.log.lead(0)
         self.after(TICK, self._tick)
 
     @property
@@ -125,9 +126,9 @@
         """Let time pass until a condition holds, or ``limit`` seconds."""
         end = self.now + datetime.timedelta(seconds=limit)
         while self._queue and not until():
-            at, _, (call, args) = heapq.heappop(self._queue)
-            if at > end:
+            if self._queue[0][0] > end:
                 return
+            at, _, (call, args) = heapq.heappop(self._queue)
             if at > self.now:
                 self.clock.advance(at - self.now)
             call(*args)
@@ -326,8 +327,21 @@
         self.commits: collections.Counter[str] = collections.Counter()
 
     def lead(self, number: int) -> None:
-        """Make another control host the leader."""
+        """Make another control host the leader; the others hear of it."""
         self._leader = number
+        leader = self._world.controls[number]
+        for control in self._world.controls:
+            self._world.after(
+                HOP,
+                control.post,
+                consensus_messages.LeaderChanged(
+                    group=consensus_messages.Group.JOURNAL,
+                    term=1,
+                    leader=leader.name,
+                    address=leader.address,
+                    fencing_number=1,
+                ),
+            )
 
     def propose(self, node: Node, event: consensus_messages.Propose) -> None:
         """Commit a proposal after a while, or say why not."""
--- a/fulmarbarrow/journal/control.py
+++ b/fulmarbarrow/journal/control.py
@@ -45,8 +45,9 @@
 class JournalControl:
     """Calls of routers in, batches to the log and replies out.
 
-    While one batch of a shard is being committed the next one gathers, so
-    that one synced write commits what came meanwhile.
+    Calls are sent on to the leader. While one batch of a shard is being
+    committed the next one gathers, so that one synced write commits what
+    came meanwhile.
     """
 
     handles = (
@@ -77,6 +78,7 @@
         self._proposals: dict[str, _Proposal] = {}
         self._pending: dict[str, str] = {}
         self._number = 0
+        self._leader = ""
         self._addresses = {daemon.daemon_id: daemon.address}
         self._encoder = msgspec.msgpack.Encoder()
 
@@ -98,6 +100,7 @@
             case consensus_messages.LeaderChanged(
                 group=consensus_messages.Group.JOURNAL
             ):
+                self._leader = event.leader
                 if event.leader and event.address:
                     self._addresses[event.leader] = event.address
             case consensus_messages.SnapshotWanted(
@@ -131,6 +134,10 @@
         if call.call_id in self._pending:
             return []
         self._pending[call.call_id] = call.reply_to
+        elsewhere = self._addresses.get(self._leader, "")
+        if self._leader != self._daemon.daemon_id and elsewhere:
+            # The leader answers at its commit, a follower hears of it later.
+            return self._redirect((call,), elsewhere, False)
         number = shard_of(call.body)
         shard = self._shards[number]
         shard.waiting.append(call)
--- a/fulmarbarrow/journal/features/steps/calls.py
+++ b/fulmarbarrow/journal/features/steps/calls.py
@@ -15,6 +15,7 @@
 def step_leader(context, number):
     context.world = worlds.World(seed=1)
     context.world.log.lead(number)
+    context.world.run(lambda: False, 0.1)
     context.results = []
     router = context.world.routers[0]
     router.bus.subscribe(
@@ -58,6 +59,12 @@
     assert abs(lease - datetime.timedelta(seconds=seconds)) <= hops, lease
 
 
+@behave.then("{name} proposed the intent itself")
+def step_proposed(context, name):
+    (proposal_id,) = context.world.log.commits
+    assert f"-{name}-" in proposal_id, proposal_id
+
+
 @behave.when("{count:d} orders arrive while a commit is under way")
 def step_many(context, count):
     orders = [order(context, f"order-{number}") for number in range(count)]
