--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 export PYTHONPATH := $(CURDIR)
 export PYTHONDONTWRITEBYTECODE := 1
-SOURCES := fulmarbarrow benchmarks tools
+SOURCES := fulmarbarrow benchmarks faultmatrix tools
 
 .PHONY: demo test measure format lint docs scenarios setup
 
--- /dev/null
+++ b/faultmatrix/checks/configuration.py
@@ -0,0 +1,64 @@
+"""An accepted configuration is in force everywhere and never reverts."""
+
+from __future__ import annotations
+
+import datetime
+
+from faultmatrix.checks import base
+from faultmatrix import host as hosts
+from fulmarbarrow.config import bundle as bundles
+from fulmarbarrow.publishing import messages
+
+LIMIT = datetime.timedelta(seconds=2)
+
+
+class Configuration(base.Check):
+    """Follows the revision in force on each host, and what was accepted."""
+
+    name = "configuration"
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.results: dict[str, messages.PublishResult] = {}
+        self._in_force: dict[str, int] = {}
+        self._accepted: dict[int, str] = {}
+
+    def published(self, result: messages.PublishResult) -> None:
+        """Note an accepted revision; it must hold one bundle only.
+
+        The same bundle published twice is one revision.
+        """
+        if result.code:
+            if result.code == "revision_conflict":
+                self.results.setdefault(result.publish_id, result)
+            return
+        digest = self.fleet.published_digests[result.publish_id]
+        known = self._accepted.setdefault(result.revision, digest)
+        if known != digest:
+            self.breach(f"revision {result.revision} was accepted twice")
+        first = self.results.setdefault(result.publish_id, result)
+        if not first.code and first.revision != result.revision:
+            self.breach(f"{result.publish_id} was accepted twice")
+
+    def in_force(
+        self, host: hosts.Host, revision: int, bundle: bundles.Bundle
+    ) -> None:
+        """Compare with the revision before, within one incarnation."""
+        key = f"{host.plan.daemon_id}.{host.record.incarnation}"
+        if revision < self._in_force.get(key, 0):
+            self.breach(f"{key} went back to revision {revision}")
+        self._in_force[key] = revision
+
+    def finish(self) -> None:
+        """Compare each live host with the highest accepted revision."""
+        highest = max(self._accepted, default=0)
+        now = self.fleet.timeline.now
+        for host in self.fleet.hosts.values():
+            if not host.alive or now - host.started_at < LIMIT:
+                continue
+            key = f"{host.plan.daemon_id}.{host.record.incarnation}"
+            present = self._in_force.get(key, 0)
+            if present < highest:
+                self.breach(
+                    f"{key} has revision {present}, accepted was {highest}"
+                )
--- /dev/null
+++ b/faultmatrix/checks/leaving.py
@@ -0,0 +1,27 @@
+"""An upstream that is leaving gets no new work after a few seconds."""
+
+from __future__ import annotations
+
+import datetime
+
+from faultmatrix.checks import base
+from faultmatrix import upstream as upstreams
+
+LIMIT = datetime.timedelta(seconds=2)
+
+
+class Leaving(base.Check):
+    """Counts dispatches to an upstream two seconds after its word.
+
+    A router in a zone that is cut off from the upstream's cannot hear it.
+    """
+
+    name = "leaving"
+
+    def dispatched(
+        self, upstream: upstreams.Upstream, run: upstreams.Run
+    ) -> None:
+        """Compare with the time since the upstream announced it."""
+        since = upstream.leaving_since
+        if since is not None and self.fleet.timeline.now - since > LIMIT:
+            self.breach(f"{upstream.upstream_id} got work while leaving")
--- a/fulmarbarrow/bus.py
+++ b/fulmarbarrow/bus.py
@@ -17,6 +17,7 @@
     [typing.Any, datetime.datetime],
     collections.abc.Iterable[messages.Message] | None,
 ]
+Watcher = collections.abc.Callable[[messages.Message], None]
 Recorder = collections.abc.Callable[
     [messages.Message, datetime.datetime], None
 ]
@@ -55,6 +56,7 @@
         ] = collections.deque()
         self._draining = False
         self._recorder: Recorder | None = None
+        self._watcher: Watcher | None = None
         self._error_watchers: list[ErrorWatcher] = []
         self.unhandled: collections.Counter[str] = collections.Counter()
         self.errors: collections.Counter[str] = collections.Counter()
@@ -76,6 +78,10 @@
         """Call ``watcher`` with each message whose handling failed."""
         self._error_watchers.append(watcher)
 
+    def watch(self, watcher: Watcher | None) -> None:
+        """Give every delivered message, effects too, to ``watcher``."""
+        self._watcher = watcher
+
     def post(self, message: messages.Message) -> None:
         """Deliver a message and everything that follows from it.
 
@@ -98,6 +104,8 @@
     def _deliver(
         self, message: messages.Message, now: datetime.datetime
     ) -> None:
+        if self._watcher is not None:
+            self._watcher(message)
         handlers = self._handlers.get(type(message))
         if not handlers:
             self.unhandled[type(message).__name__] += 1
--- a/fulmarbarrow/daemon/assembly.py
+++ b/fulmarbarrow/daemon/assembly.py
@@ -36,8 +36,6 @@
 
 log = logging.getLogger(__name__)
 
-TICK = datetime.timedelta(milliseconds=250)
-PLACEMENT_TICK = datetime.timedelta(milliseconds=50)
 DRAIN_CHECK = datetime.timedelta(milliseconds=50)
 MAX_OWN_BODY_BYTES = 16 << 20  # bundles and announcements
 
@@ -123,9 +121,9 @@
 
     def begin_serving(self) -> None:
         """Start the clockwork; the ports are bound already."""
-        self._ticks.start(TICK.total_seconds())
+        self._ticks.start(cores.TICK.total_seconds())
         if self._placement_ticks is not None:
-            self._placement_ticks.start(PLACEMENT_TICK.total_seconds())
+            self._placement_ticks.start(cores.PLACEMENT_TICK.total_seconds())
         log.info("daemon %s serves", self._settings.daemon.id)
 
     def announce_stop(self) -> None:
--- a/fulmarbarrow/daemon/cores.py
+++ b/fulmarbarrow/daemon/cores.py
@@ -31,6 +31,9 @@
 from fulmarbarrow.versions import router as versions_router
 from fulmarbarrow.zones import core as zones_core
 
+TICK = datetime.timedelta(milliseconds=250)
+PLACEMENT_TICK = datetime.timedelta(milliseconds=50)
+
 
 class Cores:
     """All cores of one daemon by name, attached to its bus."""
