--- a/faultmatrix/matrix.py
+++ b/faultmatrix/matrix.py
@@ -16,6 +16,7 @@
 SEED = 1
 PROCESSES = 5
 CHUNK = 8
+CORE_ERROR = "no error in a core"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -101,7 +102,7 @@
     except Exception as error:
         place = traceback.extract_tb(error.__traceback__)[-1]
         breach = base.Breach(
-            check="no error in a core",
+            check=CORE_ERROR,
             at=None,
             text=f"{error!r} at {place.filename.rpartition('/')[2]}"
             f":{place.lineno}",
--- a/faultmatrix/upstream.py
+++ b/faultmatrix/upstream.py
@@ -23,6 +23,11 @@
 FOREIGN = "entry-x-1"
 BATCH_TOKENS = 2000
 
+_LOADS = (
+    versions_messages.OrderKind.LOAD_MODEL,
+    versions_messages.OrderKind.LOAD_ADAPTER,
+)
+
 
 def answer_event(chat: str, number: int) -> bytes:
     """Return one event of the only right answer for a chat."""
@@ -153,7 +158,8 @@
             code = "stale_fencing_number"
         else:
             self.fencing = order.fencing_number
-            self._timeline.after(LOAD_TIME, self._load, order)
+            if order.kind in _LOADS:
+                self._timeline.after(LOAD_TIME, self._load, order)
         return versions_messages.OrderResult(
             order_id=order.order_id, upstream_id=self.upstream_id, code=code
         )
--- a/tools/run_scenarios.py
+++ b/tools/run_scenarios.py
@@ -23,7 +23,7 @@
 def main() -> None:
     """Run the folders given as arguments, or all of them."""
     chosen = [pathlib.Path(name).resolve() for name in sys.argv[1:]]
-    folders = chosen or sorted(ROOT.glob("fulmarbarrow/**/features"))
+    folders = chosen or _folders()
     counts: collections.Counter[str] = collections.Counter()
     with concurrent.futures.ThreadPoolExecutor(PROCESSES) as pool:
         for result in pool.map(_run, folders):
@@ -36,6 +36,12 @@
         raise SystemExit(1)
 
 
+def _folders() -> list[pathlib.Path]:
+    """Return every folder of features, the longest run first."""
+    slices = sorted(ROOT.glob("fulmarbarrow/**/features"))
+    return [ROOT / "faultmatrix" / "features", *slices]
+
+
 def _run(folder: pathlib.Path) -> collections.Counter[str]:
     """Run one folder and count its scenarios by outcome."""
     with tempfile.NamedTemporaryFile(suffix=".json") as report:
