Wait for a stopping daemon instead of signalling it again

Cause: the slow caller's scenario sent a second SIGTERM when the daemon had not yet ended on a busy machine, and a second signal ends it at once with another exit code. Change: the step waits for the process.

--- a/fulmarbarrow/daemon/features/steps/path.py
+++ b/fulmarbarrow/daemon/features/steps/path.py
@@ -181,7 +181,8 @@
         while part := plug.recv(64 * 1024):
             context.slow_answer += part
             time.sleep(0.002)
-    context.exit_code = context.daemon.stop()
+    # Another signal would end the daemon at once.
+    context.exit_code = context.daemon.process.wait(fleet.WAIT_SECONDS)
 
 
 @behave.then("the slow caller has the {tokens:d} tokens and the end marker")
