Tell idle members of a commit at once

A follower learnt of a commit with the next heartbeat, so a publish through it was answered up to 200 ms late, and a scenario that killed the other two hosts in between found the old revision. An idle member now gets the commit index as soon as it moves, at one small message a member and commit; under load it rides on the next entries as before.

--- a/fulmarbarrow/consensus/features/steps/processes.py
+++ b/fulmarbarrow/consensus/features/steps/processes.py
@@ -141,6 +141,11 @@
 
 @behave.when("two control daemons are killed")
 def step_two(context):
+    third = context.fleet.controls[2]
+    fleet.wait_until(
+        lambda: context.fleet.log(third, "control")["revision"] == 1,
+        "the third has applied the revision",
+    )
     for daemon in context.fleet.controls[:2]:
         daemon.kill()
 
--- a/fulmarbarrow/consensus/leadership.py
+++ b/fulmarbarrow/consensus/leadership.py
@@ -99,6 +99,7 @@
         newer = index > node.commit_index
         if newer and node.log.term_at(index) == node.term:
             self._applier.commit(index)
+            self._replication.send_commit(now)
         self._renew(now)
         if self.ready:
             self._reads.confirm(self._replication.quorum_contact(now))
--- a/fulmarbarrow/consensus/replication.py
+++ b/fulmarbarrow/consensus/replication.py
@@ -75,6 +75,13 @@
             else:
                 self._send_heartbeat(progress, now)
 
+    def send_commit(self, now: datetime.datetime) -> None:
+        """Tell idle hosts at once that more is committed."""
+        last = self._node.log.last_index
+        for progress in self._progress.values():
+            if progress.in_flight is None and progress.next_index > last:
+                self._send_heartbeat(progress, now)
+
     def append_reply(
         self, event: peer.AppendReply, now: datetime.datetime
     ) -> None:
