--- a/benchmarks/delivery.py
+++ b/benchmarks/delivery.py
@@ -23,12 +23,27 @@
     ("never_answered", "requests never answered nor refused"),
     ("cut_by_stop", "requests cut by a planned stop"),
 )
+SABOTAGED = 500
+MECHANISMS = {
+    "journal": "ran_twice",
+    "proof_of_not_run": "ran_twice",
+    "echo_check": "wrong_answers",
+    "completeness": "wrong_answers",
+    "resume_check": "wrong_answers",
+    "silence": "never_answered",
+}
 FAILURES = ("refuse", "error", "cut", "unreachable")
 
 
 def measure() -> list[measures.Measure]:
     """Count violations over all schedules; measure retries and poison."""
-    return [*_schedules(), *_retries(), *_poison(), _silence()]
+    return [
+        *_schedules(),
+        *_without(),
+        *_retries(),
+        *_poison(),
+        _silence(),
+    ]
 
 
 def _schedules() -> list[measures.Measure]:
@@ -60,6 +75,31 @@
     return dict(counts)
 
 
+def _without() -> list[measures.Measure]:
+    """Show that each check fails when its mechanism is off."""
+    return [
+        measures.Measure(
+            slice="delivery",
+            name=f"of {SABOTAGED} schedules, {name} without {mechanism}",
+            value=_violating(mechanism, name),
+            unit="schedules",
+            command=COMMAND,
+            target=1,
+            bound=measures.Bound.AT_LEAST,
+            seed=SEED,
+        )
+        for mechanism, name in MECHANISMS.items()
+    ]
+
+
+def _violating(mechanism: str, name: str) -> int:
+    mechanisms = dataclasses.replace(policy.Mechanisms(), **{mechanism: False})
+    schedules = faults.schedules(SABOTAGED, SEED, mechanisms)
+    return sum(
+        bool(getattr(faults.run(schedule)[1], name)) for schedule in schedules
+    )
+
+
 def _retries() -> list[measures.Measure]:
     rows = []
     without = dataclasses.replace(policy.Mechanisms(), retry_budget=False)
--- a/benchmarks/delivery_callers.py
+++ b/benchmarks/delivery_callers.py
@@ -62,6 +62,7 @@
         poison: bool = False,
         promises: bool = False,
         resends: int = MAX_SENDINGS,
+        padding: int = 0,
     ) -> None:
         self._world = world
         self._resends = resends
@@ -70,6 +71,7 @@
         self.poison = poison
         self.promises = promises
         self.sendings: dict[str, Sending] = {}
+        self._padding = b"." * padding
         self.queued = 0
         self.runs: collections.Counter[str] = collections.Counter()
 
@@ -101,7 +103,7 @@
     def whole_answer(self) -> bytes:
         """The body of the answer, with the number of the run."""
         number = self.key_runs() if self.action else 1
-        return f"{self.tag} run {number}".encode()
+        return f"{self.tag} run {number}".encode() + self._padding
 
     def key_runs(self) -> int:
         """Return how often the wish ran."""
@@ -125,7 +127,7 @@
         if self.stream:
             events = map(self.event, range(upstreams.EVENTS))
             return {b"".join(events) + upstreams.DONE}
-        return {f"{self.tag} run 1".encode()}
+        return {f"{self.tag} run 1".encode() + self._padding}
 
     def send(self, router: typing.Any) -> None:
         """Send the wish through a router."""
--- a/benchmarks/delivery_upstreams.py
+++ b/benchmarks/delivery_upstreams.py
@@ -44,6 +44,7 @@
         self.state = membership_messages.UpstreamState.SERVING
         self.faults: collections.Counter[str] = collections.Counter()
         self.delay = datetime.timedelta(0)
+        self.slow_once: datetime.timedelta | None = None
         self.runs: dict[str, Run] = {}
         self.calls = 0
         self.crashes = 0
@@ -75,6 +76,10 @@
         """Break every open answer; nothing more is taken until a restart."""
         self.up = False
         self.crashes += 1
+        self.break_connections()
+
+    def break_connections(self) -> None:
+        """Lose every open connection, as a proxy between does."""
         for run in list(self.runs.values()):
             self._end(run, messages.FailureKind.CUT)
 
@@ -139,7 +144,16 @@
             self._post(run, messages.AttemptEnded(attempt_id=run.echo))
         else:
             caller.queued += 1
-            self._world.after(WORK + self.delay, self._work, run)
+            self._world.after(WORK + self._delay(), self._work, run)
+
+    def _delay(self) -> datetime.timedelta:
+        """Return the extra time, which ``slow_once`` gives to one request."""
+        if self.slow_once is None:
+            return self.delay
+        slow = self.slow_once
+        for upstream in self._world.upstreams.values():
+            upstream.slow_once = None
+        return slow
 
     def _faulty(self, name: str) -> bool:
         if self.faults[name] <= 0:
--- a/fulmarbarrow/delivery/answers.py
+++ b/fulmarbarrow/delivery/answers.py
@@ -4,6 +4,7 @@
 
 import datetime
 
+from fulmarbarrow.delivery import attempt as attempts
 from fulmarbarrow.delivery import book as books
 from fulmarbarrow.delivery import effects as effects_module
 from fulmarbarrow.delivery import messages
@@ -195,7 +196,7 @@
                 kind = messages.FailureKind.CUT
                 return self._fail(entry, attempt, kind, now)
             fresh = _skip(event, have)
-        if not entry.attempts[attempt.attempt_id].take(event, now):
+        if not attempts.take(attempt, event, now):
             self._metrics.count("late_answers_dropped")
             return []
         effects = self._pass_on(entry, attempt, fresh)
--- a/fulmarbarrow/delivery/attempt.py
+++ b/fulmarbarrow/delivery/attempt.py
@@ -21,11 +21,6 @@
     ) -> bool:
         """Take the headers of the answer."""
 
-    def take(
-        self, event: messages.AttemptData, now: datetime.datetime
-    ) -> bool:
-        """Take a part of the answer."""
-
     def complete(self) -> bool:
         """The answer is whole."""
 
@@ -53,27 +48,22 @@
         attempt.taken_events = event.resume_offset
         return True
 
-    @answering.upon(AttemptInputs.take).loop()
-    def take(
-        _: AttemptInputs,
-        attempt: state.Attempt,
-        event: messages.AttemptData,
-        now: datetime.datetime,
-    ) -> bool:
-        _take(attempt, event, now)
-        return True
+    def staged(name: str) -> typing.Callable:
+        def output(_: AttemptInputs, attempt: state.Attempt) -> bool:
+            attempt.stage = name
+            return True
+
+        return output
 
     for live in (sending, answering):
-        live.upon(AttemptInputs.fail).to(broken).returns(True)
-        live.upon(AttemptInputs.cancel).to(cancelled).returns(True)
-    answering.upon(AttemptInputs.complete).to(whole).returns(True)
-    sending.upon(AttemptInputs.take).loop().returns(False)
+        live.upon(AttemptInputs.fail).to(broken)(staged("broken"))
+        live.upon(AttemptInputs.cancel).to(cancelled)(staged("cancelled"))
+    answering.upon(AttemptInputs.complete).to(whole)(staged("whole"))
     sending.upon(AttemptInputs.complete).loop().returns(False)
     answering.upon(AttemptInputs.start).loop().returns(False)
     for ended in (whole, broken, cancelled):
         for late in (
             AttemptInputs.start,
-            AttemptInputs.take,
             AttemptInputs.complete,
             AttemptInputs.fail,
             AttemptInputs.cancel,
@@ -82,11 +72,14 @@
     return builder.build()
 
 
-def _take(
+def take(
     attempt: state.Attempt,
     event: messages.AttemptData,
     now: datetime.datetime,
-) -> None:
+) -> bool:
+    """Take a part of the answer; False if the attempt is not answering."""
+    if attempt.stage != "answering":
+        return False
     if attempt.first_token is None:
         attempt.first_token = now - attempt.sent_at
     attempt.progress_at = now
@@ -95,6 +88,7 @@
     attempt.tokens += event.tokens
     attempt.reused_tokens = max(attempt.reused_tokens, event.reused_tokens)
     attempt.end_marker = attempt.end_marker or event.end_marker
+    return True
 
 
 make_attempt = _build()
--- a/fulmarbarrow/delivery/core.py
+++ b/fulmarbarrow/delivery/core.py
@@ -34,16 +34,21 @@
 }
 
 
+_ATTEMPT_EVENTS = (
+    messages.AttemptData,
+    messages.AttemptHeaders,
+    messages.AttemptPaused,
+    messages.AttemptEnded,
+    messages.AttemptFailed,
+)
+
+
 class DeliveryCore:
     """Requests and parts of answers in, attempts and answers out."""
 
     handles = (
         messages.RequestArrived,
-        messages.AttemptHeaders,
-        messages.AttemptData,
-        messages.AttemptPaused,
-        messages.AttemptEnded,
-        messages.AttemptFailed,
+        *_ATTEMPT_EVENTS,
         messages.CallerGone,
         messages.PoisonSuspected,
         messages.SuspectStarted,
@@ -99,6 +104,9 @@
         self, event: message.Message, now: datetime.datetime
     ) -> Effects:
         """Take one event and return its effects."""
+        if isinstance(event, _ATTEMPT_EVENTS):
+            effects = self._for_attempt(event, now)
+            return [*effects, *self._timers.wake()]
         match event:
             case messages.RequestArrived():
                 effects = self._arrived(event, now)
@@ -166,6 +174,16 @@
             )
         ]
 
+    def _for_attempt(
+        self, event: typing.Any, now: datetime.datetime
+    ) -> Effects:
+        entry = self._book.find(attempt_id=event.attempt_id)
+        if entry is None:
+            return self._late(event)
+        effects = self._answers.take(entry, event, now)
+        self._settle(entry, now)
+        return effects
+
     def _for_request(
         self, event: message.Message, now: datetime.datetime
     ) -> Effects:
@@ -234,7 +252,7 @@
                 return self._recovery.preempt(entry, event.attempt_id, now)
             case messages.CallerGone():
                 return self._caller_gone(entry)
-        return self._answers.take(entry, event, now)
+        return []
 
     def _admitted(self, entry: books.Open, now: datetime.datetime) -> Effects:
         request = entry.request
--- /dev/null
+++ b/fulmarbarrow/delivery/features/steps/refusals.py
@@ -0,0 +1,65 @@
+"""Steps on the table of refusals."""
+
+from __future__ import annotations
+
+import datetime
+
+import behave
+
+from fulmarbarrow.delivery import messages
+from fulmarbarrow.delivery import recovery
+from fulmarbarrow.delivery import refusals
+from fulmarbarrow.delivery import state
+from fulmarbarrow.placement import messages as placement_messages
+from tools import errors_page
+
+
+@behave.then("the errors page is what its tool writes")
+def step_current(context):
+    assert errors_page.PAGE.read_text() == errors_page.page()
+
+
+@behave.then('every refusal that says "no" has a proof')
+def step_proof(context):
+    for refusal in refusals.REFUSALS.values():
+        if refusal.ran is not messages.Ran.UNKNOWN:
+            assert refusal.proof, refusal.code
+
+
+@behave.then('every refusal that says "unknown" claims none')
+def step_no_proof(context):
+    for refusal in refusals.REFUSALS.values():
+        if refusal.ran is messages.Ran.UNKNOWN:
+            assert not refusal.proof, refusal.code
+
+
+@behave.given("a request of which an attempt may have run")
+def step_request(context):
+    context.request = state.Request(
+        arrived=messages.RequestArrived(
+            request_id="entry-1-1-1",
+            account="volos",
+            service="register",
+            model="",
+            chat="",
+            route="/",
+            method="GET",
+            path="/",
+            digest="d",
+            idempotent=True,
+            key="",
+            stream=False,
+            cost=1,
+            cost_class=placement_messages.CostClass.SHORT,
+            worth=1.0,
+            best_effort=False,
+            deadline=datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC),
+        ),
+        may_have_run=True,
+    )
+
+
+@behave.then("it is never refused with {code} as it stands")
+def step_true(context, code):
+    told = recovery.true_code(context.request, code)
+    assert refusals.REFUSALS[told].ran is messages.Ran.UNKNOWN, told
--- /dev/null
+++ b/fulmarbarrow/delivery/features/steps/requests.py
@@ -0,0 +1,209 @@
+"""Steps on single requests in the joined cores."""
+
+from __future__ import annotations
+
+import datetime
+
+import behave
+
+from benchmarks import delivery_callers as callers
+from benchmarks import delivery_world as worlds
+from fulmarbarrow.delivery import messages
+from fulmarbarrow.membership import messages as membership_messages
+from fulmarbarrow.placement import messages as placement_messages
+
+KINDS = {
+    "look-up": callers.Kind.LOOKUP,
+    "stream": callers.Kind.STREAM,
+    "order": callers.Kind.ORDER,
+}
+
+
+def milliseconds(count):
+    return datetime.timedelta(milliseconds=count)
+
+
+def world_of(context, **options):
+    if not hasattr(context, "world"):
+        context.world = worlds.World(seed=3, **options)
+    return context.world
+
+
+def send(context, what, poison=False):
+    world = world_of(context)
+    context.caller = callers.Caller(
+        world=world,
+        tag=f"{what}-1",
+        kind=KINDS[what],
+        poison=poison,
+        resends=1,
+        padding=getattr(context, "padding", 0),
+    )
+    context.caller.send(world.routers[0])
+    (context.sending,) = context.caller.sendings.values()
+    context.sent_at = world.now
+
+
+def open_attempts(context):
+    (request,) = context.world.cores["entry-0"].dump()["open"].values()
+    return list(request["attempts"])
+
+
+@behave.given("the first register that is asked takes {seconds:d} seconds")
+def step_slow(context, seconds):
+    for upstream in world_of(context).upstreams.values():
+        upstream.slow_once = datetime.timedelta(seconds=seconds)
+
+
+@behave.given("orders whose answer has {size:d} bytes")
+def step_large(context, size):
+    context.padding = size
+
+
+@behave.given("a pool of two engines")
+def step_two(context):
+    world_of(context, engines=2)
+
+
+@behave.when("a {what} is sent")
+@behave.when("an {what} is sent")
+def step_send(context, what):
+    send(context, what)
+
+
+@behave.then("it is answered within {seconds:d} second")
+def step_answered(context, seconds):
+    context.world.run(lambda: context.sending.over, seconds)
+    assert context.sending.ended, context.sending
+
+
+@behave.then("no upstream still works on it")
+def step_idle(context):
+    context.world.run(lambda: False, 0.1)
+    for upstream in context.world.upstreams.values():
+        assert not upstream.runs, upstream.upstream_id
+
+
+@behave.when("a stream is sent and preempted after {after:d} ms")
+def step_preempt(context, after):
+    send(context, "stream")
+    context.world.run(lambda: False, after / 1000)
+    (attempt_id,) = open_attempts(context)
+    context.world.routers[0].post(
+        placement_messages.PreemptWork(attempt_id=attempt_id)
+    )
+    context.world.run(lambda: context.sending.over, 5)
+
+
+@behave.then("the caller's stream is whole with nothing twice")
+def step_whole(context):
+    assert context.sending.ended
+    assert context.sending.data in context.caller.expected(200)
+
+
+@behave.then("the stream took {count:d} attempts")
+@behave.then("the stream took {count:d} attempt")
+def step_attempts(context, count):
+    assert context.world.routers[0].metrics.total("attempts") == count
+
+
+@behave.when("a {what} is sent and its caller goes away after {after:d} ms")
+@behave.when("an {what} is sent and its caller goes away after {after:d} ms")
+def step_gone(context, what, after):
+    send(context, what)
+    context.world.run(lambda: False, after / 1000)
+    context.caller.leave()
+
+
+@behave.then("the order ran once")
+def step_once(context):
+    context.world.run(lambda: False, 1)
+    assert context.caller.key_runs() == 1
+
+
+def resend(context):
+    context.caller.send(context.world.routers[1])
+    sending = list(context.caller.sendings.values())[-1]
+    context.world.run(lambda: sending.over, 5)
+    return sending
+
+
+@behave.then("a resend through another router gets the recorded answer")
+def step_replayed(context):
+    sending = resend(context)
+    assert sending.replayed, sending
+    assert sending.data in context.caller.expected(200)
+
+
+@behave.then("a resend through another router is told {code}")
+def step_told(context, code):
+    sending = resend(context)
+    assert sending.code == code, sending
+
+
+@behave.when(
+    "a stream is sent, paused after {after:d} ms and silent for "
+    "{seconds:d} seconds"
+)
+def step_paused(context, after, seconds):
+    send(context, "stream")
+    context.world.run(lambda: False, after / 1000)
+    (attempt_id,) = open_attempts(context)
+    context.world.routers[0].post(
+        messages.AttemptPaused(attempt_id=attempt_id, paused=True)
+    )
+    for upstream in context.world.upstreams.values():
+        upstream.go_silent()
+    context.world.run(lambda: False, seconds)
+
+
+@behave.when("a stream's connection is cut")
+def step_cut(context):
+    send(context, "stream")
+    context.world.run(lambda: False, 0.07)
+    context.engine = next(
+        upstream
+        for upstream in context.world.upstreams.values()
+        if upstream.runs
+    )
+    context.engine.break_connections()
+    context.world.run(lambda: False, 0.01)
+
+
+def suspects(context):
+    return [core.dump()["suspects"] for core in context.world.cores.values()]
+
+
+@behave.then("its digest is a suspect on every router")
+def step_suspect(context):
+    for known in suspects(context):
+        assert list(known) == [context.caller.tag], known
+
+
+@behave.when("the engine renews its lease {seconds:d} seconds later")
+def step_renew(context, seconds):
+    context.world.run(lambda: False, seconds)
+    context.world.tell_routers(
+        membership_messages.LoadReported(
+            upstream_id=context.engine.upstream_id,
+            incarnation=context.engine.incarnation,
+            load=membership_messages.Load(),
+        )
+    )
+
+
+@behave.then("no digest is a suspect")
+def step_clear(context):
+    assert suspects(context) == [{}, {}], suspects(context)
+
+
+@behave.when("a poison stream is sent once")
+def step_poison(context):
+    send(context, "stream", poison=True)
+    context.world.run(lambda: context.sending.over, 30)
+
+
+@behave.then("{count:d} engine crashed")
+def step_crashed(context, count):
+    crashes = [u.crashes for u in context.world.upstreams.values()]
+    assert sum(crashes) == count, crashes
