Silence an engine's open connections under a stream, over real sockets

A stream whose connection goes silent goes on at another engine with every token once, and new chats do not meet the silent connections again (silent_attempts stays at 1). An attempt that was paused before its answer began now pauses when its body arrives; it read on until the next pause.

--- a/fulmarbarrow/edge/client.py
+++ b/fulmarbarrow/edge/client.py
@@ -214,6 +214,8 @@
         response.deliverBody(self)
         if self._cancelled:
             self.transport.loseConnection()
+        elif self._paused:
+            self.transport.pauseProducing()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Take a part of the body."""
--- a/fulmarbarrow/journal/features/steps/kills.py
+++ b/fulmarbarrow/journal/features/steps/kills.py
@@ -14,6 +14,7 @@
 OFFICE = pathlib.Path("examples/office").resolve()
 HEADERS = {"Authorization": "Bearer demo-key-volos"}
 RESENDS = 40
+NEW_CHATS = 6
 FATES = ("not_run", "outcome_unknown")
 RESEND_SECONDS = 0.3
 
@@ -240,17 +241,14 @@
     assert counts(context) == {}, counts(context)
 
 
-@behave.when("a chat of {tokens:d} tokens is streamed through {name}")
-def step_stream(context, tokens, name):
+def chat(context, name, tokens, text="motif"):
     body = {
         "model": "lacework",
         "stream": True,
         "max_tokens": tokens,
-        "messages": [{"role": "user", "content": "motif"}],
+        "messages": [{"role": "user", "content": text}],
     }
-    pool = concurrent.futures.ThreadPoolExecutor(1)
-    context.first = pool.submit(
-        fleet.fetch,
+    return fleet.fetch(
         f"http://{daemon_named(context, name).callers}/v1/chat/completions",
         method="POST",
         body=json.dumps(body).encode(),
@@ -258,8 +256,13 @@
     )
 
 
-@behave.when("the engine that runs it is killed")
-def step_kill_engine(context):
+@behave.when("a chat of {tokens:d} tokens is streamed through {name}")
+def step_stream(context, tokens, name):
+    pool = concurrent.futures.ThreadPoolExecutor(1)
+    context.first = pool.submit(chat, context, name, tokens)
+
+
+def running_engine(context):
     def running():
         for engine in context.engines:
             _, body = fleet.fetch(f"{engine.url}/admin/state")
@@ -269,7 +272,32 @@
 
     fleet.wait_until(running, "an engine runs the chat")
     time.sleep(RESEND_SECONDS)
-    running().kill()
+    return running()
+
+
+@behave.when("the engine that runs it is killed")
+def step_kill_engine(context):
+    running_engine(context).kill()
+
+
+@behave.when("every open connection of the engine that runs it goes silent")
+def step_silence(context):
+    context.silent = running_engine(context)
+    status, _ = fleet.fetch(
+        f"{context.silent.url}/admin/faults",
+        method="POST",
+        body=b'{"fault": "silent"}',
+    )
+    assert status == 200
+
+
+@behave.then("the silent engine's connections are used for no new chat")
+def step_no_silent(context):
+    for number in range(NEW_CHATS):
+        status, _ = chat(context, "entry-1", 5, f"motif {number}")
+        assert status == 200
+    counters = context.daemons[0].dump()["metrics"]["counters"]
+    assert counters["silent_attempts"] == 1, counters
 
 
 @behave.then(
