--- a/benchmarks/delivery.py
+++ b/benchmarks/delivery.py
@@ -160,6 +160,20 @@
                 seed=SEED,
             )
         )
+    worst = max(
+        trials.poison_at_once(copies=8, engines=6, seed=SEED + number)
+        for number in range(10)
+    )
+    rows.append(
+        measures.Measure(
+            slice="delivery",
+            name="upstreams crashed by 8 copies sent at once",
+            value=worst,
+            unit="crashes",
+            command=COMMAND,
+            seed=SEED,
+        )
+    )
     return rows
 
 
--- a/benchmarks/delivery_trials.py
+++ b/benchmarks/delivery_trials.py
@@ -93,6 +93,27 @@
     return sum(upstream.crashes for upstream in world.upstreams.values())
 
 
+def poison_at_once(*, copies: int, engines: int, seed: int) -> int:
+    """Send copies of a poison request at once; return the crashes."""
+    world = worlds.World(seed=seed, routers=copies, engines=engines)
+    for upstream in world.upstreams.values():
+        _restart_after_crash(world, upstream)
+    wishes = [
+        callers.Caller(
+            world=world,
+            tag="poison",
+            kind=callers.Kind.STREAM,
+            poison=True,
+            resends=1,
+        )
+        for _ in world.routers
+    ]
+    for caller, router in zip(wishes, world.routers, strict=True):
+        caller.send(router)
+    world.run(lambda: all(caller.settled for caller in wishes), 60)
+    return sum(upstream.crashes for upstream in world.upstreams.values())
+
+
 def _restart_after_crash(world: worlds.World, upstream) -> None:
     crash = upstream.crash
 
--- a/fulmarbarrow/journal/features/steps/kills.py
+++ b/fulmarbarrow/journal/features/steps/kills.py
@@ -88,7 +88,15 @@
         )
         return done.returncode == 0
 
+    def led():
+        states = [daemon.dump() for daemon in context.daemons]
+        return all(
+            state and state["cores"]["journal_log"].get("leader")
+            for state in states
+        )
+
     fleet.wait_until(published, "published")
+    fleet.wait_until(led, "the journal has a leader")
 
 
 def place(daemon, key):
@@ -179,12 +187,10 @@
 
 @behave.when("{count:d} orders are placed through the other daemons")
 def step_many(context, count):
-    def leader():
-        state = context.daemons[0].dump()
-        return state["cores"]["journal_log"].get("leader")
-
-    fleet.wait_until(leader, "a leader")
-    context.leader = daemon_named(context, leader())
+    state = context.daemons[0].dump()
+    context.leader = daemon_named(
+        context, state["cores"]["journal_log"]["leader"]
+    )
     context.others = [d for d in context.daemons if d is not context.leader]
     context.keys = [f"order-{number}" for number in range(count)]
     context.pool = concurrent.futures.ThreadPoolExecutor(count)
