--- a/fulmarbarrow/limits/core.py
+++ b/fulmarbarrow/limits/core.py
@@ -11,6 +11,7 @@
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics as metrics_module
 from fulmarbarrow.publishing import messages as publishing_messages
+from fulmarbarrow.zones import messages as zones_messages
 
 
 class LimitsCore:
@@ -20,6 +21,7 @@
         messages.AdmitRequest,
         messages.RequestLeft,
         publishing_messages.ConfigurationChanged,
+        zones_messages.CapacityShort,
     )
 
     def __init__(
@@ -31,6 +33,7 @@
         self._metrics = metrics
         self._policy = policy or policies.Policy()
         self._open: collections.Counter[str] = collections.Counter()
+        self._short: dict[str, zones_messages.CapacityShort] = {}
 
     def handle(
         self, event: message.Message, now: datetime.datetime
@@ -39,6 +42,8 @@
         match event:
             case publishing_messages.ConfigurationChanged():
                 self._policy.configure(event.bundle)
+            case zones_messages.CapacityShort():
+                self._short[event.service] = event
             case messages.AdmitRequest():
                 return [self._admit(event, now)]
             case messages.RequestLeft():
@@ -56,9 +61,23 @@
             return self._refuse(event, "deadline_exceeded")
         if self._open[event.account] >= self._policy.max_open(event.account):
             return self._refuse(event, "too_many_open_requests")
+        if not self._worth_enough(event):
+            return self._refuse(event, "capacity_short")
         self._open[event.account] += 1
         return messages.Admitted(request_id=event.request_id)
 
+    def _worth_enough(self, event: messages.AdmitRequest) -> bool:
+        """Return whether a request enters although capacity is short.
+
+        An account with a reserved share always does.
+        """
+        short = self._short.get(event.service)
+        if short is None or self._policy.right(event.account).reserved_share:
+            return True
+        return short.admits(
+            worth=event.worth, cost=event.cost, request_id=event.request_id
+        )
+
     def _refuse(
         self, event: messages.AdmitRequest, code: str
     ) -> messages.NotAdmitted:
--- a/fulmarbarrow/membership/broadcast.py
+++ b/fulmarbarrow/membership/broadcast.py
@@ -17,7 +17,7 @@
 
 DIRECT_PEERS = 12
 URGENT_HEADS = 2
-PACKET_BYTES = 700
+PACKET_BYTES = 400
 URGENT_DEBT_BYTES = 8_000
 QUIET = datetime.timedelta(seconds=2)
 WHOLE_RING = (0, daemons.RING_END)
--- a/fulmarbarrow/membership/outbox.py
+++ b/fulmarbarrow/membership/outbox.py
@@ -10,7 +10,7 @@
 
 RATE_BYTES = 4_000  # a second, over a minute
 RESERVE_BYTES = 64_000  # saved up in quiet times
-PEAK_BYTES = 5_000  # a second
+PEAK_BYTES = 4_500  # a second
 FRAME_BYTES = 72  # envelope, names, sequence and MAC of a frame
 
 
--- a/fulmarbarrow/zones/core.py
+++ b/fulmarbarrow/zones/core.py
@@ -52,6 +52,8 @@
         messages.RouterDemand,
         messages.ZoneHeard,
         messages.ZoneSummary,
+        placement_messages.NotPlaced,
+        placement_messages.PlaceCancelled,
         placement_messages.PlaceRequest,
         placement_messages.Placed,
         placement_messages.WorkEnded,
@@ -221,12 +223,28 @@
         self, event: placement_messages.PlaceRequest, now: datetime.datetime
     ) -> None:
         self._chats.asked(event.attempt_id, event.chat)
+        self._summaries.waiting.asked(
+            event.attempt_id, event.service, event.cost
+        )
 
     @_take.register
     def _(
         self, event: placement_messages.Placed, now: datetime.datetime
     ) -> None:
         self._chats.placed(event.attempt_id, event.upstream_id, event.version)
+        self._summaries.waiting.answered(event.attempt_id)
+
+    @_take.register
+    def _(
+        self, event: placement_messages.NotPlaced, now: datetime.datetime
+    ) -> None:
+        self._summaries.waiting.answered(event.attempt_id)
+
+    @_take.register
+    def _(
+        self, event: placement_messages.PlaceCancelled, now: datetime.datetime
+    ) -> None:
+        self._summaries.waiting.answered(event.attempt_id)
 
     @_take.register
     def _(
@@ -322,6 +340,7 @@
     ) -> list[message.Message]:
         demand = self._summaries.demand(now)
         effects: list[message.Message] = []
+        backlog = self._summaries.backlog(now)
         for service in sorted({*demand, *self._short}):
             before = self._short.get(service)
             after = shortage.decide(
@@ -329,6 +348,7 @@
                 steps=demand.get(service, {}),
                 capacity=capacity.get(service, 0.0),
                 short=before is not None,
+                backlog=backlog[service],
             )
             if _differs(before, after):
                 effects.append(after)
--- a/fulmarbarrow/zones/demand.py
+++ b/fulmarbarrow/zones/demand.py
@@ -5,11 +5,13 @@
 import collections
 import collections.abc
 import datetime
+import math
 
 from fulmarbarrow.zones import messages
 
 WINDOW = datetime.timedelta(seconds=1)
-WINDOWS = 5
+WINDOWS = 30
+LEVELS_PER_DOUBLING = 8
 
 Steps = dict[str, collections.Counter[int]]
 
@@ -40,18 +42,13 @@
 
     def services(self) -> tuple[messages.ServiceDemand, ...]:
         """Return the mean demand on each service."""
-        total = add(self._windows)
         count = max(1, len(self._windows))
-        return tuple(
-            messages.ServiceDemand(
-                service=service,
-                steps=tuple(
-                    (step, round(tokens / count))
-                    for step, tokens in sorted(steps.items())
-                ),
+        mean: Steps = {}
+        for service, steps in add(self._windows).items():
+            mean[service] = collections.Counter(
+                {step: round(tokens / count) for step, tokens in steps.items()}
             )
-            for service, steps in sorted(total.items())
-        )
+        return pack(mean)
 
 
 def add(parts: collections.abc.Iterable[Steps]) -> Steps:
@@ -68,7 +65,13 @@
 ) -> Steps:
     """Return a demand as it came in a message."""
     return {
-        item.service: collections.Counter(dict(item.steps))
+        item.service: collections.Counter(
+            {
+                item.first_step + place: _tokens(level)
+                for place, level in enumerate(item.levels)
+                if level
+            }
+        )
         for item in services
     }
 
@@ -77,7 +80,25 @@
     """Return a demand as it goes into a message."""
     return tuple(
         messages.ServiceDemand(
-            service=service, steps=tuple(sorted(found.items()))
+            service=service,
+            first_step=min(found),
+            levels=bytes(
+                _level(found[step])
+                for step in range(min(found), max(found) + 1)
+            ),
         )
         for service, found in sorted(steps.items())
+        if found
     )
+
+
+def _level(tokens: int) -> int:
+    """Return the level of tokens a second; at most 6% off."""
+    if tokens <= 0:
+        return 0
+    return min(255, 1 + round(LEVELS_PER_DOUBLING * math.log2(tokens)))
+
+
+def _tokens(level: int) -> int:
+    """Return the tokens a second of a level."""
+    return round(2 ** ((level - 1) / LEVELS_PER_DOUBLING))
--- a/fulmarbarrow/zones/features/shortage.feature
+++ b/fulmarbarrow/zones/features/shortage.feature
@@ -30,3 +30,15 @@
   Scenario: A zone without capacity decides nothing
     When a demand of 900 tokens a second meets a capacity of 0
     Then everything is admitted
+
+  Scenario: The entry refuses by worth, but never a priority account
+    Given an entry that was told to admit from a worth of 2 for 100 tokens
+    When accounts ask for 100 tokens
+      | account      | worth | outcome        |
+      | volos        | 1.0   | capacity_short |
+      | volos        | 4.0   | admitted       |
+      | inspectorate | 1.0   | admitted       |
+    When the capacity is enough again
+    And accounts ask for 100 tokens
+      | account | worth | outcome  |
+      | volos   | 1.0   | admitted |
--- a/fulmarbarrow/zones/features/steps/fleet.py
+++ b/fulmarbarrow/zones/features/steps/fleet.py
@@ -154,7 +154,7 @@
         tokens_per_second=part * capacity,
         kinds=((100, 4.0), (100, 2.0), (100, 1.0)),
     )
-    context.load.run(10 * SECOND)
+    context.load.run(30 * SECOND)
 
 
 @behave.then("within {seconds:d} s all routers refuse the same work")
--- a/fulmarbarrow/zones/features/steps/shortage.py
+++ b/fulmarbarrow/zones/features/steps/shortage.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
+import datetime
+
 import behave
 import hypothesis
 from hypothesis import strategies
 
+from fulmarbarrow.config import bundle as bundles
+from fulmarbarrow.limits import core as limits_core
+from fulmarbarrow.limits import messages as limits_messages
+from fulmarbarrow.observe import metrics
+from fulmarbarrow.publishing import messages as publishing_messages
 from fulmarbarrow.zones import messages
 from fulmarbarrow.zones import shortage
 
@@ -128,3 +135,51 @@
             assert used >= shortage.USABLE_PART * capacity - 1e-6
 
     check()
+
+
+@behave.given(
+    "an entry that was told to admit from a worth of {worth:g} for "
+    "{cost:d} tokens"
+)
+def step_entry(context, worth, cost):
+    context.now = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+    context.limits = limits_core.LimitsCore(metrics=metrics.Metrics())
+    accounts = tuple(
+        bundles.Account(
+            name=name,
+            key_salt="",
+            key_digest="",
+            priority=share > 0,
+            reserved_share=share,
+        )
+        for name, share in (("volos", 0.0), ("inspectorate", 0.1))
+    )
+    changed = publishing_messages.ConfigurationChanged(
+        revision=1, bundle=bundles.Bundle(account=accounts)
+    )
+    context.limits.handle(changed, context.now)
+    short = messages.CapacityShort(service=SERVICE, floor=worth / cost)
+    context.limits.handle(short, context.now)
+
+
+@behave.when("the capacity is enough again")
+def step_enough(context):
+    context.limits.handle(messages.CapacityShort(service=SERVICE), context.now)
+
+
+@behave.when("accounts ask for {cost:d} tokens")
+def step_accounts(context, cost):
+    for number, row in enumerate(context.table):
+        (answer,) = context.limits.handle(
+            limits_messages.AdmitRequest(
+                request_id=f"request-{number}",
+                account=row["account"],
+                service=SERVICE,
+                cost=cost,
+                worth=float(row["worth"]),
+                deadline=context.now + datetime.timedelta(seconds=30),
+            ),
+            context.now,
+        )
+        outcome = getattr(answer, "code", "admitted")
+        assert outcome == row["outcome"], (row, answer)
--- a/fulmarbarrow/zones/messages.py
+++ b/fulmarbarrow/zones/messages.py
@@ -10,8 +10,9 @@
 
 from fulmarbarrow import message
 
-STEPS_PER_DOUBLING = 4
-LOWEST_STEP = -1_000
+STEPS_PER_DOUBLING = 8
+LOWEST_STEP = -20 * STEPS_PER_DOUBLING
+HIGHEST_STEP = 20 * STEPS_PER_DOUBLING
 
 
 class ZoneWeights(message.Message, frozen=True, kw_only=True):
@@ -72,7 +73,8 @@
     """Return the step of a worth per token on a logarithmic scale."""
     if worth <= 0:
         return LOWEST_STEP
-    return math.floor(STEPS_PER_DOUBLING * math.log2(worth / max(cost, 1)))
+    step = math.floor(STEPS_PER_DOUBLING * math.log2(worth / max(cost, 1)))
+    return min(max(step, LOWEST_STEP), HIGHEST_STEP)
 
 
 def step_density(step: int) -> float:
@@ -85,11 +87,22 @@
 ):
     """Work offered to a service, by steps of worth per token.
 
-    ``steps`` holds each step with its tokens a second.
+    ``levels`` has one byte a step from ``first_step`` on: the logarithm of
+    its tokens a second, 0 for none.
     """
 
     service: str
-    steps: tuple[tuple[int, int], ...]
+    first_step: int
+    levels: bytes
+
+
+class ServiceBacklog(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True
+):
+    """Tokens of a service's requests that wait for their upstream."""
+
+    service: str
+    tokens: int
 
 
 class KvMove(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -111,12 +124,14 @@
 class RouterDemand(message.Message, frozen=True, kw_only=True):
     """Work offered at one router, for the one that sums up its zone.
 
-    ``reserved_tokens`` is the reported work of the upstreams it owns.
+    ``reserved_tokens`` is the reported work of the upstreams it owns. The
+    demand changes slowly; without ``services`` the last one goes on.
     """
 
     daemon_id: str
-    services: tuple[ServiceDemand, ...]
+    services: tuple[ServiceDemand, ...] | None = None
     reserved_tokens: int = 0
+    backlog: tuple[ServiceBacklog, ...] = ()
 
 
 class ZoneSummary(message.Message, frozen=True, kw_only=True):
@@ -125,7 +140,8 @@
     ``capacity_tokens`` are those that its upstreams do in a second,
     ``reserved_tokens`` those that they report as running or queued. The
     receiver passes it on within its zone while ``hops`` is above 0.
-    ``lacking`` says that the zone has no upstream that serves.
+    ``lacking`` says that the zone has no upstream that serves. Without
+    ``demand`` the last one goes on.
     """
 
     zone: str
@@ -135,7 +151,8 @@
     reserved_tokens: int
     upstreams: int
     lacking: bool = False
-    demand: tuple[ServiceDemand, ...] = ()
+    demand: tuple[ServiceDemand, ...] | None = None
+    backlog: tuple[ServiceBacklog, ...] = ()
     hops: int = 0
 
 
--- a/fulmarbarrow/zones/summaries.py
+++ b/fulmarbarrow/zones/summaries.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+import dataclasses
 import datetime
 import random
 
@@ -9,6 +11,7 @@
 
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
+from fulmarbarrow.zones import backlog as backlogs
 from fulmarbarrow.zones import capacity as capacities
 from fulmarbarrow.zones import demand as demands
 from fulmarbarrow.zones import messages
@@ -20,6 +23,16 @@
 FAR_STALE = datetime.timedelta(seconds=30)
 DETAIL_FROM = 0.4  # of a service's capacity
 HOPS = 2
+DEMAND_EVERY = 2  # messages
+DEMAND_STALE = datetime.timedelta(seconds=25)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Known:
+    """A demand and when it was heard."""
+
+    steps: demands.Steps
+    at: datetime.datetime
 
 
 class Summaries:
@@ -42,12 +55,16 @@
         self._capacity = capacity
         self._rng = rng
         self._meter = demands.DemandMeter()
+        self.waiting = backlogs.Backlog()
         self._routers: dict[
             str, tuple[messages.RouterDemand, datetime.datetime]
         ] = {}
         self._zones: dict[
             str, tuple[messages.ZoneSummary, datetime.datetime]
         ] = {}
+        self._router_demand: dict[str, _Known] = {}
+        self._zone_demand: dict[str, _Known] = {}
+        self._count = 0
         self._next: datetime.datetime | None = None
         self._next_far: datetime.datetime | None = None
 
@@ -65,6 +82,9 @@
     ) -> None:
         """Take the demand of a router of this zone."""
         self._routers[event.daemon_id] = (event, now)
+        if event.services is not None:
+            known = _Known(steps=demands.unpack(event.services), at=now)
+            self._router_demand[event.daemon_id] = known
 
     def heard(
         self, summary: messages.ZoneSummary, now: datetime.datetime
@@ -74,17 +94,42 @@
         fresh = known is None or now - known[1] > STALE
         if not fresh and known[0].sequence >= summary.sequence:
             return []
-        self._zones[summary.zone] = (summary, now)
+        self._enter(summary, now)
         return self._pass_on(summary)
 
     def demand(self, now: datetime.datetime) -> demands.Steps:
         """Return the region's demand as far as it is known now."""
-        parts = [
-            demands.unpack(summary.demand)
+        return demands.add(
+            self._zone_demand[summary.zone].steps
+            for summary in self._region(now)
+            if summary.zone in self._zone_demand
+        )
+
+    def backlog(self, now: datetime.datetime) -> collections.Counter[str]:
+        """Return the region's tokens that wait, by service."""
+        return backlogs.add(
+            part for summary in self._region(now) for part in summary.backlog
+        )
+
+    @property
+    def _detailed(self) -> bool:
+        """Whether the demand goes into this period's messages."""
+        return self._count % DEMAND_EVERY == 0
+
+    def _enter(
+        self, summary: messages.ZoneSummary, now: datetime.datetime
+    ) -> None:
+        self._zones[summary.zone] = (summary, now)
+        if summary.demand is not None:
+            known = _Known(steps=demands.unpack(summary.demand), at=now)
+            self._zone_demand[summary.zone] = known
+
+    def _region(self, now: datetime.datetime) -> list[messages.ZoneSummary]:
+        return [
+            summary
             for summary, at in self._zones.values()
             if now - at <= STALE and summary.region == self._own.region
         ]
-        return demands.add(parts)
 
     def tick(
         self, now: datetime.datetime, service_capacity: dict[str, float]
@@ -98,22 +143,24 @@
             return []
         self._next = max(self._next + PERIOD, now)
         self._forget(now)
+        self._count += 1
         speaker = self._peers.speaker()
         mine = messages.RouterDemand(
             daemon_id=self._own.daemon_id,
-            services=self._meter.services(),
+            services=self._meter.services() if self._detailed else None,
             reserved_tokens=self._capacity.reserved_tokens,
+            backlog=self.waiting.services(),
         )
         if speaker.daemon_id != self._own.daemon_id:
             return [message.Send(address=speaker.address, message=mine)]
-        self._routers[self._own.daemon_id] = (mine, now)
+        self.router_demand(mine, now)
         return self._speak(now, service_capacity)
 
     def _speak(
         self, now: datetime.datetime, service_capacity: dict[str, float]
     ) -> list[message.Message]:
         summary = self._summary(service_capacity, now)
-        self._zones[summary.zone] = (summary, now)
+        self._enter(summary, now)
         effects = self._pass_on(summary)
         receivers = self._peers.one_per_other_zone(self._rng, far=False)
         if self._next_far is None or now >= self._next_far:
@@ -129,7 +176,9 @@
         self, service_capacity: dict[str, float], now: datetime.datetime
     ) -> messages.ZoneSummary:
         found = [event for event, _ in self._routers.values()]
-        total = demands.add(demands.unpack(item.services) for item in found)
+        total = demands.add(
+            known.steps for known in self._router_demand.values()
+        )
         count, rate = self._capacity.of_zone(self._own.zone)
         started = int(now.timestamp() * 1000)
         return messages.ZoneSummary(
@@ -140,7 +189,12 @@
             reserved_tokens=sum(item.reserved_tokens for item in found),
             upstreams=count,
             lacking=count == 0,
-            demand=_brief(total, service_capacity),
+            demand=(
+                _brief(total, service_capacity) if self._detailed else None
+            ),
+            backlog=backlogs.pack(
+                backlogs.add(part for item in found for part in item.backlog)
+            ),
             hops=HOPS,
         )
 
@@ -173,6 +227,10 @@
         ]
 
     def _forget(self, now: datetime.datetime) -> None:
+        for found in (self._router_demand, self._zone_demand):
+            for name, known in list(found.items()):
+                if now - known.at > DEMAND_STALE:
+                    del found[name]
         for name, (_, at) in list(self._routers.items()):
             if now - at > STALE:
                 del self._routers[name]
