--- a/fulmarbarrow/consensus/replication.py
+++ b/fulmarbarrow/consensus/replication.py
@@ -98,7 +98,10 @@
             progress.install_offset = None
         elif event.sent_at == progress.in_flight or not progress.in_flight:
             progress.next_index = self._back_up(event, progress)
-        if event.sent_at == progress.in_flight:
+        if progress.in_flight and event.sent_at > progress.in_flight:
+            # A later message was answered first: the entries are lost.
+            progress.next_index = progress.match_index + 1
+        if progress.in_flight and event.sent_at >= progress.in_flight:
             progress.in_flight = None
         behind = progress.next_index <= self._node.log.last_index
         if progress.in_flight is None and (behind or not event.success):
