--- a/fulmarbarrow/edge/client.py
+++ b/fulmarbarrow/edge/client.py
@@ -25,6 +25,7 @@
 from fulmarbarrow import exceptions
 
 CONNECT_TIMEOUT_SECONDS = 2
+MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
 class UpstreamClient:
@@ -81,8 +82,10 @@
     def _request(
         self, event: messages.StartAttempt, exchange: exchanges_module.Exchange
     ) -> defer.Deferred[iweb.IResponse]:
+        left = event.deadline - self._clock.now()
         fields = {
             headers.ATTEMPT: event.attempt_id,
+            headers.DEADLINE: str(max(0, left // MILLISECOND)),
             headers.PRIORITY: str(event.priority),
             headers.VERSION: event.version,
         }
