--- a/fulmarbarrow/config/collect.py
+++ b/fulmarbarrow/config/collect.py
@@ -21,7 +21,10 @@
     parts = []
     found = []
     for path in _paths(roots):
-        source = findings.Source(path=path, text=path.read_text())
+        source = _read(path)
+        if isinstance(source, findings.Finding):
+            found.append(source)
+            continue
         part, problems = options.load(source, bundles.Bundle)
         found.extend(problems)
         if part is not None:
@@ -33,13 +36,24 @@
     return bundle, found
 
 
+def _read(path: pathlib.Path) -> findings.Source | findings.Finding:
+    """Return a file's text, or a finding when it can't be read."""
+    try:
+        return findings.Source(path=path, text=path.read_text("utf-8"))
+    except OSError as error:
+        text = error.strerror or str(error)
+    except UnicodeDecodeError as error:
+        text = f"is not UTF-8 at byte {error.start}"
+    return findings.Finding(file=str(path), key="", line=0, text=text)
+
+
 def _paths(
     roots: collections.abc.Iterable[pathlib.Path],
 ) -> list[pathlib.Path]:
     found = set()
     for root in roots:
         for name in FILE_NAMES:
-            found.update(root.rglob(name))
+            found.update(path.resolve() for path in root.rglob(name))
     return sorted(found)
 
 
@@ -88,6 +102,10 @@
             yield source.finding(
                 f"version_move[{index}].share_cap", "must be in (0, 1]"
             )
+        if move.old == move.new:
+            yield source.finding(
+                f"version_move[{index}].new", "is the same as old"
+            )
 
 
 def _check_unique(
