Prove the matrix's checks and let its upstreams be past their ramp

Cause: a check that is never seen to fail proves nothing; and all upstreams were within their ramp for the whole cell, so that the load bound was hardly reached. Change: each mechanism can be switched off and its check must notice; the first upstreams started five minutes before; a load takes 3 s.

--- a/faultmatrix/cell.py
+++ b/faultmatrix/cell.py
@@ -19,6 +19,7 @@
 from faultmatrix import faults
 from faultmatrix import fleet as fleets
 from faultmatrix import host as hosts
+from faultmatrix import sabotage as sabotages
 from fulmarbarrow.config import bundle as bundles
 from fulmarbarrow import message
 
@@ -86,10 +87,14 @@
 class Player:
     """Plays one cell."""
 
-    def __init__(self, cell: Cell) -> None:
+    def __init__(
+        self, cell: Cell, sabotage: sabotages.Sabotage | None = None
+    ) -> None:
         self._cell = cell
         self._checks = [kind() for kind in CHECKS]
-        self.fleet = fleets.Fleet(seed=cell.seed, watchers=self._checks)
+        self.fleet = fleets.Fleet(
+            seed=cell.seed, watchers=self._checks, sabotage=sabotage
+        )
         for check in self._checks:
             check.fleet = self.fleet
         self._waiting = list(cell.injections)
@@ -162,6 +167,6 @@
             self.fleet.timeline.after(CHAT_INTERVAL, self._load, number + 1)
 
 
-def play(cell: Cell) -> Result:
-    """Play one cell."""
-    return Player(cell).play()
+def play(cell: Cell, sabotage: sabotages.Sabotage | None = None) -> Result:
+    """Play one cell, on request with a mechanism switched off."""
+    return Player(cell, sabotage).play()
--- a/faultmatrix/features/matrix.feature
+++ b/faultmatrix/features/matrix.feature
@@ -23,3 +23,22 @@
       | graceful stop      |
       | configuration      |
       | no error in a core |
+
+  Scenario Outline: A mechanism switched off is noticed by its check: <check>
+    Given a fleet with the mechanism behind <check> switched off
+    When "<fault>" happens at <step>
+    Then the check <check> is breached
+
+    Examples:
+      | check              | fault                    | step         |
+      | load bound         | account surges           | AnswerData   |
+      | ramp               | upstreams crash          | AnswerData   |
+      | zone out           | zone is taken out        | Gossip       |
+      | bad version        | new version fails        | MoveChanged  |
+      | whole answer       | answers cross            | AnswerData   |
+      | not run            | upstreams answer nothing | AnswerData   |
+      | at most once       | upstreams answer nothing | IntendResult |
+      | leaving            | upstream leaves          | Gossip       |
+      | graceful stop      | host stops as planned    | AnswerData   |
+      | configuration      | zone is taken out        | Gossip       |
+      | no error in a core | upstream joins           | Gossip       |
--- a/faultmatrix/features/steps/matrix.py
+++ b/faultmatrix/features/steps/matrix.py
@@ -8,6 +8,7 @@
 
 from faultmatrix import cell as cells
 from faultmatrix import matrix
+from faultmatrix import sabotage
 
 CELLS = 90
 PAIRS = 30
@@ -66,3 +67,21 @@
         if breach.check == check
     ]
     assert not found, found[:3]
+
+
+@behave.given("a fleet with the mechanism behind {check} switched off")
+def step_sabotage(context, check):
+    context.sabotage = sabotage.SABOTAGES[check]
+
+
+@behave.when('"{fault}" happens at {step}')
+def step_fault(context, fault, step):
+    injection = cells.Injection(fault=fault, step=step)
+    cell = cells.Cell(seed=matrix.SEED, injections=(injection,))
+    context.result = matrix.play(cell, context.sabotage)
+
+
+@behave.then("the check {check} is breached")
+def step_breached(context, check):
+    breached = {breach.check for breach in context.result.breaches}
+    assert check in breached, breached
--- a/faultmatrix/fleet.py
+++ b/faultmatrix/fleet.py
@@ -11,6 +11,7 @@
 from faultmatrix import callers
 from faultmatrix import host as hosts
 from faultmatrix import network as networks
+from faultmatrix import sabotage as sabotages
 from faultmatrix import upstream as upstreams
 from faultmatrix import world
 from fulmarbarrow.config import bundle as bundles
@@ -31,6 +32,7 @@
 DEADLINE = datetime.timedelta(seconds=5)
 RETRY_PUBLISH = datetime.timedelta(seconds=1)
 DRAIN_CHECK = datetime.timedelta(milliseconds=100)
+AGE = datetime.timedelta(minutes=5)  # of the first upstreams
 MOVE_LENGTH = datetime.timedelta(seconds=20)
 
 _ROUTER = (defaults.Role.ROUTER,)
@@ -73,7 +75,9 @@
         *,
         seed: int,
         watchers: collections.abc.Sequence[Watcher] = (),
+        sabotage: sabotages.Sabotage | None = None,
     ) -> None:
+        self.sabotage = sabotage or sabotages.Sabotage()
         self.timeline = world.Timeline(seed=seed)
         self.rng = self.timeline.rng
         self.network = networks.Network(timeline=self.timeline)
@@ -110,7 +114,7 @@
         for plan in self.plans:
             self.start_host(plan)
         for upstream in self.upstreams.values():
-            upstream.start()
+            upstream.start(AGE)
 
     # Hosts.
 
@@ -149,10 +153,11 @@
         if not host.alive:
             return
         mine = _incarnation(host)
-        if any(c.open and c.host_id == mine for c in self.calls.values()):
+        busy = any(c.open and c.host_id == mine for c in self.calls.values())
+        if busy and not self.sabotage.cuts_stops:
             self.timeline.after(DRAIN_CHECK, self._drain, host)
             return
-        host.crash()
+        self.crash_host(host)
         self.timeline.after(
             datetime.timedelta(seconds=1), self.start_host, host.plan
         )
@@ -177,7 +182,13 @@
         subscribe = host.bus.subscribe
 
         def edge(kind: type, action: typing.Any) -> None:
-            subscribe(kind, lambda event, now: action(host, event))
+            def act(event: typing.Any, now: datetime.datetime) -> None:
+                left = event
+                if self.sabotage.tamper is not None:
+                    left = self.sabotage.tamper("", sabotages.EDGE, event, now)
+                action(host, left)
+
+            subscribe(kind, act)
 
         edge(messages.StartAttempt, self._start_attempt)
         edge(messages.CancelAttempt, self._cancel_attempt)
@@ -458,8 +469,20 @@
             return
         delay = networks.LATENCY
         upstream = self.upstreams[event.upstream_id]
+        if self.sabotage.reroute:
+            upstream = self._freshest(upstream)
         self.timeline.after(delay, self._arrive, host, upstream, event)
 
+    def _freshest(self, chosen: upstreams.Upstream) -> upstreams.Upstream:
+        """Return the upstream of a service that started last."""
+        service = chosen.offer.service
+        pool = [
+            item
+            for item in self.upstreams.values()
+            if item.up and item.offer.service == service
+        ]
+        return max(pool, key=lambda item: item.serving_since, default=chosen)
+
     def _arrive(
         self,
         host: hosts.Host,
--- a/faultmatrix/host.py
+++ b/faultmatrix/host.py
@@ -9,6 +9,7 @@
 
 from benchmarks import consensus_explorer
 from faultmatrix import network as networks
+from faultmatrix import sabotage as sabotages
 from faultmatrix import world
 from fulmarbarrow import bus as buses
 from fulmarbarrow.config import defaults
@@ -111,6 +112,8 @@
             now=timeline.now,
             logs=disk,
         )
+        if edges.sabotage.tamper is not None:
+            self._tamper(edges.sabotage.tamper)
         network.join(self)
         self._tick(cores.TICK, message.Tick())
         if self.is_router:
@@ -143,6 +146,12 @@
             self._timeline.after(SYNC, self._sync, persist)
         self._unsynced = []
 
+    def _tamper(self, tamper: sabotages.Tamper) -> None:
+        """Let the sabotage see each message before a core does."""
+        for name, core in self.cores.by_name.items():
+            self.bus.detach(core)
+            self.bus.attach(_Tampered(core, self.plan.daemon_id, name, tamper))
+
     def _settings(
         self, members: tuple[HostPlan, ...], seeds: tuple[str, ...]
     ) -> defaults.Settings:
@@ -217,3 +226,28 @@
             return
         self.take(tick)
         self._timeline.after(interval, self._tick, interval, tick)
+
+
+class _Tampered:
+    """A core whose messages a sabotage sees first."""
+
+    def __init__(
+        self,
+        core: buses.Core,
+        host_id: str,
+        name: str,
+        tamper: sabotages.Tamper,
+    ) -> None:
+        self._core = core
+        self._host_id = host_id
+        self._name = name
+        self._tamper = tamper
+        self.handles = core.handles
+        self.dump = core.dump
+
+    def handle(
+        self, event: message.Message, now: datetime.datetime
+    ) -> typing.Iterable[message.Message]:
+        """Give the core what the sabotage leaves of a message."""
+        left = self._tamper(self._host_id, self._name, event, now)
+        return [] if left is None else self._core.handle(left, now)
--- a/faultmatrix/matrix.py
+++ b/faultmatrix/matrix.py
@@ -12,6 +12,7 @@
 from faultmatrix import cell as cells
 from faultmatrix.checks import base
 from faultmatrix import faults
+from faultmatrix import sabotage as sabotages
 
 SEED = 1
 PROCESSES = 5
@@ -83,7 +84,7 @@
 ) -> Tally:
     """Play cells in several processes and gather their breaches."""
     with futures.ProcessPoolExecutor(processes) as pool:
-        results = list(pool.map(_play, chosen, chunksize=CHUNK))
+        results = list(pool.map(play, chosen, chunksize=CHUNK))
     return Tally(
         run=len(results),
         not_reached=sum(not result.reached for result in results),
@@ -95,10 +96,12 @@
     )
 
 
-def _play(cell: cells.Cell) -> cells.Result:
+def play(
+    cell: cells.Cell, sabotage: sabotages.Sabotage | None = None
+) -> cells.Result:
     """Play a cell; an error in a core is a breach."""
     try:
-        return cells.play(cell)
+        return cells.play(cell, sabotage)
     except Exception as error:
         place = traceback.extract_tb(error.__traceback__)[-1]
         breach = base.Breach(
--- a/faultmatrix/upstream.py
+++ b/faultmatrix/upstream.py
@@ -16,7 +16,7 @@
 FIRST_EVENT = datetime.timedelta(milliseconds=120)
 PLAIN_WORK = datetime.timedelta(milliseconds=30)
 RENEWAL = datetime.timedelta(seconds=1)
-LOAD_TIME = datetime.timedelta(seconds=1)
+LOAD_TIME = datetime.timedelta(seconds=3)
 SLOW = 6
 ANSWER_EVENTS = 10
 END = b"data: [DONE]\n\n"
@@ -87,13 +87,13 @@
         """The work in tokens of the attempts that run."""
         return sum(run.cost for run in self.runs.values())
 
-    def start(self) -> None:
-        """Start as a new incarnation."""
+    def start(self, age: datetime.timedelta = datetime.timedelta()) -> None:
+        """Start as a new incarnation, or have done so some time ago."""
         self.up = True
         self.incarnation += 1
         self.sequence = 0
         self.state = membership_messages.UpstreamState.SERVING
-        self.serving_since = self._timeline.now
+        self.serving_since = self._timeline.now - age
         self.leaving_since = None
         self._owner = ("", 0)
         self._renew(self.incarnation)
--- a/fulmarbarrow/bus.py
+++ b/fulmarbarrow/bus.py
@@ -100,6 +100,11 @@
         """Call ``watcher`` with each message whose handling failed."""
         self._error_watchers.append(watcher)
 
+    def detach(self, core: Core) -> None:
+        """Take back an ``attach``."""
+        for message_type in core.handles:
+            self._handlers[message_type].remove(core.handle)
+
     def watch(self, watcher: Watcher | None) -> None:
         """Give every delivered message, effects too, to ``watcher``."""
         self._watcher = watcher
