Report evidence on a version more rarely in a large fleet

Cause: 400 routers that report each second send the leader 50.8 KB/s, above the 7 KB/s for control. Change: without signs of a fault all routers together send 40 reports a second; with a quarter of a proof a router reports at once.

--- a/fulmarbarrow/versions/features/moves.feature
+++ b/fulmarbarrow/versions/features/moves.feature
@@ -73,3 +73,18 @@
     And the control host restarts from its snapshot and leads again
     Then the move is still expanding at the same share
     And it is played until the phase completed
+
+  Scenario Outline: Reports without signs of a fault are rarer in a large fleet
+    Given a router that knows <daemons> daemons and has a move
+    When it sees good attempts of both versions for 60 seconds
+    Then it reports between <least> and <most> times to each control host
+
+    Examples:
+      | daemons | least | most |
+      | 7       | 58    | 61   |
+      | 399     | 5     | 7    |
+
+  Scenario: Signs of a fault are reported each second in a large fleet
+    Given a router that knows 399 daemons and has a move
+    When it sees 3 failed attempts and good ones for 10 seconds
+    Then it reports between 8 and 11 times to each control host
--- a/fulmarbarrow/versions/features/steps/moves.py
+++ b/fulmarbarrow/versions/features/steps/moves.py
@@ -8,7 +8,12 @@
 import automat
 import behave
 
+from benchmarks import version_cost
 from benchmarks import version_model
+from fulmarbarrow import clock as clocks
+from fulmarbarrow.delivery import messages as delivery_messages
+from fulmarbarrow import message
+from fulmarbarrow.placement import messages as placement_messages
 from fulmarbarrow.versions import machine
 from fulmarbarrow.versions import messages
 from fulmarbarrow.versions import sequential
@@ -252,3 +257,59 @@
 @behave.then("a fault is {found}")
 def step_found(context, found):
     assert bool(context.fault) == (found == "found"), context.fault
+
+
+def observed(version, failed=False):
+    outcome = placement_messages.WorkOutcome
+    return delivery_messages.AttemptObserved(
+        account="volos",
+        service=version_model.SERVICE,
+        model=version_model.MODEL,
+        version=version,
+        route=version_model.ROUTES[0],
+        upstream_id="engine-0",
+        incarnation=1,
+        outcome=outcome.FAILED if failed else outcome.COMPLETED,
+    )
+
+
+@behave.given("a router that knows {count:d} daemons and has a move")
+def step_large_fleet(context, count):
+    context.router, configuration = version_cost.make_router(count)
+    context.clock = clocks.ManualClock()
+    context.router.handle(configuration, context.clock.now())
+    context.reports = 0
+
+
+def pass_seconds(context, count):
+    for _ in range(count):
+        now = context.clock.advance(datetime.timedelta(seconds=1))
+        for version in ("1", "2"):
+            context.router.handle(observed(version), now)
+        effects = context.router.handle(message.Tick(), now)
+        context.reports += sum(
+            isinstance(effect, message.Send)
+            and isinstance(effect.message, messages.VersionEvidence)
+            for effect in effects
+        )
+
+
+@behave.when("it sees good attempts of both versions for {count:d} seconds")
+def step_good(context, count):
+    pass_seconds(context, count)
+
+
+@behave.when(
+    "it sees {failed:d} failed attempts and good ones for {count:d} seconds"
+)
+def step_failed(context, failed, count):
+    for _ in range(failed):
+        context.router.handle(observed("2", True), context.clock.now())
+    pass_seconds(context, count)
+
+
+@behave.then(
+    "it reports between {least:d} and {most:d} times to each control host"
+)
+def step_reports(context, least, most):
+    assert least <= context.reports <= most, context.reports
--- a/fulmarbarrow/versions/router.py
+++ b/fulmarbarrow/versions/router.py
@@ -5,6 +5,7 @@
 import collections
 import datetime
 import logging
+import math
 import typing
 
 import msgspec
@@ -23,6 +24,8 @@
 
 CONTROL_ROLE = "control"
 REPORT_INTERVAL = datetime.timedelta(seconds=1)
+REPORTS_PER_SECOND = 40  # to a control host, from all routers together
+URGENT_EVIDENCE = 0.25  # of a proof; reported at once
 REMIND_INTERVAL = datetime.timedelta(seconds=10)
 
 _ERRORS = (
@@ -131,8 +134,27 @@
         self._watches: dict[str, dict[str, RouteWatch]] = {}
         self._daemons: dict[str, membership_messages.Daemon] = {}
         self._report_at: datetime.datetime | None = None
+        self._quiet = 0
         self._remind_at: datetime.datetime | None = None
 
+    @property
+    def _urgent(self) -> bool:
+        """Whether a route shows signs of a fault."""
+        return any(
+            watch.evidence >= URGENT_EVIDENCE
+            for watches in self._watches.values()
+            for watch in watches.values()
+        )
+
+    @property
+    def _quiet_limit(self) -> int:
+        """In how many seconds a report without signs of a fault is due.
+
+        It grows with the fleet, so that a control host gets no more reports.
+        """
+        reports = (len(self._daemons) + 1) * max(1, len(self._watches))
+        return math.ceil(reports / REPORTS_PER_SECOND)
+
     def handle(
         self, event: message.Message, now: datetime.datetime
     ) -> list[message.Message]:
@@ -310,10 +332,14 @@
         return [*sends, stopped]
 
     def _report(self, now: datetime.datetime) -> list[message.Message]:
-        """Send the evidence of the last second to the control hosts."""
+        """Send the evidence since the last report to the control hosts."""
         if self._report_at is not None and now < self._report_at:
             return []
         self._report_at = now + REPORT_INTERVAL
+        self._quiet += 1
+        if not self._urgent and self._quiet < self._quiet_limit:
+            return self._remind(now)
+        self._quiet = 0
         effects: list[message.Message] = []
         for move_id, watches in self._watches.items():
             routes = tuple(
