Split the fake fleet into hosts, callers and operators

Cause: faultmatrix/fleet.py had grown to 608 lines with three duties. Change: calling.py sends and collects requests, operators.py publishes.

--- a/faultmatrix/cell.py
+++ b/faultmatrix/cell.py
@@ -116,7 +116,7 @@
         timeline.run(LENGTH)
         for check in self._checks:
             check.finish()
-        calls = self.fleet.calls.values()
+        calls = self.fleet.callers.calls.values()
         return Result(
             cell=self._cell,
             reached=not self._waiting,
@@ -145,24 +145,28 @@
             )
 
     def _publish_first(self) -> None:
-        self.fleet.publish(self.fleet.first_bundle())
+        self.fleet.operators.publish(self.fleet.operators.first_bundle())
 
     def _publish_move(self) -> None:
-        move = self.fleet.version_move()
-        self.fleet.publish(
-            dataclasses.replace(self.fleet.bundle, version_move=(move,))
+        move = self.fleet.operators.version_move()
+        self.fleet.operators.publish(
+            dataclasses.replace(
+                self.fleet.operators.bundle, version_move=(move,)
+            )
         )
 
     def _publish_zone(self, state: bundles.ZoneState) -> None:
-        self.fleet.publish(faults.with_zone(self.fleet.bundle, "b", state))
+        self.fleet.operators.publish(
+            faults.with_zone(self.fleet.operators.bundle, "b", state)
+        )
 
     def _load(self, number: int) -> None:
         """Send the next requests of the steady load."""
-        self.fleet.chat()
+        self.fleet.callers.chat()
         if number % 3 == 0:
-            self.fleet.place_order()
+            self.fleet.callers.place_order()
         if number % 2 == 0:
-            self.fleet.look_up()
+            self.fleet.callers.look_up()
         if self.fleet.timeline.elapsed < LOAD_UNTIL:
             self.fleet.timeline.after(CHAT_INTERVAL, self._load, number + 1)
 
--- a/faultmatrix/checks/configuration.py
+++ b/faultmatrix/checks/configuration.py
@@ -32,7 +32,7 @@
             if result.code == "revision_conflict":
                 self.results.setdefault(result.publish_id, result)
             return
-        digest = self.fleet.published_digests[result.publish_id]
+        digest = self.fleet.operators.published_digests[result.publish_id]
         known = self._accepted.setdefault(result.revision, digest)
         if known != digest:
             self.breach(f"revision {result.revision} was accepted twice")
--- a/faultmatrix/checks/not_run.py
+++ b/faultmatrix/checks/not_run.py
@@ -21,7 +21,7 @@
         for upstream in self.fleet.upstreams.values():
             for request_id, times in upstream.ran.items():
                 ran[request_id] = ran.get(request_id, 0) + times
-        for call in self.fleet.calls.values():
+        for call in self.fleet.callers.calls.values():
             if call.ran is not messages.Ran.NO:
                 continue
             if ran.get(call.request.request_id):
--- a/faultmatrix/checks/whole_answer.py
+++ b/faultmatrix/checks/whole_answer.py
@@ -34,6 +34,6 @@
     def finish(self) -> None:
         """Look for requests that hang."""
         now = self.fleet.timeline.now
-        for call in self.fleet.calls.values():
+        for call in self.fleet.callers.calls.values():
             if call.open and now > call.request.deadline + HANG_LIMIT:
                 self.breach(f"{call.request.request_id} hangs")
--- a/faultmatrix/faults.py
+++ b/faultmatrix/faults.py
@@ -6,6 +6,7 @@
 import dataclasses
 import datetime
 
+from faultmatrix import calling
 from faultmatrix import fleet as fleets
 from faultmatrix import host as hosts
 from fulmarbarrow.config import bundle as bundles
@@ -49,7 +50,7 @@
     plain = [
         item
         for item in fleet.upstreams.values()
-        if item.offer.service == fleets.PLAIN_SERVICE
+        if item.offer.service == calling.PLAIN_SERVICE
     ]
     return max(plain, key=lambda item: (item.up, item.work))
 
@@ -104,7 +105,7 @@
 
 def _account_surges(fleet: fleets.Fleet, host: hosts.Host) -> None:
     for _ in range(SURGE):
-        fleet.chat(account="patras")
+        fleet.callers.chat(account="patras")
 
 
 def _bad_version(flag: str) -> Injection:
@@ -182,25 +183,28 @@
             name=publisher, key_salt="salt", key_digest=publisher
         )
         changed = dataclasses.replace(
-            fleet.bundle, account=(*fleet.bundle.account, account)
+            fleet.operators.bundle,
+            account=(*fleet.operators.bundle.account, account),
         )
-        fleet.publish(changed, publisher)
+        fleet.operators.publish(changed, publisher)
 
 
 def _poison(fleet: fleets.Fleet, host: hosts.Host) -> None:
     for number in range(POISON_RESENDS):
         fleet.timeline.after(
-            number * SHORT, lambda: fleet.chat(digest="poison")
+            number * SHORT, lambda: fleet.callers.chat(digest="poison")
         )
 
 
 def _zone_cut_off(fleet: fleets.Fleet, host: hosts.Host) -> None:
-    fleet.network.cut("b", fleets.ZONES)
+    fleet.network.cut("b", hosts.ZONES)
     fleet.timeline.after(LONG, fleet.network.heal)
 
 
 def _zone_taken_out(fleet: fleets.Fleet, host: hosts.Host) -> None:
-    fleet.publish(with_zone(fleet.bundle, "b", bundles.ZoneState.OUT))
+    fleet.operators.publish(
+        with_zone(fleet.operators.bundle, "b", bundles.ZoneState.OUT)
+    )
 
 
 def with_zone(
--- a/faultmatrix/fleet.py
+++ b/faultmatrix/fleet.py
@@ -4,12 +4,13 @@
 
 import collections.abc
 import datetime
-import itertools
 import typing
 
 from faultmatrix import callers
+from faultmatrix import calling
 from faultmatrix import host as hosts
 from faultmatrix import network as networks
+from faultmatrix import operators
 from faultmatrix import sabotage as sabotages
 from faultmatrix import upstream as upstreams
 from faultmatrix import world
@@ -17,23 +18,11 @@
 from fulmarbarrow.config import defaults
 from fulmarbarrow.delivery import messages
 from fulmarbarrow.membership import messages as membership_messages
-from fulmarbarrow.placement import messages as placement_messages
-from fulmarbarrow.publishing import delta as deltas
 from fulmarbarrow.publishing import messages as publishing_messages
 from fulmarbarrow.versions import messages as versions_messages
 
-ZONES = ("a", "b", "c")
-CHATS = 20
-CHAT_SERVICE = "consultations"
-CHAT_MODEL = "lacework"
-PLAIN_SERVICE = "register"
-CHAT_COST = 150
-PLAIN_COST = 100
-DEADLINE = datetime.timedelta(seconds=5)
-RETRY_PUBLISH = datetime.timedelta(seconds=1)
 DRAIN_CHECK = datetime.timedelta(milliseconds=100)
 AGE = datetime.timedelta(minutes=5)  # of the first upstreams
-MOVE_LENGTH = datetime.timedelta(seconds=20)
 
 _ROUTER = (defaults.Role.ROUTER,)
 _CONTROL = (defaults.Role.CONTROL,)
@@ -82,15 +71,10 @@
         self.rng = self.timeline.rng
         self.network = networks.Network(timeline=self.timeline)
         self.watchers = list(watchers)
-        self.calls: dict[str, callers.Call] = {}
-        self.intentions: list[callers.Intention] = []
+        self.callers = calling.Callers(fleet=self)
+        self.operators = operators.Operators(fleet=self)
         self.bad_versions: set[str] = set()
         self.key_run_counts: dict[str, int] = {}
-        self.bundle = bundles.Bundle()
-        self.published_digests: dict[str, str] = {}
-        self.revision = 0
-        self._numbers = itertools.count(1)
-        self._requests: dict[str, messages.RequestArrived] = {}
         self._attach_hooks: list[
             collections.abc.Callable[[hosts.Host], None]
         ] = []
@@ -139,10 +123,7 @@
             for attempt_id, run in list(upstream.runs.items()):
                 if run.host is host:
                     upstream.cancel(attempt_id)
-        for call in list(self.calls.values()):
-            if call.open and call.host_id == _incarnation(host):
-                call.lost = True
-                self._call_ended(call)
+        self.callers.lose(host)
 
     def stop_host(self, host: hosts.Host) -> None:
         """Stop a host gracefully, then start it again."""
@@ -152,9 +133,7 @@
     def _drain(self, host: hosts.Host) -> None:
         if not host.alive:
             return
-        mine = _incarnation(host)
-        busy = any(c.open and c.host_id == mine for c in self.calls.values())
-        if busy and not self.sabotage.cuts_stops:
+        if self.callers.open_at(host) and not self.sabotage.cuts_stops:
             self.timeline.after(DRAIN_CHECK, self._drain, host)
             return
         self.crash_host(host)
@@ -179,38 +158,36 @@
 
     def attach(self, host: hosts.Host) -> None:
         """Subscribe the fake edges to a new host's bus."""
-        subscribe = host.bus.subscribe
-
-        def edge(kind: type, action: typing.Any) -> None:
-            def act(event: typing.Any, now: datetime.datetime) -> None:
-                left = event
-                if self.sabotage.tamper is not None:
-                    left = self.sabotage.tamper("", sabotages.EDGE, event, now)
-                action(host, left)
-
-            subscribe(kind, act)
-
-        edge(messages.StartAttempt, self._start_attempt)
-        edge(messages.CancelAttempt, self._cancel_attempt)
-        edge(messages.AnswerStarted, self._answer_started)
-        edge(messages.AnswerData, self._answer_data)
-        edge(messages.AnswerEnded, self._answer_ended)
-        edge(messages.AnswerBroken, self._answer_broken)
-        edge(messages.RequestRefused, self._refused)
-        edge(membership_messages.AnnounceAccepted, self._accepted)
-        edge(versions_messages.Order, self._order)
-        edge(versions_messages.VersionStopped, self._stopped)
-        edge(publishing_messages.PublishResult, self._publish_result)
-        edge(publishing_messages.ConfigurationChanged, self._in_force)
+        self.callers.attach(host)
+        self.operators.attach(host)
+        self.edge(host, messages.StartAttempt, self._start_attempt)
+        self.edge(host, messages.CancelAttempt, self._cancel_attempt)
+        self.edge(host, membership_messages.AnnounceAccepted, self._accepted)
+        self.edge(host, versions_messages.Order, self._order)
+        self.edge(host, versions_messages.VersionStopped, self._stopped)
+        self.edge(
+            host, publishing_messages.ConfigurationChanged, self._in_force
+        )
         for hook in self._attach_hooks:
             hook(host)
 
+    def edge(self, host: hosts.Host, kind: type, action: typing.Any) -> None:
+        """Give a host's messages of a type to an action of the fake edge."""
+
+        def act(event: typing.Any, now: datetime.datetime) -> None:
+            left = event
+            if self.sabotage.tamper is not None:
+                left = self.sabotage.tamper("", sabotages.EDGE, event, now)
+            action(host, left)
+
+        host.bus.subscribe(kind, act)
+
     # Upstreams.
 
     def add_engine(self, upstream_id: str, zone: str) -> upstreams.Upstream:
         """Add an engine; the caller starts it."""
         offer = membership_messages.Offer(
-            service=CHAT_SERVICE, model=CHAT_MODEL, version="1"
+            service=calling.CHAT_SERVICE, model=calling.CHAT_MODEL, version="1"
         )
         return self._add_upstream(upstream_id, zone, offer)
 
@@ -219,7 +196,7 @@
         return [
             item
             for item in self.upstreams.values()
-            if item.offer.service == CHAT_SERVICE
+            if item.offer.service == calling.CHAT_SERVICE
         ]
 
     def reachable(self, host: hosts.Host, zone: str) -> bool:
@@ -237,7 +214,7 @@
 
     def request(self, request_id: str) -> messages.RequestArrived:
         """Return a request by its id."""
-        return self._requests[request_id]
+        return self.callers.request(request_id)
 
     def key_runs(self, request: messages.RequestArrived) -> int:
         """Return how often an idempotency key's action ran."""
@@ -260,200 +237,6 @@
         for watcher in self.watchers:
             watcher.executed(upstream, run)
 
-    # Callers.
-
-    def chat(self, *, account: str = "volos", digest: str = "") -> None:
-        """Let a caller send a chat."""
-        number = next(self._numbers)
-        chat = f"chat-{self.rng.randrange(CHATS)}"
-        self._intend(
-            f"chat {number}",
-            account=account,
-            service=CHAT_SERVICE,
-            model=CHAT_MODEL,
-            chat=chat,
-            route="/v1/chat/completions",
-            method="POST",
-            path="/v1/chat/completions",
-            digest=digest or f"digest-{number}",
-            stream=True,
-            cost=CHAT_COST,
-            cost_class=placement_messages.CostClass.LONG,
-            worth=2.0,
-        )
-
-    def place_order(self) -> None:
-        """Let a caller place an order that must run at most once."""
-        number = next(self._numbers)
-        self._intend(
-            f"order {number}",
-            account="patras",
-            service=PLAIN_SERVICE,
-            chat=f"order-{number}",
-            route="/register/orders",
-            method="POST",
-            path="/register/orders",
-            digest=f"digest-{number}",
-            idempotent=False,
-            key=f"key-{number}",
-            cost=PLAIN_COST,
-            worth=10.0,
-            lookup_path="/register/orders/by-key",
-        )
-
-    def look_up(self) -> None:
-        """Let a caller read from the plain service."""
-        number = next(self._numbers)
-        self._intend(
-            f"look-up {number}",
-            account="volos",
-            service=PLAIN_SERVICE,
-            chat=f"look-up-{number}",
-            route="/register",
-            method="GET",
-            path="/register/dies",
-            digest=f"digest-{number}",
-            cost=PLAIN_COST,
-            worth=1.0,
-        )
-
-    def _intend(self, name: str, **fields: typing.Any) -> None:
-        base = {
-            "request_id": "",
-            "model": "",
-            "idempotent": True,
-            "key": "",
-            "stream": False,
-            "cost_class": placement_messages.CostClass.SHORT,
-            "best_effort": False,
-            "deadline": self.timeline.now + DEADLINE,
-        }
-        request = messages.RequestArrived(**{**base, **fields})
-        intention = callers.Intention(name=name, request=request)
-        self.intentions.append(intention)
-        self._send(intention)
-
-    def _send(self, intention: callers.Intention) -> None:
-        """Send an intention's request through any entry host."""
-        near = self.live(defaults.Role.ROUTER)
-        if intention.done or not near:
-            return
-        host = self.rng.choice(near)
-        number = next(self._numbers)
-        old = intention.request
-        fields = {name: getattr(old, name) for name in old.__struct_fields__}
-        fields["request_id"] = f"{_incarnation(host)}-{number}"
-        fields["deadline"] = self.timeline.now + DEADLINE
-        request = messages.RequestArrived(**fields)
-        call = callers.Call(
-            request=request,
-            host_id=_incarnation(host),
-            sent_at=self.timeline.now,
-        )
-        intention.calls.append(call)
-        self.calls[request.request_id] = call
-        self._requests[request.request_id] = request
-        host.take(request)
-
-    def _call_ended(self, call: callers.Call) -> None:
-        for watcher in self.watchers:
-            watcher.ended(call)
-        if call.answered:
-            return
-        for intention in self.intentions[::-1]:
-            if intention.calls and intention.calls[-1] is call:
-                if len(intention.calls) < callers.MAX_SENDS:
-                    delay = callers.RESEND_DELAY
-                    self.timeline.after(delay, self._send, intention)
-                return
-
-    # Operators.
-
-    def publish(self, bundle: bundles.Bundle, publisher: str = "ada") -> None:
-        """Publish a bundle until it is accepted or another one wins."""
-        self.bundle = bundle
-        number = next(self._numbers)
-        self._publish_again(bundle, publisher, f"publish-{number}", 0)
-
-    def _publish_again(
-        self,
-        bundle: bundles.Bundle,
-        publisher: str,
-        publish_id: str,
-        tries: int,
-    ) -> None:
-        done = any(
-            getattr(watcher, "results", {}).get(publish_id)
-            for watcher in self.watchers
-        )
-        near = self.live(defaults.Role.CONTROL)
-        if done or not near or tries > 8:
-            return
-        data = bundles.encode(bundle)
-        content = deltas.Content(bundle=bundle).encode()
-        digest = deltas.digest(content)
-        self.published_digests[publish_id] = digest
-        request = publishing_messages.PublishRequested(
-            publish_id=publish_id,
-            publisher=publisher,
-            base_revision=self.revision,
-            digest=digest,
-            bundle=data,
-        )
-        host = self.leader() if tries == 0 else self.rng.choice(near)
-        (host or near[0]).take(request)
-        self.timeline.after(
-            RETRY_PUBLISH,
-            self._publish_again,
-            bundle,
-            publisher,
-            publish_id,
-            tries + 1,
-        )
-
-    def first_bundle(self) -> bundles.Bundle:
-        """Return the configuration that the fleet starts with."""
-        accounts = tuple(
-            bundles.Account(
-                name=name, key_salt="salt", key_digest=name, weight=weight
-            )
-            for name, weight in (("patras", 1.0), ("volos", 2.0))
-        )
-        chat = bundles.Service(
-            name=CHAT_SERVICE,
-            kind=bundles.ServiceKind.MODEL,
-            routes=(bundles.Route(path="/v1/chat/completions", worth=2.0),),
-            models=(bundles.Model(name=CHAT_MODEL, version="1"),),
-        )
-        plain = bundles.Service(
-            name=PLAIN_SERVICE,
-            kind=bundles.ServiceKind.PLAIN,
-            routes=(
-                bundles.Route(path="/register", methods=("GET",)),
-                bundles.Route(
-                    path="/register/orders", idempotent=False, worth=10.0
-                ),
-            ),
-        )
-        zones = tuple(
-            bundles.Zone(name=zone, region="attica") for zone in ZONES
-        )
-        return bundles.Bundle(
-            service=(chat, plain), account=accounts, zone=zones
-        )
-
-    def version_move(self, move_id: str = "move-1") -> bundles.VersionMove:
-        """Return a move of the model from version 1 to 2."""
-        return bundles.VersionMove(
-            id=move_id,
-            service=CHAT_SERVICE,
-            model=CHAT_MODEL,
-            old="1",
-            new="2",
-            deadline=self.timeline.now + MOVE_LENGTH,
-            share_cap=0.2,
-        )
-
     # Effects of the cores.
 
     def _start_attempt(
@@ -498,43 +281,6 @@
     ) -> None:
         self.upstreams[event.upstream_id].cancel(event.attempt_id)
 
-    def _answer_started(
-        self, host: hosts.Host, event: messages.AnswerStarted
-    ) -> None:
-        call = self.calls[event.request_id]
-        call.status = event.status
-        call.length = event.length
-        call.replayed = event.replayed
-
-    def _answer_data(
-        self, host: hosts.Host, event: messages.AnswerData
-    ) -> None:
-        self.calls[event.request_id].body += event.data
-
-    def _answer_ended(
-        self, host: hosts.Host, event: messages.AnswerEnded
-    ) -> None:
-        call = self.calls[event.request_id]
-        call.ended = True
-        self._call_ended(call)
-
-    def _answer_broken(
-        self, host: hosts.Host, event: messages.AnswerBroken
-    ) -> None:
-        self._end_with(event.request_id, event.code, event.ran)
-
-    def _refused(
-        self, host: hosts.Host, event: messages.RequestRefused
-    ) -> None:
-        self._end_with(event.request_id, event.code, event.ran)
-
-    def _end_with(self, request_id: str, code: str, ran: messages.Ran) -> None:
-        call = self.calls[request_id]
-        call.code = code
-        call.ran = ran
-        call.ended = True
-        self._call_ended(call)
-
     def _accepted(
         self, host: hosts.Host, event: membership_messages.AnnounceAccepted
     ) -> None:
@@ -552,13 +298,6 @@
         for watcher in self.watchers:
             watcher.stopped(event)
 
-    def _publish_result(
-        self, host: hosts.Host, event: publishing_messages.PublishResult
-    ) -> None:
-        self.revision = max(self.revision, event.revision)
-        for watcher in self.watchers:
-            watcher.published(event)
-
     def _in_force(
         self,
         host: hosts.Host,
@@ -569,10 +308,10 @@
 
     @staticmethod
     def _make_plans() -> tuple[hosts.HostPlan, ...]:
-        wanted = [(f"control-{zone}", zone, _CONTROL) for zone in ZONES]
+        wanted = [(f"control-{zone}", zone, _CONTROL) for zone in hosts.ZONES]
         wanted += [
             (f"entry-{zone}{number}", zone, _ROUTER)
-            for zone in ZONES[:2]
+            for zone in hosts.ZONES[:2]
             for number in (1, 2)
         ]
         return tuple(
@@ -583,10 +322,10 @@
         )
 
     def _add_upstreams(self) -> None:
-        for zone in ZONES[:2]:
+        for zone in hosts.ZONES[:2]:
             for number in (1, 2):
                 self.add_engine(f"engine-{zone}{number}", zone)
-            offer = membership_messages.Offer(service=PLAIN_SERVICE)
+            offer = membership_messages.Offer(service=calling.PLAIN_SERVICE)
             self._add_upstream(f"plain-{zone}1", zone, offer)
 
     def _add_upstream(
@@ -601,8 +340,3 @@
         )
         self.upstreams[upstream_id] = upstream
         return upstream
-
-
-def _incarnation(host: hosts.Host) -> str:
-    """Return a name of this incarnation of a host."""
-    return f"{host.plan.daemon_id}.{host.record.incarnation}"
--- a/faultmatrix/host.py
+++ b/faultmatrix/host.py
@@ -24,6 +24,7 @@
 from fulmarbarrow.observe import metrics
 from fulmarbarrow.placement import messages as placement_messages
 
+ZONES = ("a", "b", "c")
 SYNC = datetime.timedelta(milliseconds=2)
 FLEET_KEY = "a fleet key of tests"
 
