--- a/fulmarbarrow/versions/control.py
+++ b/fulmarbarrow/versions/control.py
@@ -14,11 +14,8 @@
 from fulmarbarrow import message
 from fulmarbarrow.observe import plain
 from fulmarbarrow.publishing import messages as publishing_messages
-from fulmarbarrow.versions import evidence as evidence_module
-from fulmarbarrow.versions import machine
+from fulmarbarrow.versions import decisions
 from fulmarbarrow.versions import messages
-from fulmarbarrow.versions import orders as orders_module
-from fulmarbarrow.versions import schedule
 from fulmarbarrow.versions import state
 
 log = logging.getLogger(__name__)
@@ -27,8 +24,6 @@
 
 PUSH_INTERVAL = datetime.timedelta(seconds=10)
 PROPOSAL_TIMEOUT = datetime.timedelta(seconds=5)
-FIRST_ATTEMPTS = 60  # attempts at the new version under half its cap
-CANARY_ATTEMPTS = 200  # attempts at the new version
 ROUTER_ROLE = "router"
 
 
@@ -72,9 +67,7 @@
         self._daemons: dict[str, membership_messages.Daemon] = {
             daemon.daemon_id: daemon
         }
-        self._evidence: dict[str, evidence_module.MoveEvidence] = {}
-        self._faults: dict[str, str] = {}
-        self._orders = orders_module.Orders()
+        self._decider = decisions.Decider()
         self._proposed: dict[str, datetime.datetime] = {}
         self._proposals = 0
         self._push_at: datetime.datetime | None = None
@@ -89,7 +82,7 @@
             case messages.VersionStopped():
                 return self._fault(event.move_id, event.reason, now)
             case messages.OrderResult():
-                self._orders.result(event)
+                self._decider.orders.result(event)
             case consensus_messages.ProposeResult(group=self._group):
                 self._proposal_ended(event)
             case consensus_messages.LeaderChanged(group=self._group):
@@ -112,11 +105,11 @@
             "moves": {
                 move_id: {
                     **plain.plain(record),
-                    "evidence": self._evidence_of(move_id).strongest,
+                    "evidence": self._decider.evidence(move_id).strongest,
                 }
                 for move_id, record in self._records.items()
             },
-            "orders": self._orders.dump(),
+            "orders": self._decider.orders.dump(),
         }
 
     def _leading(self, now: datetime.datetime) -> bool:
@@ -160,7 +153,7 @@
         match event:
             case membership_messages.UpstreamChanged():
                 self._upstreams[event.upstream.upstream_id] = event.upstream
-                self._orders.announced(event.upstream, now)
+                self._decider.orders.announced(event.upstream, now)
             case membership_messages.UpstreamGone():
                 self._upstreams.pop(event.upstream_id, None)
             case membership_messages.DaemonChanged():
@@ -179,8 +172,7 @@
         self._leader = event
         if before is not None and before.term == event.term:
             return
-        self._orders.lead(fencing_number=event.fencing_number, now=now)
-        self._evidence.clear()
+        self._decider.lead(fencing_number=event.fencing_number, now=now)
         self._proposed.clear()
 
     def _configure(
@@ -212,19 +204,13 @@
             sequence=committed.index,
         )
 
-    def _evidence_of(self, move_id: str) -> evidence_module.MoveEvidence:
-        found = self._evidence.get(move_id)
-        if found is None:
-            found = self._evidence[move_id] = evidence_module.MoveEvidence()
-        return found
-
     def _weigh(
         self, event: messages.VersionEvidence, now: datetime.datetime
     ) -> list[message.Message]:
         """Add a router's evidence to that of the whole fleet."""
         if event.move_id not in self._records:
             return []
-        fault = self._evidence_of(event.move_id).add(event.routes)
+        fault = self._decider.evidence(event.move_id).add(event.routes)
         if not fault:
             return []
         return self._fault(event.move_id, fault, now)
@@ -234,9 +220,13 @@
     ) -> list[message.Message]:
         """Stop a bad version everywhere, then take it back."""
         record = self._records.get(move_id)
-        if record is None or not self._leading(now) or move_id in self._faults:
+        if (
+            record is None
+            or not self._leading(now)
+            or move_id in self._decider.faults
+        ):
             return []
-        self._faults[move_id] = reason
+        self._decider.faults[move_id] = reason
         stopped = messages.VersionStopped(move_id=move_id, reason=reason)
         sends: list[message.Message] = [
             message.Send(address=daemon.address, message=stopped, urgent=True)
@@ -258,7 +248,7 @@
         effects: list[message.Message] = []
         for record in list(self._records.values()):
             effects.extend(self._advance(record, now))
-            effects.extend(self._load(self._records[record.move.id], now))
+            effects.extend(self._decider.load(record, self._upstreams, now))
         if self._push_at is None or now >= self._push_at:
             self._push_at = now + PUSH_INTERVAL
             for daemon in self._routers():
@@ -269,123 +259,11 @@
         self, record: state.MoveRecord, now: datetime.datetime
     ) -> list[message.Message]:
         """Propose the next step of a move if it is due."""
-        move = record.move
-        asked = self._proposed.get(move.id)
+        asked = self._proposed.get(record.move.id)
         if asked is not None and now < asked + PROPOSAL_TIMEOUT:
             return []
-        pool = state.split_pool(move, self._upstreams)
-        entered = _Entered()
-        life = machine.resume(record.phase, entered)
-        self._judge(record, pool, life, now)
-        phase = entered.phase or record.phase
-        attempts = self._evidence_of(move.id).attempts
-        share = _share(move, phase, pool, attempts)
-        if phase is record.phase and abs(share - record.share) < 1e-9:
-            return []
-        step = messages.MoveStep(
-            move_id=move.id,
-            service=move.service,
-            model=move.model,
-            phase=phase,
-            share=share,
-            at=now,
-            reason=self._faults.get(move.id, record.reason),
-        )
-        return [self._propose(step, now)]
-
-    def _judge(
-        self,
-        record: state.MoveRecord,
-        pool: state.Pool,
-        life: machine.Move,
-        now: datetime.datetime,
-    ) -> None:
-        """Give a move's machine the input that the facts call for."""
-        phase = messages.Phase
-        plan = self._plan(record, pool, now)
-        if self._failed(record, now) and record.phase not in (
-            phase.TAKING_BACK,
-            phase.TAKEN_BACK,
-        ):
-            life.fault()
-        elif record.phase is phase.LOADING and pool.new:
-            life.warm()
-        elif record.phase is phase.CANARY and self._proven(record, plan, now):
-            life.proven()
-        elif record.phase is phase.EXPANDING and self._expanded(record, pool):
-            life.expanded()
-        elif record.phase is phase.WATCHING and now >= plan.watch_until:
-            life.watched()
-        elif record.phase is phase.COMPLETING and not pool.old and pool.new:
-            life.all_new()
-        elif record.phase is phase.TAKING_BACK and not pool.new:
-            life.all_old()
-
-    def _failed(
-        self, record: state.MoveRecord, now: datetime.datetime
-    ) -> bool:
-        """Whether the move must be taken back."""
-        move = record.move
-        if move.id in self._faults:
-            return True
-        late = now >= move.deadline
-        if late and record.phase is not messages.Phase.COMPLETED:
-            self._faults[move.id] = "not complete by its deadline"
-            return True
-        return False
-
-    def _proven(
-        self,
-        record: state.MoveRecord,
-        plan: schedule.Schedule,
-        now: datetime.datetime,
-    ) -> bool:
-        """Whether the new version stood beside the old one long enough.
-
-        With few requests the deadline decides; the watch goes on anyway.
-        """
-        if now < record.since + schedule.MINIMUM_DWELL:
-            return False
-        attempts = self._evidence_of(record.move.id).attempts
-        return attempts >= CANARY_ATTEMPTS or now >= plan.canary_until
-
-    def _expanded(self, record: state.MoveRecord, pool: state.Pool) -> bool:
-        """Whether only the engine that is held back has the old version."""
-        loading = self._orders.loading(record.move.id)
-        return len(pool.old) <= 1 and bool(pool.new) and not loading
-
-    def _plan(
-        self,
-        record: state.MoveRecord,
-        pool: state.Pool,
-        now: datetime.datetime,
-    ) -> schedule.Schedule:
-        return schedule.plan(
-            now=record.since if record.phase is messages.Phase.CANARY else now,
-            deadline=record.move.deadline,
-            engines=pool.size,
-            loaded=len(pool.new),
-            load_time=self._orders.load_time,
-        )
-
-    def _load(
-        self, record: state.MoveRecord, now: datetime.datetime
-    ) -> list[message.Message]:
-        """Order the next engine to load a version, one at a time."""
-        move = record.move
-        pool = state.split_pool(move, self._upstreams)
-        phase = messages.Phase
-        if record.phase is phase.TAKING_BACK:
-            return self._orders.load(move, move.old, pool.new, now)
-        if record.phase is phase.LOADING and not pool.new:
-            return self._orders.load(move, move.new, pool.old, now)
-        if record.phase is phase.EXPANDING and len(pool.old) > 1:
-            step = self._plan(record, pool, now).step
-            if self._orders.idle_since(move.id, now) >= step:
-                return self._orders.load(move, move.new, pool.old, now)
-        if record.phase is phase.COMPLETING:
-            return self._orders.load(move, move.new, pool.old, now)
-        return []
+        step = self._decider.next_step(record, self._upstreams, now)
+        return [self._propose(step, now)] if step else []
 
     def _propose(
         self, step: messages.MoveStep, now: datetime.datetime
@@ -447,7 +325,7 @@
             return []
         items: list[message.Message] = [
             messages.VersionStopped(move_id=move_id, reason=reason)
-            for move_id, reason in self._faults.items()
+            for move_id, reason in self._decider.faults.items()
             if move_id in self._records
         ]
         items.extend(
@@ -461,17 +339,6 @@
         ]
 
 
-class _Entered:
-    """Remembers the phase that a move's machine enters."""
-
-    def __init__(self) -> None:
-        self.phase: messages.Phase | None = None
-
-    def enter(self, phase: messages.Phase) -> None:
-        """Remember a phase."""
-        self.phase = phase
-
-
 def _shares_push(
     record: state.MoveRecord, daemon: membership_messages.Daemon
 ) -> messages.SharesPush:
@@ -481,29 +348,3 @@
         share=record.share,
         incarnation=daemon.incarnation,
     )
-
-
-def _share(
-    move: bundles.VersionMove,
-    phase: messages.Phase,
-    pool: state.Pool,
-    attempts: int,
-) -> float:
-    """Return the new version's share of new requests in a phase.
-
-    Until it is proven it is capped, at first at half the cap, since a fault
-    takes a number of attempts to prove, whatever their share. Then the share
-    follows the capacity that has been loaded, so that neither version is
-    overloaded.
-    """
-    match phase:
-        case messages.Phase.CANARY:
-            cap = move.share_cap
-            if attempts < FIRST_ATTEMPTS:
-                cap = cap / 2
-            return min(cap, pool.new_fraction)
-        case messages.Phase.EXPANDING | messages.Phase.WATCHING:
-            return pool.new_fraction
-        case messages.Phase.COMPLETING | messages.Phase.COMPLETED:
-            return 1.0
-    return 0.0
--- /dev/null
+++ b/fulmarbarrow/versions/decisions.py
@@ -0,0 +1,204 @@
+"""Decides the next step of a version move from what is known of it."""
+
+from __future__ import annotations
+
+import collections.abc
+import datetime
+
+from fulmarbarrow.config import bundle as bundles
+from fulmarbarrow.membership import messages as membership_messages
+from fulmarbarrow import message
+from fulmarbarrow.versions import evidence as evidence_module
+from fulmarbarrow.versions import machine
+from fulmarbarrow.versions import messages
+from fulmarbarrow.versions import orders as orders_module
+from fulmarbarrow.versions import schedule
+from fulmarbarrow.versions import state
+
+FIRST_ATTEMPTS = 60  # attempts at the new version under half its cap
+CANARY_ATTEMPTS = 200  # attempts at the new version
+SHARE_TOLERANCE = 1e-9
+
+Upstreams = collections.abc.Mapping[str, membership_messages.Upstream]
+
+
+class Decider:
+    """The leader's evidence on each move, and what follows from it."""
+
+    def __init__(self) -> None:
+        self.orders = orders_module.Orders()
+        self.faults: dict[str, str] = {}
+        self._evidence: dict[str, evidence_module.MoveEvidence] = {}
+
+    def lead(self, *, fencing_number: int, now: datetime.datetime) -> None:
+        """Start to lead; evidence is gathered afresh."""
+        self.orders.lead(fencing_number=fencing_number, now=now)
+        self._evidence.clear()
+
+    def evidence(self, move_id: str) -> evidence_module.MoveEvidence:
+        """Return the evidence on a move."""
+        found = self._evidence.get(move_id)
+        if found is None:
+            found = self._evidence[move_id] = evidence_module.MoveEvidence()
+        return found
+
+    def next_step(
+        self,
+        record: state.MoveRecord,
+        upstreams: Upstreams,
+        now: datetime.datetime,
+    ) -> messages.MoveStep | None:
+        """Return the step that a move should take now, if any."""
+        move = record.move
+        pool = state.split_pool(move, upstreams)
+        entered = _Entered()
+        life = machine.resume(record.phase, entered)
+        self._judge(record, pool, life, now)
+        phase = entered.phase or record.phase
+        share = _share(move, phase, pool, self.evidence(move.id).attempts)
+        same = abs(share - record.share) < SHARE_TOLERANCE
+        if phase is record.phase and same:
+            return None
+        return messages.MoveStep(
+            move_id=move.id,
+            service=move.service,
+            model=move.model,
+            phase=phase,
+            share=share,
+            at=now,
+            reason=self.faults.get(move.id, record.reason),
+        )
+
+    def load(
+        self,
+        record: state.MoveRecord,
+        upstreams: Upstreams,
+        now: datetime.datetime,
+    ) -> list[message.Message]:
+        """Order the next engine to load a version, one at a time."""
+        move = record.move
+        pool = state.split_pool(move, upstreams)
+        phase = messages.Phase
+        if record.phase is phase.TAKING_BACK:
+            return self.orders.load(move, move.old, pool.new, now)
+        if record.phase is phase.LOADING and not pool.new:
+            return self.orders.load(move, move.new, pool.old, now)
+        if record.phase is phase.EXPANDING and len(pool.old) > 1:
+            step = self._plan(record, pool, now).step
+            if self.orders.idle_since(move.id, now) >= step:
+                return self.orders.load(move, move.new, pool.old, now)
+        if record.phase is phase.COMPLETING:
+            return self.orders.load(move, move.new, pool.old, now)
+        return []
+
+    def _judge(
+        self,
+        record: state.MoveRecord,
+        pool: state.Pool,
+        life: machine.Move,
+        now: datetime.datetime,
+    ) -> None:
+        """Give a move's machine the input that the facts call for."""
+        phase = messages.Phase
+        plan = self._plan(record, pool, now)
+        if self._failed(record, now) and record.phase not in (
+            phase.TAKING_BACK,
+            phase.TAKEN_BACK,
+        ):
+            life.fault()
+        elif record.phase is phase.LOADING and pool.new:
+            life.warm()
+        elif record.phase is phase.CANARY and self._proven(record, plan, now):
+            life.proven()
+        elif record.phase is phase.EXPANDING and self._expanded(record, pool):
+            life.expanded()
+        elif record.phase is phase.WATCHING and now >= plan.watch_until:
+            life.watched()
+        elif record.phase is phase.COMPLETING and not pool.old and pool.new:
+            life.all_new()
+        elif record.phase is phase.TAKING_BACK and not pool.new:
+            life.all_old()
+
+    def _failed(
+        self, record: state.MoveRecord, now: datetime.datetime
+    ) -> bool:
+        """Whether the move must be taken back."""
+        move = record.move
+        if move.id in self.faults:
+            return True
+        late = now >= move.deadline
+        if late and record.phase is not messages.Phase.COMPLETED:
+            self.faults[move.id] = "not complete by its deadline"
+            return True
+        return False
+
+    def _proven(
+        self,
+        record: state.MoveRecord,
+        plan: schedule.Schedule,
+        now: datetime.datetime,
+    ) -> bool:
+        """Whether the new version stood beside the old one long enough.
+
+        With few requests the deadline decides; the watch goes on anyway.
+        """
+        if now < record.since + schedule.MINIMUM_DWELL:
+            return False
+        attempts = self.evidence(record.move.id).attempts
+        return attempts >= CANARY_ATTEMPTS or now >= plan.canary_until
+
+    def _expanded(self, record: state.MoveRecord, pool: state.Pool) -> bool:
+        """Whether only the engine that is held back has the old version."""
+        loading = self.orders.loading(record.move.id)
+        return len(pool.old) <= 1 and bool(pool.new) and not loading
+
+    def _plan(
+        self,
+        record: state.MoveRecord,
+        pool: state.Pool,
+        now: datetime.datetime,
+    ) -> schedule.Schedule:
+        return schedule.plan(
+            now=record.since if record.phase is messages.Phase.CANARY else now,
+            deadline=record.move.deadline,
+            engines=pool.size,
+            loaded=len(pool.new),
+            load_time=self.orders.load_time,
+        )
+
+
+class _Entered:
+    """Remembers the phase that a move's machine enters."""
+
+    def __init__(self) -> None:
+        self.phase: messages.Phase | None = None
+
+    def enter(self, phase: messages.Phase) -> None:
+        """Remember a phase."""
+        self.phase = phase
+
+
+def _share(
+    move: bundles.VersionMove,
+    phase: messages.Phase,
+    pool: state.Pool,
+    attempts: int,
+) -> float:
+    """Return the new version's share of new requests in a phase.
+
+    Until it is proven it is capped, at first at half the cap, since a fault
+    takes a number of attempts to prove, whatever their share. Then the share
+    follows the capacity that has been loaded, so that neither version is
+    overloaded.
+    """
+    match phase:
+        case messages.Phase.CANARY:
+            cap = move.share_cap
+            if attempts < FIRST_ATTEMPTS:
+                cap = cap / 2
+            return min(cap, pool.new_fraction)
+        case messages.Phase.EXPANDING | messages.Phase.WATCHING:
+            return pool.new_fraction
+        case messages.Phase.COMPLETING | messages.Phase.COMPLETED:
+            return 1.0
+    return 0.0
