--- a/benchmarks/zones.py
+++ b/benchmarks/zones.py
@@ -349,10 +349,10 @@
     )
     router = messages.RouterDemand(daemon_id="entry-100", services=services)
     encoder = msgspec.msgpack.Encoder()
-    bare = msgspec.structs.replace(summary, demand=None)
+    bare = msgspec.structs.replace(summary, demand=())
     more = len(encoder.encode(summary)) - len(encoder.encode(bare))
     zones = 14 / 4
-    seconds = summaries.PERIOD.total_seconds() * summaries.DEMAND_EVERY
+    seconds = summaries.PERIOD.total_seconds()
     return (zones * more + len(encoder.encode(router))) / seconds
 
 
--- a/fulmarbarrow/membership/broadcast.py
+++ b/fulmarbarrow/membership/broadcast.py
@@ -16,7 +16,7 @@
 from fulmarbarrow.zones import messages as zones_messages
 
 DIRECT_PEERS = 12
-URGENT_HEADS = 2
+URGENT_HEADS = 4
 PACKET_BYTES = 400
 URGENT_DEBT_BYTES = 8_000
 QUIET = datetime.timedelta(seconds=2)
@@ -90,7 +90,7 @@
     of a change cuts the ring into about as many spans as a span has
     members, and sends the change to one random member of each, its head,
     which passes on what is news to it to the rest of the span. So each
-    daemon gets and sends a change about once. Urgent changes go through two
+    daemon gets and sends a change about once. Urgent changes go through four
     heads a span; whatever is still missed is found by comparing digests.
     """
 
--- a/fulmarbarrow/membership/daemons.py
+++ b/fulmarbarrow/membership/daemons.py
@@ -45,6 +45,7 @@
     heard_at: datetime.datetime
     position: int
     view: int = 0
+    checked: bool = False
 
     @property
     def reachable(self) -> bool:
@@ -236,6 +237,7 @@
         before = known.daemon
         known.daemon = daemon
         known.since = now
+        known.checked = False
         restarted = daemon.incarnation > before.incarnation
         returned = before.state is messages.DaemonState.DEAD
         if restarted or returned:
--- a/fulmarbarrow/membership/detector.py
+++ b/fulmarbarrow/membership/detector.py
@@ -19,6 +19,7 @@
 INDIRECT_AFTER = datetime.timedelta(milliseconds=400)
 PROBE_TIMEOUT = datetime.timedelta(milliseconds=1_000)
 SUSPICION = datetime.timedelta(seconds=3)
+LAST_PROBE = datetime.timedelta(seconds=1)  # before the end of a suspicion
 HELPERS = 3
 PAUSE = datetime.timedelta(milliseconds=1_500)
 FORWARD_KEEP = datetime.timedelta(seconds=2)
@@ -159,11 +160,19 @@
             self._set(known, messages.DaemonState.DEAD, now)
 
     def _end_suspicions(self, now: datetime.datetime) -> None:
+        """Declare dead who neither refutes nor answers a last probe."""
         for known in list(self._table.peers()):
             if known.daemon.state is not messages.DaemonState.SUSPECT:
                 continue
-            if now - known.since >= SUSPICION:
+            age = now - known.since
+            if age >= SUSPICION and known.heard_at > known.since:
+                known.since = now
+                known.checked = False
+            elif age >= SUSPICION:
                 self._set(known, messages.DaemonState.DEAD, now)
+            elif age >= SUSPICION - LAST_PROBE and not known.checked:
+                known.checked = True
+                self._probe(known, now)
 
     def _set(
         self,
@@ -176,8 +185,10 @@
 
     def _probe_next(self, now: datetime.datetime) -> None:
         known = self._next_target()
-        if known is None:
-            return
+        if known is not None:
+            self._probe(known, now)
+
+    def _probe(self, known: daemons.Known, now: datetime.datetime) -> None:
         nonce = next(self._nonces)
         self._open[nonce] = _Open(
             daemon_id=known.daemon.daemon_id,
--- a/fulmarbarrow/zones/messages.py
+++ b/fulmarbarrow/zones/messages.py
@@ -124,12 +124,11 @@
 class RouterDemand(message.Message, frozen=True, kw_only=True):
     """Work offered at one router, for the one that sums up its zone.
 
-    ``reserved_tokens`` is the reported work of the upstreams it owns. The
-    demand changes slowly; without ``services`` the last one goes on.
+    ``reserved_tokens`` is the reported work of the upstreams it owns.
     """
 
     daemon_id: str
-    services: tuple[ServiceDemand, ...] | None = None
+    services: tuple[ServiceDemand, ...] = ()
     reserved_tokens: int = 0
     backlog: tuple[ServiceBacklog, ...] = ()
 
@@ -140,8 +139,7 @@
     ``capacity_tokens`` are those that its upstreams do in a second,
     ``reserved_tokens`` those that they report as running or queued. The
     receiver passes it on within its zone while ``hops`` is above 0.
-    ``lacking`` says that the zone has no upstream that serves. Without
-    ``demand`` the last one goes on.
+    ``lacking`` says that the zone has no upstream that serves.
     """
 
     zone: str
@@ -151,7 +149,7 @@
     reserved_tokens: int
     upstreams: int
     lacking: bool = False
-    demand: tuple[ServiceDemand, ...] | None = None
+    demand: tuple[ServiceDemand, ...] = ()
     backlog: tuple[ServiceBacklog, ...] = ()
     hops: int = 0
 
--- a/fulmarbarrow/zones/summaries.py
+++ b/fulmarbarrow/zones/summaries.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import datetime
 import random
 
@@ -23,16 +22,6 @@
 FAR_STALE = datetime.timedelta(seconds=30)
 DETAIL_FROM = 0.4  # of a service's capacity
 HOPS = 2
-DEMAND_EVERY = 2  # messages
-DEMAND_STALE = datetime.timedelta(seconds=25)
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class _Known:
-    """A demand and when it was heard."""
-
-    steps: demands.Steps
-    at: datetime.datetime
 
 
 class Summaries:
@@ -62,9 +51,6 @@
         self._zones: dict[
             str, tuple[messages.ZoneSummary, datetime.datetime]
         ] = {}
-        self._router_demand: dict[str, _Known] = {}
-        self._zone_demand: dict[str, _Known] = {}
-        self._count = 0
         self._next: datetime.datetime | None = None
         self._next_far: datetime.datetime | None = None
 
@@ -82,9 +68,6 @@
     ) -> None:
         """Take the demand of a router of this zone."""
         self._routers[event.daemon_id] = (event, now)
-        if event.services is not None:
-            known = _Known(steps=demands.unpack(event.services), at=now)
-            self._router_demand[event.daemon_id] = known
 
     def heard(
         self, summary: messages.ZoneSummary, now: datetime.datetime
@@ -94,15 +77,13 @@
         fresh = known is None or now - known[1] > STALE
         if not fresh and known[0].sequence >= summary.sequence:
             return []
-        self._enter(summary, now)
+        self._zones[summary.zone] = (summary, now)
         return self._pass_on(summary)
 
     def demand(self, now: datetime.datetime) -> demands.Steps:
         """Return the region's demand as far as it is known now."""
         return demands.add(
-            self._zone_demand[summary.zone].steps
-            for summary in self._region(now)
-            if summary.zone in self._zone_demand
+            demands.unpack(summary.demand) for summary in self._region(now)
         )
 
     def backlog(self, now: datetime.datetime) -> collections.Counter[str]:
@@ -111,19 +92,6 @@
             part for summary in self._region(now) for part in summary.backlog
         )
 
-    @property
-    def _detailed(self) -> bool:
-        """Whether the demand goes into this period's messages."""
-        return self._count % DEMAND_EVERY == 0
-
-    def _enter(
-        self, summary: messages.ZoneSummary, now: datetime.datetime
-    ) -> None:
-        self._zones[summary.zone] = (summary, now)
-        if summary.demand is not None:
-            known = _Known(steps=demands.unpack(summary.demand), at=now)
-            self._zone_demand[summary.zone] = known
-
     def _region(self, now: datetime.datetime) -> list[messages.ZoneSummary]:
         return [
             summary
@@ -143,11 +111,10 @@
             return []
         self._next = max(self._next + PERIOD, now)
         self._forget(now)
-        self._count += 1
         speaker = self._peers.speaker()
         mine = messages.RouterDemand(
             daemon_id=self._own.daemon_id,
-            services=self._meter.services() if self._detailed else None,
+            services=self._meter.services(),
             reserved_tokens=self._capacity.reserved_tokens,
             backlog=self.waiting.services(),
         )
@@ -160,7 +127,7 @@
         self, now: datetime.datetime, service_capacity: dict[str, float]
     ) -> list[message.Message]:
         summary = self._summary(service_capacity, now)
-        self._enter(summary, now)
+        self._zones[summary.zone] = (summary, now)
         effects = self._pass_on(summary)
         receivers = self._peers.one_per_other_zone(self._rng, far=False)
         if self._next_far is None or now >= self._next_far:
@@ -176,9 +143,7 @@
         self, service_capacity: dict[str, float], now: datetime.datetime
     ) -> messages.ZoneSummary:
         found = [event for event, _ in self._routers.values()]
-        total = demands.add(
-            known.steps for known in self._router_demand.values()
-        )
+        total = demands.add(demands.unpack(item.services) for item in found)
         count, rate = self._capacity.of_zone(self._own.zone)
         started = int(now.timestamp() * 1000)
         return messages.ZoneSummary(
@@ -189,9 +154,7 @@
             reserved_tokens=sum(item.reserved_tokens for item in found),
             upstreams=count,
             lacking=count == 0,
-            demand=(
-                _brief(total, service_capacity) if self._detailed else None
-            ),
+            demand=_brief(total, service_capacity),
             backlog=backlogs.pack(
                 backlogs.add(part for item in found for part in item.backlog)
             ),
@@ -227,10 +190,6 @@
         ]
 
     def _forget(self, now: datetime.datetime) -> None:
-        for found in (self._router_demand, self._zone_demand):
-            for name, known in list(found.items()):
-                if now - known.at > DEMAND_STALE:
-                    del found[name]
         for name, (_, at) in list(self._routers.items()):
             if now - at > STALE:
                 del self._routers[name]
