Let the tests keep compiled modules

Cause: make told Python to write no bytecode, so that every daemon of a test compiled some hundred modules anew.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,6 @@
 VENV ?= .venv
 PYTHON := $(VENV)/bin/python
 export PYTHONPATH := $(CURDIR)
-export PYTHONDONTWRITEBYTECODE := 1
 SOURCES := fulmarbarrow benchmarks faultmatrix tools
 
 .PHONY: demo test measure traces format lint docs scenarios setup
