--- a/fulmarbarrow/standins/engine.py
+++ b/fulmarbarrow/standins/engine.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import datetime
+import itertools
 import typing
 
 import klein
@@ -94,6 +95,7 @@
             lag=datetime.timedelta(milliseconds=options.load_lag_ms),
         )
         self._runs: dict[str, Run] = {}
+        self._unnamed = itertools.count(1)
         self._stepped_at: datetime.datetime | None = None
         self._cold_until = clock.now()
         faults.watch(faults_module.FaultKind.COLD, self._turn_cold)
@@ -193,7 +195,8 @@
             return int(requests.header(request, name) or 0)
 
         return batches.Job(
-            attempt_id=requests.header(request, headers.ATTEMPT),
+            attempt_id=requests.header(request, headers.ATTEMPT)
+            or f"unnamed-{next(self._unnamed)}",
             priority=number(headers.PRIORITY),
             prompt_tokens=float(run.prompt_tokens - run.cached_tokens),
             answer_tokens=chat.max_tokens or requests.DEFAULT_ANSWER_TOKENS,
