Keep OpenSSL out of the daemon's memory

Twisted imports OpenSSL and its bindings wherever they are installed, though the daemon makes and takes no encrypted connection.

The daemon marks it as absent before the reactor is imported. The stand-in engine tells a refused order, 503, from a stale fencing number, 409.

--- a/benchmarks/daemon.py
+++ b/benchmarks/daemon.py
@@ -424,7 +424,8 @@
 def _libraries_rss() -> int:
     """Return the memory of a process that only imports the libraries."""
     code = (
-        "import asyncio\n"
+        "import asyncio, sys\n"
+        "sys.modules['OpenSSL'] = None\n"
         "from twisted.internet import asyncioreactor\n"
         "asyncioreactor.install(asyncio.new_event_loop())\n"
         "import automat, cattrs, fire, hdrh.histogram, klein, msgspec\n"
--- a/fulmarbarrow/daemon/__main__.py
+++ b/fulmarbarrow/daemon/__main__.py
@@ -8,7 +8,6 @@
 import sys
 
 import fire
-from twisted.internet import asyncioreactor
 
 from fulmarbarrow import clock as clocks
 from fulmarbarrow.config import base
@@ -33,12 +32,20 @@
     if loaded is None:
         raise SystemExit(EXIT_SETTINGS)
     logs.set_up(loaded.log)
+    _forgo_tls()
+    from twisted.internet import asyncioreactor
+
     loop = asyncio.new_event_loop()
     asyncio.set_event_loop(loop)
     asyncioreactor.install(loop)
     _serve(loaded, findings.Source(path=path, text=path.read_text()))
 
 
+def _forgo_tls() -> None:
+    """Keep Twisted from loading OpenSSL, 13 MB that no connection uses."""
+    sys.modules.setdefault("OpenSSL", None)
+
+
 def _serve(settings: defaults.Settings, source: findings.Source) -> None:
     # These import the reactor, so they wait until it is installed.
     from twisted.internet import reactor
--- a/fulmarbarrow/standins/engine.py
+++ b/fulmarbarrow/standins/engine.py
@@ -223,7 +223,8 @@
         )
         reply = self._orders.take(order)
         if reply.code:
-            request.setResponseCode(409)
+            stale = reply.code == orders.STALE_FENCING
+            request.setResponseCode(409 if stale else 503)
         return msgspec.json.encode(reply)
 
     def _plan_step(self) -> None:
--- a/fulmarbarrow/standins/orders.py
+++ b/fulmarbarrow/standins/orders.py
@@ -9,6 +9,8 @@
 from fulmarbarrow.standins import faults as faults_module
 from fulmarbarrow.versions import messages
 
+STALE_FENCING = "stale_fencing"
+
 
 class OrderBody(msgspec.Struct, frozen=True, kw_only=True):
     """What the fleet sends to ``POST /v1/orders``; fields as of ``Order``."""
@@ -80,11 +82,11 @@
         if self._faults.take(faults_module.FaultKind.REFUSE_ORDERS):
             return "refused"
         if self._faults.take(faults_module.FaultKind.STALE_FENCING):
-            return "stale_fencing"
+            return STALE_FENCING
         ignores = self._faults.get(faults_module.FaultKind.IGNORE_FENCING)
         if not self._checks_fencing or ignores:
             return ""
-        return "stale_fencing" if order.fencing_number < self._highest else ""
+        return STALE_FENCING if order.fencing_number < self._highest else ""
 
     def _carry_out(self, order: OrderBody) -> None:
         match order.kind:
