--- a/fulmarbarrow/edge/callers.py
+++ b/fulmarbarrow/edge/callers.py
@@ -164,6 +164,7 @@
             body=body,
             content_type=requests.header(request, "Content-Type"),
             key=arrived.key,
+            chat=arrived.chat if arrived.model else "",
         )
         self._exchanges.add(arrived.request_id, exchange)
         self._answers[arrived.request_id] = answers.Answer(
--- a/fulmarbarrow/edge/client.py
+++ b/fulmarbarrow/edge/client.py
@@ -92,6 +92,8 @@
             fields[headers.RESUME_OFFSET] = str(event.resume_offset)
         if exchange.key:
             fields[headers.KEY] = exchange.key
+        if exchange.chat:
+            fields[headers.CHAT] = exchange.chat
         method, target, body = exchange.method, exchange.target, exchange.body
         if event.lookup:
             method, target, body = "GET", event.lookup_path, b""
