Follow the pass-through's processes in the measurement

The measurement of the pass-through's CPU time named processes that it had not kept, so it ended with an error. They are kept now.

--- a/benchmarks/daemon.py
+++ b/benchmarks/daemon.py
@@ -114,6 +114,7 @@
     @contextlib.contextmanager
     def running(self):
         processes = [subprocess.Popen(command) for _, command in self.passes]
+        self.pass_pids = [process.pid for process in processes]
         try:
             self.daemon.start()
             self.engine.start()
