Take test ports below those of outgoing connections

A port found free by binding port 0 is one that any outgoing connection of another scenario may get before the upstream binds it.

Ports now come from 10,000 to 30,000, below the system's range of 32,768 and up. What the failed run met was not kept, so that this was its cause is likely but not shown.

--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -5,6 +5,7 @@
 import contextlib
 import json
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -18,15 +19,25 @@
 UPSTREAM_KEY = "loopback-upstream-key"
 WAIT_SECONDS = 20.0
 POLL_SECONDS = 0.05
+PORT_RANGE = (10_000, 30_000)
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports of 127.0.0.1 that nothing listens on."""
+    """Return ports of 127.0.0.1 that nothing listens on.
+
+    They lie below those that the system gives to outgoing connections, one
+    of which could take a port between this check and its use.
+    """
+    rng = random.SystemRandom()
+    found: list[int] = []
     with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for item in sockets:
-            item.bind(("127.0.0.1", 0))
-        return [item.getsockname()[1] for item in sockets]
+        while len(found) < count:
+            item = stack.enter_context(socket.socket())
+            port = rng.randrange(*PORT_RANGE)
+            with contextlib.suppress(OSError):
+                item.bind(("127.0.0.1", port))
+                found.append(port)
+    return found
 
 
 def wait_until(check: typing.Callable[[], typing.Any], what: str) -> None:
