--- a/fulmarbarrow/edge/exchange.py
+++ b/fulmarbarrow/edge/exchange.py
@@ -28,6 +28,7 @@
     body: bytes
     content_type: str
     key: str
+    chat: str = ""
     source: Pausable | None = None
     paused: bool = False
 
--- a/fulmarbarrow/edge/features/steps/callers.py
+++ b/fulmarbarrow/edge/features/steps/callers.py
@@ -143,3 +143,20 @@
             data += part
     assert data.count(b'"delta"') == context.tokens
     assert b"data: [DONE]" in data
+
+
+@behave.when('a chat named "{name}" in its header is answered')
+def step_named(context, name):
+    context.status, context.body = fleet.fetch(
+        f"http://{context.daemon.callers}/v1/chat/completions",
+        method="POST",
+        body=b'{"model": "lacework", "messages": [], "max_tokens": 3}',
+        headers={"Authorization": "Bearer demo-key-volos", "X-Chat-Id": name},
+    )
+    assert context.status == 200, context.body
+
+
+@behave.then('the engine\'s cache names the chat "{name}"')
+def step_cached(context, name):
+    _, body = fleet.fetch(f"{context.engine.url}/admin/state")
+    assert name in json.loads(body)["cached_chats"], body
