--- a/benchmarks/membership_fleet.py
+++ b/benchmarks/membership_fleet.py
@@ -14,8 +14,10 @@
 
 import msgspec
 
+from fulmarbarrow import bus as buses
 from fulmarbarrow.membership import core as membership_core
 from fulmarbarrow.membership import messages
+from fulmarbarrow.membership import ranking
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics
 from fulmarbarrow.wire import codec
@@ -28,6 +30,11 @@
 SECOND = datetime.timedelta(seconds=1)
 
 
+Others = collections.abc.Callable[
+    [messages.Daemon, random.Random], tuple[buses.Core, ...]
+]
+
+
 @dataclasses.dataclass(kw_only=True)
 class Node:
     """One daemon's core, its counters and what it told the other cores."""
@@ -35,6 +42,7 @@
     daemon: messages.Daemon
     core: membership_core.MembershipCore
     codec: codec.Codec
+    others: tuple[buses.Core, ...] = ()
     running: bool = True
     sent_bytes: int = 0
     sent_frames: int = 0
@@ -76,8 +84,17 @@
     part of frames that is lost. Frames are really encoded to count bytes.
     """
 
-    def __init__(self, *, seed: int, loss: float = 0.0) -> None:
+    def __init__(
+        self,
+        *,
+        seed: int,
+        loss: float = 0.0,
+        others: Others | None = None,
+        node_type: type[Node] = Node,
+    ) -> None:
         self.rng = random.Random(seed)
+        self._node_type = node_type
+        self._others = others
         self.loss = loss
         self.now = START
         self.nodes: dict[str, Node] = {}
@@ -86,7 +103,6 @@
         self._by_address: dict[str, Node] = {}
         self._heap: list[tuple[typing.Any, ...]] = []
         self._order = itertools.count()
-        self._counted = True
 
     def add_daemon(
         self,
@@ -112,7 +128,7 @@
             address=address,
             roles=("router",),
         )
-        node = Node(
+        node = self._node_type(
             daemon=daemon,
             core=membership_core.MembershipCore(
                 daemon=daemon,
@@ -128,6 +144,9 @@
                 incarnation=daemon.incarnation,
             ),
         )
+        if self._others is not None:
+            rng = random.Random(self.rng.random())
+            node.others = self._others(daemon, rng)
         self.nodes[daemon_id] = node
         self._by_address[address] = node
         self._at(self.now + self.rng.random() * TICK, self._tick, node)
@@ -167,6 +186,39 @@
         self._at(first, self._announce, upstream)
         return upstream
 
+    def preload(self) -> None:
+        """Let every daemon know all others and its region's upstreams.
+
+        Each upstream already names the owner that it would be given, so
+        that a measurement can begin with a fleet that has settled.
+        """
+        everyone = tuple(node.daemon for node in self.nodes.values())
+        by_zone: dict[str, list[str]] = {}
+        for daemon in everyone:
+            by_zone.setdefault(daemon.zone, []).append(daemon.daemon_id)
+        by_region: dict[str, list[messages.Upstream]] = {}
+        for upstream in self.upstreams.values():
+            record = upstream.record
+            owner = ranking.best(record.upstream_id, by_zone[record.zone])
+            upstream.record = msgspec.structs.replace(
+                record, sequence=1, owner=owner, owner_epoch=1
+            )
+            by_region.setdefault(upstream.region, []).append(upstream.record)
+        for node in self.nodes.values():
+            known = messages.Gossip(
+                daemons=tuple(
+                    item for item in everyone if item != node.daemon
+                ),
+                upstreams=tuple(by_region.get(node.daemon.region, ())),
+                syncs=True,
+            )
+            self.post(node, known)
+        for node in self.nodes.values():
+            node.sent_bytes = 0
+            node.cpu_seconds = 0.0
+            node.by_type.clear()
+            node.bytes_by_second.clear()
+
     def address(self, daemon_id: str) -> str:
         """Return a daemon's address."""
         return self.nodes[daemon_id].daemon.address
@@ -201,15 +253,17 @@
 
     def post(self, node: Node, event: message.Message) -> None:
         """Give an event to a daemon's core and carry out its effects."""
-        started = time.perf_counter()
-        effects = node.core.handle(event, self.now)
-        node.cpu_seconds += time.perf_counter() - started
         frames: dict[str, list[message.Message]] = {}
-        for effect in effects:
-            if isinstance(effect, message.Send):
-                frames.setdefault(effect.address, []).append(effect.message)
-            else:
+        queue = collections.deque((event,))
+        while queue:
+            for effect in self._handle(node, queue.popleft()):
+                if isinstance(effect, message.Send):
+                    bodies = frames.setdefault(effect.address, [])
+                    bodies.append(effect.message)
+                    continue
                 self._observe(node, effect)
+                if node.others:
+                    queue.append(effect)
         for address, bodies in frames.items():
             self._send(node, address, tuple(bodies))
 
@@ -292,6 +346,18 @@
         if not isinstance(effect, messages.LoadReported):
             node.heard.append((self.now, effect))
 
+    def _handle(
+        self, node: Node, event: message.Message
+    ) -> list[message.Message]:
+        """Give an event to every core of a daemon that handles it."""
+        started = time.perf_counter()
+        effects: list[message.Message] = []
+        for core in (node.core, *node.others):
+            if type(event) in core.handles:
+                effects.extend(core.handle(event, self.now))
+        node.cpu_seconds += time.perf_counter() - started
+        return effects
+
     def _accepted(self, event: messages.AnnounceAccepted) -> None:
         upstream = self.upstreams[event.upstream_id]
         if upstream.record.incarnation != event.incarnation:
--- a/fulmarbarrow/daemon/assembly.py
+++ b/fulmarbarrow/daemon/assembly.py
@@ -31,6 +31,7 @@
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics as metrics_module
 from fulmarbarrow.placement import messages as placement_messages
+from fulmarbarrow.publishing import shell as publishing_shell
 from fulmarbarrow.tracing import edge as tracing_edge
 from fulmarbarrow.tracing import recorder
 from fulmarbarrow.wire import codec
@@ -41,6 +42,7 @@
 TICK = datetime.timedelta(milliseconds=250)
 PLACEMENT_TICK = datetime.timedelta(milliseconds=50)
 DRAIN_CHECK = datetime.timedelta(milliseconds=50)
+MAX_FLUSH = datetime.timedelta(seconds=30)  # for callers that read slowly
 MAX_OWN_BODY_BYTES = 16 << 20  # bundles and announcements
 
 
@@ -67,6 +69,8 @@
         )
         self._bus = buses.Bus(clock=clock)
         self._exchanges = exchange.Exchanges()
+        self._cut = 0
+        self._flush_until: datetime.datetime | None = None
         self._started = clock.now()
         self._record = cores.describe(settings, self._started)
         self._fresh = _is_fresh(settings.daemon.data_dir)
@@ -78,6 +82,13 @@
         self._callers: callers.CallersEdge | None = None
         self._placement_ticks: task.LoopingCall | None = None
         self._consensus: consensus_shell.ConsensusShell | None = None
+        self._revisions: publishing_shell.RevisionFile | None = None
+        if settings.daemon.data_dir:
+            self._revisions = publishing_shell.RevisionFile(
+                data_folder=pathlib.Path(settings.daemon.data_dir),
+                bus=self._bus,
+                metrics=self._metrics,
+            )
         if defaults.Role.CONTROL in settings.daemon.roles:
             self._add_control_edges()
         if defaults.Role.ROUTER in settings.daemon.roles:
@@ -90,9 +101,14 @@
             rng=random.Random(self._record.incarnation),
             now=self._started,
             logs=self._consensus,
+            restored=self._revisions.restored if self._revisions else None,
+            stores_revisions=self._revisions is not None,
         ).by_name
         self._admin = admin.AdminEdge(
-            bus=self._bus, metrics=self._metrics, dump=self.dump
+            bus=self._bus,
+            metrics=self._metrics,
+            dump=self.dump,
+            publishes=self._consensus is not None,
         )
         tracing_edge.TracingEdge(app=self._admin.app, record=self.record)
         self._ticks = task.LoopingCall(self._bus.post, message.Tick())
@@ -119,6 +135,11 @@
         """Begin the graceful shutdown; a second call ends at once."""
         self._lifecycle.stop()
 
+    @property
+    def exit_code(self) -> int:
+        """0 after a graceful shutdown, 1 if it cut open requests."""
+        return 1 if self._cut else 0
+
     def dump(self) -> dict[str, typing.Any]:
         """Return the state of every core, as plain data."""
         return {
@@ -191,7 +212,12 @@
 
     def close(self) -> None:
         """Close everything and end the process."""
-        log.info("daemon %s stops", self._settings.daemon.id)
+        self._cut = len(self._exchanges)
+        log.info(
+            "daemon %s stops, %d requests cut",
+            self._settings.daemon.id,
+            self._cut,
+        )
         if self._drain.running:
             self._drain.stop()
         for ticks in (self._ticks, self._placement_ticks):
@@ -205,7 +231,16 @@
         self._reactor.callLater(0, self._reactor.stop)
 
     def _check_drained(self) -> None:
-        if len(self._exchanges) == 0:
+        if self._callers is None or self._callers.drained():
+            self._lifecycle.drained()
+            return
+        if len(self._exchanges):
+            self._flush_until = None
+            return
+        now = self._clock.now()
+        if self._flush_until is None:
+            self._flush_until = now + MAX_FLUSH
+        elif now > self._flush_until:
             self._lifecycle.drained()
 
     def _make_transport(self) -> transport.Transport:
