Close the fleet shape's docstring on its own line

The style check wants the closing quotes of a docstring of several lines on a line of their own; nothing else changes.

--- a/benchmarks/fleet_model.py
+++ b/benchmarks/fleet_model.py
@@ -45,7 +45,8 @@
 class Shape:
     """Size and delays of a fleet; times in seconds.
 
-    No loads are reported with a ``report_interval`` of 0."""
+    No loads are reported with a ``report_interval`` of 0.
+    """
 
     routers: int = 8
     engines: int = 6
