--- a/fulmarbarrow/daemon/cores.py
+++ b/fulmarbarrow/daemon/cores.py
@@ -32,6 +32,9 @@
 from fulmarbarrow.zones import control as zones_control
 from fulmarbarrow.zones import core as zones_core
 
+TICK = datetime.timedelta(milliseconds=250)
+PLACEMENT_TICK = datetime.timedelta(milliseconds=50)
+
 
 def describe(
     settings: defaults.Settings, started: datetime.datetime
