Let a new owner wait for renewals before it fills a fresh upstream

The fault matrix showed fresh engines above their ramp: routers without an owner sent side by side, and a new owner granted before the entry hosts had renewed. A new owner now keeps a ramping upstream free of new work for 2 s, and no router sends to one younger than 5 s that nobody owns.

Leases are 30 s and renewed after 12 s: renewals were half of the control bytes.

--- a/fulmarbarrow/placement/bounds.py
+++ b/fulmarbarrow/placement/bounds.py
@@ -57,7 +57,7 @@
 
     ``any_work`` bounds everything, ``shared`` all but priority work by
     right, ``long_work`` the shared work of the long cost class.
-    ``ramping`` upstreams take nothing above these even when idle.
+    ``ramping`` upstreams take nothing while their owner is new.
     """
 
     any_work: int
--- a/fulmarbarrow/placement/core.py
+++ b/fulmarbarrow/placement/core.py
@@ -23,7 +23,7 @@
 from fulmarbarrow.versions import messages as versions_messages
 from fulmarbarrow.zones import messages as zones_messages
 
-SUMMARY_INTERVAL = datetime.timedelta(milliseconds=500)
+SUMMARY_INTERVAL = datetime.timedelta(seconds=1)
 SUMMARY_RECEIVERS = 4
 
 _ROUTER = "router"
--- a/fulmarbarrow/placement/features/owner.feature
+++ b/fulmarbarrow/placement/features/owner.feature
@@ -37,7 +37,7 @@
   Scenario: A dead router's reservations end with their lease
     When router 1 places 4 requests of 200 tokens of the chat "a"
     And router 1 dies
-    And 13 seconds pass
+    And 31 seconds pass
     Then router 0 keeps 0 tokens for the first engine
 
   Scenario: A long answer's reservation is renewed
@@ -68,10 +68,17 @@
     And 1 seconds pass
     Then 1 requests are placed
 
+  Scenario: A new owner waits for renewals before it fills a fresh engine
+    Given engine "engine-0" restarts now
+    When the owner of every engine becomes router 2 with epoch 2
+    And each router places 6 requests of 100 tokens of many chats
+    Then engine "engine-0" has at most 0 tokens of work
+
   Scenario: A fresh engine gets only what its ramp allows
     Given engine "engine-0" restarts now
-    When each router places 6 requests of 100 tokens of many chats
-    Then engine "engine-0" has at most 100 tokens of work
+    When 3 seconds pass
+    And each router places 6 requests of 100 tokens of many chats
+    Then engine "engine-0" has at most 190 tokens of work
 
   Scenario Outline: No new work once the routers know
     Given engine "engine-0" is <event>
--- a/fulmarbarrow/placement/features/sliver.feature
+++ b/fulmarbarrow/placement/features/sliver.feature
@@ -5,7 +5,10 @@
     And no engine has an owner
     And engine "engine-0" restarts now
     When each router places 20 requests of 10 tokens of many chats
-    Then engine "engine-0" has at most 100 tokens of work
+    Then engine "engine-0" has at most 0 tokens of work
+    When 6 seconds pass
+    And each router places 20 requests of 10 tokens of many chats
+    Then engine "engine-0" has at most 280 tokens of work
 
   Scenario: All routers together respect an engine's batch
     Given 8 routers and 1 engines with a batch of 1000 tokens
@@ -17,8 +20,9 @@
     Given 400 routers and 1 engines with a batch of 1000 tokens
     And no engine has an owner
     And engine "engine-0" restarts now
-    When each router places 3 requests of 10 tokens of many chats
-    Then engine "engine-0" has at most 100 tokens of work
+    When 6 seconds pass
+    And each router places 3 requests of 10 tokens of many chats
+    Then engine "engine-0" has at most 280 tokens of work
 
   Scenario: A late report of a full engine keeps more away
     Given 8 routers and 2 engines with a batch of 1000 tokens
--- a/fulmarbarrow/placement/holdings.py
+++ b/fulmarbarrow/placement/holdings.py
@@ -10,7 +10,7 @@
 from fulmarbarrow.placement import directory as directories
 from fulmarbarrow.placement import messages
 
-RENEW_AFTER = datetime.timedelta(seconds=4)
+RENEW_AFTER = datetime.timedelta(seconds=12)
 RENEW_AGAIN = datetime.timedelta(seconds=1)
 MAX_HELD_IN_RENEWAL = 64
 MAX_RELEASED_TOGETHER = 32
--- a/fulmarbarrow/placement/ledger.py
+++ b/fulmarbarrow/placement/ledger.py
@@ -12,9 +12,10 @@
 from fulmarbarrow.placement import messages
 from fulmarbarrow.placement import recent
 
-LEASE = datetime.timedelta(seconds=12)
+LEASE = datetime.timedelta(seconds=30)
 MAX_RELEASED = 512  # attempts whose release came before their reservation
-SETTLE = datetime.timedelta(seconds=2)
+SETTLE = datetime.timedelta(seconds=14)  # all reservations are renewed
+HANDOVER = datetime.timedelta(seconds=2)  # entry hosts renew by then
 
 
 class Priority(enum.IntEnum):
@@ -119,6 +120,10 @@
             return max(self._sum, self._reported)
         return self._sum
 
+    def handing_over(self, now: datetime.datetime) -> bool:
+        """Return whether entry hosts may not have renewed here yet."""
+        return bool(self.epoch) and now - self._since < HANDOVER
+
     def placed(self, now: datetime.datetime) -> int:
         """Return the work in tokens that was placed within the window."""
         while self._placements:
--- a/fulmarbarrow/placement/owner.py
+++ b/fulmarbarrow/placement/owner.py
@@ -328,7 +328,10 @@
         ledger = owned.ledger
         room = self._room(owned, now)
         carried = ledger.work(now)
-        if not carried and not room.ramping:
+        if room.ramping and ledger.handing_over(now):
+            return False
+        if not carried:
+            # One attempt is always allowed, or a small engine never starts.
             return True
         if carried + work.cost > room.any_work:
             return False
--- a/fulmarbarrow/placement/sliver.py
+++ b/fulmarbarrow/placement/sliver.py
@@ -14,6 +14,7 @@
 REPORT_AGE = datetime.timedelta(seconds=3)
 
 
+OWNER_GRACE = datetime.timedelta(seconds=5)  # until a fresh one is owned
 OTHERS_FACTOR = 2  # own late work, counted for that of other routers too
 
 
@@ -103,6 +104,8 @@
         """Return whether this router may add work to its ``own``."""
         share = self._bounds.ramp_share(now - upstream.started_at)
         share *= min(1.0, zone_weight)
+        if now - upstream.started_at < OWNER_GRACE:
+            return False
         limit = share * self._bounds.floor * upstream.batch_tokens
         known = self._known.get(upstream.upstream_id)
         if known is None or not known.fresh(now):
