Turn queued attempts away with their upstream, and keep their place

The fault matrix showed a request that waited to its deadline for the only upstream of a version: each wait of 300 ms that ended unserved put it at the end of the queue again. It now queues for longer after the first one. An attempt queued where the zone was taken out, or granted after its version was stopped, is turned away; one of the matrix' cells had sent work to a stopped version.

--- a/fulmarbarrow/placement/directory.py
+++ b/fulmarbarrow/placement/directory.py
@@ -146,6 +146,18 @@
             return best
         return [item for item in best if item not in request.excluded]
 
+    def serves(self, upstream_id: str, request: messages.PlaceRequest) -> bool:
+        """Return whether an upstream may take a request now."""
+        upstream = self._upstreams.get(upstream_id)
+        if upstream is None or not self.usable(upstream):
+            return False
+        shares = dict(self._shares.get((request.service, request.model), ()))
+        return any(
+            not shares or shares.get(offer.version, 0.0) > 0
+            for offer in upstream.offers
+            if (offer.service, offer.model) == (request.service, request.model)
+        )
+
     def version_of(
         self, upstream_id: str, request: messages.PlaceRequest
     ) -> str:
--- a/fulmarbarrow/placement/entry.py
+++ b/fulmarbarrow/placement/entry.py
@@ -117,7 +117,11 @@
             self._give_back(event)
             return []
         upstream = self._directory.upstreams.get(event.upstream_id)
-        if upstream is None or upstream.incarnation != event.incarnation:
+        if (
+            upstream is None
+            or upstream.incarnation != event.incarnation
+            or not self._directory.serves(event.upstream_id, walk.request)
+        ):
             self._holdings.release(event.upstream_id, event.attempt_id)
             return self._next(walk, now)
         placed = self._placed(walk, upstream, event.priority, now)
@@ -140,7 +144,7 @@
             return self._wait(walk, now)
         elif event.code == "moved":
             self._follow(walk, event)
-        elif event.code == "bound_reached":
+        elif event.code in ("bound_reached", "overloaded"):
             walk.offers[event.upstream_id] = event.wait_ms
         return self._next(walk, now)
 
@@ -202,7 +206,9 @@
         while walk.position < len(walk.candidates):
             upstream_id = walk.candidates[walk.position]
             upstream = self._directory.upstreams.get(upstream_id)
-            if upstream is None or not self._directory.usable(upstream):
+            if upstream is None or not self._directory.serves(
+                upstream_id, walk.request
+            ):
                 walk.position += 1
                 continue
             owner = self._reachable_owner(upstream_id, now)
--- a/fulmarbarrow/placement/features/owner.feature
+++ b/fulmarbarrow/placement/features/owner.feature
@@ -91,6 +91,12 @@
       | in an out zone  |
       | of a stopped version |
 
+  Scenario: Queued attempts leave an upstream whose zone is taken out
+    Given router 1 has 16 requests of 200 tokens of the chat "a" under way
+    When the zone of the chat's first engine is taken out
+    And 1 seconds pass
+    Then none of them waits at the chat's first engine
+
   Scenario: A cold engine is ramped again
     Given 60 chats have found their cache at "engine-0"
     When 12 chats miss their cache at "engine-0"
--- a/fulmarbarrow/placement/features/steps/placement.py
+++ b/fulmarbarrow/placement/features/steps/placement.py
@@ -584,3 +584,30 @@
     moved = [pair for pair in context.moves if pair[0] != pair[1]]
     assert set(moved) == {("1", "2")}
     assert 0.18 < len(moved) / len(context.moves) < 0.22, len(moved)
+
+
+@behave.given(
+    "router {index:d} has {count:d} requests of {cost:d} tokens of the "
+    'chat "{chat}" under way'
+)
+def step_under_way(context, index, count, cost, chat):
+    for _ in range(count):
+        place(context, index, chat, cost)
+    settle(context, 1)
+    first = order(context)[0]
+    context.before = context.net.work(first)
+    owned = context.net.routers[0].dump()["owned"]
+    assert sum(item["queued"] for item in owned.values()) > 0, owned
+
+
+@behave.when("the zone of the chat's first engine is taken out")
+def step_first_out(context):
+    step_out(context, order(context)[0])
+
+
+@behave.then("none of them waits at the chat's first engine")
+def step_none_waits(context):
+    first = order(context)[0]
+    owned = context.net.routers[0].dump()["owned"]
+    assert owned[first]["queued"] == 0, owned
+    assert context.net.work(first) == context.before
--- a/fulmarbarrow/placement/owner.py
+++ b/fulmarbarrow/placement/owner.py
@@ -189,6 +189,9 @@
                 self._metrics.count("reservations_expired", len(over))
             if not len(owned.queue):
                 continue
+            if not self._directory.usable(owned.ledger.upstream):
+                effects.extend(self._turn_away(owned))
+                continue
             effects.extend(self._serve(owned, now))
             for work in owned.queue.expire(now):
                 address = owned.waiting.pop(work.attempt_id)
@@ -467,6 +470,8 @@
     ) -> list[message.Message]:
         """Reserve for queued attempts while there is room."""
         effects: list[message.Message] = []
+        if not self._directory.usable(owned.ledger.upstream):
+            return self._turn_away(owned)
         while len(owned.queue):
             work = self._next(owned, now)
             if work is None:
@@ -475,6 +480,17 @@
             effects.append(self._place(owned, work, address, now))
         return effects
 
+    def _turn_away(self, owned: _Owned) -> list[message.Message]:
+        """Refuse all queued attempts of an upstream that takes no more."""
+        upstream_id = owned.ledger.upstream.upstream_id
+        waiting, owned.waiting = owned.waiting, {}
+        for attempt_id in waiting:
+            owned.queue.remove(attempt_id)
+        return [
+            _refusal(address, upstream_id, attempt_id, "not_serving")
+            for attempt_id, address in waiting.items()
+        ]
+
     def _next(
         self, owned: _Owned, now: datetime.datetime
     ) -> limits_messages.QueuedWork | None:
