Never let the bound on placed work hold a request back

Means are now by version, and an attempt that no upstream took on its walk is bound by work in flight alone.

--- a/fulmarbarrow/limits/messages.py
+++ b/fulmarbarrow/limits/messages.py
@@ -47,7 +47,7 @@
 
     The attempt leaves the queue unserved at ``expires``; an answer after
     ``deadline`` is of no use to its caller. It may use ``part`` of what the
-    bound allows.
+    bound allows; ``evenly`` keeps to the bound on work placed of late.
     """
 
     attempt_id: str
@@ -61,6 +61,7 @@
     best_effort: bool = False
     chat: int = 0
     part: float = 1.0
+    evenly: bool = True
 
 
 PEER_MESSAGES: tuple[type, ...] = ()
--- a/fulmarbarrow/placement/means.py
+++ b/fulmarbarrow/placement/means.py
@@ -15,14 +15,18 @@
 MAX_OWNERS = 512
 
 
-def pool_hash(service: str, model: str) -> int:
+def pool_hash(service: str, model: str, version: str) -> int:
     """Return the short name of a pool on the wire."""
-    return xxhash.xxh32_intdigest(f"{service}\0{model}".encode())
+    name = f"{service}\0{model}\0{version}"
+    return xxhash.xxh32_intdigest(name.encode())
 
 
 def pools_of(upstream: membership_messages.Upstream) -> set[int]:
     """Return the pools that an upstream belongs to."""
-    return {pool_hash(item.service, item.model) for item in upstream.offers}
+    return {
+        pool_hash(item.service, item.model, item.version)
+        for item in upstream.offers
+    }
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/fulmarbarrow/placement/messages.py
+++ b/fulmarbarrow/placement/messages.py
@@ -224,8 +224,8 @@
 class PoolWork(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Reserved work and full batches of one owner's upstreams in a pool.
 
-    ``pool`` is a hash of service and model, ``placed`` the work placed of
-    late.
+    ``pool`` is a hash of service, model and version, ``placed`` the work
+    placed of late.
     """
 
     pool: int
--- a/fulmarbarrow/placement/owner.py
+++ b/fulmarbarrow/placement/owner.py
@@ -357,7 +357,7 @@
     ) -> bool:
         """Return whether work placed of late stays near the pool's mean."""
         factor = self._bounds.placed_factor
-        if not factor:
+        if not factor or not work.evenly:
             return True
         mean = self._means.placed(ledger.upstream)
         batch = ledger.upstream.batch_tokens
@@ -566,6 +566,7 @@
         best_effort=event.best_effort,
         chat=event.chat,
         part=part,
+        evenly=event.stage is not messages.ReserveStage.LAST,
     )
 
 
