--- a/fulmarbarrow/edge/client.py
+++ b/fulmarbarrow/edge/client.py
@@ -25,6 +25,7 @@
 from fulmarbarrow import exceptions
 
 CONNECT_TIMEOUT_SECONDS = 2
+MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
 class UpstreamClient:
@@ -38,6 +39,7 @@
         clock: clocks.Clock,
         exchanges: exchanges_module.Exchanges,
     ) -> None:
+        self._reactor = reactor
         self._bus = bus
         self._clock = clock
         self._exchanges = exchanges
@@ -66,6 +68,7 @@
             return
         attempt = Attempt(
             start=event,
+            reactor=self._reactor,
             bus=self._bus,
             clock=self._clock,
             ended=self._ended,
@@ -81,8 +84,10 @@
     def _request(
         self, event: messages.StartAttempt, exchange: exchanges_module.Exchange
     ) -> defer.Deferred[iweb.IResponse]:
+        left = event.deadline - self._clock.now()
         fields = {
             headers.ATTEMPT: event.attempt_id,
+            headers.DEADLINE: str(max(0, left // MILLISECOND)),
             headers.PRIORITY: str(event.priority),
             headers.VERSION: event.version,
         }
@@ -90,6 +95,8 @@
             fields[headers.RESUME_OFFSET] = str(event.resume_offset)
         if exchange.key:
             fields[headers.KEY] = exchange.key
+        if exchange.chat:
+            fields[headers.CHAT] = exchange.chat
         method, target, body = exchange.method, exchange.target, exchange.body
         if event.lookup:
             method, target, body = "GET", event.lookup_path, b""
@@ -131,12 +138,14 @@
         self,
         *,
         start: messages.StartAttempt,
+        reactor: interfaces.IReactorTime,
         bus: buses.Bus,
         clock: clocks.Clock,
         ended: typing.Callable[[str], None],
     ) -> None:
         self._start = start
         self._attempt_id = start.attempt_id
+        self._reactor = reactor
         self._bus = bus
         self._clock = clock
         self._ended = ended
@@ -145,6 +154,7 @@
         self._paused = False
         self._response: defer.Deferred[typing.Any] | None = None
         self._events: sse.EventSplitter | None = None
+        self._gathered: list[bytes] = []
 
     def run(self, response: defer.Deferred[iweb.IResponse]) -> None:
         """Follow a request that was just begun."""
@@ -218,7 +228,20 @@
             self.transport.pauseProducing()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Take a part of the body."""
+        """Take a part of the body; those of one loop turn go together.
+
+        An engine that sends each token as an HTTP chunk would cost a message
+        a token, though one read brings several.
+        """
+        if not self._gathered:
+            self._reactor.callLater(0, self._pass_on)
+        self._gathered.append(data)
+
+    def _pass_on(self) -> None:
+        data = b"".join(self._gathered)
+        self._gathered.clear()
+        if not data:
+            return
         if self._events is None:
             self._post(
                 messages.AttemptData(attempt_id=self._attempt_id, data=data)
@@ -243,6 +266,7 @@
         self, reason: failures.Failure = protocol.connectionDone
     ) -> None:
         """Take the end of the body, whole or cut."""
+        self._pass_on()
         self._ended(self._attempt_id)
         if reason.check(web_client.ResponseDone):
             self._post(messages.AttemptEnded(attempt_id=self._attempt_id))
