--- a/fulmarbarrow/placement/entry.py
+++ b/fulmarbarrow/placement/entry.py
@@ -21,7 +21,7 @@
 REPLY_TIMEOUT = datetime.timedelta(milliseconds=150)
 OWNER_RETRY = datetime.timedelta(seconds=1)
 HOME_WAIT = datetime.timedelta(milliseconds=300)
-QUEUE_WAIT = datetime.timedelta(seconds=2)
+QUEUE_WAIT = datetime.timedelta(seconds=5)
 WALK_PAUSE = datetime.timedelta(milliseconds=50)
 CACHE_WORTH_MS = 400  # of waiting, rather than to lose the chat's cache
 NO_WAIT = datetime.timedelta(0)
@@ -117,7 +117,11 @@
             self._give_back(event)
             return []
         upstream = self._directory.upstreams.get(event.upstream_id)
-        if upstream is None or upstream.incarnation != event.incarnation:
+        if (
+            upstream is None
+            or upstream.incarnation != event.incarnation
+            or not self._directory.serves(event.upstream_id, walk.request)
+        ):
             self._holdings.release(event.upstream_id, event.attempt_id)
             return self._next(walk, now)
         placed = self._placed(walk, upstream, event.priority, now)
@@ -136,9 +140,11 @@
         if event.code in ("queue_full", "deadline_exceeded"):
             if walk.stage is Stage.QUEUEING:
                 return [self._give_up(walk, event.code)]
+        elif event.code == "overloaded" and walk.stage is Stage.QUEUEING:
+            return self._wait(walk, now)
         elif event.code == "moved":
             self._follow(walk, event)
-        elif event.code == "bound_reached":
+        elif event.code in ("bound_reached", "overloaded"):
             walk.offers[event.upstream_id] = event.wait_ms
         return self._next(walk, now)
 
@@ -200,7 +206,9 @@
         while walk.position < len(walk.candidates):
             upstream_id = walk.candidates[walk.position]
             upstream = self._directory.upstreams.get(upstream_id)
-            if upstream is None or not self._directory.usable(upstream):
+            if upstream is None or not self._directory.serves(
+                upstream_id, walk.request
+            ):
                 walk.position += 1
                 continue
             owner = self._reachable_owner(upstream_id, now)
@@ -208,7 +216,7 @@
                 wait = NO_WAIT if walk.position else self._home_wait
                 return [self._ask(walk, upstream, owner, wait, now)]
             if self._fits_alone(walk, upstream, now):
-                return [self._placed(walk, upstream, 0, now)]
+                return [self._placed_alone(walk, upstream, now)]
             walk.position += 1
         return self._wait(walk, now)
 
@@ -291,7 +299,7 @@
         """Place by the sliver rules where the owner gave no answer."""
         upstream = self._directory.upstreams.get(upstream_id)
         if upstream is not None and self._fits_alone(walk, upstream, now):
-            return [self._placed(walk, upstream, 0, now)]
+            return [self._placed_alone(walk, upstream, now)]
         return self._next(walk, now)
 
     def _reachable_owner(
@@ -368,6 +376,7 @@
         upstream: membership_messages.Upstream,
         priority: int,
         now: datetime.datetime,
+        renewed_at: datetime.datetime | None = None,
     ) -> message.Message:
         request = walk.request
         del self._walks[request.attempt_id]
@@ -376,10 +385,10 @@
                 request=request,
                 upstream_id=upstream.upstream_id,
                 incarnation=upstream.incarnation,
-                renewed_at=now,
+                renewed_at=renewed_at or now,
             )
         )
-        self._sliver.placed(upstream.upstream_id, request.cost)
+        self._sliver.placed(upstream.upstream_id, request.cost, now)
         home = upstream.upstream_id == walk.candidates[0]
         self._metrics.count("requests_placed", home=str(home).lower())
         return messages.Placed(
@@ -411,6 +420,17 @@
             )
         ]
 
+    def _placed_alone(
+        self,
+        walk: Walk,
+        upstream: membership_messages.Upstream,
+        now: datetime.datetime,
+    ) -> message.Message:
+        """Place without a reservation; the owner hears of it next."""
+        self._metrics.count("requests_placed_alone")
+        never = now - holdings_module.RENEW_AFTER
+        return self._placed(walk, upstream, 0, now, renewed_at=never)
+
     def _give_back(self, event: messages.Reserved) -> None:
         """Release a grant that nobody waits for any more."""
         holding = self._holdings.get(event.attempt_id)
