--- a/fulmarbarrow/edge/callers.py
+++ b/fulmarbarrow/edge/callers.py
@@ -69,8 +69,9 @@
             max_body_bytes=limits.max_body_bytes,
             metrics=metrics,
         )
+        write = self._write  # bound once, as binding costs more than a call
         for kind in _ANSWERS:
-            bus.subscribe(kind, lambda event, _: self._write(event))
+            bus.subscribe(kind, lambda event, _: write(event))
         bus.subscribe(
             publishing_messages.ConfigurationChanged, self._configure
         )
@@ -163,6 +164,7 @@
             body=body,
             content_type=requests.header(request, "Content-Type"),
             key=arrived.key,
+            chat=arrived.chat if arrived.model else "",
         )
         self._exchanges.add(arrived.request_id, exchange)
         self._answers[arrived.request_id] = answers.Answer(
--- a/fulmarbarrow/edge/features/callers.feature
+++ b/fulmarbarrow/edge/features/callers.feature
@@ -48,3 +48,7 @@
     When a caller asks for 100000 tokens and reads nothing for a while
     Then the daemon's largest backlog is within its stated bound
     And the caller then reads the whole answer
+
+  Scenario: A chat has the same name at the engine, for its cache events
+    When a chat named "motif-7" in its header is answered
+    Then the engine's cache names the chat "motif-7"
