--- a/benchmarks/daemon.py
+++ b/benchmarks/daemon.py
@@ -20,6 +20,7 @@
 from tools import fleet
 
 COMMAND = "python -m benchmarks daemon"
+EXCLUSIVE = True
 KEY = "demo-key-load"
 CONNECTIONS = 16
 ROUND_SECONDS = 3.0
--- a/benchmarks/delivery_cost.py
+++ b/benchmarks/delivery_cost.py
@@ -15,6 +15,7 @@
 from fulmarbarrow.placement import messages as placement_messages
 
 COMMAND = "python -m benchmarks delivery_cost"
+EXCLUSIVE = True
 REQUESTS = 2000
 EVENTS = 20
 NOW = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
--- a/benchmarks/journal.py
+++ b/benchmarks/journal.py
@@ -14,6 +14,7 @@
 from tools import fleet
 
 COMMAND = "python -m benchmarks journal"
+EXCLUSIVE = True
 SECONDS = 5.0
 FLEET_SECONDS = 8.0
 CALLERS = 16
--- a/benchmarks/placement_scale.py
+++ b/benchmarks/placement_scale.py
@@ -21,6 +21,7 @@
 from fulmarbarrow.placement import messages
 
 COMMAND = "python -m benchmarks placement_scale"
+EXCLUSIVE = True
 SEED = 11
 UPSTREAMS = 340
 POOL = 80
--- a/benchmarks/publishing.py
+++ b/benchmarks/publishing.py
@@ -13,6 +13,7 @@
 from tools import fleet
 
 COMMAND = "python -m benchmarks publishing"
+EXCLUSIVE = True
 CONTROLS = 3
 ROUTERS = 8
 TIMED_PUBLISHES = 100
--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -13,6 +13,7 @@
 from fulmarbarrow.observe import metrics
 
 COMMAND = "python -m benchmarks routing"
+EXCLUSIVE = True
 REQUESTS = 3000
 REQUEST = b"GET /register/dies/12 HTTP/1.1\r\nHost: x\r\n\r\n"
 
--- a/benchmarks/wire.py
+++ b/benchmarks/wire.py
@@ -10,6 +10,7 @@
 from fulmarbarrow.wire import codec
 
 COMMAND = "python -m benchmarks wire"
+EXCLUSIVE = True
 FRAMES = 20_000
 
 
