Take an owner's epoch within its upstream's incarnation

Cause: epochs begin anew with each incarnation, so the owner of a restarted upstream was refused for its lower epoch; and owners with epoch 0, on which routers agree for upstreams that name none, were dropped as soon as any peer was known, so that such upstreams never had an owner in a fleet of several. Change: owners are ordered by incarnation and epoch; only what a lone router assumed by itself is given up when a peer joins.

--- a/fulmarbarrow/placement/core.py
+++ b/fulmarbarrow/placement/core.py
@@ -211,12 +211,18 @@
         return self._owner.drop(event.upstream_id, "not_serving")
 
     def _owner_changed(
-        self, event: membership_messages.OwnerChanged, now: datetime.datetime
+        self,
+        event: membership_messages.OwnerChanged,
+        now: datetime.datetime,
+        *,
+        assumed: bool = False,
     ) -> list[message.Message]:
         owner = directories.Owner(
             daemon_id=event.owner,
             address=event.address,
+            incarnation=event.incarnation,
             epoch=event.owner_epoch,
+            assumed=assumed,
         )
         if not self._directory.set_owner(event.upstream_id, owner):
             return []
@@ -253,7 +259,7 @@
         """Give up what was owned only because no peer was known."""
         effects: list[message.Message] = []
         for upstream_id, owner in list(self._directory.owners.items()):
-            if owner.epoch == 0:
+            if owner.assumed:
                 self._directory.forget_owner(upstream_id)
                 effects.extend(self._owner.drop(upstream_id, "not_owner"))
         return effects
@@ -276,6 +282,7 @@
                         owner_epoch=0,
                     ),
                     now,
+                    assumed=True,
                 )
             )
         return effects
--- a/fulmarbarrow/placement/directory.py
+++ b/fulmarbarrow/placement/directory.py
@@ -14,11 +14,21 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Owner:
-    """The daemon that keeps an upstream's reservations."""
+    """The daemon that keeps an upstream's reservations.
+
+    ``assumed`` is set while a lone router owns what nobody told it of.
+    """
 
     daemon_id: str
     address: str
+    incarnation: int
     epoch: int
+    assumed: bool = False
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Owners of a higher order replace those of a lower one."""
+        return self.incarnation, self.epoch
 
 
 class Directory:
@@ -68,9 +78,12 @@
         return True
 
     def set_owner(self, upstream_id: str, owner: Owner) -> bool:
-        """Take an owner unless one of a later epoch is known."""
+        """Take an owner unless a later one is known.
+
+        Epochs begin anew with each incarnation of the upstream.
+        """
         known = self._owners.get(upstream_id)
-        if known is not None and owner.epoch < known.epoch:
+        if known is not None and owner.order < known.order:
             return False
         self._owners[upstream_id] = owner
         return True
--- a/fulmarbarrow/placement/features/steps/placement.py
+++ b/fulmarbarrow/placement/features/steps/placement.py
@@ -161,7 +161,7 @@
     for upstream_id in context.upstreams:
         event = membership.OwnerChanged(
             upstream_id=upstream_id,
-            incarnation=1,
+            incarnation=context.upstreams[upstream_id].incarnation,
             owner=context.net.daemons[index].daemon_id,
             address=context.net.daemons[index].address,
             owner_epoch=epoch,
@@ -611,3 +611,27 @@
     owned = context.net.routers[0].dump()["owned"]
     assert owned[first]["queued"] == 0, owned
     assert context.net.work(first) == context.before
+
+
+@behave.when(
+    'engine "{name}" restarts and router {index:d} is agreed on '
+    "with epoch {epoch:d}"
+)
+def step_restart_owned(context, name, index, epoch):
+    change(context, name, incarnation=2)
+    own(context, index, epoch, range(len(context.net.routers)))
+
+
+@behave.when("a further router joins")
+def step_joins(context):
+    joined = membership.DaemonChanged(daemon=daemon(99))
+    context.net.all(joined)
+
+
+@behave.then(
+    'router {knower:d} still knows router {index:d} as the owner of "{name}"'
+)
+def step_knows(context, knower, index, name):
+    owners = context.net.routers[knower].dump()["owners"]
+    wanted = context.net.daemons[index].daemon_id
+    assert owners[name].startswith(f"{wanted} "), owners
