Keep a restarted upstream's owner until it names one

Cause: right after its restart an upstream names nobody; routers of its zone then agreed on an owner while those of other zones had none, and a fresh engine got work from both sides. Change: the owner that it had stays while it is alive, until the upstream names one. Ruled out: forgetting the owner at each restart (a fresh engine then has none for a second).

--- a/fulmarbarrow/placement/core.py
+++ b/fulmarbarrow/placement/core.py
@@ -224,6 +224,8 @@
             epoch=event.owner_epoch,
             assumed=assumed,
         )
+        if self._keeps_owner(event):
+            return []
         if not self._directory.set_owner(event.upstream_id, owner):
             return []
         upstream = self._directory.upstreams.get(event.upstream_id)
@@ -239,6 +241,20 @@
         )
         return [*effects, *renewals]
 
+    def _keeps_owner(self, event: membership_messages.OwnerChanged) -> bool:
+        """Whether a restarted upstream's owner stays until it names one.
+
+        Right after its restart an upstream names nobody, and routers of
+        other zones can't agree on an owner. The one that it had is known
+        everywhere and keeps its ramp.
+        """
+        known = self._directory.owners.get(event.upstream_id)
+        if known is None or not known.epoch or event.owner_epoch:
+            return False
+        own = known.daemon_id == self._daemon.daemon_id
+        alive = own or known.daemon_id in self._routers
+        return alive and event.incarnation > known.incarnation
+
     def _daemon_changed(
         self, daemon: membership_messages.Daemon, now: datetime.datetime
     ) -> list[message.Message]:
--- a/fulmarbarrow/placement/features/owner.feature
+++ b/fulmarbarrow/placement/features/owner.feature
@@ -113,10 +113,14 @@
     When router 2 places 1 requests of 200 tokens of the chat "a"
     Then 1 are at the chat's first engine and 0 at its second
 
-  Scenario: An agreed owner stays although its epoch is 0
+  Scenario: A restarted engine keeps its owner until it names one
     When engine "engine-0" restarts and router 1 is agreed on with epoch 0
-    And a further router joins
-    Then router 0 still knows router 1 as the owner of "engine-0"
+    Then router 2 still knows router 0 as the owner of "engine-0"
+
+  Scenario: A restarted engine's owner that is dead is replaced
+    When every router hears that router 0 is gone
+    And engine "engine-0" restarts and router 1 is agreed on with epoch 0
+    Then router 2 still knows router 1 as the owner of "engine-0"
 
   Scenario: A restarted engine may name an owner with a lower epoch
     When the owner of every engine becomes router 2 with epoch 7
--- a/fulmarbarrow/placement/features/sliver.feature
+++ b/fulmarbarrow/placement/features/sliver.feature
@@ -42,3 +42,9 @@
     And the owner of every engine is router 0
     When each router places 2 requests of 100 tokens to the plain service
     Then every request is placed in its router's zone
+
+  Scenario: An agreed owner stays although its epoch is 0
+    Given 3 routers and 2 engines with a batch of 1000 tokens
+    When the owner of every engine becomes router 1 with epoch 0
+    And a further router joins
+    Then router 0 still knows router 1 as the owner of "engine-0"
--- a/fulmarbarrow/placement/features/steps/placement.py
+++ b/fulmarbarrow/placement/features/steps/placement.py
@@ -635,3 +635,13 @@
     owners = context.net.routers[knower].dump()["owners"]
     wanted = context.net.daemons[index].daemon_id
     assert owners[name].startswith(f"{wanted} "), owners
+
+
+@behave.when("every router hears that router {index:d} is gone")
+def step_gone(context, index):
+    gone = context.net.daemons[index]
+    context.net.all(
+        membership.DaemonGone(
+            daemon_id=gone.daemon_id, incarnation=gone.incarnation
+        )
+    )
