Keep measurements as each module ends

Cause: results were printed and written only after the last module, so that a run ended early kept nothing. Change: rows are printed and kept module by module.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import concurrent.futures as futures
 import dataclasses
 import importlib
@@ -34,12 +35,15 @@
     keep = KEEP in arguments or not arguments
     names = _chosen(arguments - {KEEP})
     before = _read()
-    rows = []
-    for row in _run(names):
-        rows.append(row)
-        _print(row, before.get((row.slice, row.name)))
-    if keep:
-        _keep(rows, before if arguments else {})
+    rows: list[measures.Measure] = []
+    for part in _run(names):
+        rows.extend(part)
+        for row in part:
+            _print(row, before.get((row.slice, row.name)))
+        if keep:
+            _keep(rows, before)
+    if keep and not arguments:
+        _keep(rows, {})
     missed = [row for row in rows if row.met is False]
     print(f"measures: {len(rows) - len(missed)} met, {len(missed)} missed")
     if missed:
@@ -68,19 +72,21 @@
     return found
 
 
-def _run(names: list[str]) -> list[measures.Measure]:
+def _run(
+    names: list[str],
+) -> collections.abc.Iterator[list[measures.Measure]]:
+    """Yield the figures of each module as soon as it has run."""
     alone = [name for name in names if _exclusive(name)]
     shared = [name for name in names if name not in alone]
-    rows: list[measures.Measure] = []
     # Modules may install a reactor, so each has a fresh process.
     context = multiprocessing.get_context("spawn")
     for group, processes in ((shared, PROCESSES), (alone, 1)):
         with futures.ProcessPoolExecutor(
             processes, mp_context=context, max_tasks_per_child=1
         ) as pool:
-            for part in pool.map(measures.run, group):
-                rows.extend(part)
-    return rows
+            waiting = [pool.submit(measures.run, name) for name in group]
+            for done in futures.as_completed(waiting):
+                yield done.result()
 
 
 def _exclusive(name: str) -> bool:
