Split an owner's weighing of room and its answers from its ledger

Change: capacity.py weighs work against the bounds, replies.py builds the answers. Conclusion: behaviour is unchanged.

--- a/fulmarbarrow/placement/owner.py
+++ b/fulmarbarrow/placement/owner.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import datetime
 import typing
 
@@ -11,24 +10,14 @@
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics as metrics_module
 from fulmarbarrow.placement import bounds as bounds_module
+from fulmarbarrow.placement import capacity
 from fulmarbarrow.placement import directory as directories
 from fulmarbarrow.placement import ledger as ledgers
 from fulmarbarrow.placement import means as means_module
 from fulmarbarrow.placement import messages
+from fulmarbarrow.placement import replies
 from fulmarbarrow.placement import scheduling
 
-MILLISECOND = datetime.timedelta(milliseconds=1)
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Owned:
-    """One owned upstream: its ledger, its queue and who waits there."""
-
-    ledger: ledgers.Ledger
-    queue: scheduling.Queue
-    waiting: dict[str, str]
-    mixed: float = 0.0
-
 
 class OwnerCore:
     """Requests for reservations in, grants and refusals out."""
@@ -43,11 +32,13 @@
         metrics: metrics_module.Metrics,
     ) -> None:
         self._directory = directory
-        self._means = means
         self._policy = policy
         self._bounds = bounds
         self._metrics = metrics
-        self._owned: dict[str, _Owned] = {}
+        self._capacity = capacity.Capacity(
+            directory=directory, means=means, policy=policy, bounds=bounds
+        )
+        self._owned: dict[str, capacity.Owned] = {}
 
     def owns(self, upstream_id: str) -> bool:
         """Return whether this daemon keeps the upstream's reservations."""
@@ -64,7 +55,7 @@
         if known is not None and self._same(known.ledger, upstream, epoch):
             known.ledger.upstream = upstream
             return
-        self._owned[upstream.upstream_id] = _Owned(
+        self._owned[upstream.upstream_id] = capacity.Owned(
             ledger=ledgers.Ledger(
                 upstream=upstream,
                 epoch=epoch,
@@ -81,7 +72,7 @@
         if owned is None:
             return []
         return [
-            _refusal(address, upstream_id, attempt_id, code)
+            replies.refusal(address, upstream_id, attempt_id, code)
             for attempt_id, address in owned.waiting.items()
         ]
 
@@ -103,7 +94,7 @@
         ledger = owned.ledger
         known = ledger.get(event.attempt_id)
         if known is not None:
-            return [_grant(ledger, known, event.reply_to)]
+            return [replies.grant(ledger, known, event.reply_to)]
         if ledger.crossed(event.attempt_id):
             return [self._refuse(event, "released")]
         if not self._serves(ledger, event.incarnation):
@@ -113,14 +104,16 @@
             return []
         moved_to = self._moved_to(ledger, event)
         if moved_to:
-            return [_moved(event, moved_to)]
-        work = _queued(event, now, self._part(ledger, event))
+            return [replies.moved(event, moved_to)]
+        work = replies.queued_work(event, now, self._part(ledger, event))
         owned.mixed = max(owned.mixed, self._policy.short_share(work.service))
-        if self._may_pass(owned, work) and self._fits(owned, work, now):
+        if self._may_pass(owned, work) and self._capacity.fits(
+            owned, work, now
+        ):
             owned.queue.charge(work.account, work.cost)
             return [self._place(owned, work, event.reply_to, now)]
         if event.stage is messages.ReserveStage.HOME and (
-            work.part < 1.0 or not self._evenly(ledger, work, now)
+            work.part < 1.0 or not self._capacity.evenly(ledger, work, now)
         ):
             return [self._refuse(event, "bound_reached")]
         return self._queue(owned, work, event, now)
@@ -164,7 +157,9 @@
             priority = (
                 known.priority
                 if known
-                else self._priority(ledger, held.account, held.cost, held)
+                else self._capacity.priority(
+                    ledger, held.account, held.cost, held
+                )
             )
             ledger.add(
                 ledgers.Reservation(
@@ -197,7 +192,9 @@
                 address = owned.waiting.pop(work.attempt_id)
                 code = "overloaded"
                 effects.append(
-                    _refusal(address, upstream_id, work.attempt_id, code)
+                    replies.refusal(
+                        address, upstream_id, work.attempt_id, code
+                    )
                 )
         return effects
 
@@ -208,7 +205,7 @@
             ledger = owned.ledger
             if not self._directory.usable(ledger.upstream):
                 continue
-            share = self._ramp_share(ledger, now)
+            share = self._capacity.ramp_share(ledger, now)
             for pool in means_module.pools_of(ledger.upstream):
                 total = sums.setdefault(pool, [0, 0, 0])
                 total[0] += ledger.reserved
@@ -283,128 +280,24 @@
         self, ledger: ledgers.Ledger, now: datetime.datetime
     ) -> None:
         """Ramp an upstream again that seems to have lost its cache."""
-        if self._ramp_share(ledger, now) >= 1.0:
+        if self._capacity.ramp_share(ledger, now) >= 1.0:
             ledger.cold_since = now
             ledger.chats.clear()
             self._metrics.count("upstreams_cold")
 
-    def _ramp_share(
-        self, ledger: ledgers.Ledger, now: datetime.datetime
-    ) -> float:
-        share = self._bounds.ramp_share(now - ledger.upstream.started_at)
-        if ledger.cold_since is not None:
-            again = self._bounds.ramp_share(now - ledger.cold_since)
-            share = min(share, again)
-        return share * min(
-            1.0, self._directory.zone_weight(ledger.upstream.zone)
-        )
-
-    def _room(
-        self, owned: _Owned, now: datetime.datetime
-    ) -> bounds_module.Room:
-        """Return the most work that the upstream may have, by who asks."""
-        ledger = owned.ledger
-        upstream = ledger.upstream
-        bounds = self._bounds
-        share = self._ramp_share(ledger, now)
-        ceiling = bounds.ceiling * upstream.batch_tokens
-        allowed = bounds.allowed(upstream, self._means.load(upstream))
-        headroom = self._policy.reserved_share * upstream.batch_tokens
-        shared = min(allowed, ceiling - headroom)
-        long_work = min(shared, (1.0 - owned.mixed) * upstream.batch_tokens)
-        if not owned.mixed:
-            long_work = shared
-        return bounds_module.Room(
-            any_work=int(share * ceiling),
-            shared=int(share * shared),
-            long_work=int(share * long_work),
-            ramping=share < 1.0,
-        )
-
-    def _fits(
-        self,
-        owned: _Owned,
-        work: limits_messages.QueuedWork,
-        now: datetime.datetime,
-    ) -> bool:
-        """Return whether the upstream may take the work now."""
-        ledger = owned.ledger
-        room = self._room(owned, now)
-        carried = ledger.work(now)
-        if room.ramping and ledger.handing_over(now):
-            return False
-        if not carried:
-            # One attempt is always allowed, or a small engine never starts.
-            return True
-        if carried + work.cost > room.any_work:
-            return False
-        if self._by_right(ledger, work.account, work.cost):
-            return True
-        unknown = carried - ledger.reserved
-        if ledger.shared + unknown + work.cost > work.part * room.shared:
-            return False
-        if not self._evenly(ledger, work, now):
-            return False
-        if work.cost_class is messages.CostClass.SHORT:
-            return True
-        return ledger.long + unknown + work.cost <= room.long_work
-
-    def _evenly(
-        self,
-        ledger: ledgers.Ledger,
-        work: limits_messages.QueuedWork,
-        now: datetime.datetime,
-    ) -> bool:
-        """Return whether work placed of late stays near the pool's mean."""
-        factor = self._bounds.placed_factor
-        if not factor or not work.evenly:
-            return True
-        mean = self._means.placed(ledger.upstream)
-        batch = ledger.upstream.batch_tokens
-        limit = max(work.part * factor * mean, self._bounds.floor) * batch
-        return ledger.placed(now) + work.cost <= limit
-
-    def _by_right(
-        self, ledger: ledgers.Ledger, account: str, cost: int
-    ) -> bool:
-        """Return whether the account's reserved share covers the work.
-
-        One attempt is always covered, however large it is.
-        """
-        share = self._policy.right(account).reserved_share
-        if share <= 0:
-            return False
-        held = ledger.by_right(account)
-        return not held or held + cost <= share * ledger.upstream.batch_tokens
-
-    def _priority(
-        self,
-        ledger: ledgers.Ledger,
-        account: str,
-        cost: int,
-        work: limits_messages.QueuedWork | messages.HeldWork,
-    ) -> ledgers.Priority:
-        if self._by_right(ledger, account, cost):
-            return ledgers.Priority.BY_RIGHT
-        if work.best_effort:
-            return ledgers.Priority.BEST_EFFORT
-        if work.cost_class is messages.CostClass.SHORT:
-            return ledgers.Priority.SHORT
-        return ledgers.Priority.LONG
-
     def _may_pass(
-        self, owned: _Owned, work: limits_messages.QueuedWork
+        self, owned: capacity.Owned, work: limits_messages.QueuedWork
     ) -> bool:
         """Return whether an attempt need not queue behind others."""
         if not len(owned.queue):
             return True
-        if self._by_right(owned.ledger, work.account, work.cost):
+        if self._capacity.by_right(owned.ledger, work.account, work.cost):
             return True
         return not owned.queue.cost_ahead(work)
 
     def _place(
         self,
-        owned: _Owned,
+        owned: capacity.Owned,
         work: limits_messages.QueuedWork,
         address: str,
         now: datetime.datetime,
@@ -416,18 +309,20 @@
             account=work.account,
             cost=work.cost,
             cost_class=work.cost_class,
-            priority=self._priority(ledger, work.account, work.cost, work),
+            priority=self._capacity.priority(
+                ledger, work.account, work.cost, work
+            ),
             until=now + ledgers.LEASE,
             chat=work.chat,
             expected=bool(work.chat) and ledger.chats.used(work.chat),
         )
         ledger.chats.returned(work.chat)
         ledger.add(item, now)
-        return _grant(ledger, item, address)
+        return replies.grant(ledger, item, address)
 
     def _queue(
         self,
-        owned: _Owned,
+        owned: capacity.Owned,
         work: limits_messages.QueuedWork,
         event: messages.Reserve,
         now: datetime.datetime,
@@ -436,7 +331,9 @@
         wait = self._expected_wait(owned, work)
         if event.wait_ms <= 0:
             return [self._refuse(event, "bound_reached", wait)]
-        by_right = self._by_right(owned.ledger, work.account, work.cost)
+        by_right = self._capacity.by_right(
+            owned.ledger, work.account, work.cost
+        )
         if now + wait > work.deadline and not by_right:
             return [self._refuse(event, "deadline_exceeded", wait)]
         refused = owned.queue.add(work)
@@ -447,7 +344,7 @@
         if refused is not None:
             address = owned.waiting.pop(refused.attempt_id)
             effects.append(
-                _refusal(
+                replies.refusal(
                     address,
                     event.upstream_id,
                     refused.attempt_id,
@@ -459,14 +356,14 @@
         return effects
 
     def _expected_wait(
-        self, owned: _Owned, work: limits_messages.QueuedWork
+        self, owned: capacity.Owned, work: limits_messages.QueuedWork
     ) -> datetime.timedelta:
         speed = max(1, owned.ledger.upstream.tokens_per_second)
         ahead = owned.queue.cost_ahead(work) if len(owned.queue) else 0.0
         return datetime.timedelta(seconds=ahead / speed)
 
     def _serve(
-        self, owned: _Owned, now: datetime.datetime
+        self, owned: capacity.Owned, now: datetime.datetime
     ) -> list[message.Message]:
         """Reserve for queued attempts while there is room."""
         effects: list[message.Message] = []
@@ -480,29 +377,31 @@
             effects.append(self._place(owned, work, address, now))
         return effects
 
-    def _turn_away(self, owned: _Owned) -> list[message.Message]:
+    def _turn_away(self, owned: capacity.Owned) -> list[message.Message]:
         """Refuse all queued attempts of an upstream that takes no more."""
         upstream_id = owned.ledger.upstream.upstream_id
         waiting, owned.waiting = owned.waiting, {}
         for attempt_id in waiting:
             owned.queue.remove(attempt_id)
         return [
-            _refusal(address, upstream_id, attempt_id, "not_serving")
+            replies.refusal(address, upstream_id, attempt_id, "not_serving")
             for attempt_id, address in waiting.items()
         ]
 
     def _next(
-        self, owned: _Owned, now: datetime.datetime
+        self, owned: capacity.Owned, now: datetime.datetime
     ) -> limits_messages.QueuedWork | None:
         """Return the next attempt: by right, then short, then by turn."""
 
         def by_right(work: limits_messages.QueuedWork) -> bool:
-            covered = self._by_right(owned.ledger, work.account, work.cost)
-            return covered and self._fits(owned, work, now)
+            covered = self._capacity.by_right(
+                owned.ledger, work.account, work.cost
+            )
+            return covered and self._capacity.fits(owned, work, now)
 
         def short(work: limits_messages.QueuedWork) -> bool:
             is_short = work.cost_class is messages.CostClass.SHORT
-            return is_short and self._fits(owned, work, now)
+            return is_short and self._capacity.fits(owned, work, now)
 
         chosen = None
         if self._policy.reserved_share:
@@ -511,11 +410,13 @@
             chosen = owned.queue.take(short)
         if chosen is None:
             chosen = owned.queue.take(
-                lambda work: self._fits(owned, work, now)
+                lambda work: self._capacity.fits(owned, work, now)
             )
         return chosen
 
-    def _preempt(self, owned: _Owned, cost: int) -> list[message.Message]:
+    def _preempt(
+        self, owned: capacity.Owned, cost: int
+    ) -> list[message.Message]:
         """Ask holders of best-effort work to make room for ``cost``."""
         chosen: dict[str, list[str]] = {}
         for item in reversed(owned.ledger.reservations):
@@ -542,74 +443,10 @@
         wait: datetime.timedelta = datetime.timedelta(0),
     ) -> message.Message:
         self._metrics.count("reservations_refused", code=code)
-        return _refusal(
+        return replies.refusal(
             event.reply_to,
             event.upstream_id,
             event.attempt_id,
             code,
-            wait // MILLISECOND,
+            wait // replies.MILLISECOND,
         )
-
-
-def _queued(
-    event: messages.Reserve, now: datetime.datetime, part: float
-) -> limits_messages.QueuedWork:
-    return limits_messages.QueuedWork(
-        attempt_id=event.attempt_id,
-        account=event.account,
-        service=event.service,
-        cost=event.cost,
-        cost_class=event.cost_class,
-        worth=event.worth,
-        expires=now + event.wait_ms * MILLISECOND,
-        deadline=now + event.deadline_ms * MILLISECOND,
-        best_effort=event.best_effort,
-        chat=event.chat,
-        part=part,
-        evenly=event.stage is not messages.ReserveStage.LAST,
-    )
-
-
-def _grant(
-    ledger: ledgers.Ledger, item: ledgers.Reservation, address: str
-) -> message.Message:
-    return message.Send(
-        address=address,
-        message=messages.Reserved(
-            attempt_id=item.attempt_id,
-            upstream_id=ledger.upstream.upstream_id,
-            incarnation=ledger.upstream.incarnation,
-            priority=int(item.priority),
-            lease=ledgers.LEASE,
-        ),
-    )
-
-
-def _moved(event: messages.Reserve, upstream_id: str) -> message.Message:
-    return message.Send(
-        address=event.reply_to,
-        message=messages.ReserveRefused(
-            attempt_id=event.attempt_id,
-            upstream_id=event.upstream_id,
-            code="moved",
-            moved_to=upstream_id,
-        ),
-    )
-
-
-def _refusal(
-    address: str,
-    upstream_id: str,
-    attempt_id: str,
-    code: str,
-    wait_ms: int = 0,
-) -> message.Message:
-    return message.Send(
-        address=address,
-        message=messages.ReserveRefused(
-            attempt_id=attempt_id,
-            upstream_id=upstream_id,
-            code=code,
-            wait_ms=wait_ms,
-        ),
-    )
