--- a/Makefile
+++ b/Makefile
@@ -42,4 +42,4 @@
 	$(PYTHON) -m flake8 $(SOURCES)
 
 docs: setup
-	$(PYTHON) -m mkdocs build --quiet --strict
+	$(PYTHON) -m mkdocs build --strict
