--- a/fulmarbarrow/clock.py
+++ b/fulmarbarrow/clock.py
@@ -15,19 +15,21 @@
 
 
 class SystemClock:
-    """The machine's time, advanced by its monotonic counter.
+    """The machine's time, advanced by its time since boot.
 
     The wall clock is read once, at construction, so that a later change of
-    the wall clock neither shortens nor lengthens a lease or a timeout.
+    the wall clock neither shortens nor lengthens a lease or a timeout. Unlike
+    the monotonic counter, the time since boot counts while the machine is
+    suspended, so that leases end meanwhile.
     """
 
     def __init__(self) -> None:
         self._start = datetime.datetime.now(datetime.UTC)
-        self._origin = time.monotonic()
+        self._origin = time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def now(self) -> datetime.datetime:
         """Return the current time as an aware UTC datetime."""
-        elapsed = time.monotonic() - self._origin
+        elapsed = time.clock_gettime(time.CLOCK_BOOTTIME) - self._origin
         return self._start + datetime.timedelta(seconds=elapsed)
 
 
--- a/fulmarbarrow/config/bundle.py
+++ b/fulmarbarrow/config/bundle.py
@@ -25,6 +25,19 @@
     OUT = "out"
 
 
+class RequestKind(enum.StrEnum):
+    """What may be repeated of a request on a route.
+
+    ``IDEMPOTENT`` requests may run again; ``RESUMABLE`` are streams that may
+    go on at another upstream after the last event; ``ONCE`` are all others,
+    streams among them.
+    """
+
+    IDEMPOTENT = "idempotent"
+    RESUMABLE = "resumable"
+    ONCE = "once"
+
+
 class MoveKind(enum.StrEnum):
     """What a version move changes on the engines."""
 
@@ -56,6 +69,55 @@
     lookup_path: str = ""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Target:
+    """A service that takes a part of a route's requests."""
+
+    service: str
+    weight: int = 1
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class HostRoute:
+    """A route chosen by the host and the longest prefix of the path.
+
+    ``prefix`` begins and ends with a slash. ``deadline`` bounds the whole
+    answer, ``objective`` is the time to the first byte, or event, for which
+    it is on time, and ``gap_objective`` that between two events. ``rank`` 0
+    is the most urgent. ``attempts`` bounds the upstreams of one request.
+    ``public`` routes need no key.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    targets: tuple[Target, ...]
+    kind: RequestKind = RequestKind.ONCE
+    stream: bool = False
+    deadline: datetime.timedelta = datetime.timedelta(seconds=30)
+    objective: datetime.timedelta = datetime.timedelta(seconds=1)
+    gap_objective: datetime.timedelta = datetime.timedelta(0)
+    rank: int = 0
+    attempts: int = 1
+    public: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Pool:
+    """What the upstreams of a service can bear.
+
+    ``cold_rate`` is how many requests a second a cold upstream takes, 0
+    without such a bound; ``kv_tokens`` the memory of a model engine.
+    """
+
+    max_connections: int = 0
+    health_path: str = ""
+    cold_rate: float = 0.0
+    cold_period: datetime.timedelta = datetime.timedelta(0)
+    slots: int = 0
+    kv_tokens: int = 0
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Model:
     """A model of a service and the version that takes its requests."""
@@ -70,8 +132,9 @@
 
     name: str
     kind: ServiceKind
-    routes: tuple[Route, ...]
+    routes: tuple[Route, ...] = ()
     models: tuple[Model, ...] = ()
+    pool: Pool = Pool()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -79,7 +142,8 @@
     """A client account.
 
     ``key_digest`` is the hex BLAKE2b digest of the bearer key under
-    ``key_salt``. ``reserved_share`` is the part of capacity that a priority
+    ``key_salt``, ``more_digests`` those of further keys. ``rank`` goes before
+    that of a route unless it is None. ``reserved_share`` is the part of capacity that a priority
     account has by right.
     """
 
@@ -91,6 +155,8 @@
     reserved_share: float = 0.0
     max_open_requests: int = 256
     services: tuple[str, ...] = ()
+    more_digests: tuple[str, ...] = ()
+    rank: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -127,6 +193,7 @@
     account: tuple[Account, ...] = ()
     zone: tuple[Zone, ...] = ()
     version_move: tuple[VersionMove, ...] = ()
+    host_route: tuple[HostRoute, ...] = ()
 
 
 def encode(bundle: Bundle) -> bytes:
--- a/fulmarbarrow/config/checks.py
+++ b/fulmarbarrow/config/checks.py
@@ -13,7 +13,15 @@
 
 MIN_KEY_CHARACTERS = 16
 MIN_ANSWER_BUFFER_BYTES = 192 << 10
-LISTENERS = ("callers", "upstreams", "admin", "peers")
+LISTENERS = (
+    "callers",
+    "upstreams",
+    "admin",
+    "peers",
+    "metrics",
+    "ready",
+    "operators",
+)
 
 _Found = collections.abc.Iterator[findings.Finding]
 
@@ -35,10 +43,10 @@
     roles = settings.daemon.roles
     if not roles:
         yield source.finding("daemon.roles", "names no role")
-    if defaults.Role.ROUTER in roles:
-        for name in ("callers", "upstreams"):
-            if getattr(settings.listen, name) is None:
-                text = "required for the role 'router'"
+    for role, names in _listeners(settings).items():
+        for name in names:
+            if role in roles and getattr(settings.listen, name) is None:
+                text = f"required for the role '{role}'"
                 yield source.finding(f"listen.{name}", text)
     if defaults.Role.CONTROL in roles:
         yield from _check_control(settings, source)
@@ -47,6 +55,21 @@
         yield _warning(source, "peers.seeds", text)
 
 
+def _listeners(
+    settings: defaults.Settings,
+) -> dict[defaults.Role, tuple[str, ...]]:
+    """Return the listeners that each role needs under its interface."""
+    if settings.daemon.interface is defaults.Interface.PLATFORM:
+        return {
+            defaults.Role.ROUTER: ("callers", "ready"),
+            defaults.Role.CONTROL: ("operators",),
+        }
+    return {
+        defaults.Role.ROUTER: ("callers", "upstreams", "admin"),
+        defaults.Role.CONTROL: ("admin",),
+    }
+
+
 def _check_control(
     settings: defaults.Settings, source: findings.Source
 ) -> _Found:
@@ -83,12 +106,14 @@
         if len(key) < MIN_KEY_CHARACTERS and not optional:
             text = f"must have at least {MIN_KEY_CHARACTERS} characters"
             yield source.finding(name, text)
-    host = ipaddress.ip_address(settings.listen.admin.host)
-    if not settings.daemon.admin_key and not host.is_loopback:
-        text = f"required, since listen.admin {host} is not loopback"
-        yield source.finding("daemon.admin_key", text)
-    is_router = defaults.Role.ROUTER in settings.daemon.roles
-    if is_router and not settings.upstreams.key:
+    admin = settings.listen.admin
+    if admin is not None and not settings.daemon.admin_key:
+        host = ipaddress.ip_address(admin.host)
+        if not host.is_loopback:
+            text = f"required, since listen.admin {host} is not loopback"
+            yield source.finding("daemon.admin_key", text)
+    announced = settings.listen.upstreams is not None
+    if announced and not settings.upstreams.key:
         text = "empty: anyone who reaches the port may be an upstream"
         yield _warning(source, "upstreams.key", text)
 
@@ -110,7 +135,8 @@
         yield source.finding("listen.peers", text)
     if _repeated(settings.peers.seeds):
         yield _warning(source, "peers.seeds", "name an address twice")
-    if settings.listen.peers in settings.peers.seeds:
+    own_seed = settings.listen.peers in settings.peers.addresses
+    if own_seed and not settings.control.from_seeds:
         yield _warning(source, "peers.seeds", "name this daemon itself")
 
 
@@ -121,6 +147,7 @@
     for name, value in (
         ("upstreams.lease", settings.upstreams.lease),
         ("limits.progress_timeout", settings.limits.progress_timeout),
+        ("retries.window", settings.retries.window),
     ):
         if value <= zero:
             yield source.finding(name, "must be above 0")
@@ -131,6 +158,11 @@
     ):
         if getattr(settings.limits, name) <= 0:
             yield source.finding(f"limits.{name}", "must be above 0")
+    if settings.retries.ratio < 0 or settings.retries.slack < 0:
+        yield source.finding("retries", "must not be negative")
+    if zero < settings.daemon.stop_within <= settings.daemon.grace:
+        text = "must be above daemon.grace"
+        yield source.finding("daemon.stop_within", text)
     if settings.daemon.grace <= zero:
         text = "0: the balancer may still send requests that are refused"
         yield _warning(source, "daemon.grace", text)
--- a/fulmarbarrow/config/defaults.py
+++ b/fulmarbarrow/config/defaults.py
@@ -16,6 +16,13 @@
     CONTROL = "control"
 
 
+class Interface(enum.StrEnum):
+    """Which HTTP interface a daemon offers to all outside the system."""
+
+    OWN = "own"
+    PLATFORM = "platform"
+
+
 class LogFormat(enum.StrEnum):
     """How log lines are written."""
 
@@ -28,8 +35,10 @@
     """Who this daemon is.
 
     ``grace`` is how long new requests are still taken after a stop began, so
-    that the balancer can notice ``/healthz``. ``admin_key`` is the operators'
-    bearer key to the admin port; only a loopback address goes without.
+    that the balancer can notice ``/healthz``. ``stop_within`` bounds the
+    whole shutdown, open requests included; 0 waits for them. ``admin_key`` is
+    the operators' bearer key to the admin port; only a loopback address goes
+    without.
     """
 
     id: str
@@ -40,23 +49,48 @@
     data_dir: str = ""
     grace: datetime.timedelta = datetime.timedelta(seconds=5)
     admin_key: str = ""
+    interface: Interface = Interface.OWN
+    stop_within: datetime.timedelta = datetime.timedelta(0)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ListenSection:
-    """Where this daemon listens."""
+    """Where this daemon listens.
+
+    ``metrics`` gives the metrics alone, to anyone; ``ready`` the readiness to
+    the platform's balancer, and ``operators`` takes the platform's operators'
+    calls and its upstreams' registrations.
+    """
 
-    admin: options.Address
     peers: options.Address
+    admin: options.Address | None = None
     callers: options.Address | None = None
     upstreams: options.Address | None = None
+    metrics: options.Address | None = None
+    ready: options.Address | None = None
+    operators: options.Address | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class PeersSection:
-    """Peer addresses through which a daemon joins the fleet."""
+    """Peer addresses through which a daemon joins the fleet.
+
+    ``port``, unless 0, replaces the ports of ``seeds``, for a platform that
+    names its hosts by another port of theirs.
+    """
 
     seeds: tuple[options.Address, ...] = ()
+    port: int = 0
+
+    @property
+    def addresses(self) -> tuple[options.Address, ...]:
+        """The seeds' peer addresses."""
+        if not self.port:
+            return self.seeds
+        return tuple(
+            options.Address(host=seed.host, port=self.port)
+            for seed in self.seeds
+        )
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -69,17 +103,68 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ControlSection:
-    """The control hosts that keep the durable state."""
+    """The control hosts that keep the durable state.
+
+    Without ``members`` the seeds are the first ones, each with its IP number
+    as id. ``form`` says that a fleet may begin here; a host that replaces
+    another must not begin a second history. ``losses`` hosts may be lost at
+    once: the log has up to twice as many voting members and one. ``journal``
+    says whether actions with an idempotency key are recorded.
+    """
 
     members: tuple[Member, ...] = ()
+    from_seeds: bool = False
+    form: bool = True
+    losses: int = 0
+    journal: bool = True
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class UpstreamsSection:
-    """How upstreams prove themselves; an empty key lets all announce."""
+    """How upstreams prove themselves; an empty key lets all announce.
+
+    ``names_owner`` says that an upstream itself names the daemon that keeps
+    its reservations; else the daemon that takes its announcement does.
+    ``cold_overshoot`` and ``cold_slack`` give the most requests a second of a
+    cold upstream beside what it states. ``ramp`` is the time in which a
+    fresh one comes to bear its full work.
+    """
 
     key: str = ""
     lease: datetime.timedelta = datetime.timedelta(seconds=3)
+    names_owner: bool = True
+    cold_overshoot: float = 1.0
+    cold_slack: float = 0.0
+    ramp: datetime.timedelta = datetime.timedelta(seconds=30)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TimeoutsSection:
+    """How long an upstream's connection may show no progress.
+
+    ``connect`` bounds the opening of one, ``first_event`` the wait for the
+    first event of a stream that may run elsewhere, ``between_events`` any
+    later one. ``resume_grace`` is the time that a stream which has begun has
+    after its deadline.
+    """
+
+    connect: datetime.timedelta = datetime.timedelta(seconds=2)
+    first_event: datetime.timedelta = datetime.timedelta(seconds=5)
+    between_events: datetime.timedelta = datetime.timedelta(seconds=2)
+    resume_grace: datetime.timedelta = datetime.timedelta(seconds=10)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RetriesSection:
+    """How many attempts beyond the first a service may get.
+
+    ``ratio`` is a part of the requests, ``slack`` the further attempts that
+    all routers together may make within ``window``.
+    """
+
+    ratio: float = 0.07
+    slack: float = 0.0
+    window: datetime.timedelta = datetime.timedelta(seconds=10)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -122,5 +207,7 @@
     control: ControlSection = ControlSection()
     upstreams: UpstreamsSection = UpstreamsSection()
     limits: LimitsSection = LimitsSection()
+    timeouts: TimeoutsSection = TimeoutsSection()
+    retries: RetriesSection = RetriesSection()
     log: LogSection = LogSection()
     trace: TraceSection = TraceSection()
--- a/fulmarbarrow/config/hosts.py
+++ b/fulmarbarrow/config/hosts.py
@@ -105,7 +105,7 @@
     peers = {host.settings.listen.peers for host in hosts}
     members = None
     for host in hosts:
-        for seed in host.settings.peers.seeds:
+        for seed in host.settings.peers.addresses:
             if seed not in peers:
                 text = f"no host's listen.peers is {seed}"
                 yield host.source.finding("peers.seeds", text)
--- a/fulmarbarrow/consensus/core.py
+++ b/fulmarbarrow/consensus/core.py
@@ -26,6 +26,9 @@
 from fulmarbarrow.observe import metrics as metrics_module
 
 
+CONTROL_ROLE = "control"
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Inspection:
     """A look into a member's state, for checks from outside."""
@@ -45,7 +48,8 @@
 
     ``addresses`` gives the peer address of each control host, this one
     included, by daemon id. ``machines`` names the state machines that give
-    their state for snapshots.
+    their state for snapshots. Without ``form`` no log begins here. With
+    ``losses`` above 0 other hosts may join, up to twice as many and one.
     """
 
     handles = (
@@ -54,6 +58,7 @@
         messages.SnapshotTaken,
         messages.Persisted,
         membership_messages.LeaveStarted,
+        membership_messages.DaemonChanged,
         message.Tick,
         *peer.PEER_MESSAGES,
     )
@@ -70,6 +75,8 @@
         now: datetime.datetime,
         machines: tuple[str, ...] = ("",),
         snapshot_entries: int = applying.SNAPSHOT_ENTRIES,
+        form: bool = True,
+        losses: int = 0,
     ) -> None:
         node = self._node = state.Node(
             group=group,
@@ -95,7 +102,11 @@
             applier=self._applier,
         )
         self._joining = joining.Joining(
-            node=node, replication=self._replication, addresses=addresses
+            node=node,
+            replication=self._replication,
+            addresses=addresses,
+            form=form,
+            losses=losses,
         )
         self._election = election.Election(
             node=node, leadership=self._leadership
@@ -220,6 +231,15 @@
         if self._node.role is state.Role.LEADER:
             self._leadership.hand_over(now)
 
+    @_on.register
+    def _(
+        self,
+        event: membership_messages.DaemonChanged,
+        now: datetime.datetime,
+    ) -> None:
+        if CONTROL_ROLE in event.daemon.roles:
+            self._joining.meet(event.daemon.daemon_id, event.daemon.address)
+
     @_on.register
     def _(self, event: peer.VoteRequest, now: datetime.datetime) -> None:
         if self._node.formed and event.log_id == self._node.log_id:
--- a/fulmarbarrow/consensus/joining.py
+++ b/fulmarbarrow/consensus/joining.py
@@ -41,10 +41,16 @@
         node: state.Node,
         replication: replications.Replication,
         addresses: dict[str, str],
+        form: bool = True,
+        losses: int = 0,
     ) -> None:
         self._node = node
         self._replication = replication
         self._addresses = addresses
+        self._may_form = form
+        self._voters = 2 * losses + 1 if losses else len(addresses)
+        self._open = losses > 0
+        self._contacts = dict(addresses)
         self._empty = {node.me.daemon_id: node.me}
         self._exists = False
         self._asked_at: datetime.datetime | None = None
@@ -74,10 +80,14 @@
         request = peer.JoinRequest(
             group=node.group, member=node.me, log_id=node.log_id
         )
-        for daemon_id, address in sorted(self._addresses.items()):
+        for daemon_id, address in sorted(self._contacts.items()):
             if daemon_id != node.me.daemon_id:
                 node.out.append(message.Send(address=address, message=request))
 
+    def meet(self, daemon_id: str, address: str) -> None:
+        """Learn of another control host, which may know a leader."""
+        self._contacts[daemon_id] = address
+
     def join_reply(self, event: peer.JoinReply) -> None:
         """Learn whether the asked host already holds a log."""
         node = self._node
@@ -135,6 +145,8 @@
 
     def _form_if_all_empty(self) -> bool:
         node = self._node
+        if not self._may_form:
+            return False
         if self._exists or set(self._empty) != set(self._addresses):
             return False
         members = tuple(self._empty.values())
@@ -156,7 +168,8 @@
                 progress.install_offset = 0
             return
         holder = node.log.configuration.holder(member.daemon_id)
-        if holder is None and member.daemon_id not in node.seats:
+        known = holder is not None or member.daemon_id in node.seats
+        if not known and not self._open:
             return
         if member.member_id not in self._joiners:
             log.info("%s copies %s", member.member_id, node.group)
@@ -192,6 +205,11 @@
         node = self._node
         configuration = node.log.configuration
         holder = configuration.holder(member.daemon_id)
+        if holder is None and len(configuration.members) >= self._voters:
+            # Another host's seat is free once that one is silent.
+            holder = self._silent_member(now)
+            if holder is None:
+                return False
         if holder is None:
             changed = configuration.with_member(member)
         elif holder != node.me and self._silent(holder, now):
@@ -206,6 +224,12 @@
         )
         return True
 
+    def _silent_member(self, now: datetime.datetime) -> records.Member | None:
+        for member in self._node.others:
+            if self._silent(member, now):
+                return member
+        return None
+
     def _silent(self, holder: records.Member, now: datetime.datetime) -> bool:
         progress = self._replication.progress(holder.member_id)
         heard = progress.answered_at if progress else None
--- a/fulmarbarrow/daemon/__main__.py
+++ b/fulmarbarrow/daemon/__main__.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import pathlib
 import signal
 import sys
@@ -33,11 +32,6 @@
         raise SystemExit(EXIT_SETTINGS)
     logs.set_up(loaded.log)
     _forgo_tls()
-    from twisted.internet import asyncioreactor
-
-    loop = asyncio.new_event_loop()
-    asyncio.set_event_loop(loop)
-    asyncioreactor.install(loop)
     _serve(loaded, findings.Source(path=path, text=path.read_text()))
 
 
@@ -47,7 +41,7 @@
 
 
 def _serve(settings: defaults.Settings, source: findings.Source) -> None:
-    # These import the reactor, so they wait until it is installed.
+    # These import the reactor, so they wait until OpenSSL is forgone.
     from twisted.internet import reactor
 
     from fulmarbarrow.daemon import assembly
--- a/fulmarbarrow/daemon/assembly.py
+++ b/fulmarbarrow/daemon/assembly.py
@@ -243,6 +243,7 @@
 
     def _make_transport(self) -> transport.Transport:
         return transport.Transport(
+            reactor=self._reactor,
             address=self._record.address,
             codec=codec.Codec(
                 fleet_key=self._settings.daemon.fleet_key,
--- a/fulmarbarrow/daemon/cores.py
+++ b/fulmarbarrow/daemon/cores.py
@@ -15,6 +15,7 @@
 from fulmarbarrow.consensus import messages as consensus_messages
 from fulmarbarrow.consensus import records as consensus_records
 from fulmarbarrow.delivery import core as delivery_core
+from fulmarbarrow.delivery import policy as delivery_policy
 from fulmarbarrow.journal import control as journal_control
 from fulmarbarrow.journal import router as journal_router
 from fulmarbarrow.limits import core as limits_core
@@ -92,7 +93,7 @@
             "membership",
             membership_core.MembershipCore(
                 daemon=self._record,
-                seeds=tuple(map(str, settings.peers.seeds)),
+                seeds=tuple(map(str, settings.peers.addresses)),
                 lease=settings.upstreams.lease,
                 metrics=self._metrics,
                 rng=self._rng,
@@ -133,6 +134,8 @@
             "kv_moves",
             zones_control.ZonesControl(daemon=record, metrics=self._metrics),
         )
+        if not self._settings.control.journal:
+            return
         self._add_log(
             "journal_log", consensus_messages.Group.JOURNAL, logs, ("",)
         )
@@ -152,10 +155,15 @@
     ) -> None:
         """Add the replicated log that the named machines apply."""
         record = self._record
+        control = self._settings.control
         members = {
-            member.id: str(member.address)
-            for member in self._settings.control.members
+            member.id: str(member.address) for member in control.members
         }
+        if control.from_seeds:
+            members = {
+                address.host: str(address)
+                for address in self._settings.peers.addresses
+            }
         core = consensus_core.ConsensusCore(
             group=group,
             me=consensus_records.Member(
@@ -169,9 +177,19 @@
             metrics=self._metrics,
             now=self._now,
             machines=machines,
+            form=control.form,
+            losses=control.losses,
         )
         self._add(name, core)
 
+    def _timeouts(self) -> delivery_policy.Timeouts:
+        timeouts = self._settings.timeouts
+        return delivery_policy.Timeouts(
+            first_event=timeouts.first_event,
+            between_events=timeouts.between_events,
+            resume_grace=timeouts.resume_grace,
+        )
+
     def _add_router(self) -> None:
         record, metrics = self._record, self._metrics
         self._add(
@@ -200,5 +218,10 @@
         )
         self._add(
             "delivery",
-            delivery_core.DeliveryCore(metrics=metrics, rng=self._rng),
+            delivery_core.DeliveryCore(
+                metrics=metrics,
+                rng=self._rng,
+                timeouts=self._timeouts(),
+                retries=self._settings.retries,
+            ),
         )
--- a/fulmarbarrow/daemon/features/steps/life.py
+++ b/fulmarbarrow/daemon/features/steps/life.py
@@ -7,7 +7,6 @@
 import socket
 
 import behave
-import pynng
 
 from tools import fleet
 
@@ -129,9 +128,10 @@
 @behave.when("the daemon is started and gets garbage from a peer")
 def step_garbage(context):
     context.daemon.start()
-    with pynng.Push0(dial=f"tcp://{context.daemon.peers}") as plug:
+    host, _, port = str(context.daemon.peers).rpartition(":")
+    with socket.create_connection((host, int(port))) as plug:
         for frame in (b"", b"x", b"y" * 5000):
-            plug.send(frame)
+            plug.sendall(len(frame).to_bytes(4, "big") + frame)
         fleet.wait_until(lambda: dropped(context) == 3, "dropped")
 
 
--- a/fulmarbarrow/daemon/listeners.py
+++ b/fulmarbarrow/daemon/listeners.py
@@ -6,7 +6,6 @@
 import logging
 import typing
 
-import pynng
 from twisted.internet import defer
 from twisted.internet import error as internet_errors
 from twisted.internet import interfaces
@@ -64,7 +63,6 @@
                 yield f"listen.{name}", f"{address}: {error.socketError}"
                 continue
             self._ports.append(port)
-        try:
-            self._transport.start()
-        except pynng.NNGException as error:
-            yield "listen.peers", str(error)
+        failure = self._transport.start()
+        if failure:
+            yield "listen.peers", failure
--- a/fulmarbarrow/delivery/answers.py
+++ b/fulmarbarrow/delivery/answers.py
@@ -22,8 +22,16 @@
 EVENT_SEPARATOR = b"\n\n"
 STATUS_OK = 200
 STATUS_SERVER_ERROR = 500
+STATUS_MISDIRECTED = 421
 
 _CRASHES = (messages.FailureKind.CRASHED, messages.FailureKind.CUT)
+_OUTCOMES = {
+    messages.FailureKind.REFUSED: placement_messages.WorkOutcome.REFUSED,
+    messages.FailureKind.SILENT: placement_messages.WorkOutcome.SILENT,
+    messages.FailureKind.MISDIRECTED: (
+        placement_messages.WorkOutcome.MISDIRECTED
+    ),
+}
 _SUSPICIOUS = (
     messages.FailureKind.SILENT,
     messages.FailureKind.WRONG_ATTEMPT,
@@ -97,7 +105,7 @@
         A stream that has begun goes on as long as an upstream sends it.
         """
         request = entry.request
-        if request.started and request.attempts:
+        if request.started and request.attempts and request.grace:
             return []
         if not request.admitted or request.answer is not None:
             return []
@@ -138,7 +146,7 @@
         if not entry.attempts[attempt.attempt_id].start(event, now):
             return []
         if event.not_run:
-            return self._not_run(entry, attempt, now)
+            return self._not_run(entry, attempt, event, now)
         if attempt.purpose is state.Purpose.LOOKUP:
             if event.status != STATUS_OK:
                 kind = messages.FailureKind.REFUSED
@@ -166,6 +174,7 @@
         self,
         entry: books.Open,
         attempt: state.Attempt,
+        event: messages.AttemptHeaders,
         now: datetime.datetime,
     ) -> Effects:
         """Take an upstream's own word that it has not run the request."""
@@ -176,6 +185,8 @@
             sealed = entry.inputs.seal("outcome_unknown", until, True)
             return [*effects, *sealed]
         kind = messages.FailureKind.REFUSED
+        if event.status == STATUS_MISDIRECTED:
+            kind = messages.FailureKind.MISDIRECTED
         return self._fail(entry, attempt, kind, now, not_run=True)
 
     def _data(
@@ -223,7 +234,7 @@
     def _relay(
         self, request: state.Request, attempt: state.Attempt, data: bytes
     ) -> Effects:
-        if request.action and (
+        if request.granted and (
             attempt.taken_bytes <= requests.MAX_RECORDED_BYTES
         ):
             attempt.body += data
@@ -270,7 +281,7 @@
         for other in list(request.attempts.values()):
             effects.extend(self._drop(entry, other))
             effects.extend(effects_module.cancel(request, other))
-        if request.action and self._mechanisms.journal:
+        if request.granted:
             until = now + policy.JOURNAL_WAIT
             return [*effects, *entry.inputs.record(until)]
         return [*effects, *entry.inputs.finish()]
@@ -359,8 +370,10 @@
 def _outcome(
     kind: messages.FailureKind, sent: bool
 ) -> placement_messages.WorkOutcome:
+    if kind is messages.FailureKind.CONNECT:
+        return placement_messages.WorkOutcome.UNREACHABLE
     if not sent:
         return placement_messages.WorkOutcome.NOT_SENT
     if kind in _CRASHES:
         return placement_messages.WorkOutcome.CRASHED
-    return placement_messages.WorkOutcome.FAILED
+    return _OUTCOMES.get(kind, placement_messages.WorkOutcome.FAILED)
--- a/fulmarbarrow/delivery/budget.py
+++ b/fulmarbarrow/delivery/budget.py
@@ -2,60 +2,64 @@
 
 from __future__ import annotations
 
+import collections
 import datetime
 import random
 
-RETRY_FRACTION = 0.07  # retries per request
-RESERVE = 3.0  # retries
-RESERVE_REFILL = 0.01  # retries per second
-CEILING = 100.0  # retries
+RESERVE = 3.0  # retries within a window for which no request is needed
 BACKOFF_FIRST = datetime.timedelta(milliseconds=20)
 BACKOFF_LIMIT = datetime.timedelta(seconds=1)
 
 
 class RetryBudget:
-    """A token bucket that each new request fills a little.
+    """Retries within a sliding window, as a part of the requests in it.
 
-    A quiet service keeps a small reserve, so that a lone request can be
+    A quiet service has a small reserve, so that a lone request can be
     retried; a busy one can't multiply its own load when all upstreams fail.
+    Every retry counts for a whole window, so that the bound holds over each
+    span of its length and summed over the routers.
     """
 
-    def __init__(self, *, now: datetime.datetime) -> None:
-        self._tokens = RESERVE
-        self._refilled_at = now
+    def __init__(self, *, ratio: float, window: datetime.timedelta) -> None:
+        self._ratio = ratio
+        self._window = window
+        self._requests: collections.deque[datetime.datetime] = (
+            collections.deque()
+        )
+        self._retries: collections.deque[datetime.datetime] = (
+            collections.deque()
+        )
 
-    @property
-    def tokens(self) -> float:
-        """The retries that may be taken now."""
-        return self._tokens
+    def left(self, slack: float) -> float:
+        """Return the retries that may be taken now."""
+        allowed = self._ratio * len(self._requests) + slack
+        return allowed - len(self._retries)
 
-    def deposit(self) -> None:
+    def deposit(self, now: datetime.datetime) -> None:
         """Count a new request."""
-        self._tokens = min(CEILING, self._tokens + RETRY_FRACTION)
+        self._requests.append(now)
+        self._expire(now)
 
-    def withdraw(self, now: datetime.datetime) -> bool:
+    def withdraw(self, now: datetime.datetime, slack: float) -> bool:
         """Take one retry if the budget has it."""
-        self._refill(now)
-        if self._tokens < 1:
+        if not self.has_retry(now, slack):
             return False
-        self._tokens -= 1
+        self._retries.append(now)
         return True
 
-    def has_retry(self, now: datetime.datetime) -> bool:
+    def has_retry(self, now: datetime.datetime, slack: float) -> bool:
         """Return whether the budget has a retry."""
-        self._refill(now)
-        return self._tokens >= 1
+        self._expire(now)
+        return self.left(slack) >= 1
 
-    def charge(self) -> None:
+    def charge(self, now: datetime.datetime) -> None:
         """Take one retry that is made in any case."""
-        self._tokens = max(-CEILING, self._tokens - 1)
+        self._retries.append(now)
 
-    def _refill(self, now: datetime.datetime) -> None:
-        seconds = (now - self._refilled_at).total_seconds()
-        self._refilled_at = now
-        if self._tokens < RESERVE:
-            refilled = self._tokens + seconds * RESERVE_REFILL
-            self._tokens = min(RESERVE, refilled)
+    def _expire(self, now: datetime.datetime) -> None:
+        for kept in (self._requests, self._retries):
+            while kept and now - kept[0] > self._window:
+                kept.popleft()
 
 
 def backoff(failures: int, rng: random.Random) -> datetime.timedelta:
--- a/fulmarbarrow/delivery/core.py
+++ b/fulmarbarrow/delivery/core.py
@@ -6,6 +6,7 @@
 import random
 import typing
 
+from fulmarbarrow.config import defaults
 from fulmarbarrow.delivery import answers
 from fulmarbarrow.delivery import book as books
 from fulmarbarrow.delivery import effects as effects_module
@@ -76,6 +77,7 @@
         rng: random.Random,
         timeouts: policy.Timeouts | None = None,
         mechanisms: policy.Mechanisms | None = None,
+        retries: defaults.RetriesSection | None = None,
     ) -> None:
         mechanisms = mechanisms or policy.Mechanisms()
         self._metrics = metrics
@@ -92,6 +94,7 @@
             rng=rng,
             suspects=self._suspects,
             mechanisms=mechanisms,
+            retries=retries or defaults.RetriesSection(),
         )
         self._answers = answers.Answers(
             metrics=metrics,
@@ -123,6 +126,7 @@
                 return []
             case membership_messages.DaemonChanged():
                 self._suspects.change_daemon(event)
+                self._recovery.change_daemon(event.daemon)
                 return []
             case membership_messages.DaemonGone():
                 self._suspects.remove_daemon(event)
@@ -161,7 +165,13 @@
     def _arrived(
         self, event: messages.RequestArrived, now: datetime.datetime
     ) -> Effects:
-        self._book.add(state.Request(arrived=event))
+        self._book.add(
+            state.Request(
+                arrived=event,
+                delivered_events=event.resumed_from,
+                grace=self._timeouts.resume_grace,
+            )
+        )
         self._timers.add(event.deadline, event.request_id)
         return [
             limits_messages.AdmitRequest(
@@ -261,7 +271,7 @@
         gate = self._suspects.gate(request, now)
         if gate is suspects_module.Gate.QUARANTINED:
             return self._recovery.refuse(entry, "quarantined")
-        if request.action and self._mechanisms.journal:
+        if request.action and request.arrived.key and self._mechanisms.journal:
             return list(entry.inputs.intend())
         return [*entry.inputs.admit(), *self._recovery.place(entry, now)]
 
@@ -330,7 +340,8 @@
         """Cancel the work; an action that was sent runs to its end."""
         request = entry.request
         request.caller_gone = True
-        if request.action and request.attempts:
+        finishes = request.action and not request.arrived.stream
+        if finishes and request.attempts:
             return []
         effects = self._answers.release(entry)
         return [*effects, *entry.inputs.leave()]
--- a/fulmarbarrow/delivery/effects.py
+++ b/fulmarbarrow/delivery/effects.py
@@ -43,6 +43,8 @@
         deadline=request.deadline,
         excluded=request.excluded,
         best_effort=arrived.best_effort,
+        parts=arrived.parts,
+        objective=arrived.objective,
     )
 
 
@@ -76,6 +78,7 @@
         lookup=lookup,
         dispatch_until=None if lookup else request.dispatch_until,
         lookup_path=request.arrived.lookup_path if lookup else "",
+        rank=request.arrived.rank,
     )
 
 
@@ -150,6 +153,7 @@
         status=attempt.headers.status,
         content_type=attempt.headers.content_type,
         length=length,
+        fields=attempt.headers.fields,
     )
 
 
--- a/fulmarbarrow/delivery/messages.py
+++ b/fulmarbarrow/delivery/messages.py
@@ -27,6 +27,7 @@
     SILENT = "silent"
     WRONG_ATTEMPT = "wrong_attempt"
     SERVER_ERROR = "server_error"
+    MISDIRECTED = "misdirected"
     LEASE_PASSED = "lease_passed"
 
 
@@ -34,7 +35,12 @@
     """A checked request of a known account entered this daemon.
 
     ``digest`` is of method, path and body; ``key`` the idempotency key.
-    ``stream`` says that the answer is a stream of server-sent events.
+    ``stream`` says that the answer is a stream of server-sent events, of
+    which the caller has those up to ``resumed_from`` already. ``parts`` are
+    the shared parts of the prompt, by id and tokens, the last one the
+    session's. ``attempts`` bounds the upstreams that run it, 0 by default.
+    ``rank`` 0 is the most urgent; ``objective`` is the time to the first
+    byte for which an answer is on time.
     """
 
     request_id: str
@@ -55,6 +61,11 @@
     best_effort: bool
     deadline: datetime.datetime
     lookup_path: str = ""
+    resumed_from: int = 0
+    parts: tuple[tuple[str, int], ...] = ()
+    attempts: int = 0
+    rank: int | None = None
+    objective: datetime.timedelta | None = None
 
 
 class StartAttempt(message.Message, frozen=True, kw_only=True):
@@ -77,6 +88,7 @@
     lookup: bool = False
     dispatch_until: datetime.datetime | None = None
     lookup_path: str = ""
+    rank: int | None = None
 
 
 class AttemptSent(message.Message, frozen=True, kw_only=True):
@@ -92,6 +104,8 @@
     ``not_run`` its own proof that it refused before running.
     ``length`` is the announced body length, or None for a stream.
     ``resume_offset`` is the event index at which the engine says it goes on.
+    ``fields`` are the header fields for the caller. ``ends_with_body`` says
+    that the body's own end, not a marker, completes a stream.
     """
 
     attempt_id: str
@@ -101,6 +115,8 @@
     length: int | None = None
     not_run: bool = False
     resume_offset: int = 0
+    fields: tuple[tuple[str, str], ...] = ()
+    ends_with_body: bool = False
 
 
 class AttemptData(message.Message, frozen=True, kw_only=True):
@@ -163,6 +179,7 @@
     content_type: str
     length: int | None = None
     replayed: bool = False
+    fields: tuple[tuple[str, str], ...] = ()
 
 
 class AnswerData(message.Message, frozen=True, kw_only=True):
--- a/fulmarbarrow/delivery/policy.py
+++ b/fulmarbarrow/delivery/policy.py
@@ -21,11 +21,16 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Timeouts:
-    """How long an open connection may show no progress."""
+    """How long an open connection may show no progress.
+
+    ``resume_grace`` is the time that a stream which has begun has after its
+    deadline; at 0 it ends there.
+    """
 
     first_event: datetime.timedelta = datetime.timedelta(seconds=5)
     between_events: datetime.timedelta = datetime.timedelta(seconds=2)
     least_answer: datetime.timedelta = datetime.timedelta(milliseconds=500)
+    resume_grace: datetime.timedelta = state.RESUME_GRACE
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/fulmarbarrow/delivery/recovery.py
+++ b/fulmarbarrow/delivery/recovery.py
@@ -5,6 +5,7 @@
 import datetime
 import random
 
+from fulmarbarrow.config import defaults
 from fulmarbarrow.delivery import attempt as attempt_machine
 from fulmarbarrow.delivery import book as books
 from fulmarbarrow.delivery import budget
@@ -14,6 +15,7 @@
 from fulmarbarrow.delivery import refusals
 from fulmarbarrow.delivery import state
 from fulmarbarrow.delivery import suspects as suspects_module
+from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics as metrics_module
 from fulmarbarrow.placement import messages as placement_messages
@@ -33,9 +35,12 @@
         rng: random.Random,
         suspects: suspects_module.Suspects,
         mechanisms: policy.Mechanisms,
+        retries: defaults.RetriesSection,
     ) -> None:
         self._metrics = metrics
         self._rng = rng
+        self._retries = retries
+        self._routers: set[str] = set()
         self._suspects = suspects
         self._mechanisms = mechanisms
         self._budgets: dict[str, budget.RetryBudget] = {}
@@ -44,15 +49,23 @@
     def dump(self) -> dict[str, float]:
         """Return the retries that each service has left."""
         return {
-            service: round(kept.tokens, 2)
+            service: round(kept.left(self._slack), 2)
             for service, kept in self._budgets.items()
         }
 
+    def change_daemon(self, daemon: membership_messages.Daemon) -> None:
+        """Learn of a router, which has a share of the common allowance.
+
+        One that is lost keeps its share: it may only be cut off from here.
+        """
+        if suspects_module.ROUTER in daemon.roles:
+            self._routers.add(daemon.daemon_id)
+
     def count_request(
         self, request: state.Request, now: datetime.datetime
     ) -> None:
         """Let a new request fill its service's retry budget."""
-        self._budget(request, now).deposit()
+        self._budget(request).deposit(now)
 
     def learn(self, request: state.Request, attempt: state.Attempt) -> None:
         """Learn from the time of a whole answer."""
@@ -111,7 +124,8 @@
         due = attempt.sent_at + self._answer_times(request).hedge_delay
         if not policy.may_hedge(request) or now < due:
             return []
-        if request.number > 1 or not self._withdraw(request, now):
+        bounded = request.arrived.attempts == 1
+        if request.number > 1 or bounded or not self._withdraw(request, now):
             return []
         self._metrics.count("hedges", service=request.arrived.service)
         request.number += 1
@@ -198,6 +212,7 @@
         )
         if not not_run and attempt.purpose is not state.Purpose.LOOKUP:
             request.may_have_run = True
+            request.runs += 1
         if request.attempts:
             return []
         if request.hedge_id:
@@ -252,14 +267,19 @@
             return False
         if request.attempts_without_progress >= policy.MAX_ATTEMPTS:
             return False
+        if request.arrived.attempts and (
+            request.runs >= request.arrived.attempts
+        ):
+            return False
         if request.dispatch_until is not None:
             if now >= request.dispatch_until:
                 return False
         elif now >= request.deadline:
             return False
         if progressed and attempt.streamed:
-            self._budget(request, now).charge()
-            return True
+            if not self._retries.slack:
+                self._budget(request).charge(now)
+                return True
         return self._withdraw(request, now)
 
     def may_retry_status(
@@ -270,7 +290,11 @@
             return False
         if request.attempts_without_progress + 1 >= policy.MAX_ATTEMPTS:
             return False
-        return self._budget(request, now).has_retry(now)
+        if request.arrived.attempts and (
+            request.runs + 1 >= request.arrived.attempts
+        ):
+            return False
+        return self._budget(request).has_retry(now, self._slack)
 
     def _open(
         self,
@@ -300,20 +324,27 @@
     ) -> bool:
         if not self._mechanisms.retry_budget:
             return True
-        if self._budget(request, now).withdraw(now):
+        if self._budget(request).withdraw(now, self._slack):
             return True
         self._metrics.count(
             "retries_over_budget", service=request.arrived.service
         )
         return False
 
-    def _budget(
-        self, request: state.Request, now: datetime.datetime
-    ) -> budget.RetryBudget:
+    @property
+    def _slack(self) -> float:
+        """This router's share of the attempts that need no requests."""
+        if not self._retries.slack:
+            return budget.RESERVE
+        return self._retries.slack / (len(self._routers) + 1)
+
+    def _budget(self, request: state.Request) -> budget.RetryBudget:
         service = request.arrived.service
         kept = self._budgets.get(service)
         if kept is None:
-            kept = self._budgets[service] = budget.RetryBudget(now=now)
+            kept = self._budgets[service] = budget.RetryBudget(
+                ratio=self._retries.ratio, window=self._retries.window
+            )
         return kept
 
     def _answer_times(self, request: state.Request) -> policy.AnswerTimes:
--- a/fulmarbarrow/delivery/state.py
+++ b/fulmarbarrow/delivery/state.py
@@ -59,8 +59,10 @@
         """Whether the answer is complete by its end marker or length."""
         if self.headers is None:
             return False
-        if self.streamed:
+        if self.streamed and not self.headers.ends_with_body:
             return self.end_marker
+        if self.streamed:
+            return True
         length = self.headers.length
         return length is None or length == self.taken_bytes
 
@@ -75,6 +77,8 @@
     ``may_have_run`` is set as soon as a run is not provably ruled out.
     ``ready`` says that the next attempt only waits until ``wait_until``.
     ``placing_id`` and ``hedge_id`` are attempts that wait for an upstream.
+    ``runs`` counts the attempts that may have run. A stream that has begun
+    has ``grace`` after its deadline.
     """
 
     arrived: messages.RequestArrived
@@ -102,6 +106,8 @@
     timer_at: datetime.datetime | None = None
     grace_timer: bool = False
     closed: bool = False
+    runs: int = 0
+    grace: datetime.timedelta = RESUME_GRACE
 
     @property
     def request_id(self) -> str:
@@ -117,7 +123,7 @@
     def deadline(self) -> datetime.datetime:
         """When to give up; a stream that has begun has some time more."""
         if self.started:
-            return self.arrived.deadline + RESUME_GRACE
+            return self.arrived.deadline + self.grace
         return self.arrived.deadline
 
     @property
--- a/fulmarbarrow/placement/messages.py
+++ b/fulmarbarrow/placement/messages.py
@@ -25,6 +25,10 @@
     CRASHED = "crashed"
     CANCELLED = "cancelled"
     NOT_SENT = "not_sent"
+    UNREACHABLE = "unreachable"
+    REFUSED = "refused"
+    SILENT = "silent"
+    MISDIRECTED = "misdirected"
 
 
 class PlaceRequest(message.Message, frozen=True, kw_only=True):
@@ -32,6 +36,7 @@
 
     ``cost`` is in tokens. ``excluded`` upstreams have failed this request.
     ``worth`` is the route's worth to the user, used when capacity is short.
+    ``parts`` are the shared parts of the prompt by id and tokens.
     """
 
     request_id: str
@@ -46,6 +51,8 @@
     deadline: datetime.datetime
     excluded: tuple[str, ...] = ()
     best_effort: bool = False
+    parts: tuple[tuple[str, int], ...] = ()
+    objective: datetime.timedelta | None = None
 
 
 class Placed(message.Message, frozen=True, kw_only=True):
--- /dev/null
+++ b/fulmarbarrow/publishing/amendments.py
@@ -0,0 +1,91 @@
+"""Changes of a part of the configuration, applied to whatever is accepted.
+
+Unlike a publish, an amendment names no base revision: two of them never
+conflict, and a repeated one changes nothing.
+"""
+
+from __future__ import annotations
+
+import functools
+import typing
+
+import msgspec
+
+from fulmarbarrow.config import bundle as bundles
+from fulmarbarrow.publishing import packing
+
+
+class Amendment(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
+    """Base of the amendments."""
+
+
+class ReplaceServices(Amendment, frozen=True, kw_only=True):
+    """Replaces services, routes and accounts by those of a document.
+
+    ``number`` is the document's own version: the highest holds. ``document``
+    and ``bundle`` are packed; the document is kept as it was sent.
+    """
+
+    number: int
+    bundle: bytes
+    document: bytes
+
+
+class SetZone(Amendment, frozen=True, kw_only=True):
+    """Takes an availability zone out, or back in."""
+
+    zone: str
+    out: bool
+
+
+AnyAmendment = ReplaceServices | SetZone
+
+
+class AmendCommand(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
+    """What is replicated of an amendment."""
+
+    amend_id: str
+    amendment: AnyAmendment
+
+
+@functools.singledispatch
+def amended(
+    amendment: typing.Any, bundle: bundles.Bundle
+) -> bundles.Bundle:
+    """Return a bundle with an amendment applied to it."""
+    raise TypeError(type(amendment).__name__)
+
+
+@amended.register
+def _(amendment: ReplaceServices, bundle: bundles.Bundle) -> bundles.Bundle:
+    wanted = bundles.decode(packing.unpack(amendment.bundle))
+    return bundles.Bundle(
+        service=wanted.service,
+        account=wanted.account,
+        host_route=wanted.host_route,
+        zone=bundle.zone,
+        version_move=bundle.version_move,
+    )
+
+
+@amended.register
+def _(amendment: SetZone, bundle: bundles.Bundle) -> bundles.Bundle:
+    state = bundles.ZoneState.OUT if amendment.out else bundles.ZoneState.IN
+    regions = {zone.name: zone.region for zone in bundle.zone}
+    changed = bundles.Zone(
+        name=amendment.zone,
+        region=regions.get(amendment.zone, ""),
+        state=state,
+    )
+    others = (zone for zone in bundle.zone if zone.name != amendment.zone)
+    return bundles.Bundle(
+        service=bundle.service,
+        account=bundle.account,
+        host_route=bundle.host_route,
+        zone=(*others, changed),
+        version_move=bundle.version_move,
+    )
--- a/fulmarbarrow/publishing/control.py
+++ b/fulmarbarrow/publishing/control.py
@@ -12,9 +12,12 @@
 from fulmarbarrow.consensus import messages as consensus_messages
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
+from fulmarbarrow.publishing import amendments
 from fulmarbarrow.publishing import delta as deltas
+from fulmarbarrow.publishing import documents
 from fulmarbarrow.publishing import fanout
 from fulmarbarrow.publishing import messages
+from fulmarbarrow.publishing import packing
 from fulmarbarrow.publishing import state
 from fulmarbarrow.publishing import status as status_module
 
@@ -29,6 +32,9 @@
 
     handles = (
         messages.PublishRequested,
+        messages.AmendRequested,
+        messages.DocumentRequested,
+        messages.StatusGiven,
         messages.RevisionAck,
         messages.RevisionFetch,
         messages.StatusRequested,
@@ -52,10 +58,14 @@
         self._state = state.PublishedState()
         self._fanout = fanout.FanOut(daemon=daemon, now=now)
         self._requested: set[str] = set()
+        self._amending: set[str] = set()
         self._leads = False
         self._status = status_module.StatusDesk(
             daemon=daemon, describe=self._describe, now=now
         )
+        self._documents = documents.DocumentDesk(
+            state=self._state, status=self._status
+        )
 
     def handle(
         self, event: message.Message, now: datetime.datetime
@@ -69,6 +79,7 @@
         """Return the current revision."""
         return {
             "revision": self._state.revision,
+            "number": self._state.number,
             "digest": self._state.digest,
             "publisher": self._state.publisher,
             "leads": self._leads,
@@ -118,12 +129,43 @@
             )
         ]
 
+    @_on.register
+    def _(
+        self, event: messages.AmendRequested, now: datetime.datetime
+    ) -> list[message.Message]:
+        self._amending.add(event.amend_id)
+        command = amendments.AmendCommand(
+            amend_id=event.amend_id, amendment=event.amendment
+        )
+        return [
+            consensus_messages.Propose(
+                proposal_id=event.amend_id,
+                group=GROUP,
+                command=msgspec.msgpack.encode(command),
+                machine=messages.MACHINE,
+            )
+        ]
+
+    @_on.register
+    def _(
+        self, event: messages.DocumentRequested, now: datetime.datetime
+    ) -> list[message.Message]:
+        return self._documents.requested(event, now)
+
+    @_on.register
+    def _(
+        self, event: messages.StatusGiven, now: datetime.datetime
+    ) -> list[message.Message]:
+        return self._documents.confirmed(event, now)
+
     @_on.register
     def _(
         self,
         event: consensus_messages.ProposeResult,
         now: datetime.datetime,
     ) -> list[message.Message]:
+        if event.proposal_id in self._amending:
+            return self._amend_ended(event)
         if event.proposal_id not in self._requested:
             return []
         self._requested.discard(event.proposal_id)
@@ -143,14 +185,20 @@
         if event.machine != messages.MACHINE:
             return []
         command = msgspec.msgpack.decode(
-            event.command, type=state.PublishCommand
+            event.command, type=state.PublishCommand | amendments.AmendCommand
         )
         before = self._state.revision
-        result = self._state.apply(command)
+        result: messages.PublishResult | messages.AmendResult
+        if isinstance(command, amendments.AmendCommand):
+            result = self._state.amend(command)
+            self._amending.discard(command.amend_id)
+        else:
+            result = self._state.apply(command)
+        effects = [result, *self._documents.applied()]
         if self._state.revision == before or not self._leads:
-            return [result]
+            return effects
         step = self._state.history.deltas[-1:]
-        return [result, *(self._fanout.push(step[0], now) if step else ())]
+        return [*effects, *(self._fanout.push(step[0], now) if step else ())]
 
     @_on.register
     def _(
@@ -252,7 +300,7 @@
     def _(
         self, event: message.Tick, now: datetime.datetime
     ) -> list[message.Message]:
-        effects = self._status.tick(now)
+        effects = [*self._status.tick(now), *self._documents.tick(now)]
         if self._leads:
             self._fanout.forget(now)
             effects += self._fanout.notices(self._state.revision, now)
@@ -270,10 +318,23 @@
             sender=self._daemon.address,
             revision=self._state.revision,
             digest=self._state.digest,
-            bundle=self._state.content.encode(),
+            bundle=packing.pack(self._state.content.encode()),
             publisher=self._state.publisher,
         )
 
+    def _amend_ended(
+        self, event: consensus_messages.ProposeResult
+    ) -> list[message.Message]:
+        """Tell of an amendment that was not committed, as far as is known.
+
+        One that was committed is told of when it is applied here.
+        """
+        if event.committed:
+            return []
+        self._amending.discard(event.proposal_id)
+        code = UNKNOWN if event.unknown else NO_QUORUM
+        return [messages.AmendResult(amend_id=event.proposal_id, code=code)]
+
     @staticmethod
     def _refused(
         event: messages.PublishRequested, code: str
--- a/fulmarbarrow/publishing/delta.py
+++ b/fulmarbarrow/publishing/delta.py
@@ -9,6 +9,7 @@
 
 from fulmarbarrow.config import bundle as bundles
 from fulmarbarrow.publishing import messages
+from fulmarbarrow.publishing import packing
 
 DIGEST_BYTES = 16
 
@@ -59,7 +60,7 @@
             base=base,
             digest=digest(Content(bundle=bundle).encode()),
             publisher=publisher,
-            changed=part.encode(),
+            changed=packing.pack(part.encode()),
             removed=tuple(
                 label(key) for key in sorted(self._items) if key not in wanted
             ),
@@ -69,13 +70,12 @@
         """Change the items."""
         for section, name in map(parse_label, delta.removed):
             self._items.pop((section, name), None)
-        self._items.update(_items(bundles.decode(delta.changed)))
+        self._items.update(_changed(delta))
 
 
 def touched(delta: messages.Delta) -> set[str]:
     """Return the labels of the items that a delta changes."""
-    changed = _items(bundles.decode(delta.changed))
-    return {label(key) for key, _ in changed} | set(delta.removed)
+    return {label(key) for key, _ in _changed(delta)} | set(delta.removed)
 
 
 def label(key: Key) -> str:
@@ -89,6 +89,12 @@
     return section, name
 
 
+def _changed(
+    delta: messages.Delta,
+) -> collections.abc.Iterator[tuple[Key, typing.Any]]:
+    return _items(bundles.decode(packing.unpack(delta.changed)))
+
+
 def _items(
     bundle: bundles.Bundle,
 ) -> collections.abc.Iterator[tuple[Key, typing.Any]]:
--- a/fulmarbarrow/publishing/follower.py
+++ b/fulmarbarrow/publishing/follower.py
@@ -14,6 +14,7 @@
 from fulmarbarrow.publishing import delta as deltas
 from fulmarbarrow.publishing import history
 from fulmarbarrow.publishing import messages
+from fulmarbarrow.publishing import packing
 
 log = logging.getLogger(__name__)
 
@@ -106,7 +107,7 @@
             revision=event.revision,
             digest=event.digest,
             publisher=event.publisher,
-            bundle=event.bundle,
+            bundle=packing.unpack(event.bundle),
         )
         return self._take(revision, (), now)
 
@@ -182,7 +183,7 @@
             sender=self._daemon.address,
             revision=self._revision,
             digest=self._digest,
-            bundle=self._content.encode(),
+            bundle=packing.pack(self._content.encode()),
             publisher=self._publisher,
         )
 
--- a/fulmarbarrow/publishing/messages.py
+++ b/fulmarbarrow/publishing/messages.py
@@ -8,6 +8,7 @@
 
 from fulmarbarrow.config import bundle as bundles
 from fulmarbarrow import message
+from fulmarbarrow.publishing import amendments
 
 # The state machine of the configuration log that holds the revisions.
 MACHINE = "publishing"
@@ -16,7 +17,7 @@
 class Delta(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """What turns revision ``base`` into the next one.
 
-    ``changed`` is an encoded bundle of the new and changed items, ``removed``
+    ``changed`` is a packed bundle of the new and changed items, ``removed``
     the labels of the others; ``digest`` is that of the whole result.
     """
 
@@ -55,6 +56,43 @@
     differs: tuple[str, ...] = ()
 
 
+class AmendRequested(message.Message, frozen=True, kw_only=True):
+    """An operator asks to change a part of the configuration."""
+
+    amend_id: str
+    amendment: amendments.AnyAmendment
+
+
+class AmendResult(message.Message, frozen=True, kw_only=True):
+    """The amendment is committed, as part of ``revision``.
+
+    Otherwise ``code`` says why not, or that this is not known.
+    """
+
+    amend_id: str
+    code: str = ""
+    revision: int = 0
+    number: int = 0
+
+
+class DocumentRequested(message.Message, frozen=True, kw_only=True):
+    """An operator asks for the newest document, as it was sent."""
+
+    read_id: str
+
+
+class DocumentGiven(message.Message, frozen=True, kw_only=True):
+    """The newest document, empty if there is none yet.
+
+    ``code`` says that this host can't be sure which one is the newest.
+    """
+
+    read_id: str
+    code: str = ""
+    number: int = 0
+    document: bytes = b""
+
+
 class ConfigurationChanged(message.Message, frozen=True, kw_only=True):
     """A higher revision is now in force on this daemon."""
 
@@ -137,7 +175,7 @@
 
 
 class RevisionPush(message.Message, frozen=True, kw_only=True):
-    """A whole revision for a daemon to put in force."""
+    """A whole revision, packed, for a daemon to put in force."""
 
     sender: str
     revision: int
--- a/fulmarbarrow/publishing/state.py
+++ b/fulmarbarrow/publishing/state.py
@@ -7,12 +7,14 @@
 import msgspec
 
 from fulmarbarrow.config import bundle as bundles
+from fulmarbarrow.publishing import amendments
 from fulmarbarrow.publishing import delta as deltas
 from fulmarbarrow.publishing import history
 from fulmarbarrow.publishing import messages
 
 KEPT_RESULTS = 1000
 CONFLICT = "revision_conflict"
+AMENDED = "amendment"  # the publisher of a revision that an amendment made
 
 
 class PublishCommand(
@@ -46,12 +48,20 @@
     bundle: bytes
     deltas: tuple[messages.Delta, ...]
     accepted: tuple[AcceptedPublish, ...]
+    number: int = 0
+    document: bytes = b""
 
 
 class PublishedState:
-    """The accepted revision, the steps to it, and the results so far."""
+    """The accepted revision, the steps to it, and the results so far.
+
+    ``document`` is the operators' newest one, packed, and ``number`` its own
+    version; 0 before the first.
+    """
 
     def __init__(self) -> None:
+        self.number = 0
+        self.document = b""
         self.revision = 0
         self.digest = ""
         self.publisher = ""
@@ -91,6 +101,24 @@
         self._accept(command)
         return self._result(command, "", self.revision)
 
+    def amend(
+        self, command: amendments.AmendCommand
+    ) -> messages.AmendResult:
+        """Apply an amendment unless it changes nothing or came too late."""
+        amendment = command.amendment
+        if not isinstance(amendment, amendments.ReplaceServices):
+            self._take(amendment, always=False)
+        elif amendment.number > self.number:
+            self.number = amendment.number
+            self.document = amendment.document
+            # Readers wait for a revision, so each document makes one.
+            self._take(amendment, always=True)
+        return messages.AmendResult(
+            amend_id=command.amend_id,
+            revision=self.revision,
+            number=self.number,
+        )
+
     def encode(self) -> bytes:
         """Return the state for a snapshot."""
         stored = StoredState(
@@ -103,6 +131,8 @@
                 AcceptedPublish(publish_id=name, revision=number)
                 for name, number in self._accepted.items()
             ),
+            number=self.number,
+            document=self.document,
         )
         return msgspec.msgpack.encode(stored)
 
@@ -112,19 +142,35 @@
         self.revision = stored.revision
         self.digest = stored.digest
         self.publisher = stored.publisher
+        self.number = stored.number
+        self.document = stored.document
         self.content = deltas.Content(bundle=bundles.decode(stored.bundle))
         self.history = history.History(deltas=stored.deltas)
         self._accepted = collections.OrderedDict(
             (item.publish_id, item.revision) for item in stored.accepted
         )
 
-    def _accept(self, command: PublishCommand) -> None:
-        step = self._step(command)
+    def _take(
+        self, amendment: amendments.AnyAmendment, *, always: bool
+    ) -> None:
+        """Make the amended bundle the next revision if it is another."""
+        step = self.content.delta_to(
+            amendments.amended(amendment, self.content.bundle()),
+            base=self.revision,
+            publisher=AMENDED,
+        )
+        if always or step.digest != self.digest:
+            self._advance(step)
+
+    def _advance(self, step: messages.Delta) -> None:
         self.content.apply(step)
         self.history.add(step)
         self.revision += 1
-        self.digest = command.digest
-        self.publisher = command.publisher
+        self.digest = step.digest
+        self.publisher = step.publisher
+
+    def _accept(self, command: PublishCommand) -> None:
+        self._advance(self._step(command))
         self._accepted[command.publish_id] = self.revision
         while len(self._accepted) > KEPT_RESULTS:
             self._accepted.popitem(last=False)
--- a/fulmarbarrow/wire/transport.py
+++ b/fulmarbarrow/wire/transport.py
@@ -1,36 +1,223 @@
-"""Carries frames between daemons over pynng sockets."""
+"""Carries frames between daemons over TCP connections."""
 
 from __future__ import annotations
 
-import asyncio
 import collections
+import logging
+import socket
 import typing
 
-import pynng
+from twisted.internet import address as addresses
+from twisted.internet import error as internet_errors
+from twisted.internet import interfaces
+from twisted.internet import protocol
+from twisted.protocols import basic
+from twisted.python import failure as failures
 
 from fulmarbarrow import message as messages
 from fulmarbarrow.observe import metrics as metrics_module
 from fulmarbarrow.wire import codec as codecs
 
-TASK_THREADS = 2
-SEND_BUFFER_MESSAGES = 128
-MAX_FRAME_BYTES = 16 << 20
+log = logging.getLogger(__name__)
+
+MAX_FRAME_BYTES = 16 << 20  # a whole revision with its document
 MAX_BATCH_MESSAGES = 64
+MAX_WAITING_BYTES = 4 << 20  # for one peer that does not read
+CONNECT_TIMEOUT_SECONDS = 1.0
+RECONNECT_SECONDS = 0.2
+# Unacknowledged bytes for longer than this close a connection: below the
+# detector's suspicion, so that a silent connection is no dead daemon.
+UNACKNOWLEDGED_MS = 1_500
+KEEPALIVE_IDLE_SECONDS = 15
+KEEPALIVE_INTERVAL_SECONDS = 5
+KEEPALIVE_PROBES = 3
 
 
-def limit_threads() -> None:
-    """Keep nng to a few native threads; call before the first socket."""
-    library = pynng.lib
-    for parameter in (
-        library.NNG_INIT_NUM_TASK_THREADS,
-        library.NNG_INIT_MAX_TASK_THREADS,
-        library.NNG_INIT_NUM_EXPIRE_THREADS,
-        library.NNG_INIT_MAX_EXPIRE_THREADS,
-        library.NNG_INIT_NUM_POLLER_THREADS,
-        library.NNG_INIT_MAX_POLLER_THREADS,
-        library.NNG_INIT_NUM_RESOLVER_THREADS,
+def watch_connection(
+    transport: typing.Any, *, unacknowledged_ms: int = UNACKNOWLEDGED_MS
+) -> None:
+    """Have the kernel close a connection whose other end is silent."""
+    get_handle = getattr(transport, "getHandle", None)
+    if get_handle is None:  # a connection in memory
+        return
+    transport.setTcpNoDelay(True)
+    transport.setTcpKeepAlive(True)
+    handle = get_handle()
+    for option, value in (
+        (socket.TCP_USER_TIMEOUT, unacknowledged_ms),
+        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
+        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
     ):
-        library.nng_init_set_parameter(parameter, TASK_THREADS)
+        handle.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
+class Receiver(basic.Int32StringReceiver):
+    """A connection on which another daemon's frames come."""
+
+    MAX_LENGTH = MAX_FRAME_BYTES
+
+    def __init__(self, *, taken: typing.Callable[[bytes], None]) -> None:
+        self._taken = taken
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Watch the connection."""
+        watch_connection(self.transport)
+
+    def stringReceived(self, string: bytes) -> None:  # noqa: N802
+        """Take one frame."""
+        self._taken(string)
+
+
+class ReceiverFactory(protocol.ServerFactory):
+    """Makes the protocol of each connection that another daemon opens."""
+
+    noisy = False
+
+    def __init__(self, *, taken: typing.Callable[[bytes], None]) -> None:
+        self._taken = taken
+
+    def buildProtocol(  # noqa: N802
+        self, addr: addresses.IPv4Address
+    ) -> Receiver:
+        """Return a protocol for a new connection."""
+        return Receiver(taken=self._taken)
+
+
+class Sender(basic.Int32StringReceiver):
+    """The connection on which this daemon sends to one other."""
+
+    def __init__(self, *, peer: Peer) -> None:
+        self._peer = peer
+
+    @property
+    def waiting_bytes(self) -> int:
+        """Bytes written that the kernel has not taken yet."""
+        pending = getattr(self.transport, "_tempDataLen", 0)
+        return pending + len(getattr(self.transport, "dataBuffer", b""))
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Send what has waited for the connection."""
+        watch_connection(self.transport)
+        self._peer.connected(self)
+
+    def connectionLost(  # noqa: N802
+        self, reason: failures.Failure = protocol.connectionDone
+    ) -> None:
+        """Have the next frame open another connection."""
+        self._peer.lost(self, reason)
+
+
+class Peer(protocol.ClientFactory):
+    """The way to one other daemon; connects when there is a frame."""
+
+    noisy = False
+
+    def __init__(
+        self,
+        *,
+        reactor: interfaces.IReactorTCP,
+        host: str,
+        port: int,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._reactor = reactor
+        self._host = host
+        self._port = port
+        self._metrics = metrics
+        self._sender: Sender | None = None
+        self._connector: interfaces.IConnector | None = None
+        self._waiting: collections.deque[bytes] = collections.deque()
+        self._waiting_bytes = 0
+        self._retry_at = 0.0
+        self._reachable = True
+        self._closed = False
+
+    def send(self, frame: bytes) -> None:
+        """Send a frame, or drop it if too many wait already."""
+        if self._sender is not None:
+            if self._sender.waiting_bytes > MAX_WAITING_BYTES:
+                self._metrics.count("peer_frames_unsent")
+                return
+            self._write(frame)
+            return
+        if self._waiting_bytes + len(frame) > MAX_WAITING_BYTES:
+            self._metrics.count("peer_frames_unsent")
+            return
+        if self._connector is None and not self._connect():
+            self._metrics.count("peer_frames_unsent")
+            return
+        self._waiting.append(frame)
+        self._waiting_bytes += len(frame)
+
+    def close(self) -> None:
+        """Close the connection once all that was written is sent."""
+        self._closed = True
+        if self._sender is not None:
+            self._sender.transport.loseConnection()
+        elif self._connector is not None:
+            self._connector.stopConnecting()
+
+    def buildProtocol(  # noqa: N802
+        self, addr: addresses.IPv4Address
+    ) -> Sender:
+        """Return the protocol of the connection that was made."""
+        return Sender(peer=self)
+
+    def connected(self, sender: Sender) -> None:
+        """Take up the connection."""
+        self._sender = sender
+        if not self._reachable:
+            self._reachable = True
+            log.info("peer %s:%d reached again", self._host, self._port)
+        waiting, self._waiting = self._waiting, collections.deque()
+        self._waiting_bytes = 0
+        for frame in waiting:
+            self._write(frame)
+
+    def lost(self, sender: Sender, reason: failures.Failure) -> None:
+        """Forget a connection that ended."""
+        if self._sender is not sender:
+            return
+        self._sender = self._connector = None
+        if not self._closed:
+            self._unreachable(reason)
+
+    def clientConnectionFailed(  # noqa: N802
+        self, connector: interfaces.IConnector, reason: failures.Failure
+    ) -> None:
+        """Drop what waited; whoever needs an answer has a timeout."""
+        self._connector = None
+        self._metrics.count("peer_frames_unsent", len(self._waiting))
+        self._waiting.clear()
+        self._waiting_bytes = 0
+        if not self._closed:
+            self._unreachable(reason)
+
+    def _unreachable(self, reason: failures.Failure) -> None:
+        self._retry_at = self._reactor.seconds() + RECONNECT_SECONDS
+        if self._reachable:
+            self._reachable = False
+            log.warning(
+                "peer %s:%d lost: %s",
+                self._host,
+                self._port,
+                reason.getErrorMessage(),
+            )
+
+    def _connect(self) -> bool:
+        """Start to connect, unless that failed just now."""
+        if self._closed or self._reactor.seconds() < self._retry_at:
+            return False
+        self._connector = self._reactor.connectTCP(
+            self._host, self._port, self, timeout=CONNECT_TIMEOUT_SECONDS
+        )
+        return True
+
+    def _write(self, frame: bytes) -> None:
+        self._sender.sendString(frame)
+        self._metrics.count("peer_frames_sent")
+        self._metrics.count("peer_bytes_sent", len(frame))
 
 
 class Transport:
@@ -43,38 +230,40 @@
     def __init__(
         self,
         *,
+        reactor: interfaces.IReactorTCP,
         address: str,
         codec: codecs.Codec,
         metrics: metrics_module.Metrics,
         received: typing.Callable[[messages.Message], None],
     ) -> None:
+        self._reactor = reactor
         self._address = address
         self._codec = codec
         self._metrics = metrics
         self._received = received
-        self._peers: dict[str, pynng.Push0] = {}
+        self._peers: dict[str, Peer] = {}
         self._waiting: dict[str, collections.deque[messages.Message]] = {}
         self._flush_planned = False
-        self._socket: pynng.Pull0 | None = None
-        self._reader: asyncio.Task[None] | None = None
-
-    def start(self) -> None:
-        """Listen for the other daemons' messages."""
-        limit_threads()
-        self._socket = pynng.Pull0(
-            listen=f"tcp://{self._address}", recv_max_size=MAX_FRAME_BYTES
-        )
-        self._reader = asyncio.get_event_loop().create_task(self._read())
+        self._port: interfaces.IListeningPort | None = None
+
+    def start(self) -> str:
+        """Listen for the other daemons' messages; return what failed."""
+        host, _, port = self._address.rpartition(":")
+        try:
+            self._port = self._reactor.listenTCP(
+                int(port), ReceiverFactory(taken=self._take), interface=host
+            )
+        except internet_errors.CannotListenError as error:
+            return f"{self._address}: {error.socketError}"
+        return ""
 
     def stop(self) -> None:
-        """Send what waits, then close every socket."""
+        """Send what waits, then close every connection."""
         self._flush()
-        if self._reader is not None:
-            self._reader.cancel()
         for peer in self._peers.values():
             peer.close()
-        if self._socket is not None:
-            self._socket.close()
+        if self._port is not None:
+            self._port.stopListening()
 
     def send(self, send: messages.Send) -> None:
         """Send a message; those of one loop turn share a frame."""
@@ -85,7 +274,7 @@
             queue.append(send.message)
         if not self._flush_planned:
             self._flush_planned = True
-            asyncio.get_event_loop().call_soon(self._flush)
+            self._reactor.callLater(0, self._flush)
 
     def _flush(self) -> None:
         self._flush_planned = False
@@ -94,38 +283,23 @@
             while queue:
                 count = min(len(queue), MAX_BATCH_MESSAGES)
                 batch = tuple(queue.popleft() for _ in range(count))
-                self._send_frame(address, batch)
+                self._peer(address).send(self._codec.encode(address, batch))
 
-    def _send_frame(
-        self, address: str, batch: tuple[messages.Message, ...]
-    ) -> None:
-        frame = self._codec.encode(address, batch)
-        try:
-            self._peer(address).send(frame, block=False)
-        except pynng.NNGException:
-            self._metrics.count("peer_frames_unsent")
-            return
-        self._metrics.count("peer_frames_sent")
-        self._metrics.count("peer_bytes_sent", len(frame))
-
-    def _peer(self, address: str) -> pynng.Push0:
+    def _peer(self, address: str) -> Peer:
         peer = self._peers.get(address)
         if peer is None:
-            peer = pynng.Push0(send_buffer_size=SEND_BUFFER_MESSAGES)
-            peer.dial(f"tcp://{address}", block=False)
+            host, _, port = address.rpartition(":")
+            peer = Peer(
+                reactor=self._reactor,
+                host=host,
+                port=int(port),
+                metrics=self._metrics,
+            )
             self._peers[address] = peer
         return peer
 
-    async def _read(self) -> None:
-        while self._socket is not None:
-            try:
-                frame = await self._socket.arecv()
-            except pynng.Closed:
-                return
-            self._metrics.count("peer_bytes_received", len(frame))
-            self._take(frame)
-
     def _take(self, frame: bytes) -> None:
+        self._metrics.count("peer_bytes_received", len(frame))
         decoded = self._codec.decode(frame)
         if isinstance(decoded, codecs.DropReason):
             self._metrics.count("peer_frames_dropped", reason=decoded.value)
