--- a/fulmarbarrow/config/bundle.py
+++ b/fulmarbarrow/config/bundle.py
@@ -143,8 +143,8 @@
 
     ``key_digest`` is the hex BLAKE2b digest of the bearer key under
     ``key_salt``, ``more_digests`` those of further keys. ``rank`` goes before
-    that of a route unless it is None. ``reserved_share`` is the part of capacity that a priority
-    account has by right.
+    that of a route unless it is None. ``reserved_share`` is the part of
+    capacity that a priority account has by right.
     """
 
     name: str
--- a/fulmarbarrow/consensus/core.py
+++ b/fulmarbarrow/consensus/core.py
@@ -25,7 +25,6 @@
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics as metrics_module
 
-
 CONTROL_ROLE = "control"
 
 
--- a/fulmarbarrow/daemon/assembly.py
+++ b/fulmarbarrow/daemon/assembly.py
@@ -16,17 +16,14 @@
 from fulmarbarrow.config import defaults
 from fulmarbarrow.consensus import shell as consensus_shell
 from fulmarbarrow.daemon import cores
+from fulmarbarrow.daemon import interfaces
 from fulmarbarrow.daemon import lifecycle
 from fulmarbarrow.daemon import listeners
 from fulmarbarrow.delivery import shell as delivery_shell
 from fulmarbarrow.edge import admin
-from fulmarbarrow.edge import callers
-from fulmarbarrow.edge import client
 from fulmarbarrow.edge import exchange
 from fulmarbarrow.edge import guarded
-from fulmarbarrow.edge import orders
 from fulmarbarrow.edge import site as sites
-from fulmarbarrow.edge import upstreams
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics as metrics_module
@@ -41,7 +38,8 @@
 
 DRAIN_CHECK = datetime.timedelta(milliseconds=50)
 MAX_FLUSH = datetime.timedelta(seconds=30)  # for callers that read slowly
-MAX_OWN_BODY_BYTES = 16 << 20  # bundles and announcements
+# Of the time that a stop may take; the rest is left to end in good order.
+STOP_PART = 0.94
 
 
 class Daemon:
@@ -77,20 +75,32 @@
         self._bus.subscribe(
             message.Send, lambda event, _: self._transport.send(event)
         )
-        self._callers: callers.CallersEdge | None = None
         self._placement_ticks: task.LoopingCall | None = None
         self._consensus: consensus_shell.ConsensusShell | None = None
         self._revisions: publishing_shell.RevisionFile | None = None
-        if settings.daemon.data_dir:
+        routes = defaults.Role.ROUTER in settings.daemon.roles
+        if settings.daemon.data_dir and routes:
             self._revisions = publishing_shell.RevisionFile(
                 data_folder=pathlib.Path(settings.daemon.data_dir),
                 bus=self._bus,
                 metrics=self._metrics,
             )
         if defaults.Role.CONTROL in settings.daemon.roles:
-            self._add_control_edges()
-        if defaults.Role.ROUTER in settings.daemon.roles:
-            self._add_router_edges()
+            self._add_storage()
+        if routes:
+            self._add_timers()
+        self._interface = _make_interface(
+            interfaces.Parts(
+                settings=settings,
+                record=self._record,
+                reactor=reactor,
+                bus=self._bus,
+                clock=clock,
+                metrics=self._metrics,
+                exchanges=self._exchanges,
+            )
+        )
+        self._callers = self._interface.callers
         self._cores = cores.Cores(
             settings=settings,
             record=self._record,
@@ -201,6 +211,11 @@
             self._settings.daemon.grace.total_seconds(),
             self._lifecycle.grace_over,
         )
+        limit = self._settings.daemon.stop_within * STOP_PART
+        if limit:
+            self._reactor.callLater(
+                limit.total_seconds(), self._lifecycle.time_over
+            )
 
     def refuse_new(self) -> None:
         """Refuse new requests and wait for the open ones."""
@@ -255,38 +270,15 @@
             received=self._bus.post,
         )
 
-    def _add_control_edges(self) -> None:
+    def _add_storage(self) -> None:
         self._consensus = consensus_shell.ConsensusShell(
             data_folder=pathlib.Path(self._settings.daemon.data_dir),
             bus=self._bus,
             reactor=self._reactor,
             metrics=self._metrics,
         )
-        self._orders = orders.OrdersClient(
-            reactor=self._reactor,
-            bus=self._bus,
-            key=self._settings.upstreams.key,
-        )
 
-    def _add_router_edges(self) -> None:
-        self._callers = callers.CallersEdge(
-            daemon_id=self._record.daemon_id,
-            incarnation=self._record.incarnation,
-            bus=self._bus,
-            clock=self._clock,
-            metrics=self._metrics,
-            exchanges=self._exchanges,
-            limits=self._settings.limits,
-        )
-        self._upstreams_edge = upstreams.UpstreamsEdge(
-            bus=self._bus, key=self._settings.upstreams.key
-        )
-        self._client = client.UpstreamClient(
-            reactor=self._reactor,
-            bus=self._bus,
-            clock=self._clock,
-            exchanges=self._exchanges,
-        )
+    def _add_timers(self) -> None:
         self._placement_ticks = task.LoopingCall(
             self._bus.post, placement_messages.PlacementTick()
         )
@@ -297,24 +289,33 @@
         made = listeners.Listeners(
             reactor=self._reactor, transport=self._transport
         )
-        admin_resource = guarded.GuardedResource(
-            app=self._admin.app, key=self._settings.daemon.admin_key
-        )
-        made.add("admin", listen.admin, self._site(admin_resource))
-        if self._callers is not None:
-            made.add("callers", listen.callers, self._callers.site)
-            announcements = self._upstreams_edge.app.resource()
-            made.add("upstreams", listen.upstreams, self._site(announcements))
+        if listen.admin is not None:
+            admin_resource = guarded.GuardedResource(
+                app=self._admin.app, key=self._settings.daemon.admin_key
+            )
+            made.add("admin", listen.admin, self._site(admin_resource))
+        if listen.metrics is not None:
+            page = admin.MetricsResource(metrics=self._metrics)
+            made.add("metrics", listen.metrics, self._site(page))
+        self._interface.listen(made)
         return made
 
     def _site(self, resource: resources.IResource) -> sites.BoundedSite:
         return sites.BoundedSite(
             resource=resource,
-            max_body_bytes=MAX_OWN_BODY_BYTES,
+            max_body_bytes=interfaces.MAX_OWN_BODY_BYTES,
             metrics=self._metrics,
         )
 
 
+def _make_interface(parts: interfaces.Parts) -> interfaces.Interface:
+    if parts.settings.daemon.interface is defaults.Interface.PLATFORM:
+        from fulmarbarrow.platform import interface
+
+        return interface.PlatformInterface(parts=parts)
+    return interfaces.OwnInterface(parts=parts)
+
+
 def _is_fresh(data_dir: str) -> bool:
     """Return whether no earlier run has left anything."""
     folder = pathlib.Path(data_dir)
--- a/fulmarbarrow/daemon/cores.py
+++ b/fulmarbarrow/daemon/cores.py
@@ -97,6 +97,7 @@
                 lease=settings.upstreams.lease,
                 metrics=self._metrics,
                 rng=self._rng,
+                names_owner=settings.upstreams.names_owner,
             ),
         )
         self._add(
--- a/fulmarbarrow/daemon/lifecycle.py
+++ b/fulmarbarrow/daemon/lifecycle.py
@@ -38,6 +38,9 @@
     def drained(self) -> None:
         """No request is open any more."""
 
+    def time_over(self) -> None:
+        """The process must end now, whatever is open."""
+
 
 def _build() -> typing.Callable[[Actions], Lifecycle]:
     builder = automat.TypeMachineBuilder(Lifecycle, Actions)
@@ -63,6 +66,14 @@
     def drained(_: Lifecycle, actions: Actions) -> None:
         actions.close()
 
+    @leaving.upon(Lifecycle.time_over).to(stopped)
+    def time_over_while_leaving(_: Lifecycle, actions: Actions) -> None:
+        actions.close()
+
+    @draining.upon(Lifecycle.time_over).to(stopped)
+    def time_over(_: Lifecycle, actions: Actions) -> None:
+        actions.close()
+
     @leaving.upon(Lifecycle.stop).to(stopped)
     def stop_while_leaving(_: Lifecycle, actions: Actions) -> None:
         actions.close()
@@ -76,6 +87,7 @@
     stopped.upon(Lifecycle.stop).loop().returns(None)
     stopped.upon(Lifecycle.drained).loop().returns(None)
     stopped.upon(Lifecycle.grace_over).loop().returns(None)
+    stopped.upon(Lifecycle.time_over).loop().returns(None)
     return builder.build()
 
 
--- a/fulmarbarrow/delivery/recovery.py
+++ b/fulmarbarrow/delivery/recovery.py
@@ -276,10 +276,9 @@
                 return False
         elif now >= request.deadline:
             return False
-        if progressed and attempt.streamed:
-            if not self._retries.slack:
-                self._budget(request).charge(now)
-                return True
+        if progressed and attempt.streamed and not self._retries.slack:
+            self._budget(request).charge(now)
+            return True
         return self._withdraw(request, now)
 
     def may_retry_status(
--- a/fulmarbarrow/delivery/refusals.py
+++ b/fulmarbarrow/delivery/refusals.py
@@ -150,6 +150,13 @@
         message="no quorum can record the action; it was not dispatched",
         proof="without a committed intent nothing is dispatched",
     ),
+    Refusal(
+        code="no_configuration",
+        status=503,
+        ran=messages.Ran.NO,
+        message="this daemon holds no configuration yet",
+        proof=_BEFORE_DISPATCH,
+    ),
     Refusal(
         code="not_run",
         status=503,
--- a/fulmarbarrow/edge/answer.py
+++ b/fulmarbarrow/edge/answer.py
@@ -7,7 +7,7 @@
 from twisted.web import http
 
 from fulmarbarrow.delivery import messages
-from fulmarbarrow.edge import errors
+from fulmarbarrow.edge import dialect as dialects
 from fulmarbarrow.edge import exchange as exchanges
 from fulmarbarrow.edge import headers
 
@@ -32,10 +32,12 @@
         arrived: messages.RequestArrived,
         opened_at: datetime.datetime,
         max_backlog_bytes: int,
+        dialect: dialects.CallerDialect,
     ) -> None:
         self._request = request
         self._exchange = exchange
         self._max_backlog = max_backlog_bytes
+        self._dialect = dialect
         self._paused = False
         self._streamed = False
         self._written_bytes = 0
@@ -57,6 +59,8 @@
             request.setHeader("Content-Length", str(event.length))
         if event.replayed:
             request.setHeader(headers.REPLAYED, "true")
+        for name, value in event.fields:
+            request.responseHeaders.addRawHeader(name, value)
         request.registerProducer(self, True)
 
     def write(self, data: bytes) -> bool:
@@ -85,8 +89,9 @@
         A stream says why; any other answer just ends before its time.
         """
         if self._streamed:
-            error = errors.body(code, ran=ran)
-            self._request.write(b"event: error\ndata: " + error + b"\n\n")
+            last = self._dialect.broken(code, ran)
+            if last:
+                self._request.write(last)
         self._request.unregisterProducer()
         self._request.loseConnection()
 
@@ -94,20 +99,17 @@
         self,
         code: str,
         *,
-        status: int,
         ran: messages.Ran,
         retry_after: datetime.timedelta | None = None,
     ) -> None:
         """Answer with an error; nothing has been written yet."""
         request = self._request
-        request.setResponseCode(status)
-        request.setHeader("Content-Type", errors.CONTENT_TYPE)
-        if retry_after is not None:
-            seconds = max(1, round(retry_after.total_seconds()))
-            request.setHeader("Retry-After", str(seconds))
-        body = errors.body(code, ran=ran)
-        request.setHeader("Content-Length", str(len(body)))
-        request.write(body)
+        refused = self._dialect.refuse(code, ran=ran, retry_after=retry_after)
+        request.setResponseCode(refused.status)
+        for name, value in refused.fields:
+            request.setHeader(name, value)
+        request.setHeader("Content-Length", str(len(refused.body)))
+        request.write(refused.body)
         request.finish()
 
     def pauseProducing(self) -> None:  # noqa: N802
--- a/fulmarbarrow/edge/callers.py
+++ b/fulmarbarrow/edge/callers.py
@@ -20,9 +20,11 @@
 from fulmarbarrow.config import defaults
 from fulmarbarrow.delivery import messages
 from fulmarbarrow.edge import answer as answers
+from fulmarbarrow.edge import dialect as dialects
 from fulmarbarrow.edge import directory as directories
 from fulmarbarrow.edge import errors
 from fulmarbarrow.edge import exchange as exchanges_module
+from fulmarbarrow.edge import own_dialect
 from fulmarbarrow.edge import requests
 from fulmarbarrow.edge import site as sites
 from fulmarbarrow import message
@@ -51,6 +53,8 @@
         metrics: metrics_module.Metrics,
         exchanges: exchanges_module.Exchanges,
         limits: defaults.LimitsSection,
+        dialect: dialects.CallerDialect | None = None,
+        fixed_routes: bool = True,
     ) -> None:
         self._prefix = f"{daemon_id}-{incarnation:x}"
         self._bus = bus
@@ -58,14 +62,19 @@
         self._metrics = metrics
         self._exchanges = exchanges
         self._limits = limits
+        self._dialect = dialect or own_dialect.OwnCallers()
         self._answers: dict[str, answers.Answer] = {}
         self._largest_backlog = 0
         self._numbers = itertools.count(1)
         self._directory = directories.Directory(bundle=bundles.Bundle())
         self._accepting = True
         self._healthy = True
+        self._configured = False
         self.site = sites.BoundedSite(
-            resource=_Root(fixed=self._fixed_routes(), take=self._take),
+            resource=_Root(
+                fixed=self._fixed_routes() if fixed_routes else None,
+                take=self._take,
+            ),
             max_body_bytes=limits.max_body_bytes,
             metrics=metrics,
         )
@@ -77,8 +86,21 @@
         )
         bus.watch_errors(self._handling_failed)
 
+    @property
+    def healthy(self) -> bool:
+        """Whether the balancer should send requests here."""
+        return self._healthy
+
+    @property
+    def configured(self) -> bool:
+        """Whether a configuration is in force."""
+        return self._configured
+
     def begin_stop(self) -> None:
-        """Tell the balancer to send no more requests here."""
+        """Tell the balancer to send no more requests here.
+
+        Callers are told to open no second request on their connections.
+        """
         self._healthy = False
 
     def refuse_new(self) -> None:
@@ -108,6 +130,7 @@
         self, event: publishing_messages.ConfigurationChanged, _: typing.Any
     ) -> None:
         self._directory = directories.Directory(bundle=event.bundle)
+        self._configured = True
 
     def _health(self, request: http.Request) -> bytes:
         request.setHeader("Content-Type", "text/plain")
@@ -120,7 +143,7 @@
         account = self._directory.account(requests.bearer_key(request))
         if account is None:
             return self._reject(
-                request, requests.Rejected(code="unauthorized")
+                request, dialects.Rejected(code="unauthorized")
             )
         request.setHeader("Content-Type", "application/json")
         data = [
@@ -131,40 +154,49 @@
 
     def _take(self, request: http.Request) -> bytes | None:
         """Take a request; the bytes of an error if it is refused here."""
+        if not self._healthy:
+            request.setHeader("Connection", "close")
+            request.channel.persistent = False
         if not self._accepting:
-            return self._reject(request, requests.Rejected(code="stopping"))
+            return self._reject(request, dialects.Rejected(code="stopping"))
         request_id = f"{self._prefix}-{next(self._numbers)}"
         body = request.content.read()
-        arrived = requests.parse(
+        taken = self._dialect.parse(
             request,
             request_id=request_id,
             body=body,
             directory=self._directory,
             now=self._clock.now(),
         )
-        if isinstance(arrived, requests.Rejected):
-            return self._reject(request, arrived)
+        if isinstance(taken, dialects.Rejected):
+            return self._reject(request, taken)
+        arrived = taken.arrived
         self._metrics.count(
             "requests", account=arrived.account, service=arrived.service
         )
-        self._open(request, arrived, body)
+        self._open(request, taken, body)
         self._bus.post(arrived)
         return None
 
     def _open(
         self,
         request: http.Request,
-        arrived: messages.RequestArrived,
+        taken: dialects.Taken,
         body: bytes,
     ) -> None:
+        arrived = taken.arrived
         exchange = exchanges_module.Exchange(
             request=request,
             method=arrived.method,
             target=arrived.path,
             body=body,
-            content_type=requests.header(request, "Content-Type"),
-            key=arrived.key,
+            content_type=taken.content_type,
+            key=taken.key,
             chat=arrived.chat if arrived.model else "",
+            fields=taken.fields,
+            echo=taken.echo,
+            once=not arrived.idempotent,
+            account=arrived.account,
         )
         self._exchanges.add(arrived.request_id, exchange)
         self._answers[arrived.request_id] = answers.Answer(
@@ -173,6 +205,7 @@
             arrived=arrived,
             opened_at=self._clock.now(),
             max_backlog_bytes=self._limits.max_answer_buffer_bytes,
+            dialect=self._dialect,
         )
         request.notifyFinish().addErrback(self._gone, arrived.request_id)
 
@@ -196,14 +229,16 @@
         return answer
 
     def _reject(
-        self, request: http.Request, rejected: requests.Rejected
+        self, request: http.Request, rejected: dialects.Rejected
     ) -> bytes:
         self._metrics.count("requests_refused", code=rejected.code)
-        request.setResponseCode(errors.status(rejected.code))
-        request.setHeader("Content-Type", errors.CONTENT_TYPE)
+        refused = self._dialect.refuse(rejected.code, detail=rejected.detail)
+        request.setResponseCode(refused.status)
+        for name, value in refused.fields:
+            request.setHeader(name, value)
         if rejected.allow:
             request.setHeader("Allow", ", ".join(rejected.allow))
-        return errors.body(rejected.code, detail=rejected.detail)
+        return refused.body
 
     def _handling_failed(self, failed: message.Message) -> None:
         """Answer the caller whose request met an error in a core."""
@@ -223,7 +258,7 @@
         if answer.started:
             answer.break_off(code, ran)
         else:
-            answer.refuse(code, status=errors.status(code), ran=ran)
+            answer.refuse(code, ran=ran)
 
     @functools.singledispatchmethod
     def _write(self, event: message.Message) -> None:
@@ -268,7 +303,6 @@
         if answer is not None:
             answer.refuse(
                 event.code,
-                status=event.status,
                 ran=event.ran,
                 retry_after=event.retry_after,
             )
@@ -287,16 +321,16 @@
     def __init__(
         self,
         *,
-        fixed: klein.Klein,
+        fixed: klein.Klein | None,
         take: typing.Callable[[http.Request], bytes | None],
     ) -> None:
         super().__init__()
-        self._fixed = fixed.resource()
+        self._fixed = fixed.resource() if fixed is not None else None
         self._take = take
 
     def render(self, request: http.Request) -> bytes | int:
         """Answer a request, now or when its answer comes."""
-        if request.path in self._FIXED:
+        if self._fixed is not None and request.path in self._FIXED:
             return self._fixed.render(request)
         body = self._take(request)
         return server.NOT_DONE_YET if body is None else body
--- a/fulmarbarrow/edge/client.py
+++ b/fulmarbarrow/edge/client.py
@@ -3,29 +3,26 @@
 from __future__ import annotations
 
 import datetime
+import logging
 import typing
 import urllib.parse
 
-import treq.client
-from twisted.internet import defer
 from twisted.internet import interfaces
-from twisted.internet import protocol
-from twisted.python import failure as failures
-from twisted.web import client as web_client
-from twisted.web import http_headers
-from twisted.web import iweb
 
 from fulmarbarrow import bus as buses
 from fulmarbarrow import clock as clocks
 from fulmarbarrow.delivery import messages
+from fulmarbarrow.edge import connections
+from fulmarbarrow.edge import dialect as dialects
 from fulmarbarrow.edge import exchange as exchanges_module
-from fulmarbarrow.edge import headers
-from fulmarbarrow.edge import pool as pools
+from fulmarbarrow.edge import own_dialect
 from fulmarbarrow.edge import sse
 from fulmarbarrow import exceptions
 
-CONNECT_TIMEOUT_SECONDS = 2
-MILLISECOND = datetime.timedelta(milliseconds=1)
+log = logging.getLogger(__name__)
+
+CONNECT_TIMEOUT = datetime.timedelta(seconds=2)
+DEFAULT_PORT = 80
 
 
 class UpstreamClient:
@@ -38,17 +35,18 @@
         bus: buses.Bus,
         clock: clocks.Clock,
         exchanges: exchanges_module.Exchanges,
+        dialect: dialects.UpstreamDialect | None = None,
+        connect_timeout: datetime.timedelta = CONNECT_TIMEOUT,
     ) -> None:
         self._reactor = reactor
         self._bus = bus
         self._clock = clock
         self._exchanges = exchanges
+        self._dialect = dialect or own_dialect.OwnUpstreams()
         self._open: dict[str, Attempt] = {}
-        self._pool = pools.GatedPool(reactor)
-        agent = web_client.Agent(
-            reactor, connectTimeout=CONNECT_TIMEOUT_SECONDS, pool=self._pool
+        self._pool = connections.Pool(
+            reactor=reactor, connect_timeout=connect_timeout
         )
-        self._client = treq.client.HTTPClient(agent)
         bus.subscribe(messages.StartAttempt, self._start)
         bus.subscribe(messages.CancelAttempt, self._cancel)
         bus.subscribe(messages.SuspectConnections, self._suspect)
@@ -68,6 +66,8 @@
             return
         attempt = Attempt(
             start=event,
+            exchange=exchange,
+            dialect=self._dialect,
             reactor=self._reactor,
             bus=self._bus,
             clock=self._clock,
@@ -76,42 +76,19 @@
         self._open[event.attempt_id] = attempt
         exchange.attach(attempt)
         attempt.run(
-            self._pool.with_gate(
-                attempt.check_lease, lambda: self._request(event, exchange)
+            self._pool.request(
+                place(event.url),
+                lambda: self._request(event, exchange),
+                attempt,
+                fresh=exchange.once,
             )
         )
 
     def _request(
         self, event: messages.StartAttempt, exchange: exchanges_module.Exchange
-    ) -> defer.Deferred[iweb.IResponse]:
+    ) -> dialects.RequestHead:
         left = event.deadline - self._clock.now()
-        fields = {
-            headers.ATTEMPT: event.attempt_id,
-            headers.DEADLINE: str(max(0, left // MILLISECOND)),
-            headers.PRIORITY: str(event.priority),
-            headers.VERSION: event.version,
-        }
-        if event.resume_offset:
-            fields[headers.RESUME_OFFSET] = str(event.resume_offset)
-        if exchange.key:
-            fields[headers.KEY] = exchange.key
-        if exchange.chat:
-            fields[headers.CHAT] = exchange.chat
-        method, target, body = exchange.method, exchange.target, exchange.body
-        if event.lookup:
-            method, target, body = "GET", event.lookup_path, b""
-        elif exchange.content_type:
-            fields["Content-Type"] = exchange.content_type
-        return self._client.request(
-            method,
-            event.url + target,
-            headers=http_headers.Headers(
-                {name: [value] for name, value in fields.items()}
-            ),
-            data=body or None,
-            allow_redirects=False,
-            unbuffered=True,
-        )
+        return self._dialect.request(event, exchange, left)
 
     def _cancel(
         self, event: messages.CancelAttempt, now: datetime.datetime
@@ -123,21 +100,27 @@
     def _suspect(
         self, event: messages.SuspectConnections, now: datetime.datetime
     ) -> None:
-        parts = urllib.parse.urlsplit(event.url)
-        if parts.hostname:
-            self._pool.suspect(parts.hostname.encode(), parts.port or 80)
+        self._pool.suspect(place(event.url))
 
     def _ended(self, attempt_id: str) -> None:
         self._open.pop(attempt_id, None)
 
 
-class Attempt(protocol.Protocol):
+def place(url: str) -> connections.Place:
+    """Return the host and port of an upstream's URL."""
+    parts = urllib.parse.urlsplit(url)
+    return parts.hostname or "", parts.port or DEFAULT_PORT
+
+
+class Attempt:
     """One attempt: its request, then the reading of its answer."""
 
     def __init__(
         self,
         *,
         start: messages.StartAttempt,
+        exchange: exchanges_module.Exchange,
+        dialect: dialects.UpstreamDialect,
         reactor: interfaces.IReactorTime,
         bus: buses.Bus,
         clock: clocks.Clock,
@@ -145,89 +128,73 @@
     ) -> None:
         self._start = start
         self._attempt_id = start.attempt_id
+        self._exchange = exchange
+        self._dialect = dialect
         self._reactor = reactor
         self._bus = bus
         self._clock = clock
         self._ended = ended
         self._cancelled = False
         self._sent = False
+        self._answering = False
         self._paused = False
-        self._response: defer.Deferred[typing.Any] | None = None
-        self._events: sse.EventSplitter | None = None
+        self._cancel: typing.Callable[[], None] | None = None
+        self._connection: connections.Connection | None = None
+        self._events: sse.Splitter | None = None
         self._gathered: list[bytes] = []
 
-    def run(self, response: defer.Deferred[iweb.IResponse]) -> None:
+    def run(self, cancel: typing.Callable[[], None]) -> None:
         """Follow a request that was just begun."""
-        self._response = response
-        response.addCallbacks(self._headers, self._broken)
-
-    def check_lease(self) -> None:
-        """Let the request's first byte go, unless its lease is over."""
-        until = self._start.dispatch_until
-        if until is not None and self._clock.now() >= until:
-            raise exceptions.DispatchLeaseError(self._attempt_id)
-        self._sent = True
-        self._post(messages.AttemptSent(attempt_id=self._attempt_id))
+        self._cancel = cancel
 
     def pause(self) -> None:
         """Stop reading the answer."""
         self._paused = True
-        if self.transport is not None:
-            self.transport.pauseProducing()
+        if self._connection is not None:
+            self._connection.pause()
         self._tell_paused()
 
     def resume(self) -> None:
         """Go on reading the answer."""
         self._paused = False
-        if self.transport is not None:
-            self.transport.resumeProducing()
+        if self._connection is not None:
+            self._connection.resume()
         self._tell_paused()
 
     def cancel(self) -> None:
         """Close the connection, which stops the upstream's work."""
         self._cancelled = True
-        if self.transport is not None:
-            self.transport.loseConnection()
-        elif self._response is not None:
-            self._response.cancel()
+        if self._connection is not None:
+            self._connection.abort()
+        elif self._cancel is not None:
+            self._cancel()
 
-    def _tell_paused(self) -> None:
-        self._post(
-            messages.AttemptPaused(
-                attempt_id=self._attempt_id, paused=self._paused
-            )
-        )
+    # What the connection tells.
 
-    def _headers(self, response: iweb.IResponse) -> None:
-        self._response = None
-        if self._cancelled:
-            response.deliverBody(self)
-            self.transport.loseConnection()
-            return
-        content_type = _header(response, "Content-Type")
-        offset = _header(response, headers.RESUME_OFFSET)
-        first = int(offset) if offset.isdigit() else 0
-        if content_type.startswith("text/event-stream"):
-            self._events = sse.EventSplitter(first=first)
-        length = response.length
-        self._post(
-            messages.AttemptHeaders(
-                attempt_id=self._attempt_id,
-                status=response.code,
-                echoed_attempt=_header(response, headers.ATTEMPT),
-                content_type=content_type,
-                length=length if isinstance(length, int) else None,
-                not_run=_header(response, headers.NOT_RUN) == "true",
-                resume_offset=first,
-            )
+    def opened(self, connection: connections.Connection) -> None:
+        """Take the connection on which the request is sent."""
+        self._connection = connection
+
+    def writing(self) -> None:
+        """Let the request's first byte go, unless its lease is over."""
+        until = self._start.dispatch_until
+        if until is not None and self._clock.now() >= until:
+            raise exceptions.DispatchLeaseError(self._attempt_id)
+        self._sent = True
+        self._post(messages.AttemptSent(attempt_id=self._attempt_id))
+
+    def head(self, status: int, fields: dialects.Fields) -> None:
+        """Take the head of the answer."""
+        self._answering = True
+        head = self._dialect.answer(
+            self._start, self._exchange, status, fields
         )
-        response.deliverBody(self)
-        if self._cancelled:
-            self.transport.loseConnection()
-        elif self._paused:
-            self.transport.pauseProducing()
+        self._events = self._dialect.splitter(head)
+        self._post(head)
+        if self._paused and self._connection is not None:
+            self._connection.pause()
 
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+    def data(self, data: bytes) -> None:
         """Take a part of the body; those of one loop turn go together.
 
         An engine that sends each token as an HTTP chunk would cost a message
@@ -237,6 +204,41 @@
             self._reactor.callLater(0, self._pass_on)
         self._gathered.append(data)
 
+    def ended(self) -> None:
+        """Take the end of a whole answer."""
+        self._connection = None
+        self._pass_on()
+        if self._events is not None:
+            self._post_part(self._events.rest())
+        self._ended(self._attempt_id)
+        self._post(messages.AttemptEnded(attempt_id=self._attempt_id))
+
+    def failed(self, error: Exception) -> None:
+        """Take the end of a connection without a whole answer."""
+        self._connection = None
+        self._pass_on()
+        self._ended(self._attempt_id)
+        if isinstance(error, exceptions.DispatchLeaseError):
+            kind = messages.FailureKind.LEASE_PASSED
+        elif self._answering:
+            kind = messages.FailureKind.CUT
+        elif self._sent:
+            kind = messages.FailureKind.CRASHED
+        else:
+            kind = messages.FailureKind.CONNECT
+        self._post(
+            messages.AttemptFailed(
+                attempt_id=self._attempt_id, kind=kind, sent=self._sent
+            )
+        )
+
+    def _tell_paused(self) -> None:
+        self._post(
+            messages.AttemptPaused(
+                attempt_id=self._attempt_id, paused=self._paused
+            )
+        )
+
     def _pass_on(self) -> None:
         data = b"".join(self._gathered)
         self._gathered.clear()
@@ -247,54 +249,34 @@
                 messages.AttemptData(attempt_id=self._attempt_id, data=data)
             )
             return
-        part = self._events.feed(data)
-        if part.events:
-            self._post(
-                messages.AttemptData(
-                    attempt_id=self._attempt_id,
-                    data=part.data,
-                    events=part.events,
-                    first_event=part.first_event,
-                    end_marker=part.end_marker,
-                    tokens=part.tokens,
-                    reused_tokens=part.reused_tokens,
-                    echoed=part.echoed,
-                )
-            )
-
-    def connectionLost(  # noqa: N802
-        self, reason: failures.Failure = protocol.connectionDone
-    ) -> None:
-        """Take the end of the body, whole or cut."""
-        self._pass_on()
-        self._ended(self._attempt_id)
-        if reason.check(web_client.ResponseDone):
-            self._post(messages.AttemptEnded(attempt_id=self._attempt_id))
+        try:
+            part = self._events.feed(data)
+        except sse.BrokenStreamError as error:
+            log.warning("attempt %s: %s", self._attempt_id, error)
+            connection = self._connection
+            self.failed(error)
+            self._cancelled = True
+            if connection is not None:
+                connection.abort()
             return
-        self._fail(messages.FailureKind.CUT)
-
-    def _broken(self, failure: failures.Failure) -> None:
-        """Take a failure before any header arrived."""
-        self._ended(self._attempt_id)
-        if failure.check(exceptions.DispatchLeaseError):
-            self._fail(messages.FailureKind.LEASE_PASSED)
-        elif self._sent:
-            self._fail(messages.FailureKind.CRASHED)
-        else:
-            self._fail(messages.FailureKind.CONNECT)
+        self._post_part(part)
 
-    def _fail(self, kind: messages.FailureKind) -> None:
+    def _post_part(self, part: sse.Part) -> None:
+        if not part.data:
+            return
         self._post(
-            messages.AttemptFailed(
-                attempt_id=self._attempt_id, kind=kind, sent=self._sent
+            messages.AttemptData(
+                attempt_id=self._attempt_id,
+                data=part.data,
+                events=part.events,
+                first_event=part.first_event,
+                end_marker=part.end_marker,
+                tokens=part.tokens,
+                reused_tokens=part.reused_tokens,
+                echoed=part.echoed,
             )
         )
 
     def _post(self, event: typing.Any) -> None:
         if not self._cancelled:
             self._bus.post(event)
-
-
-def _header(response: iweb.IResponse, name: str) -> str:
-    values = response.headers.getRawHeaders(name)
-    return values[0] if values else ""
--- /dev/null
+++ b/fulmarbarrow/edge/connections.py
@@ -0,0 +1,390 @@
+"""Pooled HTTP/1.1 connections to upstreams."""
+
+from __future__ import annotations
+
+import collections
+import datetime
+import logging
+import re
+import typing
+
+import h11
+from twisted.internet import address as addresses
+from twisted.internet import error as internet_errors
+from twisted.internet import interfaces
+from twisted.internet import protocol
+from twisted.python import failure as failures
+
+from fulmarbarrow.edge import dialect
+from fulmarbarrow.wire import transport as transports
+
+log = logging.getLogger(__name__)
+
+IDLE_PER_UPSTREAM = 8  # connections kept for reuse
+IDLE_TIMEOUT = datetime.timedelta(seconds=4)  # where an upstream tells none
+# Of the idle timeout that an upstream tells, so that it does not close just
+# when a request is on its way.
+IDLE_PART = 0.7
+# Requests that must not run twice reuse only a connection that has been idle
+# for less: a reset of an idle one would leave open whether they ran.
+FRESH_IDLE = datetime.timedelta(milliseconds=500)
+MAX_HEAD_BYTES = 64 << 10
+UNACKNOWLEDGED_MS = 1_000
+
+Place = tuple[str, int]
+_KEEP_ALIVE = re.compile(r"timeout=(\d+)")
+
+
+class Receiver(typing.Protocol):
+    """Takes the answer to one request."""
+
+    def writing(self) -> None:
+        """Take note that bytes are written now; raises to stop them."""
+
+    def opened(self, connection: Connection) -> None:
+        """Take the connection on which the request is sent."""
+
+    def head(self, status: int, fields: dialect.Fields) -> None:
+        """Take the head of the answer."""
+
+    def data(self, data: bytes) -> None:
+        """Take a part of the body."""
+
+    def ended(self) -> None:
+        """Take note that the answer is complete."""
+
+    def failed(self, error: Exception) -> None:
+        """Take note that no complete answer will come."""
+
+
+class IncompleteAnswerError(Exception):
+    """The connection ended within an answer or before it."""
+
+
+class Connection(protocol.Protocol):
+    """One connection, with one request at a time.
+
+    Bytes that belong to no request end the connection: nothing after them
+    can be trusted.
+    """
+
+    def __init__(self, *, pool: Pool, place: Place) -> None:
+        self._pool = pool
+        self._place = place
+        self._http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self._receiver: Receiver | None = None
+        self._idle_timer: interfaces.IDelayedCall | None = None
+        self._idle_timeout = IDLE_TIMEOUT
+        self._idle_since: float | None = None
+        self._open = False
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Watch the connection."""
+        self._open = True
+        transports.watch_connection(
+            self.transport, unacknowledged_ms=UNACKNOWLEDGED_MS
+        )
+
+    def idle_for(self, now: float) -> float:
+        """Return for how many seconds nothing was asked."""
+        return now - self._idle_since if self._idle_since is not None else 0.0
+
+    def send(self, head: dialect.RequestHead, receiver: Receiver) -> None:
+        """Send a request whose answer goes to ``receiver``."""
+        self._stop_idling()
+        self._receiver = receiver
+        receiver.opened(self)
+        try:
+            receiver.writing()
+        except Exception as error:
+            self._receiver = None
+            self.abort()
+            receiver.failed(error)
+            return
+        framed = [
+            (b"Host", b"%s:%d" % (self._place[0].encode(), self._place[1]))
+        ]
+        names = {name.lower() for name, _ in head.fields}
+        if b"host" in names:
+            framed = []
+        if head.body or head.method not in ("GET", "HEAD", "DELETE"):
+            framed.append((b"Content-Length", str(len(head.body)).encode()))
+        request = h11.Request(
+            method=head.method,
+            target=head.target,
+            headers=[*framed, *head.fields],
+        )
+        parts = [self._http.send(request)]
+        if head.body:
+            parts.append(self._http.send(h11.Data(data=head.body)))
+        parts.append(self._http.send(h11.EndOfMessage()))
+        self.transport.write(b"".join(part for part in parts if part))
+
+    def pause(self) -> None:
+        """Stop reading."""
+        if self._open:
+            self.transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Go on reading."""
+        if self._open:
+            self.transport.resumeProducing()
+
+    def abort(self) -> None:
+        """End the connection at once; its receiver hears no more."""
+        self._receiver = None
+        self._stop_idling()
+        self._pool.closed(self._place, self)
+        if self._open:
+            self._open = False
+            self.transport.abortConnection()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Take bytes of the answer; there are none without a request."""
+        if self._receiver is None:
+            self.abort()
+            return
+        self._http.receive_data(data)
+        self._take_events()
+
+    def connectionLost(  # noqa: N802
+        self, reason: failures.Failure = protocol.connectionDone
+    ) -> None:
+        """Take the end of the connection, which may end an answer."""
+        self._open = False
+        self._stop_idling()
+        self._pool.closed(self._place, self)
+        receiver = self._receiver
+        if receiver is None:
+            return
+        if reason.check(internet_errors.ConnectionDone):
+            # A body without a length ends with its connection.
+            self._http.receive_data(b"")
+            self._take_events()
+        if self._receiver is receiver:
+            self._receiver = None
+            receiver.failed(IncompleteAnswerError(reason.getErrorMessage()))
+
+    def _take_events(self) -> None:
+        while self._receiver is not None:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                self._fail(error)
+                return
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if isinstance(event, h11.ConnectionClosed):
+                return
+            if isinstance(event, h11.Response):
+                self._take_head(event)
+            elif isinstance(event, h11.Data):
+                self._receiver.data(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self._finish()
+                return
+
+    def _take_head(self, event: h11.Response) -> None:
+        fields = event.headers.raw_items()
+        told = _KEEP_ALIVE.search(dialect.field(fields, "Keep-Alive"))
+        if told is not None:
+            seconds = int(told.group(1)) * IDLE_PART
+            self._idle_timeout = datetime.timedelta(seconds=seconds)
+        self._receiver.head(event.status_code, fields)
+
+    def _finish(self) -> None:
+        """Give the connection back if it can take another request."""
+        receiver, self._receiver = self._receiver, None
+        surplus, _ = self._http.trailing_data
+        reusable = (
+            not surplus
+            and self._open
+            and self._http.our_state is h11.DONE
+            and self._http.their_state is h11.DONE
+        )
+        if reusable:
+            self._http.start_next_cycle()
+            self._start_idling()
+            self._pool.idle(self._place, self)
+        else:
+            self.abort()
+        receiver.ended()
+
+    def _fail(self, error: Exception) -> None:
+        receiver = self._receiver
+        self.abort()
+        receiver.failed(error)
+
+    def _start_idling(self) -> None:
+        self._idle_since = self._pool.reactor.seconds()
+        self._idle_timer = self._pool.reactor.callLater(
+            self._idle_timeout.total_seconds(), self._idled_out
+        )
+
+    def _stop_idling(self) -> None:
+        self._idle_since = None
+        timer, self._idle_timer = self._idle_timer, None
+        if timer is not None and timer.active():
+            timer.cancel()
+
+    def _idled_out(self) -> None:
+        self._idle_timer = None
+        self.abort()
+
+
+class _Connector(protocol.ClientFactory):
+    """Opens one connection for one request."""
+
+    noisy = False
+
+    def __init__(
+        self,
+        *,
+        pool: Pool,
+        place: Place,
+        head: typing.Callable[[], dialect.RequestHead],
+        receiver: Receiver,
+    ) -> None:
+        self._pool = pool
+        self._place = place
+        self._head = head
+        self._receiver = receiver
+        self.connector: interfaces.IConnector | None = None
+        self.cancelled = False
+
+    def cancel(self) -> None:
+        """Give up the connection."""
+        self.cancelled = True
+        if self.connector is not None:
+            self.connector.disconnect()
+
+    def buildProtocol(  # noqa: N802
+        self, addr: addresses.IPv4Address
+    ) -> Connection:
+        """Return the connection, which sends the request once it is made."""
+        return _FirstUse(
+            pool=self._pool, place=self._place, connected=self._connected
+        )
+
+    def clientConnectionFailed(  # noqa: N802
+        self, connector: interfaces.IConnector, reason: failures.Failure
+    ) -> None:
+        """Tell that not a byte was sent."""
+        self._pool.opening_ended(self._place)
+        if not self.cancelled:
+            self._receiver.failed(reason.value)
+
+    def _connected(self, connection: Connection) -> None:
+        self._pool.opening_ended(self._place)
+        if self.cancelled:
+            connection.abort()
+            return
+        self._pool.opened(self._place, connection)
+        connection.send(self._head(), self._receiver)
+
+
+class _FirstUse(Connection):
+    """A connection that tells when it is made."""
+
+    def __init__(
+        self,
+        *,
+        pool: Pool,
+        place: Place,
+        connected: typing.Callable[[Connection], None],
+    ) -> None:
+        super().__init__(pool=pool, place=place)
+        self._connected = connected
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Watch the connection and send the request."""
+        super().connectionMade()
+        self._connected(self)
+
+
+class Pool:
+    """Connections by the upstream's host and port."""
+
+    def __init__(
+        self,
+        *,
+        reactor: interfaces.IReactorTCP,
+        connect_timeout: datetime.timedelta,
+    ) -> None:
+        self.reactor = reactor
+        self._connect_timeout = connect_timeout.total_seconds()
+        self._idle: dict[Place, list[Connection]] = {}
+        self._open: dict[Place, set[Connection]] = {}
+        self._opening: collections.Counter[Place] = collections.Counter()
+        self.opened_total = 0
+
+    def request(
+        self,
+        place: Place,
+        head: typing.Callable[[], dialect.RequestHead],
+        receiver: Receiver,
+        *,
+        fresh: bool,
+    ) -> typing.Callable[[], None]:
+        """Send a request; return what cancels it while it connects.
+
+        ``head`` is called at the moment of sending. With ``fresh`` only a
+        connection that was idle for a short time is reused.
+        """
+        connection = self._take(place, fresh=fresh)
+        if connection is not None:
+            connection.send(head(), receiver)
+            return connection.abort
+        connector = _Connector(
+            pool=self, place=place, head=head, receiver=receiver
+        )
+        self._opening[place] += 1
+        self.opened_total += 1
+        connector.connector = self.reactor.connectTCP(
+            place[0], place[1], connector, timeout=self._connect_timeout
+        )
+        return connector.cancel
+
+    def suspect(self, place: Place) -> None:
+        """Reuse none of the idle connections to an upstream."""
+        for connection in list(self._idle.get(place, ())):
+            connection.abort()
+
+    def opened(self, place: Place, connection: Connection) -> None:
+        """Count a connection."""
+        self._open.setdefault(place, set()).add(connection)
+
+    def opening_ended(self, place: Place) -> None:
+        """Take note that a connection was made, or not."""
+        self._opening[place] -= 1
+        if self._opening[place] <= 0:
+            del self._opening[place]
+
+    def idle(self, place: Place, connection: Connection) -> None:
+        """Keep a connection for reuse, unless there are many already."""
+        kept = self._idle.setdefault(place, [])
+        if len(kept) >= IDLE_PER_UPSTREAM:
+            connection.abort()
+            return
+        kept.append(connection)
+
+    def closed(self, place: Place, connection: Connection) -> None:
+        """Forget a connection."""
+        for kept in (self._idle.get(place), self._open.get(place)):
+            if kept is not None and connection in kept:
+                kept.remove(connection)
+        for table in (self._idle, self._open):
+            if place in table and not table[place]:
+                del table[place]
+
+    def _take(self, place: Place, *, fresh: bool) -> Connection | None:
+        """Return the idle connection that was used last."""
+        kept = self._idle.get(place)
+        if not kept:
+            return None
+        now = self.reactor.seconds()
+        if fresh and kept[-1].idle_for(now) > FRESH_IDLE.total_seconds():
+            return None
+        return kept.pop()
--- a/fulmarbarrow/edge/directory.py
+++ b/fulmarbarrow/edge/directory.py
@@ -36,6 +36,28 @@
     route: bundles.Route
 
 
+class HostRoutes:
+    """Finds routes by host and the longest prefix of a path."""
+
+    def __init__(self, *, routes: tuple[bundles.HostRoute, ...]) -> None:
+        self._routes = {(item.host, item.prefix): item for item in routes}
+
+    def __len__(self) -> int:
+        """Return the number of routes."""
+        return len(self._routes)
+
+    def find(self, host: str, path: str) -> bundles.HostRoute | None:
+        """Return the route of a path; prefixes end with a slash."""
+        prefix = path
+        while prefix:
+            prefix = prefix[: prefix.rfind("/") + 1]
+            route = self._routes.get((host, prefix))
+            if route is not None:
+                return route
+            prefix = prefix[:-1]
+        return None
+
+
 class Directory:
     """Looks up accounts and routes of one configuration.
 
@@ -46,6 +68,8 @@
 
     def __init__(self, *, bundle: bundles.Bundle) -> None:
         self._bundle = bundle
+        self._services = {item.name: item for item in bundle.service}
+        self.host_routes = HostRoutes(routes=bundle.host_route)
         self._proven: dict[bytes, bundles.Account] = {}
         self._unknown: collections.OrderedDict[bytes, None] = (
             collections.OrderedDict()
@@ -64,6 +88,15 @@
             key=lambda match: -len(match.route.path),
         )
 
+    @property
+    def has_accounts(self) -> bool:
+        """Whether callers must show a key."""
+        return bool(self._bundle.account)
+
+    def service(self, name: str) -> bundles.Service | None:
+        """Return a service by its name."""
+        return self._services.get(name)
+
     def models(self, account: bundles.Account) -> list[str]:
         """Return the names of the models that an account may use, sorted."""
         return sorted(
@@ -127,8 +160,9 @@
         found = None
         for account in self._bundle.account:
             digest = key_digest(key, account.key_salt)
-            if hmac.compare_digest(digest, account.key_digest):
-                found = account
+            for known in (account.key_digest, *account.more_digests):
+                if hmac.compare_digest(digest, known):
+                    found = account
         return found
 
 
--- a/fulmarbarrow/edge/exchange.py
+++ b/fulmarbarrow/edge/exchange.py
@@ -20,7 +20,11 @@
 
 @dataclasses.dataclass(kw_only=True)
 class Exchange:
-    """One caller's request while its answer is open."""
+    """One caller's request while its answer is open.
+
+    ``fields`` go to upstreams with it, whose answers repeat ``echo``; one
+    that is to run ``once`` must not run a second time.
+    """
 
     request: http.Request
     method: str
@@ -29,6 +33,10 @@
     content_type: str
     key: str
     chat: str = ""
+    fields: tuple[tuple[bytes, bytes], ...] = ()
+    echo: str = ""
+    once: bool = False
+    account: str = ""
     source: Pausable | None = None
     paused: bool = False
 
--- a/fulmarbarrow/edge/requests.py
+++ b/fulmarbarrow/edge/requests.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import datetime
 import hashlib
 import typing
@@ -13,6 +12,7 @@
 
 from fulmarbarrow.config import bundle as bundles
 from fulmarbarrow.delivery import messages as delivery_messages
+from fulmarbarrow.edge import dialect
 from fulmarbarrow.edge import directory as directories
 from fulmarbarrow.edge import headers
 
@@ -44,22 +44,10 @@
     chat_id: Name = ""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Rejected:
-    """Why an HTTP request was not taken; ``code`` is a refusal's.
-
-    ``allow`` are the methods that the path has.
-    """
-
-    code: str
-    detail: str = ""
-    allow: tuple[str, ...] = ()
-
-
 class RejectedError(Exception):
     """Carries a rejection out of the checks."""
 
-    def __init__(self, rejected: Rejected) -> None:
+    def __init__(self, rejected: dialect.Rejected) -> None:
         super().__init__(rejected.code)
         self.rejected = rejected
 
@@ -83,7 +71,7 @@
     body: bytes,
     directory: directories.Directory,
     now: datetime.datetime,
-) -> delivery_messages.RequestArrived | Rejected:
+) -> delivery_messages.RequestArrived | dialect.Rejected:
     """Return the checked request, or why it is refused."""
     try:
         return _parse(request, request_id, body, directory, now)
@@ -114,14 +102,14 @@
 ) -> delivery_messages.RequestArrived:
     account = directory.account(bearer_key(request))
     if account is None:
-        raise RejectedError(Rejected(code="unauthorized"))
+        raise RejectedError(dialect.Rejected(code="unauthorized"))
     path = _path(request)
     method = request.method.decode("ascii", "replace")
     chat = _chat(method, body) if path == CHAT_PATH else None
     match = _match(directory, method, path, chat)
     if not directories.allowed(account, match.service):
         raise RejectedError(
-            Rejected(code="not_allowed", detail=match.service.name)
+            dialect.Rejected(code="not_allowed", detail=match.service.name)
         )
     key = _key(request, match.route)
     named = _name(request, headers.CHAT)
@@ -163,7 +151,7 @@
 def _chat(method: str, body: bytes) -> ChatRequest:
     if method != "POST":
         raise RejectedError(
-            Rejected(code="method_not_allowed", allow=("POST",))
+            dialect.Rejected(code="method_not_allowed", allow=("POST",))
         )
     try:
         return msgspec.json.decode(body, type=ChatRequest)
@@ -180,21 +168,25 @@
     if chat is not None:
         match = directory.model_route(chat.model, path)
         if match is None:
-            raise RejectedError(Rejected(code="no_model", detail=chat.model))
+            raise RejectedError(
+                dialect.Rejected(code="no_model", detail=chat.model)
+            )
         return match
     match = directory.plain_route(method, path)
     if match is not None:
         return match
     allowed = directory.methods(path)
     if allowed:
-        raise RejectedError(Rejected(code="method_not_allowed", allow=allowed))
-    raise RejectedError(Rejected(code="no_route"))
+        raise RejectedError(
+            dialect.Rejected(code="method_not_allowed", allow=allowed)
+        )
+    raise RejectedError(dialect.Rejected(code="no_route"))
 
 
 def _key(request: http.Request, route: bundles.Route) -> str:
     key = _name(request, headers.KEY)
     if not route.idempotent and not key:
-        raise RejectedError(Rejected(code="key_required"))
+        raise RejectedError(dialect.Rejected(code="key_required"))
     return key
 
 
@@ -218,7 +210,7 @@
 
 
 def _bad(detail: str) -> RejectedError:
-    return RejectedError(Rejected(code="bad_request", detail=detail))
+    return RejectedError(dialect.Rejected(code="bad_request", detail=detail))
 
 
 def _digest(method: str, uri: bytes, body: bytes) -> str:
--- a/fulmarbarrow/edge/sse.py
+++ b/fulmarbarrow/edge/sse.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import re
+import typing
 
 import msgspec
 
@@ -45,6 +46,20 @@
     echoed: tuple[str, ...] = ()
 
 
+class BrokenStreamError(Exception):
+    """A stream lacks an event, or one can't be told from another."""
+
+
+class Splitter(typing.Protocol):
+    """Gathers bytes into whole events."""
+
+    def feed(self, data: bytes) -> Part:
+        """Return the events that are whole now; raises BrokenStreamError."""
+
+    def rest(self) -> Part:
+        """Return what follows the last whole event of a complete body."""
+
+
 class EventSplitter:
     """Gathers bytes into whole events, counting them from ``first``."""
 
@@ -80,6 +95,17 @@
             echoed=_echoed(whole),
         )
 
+    def rest(self) -> Part:
+        """Return nothing: an event without its end is not passed on."""
+        return Part(
+            data=b"",
+            events=0,
+            first_event=self._count,
+            end_marker=False,
+            tokens=0,
+            reused_tokens=0,
+        )
+
 
 def _echoed(data: bytes) -> tuple[str, ...]:
     """Return the ids in the form of an attempt's that the events carry."""
--- a/fulmarbarrow/limits/core.py
+++ b/fulmarbarrow/limits/core.py
@@ -59,7 +59,9 @@
     ) -> message.Message:
         if event.deadline <= now:
             return self._refuse(event, "deadline_exceeded")
-        if self._open[event.account] >= self._policy.max_open(event.account):
+        if event.account and self._open[event.account] >= (
+            self._policy.max_open(event.account)
+        ):
             return self._refuse(event, "too_many_open_requests")
         if not self._worth_enough(event):
             return self._refuse(event, "capacity_short")
--- a/fulmarbarrow/membership/announcements.py
+++ b/fulmarbarrow/membership/announcements.py
@@ -5,6 +5,8 @@
 import collections.abc
 import datetime
 
+import msgspec
+
 from fulmarbarrow.membership import daemons
 from fulmarbarrow.membership import damping
 from fulmarbarrow.membership import leases as lease_keepers
@@ -14,6 +16,12 @@
 from fulmarbarrow.membership import state
 from fulmarbarrow.membership import upstreams
 
+# Below it two statements of when an upstream turns warm are the same one.
+COLD_TOLERANCE = datetime.timedelta(milliseconds=500)
+# What is left unacknowledged so that the upstream asks another daemon.
+NOT_JOINED = "not_joined"
+NOT_KNOWN = "not_known"
+
 Learned = collections.abc.Callable[
     [state.Entry, messages.Upstream | None, datetime.datetime], None
 ]
@@ -23,7 +31,9 @@
     """Answers each announcement and keeps the lease's holder informed.
 
     A renewal goes to the holder alone. A new or changed record goes there
-    too, and the holder tells the other daemons.
+    too, and the holder tells the other daemons. Where upstreams don't name
+    their owners, the daemon that takes an announcement does: the newest
+    announcement holds, so its owner does too.
     """
 
     def __init__(
@@ -37,6 +47,7 @@
         outbox: outboxes.Outbox,
         lease: datetime.timedelta,
         learned: Learned,
+        names_owner: bool = True,
     ) -> None:
         self._table = table
         self._members = members
@@ -46,6 +57,7 @@
         self._outbox = outbox
         self._lease = lease
         self._learned = learned
+        self._names_owner = names_owner
 
     def announced(
         self, event: messages.Announced, now: datetime.datetime
@@ -53,6 +65,11 @@
         """Take an announcement that an upstream sent to this daemon."""
         upstream = event.upstream
         code = self._refusal(upstream)
+        if not self._names_owner and not code:
+            upstream = self._completed(upstream, now)
+            event = messages.Announced(upstream=upstream, load=event.load)
+            if not upstream.owner:
+                code = NOT_JOINED
         if code:
             self._outbox.emit(
                 messages.AnnounceRefused(
@@ -85,6 +102,26 @@
             )
         )
 
+    def withdrawn(
+        self, event: messages.Withdrawn, now: datetime.datetime
+    ) -> None:
+        """Tell all that an upstream leaves which gave no record here."""
+        entry = self._table.get(event.upstream_id)
+        if entry is None:
+            known = self._table.tombstone(event.upstream_id) is not None
+            self._answer(event.upstream_id, 0, "" if known else NOT_KNOWN)
+            return
+        before = entry.upstream
+        leaving = msgspec.structs.replace(
+            before,
+            sequence=entry.sequence + 1,
+            state=messages.UpstreamState.LEAVING,
+        )
+        if before.state is not messages.UpstreamState.LEAVING:
+            self._table.learn(leaving, now)
+            self._learned(entry, before, now)
+        self._answer(event.upstream_id, before.incarnation, "")
+
     def renewed(
         self, event: messages.LeaseRenewal, now: datetime.datetime
     ) -> bool:
@@ -105,6 +142,46 @@
                 self._report_load(entry.upstream, event.load)
         return True
 
+    def _answer(self, upstream_id: str, incarnation: int, code: str) -> None:
+        if code:
+            self._outbox.emit(
+                messages.AnnounceRefused(
+                    upstream_id=upstream_id, incarnation=incarnation, code=code
+                )
+            )
+            return
+        self._outbox.emit(
+            messages.AnnounceAccepted(
+                upstream_id=upstream_id,
+                incarnation=incarnation,
+                lease=self._lease,
+            )
+        )
+
+    def _completed(
+        self, upstream: messages.Upstream, now: datetime.datetime
+    ) -> messages.Upstream:
+        """Return a record with the owner that this daemon names for it."""
+        entry = self._table.get(upstream.upstream_id)
+        learned_at = now
+        if entry is not None:
+            known = entry.upstream
+            if known.incarnation == upstream.incarnation:
+                learned_at = entry.learned_at
+                upstream = msgspec.structs.replace(
+                    upstream,
+                    owner=known.owner,
+                    owner_epoch=known.owner_epoch,
+                    cold_until=_steady(known.cold_until, upstream.cold_until),
+                )
+        owner, epoch = self._ownership.suggest(upstream, learned_at, now)
+        if owner != upstream.owner:
+            # Epochs that grow with time order what two daemons name.
+            epoch = max(epoch, int(now.timestamp() * 1000))
+        return msgspec.structs.replace(
+            upstream, owner=owner, owner_epoch=epoch
+        )
+
     def _refusal(self, upstream: messages.Upstream) -> str:
         """Return why an announcement can't hold, "" if it can."""
         gone = self._table.tombstone(upstream.upstream_id)
@@ -215,3 +292,12 @@
                 load=load,
             )
         )
+
+
+def _steady(
+    before: datetime.datetime | None, after: datetime.datetime | None
+) -> datetime.datetime | None:
+    """Return the earlier statement where both mean the same moment."""
+    if before is None or after is None:
+        return after
+    return before if abs(after - before) < COLD_TOLERANCE else after
--- a/fulmarbarrow/membership/catalogue.py
+++ b/fulmarbarrow/membership/catalogue.py
@@ -30,6 +30,7 @@
         outbox: outboxes.Outbox,
         lease: datetime.timedelta,
         metrics: metrics_module.Metrics,
+        names_owner: bool = True,
     ) -> None:
         self._members = members
         self._broadcast = broadcast
@@ -58,6 +59,7 @@
             outbox=outbox,
             lease=lease,
             learned=self._learned,
+            names_owner=names_owner,
         )
 
     def hear(self, event: messages.Gossip, now: datetime.datetime) -> None:
--- a/fulmarbarrow/membership/core.py
+++ b/fulmarbarrow/membership/core.py
@@ -31,6 +31,7 @@
 
     handles = (
         messages.Announced,
+        messages.Withdrawn,
         messages.Gossip,
         messages.Join,
         messages.LeaseDoubt,
@@ -56,6 +57,7 @@
         metrics: metrics_module.Metrics,
         rng: random.Random,
         rate_bytes: int = outboxes.RATE_BYTES,
+        names_owner: bool = True,
     ) -> None:
         others = tuple(seed for seed in seeds if seed != daemon.address)
         self._rng = rng
@@ -78,6 +80,7 @@
             outbox=self._outbox,
             lease=lease,
             metrics=metrics,
+            names_owner=names_owner,
         )
         self._detector = detector.Detector(
             table=self._daemons,
@@ -149,6 +152,10 @@
     def _(self, event: messages.Announced, now: datetime.datetime) -> None:
         self._catalogue.announcements.announced(event, now)
 
+    @_take.register
+    def _(self, event: messages.Withdrawn, now: datetime.datetime) -> None:
+        self._catalogue.announcements.withdrawn(event, now)
+
     @_take.register
     def _(self, event: messages.LeaseRenewal, now: datetime.datetime) -> None:
         known = self._catalogue.announcements.renewed(event, now)
--- a/fulmarbarrow/membership/leases.py
+++ b/fulmarbarrow/membership/leases.py
@@ -13,6 +13,8 @@
 from fulmarbarrow.membership import upstreams
 
 DOUBT_WAIT = datetime.timedelta(seconds=1)
+# A gap between two ticks above it means that this daemon itself stood still.
+PAUSE = datetime.timedelta(milliseconds=1_500)
 
 Ended = collections.abc.Callable[[messages.Gone, datetime.datetime], None]
 
@@ -42,6 +44,7 @@
         self._lease = lease
         self._ended = ended
         self._held: dict[str, state.Entry] = {}
+        self._last_tick: datetime.datetime | None = None
 
     @property
     def held(self) -> int:
@@ -70,7 +73,17 @@
         entry.doubted_at = None
 
     def tick(self, now: datetime.datetime) -> None:
-        """Doubt the leases that ran out and end those doubted in vain."""
+        """Doubt the leases that ran out and end those doubted in vain.
+
+        After a pause of this daemon every lease runs anew: the renewals of
+        that time were not heard.
+        """
+        paused = self._last_tick and now - self._last_tick > PAUSE
+        self._last_tick = now
+        if paused:
+            for entry in self._held.values():
+                entry.held_since = now
+                entry.doubted_at = None
         doubted = []
         for entry in list(self._held.values()):
             if self._table.get(entry.upstream.upstream_id) is not entry:
--- a/fulmarbarrow/membership/messages.py
+++ b/fulmarbarrow/membership/messages.py
@@ -57,7 +57,9 @@
     one; within an incarnation a higher ``sequence`` replaces a lower one.
     ``owner`` is the daemon that the upstream itself names as the keeper of
     its reservations, with an ``owner_epoch`` that grows with each new owner;
-    being named by the upstream, two daemons never both own it.
+    being named by the upstream, two daemons never both own it. Until
+    ``cold_until`` it bears few requests. ``slots`` is how many requests it
+    runs at once, 0 if it does not tell; then the tokens say what it bears.
     """
 
     upstream_id: str
@@ -74,6 +76,8 @@
     weight: float = 1.0
     owner: str = ""
     owner_epoch: int = 0
+    cold_until: datetime.datetime | None = None
+    slots: int = 0
 
 
 class Daemon(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -143,6 +147,12 @@
     load: Load
 
 
+class Withdrawn(message.Message, frozen=True, kw_only=True):
+    """An upstream said here, without its record, that it leaves."""
+
+    upstream_id: str
+
+
 class AnnounceAccepted(message.Message, frozen=True, kw_only=True):
     """The announcement holds; renew it before ``lease`` has passed.
 
--- a/fulmarbarrow/placement/core.py
+++ b/fulmarbarrow/placement/core.py
@@ -20,6 +20,7 @@
 from fulmarbarrow.placement import owner as owners
 from fulmarbarrow.placement import scheduling
 from fulmarbarrow.placement import sliver as slivers
+from fulmarbarrow.publishing import messages as publishing_messages
 from fulmarbarrow.versions import messages as versions_messages
 from fulmarbarrow.zones import messages as zones_messages
 
@@ -45,6 +46,7 @@
         membership_messages.DaemonGone,
         zones_messages.ZoneWeights,
         versions_messages.VersionShares,
+        publishing_messages.ConfigurationChanged,
         messages.PlaceRequest,
         messages.PlaceCancelled,
         messages.WorkEnded,
@@ -172,6 +174,9 @@
                 return self._changed(event.upstream, now)
             case membership_messages.UpstreamGone():
                 return self._gone(event)
+            case publishing_messages.ConfigurationChanged():
+                for upstream in self._directory.configure(event.bundle):
+                    self._resize(upstream, now)
             case membership_messages.OwnerChanged():
                 return self._owner_changed(event, now)
             case membership_messages.LoadReported():
@@ -197,10 +202,16 @@
         upstream_id = upstream.upstream_id
         if fresh:
             self._sliver.forget(upstream_id)
-        owner = self._directory.owners.get(upstream_id)
+        self._resize(self._directory.upstreams[upstream_id], now)
+        return self._own_alone(now)
+
+    def _resize(
+        self, upstream: membership_messages.Upstream, now: datetime.datetime
+    ) -> None:
+        """Have the ledger of an owned upstream go by its newest record."""
+        owner = self._directory.owners.get(upstream.upstream_id)
         if owner is not None and owner.daemon_id == self._daemon.daemon_id:
             self._owner.take(upstream, owner.epoch, now)
-        return self._own_alone(now)
 
     def _gone(
         self, event: membership_messages.UpstreamGone
--- a/fulmarbarrow/placement/directory.py
+++ b/fulmarbarrow/placement/directory.py
@@ -5,9 +5,11 @@
 import collections.abc
 import dataclasses
 
+from fulmarbarrow.config import bundle as bundles
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow.placement import messages
 from fulmarbarrow.placement import rendezvous
+from fulmarbarrow.placement import sizing
 
 MAX_CANDIDATES = 6
 
@@ -45,6 +47,7 @@
         self._shares: dict[tuple[str, str], tuple[tuple[str, float], ...]] = {}
         self._pools: dict[tuple[str, str, str], rendezvous.Ring] = {}
         self._versions: dict[tuple[str, str], rendezvous.Ring] = {}
+        self._sizing = sizing.Sizing()
 
     @property
     def upstreams(
@@ -58,11 +61,30 @@
         """The known owners by upstream id."""
         return self._owners
 
+    def configure(
+        self, bundle: bundles.Bundle
+    ) -> list[membership_messages.Upstream]:
+        """Take a configuration; return the upstreams whose size changed."""
+        if not self._sizing.configure(bundle):
+            return []
+        changed = []
+        for upstream in self._sizing.all(list(self._upstreams.values())):
+            if upstream != self._upstreams[upstream.upstream_id]:
+                self._upstreams[upstream.upstream_id] = upstream
+                changed.append(upstream)
+        self._forget_pools()
+        return changed
+
+    def pool_of(self, upstream_id: str) -> bundles.Pool:
+        """Return the configured pool of a known upstream."""
+        return self._sizing.pool(self._upstreams[upstream_id])
+
     def learn(self, upstream: membership_messages.Upstream) -> bool:
         """Take an upstream's record; return whether it is a fresh one."""
         known = self._upstreams.get(upstream.upstream_id)
         if known is not None and upstream.incarnation < known.incarnation:
             return False
+        upstream = self._sizing.sized(upstream)
         self._upstreams[upstream.upstream_id] = upstream
         self._forget_pools()
         return known is None or known.incarnation < upstream.incarnation
--- a/fulmarbarrow/placement/messages.py
+++ b/fulmarbarrow/placement/messages.py
@@ -9,6 +9,9 @@
 
 from fulmarbarrow import message
 
+# Work of a plain request in tokens, where an upstream states its slots.
+PLAIN_COST = 100
+
 
 class CostClass(enum.StrEnum):
     """Short work never waits behind long work."""
--- /dev/null
+++ b/fulmarbarrow/placement/sizing.py
@@ -0,0 +1,57 @@
+"""What an upstream bears that states slots instead of tokens."""
+
+from __future__ import annotations
+
+import collections.abc
+
+import msgspec
+
+from fulmarbarrow.config import bundle as bundles
+from fulmarbarrow.membership import messages as membership_messages
+from fulmarbarrow.placement import messages
+
+# How long a request typically stays at an upstream, for estimates of waits.
+ENGINE_STAY_SECONDS = 2.0
+PLAIN_STAY_SECONDS = 0.1
+
+
+class Sizing:
+    """Gives such upstreams the tokens that the configuration implies."""
+
+    def __init__(self) -> None:
+        self._pools: dict[str, bundles.Pool] = {}
+
+    def configure(self, bundle: bundles.Bundle) -> bool:
+        """Take a configuration; return whether a pool has changed."""
+        pools = {service.name: service.pool for service in bundle.service}
+        changed = pools != self._pools
+        self._pools = pools
+        return changed
+
+    def pool(self, upstream: membership_messages.Upstream) -> bundles.Pool:
+        """Return the configured pool of an upstream."""
+        for offer in upstream.offers:
+            pool = self._pools.get(offer.service)
+            if pool is not None:
+                return pool
+        return bundles.Pool()
+
+    def sized(
+        self, upstream: membership_messages.Upstream
+    ) -> membership_messages.Upstream:
+        """Return an upstream's record with its size in tokens."""
+        if not upstream.slots:
+            return upstream
+        pool = self.pool(upstream)
+        batch = pool.kv_tokens or upstream.slots * messages.PLAIN_COST
+        stay = ENGINE_STAY_SECONDS if pool.kv_tokens else PLAIN_STAY_SECONDS
+        return msgspec.structs.replace(
+            upstream, batch_tokens=batch, tokens_per_second=int(batch / stay)
+        )
+
+    def all(
+        self,
+        upstreams: collections.abc.Iterable[membership_messages.Upstream],
+    ) -> list[membership_messages.Upstream]:
+        """Return the records with their sizes."""
+        return [self.sized(upstream) for upstream in upstreams]
--- /dev/null
+++ b/fulmarbarrow/platform/operators.py
@@ -0,0 +1,114 @@
+"""Translates the operators' calls."""
+
+from __future__ import annotations
+
+import datetime
+import logging
+import uuid
+
+import klein
+import msgspec
+from twisted.internet import defer
+from twisted.web import http
+
+from fulmarbarrow import bus as buses
+from fulmarbarrow.config import bundle as bundles
+from fulmarbarrow.platform import documents
+from fulmarbarrow.publishing import amendments
+from fulmarbarrow.publishing import messages
+from fulmarbarrow.publishing import packing
+
+log = logging.getLogger(__name__)
+
+Answer = defer.Deferred[bytes]
+
+
+class Operators:
+    """Takes configurations and evacuations, and reads configurations."""
+
+    def __init__(self, *, app: klein.Klein, bus: buses.Bus) -> None:
+        self._bus = bus
+        self._amending: dict[str, tuple[http.Request, Answer]] = {}
+        self._reading: dict[str, tuple[http.Request, Answer]] = {}
+        app.route("/v1/config", methods=["PUT"])(self._configure)
+        app.route("/v1/config", methods=["GET"])(self._read)
+        zone = "/v1/evacuations/<string:zone>"
+        app.route(zone, methods=["POST"])(self._evacuate)
+        app.route(zone, methods=["DELETE"])(self._return)
+        bus.subscribe(messages.AmendResult, self._amended)
+        bus.subscribe(messages.DocumentGiven, self._given)
+
+    def _configure(self, request: http.Request) -> Answer | bytes:
+        data = request.content.read()
+        try:
+            document = documents.decode(data)
+        except msgspec.DecodeError as error:
+            return _refuse(request, [str(error)])
+        findings = documents.findings(document)
+        if findings:
+            return _refuse(request, findings)
+        encoded = bundles.encode(documents.bundle(document))
+        return self._amend(
+            request,
+            amendments.ReplaceServices(
+                number=document.number,
+                bundle=packing.pack(encoded),
+                document=packing.pack(data),
+            ),
+        )
+
+    def _evacuate(self, request: http.Request, zone: str) -> Answer:
+        return self._amend(request, amendments.SetZone(zone=zone, out=True))
+
+    def _return(self, request: http.Request, zone: str) -> Answer:
+        return self._amend(request, amendments.SetZone(zone=zone, out=False))
+
+    def _amend(
+        self, request: http.Request, amendment: amendments.AnyAmendment
+    ) -> Answer:
+        amend_id = uuid.uuid4().hex
+        done: Answer = defer.Deferred()
+        self._amending[amend_id] = request, done
+        self._bus.post(
+            messages.AmendRequested(amend_id=amend_id, amendment=amendment)
+        )
+        return done
+
+    def _amended(
+        self, event: messages.AmendResult, _: datetime.datetime
+    ) -> None:
+        waiting = self._amending.pop(event.amend_id, None)
+        if waiting is None:
+            return
+        request, done = waiting
+        request.setHeader("Content-Type", "application/json")
+        if event.code:
+            request.setResponseCode(http.SERVICE_UNAVAILABLE)
+        done.callback(b"{}")
+
+    def _read(self, request: http.Request) -> Answer:
+        read_id = uuid.uuid4().hex
+        done: Answer = defer.Deferred()
+        self._reading[read_id] = request, done
+        self._bus.post(messages.DocumentRequested(read_id=read_id))
+        return done
+
+    def _given(
+        self, event: messages.DocumentGiven, _: datetime.datetime
+    ) -> None:
+        waiting = self._reading.pop(event.read_id, None)
+        if waiting is None:
+            return
+        request, done = waiting
+        request.setHeader("Content-Type", "application/json")
+        if event.code or not event.document:
+            request.setResponseCode(http.SERVICE_UNAVAILABLE)
+        done.callback(event.document or b"{}")
+
+
+def _refuse(request: http.Request, findings: list[str]) -> bytes:
+    """Refuse a document and tell everything that is wrong with it."""
+    log.warning("configuration refused", extra={"findings": findings[:20]})
+    request.setResponseCode(http.BAD_REQUEST)
+    request.setHeader("Content-Type", "application/json")
+    return msgspec.json.encode({"findings": findings})
--- /dev/null
+++ b/fulmarbarrow/platform/registrations.py
@@ -0,0 +1,145 @@
+"""Translates what workers say of themselves."""
+
+from __future__ import annotations
+
+import datetime
+import logging
+import typing
+
+import klein
+import msgspec
+from twisted.web import http
+
+from fulmarbarrow import bus as buses
+from fulmarbarrow import clock as clocks
+from fulmarbarrow.membership import messages
+
+log = logging.getLogger(__name__)
+
+MILLISECOND = datetime.timedelta(milliseconds=1)
+NonNegative = typing.Annotated[int, msgspec.Meta(ge=0)]
+Name = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=255)]
+# Refusals of an announcement that is late, not wrong: a newer one is known.
+LATE_CODES = frozenset(("stale_sequence", "stale_incarnation", "already_left"))
+
+_STATES = {
+    "ready": messages.UpstreamState.SERVING,
+    "draining": messages.UpstreamState.LEAVING,
+}
+
+
+class ModelEntry(msgspec.Struct, frozen=True, kw_only=True):
+    """A model that a worker runs."""
+
+    name: Name = msgspec.field(name="Name")
+
+
+class Heartbeat(msgspec.Struct, frozen=True, kw_only=True):
+    """What a worker says of itself; its id stands in the path."""
+
+    service: Name = msgspec.field(name="Service")
+    address: Name = msgspec.field(name="Address")
+    zone: Name = msgspec.field(name="Zone")
+    # Of the worker's software; the weights of its models have their own.
+    version: str = msgspec.field(name="Version")
+    slots: NonNegative = msgspec.field(name="Slots")
+    state: str = msgspec.field(name="State")
+    # Grows with each call of one incarnation.
+    sequence: NonNegative = msgspec.field(name="Sequence")
+    cold_ms: typing.Annotated[float, msgspec.Meta(ge=0)] = msgspec.field(
+        name="ColdRemainingMs", default=0
+    )
+    models: tuple[ModelEntry, ...] = msgspec.field(name="Models", default=())
+    # The moment of the worker's start, in Unix milliseconds.
+    born: NonNegative = msgspec.field(name="born", default=0)
+
+    def announced(
+        self, upstream_id: str, now: datetime.datetime
+    ) -> messages.Announced:
+        """Return the announcement; raises KeyError for an unknown state."""
+        models = [model.name for model in self.models] or [""]
+        cold_until = None
+        if self.cold_ms:
+            cold_until = now + self.cold_ms * MILLISECOND
+        return messages.Announced(
+            upstream=messages.Upstream(
+                upstream_id=upstream_id,
+                incarnation=self.born,
+                sequence=self.sequence,
+                zone=self.zone,
+                url=f"http://{self.address}",
+                offers=tuple(
+                    messages.Offer(
+                        service=self.service,
+                        model=model,
+                        version=self.version,
+                    )
+                    for model in models
+                ),
+                batch_tokens=0,
+                tokens_per_second=0,
+                state=_STATES[self.state],
+                started_at=datetime.datetime.fromtimestamp(
+                    self.born / 1000, datetime.UTC
+                ),
+                cold_until=cold_until,
+                slots=self.slots,
+            ),
+            load=messages.Load(),
+        )
+
+
+class Registrations:
+    """Takes workers' heartbeats and departures."""
+
+    def __init__(
+        self, *, app: klein.Klein, bus: buses.Bus, clock: clocks.Clock
+    ) -> None:
+        self._bus = bus
+        self._clock = clock
+        self._accepted = False
+        self._refused = ""
+        path = "/v1/instances/<string:upstream_id>"
+        app.route(path, methods=["PUT"])(self._heartbeat)
+        app.route(path, methods=["DELETE"])(self._leave)
+        bus.subscribe(messages.AnnounceAccepted, self._take_acceptance)
+        bus.subscribe(messages.AnnounceRefused, self._take_refusal)
+
+    def _heartbeat(self, request: http.Request, upstream_id: str) -> bytes:
+        try:
+            body = msgspec.json.decode(request.content.read(), type=Heartbeat)
+            announced = body.announced(upstream_id, self._clock.now())
+        except (msgspec.DecodeError, KeyError, OverflowError) as error:
+            log.warning(
+                "heartbeat not understood",
+                extra={"upstream": upstream_id, "reason": str(error)},
+            )
+            request.setResponseCode(http.BAD_REQUEST)
+            return b"{}"
+        return self._ask(request, announced)
+
+    def _leave(self, request: http.Request, upstream_id: str) -> bytes:
+        return self._ask(request, messages.Withdrawn(upstream_id=upstream_id))
+
+    def _ask(
+        self,
+        request: http.Request,
+        event: messages.Announced | messages.Withdrawn,
+    ) -> bytes:
+        self._accepted, self._refused = False, ""
+        self._bus.post(event)
+        request.setHeader("Content-Type", "application/json")
+        if not self._accepted and self._refused not in LATE_CODES:
+            # The worker asks another daemon.
+            request.setResponseCode(http.SERVICE_UNAVAILABLE)
+        return b"{}"
+
+    def _take_acceptance(
+        self, event: messages.AnnounceAccepted, _: datetime.datetime
+    ) -> None:
+        self._accepted = True
+
+    def _take_refusal(
+        self, event: messages.AnnounceRefused, _: datetime.datetime
+    ) -> None:
+        self._refused = event.code
--- /dev/null
+++ b/fulmarbarrow/platform/workers.py
@@ -0,0 +1,152 @@
+"""Translates requests to workers and their answers."""
+
+from __future__ import annotations
+
+import datetime
+import re
+
+from twisted.web import http
+
+from fulmarbarrow.delivery import messages
+from fulmarbarrow.edge import dialect
+from fulmarbarrow.edge import exchange as exchanges
+from fulmarbarrow.edge import sse
+from fulmarbarrow.platform import headers
+
+MILLISECOND = datetime.timedelta(milliseconds=1)
+EVENT_STREAM = "text/event-stream"
+STATUS_MISDIRECTED = 421
+LOWEST_PRIORITY = 9
+
+_EVENT_ID = re.compile(rb"(?:^|\n)id: ?(\d+)")
+_SEPARATOR = b"\n\n"
+
+
+class Workers:
+    """Attempts by the client's request id, streams by event ids."""
+
+    def request(
+        self,
+        start: messages.StartAttempt,
+        exchange: exchanges.Exchange,
+        left: datetime.timedelta,
+    ) -> dialect.RequestHead:
+        """Return the request of an attempt."""
+        own = {
+            headers.DEADLINE: str(max(0, left // MILLISECOND)),
+            headers.EXPECTED_INSTANCE: start.upstream_id,
+        }
+        if exchange.account:
+            own[headers.TENANT] = exchange.account
+        if start.rank is not None:
+            own[headers.PRIORITY] = str(min(start.rank, LOWEST_PRIORITY))
+        if start.resume_offset:
+            own[headers.LAST_EVENT] = str(start.resume_offset)
+        added = [(key.encode(), value.encode()) for key, value in own.items()]
+        return dialect.RequestHead(
+            method=exchange.method,
+            target=exchange.target,
+            fields=[*exchange.fields, *added],
+            body=exchange.body,
+        )
+
+    def answer(
+        self,
+        start: messages.StartAttempt,
+        exchange: exchanges.Exchange,
+        status: int,
+        fields: dialect.Fields,
+    ) -> messages.AttemptHeaders:
+        """Return what the head of an answer says."""
+        not_run = status == STATUS_MISDIRECTED or bool(
+            dialect.field(fields, headers.NOT_EXECUTED)
+        )
+        return messages.AttemptHeaders(
+            attempt_id=start.attempt_id,
+            status=status,
+            echoed_attempt=_echoed(start, exchange, status, fields, not_run),
+            content_type=dialect.field(fields, "Content-Type"),
+            length=dialect.length(fields),
+            not_run=not_run,
+            resume_offset=start.resume_offset,
+            fields=headers.for_caller(fields),
+            ends_with_body=True,
+        )
+
+    def splitter(self, head: messages.AttemptHeaders) -> sse.Splitter | None:
+        """Return what finds the events of a stream by their ids."""
+        if head.content_type.startswith(EVENT_STREAM):
+            return IdSplitter(after=head.resume_offset)
+        return None
+
+
+def _echoed(
+    start: messages.StartAttempt,
+    exchange: exchanges.Exchange,
+    status: int,
+    fields: dialect.Fields,
+    not_run: bool,
+) -> str:
+    """Return the attempt that an answer belongs to, "" if none is proven.
+
+    A success without a signature, or with an encoded body, is not what the
+    worker made.
+    """
+    told = dialect.field(fields, headers.REQUEST_ID)
+    if told != exchange.echo and (told or not not_run):
+        return ""
+    signed = dialect.field(fields, headers.SIGNATURE)
+    if http.OK <= status < http.MULTIPLE_CHOICE and not signed:
+        return ""
+    if dialect.field(fields, headers.CONTENT_ENCODING):
+        return ""
+    return start.attempt_id
+
+
+class IdSplitter:
+    """Gathers bytes into whole events with increasing ids.
+
+    ``after`` is the id of the last event before the first one here.
+    """
+
+    def __init__(self, *, after: int) -> None:
+        self._buffer = b""
+        self._last = after
+
+    def feed(self, data: bytes) -> sse.Part:
+        """Return the events that are whole now.
+
+        Raises BrokenStreamError when one is missing among them.
+        """
+        self._buffer += data
+        whole, separator, rest = self._buffer.rpartition(_SEPARATOR)
+        if not separator:
+            return self._part(b"", 0)
+        self._buffer = rest
+        ids = []
+        for event in whole.split(_SEPARATOR):
+            found = _EVENT_ID.search(event)
+            if found is None:
+                raise sse.BrokenStreamError("an event has no id")
+            ids.append(int(found.group(1)))
+        if ids != list(range(ids[0], ids[0] + len(ids))):
+            raise sse.BrokenStreamError(f"events {ids[0]} to {ids[-1]}")
+        self._last = ids[0] - 1
+        part = self._part(whole + separator, len(ids))
+        self._last = ids[-1]
+        return part
+
+    def rest(self) -> sse.Part:
+        """Return what follows the last whole event of a complete body."""
+        rest, self._buffer = self._buffer, b""
+        return self._part(rest, 0)
+
+    def _part(self, data: bytes, events: int) -> sse.Part:
+        return sse.Part(
+            data=data,
+            events=events,
+            first_event=self._last,
+            end_marker=False,
+            tokens=events,
+            reused_tokens=0,
+        )
--- a/fulmarbarrow/publishing/amendments.py
+++ b/fulmarbarrow/publishing/amendments.py
@@ -53,9 +53,7 @@
 
 
 @functools.singledispatch
-def amended(
-    amendment: typing.Any, bundle: bundles.Bundle
-) -> bundles.Bundle:
+def amended(amendment: typing.Any, bundle: bundles.Bundle) -> bundles.Bundle:
     """Return a bundle with an amendment applied to it."""
     raise TypeError(type(amendment).__name__)
 
--- a/fulmarbarrow/publishing/state.py
+++ b/fulmarbarrow/publishing/state.py
@@ -101,9 +101,7 @@
         self._accept(command)
         return self._result(command, "", self.revision)
 
-    def amend(
-        self, command: amendments.AmendCommand
-    ) -> messages.AmendResult:
+    def amend(self, command: amendments.AmendCommand) -> messages.AmendResult:
         """Apply an amendment unless it changes nothing or came too late."""
         amendment = command.amendment
         if not isinstance(amendment, amendments.ReplaceServices):
--- /dev/null
+++ b/target/deps/_distutils_hack/override.py
@@ -0,0 +1,1 @@
+__import__('_distutils_hack').do_override()
--- /dev/null
+++ b/target/deps/attrs/converters.py
@@ -0,0 +1,3 @@
+# SPDX-License-Identifier: MIT
+
+from attr.converters import *  # noqa: F403
--- /dev/null
+++ b/target/deps/attrs/exceptions.py
@@ -0,0 +1,3 @@
+# SPDX-License-Identifier: MIT
+
+from attr.exceptions import *  # noqa: F403
--- /dev/null
+++ b/target/deps/attrs/filters.py
@@ -0,0 +1,3 @@
+# SPDX-License-Identifier: MIT
+
+from attr.filters import *  # noqa: F403
--- /dev/null
+++ b/target/deps/attrs/setters.py
@@ -0,0 +1,3 @@
+# SPDX-License-Identifier: MIT
+
+from attr.setters import *  # noqa: F403
--- /dev/null
+++ b/target/deps/attrs/validators.py
@@ -0,0 +1,3 @@
+# SPDX-License-Identifier: MIT
+
+from attr.validators import *  # noqa: F403
--- /dev/null
+++ b/target/deps/cattr/dispatch.py
@@ -0,0 +1,3 @@
+from cattrs.dispatch import FunctionDispatch, MultiStrategyDispatch
+
+__all__ = ["FunctionDispatch", "MultiStrategyDispatch"]
--- /dev/null
+++ b/target/deps/cattr/errors.py
@@ -0,0 +1,15 @@
+from cattrs.errors import (
+    BaseValidationError,
+    ClassValidationError,
+    ForbiddenExtraKeysError,
+    IterableValidationError,
+    StructureHandlerNotFoundError,
+)
+
+__all__ = [
+    "BaseValidationError",
+    "ClassValidationError",
+    "ForbiddenExtraKeysError",
+    "IterableValidationError",
+    "StructureHandlerNotFoundError",
+]
--- /dev/null
+++ b/target/deps/cattr/preconf/__init__.py
@@ -0,0 +1,3 @@
+from cattrs.preconf import validate_datetime
+
+__all__ = ["validate_datetime"]
--- /dev/null
+++ b/target/deps/cattr/preconf/tomlkit.py
@@ -0,0 +1,5 @@
+"""Preconfigured converters for tomlkit."""
+
+from cattrs.preconf.tomlkit import TomlkitConverter, configure_converter, make_converter
+
+__all__ = ["TomlkitConverter", "configure_converter", "make_converter"]
--- /dev/null
+++ b/target/deps/constantly/test/__init__.py
@@ -0,0 +1,7 @@
+# Copyright (c) Twisted Matrix Laboratories.
+# See LICENSE for details.
+
+"""
+Tests for Constantly.
+"""
+
--- /dev/null
+++ b/target/deps/fire/test_components_bin.py
@@ -0,0 +1,28 @@
+# Copyright (C) 2018 Google Inc.
+#
+# Licensed under the Apache License, Version 2.0 (the "License");
+# you may not use this file except in compliance with the License.
+# You may obtain a copy of the License at
+#
+# http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS,
+# WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+# See the License for the specific language governing permissions and
+# limitations under the License.
+
+"""Python Fire test components Fire CLI.
+
+This file is useful for replicating test results manually.
+"""
+
+import fire
+from fire import test_components
+
+
+def main():
+  fire.Fire(test_components)
+
+if __name__ == '__main__':
+  main()
--- /dev/null
+++ b/target/deps/idna/__init__.py
@@ -0,0 +1,47 @@
+from .core import (
+    IDNABidiError,
+    IDNAError,
+    InvalidCodepoint,
+    InvalidCodepointContext,
+    alabel,
+    check_bidi,
+    check_hyphen_ok,
+    check_initial_combiner,
+    check_label,
+    check_nfc,
+    decode,
+    encode,
+    ulabel,
+    uts46_remap,
+    valid_contextj,
+    valid_contexto,
+    valid_label_length,
+    valid_string_length,
+)
+from .idnadata import __version__ as unicode_version
+from .intranges import intranges_contain
+from .package_data import __version__
+
+__all__ = [
+    "__version__",
+    "unicode_version",
+    "IDNABidiError",
+    "IDNAError",
+    "InvalidCodepoint",
+    "InvalidCodepointContext",
+    "alabel",
+    "check_bidi",
+    "check_hyphen_ok",
+    "check_initial_combiner",
+    "check_label",
+    "check_nfc",
+    "decode",
+    "encode",
+    "intranges_contain",
+    "ulabel",
+    "uts46_remap",
+    "valid_contextj",
+    "valid_contexto",
+    "valid_label_length",
+    "valid_string_length",
+]
--- /dev/null
+++ b/target/deps/klein/storage/memory.py
@@ -0,0 +1,7 @@
+from ._memory import MemorySessionStore, declareMemoryAuthorizer
+
+
+__all__ = [
+    "declareMemoryAuthorizer",
+    "MemorySessionStore",
+]
--- /dev/null
+++ b/target/deps/pbr/extra_files.py
@@ -0,0 +1,39 @@
+# Copyright (c) 2013 Hewlett-Packard Development Company, L.P.
+#
+# Licensed under the Apache License, Version 2.0 (the "License");
+# you may not use this file except in compliance with the License.
+# You may obtain a copy of the License at
+#
+#    http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS,
+# WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or
+# implied.
+# See the License for the specific language governing permissions and
+# limitations under the License.
+
+from __future__ import absolute_import
+from __future__ import print_function
+
+from distutils import errors
+import os
+
+_extra_files = []
+
+
+def get_extra_files():
+    global _extra_files
+    return _extra_files
+
+
+def set_extra_files(extra_files):
+    # Let's do a sanity check
+    for filename in extra_files:
+        if not os.path.exists(filename):
+            raise errors.DistutilsFileError(
+                '%s from the extra_files option in setup.cfg does not '
+                'exist' % filename
+            )
+    global _extra_files
+    _extra_files[:] = extra_files[:]
--- /dev/null
+++ b/target/deps/pbr/hooks/base.py
@@ -0,0 +1,37 @@
+# Copyright 2013 Hewlett-Packard Development Company, L.P.
+# All Rights Reserved.
+#
+# Licensed under the Apache License, Version 2.0 (the "License"); you may
+# not use this file except in compliance with the License. You may obtain
+# a copy of the License at
+#
+#      http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+# WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+# License for the specific language governing permissions and limitations
+# under the License.
+
+from __future__ import absolute_import
+from __future__ import print_function
+
+
+class BaseConfig(object):
+
+    section = None
+
+    def __init__(self, config):
+        self._global_config = config
+        self.config = self._global_config.get(self.section, {})
+        self.pbr_config = config.get('pbr', {})
+
+    def run(self):
+        self.hook()
+        self.save()
+
+    def hook(self):
+        pass
+
+    def save(self):
+        self._global_config[self.section] = self.config
--- /dev/null
+++ b/target/deps/pbr/options.py
@@ -0,0 +1,57 @@
+# Licensed under the Apache License, Version 2.0 (the "License");
+# you may not use this file except in compliance with the License.
+# You may obtain a copy of the License at
+#
+#    http://www.apache.org/licenses/LICENSE-2.0
+#
+# Unless required by applicable law or agreed to in writing, software
+# distributed under the License is distributed on an "AS IS" BASIS,
+# WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or
+# implied.
+# See the License for the specific language governing permissions and
+# limitations under the License.
+#
+# Copyright (C) 2013 Association of Universities for Research in Astronomy
+#                    (AURA)
+#
+# Redistribution and use in source and binary forms, with or without
+# modification, are permitted provided that the following conditions are met:
+#
+#     1. Redistributions of source code must retain the above copyright
+#        notice, this list of conditions and the following disclaimer.
+#
+#     2. Redistributions in binary form must reproduce the above
+#        copyright notice, this list of conditions and the following
+#        disclaimer in the documentation and/or other materials provided
+#        with the distribution.
+#
+#     3. The name of AURA and its representatives may not be used to
+#        endorse or promote products derived from this software without
+#        specific prior written permission.
+#
+# THIS SOFTWARE IS PROVIDED BY AURA ``AS IS'' AND ANY EXPRESS OR IMPLIED
+# WARRANTIES, INCLUDING, BUT NOT LIMITED TO, THE IMPLIED WARRANTIES OF
+# MERCHANTABILITY AND FITNESS FOR A PARTICULAR PURPOSE ARE
+# DISCLAIMED. IN NO EVENT SHALL AURA BE LIABLE FOR ANY DIRECT, INDIRECT,
+# INCIDENTAL, SPECIAL, EXEMPLARY, OR CONSEQUENTIAL DAMAGES (INCLUDING,
+# BUT NOT LIMITED TO, PROCUREMENT OF SUBSTITUTE GOODS OR SERVICES; LOSS
+# OF USE, DATA, OR PROFITS; OR BUSINESS INTERRUPTION) HOWEVER CAUSED AND
+# ON ANY THEORY OF LIABILITY, WHETHER IN CONTRACT, STRICT LIABILITY, OR
+# TORT (INCLUDING NEGLIGENCE OR OTHERWISE) ARISING IN ANY WAY OUT OF THE
+# USE OF THIS SOFTWARE, EVEN IF ADVISED OF THE POSSIBILITY OF SUCH
+# DAMAGE.
+
+from __future__ import absolute_import
+from __future__ import print_function
+
+import os
+
+
+TRUE_VALUES = ('true', '1', 'yes')
+
+
+def get_boolean_option(option_dict, option_name, env_name):
+    return (
+        option_name in option_dict
+        and option_dict[option_name][1].lower() in TRUE_VALUES
+    ) or str(os.getenv(env_name)).lower() in TRUE_VALUES
--- /dev/null
+++ b/target/deps/pbr/tests/testpackage/pbr_testpackage/__init__.py
@@ -0,0 +1,3 @@
+import pbr.version
+
+__version__ = pbr.version.VersionInfo('pbr_testpackage').version_string()
--- /dev/null
+++ b/target/deps/prometheus_client/django/__init__.py
@@ -0,0 +1,5 @@
+from .exposition import PrometheusDjangoView
+
+__all__ = [
+    "PrometheusDjangoView",
+]
--- /dev/null
+++ b/target/deps/prometheus_client/twisted/__init__.py
@@ -0,0 +1,3 @@
+from ._exposition import MetricsResource
+
+__all__ = ['MetricsResource']
--- /dev/null
+++ b/target/deps/setuptools/_distutils/_log.py
@@ -0,0 +1,3 @@
+import logging
+
+log = logging.getLogger()
--- /dev/null
+++ b/target/deps/setuptools/_distutils/compat/__init__.py
@@ -0,0 +1,1 @@
+from __future__ import annotations
--- /dev/null
+++ b/target/deps/setuptools/_distutils/zosccompiler.py
@@ -0,0 +1,3 @@
+from .compilers.C import zos
+
+zOSCCompiler = zos.Compiler
--- /dev/null
+++ b/target/deps/setuptools/_importlib.py
@@ -0,0 +1,4 @@
+from importlib import (
+    metadata,  # noqa: F401
+    resources,  # noqa: F401
+)
--- /dev/null
+++ b/target/deps/setuptools/_vendor/backports/tarfile/__main__.py
@@ -0,0 +1,5 @@
+from . import main
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/target/deps/setuptools/_vendor/more_itertools/__init__.pyi
@@ -0,0 +1,2 @@
+from .more import *
+from .recipes import *
--- /dev/null
+++ b/target/deps/twisted/application/twist/test/__init__.py
@@ -0,0 +1,7 @@
+# -*- test-case-name: twisted.application.twist.test -*-
+# Copyright (c) Twisted Matrix Laboratories.
+# See LICENSE for details.
+
+"""
+Tests for L{twisted.application.twist}.
+"""
--- /dev/null
+++ b/target/deps/twisted/conch/insults/__init__.py
@@ -0,0 +1,4 @@
+"""
+Insults: a replacement for Curses/S-Lang.
+
+Very basic at the moment."""
--- /dev/null
+++ b/target/deps/twisted/conch/openssh_compat/__init__.py
@@ -0,0 +1,10 @@
+# Copyright (c) Twisted Matrix Laboratories.
+# See LICENSE for details.
+
+#
+
+"""
+Support for OpenSSH configuration files.
+
+Maintainer: Paul Swartz
+"""
--- /dev/null
+++ b/target/deps/twisted/conch/scripts/__init__.py
@@ -0,0 +1,1 @@
+"conch scripts"
--- /dev/null
+++ b/target/deps/twisted/conch/test/__init__.py
@@ -0,0 +1,1 @@
+"conch tests"
--- /dev/null
+++ b/target/deps/twisted/logger/test/__init__.py
@@ -0,0 +1,7 @@
+# -*- test-case-name: twisted.logger.test -*-
+# Copyright (c) Twisted Matrix Laboratories.
+# See LICENSE for details.
+
+"""
+Unit tests for L{twisted.logger}.
+"""
--- /dev/null
+++ b/target/deps/twisted/mail/scripts/__init__.py
@@ -0,0 +1,1 @@
+"mail scripts"
--- /dev/null
+++ b/target/deps/twisted/mail/test/__init__.py
@@ -0,0 +1,1 @@
+"Tests for twistd.mail"
--- /dev/null
+++ b/target/deps/twisted/names/__init__.py
@@ -0,0 +1,6 @@
+# Copyright (c) Twisted Matrix Laboratories.
+# See LICENSE for details.
+
+"""
+Twisted Names: DNS server and client implementations.
+"""
--- /dev/null
+++ b/target/deps/twisted/names/test/__init__.py
@@ -0,0 +1,1 @@
+"Tests for twisted.names"
--- /dev/null
+++ b/target/deps/twisted/pair/test/__init__.py
@@ -0,0 +1,1 @@
+"pair tests"
--- /dev/null
+++ b/target/deps/twisted/python/test/__init__.py
@@ -0,0 +1,3 @@
+"""
+Unit tests for L{twisted.python}.
+"""
--- /dev/null
+++ b/target/deps/twisted/test/reflect_helper_IE.py
@@ -0,0 +1,3 @@
+# Helper for a test_reflect test
+
+__import__("idonotexist")
--- /dev/null
+++ b/target/deps/twisted/test/reflect_helper_ZDE.py
@@ -0,0 +1,3 @@
+# Helper module for a test_reflect test
+
+1 // 0
--- /dev/null
+++ b/target/deps/twisted/web/test/__init__.py
@@ -0,0 +1,6 @@
+# Copyright (c) Twisted Matrix Laboratories.
+# See LICENSE for details.
+
+"""
+Tests for L{twisted.web}.
+"""
--- /dev/null
+++ b/target/deps/twisted/words/test/__init__.py
@@ -0,0 +1,1 @@
+"Words tests"
