Let affinity follow a prompt's last shared part

Change: the home is chosen by the last part but one; by the last one where last parts return; a part with much of the work gets several homes.

--- a/fulmarbarrow/placement/entry.py
+++ b/fulmarbarrow/placement/entry.py
@@ -8,12 +8,15 @@
 import random
 import typing
 
+import msgspec
+
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics as metrics_module
 from fulmarbarrow.placement import directory as directories
 from fulmarbarrow.placement import holdings as holdings_module
 from fulmarbarrow.placement import messages
+from fulmarbarrow.placement import prefixes
 from fulmarbarrow.placement import recent
 from fulmarbarrow.placement import sliver as slivers
 
@@ -80,6 +83,7 @@
         self._metrics = metrics
         self._rng = rng
         self._home_wait = home_wait
+        self._prefixes = prefixes.Prefixes()
         self._walks: dict[str, Walk] = {}
         self._silent: dict[str, datetime.datetime] = {}
 
@@ -91,6 +95,7 @@
         self, request: messages.PlaceRequest, now: datetime.datetime
     ) -> list[message.Message]:
         """Start to look for an upstream."""
+        request = self._keyed(request, now)
         candidates = self._candidates(request)
         if not candidates:
             return [self._refuse(request, "no_upstream")]
@@ -102,6 +107,16 @@
         self._walks[request.attempt_id] = walk
         return self._advance(walk, now)
 
+    def _keyed(
+        self, request: messages.PlaceRequest, now: datetime.datetime
+    ) -> messages.PlaceRequest:
+        """Return the request with what its home is chosen by."""
+        if not request.parts:
+            return request
+        pool = self._directory.pool(request.service, request.model)
+        key = self._prefixes.key(request, len(pool), now)
+        return msgspec.structs.replace(request, chat=key)
+
     def cancel(self, attempt_id: str) -> None:
         """Stop to look; the caller went away."""
         walk = self._walks.pop(attempt_id, None)
