--- a/fulmarbarrow/config/defaults.py
+++ b/fulmarbarrow/config/defaults.py
@@ -126,8 +126,7 @@
     ``names_owner`` says that an upstream itself names the daemon that keeps
     its reservations; else the daemon that takes its announcement does.
     ``cold_overshoot`` and ``cold_slack`` give the most requests a second of a
-    cold upstream beside what it states. ``ramp`` is the time in which a
-    fresh one comes to bear its full work.
+    cold upstream beside what it states.
     """
 
     key: str = ""
@@ -135,6 +134,29 @@
     names_owner: bool = True
     cold_overshoot: float = 1.0
     cold_slack: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PlacementSection:
+    """How much work an upstream may carry, in parts of its full batch.
+
+    ``mean_factor`` is the multiple of the pool's mean load above which no
+    upstream gets more, but ``floor`` batches and ``least_requests`` small
+    requests are always allowed. ``ceiling`` bounds all work.
+    ``placed_factor`` is the multiple of the pool's mean above which the work
+    of the last seconds may not rise; 0 sets no such bound. A chat that is
+    not in the cache of its home may use ``uncached_part`` of the bounds
+    there and ``stranger_part`` elsewhere. ``ramp`` is the time in which a
+    fresh upstream comes to bear its full work.
+    """
+
+    mean_factor: float = 1.25
+    floor: float = 1.0
+    least_requests: int = 0
+    ceiling: float = 1.25
+    placed_factor: float = 1.22
+    uncached_part: float = 0.88
+    stranger_part: float = 0.84
     ramp: datetime.timedelta = datetime.timedelta(seconds=30)
 
 
@@ -207,6 +229,7 @@
     control: ControlSection = ControlSection()
     upstreams: UpstreamsSection = UpstreamsSection()
     limits: LimitsSection = LimitsSection()
+    placement: PlacementSection = PlacementSection()
     timeouts: TimeoutsSection = TimeoutsSection()
     retries: RetriesSection = RetriesSection()
     log: LogSection = LogSection()
--- a/fulmarbarrow/consensus/core.py
+++ b/fulmarbarrow/consensus/core.py
@@ -58,6 +58,7 @@
         messages.Persisted,
         membership_messages.LeaveStarted,
         membership_messages.DaemonChanged,
+        membership_messages.SeedsChanged,
         message.Tick,
         *peer.PEER_MESSAGES,
     )
@@ -239,6 +240,15 @@
         if CONTROL_ROLE in event.daemon.roles:
             self._joining.meet(event.daemon.daemon_id, event.daemon.address)
 
+    @_on.register
+    def _(
+        self,
+        event: membership_messages.SeedsChanged,
+        now: datetime.datetime,
+    ) -> None:
+        for address in event.addresses:
+            self._joining.meet(address.rpartition(":")[0], address)
+
     @_on.register
     def _(self, event: peer.VoteRequest, now: datetime.datetime) -> None:
         if self._node.formed and event.log_id == self._node.log_id:
--- a/fulmarbarrow/daemon/__main__.py
+++ b/fulmarbarrow/daemon/__main__.py
@@ -2,18 +2,27 @@
 
 from __future__ import annotations
 
-import pathlib
 import signal
-import sys
-
-import fire
 
 from fulmarbarrow import clock as clocks
-from fulmarbarrow.config import base
-from fulmarbarrow.config import defaults
-from fulmarbarrow.config import findings
-from fulmarbarrow import exceptions
-from fulmarbarrow.observe import logs
+
+# Taken before the large imports: what this host promised before a crash
+# ends a fixed time after its process began again.
+CLOCK = clocks.SystemClock()
+STARTED = CLOCK.now()
+# Ends a process by default; the settings are only read after this.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+import pathlib  # noqa: E402
+import sys  # noqa: E402
+
+import fire  # noqa: E402
+
+from fulmarbarrow.config import base  # noqa: E402
+from fulmarbarrow.config import defaults  # noqa: E402
+from fulmarbarrow.config import findings  # noqa: E402
+from fulmarbarrow import exceptions  # noqa: E402
+from fulmarbarrow.observe import logs  # noqa: E402
 
 EXIT_SETTINGS = 2
 
@@ -42,7 +51,9 @@
 
 def _serve(settings: defaults.Settings, source: findings.Source) -> None:
     # These import the reactor, so they wait until OpenSSL is forgone.
-    from twisted.internet import reactor
+    from fulmarbarrow.daemon import reactor as reactors
+
+    reactor = reactors.install()
 
     from fulmarbarrow.daemon import assembly
 
@@ -50,8 +61,10 @@
         daemon = assembly.Daemon(
             settings=settings,
             reactor=reactor,
-            clock=clocks.SystemClock(),
+            clock=CLOCK,
+            started=STARTED,
             settings_text=source.text,
+            settings_path=source.path,
         )
         failed = daemon.bind()
     except exceptions.FulmarbarrowError as error:
@@ -62,12 +75,16 @@
     if failed:
         raise SystemExit(EXIT_SETTINGS)
 
-    def on_signal(*_: object) -> None:
+    def stop(*_: object) -> None:
         reactor.callFromThread(daemon.stop)
 
+    def reload(*_: object) -> None:
+        reactor.callFromThread(daemon.reload)
+
     reactor.callWhenRunning(daemon.start)
-    reactor.callWhenRunning(signal.signal, signal.SIGTERM, on_signal)
-    reactor.callWhenRunning(signal.signal, signal.SIGINT, on_signal)
+    reactor.callWhenRunning(signal.signal, signal.SIGTERM, stop)
+    reactor.callWhenRunning(signal.signal, signal.SIGINT, stop)
+    reactor.callWhenRunning(signal.signal, signal.SIGHUP, reload)
     reactor.run()
     raise SystemExit(daemon.exit_code)
 
--- a/fulmarbarrow/daemon/assembly.py
+++ b/fulmarbarrow/daemon/assembly.py
@@ -19,6 +19,7 @@
 from fulmarbarrow.daemon import interfaces
 from fulmarbarrow.daemon import lifecycle
 from fulmarbarrow.daemon import listeners
+from fulmarbarrow.daemon import reloading
 from fulmarbarrow.delivery import shell as delivery_shell
 from fulmarbarrow.edge import admin
 from fulmarbarrow.edge import exchange
@@ -26,6 +27,7 @@
 from fulmarbarrow.edge import site as sites
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
+from fulmarbarrow.observe import decisions
 from fulmarbarrow.observe import metrics as metrics_module
 from fulmarbarrow.placement import messages as placement_messages
 from fulmarbarrow.publishing import shell as publishing_shell
@@ -51,7 +53,9 @@
         settings: defaults.Settings,
         reactor: typing.Any,
         clock: clocks.Clock,
+        started: datetime.datetime | None = None,
         settings_text: str = "",
+        settings_path: pathlib.Path | None = None,
     ) -> None:
         self._settings = settings
         self._settings_text = settings_text
@@ -67,7 +71,7 @@
         self._exchanges = exchange.Exchanges()
         self._cut = 0
         self._flush_until: datetime.datetime | None = None
-        self._started = clock.now()
+        self._started = started or clock.now()
         self._record = cores.describe(settings, self._started)
         self._fresh = _is_fresh(settings.daemon.data_dir)
         self._recorder: recorder.Recorder | None = None
@@ -101,6 +105,7 @@
             )
         )
         self._callers = self._interface.callers
+        self._decisions = decisions.DecisionLog(bus=self._bus)
         self._cores = cores.Cores(
             settings=settings,
             record=self._record,
@@ -119,6 +124,10 @@
             publishes=self._consensus is not None,
         )
         tracing_edge.TracingEdge(app=self._admin.app, record=self.record)
+        self._reloader = reloading.Reloader(
+            path=settings_path, settings=settings, bus=self._bus
+        )
+        self._reloads = task.LoopingCall(self._reloader.check)
         self._ticks = task.LoopingCall(self._bus.post, message.Tick())
         self._drain = task.LoopingCall(self._check_drained)
         self._listeners = self._make_listeners()
@@ -143,6 +152,10 @@
         """Begin the graceful shutdown; a second call ends at once."""
         self._lifecycle.stop()
 
+    def reload(self) -> None:
+        """Read the settings again."""
+        self._reloader.reload()
+
     @property
     def exit_code(self) -> int:
         """0 after a graceful shutdown, 1 if it cut open requests."""
@@ -197,13 +210,31 @@
     def begin_serving(self) -> None:
         """Start the clockwork; the ports are bound already."""
         self._ticks.start(cores.TICK.total_seconds())
+        self._reloads.start(
+            reloading.CHECK_INTERVAL.total_seconds(), now=False
+        )
         if self._placement_ticks is not None:
             self._placement_ticks.start(cores.PLACEMENT_TICK.total_seconds())
-        log.info("daemon %s serves", self._settings.daemon.id)
+        log.info(
+            "daemon started",
+            extra={
+                "daemon": self._settings.daemon.id,
+                "zone": self._settings.daemon.zone,
+                "roles": [role.value for role in self._settings.daemon.roles],
+                "incarnation": self._record.incarnation,
+                "forms": self._settings.control.form,
+            },
+        )
 
     def announce_stop(self) -> None:
         """Turn the health check to 503 and tell the other daemons."""
-        log.info("daemon %s is leaving", self._settings.daemon.id)
+        log.info(
+            "daemon is leaving",
+            extra={
+                "daemon": self._settings.daemon.id,
+                "open_requests": len(self._exchanges),
+            },
+        )
         if self._callers is not None:
             self._callers.begin_stop()
         self._bus.post(membership_messages.LeaveStarted())
@@ -227,13 +258,15 @@
         """Close everything and end the process."""
         self._cut = len(self._exchanges)
         log.info(
-            "daemon %s stops, %d requests cut",
-            self._settings.daemon.id,
-            self._cut,
+            "daemon stopped",
+            extra={
+                "daemon": self._settings.daemon.id,
+                "requests_cut": self._cut,
+            },
         )
         if self._drain.running:
             self._drain.stop()
-        for ticks in (self._ticks, self._placement_ticks):
+        for ticks in (self._ticks, self._placement_ticks, self._reloads):
             if ticks is not None and ticks.running:
                 ticks.stop()
         if self._consensus is not None:
--- a/fulmarbarrow/daemon/cores.py
+++ b/fulmarbarrow/daemon/cores.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import datetime
 import random
 
@@ -23,6 +24,7 @@
 from fulmarbarrow.membership import core as membership_core
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow.observe import metrics as metrics_module
+from fulmarbarrow.placement import bounds as placement_bounds
 from fulmarbarrow.placement import core as placement_core
 from fulmarbarrow.publishing import control
 from fulmarbarrow.publishing import follower
@@ -210,7 +212,13 @@
         self._add(
             "placement",
             placement_core.PlacementCore(
-                daemon=record, policy=policy, metrics=metrics, rng=self._rng
+                daemon=record,
+                policy=policy,
+                metrics=metrics,
+                rng=self._rng,
+                bounds=placement_bounds.Bounds(
+                    **dataclasses.asdict(self._settings.placement)
+                ),
             ),
         )
         self._add(
--- a/fulmarbarrow/delivery/messages.py
+++ b/fulmarbarrow/delivery/messages.py
@@ -40,7 +40,8 @@
     the shared parts of the prompt, by id and tokens, the last one the
     session's. ``attempts`` bounds the upstreams that run it, 0 by default.
     ``rank`` 0 is the most urgent; ``objective`` is the time to the first
-    byte for which an answer is on time.
+    byte for which an answer is on time. ``caller_id`` is the caller's own
+    id of the request.
     """
 
     request_id: str
@@ -66,6 +67,7 @@
     attempts: int = 0
     rank: int | None = None
     objective: datetime.timedelta | None = None
+    caller_id: str = ""
 
 
 class StartAttempt(message.Message, frozen=True, kw_only=True):
--- a/fulmarbarrow/membership/catalogue.py
+++ b/fulmarbarrow/membership/catalogue.py
@@ -78,7 +78,8 @@
             entry = self.table.learn(upstream, now)
             if entry is not None:
                 self._refresh_entry(entry, now)
-                self._broadcast.pass_on(upstream, now, span)
+                leaving = upstream.state is messages.UpstreamState.LEAVING
+                self._broadcast.pass_on(upstream, now, span, urgent=leaving)
 
     def tick(self, now: datetime.datetime) -> None:
         """End leases and follow changes of the live routers."""
@@ -120,10 +121,10 @@
         upstream = entry.upstream
         self._refresh_entry(entry, now)
         change = state.partial(before, upstream) if before else None
+        urgent = before is not None and before.state is not upstream.state
         if change is None:
-            self._broadcast.add(upstream, now)
+            self._broadcast.add(upstream, now, urgent=urgent)
             return
-        urgent = before.state is not upstream.state
         self._broadcast.add(change, now, urgent=urgent, full=upstream)
 
     def _lease_ended(
--- a/fulmarbarrow/membership/contacts.py
+++ b/fulmarbarrow/membership/contacts.py
@@ -41,6 +41,11 @@
         """Try the next address with the next tick."""
         self._next = None
 
+    def change_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take other seeds, and try them soon."""
+        self._seeds = seeds
+        self.hurry()
+
     def tick(self, now: datetime.datetime) -> None:
         """Try one address, or all of them while no other is known."""
         if self._next is not None and now < self._next:
--- a/fulmarbarrow/membership/core.py
+++ b/fulmarbarrow/membership/core.py
@@ -37,6 +37,7 @@
         messages.LeaseDoubt,
         messages.LeaseRenewal,
         messages.LeaveStarted,
+        messages.SeedsChanged,
         messages.Probe,
         messages.ProbeAck,
         messages.ProbeRequest,
@@ -185,6 +186,12 @@
         self._roster.leave(now)
         self._catalogue.refresh(now)
 
+    @_take.register
+    def _(self, event: messages.SeedsChanged, now: datetime.datetime) -> None:
+        own = self._daemons.own.address
+        others = tuple(item for item in event.addresses if item != own)
+        self._contacts.change_seeds(others)
+
     @_take.register
     def _(self, event: messages.Probe, now: datetime.datetime) -> None:
         self._detector.probed(event)
--- a/fulmarbarrow/membership/messages.py
+++ b/fulmarbarrow/membership/messages.py
@@ -237,6 +237,12 @@
     incarnation: int
 
 
+class SeedsChanged(message.Message, frozen=True, kw_only=True):
+    """The settings name other seeds from now on."""
+
+    addresses: tuple[str, ...]
+
+
 class LeaveStarted(message.Message, frozen=True, kw_only=True):
     """This daemon began its graceful shutdown."""
 
--- /dev/null
+++ b/fulmarbarrow/observe/decisions.py
@@ -0,0 +1,441 @@
+"""Logs each decision that touches a request or changes a belief."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+import functools
+import logging
+import typing
+
+from fulmarbarrow import bus as buses
+from fulmarbarrow.consensus import messages as consensus_messages
+from fulmarbarrow.delivery import messages as delivery_messages
+from fulmarbarrow.membership import messages as membership_messages
+from fulmarbarrow import message
+from fulmarbarrow.placement import messages as placement_messages
+from fulmarbarrow.publishing import messages as publishing_messages
+from fulmarbarrow.versions import messages as versions_messages
+from fulmarbarrow.zones import messages as zones_messages
+
+log = logging.getLogger(__name__)
+
+MILLISECOND = datetime.timedelta(milliseconds=1)
+MAX_OPEN = 20_000  # requests whose lines still miss their end
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Open:
+    """What the lines of an open request repeat."""
+
+    caller_id: str
+    arrived_at: datetime.datetime
+    deadline: datetime.datetime
+    first_at: datetime.datetime | None = None
+    upstream: str = ""
+    attempts: int = 0
+
+
+class DecisionLog:
+    """Turns the messages that carry decisions into log lines."""
+
+    handles = (
+        delivery_messages.RequestArrived,
+        delivery_messages.StartAttempt,
+        delivery_messages.AttemptHeaders,
+        delivery_messages.AttemptFailed,
+        delivery_messages.AnswerStarted,
+        delivery_messages.AnswerEnded,
+        delivery_messages.AnswerBroken,
+        delivery_messages.RequestRefused,
+        delivery_messages.CallerGone,
+        placement_messages.NotPlaced,
+        membership_messages.UpstreamChanged,
+        membership_messages.UpstreamGone,
+        membership_messages.OwnerChanged,
+        membership_messages.DaemonChanged,
+        membership_messages.DaemonGone,
+        membership_messages.AnnounceRefused,
+        publishing_messages.ConfigurationChanged,
+        publishing_messages.AmendResult,
+        publishing_messages.DocumentGiven,
+        consensus_messages.LeaderChanged,
+        versions_messages.VersionShares,
+        zones_messages.ZoneWeights,
+        zones_messages.CapacityShort,
+    )
+
+    def __init__(self, *, bus: buses.Bus) -> None:
+        self._open: dict[str, _Open] = {}
+        self._revision = 0
+        self._leader: tuple[str, int] | None = None
+        for kind in self.handles:
+            bus.subscribe(kind, self._take)
+
+    def _take(self, event: message.Message, now: datetime.datetime) -> None:
+        self._on(event, now)
+
+    @functools.singledispatchmethod
+    def _on(self, event: message.Message, now: datetime.datetime) -> None:
+        """Log the event by its type."""
+
+    @_on.register
+    def _(
+        self, event: delivery_messages.RequestArrived, now: datetime.datetime
+    ) -> None:
+        if len(self._open) >= MAX_OPEN:
+            del self._open[next(iter(self._open))]
+        self._open[event.request_id] = _Open(
+            caller_id=event.caller_id or event.request_id,
+            arrived_at=now,
+            deadline=event.deadline,
+        )
+        self._request(
+            "request taken",
+            event.request_id,
+            now,
+            account=event.account,
+            service=event.service,
+            route=event.route,
+            revision=self._revision,
+            left_ms=(event.deadline - now) // MILLISECOND,
+            cost=event.cost,
+            rank=event.rank,
+        )
+
+    @_on.register
+    def _(
+        self, event: delivery_messages.StartAttempt, now: datetime.datetime
+    ) -> None:
+        entry = self._open.get(event.request_id)
+        if entry is not None:
+            entry.attempts += 1
+            entry.upstream = event.upstream_id
+        self._request(
+            "attempt sent",
+            event.request_id,
+            now,
+            attempt=event.attempt_id,
+            upstream=event.upstream_id,
+            incarnation=event.incarnation,
+            url=event.url,
+            resume_after=event.resume_offset or None,
+        )
+
+    @_on.register
+    def _(
+        self, event: delivery_messages.AttemptHeaders, now: datetime.datetime
+    ) -> None:
+        if event.status < 400 and event.echoed_attempt:
+            return
+        self._attempt(
+            "attempt answered with an error",
+            event.attempt_id,
+            now,
+            status=event.status,
+            not_run=event.not_run,
+            echoed=bool(event.echoed_attempt),
+        )
+
+    @_on.register
+    def _(
+        self, event: delivery_messages.AttemptFailed, now: datetime.datetime
+    ) -> None:
+        self._attempt(
+            "attempt failed",
+            event.attempt_id,
+            now,
+            logging.WARNING,
+            kind=event.kind.value,
+            sent=event.sent,
+        )
+
+    @_on.register
+    def _(
+        self, event: placement_messages.NotPlaced, now: datetime.datetime
+    ) -> None:
+        self._request(
+            "attempt not placed",
+            event.request_id,
+            now,
+            level=logging.WARNING,
+            attempt=event.attempt_id,
+            code=event.code,
+        )
+
+    @_on.register
+    def _(
+        self, event: delivery_messages.AnswerStarted, now: datetime.datetime
+    ) -> None:
+        entry = self._open.get(event.request_id)
+        if entry is not None:
+            entry.first_at = now
+
+    @_on.register
+    def _(
+        self, event: delivery_messages.AnswerEnded, now: datetime.datetime
+    ) -> None:
+        self._end("answer complete", event.request_id, now, logging.INFO)
+
+    @_on.register
+    def _(
+        self, event: delivery_messages.AnswerBroken, now: datetime.datetime
+    ) -> None:
+        self._end(
+            "answer broken off",
+            event.request_id,
+            now,
+            logging.WARNING,
+            code=event.code,
+            ran=event.ran.value,
+        )
+
+    @_on.register
+    def _(
+        self, event: delivery_messages.RequestRefused, now: datetime.datetime
+    ) -> None:
+        after = event.retry_after
+        self._end(
+            "request refused",
+            event.request_id,
+            now,
+            logging.WARNING,
+            code=event.code,
+            ran=event.ran.value,
+            retry_after_ms=after // MILLISECOND if after else None,
+        )
+
+    @_on.register
+    def _(
+        self, event: delivery_messages.CallerGone, now: datetime.datetime
+    ) -> None:
+        self._end("caller gone", event.request_id, now, logging.INFO)
+
+    @_on.register
+    def _(
+        self,
+        event: membership_messages.UpstreamChanged,
+        now: datetime.datetime,
+    ) -> None:
+        upstream = event.upstream
+        cold = upstream.cold_until
+        log.info(
+            "upstream changed",
+            extra={
+                "upstream": upstream.upstream_id,
+                "incarnation": upstream.incarnation,
+                "sequence": upstream.sequence,
+                "state": upstream.state.value,
+                "zone": upstream.zone,
+                "url": upstream.url,
+                "services": [offer.service for offer in upstream.offers],
+                "cold_ms": (cold - now) // MILLISECOND if cold else None,
+            },
+        )
+
+    @_on.register
+    def _(
+        self, event: membership_messages.UpstreamGone, now: datetime.datetime
+    ) -> None:
+        log.info(
+            "upstream gone",
+            extra={
+                "upstream": event.upstream_id,
+                "incarnation": event.incarnation,
+                "reason": event.reason,
+            },
+        )
+
+    @_on.register
+    def _(
+        self, event: membership_messages.OwnerChanged, now: datetime.datetime
+    ) -> None:
+        log.info(
+            "owner changed",
+            extra={
+                "upstream": event.upstream_id,
+                "owner": event.owner,
+                "epoch": event.owner_epoch,
+            },
+        )
+
+    @_on.register
+    def _(
+        self, event: membership_messages.DaemonChanged, now: datetime.datetime
+    ) -> None:
+        daemon = event.daemon
+        log.info(
+            "daemon changed",
+            extra={
+                "daemon": daemon.daemon_id,
+                "incarnation": daemon.incarnation,
+                "state": daemon.state.value,
+                "refutation": daemon.refutation,
+            },
+        )
+
+    @_on.register
+    def _(
+        self, event: membership_messages.DaemonGone, now: datetime.datetime
+    ) -> None:
+        log.warning(
+            "daemon lost",
+            extra={
+                "daemon": event.daemon_id,
+                "incarnation": event.incarnation,
+            },
+        )
+
+    @_on.register
+    def _(
+        self,
+        event: membership_messages.AnnounceRefused,
+        now: datetime.datetime,
+    ) -> None:
+        log.info(
+            "announcement refused",
+            extra={"upstream": event.upstream_id, "code": event.code},
+        )
+
+    @_on.register
+    def _(
+        self,
+        event: publishing_messages.ConfigurationChanged,
+        now: datetime.datetime,
+    ) -> None:
+        self._revision = event.revision
+        log.info(
+            "configuration in force",
+            extra={
+                "revision": event.revision,
+                "routes": len(event.bundle.host_route),
+                "services": len(event.bundle.service),
+                "accounts": len(event.bundle.account),
+            },
+        )
+
+    @_on.register
+    def _(
+        self, event: publishing_messages.AmendResult, now: datetime.datetime
+    ) -> None:
+        log.log(
+            logging.WARNING if event.code else logging.INFO,
+            "amendment ended",
+            extra={
+                "amendment": event.amend_id,
+                "code": event.code,
+                "revision": event.revision,
+                "number": event.number,
+            },
+        )
+
+    @_on.register
+    def _(
+        self, event: publishing_messages.DocumentGiven, now: datetime.datetime
+    ) -> None:
+        log.log(
+            logging.WARNING if event.code else logging.INFO,
+            "document read",
+            extra={"code": event.code, "number": event.number},
+        )
+
+    @_on.register
+    def _(
+        self, event: consensus_messages.LeaderChanged, now: datetime.datetime
+    ) -> None:
+        leader = (event.leader, event.term)
+        if leader == self._leader:
+            return
+        self._leader = leader
+        log.log(
+            logging.INFO if event.leader else logging.WARNING,
+            "leader changed",
+            extra={"leader": event.leader, "term": event.term},
+        )
+
+    @_on.register
+    def _(
+        self, event: versions_messages.VersionShares, now: datetime.datetime
+    ) -> None:
+        log.info(
+            "version shares",
+            extra={
+                "service": event.service,
+                "model": event.model,
+                "shares": dict(event.shares),
+            },
+        )
+
+    @_on.register
+    def _(
+        self, event: zones_messages.ZoneWeights, now: datetime.datetime
+    ) -> None:
+        log.info(
+            "zone weights",
+            extra={"revision": event.revision, "weights": dict(event.weights)},
+        )
+
+    @_on.register
+    def _(
+        self, event: zones_messages.CapacityShort, now: datetime.datetime
+    ) -> None:
+        log.warning(
+            "capacity",
+            extra={
+                "service": event.service,
+                "floor": event.floor,
+                "part": event.part,
+            },
+        )
+
+    def _attempt(
+        self,
+        text: str,
+        attempt_id: str,
+        now: datetime.datetime,
+        level: int = logging.INFO,
+        **fields: typing.Any,
+    ) -> None:
+        request_id = attempt_id.rpartition("-")[0]
+        self._request(
+            text, request_id, now, level=level, attempt=attempt_id, **fields
+        )
+
+    def _end(
+        self,
+        text: str,
+        request_id: str,
+        now: datetime.datetime,
+        level: int,
+        **fields: typing.Any,
+    ) -> None:
+        self._request(text, request_id, now, level=level, **fields)
+        self._open.pop(request_id, None)
+
+    def _request(
+        self,
+        text: str,
+        request_id: str,
+        now: datetime.datetime,
+        *,
+        level: int = logging.INFO,
+        **fields: typing.Any,
+    ) -> None:
+        entry = self._open.get(request_id)
+        known: dict[str, typing.Any] = {"request": request_id}
+        if entry is not None:
+            known["request"] = entry.caller_id
+            known["age_ms"] = (now - entry.arrived_at) // MILLISECOND
+            if entry.first_at is not None:
+                first = entry.first_at - entry.arrived_at
+                known["first_ms"] = first // MILLISECOND
+            if entry.upstream:
+                known["last_upstream"] = entry.upstream
+            if entry.attempts:
+                known["attempts"] = entry.attempts
+        known.update(fields)
+        log.log(
+            level,
+            text,
+            extra={k: v for k, v in known.items() if v is not None},
+        )
--- a/fulmarbarrow/placement/bounds.py
+++ b/fulmarbarrow/placement/bounds.py
@@ -13,7 +13,8 @@
     """Limits of an upstream's work, in parts of its full batch.
 
     ``mean_factor`` is the multiple of the pool's mean load above which no
-    upstream gets more work, but ``floor`` batches are always allowed.
+    upstream gets more work, but ``floor`` batches are always allowed, and
+    ``least_requests`` small requests of an upstream that states its slots.
     ``ceiling`` bounds all work, that of priority accounts included.
     ``placed_factor`` is the multiple of the pool's mean above which the work
     placed within ``placed_window`` may not rise. A chat that is not in the
@@ -25,6 +26,7 @@
 
     mean_factor: float = 1.25
     floor: float = 1.0
+    least_requests: int = 0
     ceiling: float = 1.25
     placed_factor: float = 1.22
     uncached_part: float = 0.88
@@ -48,6 +50,8 @@
         ``mean_load`` is the pool's mean work in full batches.
         """
         share = max(self.mean_factor * mean_load, self.floor)
+        if upstream.slots:
+            share = max(share, self.least_requests / upstream.slots)
         return int(share * upstream.batch_tokens)
 
 
--- a/fulmarbarrow/platform/clients.py
+++ b/fulmarbarrow/platform/clients.py
@@ -159,6 +159,7 @@
         attempts=route.attempts,
         rank=rank,
         objective=route.objective,
+        caller_id=requests.header(request, headers.REQUEST_ID),
     )
 
 
