--- a/fulmarbarrow/config/checks.py
+++ b/fulmarbarrow/config/checks.py
@@ -112,8 +112,9 @@
         if not host.is_loopback:
             text = f"required, since listen.admin {host} is not loopback"
             yield source.finding("daemon.admin_key", text)
-    announced = settings.listen.upstreams is not None
-    if announced and not settings.upstreams.key:
+    own = settings.daemon.interface is defaults.Interface.OWN
+    is_router = defaults.Role.ROUTER in settings.daemon.roles
+    if own and is_router and not settings.upstreams.key:
         text = "empty: anyone who reaches the port may be an upstream"
         yield _warning(source, "upstreams.key", text)
 
--- a/fulmarbarrow/daemon/assembly.py
+++ b/fulmarbarrow/daemon/assembly.py
@@ -14,16 +14,13 @@
 from fulmarbarrow import bus as buses
 from fulmarbarrow import clock as clocks
 from fulmarbarrow.config import defaults
-from fulmarbarrow.consensus import shell as consensus_shell
 from fulmarbarrow.daemon import cores
 from fulmarbarrow.daemon import interfaces
 from fulmarbarrow.daemon import lifecycle
 from fulmarbarrow.daemon import listeners
 from fulmarbarrow.daemon import reloading
-from fulmarbarrow.delivery import shell as delivery_shell
-from fulmarbarrow.edge import admin
 from fulmarbarrow.edge import exchange
-from fulmarbarrow.edge import guarded
+from fulmarbarrow.edge import exposition
 from fulmarbarrow.edge import site as sites
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
@@ -31,11 +28,13 @@
 from fulmarbarrow.observe import metrics as metrics_module
 from fulmarbarrow.placement import messages as placement_messages
 from fulmarbarrow.publishing import shell as publishing_shell
-from fulmarbarrow.tracing import edge as tracing_edge
-from fulmarbarrow.tracing import recorder
 from fulmarbarrow.wire import codec
 from fulmarbarrow.wire import transport
 
+if typing.TYPE_CHECKING:
+    from fulmarbarrow.consensus import shell as consensus_shell
+    from fulmarbarrow.tracing import recorder
+
 log = logging.getLogger(__name__)
 
 DRAIN_CHECK = datetime.timedelta(milliseconds=50)
@@ -117,13 +116,6 @@
             restored=self._revisions.restored if self._revisions else None,
             stores_revisions=self._revisions is not None,
         ).by_name
-        self._admin = admin.AdminEdge(
-            bus=self._bus,
-            metrics=self._metrics,
-            dump=self.dump,
-            publishes=self._consensus is not None,
-        )
-        tracing_edge.TracingEdge(app=self._admin.app, record=self.record)
         self._reloader = reloading.Reloader(
             path=settings_path, settings=settings, bus=self._bus
         )
@@ -189,6 +181,8 @@
             self._recorder = None
         if not name:
             return pathlib.Path()
+        from fulmarbarrow.tracing import recorder
+
         made = recorder.Recorder(
             bus=self._bus,
             data_dir=pathlib.Path(self._settings.daemon.data_dir),
@@ -304,6 +298,8 @@
         )
 
     def _add_storage(self) -> None:
+        from fulmarbarrow.consensus import shell as consensus_shell
+
         self._consensus = consensus_shell.ConsensusShell(
             data_folder=pathlib.Path(self._settings.daemon.data_dir),
             bus=self._bus,
@@ -315,6 +311,8 @@
         self._placement_ticks = task.LoopingCall(
             self._bus.post, placement_messages.PlacementTick()
         )
+        from fulmarbarrow.delivery import shell as delivery_shell
+
         delivery_shell.Alarm(reactor=self._reactor, bus=self._bus)
 
     def _make_listeners(self) -> listeners.Listeners:
@@ -323,16 +321,30 @@
             reactor=self._reactor, transport=self._transport
         )
         if listen.admin is not None:
-            admin_resource = guarded.GuardedResource(
-                app=self._admin.app, key=self._settings.daemon.admin_key
-            )
-            made.add("admin", listen.admin, self._site(admin_resource))
+            made.add("admin", listen.admin, self._site(self._make_admin()))
         if listen.metrics is not None:
-            page = admin.MetricsResource(metrics=self._metrics)
+            page = exposition.MetricsResource(metrics=self._metrics)
             made.add("metrics", listen.metrics, self._site(page))
         self._interface.listen(made)
         return made
 
+    def _make_admin(self) -> resources.IResource:
+        """Return the operators' resource, behind their key."""
+        from fulmarbarrow.edge import admin
+        from fulmarbarrow.edge import guarded
+        from fulmarbarrow.tracing import edge as tracing_edge
+
+        made = admin.AdminEdge(
+            bus=self._bus,
+            metrics=self._metrics,
+            dump=self.dump,
+            publishes=self._consensus is not None,
+        )
+        tracing_edge.TracingEdge(app=made.app, record=self.record)
+        return guarded.GuardedResource(
+            app=made.app, key=self._settings.daemon.admin_key
+        )
+
     def _site(self, resource: resources.IResource) -> sites.BoundedSite:
         return sites.BoundedSite(
             resource=resource,
@@ -346,7 +358,9 @@
         from fulmarbarrow.platform import interface
 
         return interface.PlatformInterface(parts=parts)
-    return interfaces.OwnInterface(parts=parts)
+    from fulmarbarrow.daemon import own_interface
+
+    return own_interface.OwnInterface(parts=parts)
 
 
 def _is_fresh(data_dir: str) -> bool:
--- /dev/null
+++ b/fulmarbarrow/daemon/control_cores.py
@@ -0,0 +1,82 @@
+"""The cores of a control host."""
+
+from __future__ import annotations
+
+from fulmarbarrow.consensus import core as consensus_core
+from fulmarbarrow.consensus import memory as consensus_memory
+from fulmarbarrow.consensus import messages as consensus_messages
+from fulmarbarrow.consensus import records as consensus_records
+from fulmarbarrow.daemon import joint
+from fulmarbarrow.publishing import control
+from fulmarbarrow.publishing import messages as publishing_messages
+from fulmarbarrow.versions import control as versions_control
+from fulmarbarrow.versions import messages as versions_messages
+from fulmarbarrow.zones import control as zones_control
+
+
+def add(made: joint.Joint) -> None:
+    """Add the cores that keep the durable state."""
+    record, metrics = made.record, made.metrics
+    logs = made.logs or consensus_memory.MemoryLogs()
+    if isinstance(logs, consensus_memory.MemoryLogs):
+        made.add("memory_logs", logs)
+    group = consensus_messages.Group.CONFIGURATION
+    machines = (publishing_messages.MACHINE, versions_messages.MACHINE)
+    _add_log(made, "consensus", group, logs, machines)
+    made.add("control", control.PublishingControl(daemon=record, now=made.now))
+    made.add(
+        "version_moves",
+        versions_control.VersionsControl(daemon=record, group=group),
+    )
+    made.add(
+        "kv_moves", zones_control.ZonesControl(daemon=record, metrics=metrics)
+    )
+    if made.settings.control.journal:
+        _add_journal(made, logs)
+
+
+def _add_journal(made: joint.Joint, logs: joint.Logs) -> None:
+    from fulmarbarrow.journal import control as journal_control
+
+    group = consensus_messages.Group.JOURNAL
+    _add_log(made, "journal_log", group, logs, ("",))
+    made.add(
+        "journal_control",
+        journal_control.JournalControl(
+            daemon=made.record, metrics=made.metrics
+        ),
+    )
+
+
+def _add_log(
+    made: joint.Joint,
+    name: str,
+    group: consensus_messages.Group,
+    logs: joint.Logs,
+    machines: tuple[str, ...],
+) -> None:
+    """Add the replicated log that the named machines apply."""
+    record, settings = made.record, made.settings.control
+    members = {member.id: str(member.address) for member in settings.members}
+    if settings.from_seeds:
+        members = {
+            address.host: str(address)
+            for address in made.settings.peers.addresses
+        }
+    core = consensus_core.ConsensusCore(
+        group=group,
+        me=consensus_records.Member(
+            daemon_id=record.daemon_id,
+            identity=logs.host_identity,
+            address=record.address,
+        ),
+        addresses=members or {record.daemon_id: record.address},
+        stored=logs.open(group),
+        source=made.rng,
+        metrics=made.metrics,
+        now=made.now,
+        machines=machines,
+        form=settings.form,
+        losses=settings.losses,
+    )
+    made.add(name, core)
--- a/fulmarbarrow/daemon/interfaces.py
+++ b/fulmarbarrow/daemon/interfaces.py
@@ -1,4 +1,4 @@
-"""The HTTP interface of a daemon, and the product's own one."""
+"""What the HTTP interface of a daemon is made of and does."""
 
 from __future__ import annotations
 
@@ -9,17 +9,29 @@
 from fulmarbarrow import clock as clocks
 from fulmarbarrow.config import defaults
 from fulmarbarrow.daemon import listeners
-from fulmarbarrow.edge import callers
-from fulmarbarrow.edge import client
 from fulmarbarrow.edge import exchange
-from fulmarbarrow.edge import site as sites
-from fulmarbarrow.edge import upstreams
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow.observe import metrics as metrics_module
 
 MAX_OWN_BODY_BYTES = 16 << 20  # bundles and announcements
 
 
+class Callers(typing.Protocol):
+    """The edge towards callers, for the daemon's shutdown and dump."""
+
+    def begin_stop(self) -> None:
+        """Tell the balancer to send no more requests here."""
+
+    def refuse_new(self) -> None:
+        """Refuse new requests; open ones go on."""
+
+    def drained(self) -> bool:
+        """Return whether every answer has been sent to its last byte."""
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return the open answers as plain data."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Parts:
     """What an interface is made of."""
@@ -36,65 +48,7 @@
 class Interface(typing.Protocol):
     """Serves all from outside the system."""
 
-    callers: callers.CallersEdge | None
-
-    def listen(self, made: listeners.Listeners) -> None:
-        """Add the ports of the daemon's roles."""
-
-
-class OwnInterface:
-    """Serves callers and announcements, and orders engines about."""
-
-    def __init__(self, *, parts: Parts) -> None:
-        self._parts = parts
-        self.callers: callers.CallersEdge | None = None
-        roles = parts.settings.daemon.roles
-        if defaults.Role.CONTROL in roles:
-            self._add_orders()
-        if defaults.Role.ROUTER in roles:
-            self._add_router()
+    callers: Callers | None
 
     def listen(self, made: listeners.Listeners) -> None:
         """Add the ports of the daemon's roles."""
-        if self.callers is None:
-            return
-        listen = self._parts.settings.listen
-        made.add("callers", listen.callers, self.callers.site)
-        site = sites.BoundedSite(
-            resource=self._upstreams_edge.app.resource(),
-            max_body_bytes=MAX_OWN_BODY_BYTES,
-            metrics=self._parts.metrics,
-        )
-        made.add("upstreams", listen.upstreams, site)
-
-    def _add_orders(self) -> None:
-        # Its HTTP client is large, and only these hosts have use for it.
-        from fulmarbarrow.edge import orders
-
-        self._orders = orders.OrdersClient(
-            reactor=self._parts.reactor,
-            bus=self._parts.bus,
-            key=self._parts.settings.upstreams.key,
-        )
-
-    def _add_router(self) -> None:
-        parts = self._parts
-        self.callers = callers.CallersEdge(
-            daemon_id=parts.record.daemon_id,
-            incarnation=parts.record.incarnation,
-            bus=parts.bus,
-            clock=parts.clock,
-            metrics=parts.metrics,
-            exchanges=parts.exchanges,
-            limits=parts.settings.limits,
-        )
-        self._upstreams_edge = upstreams.UpstreamsEdge(
-            bus=parts.bus, key=parts.settings.upstreams.key
-        )
-        self._client = client.UpstreamClient(
-            reactor=parts.reactor,
-            bus=parts.bus,
-            clock=parts.clock,
-            exchanges=parts.exchanges,
-            connect_timeout=parts.settings.timeouts.connect,
-        )
--- /dev/null
+++ b/fulmarbarrow/daemon/router_cores.py
@@ -0,0 +1,66 @@
+"""The cores of a router."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from fulmarbarrow.daemon import joint
+from fulmarbarrow.delivery import core as delivery_core
+from fulmarbarrow.delivery import policy as delivery_policy
+from fulmarbarrow.journal import router as journal_router
+from fulmarbarrow.limits import core as limits_core
+from fulmarbarrow.limits import policy as limits_policy
+from fulmarbarrow.placement import bounds as placement_bounds
+from fulmarbarrow.placement import core as placement_core
+from fulmarbarrow.versions import router as versions_router
+from fulmarbarrow.zones import core as zones_core
+
+
+def add(made: joint.Joint) -> None:
+    """Add the cores that requests pass through."""
+    record, metrics, rng = made.record, made.metrics, made.rng
+    made.add(
+        "versions",
+        versions_router.VersionsRouter(daemon=record, metrics=metrics),
+    )
+    made.add(
+        "zones", zones_core.ZonesCore(daemon=record, metrics=metrics, rng=rng)
+    )
+    policy = limits_policy.Policy()
+    made.add("limits", limits_core.LimitsCore(metrics=metrics, policy=policy))
+    made.add(
+        "placement",
+        placement_core.PlacementCore(
+            daemon=record,
+            policy=policy,
+            metrics=metrics,
+            rng=rng,
+            bounds=placement_bounds.Bounds(
+                **dataclasses.asdict(made.settings.placement),
+                cold_overshoot=made.settings.upstreams.cold_overshoot,
+                cold_slack=made.settings.upstreams.cold_slack,
+            ),
+        ),
+    )
+    made.add(
+        "journal",
+        journal_router.JournalRouter(daemon=record, metrics=metrics),
+    )
+    made.add(
+        "delivery",
+        delivery_core.DeliveryCore(
+            metrics=metrics,
+            rng=rng,
+            timeouts=_timeouts(made),
+            retries=made.settings.retries,
+        ),
+    )
+
+
+def _timeouts(made: joint.Joint) -> delivery_policy.Timeouts:
+    timeouts = made.settings.timeouts
+    return delivery_policy.Timeouts(
+        first_event=timeouts.first_event,
+        between_events=timeouts.between_events,
+        resume_grace=timeouts.resume_grace,
+    )
--- a/fulmarbarrow/delivery/effects.py
+++ b/fulmarbarrow/delivery/effects.py
@@ -45,6 +45,7 @@
         best_effort=arrived.best_effort,
         parts=arrived.parts,
         objective=arrived.objective,
+        once=not arrived.idempotent,
     )
 
 
--- a/fulmarbarrow/delivery/recovery.py
+++ b/fulmarbarrow/delivery/recovery.py
@@ -179,7 +179,10 @@
 
     def refuse(self, entry: books.Open, code: str) -> Effects:
         """Give up without a record in the journal."""
-        code = true_code(entry.request, code)
+        request = entry.request
+        code = true_code(request, code)
+        if request.retry_after is None:
+            request.retry_after = refusals.return_after(code, self._rng)
         self._metrics.count("requests_refused", code=code)
         return list(entry.inputs.refuse(code))
 
--- a/fulmarbarrow/delivery/refusals.py
+++ b/fulmarbarrow/delivery/refusals.py
@@ -6,21 +6,36 @@
 from __future__ import annotations
 
 import dataclasses
+import datetime
+import random
 
 from fulmarbarrow.delivery import messages
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Refusal:
-    """An error code with its HTTP status and whether the request ran."""
+    """An error code with its HTTP status and whether the request ran.
+
+    ``returns_ms`` is when a caller may best come again, at least and at
+    most; callers are spread between, so that they don't return together.
+    """
 
     code: str
     status: int
     ran: messages.Ran
     message: str
     proof: str
+    returns_ms: tuple[int, int] | None = None
 
 
+# Another daemon takes the request now.
+_ELSEWHERE = (20, 100)
+# The queue of an upstream moves on within some answers.
+_AFTER_REFUSAL = (150, 450)
+# An overload lasts; the returns are spread over the answers to come.
+_AFTER_LOAD = (400, 1_200)
+# A restarted control host, or upstreams that announce themselves again.
+_AFTER_RECOVERY = (800, 2_000)
 _BEFORE_DISPATCH = "refused before any byte went to an upstream"
 
 _TABLE = (
@@ -107,6 +122,7 @@
         ran=messages.Ran.NO,
         message="the client account has too many open requests",
         proof=_BEFORE_DISPATCH,
+        returns_ms=_AFTER_LOAD,
     ),
     Refusal(
         code="overloaded",
@@ -114,6 +130,7 @@
         ran=messages.Ran.NO,
         message="capacity is short and the request waited in vain",
         proof=_BEFORE_DISPATCH,
+        returns_ms=_AFTER_LOAD,
     ),
     Refusal(
         code="capacity_short",
@@ -121,6 +138,7 @@
         ran=messages.Ran.NO,
         message="capacity is short and goes to requests that are worth more",
         proof=_BEFORE_DISPATCH,
+        returns_ms=_AFTER_LOAD,
     ),
     Refusal(
         code="deadline_exceeded",
@@ -135,6 +153,7 @@
         ran=messages.Ran.NO,
         message="no upstream of the service can be reached",
         proof=_BEFORE_DISPATCH,
+        returns_ms=_AFTER_RECOVERY,
     ),
     Refusal(
         code="quarantined",
@@ -149,6 +168,7 @@
         ran=messages.Ran.NO,
         message="no quorum can record the action; it was not dispatched",
         proof="without a committed intent nothing is dispatched",
+        returns_ms=_AFTER_RECOVERY,
     ),
     Refusal(
         code="no_configuration",
@@ -156,6 +176,7 @@
         ran=messages.Ran.NO,
         message="this daemon holds no configuration yet",
         proof=_BEFORE_DISPATCH,
+        returns_ms=_AFTER_RECOVERY,
     ),
     Refusal(
         code="not_run",
@@ -170,6 +191,7 @@
         ran=messages.Ran.NO,
         message="this daemon is stopping",
         proof=_BEFORE_DISPATCH,
+        returns_ms=_ELSEWHERE,
     ),
     Refusal(
         code="upstream_refused",
@@ -177,6 +199,7 @@
         ran=messages.Ran.NO,
         message="every upstream that was asked refused to run the request",
         proof="each upstream said that it had not run it",
+        returns_ms=_AFTER_REFUSAL,
     ),
     Refusal(
         code="answer_not_kept",
@@ -216,3 +239,11 @@
 )
 
 REFUSALS = {refusal.code: refusal for refusal in _TABLE}
+
+
+def return_after(code: str, rng: random.Random) -> datetime.timedelta | None:
+    """Return when a refused caller should come again, None if no matter."""
+    returns = REFUSALS[code].returns_ms
+    if returns is None:
+        return None
+    return datetime.timedelta(milliseconds=rng.uniform(*returns))
--- a/fulmarbarrow/edge/admin.py
+++ b/fulmarbarrow/edge/admin.py
@@ -10,7 +10,6 @@
 import msgspec
 from twisted.internet import defer
 from twisted.web import http
-from twisted.web import resource as resources
 
 from fulmarbarrow import bus as buses
 from fulmarbarrow.observe import metrics as metrics_module
@@ -36,21 +35,6 @@
     differs: tuple[str, ...]
 
 
-class MetricsResource(resources.Resource):
-    """Gives the metrics in the text form, and nothing else."""
-
-    isLeaf = True  # noqa: N815
-
-    def __init__(self, *, metrics: metrics_module.Metrics) -> None:
-        super().__init__()
-        self._metrics = metrics
-
-    def render_GET(self, request: http.Request) -> bytes:  # noqa: N802
-        """Return the exposition."""
-        request.setHeader("Content-Type", "text/plain; version=0.0.4")
-        return self._metrics.exposition()
-
-
 class AdminEdge:
     """Answers dumps, metrics and the status, and takes publish requests."""
 
--- a/fulmarbarrow/edge/callers.py
+++ b/fulmarbarrow/edge/callers.py
@@ -4,28 +4,25 @@
 
 import functools
 import itertools
+import random
 import typing
 
-import klein
-import msgspec
 from twisted.python import failure as failures
 from twisted.web import http
 from twisted.web import resource as resources
 from twisted.web import server
-from werkzeug import exceptions
 
 from fulmarbarrow import bus as buses
 from fulmarbarrow import clock as clocks
 from fulmarbarrow.config import bundle as bundles
 from fulmarbarrow.config import defaults
 from fulmarbarrow.delivery import messages
+from fulmarbarrow.delivery import refusals
 from fulmarbarrow.edge import answer as answers
 from fulmarbarrow.edge import dialect as dialects
 from fulmarbarrow.edge import directory as directories
-from fulmarbarrow.edge import errors
 from fulmarbarrow.edge import exchange as exchanges_module
 from fulmarbarrow.edge import own_dialect
-from fulmarbarrow.edge import requests
 from fulmarbarrow.edge import site as sites
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics as metrics_module
@@ -40,6 +37,15 @@
 )
 
 
+class FixedRoutes(typing.Protocol):
+    """Paths that are answered without any upstream."""
+
+    paths: tuple[bytes, ...]
+
+    def render(self, request: http.Request) -> bytes | int:
+        """Answer a request for one of the paths."""
+
+
 class CallersEdge:
     """Takes callers' requests and writes their answers."""
 
@@ -54,7 +60,6 @@
         exchanges: exchanges_module.Exchanges,
         limits: defaults.LimitsSection,
         dialect: dialects.CallerDialect | None = None,
-        fixed_routes: bool = True,
     ) -> None:
         self._prefix = f"{daemon_id}-{incarnation:x}"
         self._bus = bus
@@ -62,6 +67,7 @@
         self._metrics = metrics
         self._exchanges = exchanges
         self._limits = limits
+        self._rng = random.Random(incarnation)
         self._dialect = dialect or own_dialect.OwnCallers()
         self._answers: dict[str, answers.Answer] = {}
         self._largest_backlog = 0
@@ -70,11 +76,9 @@
         self._accepting = True
         self._healthy = True
         self._configured = False
+        self._root = _Root(take=self._take)
         self.site = sites.BoundedSite(
-            resource=_Root(
-                fixed=self._fixed_routes() if fixed_routes else None,
-                take=self._take,
-            ),
+            resource=self._root,
             max_body_bytes=limits.max_body_bytes,
             metrics=metrics,
         )
@@ -96,6 +100,15 @@
         """Whether a configuration is in force."""
         return self._configured
 
+    @property
+    def directory(self) -> directories.Directory:
+        """The accounts and routes in force."""
+        return self._directory
+
+    def serve_fixed(self, fixed: FixedRoutes) -> None:
+        """Answer some paths without any upstream."""
+        self._root.fixed = fixed
+
     def begin_stop(self) -> None:
         """Tell the balancer to send no more requests here.
 
@@ -119,46 +132,19 @@
             "backlog_limit_bytes": self._limits.max_answer_buffer_bytes,
         }
 
-    def _fixed_routes(self) -> klein.Klein:
-        app = klein.Klein()
-        app.route("/healthz", methods=["GET"])(self._health)
-        app.route("/v1/models", methods=["GET"])(self._models)
-        app.handle_errors(exceptions.MethodNotAllowed)(_wrong_method)
-        return app
-
     def _configure(
         self, event: publishing_messages.ConfigurationChanged, _: typing.Any
     ) -> None:
         self._directory = directories.Directory(bundle=event.bundle)
         self._configured = True
 
-    def _health(self, request: http.Request) -> bytes:
-        request.setHeader("Content-Type", "text/plain")
-        if not self._healthy:
-            request.setResponseCode(503)
-            return b"stopping\n"
-        return b"ok\n"
-
-    def _models(self, request: http.Request) -> bytes:
-        account = self._directory.account(requests.bearer_key(request))
-        if account is None:
-            return self._reject(
-                request, dialects.Rejected(code="unauthorized")
-            )
-        request.setHeader("Content-Type", "application/json")
-        data = [
-            {"id": name, "object": "model"}
-            for name in self._directory.models(account)
-        ]
-        return msgspec.json.encode({"object": "list", "data": data})
-
     def _take(self, request: http.Request) -> bytes | None:
         """Take a request; the bytes of an error if it is refused here."""
         if not self._healthy:
             request.setHeader("Connection", "close")
             request.channel.persistent = False
         if not self._accepting:
-            return self._reject(request, dialects.Rejected(code="stopping"))
+            return self.reject(request, dialects.Rejected(code="stopping"))
         request_id = f"{self._prefix}-{next(self._numbers)}"
         body = request.content.read()
         taken = self._dialect.parse(
@@ -169,7 +155,7 @@
             now=self._clock.now(),
         )
         if isinstance(taken, dialects.Rejected):
-            return self._reject(request, taken)
+            return self.reject(request, taken)
         arrived = taken.arrived
         self._metrics.count(
             "requests", account=arrived.account, service=arrived.service
@@ -228,11 +214,16 @@
             )
         return answer
 
-    def _reject(
+    def reject(
         self, request: http.Request, rejected: dialects.Rejected
     ) -> bytes:
+        """Return the error of a request that is not taken."""
         self._metrics.count("requests_refused", code=rejected.code)
-        refused = self._dialect.refuse(rejected.code, detail=rejected.detail)
+        refused = self._dialect.refuse(
+            rejected.code,
+            detail=rejected.detail,
+            retry_after=refusals.return_after(rejected.code, self._rng),
+        )
         request.setResponseCode(refused.status)
         for name, value in refused.fields:
             request.setHeader(name, value)
@@ -309,36 +300,20 @@
 
 
 class _Root(resources.Resource):
-    """Gives the fixed paths to klein and all others to the edge itself.
-
-    Klein would match every chat against its map and redirect paths that it
-    finds untidy.
-    """
+    """Gives the fixed paths away and all others to the edge itself."""
 
     isLeaf = True  # noqa: N815
-    _FIXED = (b"/healthz", b"/v1/models")
 
     def __init__(
-        self,
-        *,
-        fixed: klein.Klein | None,
-        take: typing.Callable[[http.Request], bytes | None],
+        self, *, take: typing.Callable[[http.Request], bytes | None]
     ) -> None:
         super().__init__()
-        self._fixed = fixed.resource() if fixed is not None else None
+        self.fixed: FixedRoutes | None = None
         self._take = take
 
     def render(self, request: http.Request) -> bytes | int:
         """Answer a request, now or when its answer comes."""
-        if self._fixed is not None and request.path in self._FIXED:
-            return self._fixed.render(request)
+        if self.fixed is not None and request.path in self.fixed.paths:
+            return self.fixed.render(request)
         body = self._take(request)
         return server.NOT_DONE_YET if body is None else body
-
-
-def _wrong_method(request: http.Request, _: failures.Failure) -> bytes:
-    """Answer a fixed path asked with a method that it has not."""
-    request.setResponseCode(errors.status("method_not_allowed"))
-    request.setHeader("Content-Type", errors.CONTENT_TYPE)
-    request.setHeader("Allow", "GET")
-    return errors.body("method_not_allowed")
--- a/fulmarbarrow/observe/metrics.py
+++ b/fulmarbarrow/observe/metrics.py
@@ -6,8 +6,9 @@
 import typing
 
 import hdrh.histogram
-import prometheus_client
-import prometheus_client.core
+
+if typing.TYPE_CHECKING:
+    import prometheus_client.core
 
 LOWEST_MICROSECONDS = 10
 HIGHEST_MICROSECONDS = 600_000_000
@@ -111,6 +112,9 @@
 
     def exposition(self) -> bytes:
         """Return everything in the common text exposition form."""
+        # Only who reads the metrics waits for its import.
+        import prometheus_client
+
         registry = prometheus_client.CollectorRegistry()
         registry.register(self)
         return prometheus_client.generate_latest(registry)
@@ -125,11 +129,13 @@
     def _counter_families(
         self,
     ) -> typing.Iterator[prometheus_client.core.Metric]:
+        from prometheus_client import core
+
         families: dict[str, prometheus_client.core.CounterMetricFamily] = {}
         for (name, labels), value in sorted(self._counters.items()):
             family = families.get(name)
             if family is None:
-                family = prometheus_client.core.CounterMetricFamily(
+                family = core.CounterMetricFamily(
                     f"fulmarbarrow_{name}", name.replace("_", " ")
                 )
                 families[name] = family
@@ -143,6 +149,8 @@
     def _summary_families(
         self,
     ) -> typing.Iterator[prometheus_client.core.Metric]:
+        from prometheus_client import core
+
         families: dict[str, prometheus_client.core.Metric] = {}
         for (name, labels), histogram in sorted(
             self._histograms.items(), key=lambda item: item[0]
@@ -150,9 +158,7 @@
             full = f"fulmarbarrow_{name}_seconds"
             family = families.setdefault(
                 name,
-                prometheus_client.core.Metric(
-                    full, name.replace("_", " "), "summary"
-                ),
+                core.Metric(full, name.replace("_", " "), "summary"),
             )
             own = {**self._common, **dict(labels)}
             for percentile in PERCENTILES:
--- a/fulmarbarrow/placement/bounds.py
+++ b/fulmarbarrow/placement/bounds.py
@@ -4,9 +4,13 @@
 
 import dataclasses
 import datetime
+import math
 
+from fulmarbarrow.config import bundle as bundles
 from fulmarbarrow.membership import messages as membership_messages
 
+COLD_PART = 0.85  # of a rate, as requests bunch on their way
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Bounds:
@@ -21,7 +25,8 @@
     cache of its home may use ``uncached_part`` of these bounds there, and
     ``stranger_part`` elsewhere, so that it makes way for chats that are.
     A fresh upstream starts at ``ramp_start`` and reaches a full batch after
-    ``ramp``.
+    ``ramp``. A cold one bears ``cold_overshoot`` times the rate that it
+    states, and ``cold_slack`` requests a second more.
     """
 
     mean_factor: float = 1.25
@@ -34,6 +39,26 @@
     placed_window: datetime.timedelta = datetime.timedelta(seconds=10)
     ramp_start: float = 0.1
     ramp: datetime.timedelta = datetime.timedelta(seconds=30)
+    cold_overshoot: float = 1.0
+    cold_slack: float = 0.0
+
+    def starts(
+        self,
+        upstream: membership_messages.Upstream,
+        pool: bundles.Pool,
+        now: datetime.datetime,
+    ) -> float:
+        """Return how many requests a second may start at an upstream.
+
+        One that is known to be cold gets what it states. Any other may turn
+        cold before it says so, and stays just below what a cold one bears.
+        """
+        if not pool.cold_rate:
+            return math.inf
+        if upstream.cold_until is not None and now < upstream.cold_until:
+            return pool.cold_rate * COLD_PART
+        bearable = pool.cold_rate * self.cold_overshoot + self.cold_slack
+        return max(pool.cold_rate, bearable * COLD_PART)
 
     def ramp_share(self, age: datetime.timedelta) -> float:
         """Return the part of its limit that an upstream of ``age`` gets."""
--- a/fulmarbarrow/placement/capacity.py
+++ b/fulmarbarrow/placement/capacity.py
@@ -86,6 +86,10 @@
         carried = ledger.work(now)
         if room.ramping and ledger.handing_over(now):
             return False
+        pool = self._directory.pool_of(ledger.upstream.upstream_id)
+        starts = self._bounds.starts(ledger.upstream, pool, now)
+        if ledger.starts(now) + 1 > starts:
+            return False
         if not carried:
             # One attempt is always allowed, or a small engine never starts.
             return True
--- a/fulmarbarrow/placement/core.py
+++ b/fulmarbarrow/placement/core.py
@@ -14,6 +14,7 @@
 from fulmarbarrow.placement import bounds as bounds_module
 from fulmarbarrow.placement import directory as directories
 from fulmarbarrow.placement import entry as entries
+from fulmarbarrow.placement import health as healths
 from fulmarbarrow.placement import holdings as holdings_module
 from fulmarbarrow.placement import means as means_module
 from fulmarbarrow.placement import messages
@@ -88,12 +89,14 @@
             bounds=bounds,
             metrics=metrics,
         )
+        self._health = healths.Health()
         self._entry = entries.EntryCore(
             address=daemon.address,
             zone=daemon.zone,
             directory=self._directory,
             holdings=self._holdings,
             sliver=self._sliver,
+            health=self._health,
             metrics=metrics,
             rng=rng,
             home_wait=home_wait,
@@ -130,6 +133,7 @@
             "owned": self._owner.dump(),
             "walks": self._entry.dump(),
             "held": len(self._holdings),
+            "left_out": self._health.dump(),
             "pool_loads": self._means.dump(),
         }
 
@@ -219,6 +223,7 @@
         if not self._directory.forget(event.upstream_id, event.incarnation):
             return []
         self._sliver.forget(event.upstream_id)
+        self._health.forget(event.upstream_id)
         return self._owner.drop(event.upstream_id, "not_serving")
 
     def _owner_changed(
@@ -319,6 +324,7 @@
     ) -> list[message.Message]:
         if not self._holdings.end(event):
             return []
+        self._health.ended(event, now)
         owner = self._directory.owners.get(event.upstream_id)
         if owner is None or owner.address != self._address:
             return []
@@ -339,6 +345,8 @@
         ]
         if self._summary_due is None or self._summary_due <= now:
             self._summary_due = now + SUMMARY_INTERVAL
+            for pool in self._directory.pools():
+                self._health.compare(pool, now)
             effects.extend(self._summarise(now))
             effects.extend(self._holdings.renewals(self._directory, now))
         return effects
--- a/fulmarbarrow/placement/directory.py
+++ b/fulmarbarrow/placement/directory.py
@@ -76,8 +76,9 @@
         return changed
 
     def pool_of(self, upstream_id: str) -> bundles.Pool:
-        """Return the configured pool of a known upstream."""
-        return self._sizing.pool(self._upstreams[upstream_id])
+        """Return the configured pool of an upstream."""
+        upstream = self._upstreams.get(upstream_id)
+        return self._sizing.pool(upstream) if upstream else bundles.Pool()
 
     def learn(self, upstream: membership_messages.Upstream) -> bool:
         """Take an upstream's record; return whether it is a fresh one."""
@@ -151,6 +152,15 @@
             self._pools[key] = ring
         return ring
 
+    def pools(self) -> list[list[str]]:
+        """Return the members of each service's and model's upstreams."""
+        found: dict[tuple[str, str], list[str]] = {}
+        for upstream in self._upstreams.values():
+            for offer in upstream.offers:
+                pool = found.setdefault((offer.service, offer.model), [])
+                pool.append(upstream.upstream_id)
+        return list(found.values())
+
     def version(self, request: messages.PlaceRequest) -> str:
         """Return the version that a chat gets; empty if none is chosen.
 
--- a/fulmarbarrow/placement/entry.py
+++ b/fulmarbarrow/placement/entry.py
@@ -14,6 +14,7 @@
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics as metrics_module
 from fulmarbarrow.placement import directory as directories
+from fulmarbarrow.placement import health as healths
 from fulmarbarrow.placement import holdings as holdings_module
 from fulmarbarrow.placement import messages
 from fulmarbarrow.placement import prefixes
@@ -71,6 +72,7 @@
         directory: directories.Directory,
         holdings: holdings_module.Holdings,
         sliver: slivers.SliverRules,
+        health: healths.Health,
         metrics: metrics_module.Metrics,
         rng: random.Random,
         home_wait: datetime.timedelta = HOME_WAIT,
@@ -80,6 +82,7 @@
         self._directory = directory
         self._holdings = holdings
         self._sliver = sliver
+        self._health = health
         self._metrics = metrics
         self._rng = rng
         self._home_wait = home_wait
@@ -96,7 +99,7 @@
     ) -> list[message.Message]:
         """Start to look for an upstream."""
         request = self._keyed(request, now)
-        candidates = self._candidates(request)
+        candidates = self._candidates(request, now)
         if not candidates:
             return [self._refuse(request, "no_upstream")]
         walk = Walk(
@@ -181,17 +184,25 @@
             for attempt_id, walk in self._walks.items()
         }
 
-    def _candidates(self, request: messages.PlaceRequest) -> list[str]:
+    def _candidates(
+        self, request: messages.PlaceRequest, now: datetime.datetime
+    ) -> list[str]:
+        """Return the upstreams to ask, the best first."""
         if request.model:
-            return self._directory.candidates(request)
-        return self._plain_candidates(request)
+            found = self._directory.candidates(request)
+        else:
+            found = self._plain_candidates(request, now)
+        return self._health.fit(found, now, once=request.once)
 
-    def _plain_candidates(self, request: messages.PlaceRequest) -> list[str]:
+    def _plain_candidates(
+        self, request: messages.PlaceRequest, now: datetime.datetime
+    ) -> list[str]:
         """Return the zone's own upstreams first, by least work of two."""
         ring = self._directory.pool(request.service, "")
         members = [
             item for item in ring.members if item not in request.excluded
         ]
+        members = self._health.fit(members, now, once=request.once)
         self._rng.shuffle(members)
         upstreams = self._directory.upstreams
         local = [i for i in members if upstreams[i].zone == self._zone]
@@ -294,7 +305,7 @@
         self, walk: Walk, now: datetime.datetime
     ) -> list[message.Message]:
         if walk.stage is Stage.PAUSED:
-            walk.candidates = self._candidates(walk.request)
+            walk.candidates = self._candidates(walk.request, now)
             if not walk.candidates:
                 return [self._give_up(walk, "no_upstream")]
             walk.stage = Stage.TRYING
@@ -345,6 +356,7 @@
             walk.request.cost,
             now,
             self._directory.zone_weight(upstream.zone),
+            self._directory.pool_of(upstream.upstream_id),
         )
 
     def _ask(
--- /dev/null
+++ b/fulmarbarrow/placement/health.py
@@ -0,0 +1,182 @@
+"""Leaves out upstreams by what became of this router's attempts there.
+
+Load patterns: an upstream crashed, went silent or had its address given to
+another one (left within one or two attempts, tried again ever more rarely);
+one of a pool fails part of its requests or takes many times as long while
+its own health check is good (left while the others do better); all of a pool
+fail alike (none is left out, as nobody else would do better).
+"""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import datetime
+import statistics
+
+from fulmarbarrow.placement import messages
+
+FIRST_PAUSE = datetime.timedelta(milliseconds=300)
+LONGEST_PAUSE = datetime.timedelta(seconds=8)
+REFUSED_PAUSE = datetime.timedelta(milliseconds=100)
+WORSE_PAUSE = datetime.timedelta(seconds=2)
+# For so long after a failure an upstream gets nothing that must run once.
+SUSPECT = datetime.timedelta(seconds=2)
+SMOOTHING = 0.2
+LEAST_SAMPLES = 5
+ERROR_PART = 0.3  # of the attempts; below it nothing is left out for errors
+WORSE_FACTOR = 2.5  # of the pool's median part of errors
+SLOW_FACTOR = 4.0  # of the pool's median time to the first byte
+LEAST_SLOW = datetime.timedelta(milliseconds=250)
+MAX_UPSTREAMS = 20_000
+
+_HARD = frozenset(
+    (
+        messages.WorkOutcome.UNREACHABLE,
+        messages.WorkOutcome.CRASHED,
+        messages.WorkOutcome.SILENT,
+    )
+)
+_JUDGED = frozenset(
+    (messages.WorkOutcome.COMPLETED, messages.WorkOutcome.FAILED)
+)
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Record:
+    """What one incarnation of an upstream has done."""
+
+    incarnation: int
+    hard: int = 0
+    refused: int = 0
+    failed_at: datetime.datetime | None = None
+    out_until: datetime.datetime | None = None
+    misdirected: bool = False
+    samples: int = 0
+    errors: float = 0.0
+    first_ms: float = 0.0
+
+
+class Health:
+    """Outcomes in, whether an upstream should get work out."""
+
+    def __init__(self) -> None:
+        self._records: dict[str, _Record] = {}
+
+    def ended(self, event: messages.WorkEnded, now: datetime.datetime) -> None:
+        """Learn from the end of an attempt."""
+        record = self._record(event)
+        outcome = event.outcome
+        if outcome is messages.WorkOutcome.MISDIRECTED:
+            # Somebody else has the address; only a new record helps.
+            record.misdirected = True
+        elif outcome in _HARD:
+            record.hard += 1
+            record.failed_at = now
+            pause = FIRST_PAUSE * 2 ** min(record.hard - 1, 8)
+            record.out_until = now + min(pause, LONGEST_PAUSE)
+        elif outcome is messages.WorkOutcome.REFUSED:
+            record.refused += 1
+            pause = REFUSED_PAUSE * min(record.refused, 10)
+            record.out_until = now + pause
+        elif outcome in _JUDGED:
+            self._judge(record, event)
+
+    def forget(self, upstream_id: str) -> None:
+        """Drop what is known of an upstream."""
+        self._records.pop(upstream_id, None)
+
+    def fit(
+        self,
+        upstream_ids: collections.abc.Sequence[str],
+        now: datetime.datetime,
+        *,
+        once: bool,
+    ) -> list[str]:
+        """Return those that should get work, or all if none should.
+
+        The order stays. Work that must run ``once`` avoids upstreams that
+        have just failed.
+        """
+        fit = [
+            item for item in upstream_ids if self._fits(item, now, once=once)
+        ]
+        if not fit and once:
+            return self.fit(upstream_ids, now, once=False)
+        usable = [item for item in upstream_ids if not self._gone(item)]
+        return fit or usable
+
+    def compare(
+        self,
+        pool: collections.abc.Iterable[str],
+        now: datetime.datetime,
+    ) -> None:
+        """Leave out for a while those that do far worse than their pool."""
+        records = [
+            record
+            for item in pool
+            if (record := self._records.get(item)) is not None
+            and record.samples >= LEAST_SAMPLES
+        ]
+        if len(records) < 2:
+            return
+        errors = statistics.median_low(item.errors for item in records)
+        first = statistics.median_low(item.first_ms for item in records)
+        least = LEAST_SLOW.total_seconds() * 1000
+        for record in records:
+            worse = record.errors > max(ERROR_PART, WORSE_FACTOR * errors)
+            slow = record.first_ms > max(least, SLOW_FACTOR * first)
+            if worse or slow:
+                record.out_until = now + WORSE_PAUSE
+                record.failed_at = now
+                record.samples = 0
+                record.errors = record.first_ms = 0.0
+
+    def dump(self) -> dict[str, str]:
+        """Return the upstreams that are left out, and until when."""
+        return {
+            upstream_id: (
+                "misdirected" if record.misdirected else str(record.out_until)
+            )
+            for upstream_id, record in self._records.items()
+            if record.misdirected or record.out_until is not None
+        }
+
+    def _fits(
+        self, upstream_id: str, now: datetime.datetime, *, once: bool
+    ) -> bool:
+        record = self._records.get(upstream_id)
+        if record is None:
+            return True
+        if record.misdirected:
+            return False
+        if record.out_until is not None and now < record.out_until:
+            return False
+        suspect = record.hard and record.failed_at is not None
+        return not (once and suspect and now - record.failed_at < SUSPECT)
+
+    def _gone(self, upstream_id: str) -> bool:
+        record = self._records.get(upstream_id)
+        return record is not None and record.misdirected
+
+    def _record(self, event: messages.WorkEnded) -> _Record:
+        record = self._records.get(event.upstream_id)
+        if record is None or record.incarnation < event.incarnation:
+            if len(self._records) >= MAX_UPSTREAMS:
+                del self._records[next(iter(self._records))]
+            record = _Record(incarnation=event.incarnation)
+            self._records[event.upstream_id] = record
+        return record
+
+    @staticmethod
+    def _judge(record: _Record, event: messages.WorkEnded) -> None:
+        record.refused = 0
+        failed = event.outcome is messages.WorkOutcome.FAILED
+        if not failed:
+            record.hard = 0
+        record.samples += 1
+        gain = max(SMOOTHING, 1 / record.samples)
+        record.errors += gain * (float(failed) - record.errors)
+        if event.first_token is not None:
+            first = event.first_token.total_seconds() * 1000
+            record.first_ms += gain * (first - record.first_ms)
--- a/fulmarbarrow/placement/ledger.py
+++ b/fulmarbarrow/placement/ledger.py
@@ -13,6 +13,7 @@
 from fulmarbarrow.placement import recent
 
 LEASE = datetime.timedelta(seconds=30)
+SECOND = datetime.timedelta(seconds=1)
 MAX_RELEASED = 512  # attempts whose release came before their reservation
 SETTLE = datetime.timedelta(seconds=14)  # all reservations are renewed
 HANDOVER = datetime.timedelta(seconds=2)  # entry hosts renew by then
@@ -86,6 +87,9 @@
             collections.deque()
         )
         self._placed = 0
+        self._starts: collections.deque[datetime.datetime] = (
+            collections.deque()
+        )
         self._sum = 0
         self._by_right = 0
         self._long = 0
@@ -134,6 +138,12 @@
             self._placed -= cost
         return self._placed
 
+    def starts(self, now: datetime.datetime) -> int:
+        """Return how many attempts were placed within the last second."""
+        while self._starts and now - self._starts[0] >= SECOND:
+            self._starts.popleft()
+        return len(self._starts)
+
     def by_right(self, account: str) -> int:
         """Return the work that an account holds by its reserved share."""
         if not self._by_right:
@@ -164,6 +174,7 @@
         known = self._reservations.get(item.attempt_id)
         if known is None:
             self._placements.append((placed_at, item.cost))
+            self._starts.append(placed_at)
             self._placed += item.cost
         else:
             self._count(known, -1)
--- a/fulmarbarrow/placement/messages.py
+++ b/fulmarbarrow/placement/messages.py
@@ -39,7 +39,8 @@
 
     ``cost`` is in tokens. ``excluded`` upstreams have failed this request.
     ``worth`` is the route's worth to the user, used when capacity is short.
-    ``parts`` are the shared parts of the prompt by id and tokens.
+    ``parts`` are the shared parts of the prompt by id and tokens. What is to
+    run ``once`` must not run a second time.
     """
 
     request_id: str
@@ -56,6 +57,7 @@
     best_effort: bool = False
     parts: tuple[tuple[str, int], ...] = ()
     objective: datetime.timedelta | None = None
+    once: bool = False
 
 
 class Placed(message.Message, frozen=True, kw_only=True):
--- a/fulmarbarrow/placement/sliver.py
+++ b/fulmarbarrow/placement/sliver.py
@@ -6,11 +6,13 @@
 import dataclasses
 import datetime
 
+from fulmarbarrow.config import bundle as bundles
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow.placement import bounds as bounds_module
 from fulmarbarrow.placement import rendezvous
 
 PART = 0.125  # of a full batch, the least that a router is given
+SECOND = datetime.timedelta(seconds=1)
 REPORT_AGE = datetime.timedelta(seconds=3)
 
 
@@ -100,12 +102,20 @@
         cost: int,
         now: datetime.datetime,
         zone_weight: float = 1.0,
+        pool: bundles.Pool = bundles.Pool(),  # noqa: B008
     ) -> bool:
         """Return whether this router may add work to its ``own``."""
         share = self._bounds.ramp_share(now - upstream.started_at)
         share *= min(1.0, zone_weight)
         if now - upstream.started_at < OWNER_GRACE:
             return False
+        starts = self._bounds.starts(upstream, pool, now)
+        if self._starts(upstream.upstream_id, now) + 1 > (
+            starts / len(self._routers)
+        ):
+            return False
+        if upstream.slots:
+            return own + cost <= max(cost, self._slot_part(upstream, share))
         limit = share * self._bounds.floor * upstream.batch_tokens
         known = self._known.get(upstream.upstream_id)
         if known is None or not known.fresh(now):
@@ -115,6 +125,24 @@
         unseen = OTHERS_FACTOR * known.placed_since()
         return known.work + unseen + cost <= limit
 
+    def _slot_part(
+        self, upstream: membership_messages.Upstream, share: float
+    ) -> float:
+        """Return this router's even part of all slots, at least one.
+
+        An upstream that states its slots reports no work to go by; what is
+        above them it queues or refuses unrun.
+        """
+        even = share * upstream.batch_tokens / len(self._routers)
+        return max(even, upstream.batch_tokens / upstream.slots)
+
+    def _starts(self, upstream_id: str, now: datetime.datetime) -> int:
+        """Return how many attempts this router placed in the last second."""
+        known = self._known.get(upstream_id)
+        if known is None:
+            return 0
+        return sum(1 for at, _ in known.placed if now - at < SECOND)
+
     def part(
         self, upstream: membership_messages.Upstream, limit: float
     ) -> float:
--- a/fulmarbarrow/platform/interface.py
+++ b/fulmarbarrow/platform/interface.py
@@ -2,23 +2,14 @@
 
 from __future__ import annotations
 
-import typing
-
-import klein
-from twisted.python import failure as failures
 from twisted.web import http
-from werkzeug import exceptions
+from twisted.web import resource as resources
 
 from fulmarbarrow.config import defaults
 from fulmarbarrow.daemon import interfaces
 from fulmarbarrow.daemon import listeners
-from fulmarbarrow.edge import callers
-from fulmarbarrow.edge import client
 from fulmarbarrow.edge import site as sites
-from fulmarbarrow.platform import clients
-from fulmarbarrow.platform import operators
-from fulmarbarrow.platform import registrations
-from fulmarbarrow.platform import workers
+from fulmarbarrow.platform import calls
 
 MAX_DOCUMENT_BYTES = 16 << 20
 
@@ -28,51 +19,65 @@
 
     def __init__(self, *, parts: interfaces.Parts) -> None:
         self._parts = parts
-        self.callers: callers.CallersEdge | None = None
-        roles = parts.settings.daemon.roles
-        if defaults.Role.ROUTER in roles:
-            self.callers = callers.CallersEdge(
-                daemon_id=parts.record.daemon_id,
-                incarnation=parts.record.incarnation,
-                bus=parts.bus,
-                clock=parts.clock,
-                metrics=parts.metrics,
-                exchanges=parts.exchanges,
-                limits=parts.settings.limits,
-                dialect=clients.Clients(),
-                fixed_routes=False,
-            )
-            self._client = client.UpstreamClient(
-                reactor=parts.reactor,
-                bus=parts.bus,
-                clock=parts.clock,
-                exchanges=parts.exchanges,
-                dialect=workers.Workers(),
-                connect_timeout=parts.settings.timeouts.connect,
-            )
+        self.callers = None
+        if defaults.Role.ROUTER in parts.settings.daemon.roles:
+            self._add_router()
 
     def listen(self, made: listeners.Listeners) -> None:
         """Add the ports of the daemon's roles."""
         listen = self._parts.settings.listen
         if self.callers is not None:
             made.add("callers", listen.callers, self.callers.site)
-            ready = klein.Klein()
-            ready.route("/v1/ready", methods=["GET"])(self._ready)
-            made.add("ready", listen.ready, self._site(ready))
+            ready = calls.CallResource(calls={b"GET": self._ready})
+            root = _below_v1(b"ready", ready)
+            made.add("ready", listen.ready, self._site(root))
         if defaults.Role.CONTROL in self._parts.settings.daemon.roles:
             made.add("operators", listen.operators, self._control_site())
 
+    def _add_router(self) -> None:
+        # Only routers import what speaks to clients and workers.
+        from fulmarbarrow.edge import callers
+        from fulmarbarrow.edge import client
+        from fulmarbarrow.platform import clients
+        from fulmarbarrow.platform import workers
+
+        parts = self._parts
+        self.callers = callers.CallersEdge(
+            daemon_id=parts.record.daemon_id,
+            incarnation=parts.record.incarnation,
+            bus=parts.bus,
+            clock=parts.clock,
+            metrics=parts.metrics,
+            exchanges=parts.exchanges,
+            limits=parts.settings.limits,
+            dialect=clients.Clients(),
+        )
+        self._client = client.UpstreamClient(
+            reactor=parts.reactor,
+            bus=parts.bus,
+            clock=parts.clock,
+            exchanges=parts.exchanges,
+            dialect=workers.Workers(),
+            connect_timeout=parts.settings.timeouts.connect,
+        )
+
     def _control_site(self) -> sites.BoundedSite:
-        app = klein.Klein()
-        app.handle_errors(exceptions.HTTPException)(_routing_error)
+        from fulmarbarrow.platform import operators
+        from fulmarbarrow.platform import registrations
+
         parts = self._parts
-        operators.Operators(app=app, bus=parts.bus)
-        registrations.Registrations(app=app, bus=parts.bus, clock=parts.clock)
-        return self._site(app)
+        version = resources.Resource()
+        operators.Operators(root=version, bus=parts.bus)
+        registrations.Registrations(
+            root=version, bus=parts.bus, clock=parts.clock
+        )
+        root = resources.Resource()
+        root.putChild(b"v1", version)
+        return self._site(root)
 
-    def _site(self, app: klein.Klein) -> sites.BoundedSite:
+    def _site(self, root: resources.Resource) -> sites.BoundedSite:
         return sites.BoundedSite(
-            resource=app.resource(),
+            resource=root,
             max_body_bytes=MAX_DOCUMENT_BYTES,
             metrics=self._parts.metrics,
         )
@@ -81,11 +86,13 @@
         """Tell the balancer whether to send connections here."""
         if not self.callers.healthy or not self.callers.configured:
             request.setResponseCode(http.SERVICE_UNAVAILABLE)
-            return b"not ready\n"
-        return b"ready\n"
+            return b"{}"
+        return b"{}"
 
 
-def _routing_error(request: http.Request, failure: failures.Failure) -> bytes:
-    error: typing.Any = failure.value
-    request.setResponseCode(error.code)
-    return b"{}"
+def _below_v1(name: bytes, leaf: resources.Resource) -> resources.Resource:
+    version = resources.Resource()
+    version.putChild(name, leaf)
+    root = resources.Resource()
+    root.putChild(b"v1", version)
+    return root
--- a/fulmarbarrow/platform/operators.py
+++ b/fulmarbarrow/platform/operators.py
@@ -6,13 +6,14 @@
 import logging
 import uuid
 
-import klein
 import msgspec
 from twisted.internet import defer
 from twisted.web import http
+from twisted.web import resource as resources
 
 from fulmarbarrow import bus as buses
 from fulmarbarrow.config import bundle as bundles
+from fulmarbarrow.platform import calls
 from fulmarbarrow.platform import documents
 from fulmarbarrow.publishing import amendments
 from fulmarbarrow.publishing import messages
@@ -26,15 +27,22 @@
 class Operators:
     """Takes configurations and evacuations, and reads configurations."""
 
-    def __init__(self, *, app: klein.Klein, bus: buses.Bus) -> None:
+    def __init__(self, *, root: resources.Resource, bus: buses.Bus) -> None:
         self._bus = bus
         self._amending: dict[str, tuple[http.Request, Answer]] = {}
         self._reading: dict[str, tuple[http.Request, Answer]] = {}
-        app.route("/v1/config", methods=["PUT"])(self._configure)
-        app.route("/v1/config", methods=["GET"])(self._read)
-        zone = "/v1/evacuations/<string:zone>"
-        app.route(zone, methods=["POST"])(self._evacuate)
-        app.route(zone, methods=["DELETE"])(self._return)
+        root.putChild(
+            b"config",
+            calls.CallResource(
+                calls={b"PUT": self._configure, b"GET": self._read}
+            ),
+        )
+        root.putChild(
+            b"evacuations",
+            calls.NamedResource(
+                calls={b"POST": self._evacuate, b"DELETE": self._return}
+            ),
+        )
         bus.subscribe(messages.AmendResult, self._amended)
         bus.subscribe(messages.DocumentGiven, self._given)
 
@@ -81,7 +89,6 @@
         if waiting is None:
             return
         request, done = waiting
-        request.setHeader("Content-Type", "application/json")
         if event.code:
             request.setResponseCode(http.SERVICE_UNAVAILABLE)
         done.callback(b"{}")
@@ -100,7 +107,6 @@
         if waiting is None:
             return
         request, done = waiting
-        request.setHeader("Content-Type", "application/json")
         if event.code or not event.document:
             request.setResponseCode(http.SERVICE_UNAVAILABLE)
         done.callback(event.document or b"{}")
@@ -110,5 +116,4 @@
     """Refuse a document and tell everything that is wrong with it."""
     log.warning("configuration refused", extra={"findings": findings[:20]})
     request.setResponseCode(http.BAD_REQUEST)
-    request.setHeader("Content-Type", "application/json")
     return msgspec.json.encode({"findings": findings})
--- a/fulmarbarrow/platform/registrations.py
+++ b/fulmarbarrow/platform/registrations.py
@@ -6,13 +6,14 @@
 import logging
 import typing
 
-import klein
 import msgspec
 from twisted.web import http
+from twisted.web import resource as resources
 
 from fulmarbarrow import bus as buses
 from fulmarbarrow import clock as clocks
 from fulmarbarrow.membership import messages
+from fulmarbarrow.platform import calls
 
 log = logging.getLogger(__name__)
 
@@ -93,15 +94,22 @@
     """Takes workers' heartbeats and departures."""
 
     def __init__(
-        self, *, app: klein.Klein, bus: buses.Bus, clock: clocks.Clock
+        self,
+        *,
+        root: resources.Resource,
+        bus: buses.Bus,
+        clock: clocks.Clock,
     ) -> None:
         self._bus = bus
         self._clock = clock
         self._accepted = False
         self._refused = ""
-        path = "/v1/instances/<string:upstream_id>"
-        app.route(path, methods=["PUT"])(self._heartbeat)
-        app.route(path, methods=["DELETE"])(self._leave)
+        root.putChild(
+            b"instances",
+            calls.NamedResource(
+                calls={b"PUT": self._heartbeat, b"DELETE": self._leave}
+            ),
+        )
         bus.subscribe(messages.AnnounceAccepted, self._take_acceptance)
         bus.subscribe(messages.AnnounceRefused, self._take_refusal)
 
@@ -128,7 +136,6 @@
     ) -> bytes:
         self._accepted, self._refused = False, ""
         self._bus.post(event)
-        request.setHeader("Content-Type", "application/json")
         if not self._accepted and self._refused not in LATE_CODES:
             # The worker asks another daemon.
             request.setResponseCode(http.SERVICE_UNAVAILABLE)
