--- a/benchmarks/fleet_policies.py
+++ b/benchmarks/fleet_policies.py
@@ -8,13 +8,13 @@
 import typing
 
 from benchmarks import fleet_model
+from fulmarbarrow.config import defaults
 from fulmarbarrow.limits import policy as limits_policy
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics as metrics_module
 from fulmarbarrow.placement import bounds as bounds_module
 from fulmarbarrow.placement import core as placement_core
-from fulmarbarrow.placement import entry as entries
 from fulmarbarrow.placement import messages
 from fulmarbarrow.placement import rendezvous
 
@@ -27,7 +27,7 @@
     *,
     policy: limits_policy.Policy | None = None,
     bounds: bounds_module.Bounds | None = None,
-    home_wait: datetime.timedelta = entries.HOME_WAIT,
+    home_wait: datetime.timedelta = defaults.PlacementSection.home_wait,
     metrics: metrics_module.Metrics | None = None,
 ) -> MakeRouter:
     """Return a maker of the real placement core."""
@@ -41,7 +41,7 @@
             metrics=metrics or metrics_module.Metrics(),
             rng=random.Random(daemon.daemon_id),
             bounds=bounds,
-            home_wait=home_wait,
+            timing=defaults.PlacementSection(home_wait=home_wait),
         )
 
     return make
--- a/benchmarks/zones.py
+++ b/benchmarks/zones.py
@@ -14,6 +14,7 @@
 from benchmarks import fleet_workload
 from benchmarks import measure as measures
 from fulmarbarrow.config import bundle as bundles
+from fulmarbarrow.config import defaults
 from fulmarbarrow.limits import messages as limits_messages
 from fulmarbarrow.limits import policy as limits_policy
 from fulmarbarrow.membership import messages as membership_messages
@@ -24,15 +25,15 @@
 from fulmarbarrow.publishing import messages as publishing_messages
 from fulmarbarrow.zones import core as zones_core
 from fulmarbarrow.zones import messages
-from fulmarbarrow.zones import state
 from fulmarbarrow.zones import summaries
 
 COMMAND = "python -m benchmarks zones"
 SEEDS = (1, 2, 3, 4)
+ZONES = defaults.ZonesSection()
 OUT = "zone-1"
 OUT_AT = 60.0
 BACK_AT = 100.0
-WHOLE_AT = BACK_AT + (state.WARM_UP + state.RAMP).total_seconds()
+WHOLE_AT = BACK_AT + (ZONES.warm_up + ZONES.ramp).total_seconds()
 END = 160.0
 PUSH_SPREAD = 1.5  # seconds in which the routers get a revision
 TICKS = 5  # placement ticks to one of the daemon's
@@ -222,7 +223,7 @@
     shape = result.fleet.shape
     zone = shape.engine.batch_tokens * shape.engines / shape.zones
     others = zone * (shape.zones - 1) * (WHOLE_AT - OUT_AT)
-    ramp = zone * state.RAMP.total_seconds() / 2
+    ramp = zone * ZONES.ramp.total_seconds() / 2
     return others + ramp
 
 
--- a/fulmarbarrow/config/defaults.py
+++ b/fulmarbarrow/config/defaults.py
@@ -125,15 +125,11 @@
 
     ``names_owner`` says that an upstream itself names the daemon that keeps
     its reservations; else the daemon that takes its announcement does.
-    ``cold_overshoot`` and ``cold_slack`` give the most requests a second of a
-    cold upstream beside what it states.
     """
 
     key: str = ""
     lease: datetime.timedelta = datetime.timedelta(seconds=3)
     names_owner: bool = True
-    cold_overshoot: float = 1.0
-    cold_slack: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -141,8 +137,11 @@
     """How much work an upstream may carry, in parts of its full batch.
 
     ``mean_factor`` is the multiple of the pool's mean load above which no
-    upstream gets more, but ``floor`` batches and ``least_requests`` small
-    requests are always allowed. ``ceiling`` bounds all work.
+    upstream gets more, but ``floor`` batches are always allowed, and
+    ``least_requests`` small requests above the mean. ``ceiling`` bounds all
+    work. Owners tell what they carry each ``summary_interval``. For
+    ``home_wait`` a chat waits for room where its cache is; to queue there
+    rather than elsewhere is worth ``cache_worth``.
     ``placed_factor`` is the multiple of the pool's mean above which the work
     of the last seconds may not rise; 0 sets no such bound. A chat that is
     not in the cache of its home may use ``uncached_part`` of the bounds
@@ -158,6 +157,22 @@
     uncached_part: float = 0.88
     stranger_part: float = 0.84
     ramp: datetime.timedelta = datetime.timedelta(seconds=30)
+    summary_interval: datetime.timedelta = datetime.timedelta(seconds=1)
+    home_wait: datetime.timedelta = datetime.timedelta(milliseconds=300)
+    cache_worth: datetime.timedelta = datetime.timedelta(milliseconds=400)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ZonesSection:
+    """How an availability zone comes back.
+
+    For ``warm_up`` it gets nothing, while the hottest chats' caches return
+    and its upstreams tell whether they are cold; then its work climbs within
+    ``ramp``.
+    """
+
+    warm_up: datetime.timedelta = datetime.timedelta(seconds=8)
+    ramp: datetime.timedelta = datetime.timedelta(seconds=30)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -181,12 +196,16 @@
     """How many attempts beyond the first a service may get.
 
     ``ratio`` is a part of the requests, ``slack`` the further attempts that
-    all routers together may make within ``window``.
+    all routers together may make within ``window``. With
+    ``isolate_suspects`` a request that may have crashed an upstream runs
+    apart from others like it; after ``crashes`` it is held back.
     """
 
     ratio: float = 0.07
     slack: float = 0.0
     window: datetime.timedelta = datetime.timedelta(seconds=10)
+    isolate_suspects: bool = True
+    crashes: int = 2
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -230,6 +249,7 @@
     upstreams: UpstreamsSection = UpstreamsSection()
     limits: LimitsSection = LimitsSection()
     placement: PlacementSection = PlacementSection()
+    zones: ZonesSection = ZonesSection()
     timeouts: TimeoutsSection = TimeoutsSection()
     retries: RetriesSection = RetriesSection()
     log: LogSection = LogSection()
--- a/fulmarbarrow/daemon/router_cores.py
+++ b/fulmarbarrow/daemon/router_cores.py
@@ -24,7 +24,13 @@
         versions_router.VersionsRouter(daemon=record, metrics=metrics),
     )
     made.add(
-        "zones", zones_core.ZonesCore(daemon=record, metrics=metrics, rng=rng)
+        "zones",
+        zones_core.ZonesCore(
+            daemon=record,
+            metrics=metrics,
+            rng=rng,
+            timing=made.settings.zones,
+        ),
     )
     policy = limits_policy.Policy()
     made.add("limits", limits_core.LimitsCore(metrics=metrics, policy=policy))
@@ -35,11 +41,8 @@
             policy=policy,
             metrics=metrics,
             rng=rng,
-            bounds=placement_bounds.Bounds(
-                **dataclasses.asdict(made.settings.placement),
-                cold_overshoot=made.settings.upstreams.cold_overshoot,
-                cold_slack=made.settings.upstreams.cold_slack,
-            ),
+            bounds=_bounds(made),
+            timing=made.settings.placement,
         ),
     )
     made.add(
@@ -57,6 +60,17 @@
     )
 
 
+def _bounds(made: joint.Joint) -> placement_bounds.Bounds:
+    placement = made.settings.placement
+    names = {field.name for field in dataclasses.fields(placement)}
+    shared = names & {
+        field.name for field in dataclasses.fields(placement_bounds.Bounds)
+    }
+    return placement_bounds.Bounds(
+        **{name: getattr(placement, name) for name in shared}
+    )
+
+
 def _timeouts(made: joint.Joint) -> delivery_policy.Timeouts:
     timeouts = made.settings.timeouts
     return delivery_policy.Timeouts(
--- a/fulmarbarrow/delivery/core.py
+++ b/fulmarbarrow/delivery/core.py
@@ -86,15 +86,19 @@
         self._book = books.Book()
         self._timers = timers.Timers()
         self._pools = upstreams.Pools()
+        retries = retries or defaults.RetriesSection()
         self._suspects = suspects_module.Suspects(
-            pools=self._pools, enabled=mechanisms.quarantine
+            pools=self._pools,
+            enabled=mechanisms.quarantine,
+            isolate=retries.isolate_suspects,
+            crashes=retries.crashes,
         )
         self._recovery = recoveries.Recovery(
             metrics=metrics,
             rng=rng,
             suspects=self._suspects,
             mechanisms=mechanisms,
-            retries=retries or defaults.RetriesSection(),
+            retries=retries,
         )
         self._answers = answers.Answers(
             metrics=metrics,
--- a/fulmarbarrow/delivery/effects.py
+++ b/fulmarbarrow/delivery/effects.py
@@ -46,6 +46,7 @@
         parts=arrived.parts,
         objective=arrived.objective,
         once=not arrived.idempotent,
+        rank=arrived.rank or 0,
     )
 
 
--- a/fulmarbarrow/delivery/poison.py
+++ b/fulmarbarrow/delivery/poison.py
@@ -52,7 +52,8 @@
     at a time, so that a crash tells which suspect caused it.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, limit: int = CRASHES_TO_QUARANTINE) -> None:
+        self._limit = limit
         self._records: dict[str, _Record] = {}
         self._runs: dict[str, _Run] = {}
         self._blamed: dict[tuple[str, int], set[str]] = {}
@@ -65,7 +66,7 @@
         if record.until <= now:
             del self._records[digest]
             return Suspicion.NONE
-        if len(record.crashes) >= CRASHES_TO_QUARANTINE:
+        if len(record.crashes) >= self._limit:
             return Suspicion.QUARANTINED
         return Suspicion.SUSPECT
 
@@ -86,7 +87,7 @@
         record.crashes[crashed] = event.at
         self._blamed.setdefault(crashed, set()).add(event.digest)
         term = SUSPICION
-        if len(record.crashes) >= CRASHES_TO_QUARANTINE:
+        if len(record.crashes) >= self._limit:
             term = QUARANTINE
         record.until = max(record.until, event.at + term)
 
@@ -132,7 +133,7 @@
         record = self._records.get(event.digest)
         if record is None or not event.harmless:
             return
-        if len(record.crashes) < CRASHES_TO_QUARANTINE:
+        if len(record.crashes) < self._limit:
             del self._records[event.digest]
 
     def running(self, digest: str, now: datetime.datetime) -> bool:
@@ -155,7 +156,7 @@
         return {
             digest: {
                 "crashed": sorted(name for name, _ in record.crashes),
-                "quarantined": (len(record.crashes) >= CRASHES_TO_QUARANTINE),
+                "quarantined": (len(record.crashes) >= self._limit),
                 "until": record.until.isoformat(),
             }
             for digest, record in self._records.items()
--- a/fulmarbarrow/delivery/suspects.py
+++ b/fulmarbarrow/delivery/suspects.py
@@ -30,10 +30,18 @@
 class Suspects:
     """Tells the other routers of crashes and of the runs of suspects."""
 
-    def __init__(self, *, pools: upstreams.Pools, enabled: bool) -> None:
+    def __init__(
+        self,
+        *,
+        pools: upstreams.Pools,
+        enabled: bool,
+        isolate: bool = True,
+        crashes: int = poison.CRASHES_TO_QUARANTINE,
+    ) -> None:
         self._pools = pools
         self._enabled = enabled
-        self._registry = poison.PoisonRegistry()
+        self._isolate = isolate
+        self._registry = poison.PoisonRegistry(limit=crashes)
         self._peers: dict[str, str] = {}
 
     def change_daemon(self, event: membership_messages.DaemonChanged) -> None:
@@ -74,7 +82,7 @@
         """Return the upstreams that a request must not be sent to."""
         serving, crashed = self._serving_and_crashed(request)
         unwanted = set(crashed)
-        if self._suspect(request, now):
+        if self._isolate and self._suspect(request, now):
             unwanted |= self._registry.busy_upstreams(now)
         failed = set(request.excluded)
         if set(serving) <= failed | unwanted:
@@ -93,6 +101,8 @@
             return Gate.OPEN
         if suspicion is poison.Suspicion.QUARANTINED:
             return Gate.QUARANTINED
+        if not self._isolate:
+            return Gate.OPEN
         serving, crashed = self._serving_and_crashed(request)
         healthy = set(serving) - crashed
         if len(healthy) < 2:
@@ -106,7 +116,7 @@
     def start(self, request: state.Request, attempt: state.Attempt) -> Effects:
         """Tell that a suspect runs; nothing for other requests."""
         now = attempt.sent_at
-        if not self._suspect(request, now):
+        if not self._isolate or not self._suspect(request, now):
             return []
         started = messages.SuspectStarted(
             digest=request.arrived.digest,
--- a/fulmarbarrow/limits/fair_queue.py
+++ b/fulmarbarrow/limits/fair_queue.py
@@ -14,16 +14,16 @@
 _SHORT = placement_messages.CostClass.SHORT
 
 Fits = collections.abc.Callable[[messages.QueuedWork], bool]
-_Flow = tuple[str, placement_messages.CostClass, bool]
+_Flow = tuple[str, placement_messages.CostClass, bool, int]
 
 
 class FairQueue:
     """Attempts that wait for one upstream, served by the accounts' weights.
 
-    Each account's served work, divided by its weight, is its virtual time;
-    the account that is furthest behind is served next, best-effort work
-    after all other. Only served work counts, and an account that was idle
-    has saved up nothing.
+    Work of the lowest rank goes first. Each account's served work, divided
+    by its weight, is its virtual time; the account that is furthest behind
+    is served next, best-effort work after all other. Only served work
+    counts, and an account that was idle has saved up nothing.
     """
 
     def __init__(
@@ -82,7 +82,8 @@
     def take(self, fits: Fits) -> messages.QueuedWork | None:
         """Remove, charge and return the next attempt that ``fits``."""
         order = sorted(
-            self._flows, key=lambda flow: (flow[2], self._turn(flow[0]))
+            self._flows,
+            key=lambda flow: (flow[3], flow[2], self._turn(flow[0])),
         )
         for flow in order:
             work = self._flows[flow][0]
@@ -151,12 +152,19 @@
     def _least_worth(self, work: messages.QueuedWork) -> messages.QueuedWork:
         """Return the attempt to refuse; among equals the newest."""
         queued: collections.Counter[str] = collections.Counter()
-        for (account, _, _), cost in self._costs.items():
+        for (account, _, _, _), cost in self._costs.items():
             queued[account] += cost / self._weight(account)
         queued[work.account] += work.cost / self._weight(work.account)
 
-        def rank(item: messages.QueuedWork) -> tuple[bool, float, float]:
-            return not item.best_effort, item.worth, -queued[item.account]
+        def rank(
+            item: messages.QueuedWork,
+        ) -> tuple[int, bool, float, float]:
+            return (
+                -item.rank,
+                not item.best_effort,
+                item.worth,
+                -queued[item.account],
+            )
 
         chosen = work
         for other in self._queued.values():
@@ -166,12 +174,14 @@
 
 
 def _flow(work: messages.QueuedWork) -> _Flow:
-    return work.account, work.cost_class, work.best_effort
+    return work.account, work.cost_class, work.best_effort, work.rank
 
 
 def _before(flow: _Flow, work: messages.QueuedWork) -> bool:
     """Return whether a flow's work may be served before ``work``."""
-    _, cost_class, best_effort = flow
+    _, cost_class, best_effort, rank = flow
+    if rank != work.rank:
+        return rank < work.rank
     if best_effort and not work.best_effort:
         return False
     return work.cost_class is not _SHORT or cost_class is _SHORT
--- a/fulmarbarrow/limits/messages.py
+++ b/fulmarbarrow/limits/messages.py
@@ -47,7 +47,8 @@
 
     The attempt leaves the queue unserved at ``expires``; an answer after
     ``deadline`` is of no use to its caller. It may use ``part`` of what the
-    bound allows; ``evenly`` keeps to the bound on work placed of late.
+    bound allows; ``evenly`` keeps to the bound on work placed of late. Work
+    of a lower ``rank`` goes first.
     """
 
     attempt_id: str
@@ -62,6 +63,7 @@
     chat: int = 0
     part: float = 1.0
     evenly: bool = True
+    rank: int = 0
 
 
 PEER_MESSAGES: tuple[type, ...] = ()
--- a/fulmarbarrow/placement/bounds.py
+++ b/fulmarbarrow/placement/bounds.py
@@ -18,15 +18,14 @@
 
     ``mean_factor`` is the multiple of the pool's mean load above which no
     upstream gets more work, but ``floor`` batches are always allowed, and
-    ``least_requests`` small requests of an upstream that states its slots.
+    ``least_requests`` small ones above the mean where slots are stated.
     ``ceiling`` bounds all work, that of priority accounts included.
     ``placed_factor`` is the multiple of the pool's mean above which the work
     placed within ``placed_window`` may not rise. A chat that is not in the
     cache of its home may use ``uncached_part`` of these bounds there, and
     ``stranger_part`` elsewhere, so that it makes way for chats that are.
     A fresh upstream starts at ``ramp_start`` and reaches a full batch after
-    ``ramp``. A cold one bears ``cold_overshoot`` times the rate that it
-    states, and ``cold_slack`` requests a second more.
+    ``ramp``.
     """
 
     mean_factor: float = 1.25
@@ -39,26 +38,26 @@
     placed_window: datetime.timedelta = datetime.timedelta(seconds=10)
     ramp_start: float = 0.1
     ramp: datetime.timedelta = datetime.timedelta(seconds=30)
-    cold_overshoot: float = 1.0
-    cold_slack: float = 0.0
 
     def starts(
         self,
         upstream: membership_messages.Upstream,
         pool: bundles.Pool,
         now: datetime.datetime,
+        zone_weight: float,
     ) -> float:
         """Return how many requests a second may start at an upstream.
 
-        One that is known to be cold gets what it states. Any other may turn
-        cold before it says so, and stays just below what a cold one bears.
+        One that is known to be cold gets what it states. One of a zone that
+        comes back may be cold before it says so.
         """
         if not pool.cold_rate:
             return math.inf
         if upstream.cold_until is not None and now < upstream.cold_until:
             return pool.cold_rate * COLD_PART
-        bearable = pool.cold_rate * self.cold_overshoot + self.cold_slack
-        return max(pool.cold_rate, bearable * COLD_PART)
+        if zone_weight >= 1.0:
+            return math.inf
+        return pool.cold_rate * COLD_PART
 
     def ramp_share(self, age: datetime.timedelta) -> float:
         """Return the part of its limit that an upstream of ``age`` gets."""
@@ -76,7 +75,8 @@
         """
         share = max(self.mean_factor * mean_load, self.floor)
         if upstream.slots:
-            share = max(share, self.least_requests / upstream.slots)
+            above = self.least_requests / upstream.slots
+            share = max(share, mean_load + above)
         return int(share * upstream.batch_tokens)
 
 
--- a/fulmarbarrow/placement/capacity.py
+++ b/fulmarbarrow/placement/capacity.py
@@ -87,7 +87,8 @@
         if room.ramping and ledger.handing_over(now):
             return False
         pool = self._directory.pool_of(ledger.upstream.upstream_id)
-        starts = self._bounds.starts(ledger.upstream, pool, now)
+        weight = self._directory.zone_weight(ledger.upstream.zone)
+        starts = self._bounds.starts(ledger.upstream, pool, now, weight)
         if ledger.starts(now) + 1 > starts:
             return False
         if not carried:
--- a/fulmarbarrow/placement/core.py
+++ b/fulmarbarrow/placement/core.py
@@ -8,6 +8,7 @@
 import random
 import typing
 
+from fulmarbarrow.config import defaults
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics as metrics_module
@@ -25,7 +26,6 @@
 from fulmarbarrow.versions import messages as versions_messages
 from fulmarbarrow.zones import messages as zones_messages
 
-SUMMARY_INTERVAL = datetime.timedelta(seconds=1)
 SUMMARY_RECEIVERS = 4
 
 _ROUTER = "router"
@@ -70,12 +70,13 @@
         metrics: metrics_module.Metrics,
         rng: random.Random,
         bounds: bounds_module.Bounds | None = None,
-        home_wait: datetime.timedelta = entries.HOME_WAIT,
+        timing: defaults.PlacementSection | None = None,
     ) -> None:
         self._daemon = daemon
         self._address = daemon.address
         self._rng = rng
         bounds = bounds or bounds_module.Bounds()
+        self._timing = timing or defaults.PlacementSection()
         self._directory = directories.Directory()
         self._means = means_module.PoolMeans()
         self._holdings = holdings_module.Holdings(address=daemon.address)
@@ -99,7 +100,7 @@
             health=self._health,
             metrics=metrics,
             rng=rng,
-            home_wait=home_wait,
+            timing=self._timing,
         )
         self._routers: dict[str, membership_messages.Daemon] = {}
         self._sequence = itertools.count(1)
@@ -344,7 +345,7 @@
             *self._holdings.take_releases(self._directory),
         ]
         if self._summary_due is None or self._summary_due <= now:
-            self._summary_due = now + SUMMARY_INTERVAL
+            self._summary_due = now + self._timing.summary_interval
             for pool in self._directory.pools():
                 self._health.compare(pool, now)
             effects.extend(self._summarise(now))
--- a/fulmarbarrow/placement/entry.py
+++ b/fulmarbarrow/placement/entry.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from fulmarbarrow.config import defaults
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics as metrics_module
@@ -24,10 +25,8 @@
 MILLISECOND = datetime.timedelta(milliseconds=1)
 REPLY_TIMEOUT = datetime.timedelta(milliseconds=150)
 OWNER_RETRY = datetime.timedelta(seconds=1)
-HOME_WAIT = datetime.timedelta(milliseconds=300)
 QUEUE_WAIT = datetime.timedelta(seconds=5)
 WALK_PAUSE = datetime.timedelta(milliseconds=50)
-CACHE_WORTH_MS = 400  # of waiting, rather than to lose the chat's cache
 NO_WAIT = datetime.timedelta(0)
 
 
@@ -75,7 +74,7 @@
         health: healths.Health,
         metrics: metrics_module.Metrics,
         rng: random.Random,
-        home_wait: datetime.timedelta = HOME_WAIT,
+        timing: defaults.PlacementSection,
     ) -> None:
         self._address = address
         self._zone = zone
@@ -85,7 +84,8 @@
         self._health = health
         self._metrics = metrics
         self._rng = rng
-        self._home_wait = home_wait
+        self._home_wait = timing.home_wait
+        self._cache_worth_ms = timing.cache_worth // MILLISECOND
         self._prefixes = prefixes.Prefixes()
         self._walks: dict[str, Walk] = {}
         self._silent: dict[str, datetime.datetime] = {}
@@ -190,9 +190,8 @@
         """Return the upstreams to ask, the best first."""
         if request.model:
             found = self._directory.candidates(request)
-        else:
-            found = self._plain_candidates(request, now)
-        return self._health.fit(found, now, once=request.once)
+            return self._health.fit(found, now, once=request.once)
+        return self._plain_candidates(request, now)
 
     def _plain_candidates(
         self, request: messages.PlaceRequest, now: datetime.datetime
@@ -274,7 +273,7 @@
         cached = (walk.candidates[0], walk.moved_to)
         offers = [
             (
-                wait + (0 if upstream_id in cached else CACHE_WORTH_MS),
+                wait + (0 if upstream_id in cached else self._cache_worth_ms),
                 walk.candidates.index(upstream_id),
                 upstream_id,
             )
@@ -394,6 +393,7 @@
                 best_effort=request.best_effort,
                 chat=walk.chat,
                 stage=stage,
+                rank=request.rank,
             ),
         )
 
@@ -416,6 +416,7 @@
             )
         )
         self._sliver.placed(upstream.upstream_id, request.cost, now)
+        self._health.started(upstream.upstream_id, now)
         home = upstream.upstream_id == walk.candidates[0]
         self._metrics.count("requests_placed", home=str(home).lower())
         return messages.Placed(
--- a/fulmarbarrow/placement/health.py
+++ b/fulmarbarrow/placement/health.py
@@ -17,7 +17,7 @@
 from fulmarbarrow.placement import messages
 
 FIRST_PAUSE = datetime.timedelta(milliseconds=300)
-LONGEST_PAUSE = datetime.timedelta(seconds=8)
+LONGEST_PAUSE = datetime.timedelta(seconds=2)
 REFUSED_PAUSE = datetime.timedelta(milliseconds=100)
 WORSE_PAUSE = datetime.timedelta(seconds=2)
 # For so long after a failure an upstream gets nothing that must run once.
@@ -73,8 +73,7 @@
         elif outcome in _HARD:
             record.hard += 1
             record.failed_at = now
-            pause = FIRST_PAUSE * 2 ** min(record.hard - 1, 8)
-            record.out_until = now + min(pause, LONGEST_PAUSE)
+            record.out_until = now + _pause(record)
         elif outcome is messages.WorkOutcome.REFUSED:
             record.refused += 1
             pause = REFUSED_PAUSE * min(record.refused, 10)
@@ -82,6 +81,16 @@
         elif outcome in _JUDGED:
             self._judge(record, event)
 
+    def started(self, upstream_id: str, now: datetime.datetime) -> None:
+        """Take note of an attempt.
+
+        Where the last ones failed, one tries, and the others wait for what
+        becomes of it.
+        """
+        record = self._records.get(upstream_id)
+        if record is not None and record.hard:
+            record.out_until = now + _pause(record)
+
     def forget(self, upstream_id: str) -> None:
         """Drop what is known of an upstream."""
         self._records.pop(upstream_id, None)
@@ -180,3 +189,9 @@
         if event.first_token is not None:
             first = event.first_token.total_seconds() * 1000
             record.first_ms += gain * (first - record.first_ms)
+
+
+def _pause(record: _Record) -> datetime.timedelta:
+    """Return how long an upstream that keeps failing is left out."""
+    pause = FIRST_PAUSE * 2 ** min(record.hard - 1, 8)
+    return min(pause, LONGEST_PAUSE)
--- a/fulmarbarrow/placement/messages.py
+++ b/fulmarbarrow/placement/messages.py
@@ -58,6 +58,7 @@
     parts: tuple[tuple[str, int], ...] = ()
     objective: datetime.timedelta | None = None
     once: bool = False
+    rank: int = 0
 
 
 class Placed(message.Message, frozen=True, kw_only=True):
@@ -137,7 +138,8 @@
     """Asks an upstream's owner to reserve an attempt's work.
 
     Idempotent by ``attempt_id`` and ``upstream_id``. ``wait_ms`` is how long
-    the owner may queue the attempt, ``deadline_ms`` the time left for the
+    the owner may queue the attempt, behind all of a lower ``rank``, and
+    ``deadline_ms`` the time left for the
     whole answer, both from now. ``chat`` is a hash of the chat, 0 where no
     cache is at stake.
     """
@@ -157,6 +159,7 @@
     best_effort: bool = False
     chat: int = 0
     stage: ReserveStage = ReserveStage.NEXT
+    rank: int = 0
 
 
 class Reserved(message.Message, frozen=True, kw_only=True):
--- a/fulmarbarrow/placement/replies.py
+++ b/fulmarbarrow/placement/replies.py
@@ -29,6 +29,7 @@
         chat=event.chat,
         part=part,
         evenly=event.stage is not messages.ReserveStage.LAST,
+        rank=event.rank,
     )
 
 
--- a/fulmarbarrow/placement/sliver.py
+++ b/fulmarbarrow/placement/sliver.py
@@ -109,7 +109,7 @@
         share *= min(1.0, zone_weight)
         if now - upstream.started_at < OWNER_GRACE:
             return False
-        starts = self._bounds.starts(upstream, pool, now)
+        starts = self._bounds.starts(upstream, pool, now, zone_weight)
         if self._starts(upstream.upstream_id, now) + 1 > (
             starts / len(self._routers)
         ):
--- a/fulmarbarrow/zones/core.py
+++ b/fulmarbarrow/zones/core.py
@@ -9,6 +9,7 @@
 import typing
 
 from fulmarbarrow.config import bundle as bundles
+from fulmarbarrow.config import defaults
 from fulmarbarrow.limits import messages as limits_messages
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
@@ -66,7 +67,9 @@
         daemon: membership_messages.Daemon,
         metrics: metrics_module.Metrics,
         rng: random.Random,
+        timing: defaults.ZonesSection | None = None,
     ) -> None:
+        self._timing = timing
         self._daemon = daemon
         self._metrics = metrics
         self._rng = rng
@@ -265,7 +268,7 @@
         """Take a zone's state; return whether it changed, and effects."""
         zone = self._zones.get(notice.zone)
         if zone is None:
-            zone = state.Zone(name=notice.zone)
+            zone = state.Zone(name=notice.zone, timing=self._timing)
             self._zones[notice.zone] = zone
         before = zone.standing.phase
         zone.set_out(notice.out, notice.revision, now)
--- a/fulmarbarrow/zones/state.py
+++ b/fulmarbarrow/zones/state.py
@@ -8,8 +8,8 @@
 
 import automat
 
-WARM_UP = datetime.timedelta(seconds=8)
-RAMP = datetime.timedelta(seconds=30)
+from fulmarbarrow.config import defaults
+
 RAMP_STEPS = 12
 
 
@@ -22,6 +22,7 @@
     weight: float = 1.0
     since: datetime.datetime | None = None
     phase: str = "in"
+    ramp: datetime.timedelta = defaults.ZonesSection.ramp
 
 
 class ZoneLife(typing.Protocol):
@@ -71,7 +72,9 @@
 
     @ramping.upon(ZoneLife.passed).loop()
     def climb(_: ZoneLife, standing: Standing, now: datetime.datetime) -> None:
-        part = (now - standing.since) / RAMP if standing.since else 1.0
+        part = 1.0
+        if standing.since is not None and standing.ramp:
+            part = (now - standing.since) / standing.ramp
         step = int(part * RAMP_STEPS) + 1
         standing.weight = min(step, RAMP_STEPS) / RAMP_STEPS
 
@@ -99,8 +102,11 @@
 class Zone:
     """One zone's life and weight."""
 
-    def __init__(self, *, name: str) -> None:
-        self.standing = Standing(zone=name)
+    def __init__(
+        self, *, name: str, timing: defaults.ZonesSection | None = None
+    ) -> None:
+        self._timing = timing or defaults.ZonesSection()
+        self.standing = Standing(zone=name, ramp=self._timing.ramp)
         self._life = make_zone_life(self.standing)
 
     @property
@@ -113,7 +119,7 @@
         """The end of the warm-up while the zone warms up."""
         if self.standing.phase != "warming" or self.standing.since is None:
             return None
-        return self.standing.since + WARM_UP
+        return self.standing.since + self._timing.warm_up
 
     def set_out(
         self, out: bool, revision: int, now: datetime.datetime
@@ -128,9 +134,9 @@
     def tick(self, now: datetime.datetime) -> None:
         """Go on with the warm-up and the ramp."""
         since = self.standing.since
-        if since is not None and now - since >= WARM_UP:
+        if since is not None and now - since >= self._timing.warm_up:
             self._life.warmed(now)
         since = self.standing.since
-        if since is not None and now - since >= RAMP:
+        if since is not None and now - since >= self._timing.ramp:
             self._life.ramped(now)
         self._life.passed(now)
