--- a/fulmarbarrow/config/defaults.py
+++ b/fulmarbarrow/config/defaults.py
@@ -137,11 +137,12 @@
     """How much work an upstream may carry, in parts of its full batch.
 
     ``mean_factor`` is the multiple of the pool's mean load above which no
-    upstream gets more, but ``floor`` batches are always allowed, and
-    ``least_requests`` small requests above the mean. ``ceiling`` bounds all
-    work. Owners tell what they carry each ``summary_interval``. For
-    ``home_wait`` a chat waits for room where its cache is; to queue there
-    rather than elsewhere is worth ``cache_worth``.
+    upstream gets more, but ``floor`` batches are always allowed.
+    ``requests_factor``, unless 0, bounds the number of requests likewise,
+    with ``requests_slack`` above that. ``ceiling`` bounds all work. Owners
+    tell what they carry each ``summary_interval``. For ``home_wait`` a chat
+    waits for room where its cache is; to queue there rather than elsewhere
+    is worth ``cache_worth``.
     ``placed_factor`` is the multiple of the pool's mean above which the work
     of the last seconds may not rise; 0 sets no such bound. A chat that is
     not in the cache of its home may use ``uncached_part`` of the bounds
@@ -151,7 +152,8 @@
 
     mean_factor: float = 1.25
     floor: float = 1.0
-    least_requests: int = 0
+    requests_factor: float = 0.0
+    requests_slack: float = 0.0
     ceiling: float = 1.25
     placed_factor: float = 1.22
     uncached_part: float = 0.88
--- a/fulmarbarrow/placement/bounds.py
+++ b/fulmarbarrow/placement/bounds.py
@@ -9,6 +9,7 @@
 from fulmarbarrow.config import bundle as bundles
 from fulmarbarrow.membership import messages as membership_messages
 
+COUNT_PART = 0.9  # of the factor, as the mean is a moment old
 COLD_PART = 0.85  # of a rate, as requests bunch on their way
 
 
@@ -17,8 +18,9 @@
     """Limits of an upstream's work, in parts of its full batch.
 
     ``mean_factor`` is the multiple of the pool's mean load above which no
-    upstream gets more work, but ``floor`` batches are always allowed, and
-    ``least_requests`` small ones above the mean where slots are stated.
+    upstream gets more work, but ``floor`` batches are always allowed.
+    ``requests_factor``, unless 0, bounds the number of requests likewise,
+    with ``requests_slack`` above that.
     ``ceiling`` bounds all work, that of priority accounts included.
     ``placed_factor`` is the multiple of the pool's mean above which the work
     placed within ``placed_window`` may not rise. A chat that is not in the
@@ -30,7 +32,8 @@
 
     mean_factor: float = 1.25
     floor: float = 1.0
-    least_requests: int = 0
+    requests_factor: float = 0.0
+    requests_slack: float = 0.0
     ceiling: float = 1.25
     placed_factor: float = 1.22
     uncached_part: float = 0.88
@@ -74,11 +77,15 @@
         ``mean_load`` is the pool's mean work in full batches.
         """
         share = max(self.mean_factor * mean_load, self.floor)
-        if upstream.slots:
-            above = self.least_requests / upstream.slots
-            share = max(share, mean_load + above)
         return int(share * upstream.batch_tokens)
 
+    def most_requests(self, mean_requests: float) -> float:
+        """Return how many requests the load of the pool allows at once."""
+        if not self.requests_factor:
+            return math.inf
+        factor = self.requests_factor * COUNT_PART
+        return factor * mean_requests + self.requests_slack
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Room:
--- a/fulmarbarrow/placement/capacity.py
+++ b/fulmarbarrow/placement/capacity.py
@@ -91,6 +91,11 @@
         starts = self._bounds.starts(ledger.upstream, pool, now, weight)
         if ledger.starts(now) + 1 > starts:
             return False
+        most = self._bounds.most_requests(
+            self._means.requests(ledger.upstream)
+        )
+        if carried and len(ledger) + 1 > most:
+            return False
         if not carried:
             # One attempt is always allowed, or a small engine never starts.
             return True
--- a/fulmarbarrow/placement/means.py
+++ b/fulmarbarrow/placement/means.py
@@ -47,6 +47,7 @@
         self._own: tuple[messages.PoolWork, ...] = ()
         self._load: dict[int, float] = {}
         self._placed: dict[int, float] = {}
+        self._requests: dict[int, float] = {}
 
     def hear(
         self, summary: messages.OwnerSummary, now: datetime.datetime
@@ -71,12 +72,15 @@
                 del self._heard[owner]
         sums: dict[int, list[int]] = {}
         for pool in self._pools():
-            total = sums.setdefault(pool.pool, [0, 0, 0])
+            total = sums.setdefault(pool.pool, [0, 0, 0, 0, 0])
             total[0] += pool.work
             total[1] += pool.capacity
             total[2] += pool.placed
+            total[3] += pool.requests
+            total[4] += pool.members
         self._load = {k: v[0] / max(1, v[1]) for k, v in sums.items()}
         self._placed = {k: v[2] / max(1, v[1]) for k, v in sums.items()}
+        self._requests = {k: v[3] / max(1, v[4]) for k, v in sums.items()}
 
     def load(self, upstream: membership_messages.Upstream) -> float:
         """Return the mean load of the upstream's busiest pool."""
@@ -92,6 +96,13 @@
             default=0.0,
         )
 
+    def requests(self, upstream: membership_messages.Upstream) -> float:
+        """Return the mean number of requests at an upstream of the pool."""
+        return max(
+            (self._requests.get(pool, 0.0) for pool in pools_of(upstream)),
+            default=0.0,
+        )
+
     def dump(self) -> dict[str, float]:
         """Return the mean load of each pool."""
         return {f"{pool:08x}": load for pool, load in self._load.items()}
--- a/fulmarbarrow/placement/messages.py
+++ b/fulmarbarrow/placement/messages.py
@@ -240,13 +240,16 @@
     """Reserved work and full batches of one owner's upstreams in a pool.
 
     ``pool`` is a hash of service, model and version, ``placed`` the work
-    placed of late.
+    placed of late. ``requests`` run at ``members`` that serve, those of
+    zones that are out among them.
     """
 
     pool: int
     work: int
     capacity: int
     placed: int
+    requests: int = 0
+    members: int = 0
 
 
 class OwnerSummary(message.Message, frozen=True, kw_only=True):
--- a/fulmarbarrow/placement/owner.py
+++ b/fulmarbarrow/placement/owner.py
@@ -201,22 +201,28 @@
     def pools(self, now: datetime.datetime) -> list[messages.PoolWork]:
         """Return the work and capacity of the owned upstreams by pool."""
         sums: dict[int, list[int]] = {}
+        serving = membership_messages.UpstreamState.SERVING
         for owned in self._owned.values():
             ledger = owned.ledger
-            if not self._directory.usable(ledger.upstream):
-                continue
+            usable = self._directory.usable(ledger.upstream)
             share = self._capacity.ramp_share(ledger, now)
             for pool in means_module.pools_of(ledger.upstream):
-                total = sums.setdefault(pool, [0, 0, 0])
-                total[0] += ledger.reserved
-                total[1] += int(share * ledger.upstream.batch_tokens)
-                total[2] += ledger.placed(now)
+                total = sums.setdefault(pool, [0, 0, 0, 0, 0])
+                if ledger.upstream.state is serving:
+                    total[3] += len(ledger)
+                    total[4] += 1
+                if usable:
+                    total[0] += ledger.reserved
+                    total[1] += int(share * ledger.upstream.batch_tokens)
+                    total[2] += ledger.placed(now)
         return [
             messages.PoolWork(
                 pool=pool,
                 work=total[0],
                 capacity=total[1],
                 placed=total[2],
+                requests=total[3],
+                members=total[4],
             )
             for pool, total in sorted(sums.items())
         ]
