--- a/fulmarbarrow/config/defaults.py
+++ b/fulmarbarrow/config/defaults.py
@@ -139,10 +139,12 @@
     ``mean_factor`` is the multiple of the pool's mean load above which no
     upstream gets more, but ``floor`` batches are always allowed.
     ``requests_factor``, unless 0, bounds the number of requests likewise,
-    with ``requests_slack`` above that. ``ceiling`` bounds all work. Owners
-    tell what they carry each ``summary_interval``. For ``home_wait`` a chat
-    waits for room where its cache is; to queue there rather than elsewhere
-    is worth ``cache_worth``.
+    with ``requests_slack`` above that, and never to below
+    ``least_requests``. ``ceiling`` bounds all work. Owners tell what they
+    carry each ``summary_interval``. For ``home_wait`` a chat waits for room
+    where its cache is; to queue there rather than elsewhere is worth
+    ``cache_worth``. With ``fetches`` an engine that a prompt is new to gets
+    the prompt's memory from one that has probably read it.
     ``placed_factor`` is the multiple of the pool's mean above which the work
     of the last seconds may not rise; 0 sets no such bound. A chat that is
     not in the cache of its home may use ``uncached_part`` of the bounds
@@ -154,6 +156,7 @@
     floor: float = 1.0
     requests_factor: float = 0.0
     requests_slack: float = 0.0
+    least_requests: int = 0
     ceiling: float = 1.25
     placed_factor: float = 1.22
     uncached_part: float = 0.88
@@ -162,6 +165,7 @@
     summary_interval: datetime.timedelta = datetime.timedelta(seconds=1)
     home_wait: datetime.timedelta = datetime.timedelta(milliseconds=300)
     cache_worth: datetime.timedelta = datetime.timedelta(milliseconds=400)
+    fetches: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/fulmarbarrow/delivery/effects.py
+++ b/fulmarbarrow/delivery/effects.py
@@ -81,6 +81,7 @@
         dispatch_until=None if lookup else request.dispatch_until,
         lookup_path=request.arrived.lookup_path if lookup else "",
         rank=request.arrived.rank,
+        fetch_from=placed.fetch_from,
     )
 
 
--- a/fulmarbarrow/delivery/messages.py
+++ b/fulmarbarrow/delivery/messages.py
@@ -91,6 +91,7 @@
     dispatch_until: datetime.datetime | None = None
     lookup_path: str = ""
     rank: int | None = None
+    fetch_from: str = ""
 
 
 class AttemptSent(message.Message, frozen=True, kw_only=True):
--- a/fulmarbarrow/placement/bounds.py
+++ b/fulmarbarrow/placement/bounds.py
@@ -20,7 +20,8 @@
     ``mean_factor`` is the multiple of the pool's mean load above which no
     upstream gets more work, but ``floor`` batches are always allowed.
     ``requests_factor``, unless 0, bounds the number of requests likewise,
-    with ``requests_slack`` above that.
+    with ``requests_slack`` above that, but never to below
+    ``least_requests``: from an idle pool the mean says nothing yet.
     ``ceiling`` bounds all work, that of priority accounts included.
     ``placed_factor`` is the multiple of the pool's mean above which the work
     placed within ``placed_window`` may not rise. A chat that is not in the
@@ -34,6 +35,7 @@
     floor: float = 1.0
     requests_factor: float = 0.0
     requests_slack: float = 0.0
+    least_requests: int = 0
     ceiling: float = 1.25
     placed_factor: float = 1.22
     uncached_part: float = 0.88
@@ -84,7 +86,8 @@
         if not self.requests_factor:
             return math.inf
         factor = self.requests_factor * COUNT_PART
-        return factor * mean_requests + self.requests_slack
+        bound = factor * mean_requests + self.requests_slack
+        return max(bound, self.least_requests)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/fulmarbarrow/placement/core.py
+++ b/fulmarbarrow/placement/core.py
@@ -22,6 +22,7 @@
 from fulmarbarrow.placement import owner as owners
 from fulmarbarrow.placement import scheduling
 from fulmarbarrow.placement import sliver as slivers
+from fulmarbarrow.placement import sources
 from fulmarbarrow.publishing import messages as publishing_messages
 from fulmarbarrow.versions import messages as versions_messages
 from fulmarbarrow.zones import messages as zones_messages
@@ -91,6 +92,7 @@
             metrics=metrics,
         )
         self._health = healths.Health()
+        self._sources = sources.Sources(directory=self._directory)
         self._entry = entries.EntryCore(
             address=daemon.address,
             zone=daemon.zone,
@@ -98,6 +100,7 @@
             holdings=self._holdings,
             sliver=self._sliver,
             health=self._health,
+            sources=self._sources,
             metrics=metrics,
             rng=rng,
             timing=self._timing,
@@ -194,6 +197,7 @@
                 return self._set_routers(now)
             case zones_messages.ZoneWeights():
                 self._directory.set_zone_weights(event.weights)
+                self._sources.set_zone_weights(event.weights, now)
             case versions_messages.VersionShares():
                 self._directory.set_shares(
                     event.service, event.model, event.shares
--- a/fulmarbarrow/placement/directory.py
+++ b/fulmarbarrow/placement/directory.py
@@ -48,6 +48,7 @@
         self._pools: dict[tuple[str, str, str], rendezvous.Ring] = {}
         self._versions: dict[tuple[str, str], rendezvous.Ring] = {}
         self._sizing = sizing.Sizing()
+        self._holders: dict[tuple[str, str], rendezvous.Ring] = {}
 
     @property
     def upstreams(
@@ -161,6 +162,24 @@
                 pool.append(upstream.upstream_id)
         return list(found.values())
 
+    def holders(self, service: str, model: str) -> rendezvous.Ring:
+        """Return all upstreams of a model, those that only leave included.
+
+        The order is that of the pool where all are usable.
+        """
+        ring = self._holders.get((service, model))
+        if ring is None:
+            weights = {
+                upstream.upstream_id: (
+                    upstream.weight * max(1, upstream.batch_tokens)
+                )
+                for upstream in self._upstreams.values()
+                if self._offers(upstream, service, model, "")
+            }
+            ring = rendezvous.Ring(weights=weights)
+            self._holders[service, model] = ring
+        return ring
+
     def version(self, request: messages.PlaceRequest) -> str:
         """Return the version that a chat gets; empty if none is chosen.
 
@@ -250,3 +269,4 @@
 
     def _forget_pools(self) -> None:
         self._pools.clear()
+        self._holders.clear()
--- a/fulmarbarrow/placement/entry.py
+++ b/fulmarbarrow/placement/entry.py
@@ -21,6 +21,7 @@
 from fulmarbarrow.placement import prefixes
 from fulmarbarrow.placement import recent
 from fulmarbarrow.placement import sliver as slivers
+from fulmarbarrow.placement import sources as sources_module
 
 MILLISECOND = datetime.timedelta(milliseconds=1)
 REPLY_TIMEOUT = datetime.timedelta(milliseconds=150)
@@ -72,6 +73,7 @@
         holdings: holdings_module.Holdings,
         sliver: slivers.SliverRules,
         health: healths.Health,
+        sources: sources_module.Sources,
         metrics: metrics_module.Metrics,
         rng: random.Random,
         timing: defaults.PlacementSection,
@@ -87,6 +89,8 @@
         self._home_wait = timing.home_wait
         self._cache_worth_ms = timing.cache_worth // MILLISECOND
         self._prefixes = prefixes.Prefixes()
+        self._sources = sources
+        self._fetches = timing.fetches
         self._walks: dict[str, Walk] = {}
         self._silent: dict[str, datetime.datetime] = {}
 
@@ -427,6 +431,11 @@
             url=upstream.url,
             version=self._directory.version_of(upstream.upstream_id, request),
             priority=priority,
+            fetch_from=(
+                self._sources.source(request, upstream, now)
+                if self._fetches
+                else ""
+            ),
         )
 
     def _tell_home(
--- a/fulmarbarrow/placement/messages.py
+++ b/fulmarbarrow/placement/messages.py
@@ -64,7 +64,8 @@
 class Placed(message.Message, frozen=True, kw_only=True):
     """The attempt may be sent to this upstream now.
 
-    ``priority`` is the engine's scheduling priority; lower runs first.
+    ``priority`` is the engine's scheduling priority; lower runs first. It
+    may fetch the prompt's memory from the engine at ``fetch_from``.
     """
 
     request_id: str
@@ -74,6 +75,7 @@
     url: str
     version: str
     priority: int = 0
+    fetch_from: str = ""
 
 
 class NotPlaced(message.Message, frozen=True, kw_only=True):
--- a/fulmarbarrow/placement/prefixes.py
+++ b/fulmarbarrow/placement/prefixes.py
@@ -47,6 +47,11 @@
     returned: bool
 
 
+def base(key: str) -> str:
+    """Return the part of a key, without the number of its home."""
+    return key.partition("#")[0]
+
+
 class Prefixes:
     """What this router's recent requests shared, by pool."""
 
--- a/fulmarbarrow/platform/headers.py
+++ b/fulmarbarrow/platform/headers.py
@@ -15,6 +15,7 @@
 TENANT = "X-Tenant"
 EXPECTED_INSTANCE = "X-Expected-Instance"
 PRIORITY = "X-Request-Priority"
+FETCH = "Kv-Fetch"  # IP:PORT of the worker to copy the prompt's memory from
 SIGNATURE = "X-Response-Signature"
 NOT_EXECUTED = "X-Not-Executed"
 CONTENT_ENCODING = "Content-Encoding"
@@ -50,7 +51,7 @@
         "X-Pin-Duration",
         "X-Kv-Backup",
         "Kv-From",
-        "Kv-Fetch",
+        FETCH,
     )
 )
 # Set by the server that writes the answer.
--- a/fulmarbarrow/platform/workers.py
+++ b/fulmarbarrow/platform/workers.py
@@ -40,6 +40,8 @@
             own[headers.TENANT] = exchange.account
         if start.rank is not None:
             own[headers.PRIORITY] = str(min(start.rank, LOWEST_PRIORITY))
+        if start.fetch_from:
+            own[headers.FETCH] = start.fetch_from.removeprefix("http://")
         if start.resume_offset:
             own[headers.LAST_EVENT] = str(start.resume_offset)
         added = [(key.encode(), value.encode()) for key, value in own.items()]
