--- a/fulmarbarrow/config/defaults.py
+++ b/fulmarbarrow/config/defaults.py
@@ -143,7 +143,8 @@
     ``least_requests``. ``ceiling`` bounds all work. Owners tell what they
     carry each ``summary_interval``. For ``home_wait`` a chat waits for room
     where its cache is; to queue there rather than elsewhere is worth
-    ``cache_worth``. With ``fetches`` an engine that a prompt is new to gets
+    ``cache_worth``. After ``queue_wait`` in one queue a request looks again
+    for the shortest. With ``fetches`` an engine that a prompt is new to gets
     the prompt's memory from one that has probably read it.
     ``placed_factor`` is the multiple of the pool's mean above which the work
     of the last seconds may not rise; 0 sets no such bound. A chat that is
@@ -165,6 +166,7 @@
     summary_interval: datetime.timedelta = datetime.timedelta(seconds=1)
     home_wait: datetime.timedelta = datetime.timedelta(milliseconds=300)
     cache_worth: datetime.timedelta = datetime.timedelta(milliseconds=400)
+    queue_wait: datetime.timedelta = datetime.timedelta(seconds=5)
     fetches: bool = False
 
 
@@ -204,7 +206,8 @@
     ``ratio`` is a part of the requests, ``slack`` the further attempts that
     all routers together may make within ``window``. With
     ``isolate_suspects`` a request that may have crashed an upstream runs
-    apart from others like it; after ``crashes`` it is held back.
+    apart from others like it; after ``crashes`` it is held back. With
+    ``unsent_are_free`` an attempt of which no byte was sent does not count.
     """
 
     ratio: float = 0.07
@@ -212,6 +215,7 @@
     window: datetime.timedelta = datetime.timedelta(seconds=10)
     isolate_suspects: bool = True
     crashes: int = 2
+    unsent_are_free: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/fulmarbarrow/delivery/answers.py
+++ b/fulmarbarrow/delivery/answers.py
@@ -310,7 +310,9 @@
         del entry.attempts[attempt.attempt_id]
         proven = not sent or not_run or not self._mechanisms.proof_of_not_run
         effects.extend(
-            self._recovery.after_failure(entry, attempt, proven, now)
+            self._recovery.after_failure(
+                entry, attempt, proven, now, sent=sent
+            )
         )
         return effects
 
--- a/fulmarbarrow/delivery/policy.py
+++ b/fulmarbarrow/delivery/policy.py
@@ -10,6 +10,7 @@
 
 MAX_BUFFERED_BYTES = 1 << 20
 MAX_ATTEMPTS = 4  # attempts in a row that brought the caller nothing
+MAX_PLACEMENTS = 10  # of one request, unreachable upstreams included
 JOURNAL_WAIT = datetime.timedelta(seconds=1)
 SUSPECT_PAUSE = datetime.timedelta(milliseconds=100)
 PREEMPT_PAUSE = datetime.timedelta(milliseconds=100)
--- a/fulmarbarrow/delivery/recovery.py
+++ b/fulmarbarrow/delivery/recovery.py
@@ -207,6 +207,8 @@
         attempt: state.Attempt,
         not_run: bool,
         now: datetime.datetime,
+        *,
+        sent: bool = True,
     ) -> Effects:
         """Decide what follows an attempt that failed."""
         request = entry.request
@@ -224,7 +226,7 @@
             return self.conclude(entry, "outcome_unknown", now)
         if request.action and not not_run:
             return self._after_action(entry, now)
-        return self._retry(entry, attempt, now)
+        return self._retry(entry, attempt, now, sent=sent)
 
     def _after_action(
         self, entry: books.Open, now: datetime.datetime
@@ -242,13 +244,19 @@
         entry: books.Open,
         attempt: state.Attempt,
         now: datetime.datetime,
+        *,
+        sent: bool,
     ) -> Effects:
         request = entry.request
         progressed = attempt.taken_events > attempt.resume_offset
         request.attempts_without_progress += 1
         if progressed and attempt.streamed:
             request.attempts_without_progress = 0
-        if not self._may_retry(request, attempt, progressed, now):
+        if sent or not self._retries.unsent_are_free:
+            may_retry = self._may_retry(request, attempt, progressed, now)
+        else:
+            may_retry = self._may_place_again(request, now)
+        if not may_retry:
             code = "upstream_failed"
             if not request.may_have_run:
                 refused = attempt.headers is not None
@@ -259,6 +267,21 @@
         wait = budget.backoff(request.attempts_without_progress, self._rng)
         return list(entry.inputs.hold(now + wait))
 
+    @staticmethod
+    def _may_place_again(
+        request: state.Request, now: datetime.datetime
+    ) -> bool:
+        """Return whether to go on after an attempt of which nothing was sent.
+
+        It brought no load to any upstream, so no budget bounds it.
+        """
+        if request.caller_gone or now >= request.deadline:
+            return False
+        until = request.dispatch_until
+        if until is not None and now >= until:
+            return False
+        return request.number < policy.MAX_PLACEMENTS
+
     def _may_retry(
         self,
         request: state.Request,
--- a/fulmarbarrow/placement/capacity.py
+++ b/fulmarbarrow/placement/capacity.py
@@ -86,10 +86,7 @@
         carried = ledger.work(now)
         if room.ramping and ledger.handing_over(now):
             return False
-        pool = self._directory.pool_of(ledger.upstream.upstream_id)
-        weight = self._directory.zone_weight(ledger.upstream.zone)
-        starts = self._bounds.starts(ledger.upstream, pool, now, weight)
-        if ledger.starts(now) + 1 > starts:
+        if ledger.starts(now) + 1 > self.starts(ledger, now):
             return False
         most = self._bounds.most_requests(
             self._means.requests(ledger.upstream)
@@ -112,6 +109,13 @@
             return True
         return ledger.long + unknown + work.cost <= room.long_work
 
+    def starts(self, ledger: ledgers.Ledger, now: datetime.datetime) -> float:
+        """Return how many requests a second may start at an upstream."""
+        upstream = ledger.upstream
+        pool = self._directory.pool_of(upstream.upstream_id)
+        weight = self._directory.zone_weight(upstream.zone)
+        return self._bounds.starts(upstream, pool, now, weight)
+
     def evenly(
         self,
         ledger: ledgers.Ledger,
--- a/fulmarbarrow/placement/core.py
+++ b/fulmarbarrow/placement/core.py
@@ -91,7 +91,7 @@
             bounds=bounds,
             metrics=metrics,
         )
-        self._health = healths.Health()
+        self._health = healths.Health(zone=self._directory.zone)
         self._sources = sources.Sources(directory=self._directory)
         self._entry = entries.EntryCore(
             address=daemon.address,
--- a/fulmarbarrow/placement/directory.py
+++ b/fulmarbarrow/placement/directory.py
@@ -130,6 +130,11 @@
         self._shares[service, model] = shares
         self._versions.pop((service, model), None)
 
+    def zone(self, upstream_id: str) -> str:
+        """Return the zone of an upstream, "" if it is not known."""
+        upstream = self._upstreams.get(upstream_id)
+        return upstream.zone if upstream is not None else ""
+
     def zone_weight(self, zone: str) -> float:
         """Return the part of its usual work that a zone gets."""
         return self._zone_weights.get(zone, 1.0)
--- a/fulmarbarrow/placement/entry.py
+++ b/fulmarbarrow/placement/entry.py
@@ -26,7 +26,6 @@
 MILLISECOND = datetime.timedelta(milliseconds=1)
 REPLY_TIMEOUT = datetime.timedelta(milliseconds=150)
 OWNER_RETRY = datetime.timedelta(seconds=1)
-QUEUE_WAIT = datetime.timedelta(seconds=5)
 WALK_PAUSE = datetime.timedelta(milliseconds=50)
 NO_WAIT = datetime.timedelta(0)
 
@@ -91,6 +90,7 @@
         self._prefixes = prefixes.Prefixes()
         self._sources = sources
         self._fetches = timing.fetches
+        self._queue_wait = timing.queue_wait
         self._walks: dict[str, Walk] = {}
         self._silent: dict[str, datetime.datetime] = {}
 
@@ -163,7 +163,7 @@
             if walk.stage is Stage.QUEUEING:
                 return [self._give_up(walk, event.code)]
         elif event.code == "overloaded" and walk.stage is Stage.QUEUEING:
-            return self._wait(walk, now)
+            return self._again(walk, now)
         elif event.code == "moved":
             self._follow(walk, event)
         elif event.code in ("bound_reached", "overloaded"):
@@ -292,7 +292,7 @@
             return self._pause(walk, now)
         walk.stage = Stage.QUEUEING
         upstream = self._directory.upstreams[upstream_id]
-        wait = min(QUEUE_WAIT, walk.request.deadline - now)
+        wait = min(self._queue_wait, walk.request.deadline - now)
         return [self._ask(walk, upstream, owner, wait, now)]
 
     def _pause(
@@ -304,17 +304,24 @@
         walk.until = now + WALK_PAUSE
         return []
 
+    def _again(
+        self, walk: Walk, now: datetime.datetime
+    ) -> list[message.Message]:
+        """Walk again from the home upstream, as loads have changed."""
+        walk.candidates = self._candidates(walk.request, now)
+        if not walk.candidates:
+            return [self._give_up(walk, "no_upstream")]
+        walk.stage = Stage.TRYING
+        walk.asked = ""
+        walk.position = 0
+        walk.offers.clear()
+        return self._advance(walk, now)
+
     def _timed_out(
         self, walk: Walk, now: datetime.datetime
     ) -> list[message.Message]:
         if walk.stage is Stage.PAUSED:
-            walk.candidates = self._candidates(walk.request, now)
-            if not walk.candidates:
-                return [self._give_up(walk, "no_upstream")]
-            walk.stage = Stage.TRYING
-            walk.position = 0
-            walk.offers.clear()
-            return self._advance(walk, now)
+            return self._again(walk, now)
         self._release_asked(walk)
         owner = self._directory.owners.get(walk.asked)
         if owner is not None:
--- a/fulmarbarrow/placement/health.py
+++ b/fulmarbarrow/placement/health.py
@@ -2,9 +2,10 @@
 
 Load patterns: an upstream crashed, went silent or had its address given to
 another one (left within one or two attempts, tried again ever more rarely);
-one of a pool fails part of its requests or takes many times as long while
-its own health check is good (left while the others do better); all of a pool
-fail alike (none is left out, as nobody else would do better).
+a zone is cut off (its other upstreams are left too); one of a pool fails
+part of its requests or takes many times as long while its own health check
+is good (left while the others do better); all of a pool fail alike (none is
+left out, as nobody else would do better).
 """
 
 from __future__ import annotations
@@ -29,6 +30,10 @@
 SLOW_FACTOR = 4.0  # of the pool's median time to the first byte
 LEAST_SLOW = datetime.timedelta(milliseconds=250)
 MAX_UPSTREAMS = 20_000
+# So many upstreams of a zone without an answer from any other of it mean
+# that the zone can't be reached; it is tried again after the pause.
+ZONE_UPSTREAMS = 2
+ZONE_PAUSE = datetime.timedelta(milliseconds=700)
 
 _HARD = frozenset(
     (
@@ -57,11 +62,29 @@
     first_ms: float = 0.0
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Zone:
+    """Upstreams of a zone that failed since any of them last answered."""
+
+    failed: set[str] = dataclasses.field(default_factory=set)
+    failed_at: datetime.datetime | None = None
+
+    def lost(self, now: datetime.datetime) -> bool:
+        """Return whether the zone seems to be cut off from here."""
+        if self.failed_at is None or len(self.failed) < ZONE_UPSTREAMS:
+            return False
+        return now - self.failed_at < ZONE_PAUSE
+
+
 class Health:
     """Outcomes in, whether an upstream should get work out."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self, *, zone: collections.abc.Callable[[str], str] | None = None
+    ) -> None:
+        self._zone = zone or (lambda _: "")
         self._records: dict[str, _Record] = {}
+        self._zones: dict[str, _Zone] = {}
 
     def ended(self, event: messages.WorkEnded, now: datetime.datetime) -> None:
         """Learn from the end of an attempt."""
@@ -74,11 +97,17 @@
             record.hard += 1
             record.failed_at = now
             record.out_until = now + _pause(record)
+            zone = self._zones.setdefault(
+                self._zone(event.upstream_id), _Zone()
+            )
+            zone.failed.add(event.upstream_id)
+            zone.failed_at = now
         elif outcome is messages.WorkOutcome.REFUSED:
             record.refused += 1
             pause = REFUSED_PAUSE * min(record.refused, 10)
             record.out_until = now + pause
         elif outcome in _JUDGED:
+            self._zones.pop(self._zone(event.upstream_id), None)
             self._judge(record, event)
 
     def started(self, upstream_id: str, now: datetime.datetime) -> None:
@@ -154,6 +183,9 @@
     def _fits(
         self, upstream_id: str, now: datetime.datetime, *, once: bool
     ) -> bool:
+        zone = self._zones.get(self._zone(upstream_id))
+        if zone is not None and zone.lost(now):
+            return False
         record = self._records.get(upstream_id)
         if record is None:
             return True
--- a/fulmarbarrow/placement/owner.py
+++ b/fulmarbarrow/placement/owner.py
@@ -334,7 +334,7 @@
         now: datetime.datetime,
     ) -> list[message.Message]:
         """Queue an attempt if it may wait and can be served in time."""
-        wait = self._expected_wait(owned, work)
+        wait = self._expected_wait(owned, work, now)
         if event.wait_ms <= 0:
             return [self._refuse(event, "bound_reached", wait)]
         by_right = self._capacity.by_right(
@@ -362,11 +362,21 @@
         return effects
 
     def _expected_wait(
-        self, owned: capacity.Owned, work: limits_messages.QueuedWork
+        self,
+        owned: capacity.Owned,
+        work: limits_messages.QueuedWork,
+        now: datetime.datetime,
     ) -> datetime.timedelta:
-        speed = max(1, owned.ledger.upstream.tokens_per_second)
+        """Return the wait of an attempt; a ramping upstream works slower."""
+        ledger = owned.ledger
+        share = self._capacity.ramp_share(ledger, now)
+        speed = max(1.0, share * ledger.upstream.tokens_per_second)
         ahead = owned.queue.cost_ahead(work) if len(owned.queue) else 0.0
-        return datetime.timedelta(seconds=ahead / speed)
+        if share < 1.0:
+            ahead += work.cost
+        starts = self._capacity.starts(ledger, now)
+        seconds = max(ahead / speed, len(owned.queue) / starts)
+        return datetime.timedelta(seconds=seconds)
 
     def _serve(
         self, owned: capacity.Owned, now: datetime.datetime
