--- /dev/null
+++ b/fulmarbarrow/platform/features/path.feature
@@ -0,0 +1,140 @@
+Feature: A daemon serves the platform's clients, workers and operators
+
+  Background:
+    Given a daemon on the platform
+
+  Scenario: The path from a configuration to an answer
+    Then it is not ready
+    When the operator sends configuration 3
+    Then the operator is answered 200
+    And it is ready
+    When worker "i-1" of the desk registers
+    And a client sends an order
+    Then the client gets 200 with the body and the signature of worker "i-1"
+    And the worker got the tenant's name and not the key
+    When a client sends a lookup with an unknown key
+    Then the client gets 401 unsigned
+
+  Scenario: A stream comes whole, piece by piece
+    Given configuration 3 and workers "i-1" of the pool
+    When a client asks for a stream
+    Then the client gets events 1 to 6, once each, and the end
+
+  Scenario: A resumable stream goes on elsewhere within one answer
+    Given configuration 3 and workers "i-1 i-2" of the pool
+    And whichever worker is asked first cuts the answer
+    When a client asks for a stream
+    Then the client gets events 1 to 6, once each, and the end
+
+  Scenario: A stream that may not run twice is cut, and looks so
+    Given configuration 3 and workers "i-1 i-2" of the pool
+    And whichever worker is asked first cuts the answer
+    When a client asks for a stream that must run once
+    Then the client gets events 1 to 2, once each, without the end
+    And the request ran once
+
+  Scenario Outline: An order runs once at most, and "not run" is true
+    Given configuration 3 and workers "i-1 i-2" of the desk
+    And whichever worker is asked first <fault>
+    When a client sends an order
+    Then the client gets <status>
+    And the request ran once
+
+    Examples:
+      | fault               | status |
+      | refuses             | 200    |
+      | resets              | 502    |
+      | fails               | 500    |
+      | answers for another | 502    |
+      | sends more          | 200    |
+
+  Scenario Outline: A lookup is answered by another worker
+    Given configuration 3 and workers "i-1 i-2" of the desk
+    And whichever worker is asked first <fault>
+    When a client sends a lookup
+    Then the client gets 200
+
+    Examples:
+      | fault               |
+      | refuses             |
+      | resets              |
+      | fails               |
+      | answers for another |
+
+  Scenario: Bytes after an answer never reach the next client
+    Given configuration 3 and workers "i-1" of the desk
+    And whichever worker is asked first sends more
+    When 5 clients send an order one after the other
+    Then each gets 200 with its own signature
+
+  Scenario: An address that another worker has got is left
+    Given configuration 3 and workers "i-1 i-2" of the desk
+    And worker "i-1" answers under another id from now on
+    When 12 clients send an order one after the other
+    Then each gets 200 with its own signature
+    And worker "i-1" was asked twice at most
+
+  Scenario: A worker that leaves gets nothing more
+    Given configuration 3 and workers "i-1 i-2" of the desk
+    When worker "i-1" reports that it is draining
+    And 8 clients send an order one after the other
+    Then each gets 200 with its own signature
+    And worker "i-1" ran none of them
+
+  Scenario: A worker that only says good-bye gets nothing more
+    Given configuration 3 and workers "i-1 i-2" of the desk
+    When worker "i-1" deletes its registration
+    And 8 clients send an order one after the other
+    Then worker "i-1" ran none of them
+
+  Scenario: Heartbeats that can't be read name no worker
+    Given configuration 3 and workers "i-1" of the desk
+    When heartbeats come with the state "sleeping", without a sequence and as noise
+    Then each is answered 400
+    When a client sends an order
+    Then the client gets 200
+
+  Scenario: The highest configuration holds, and is read back as it was sent
+    When the operator sends configuration 5
+    And the operator sends configuration 4
+    Then the operator is answered 200
+    And the configuration that is read back is 5, as it was sent
+    When the operator sends other content as configuration 5
+    Then the operator is answered 200
+    And the configuration that is read back is 5, as it was sent
+    When the operator sends a configuration 6 that is invalid
+    Then the operator is answered 400
+    And the configuration that is read back is 5, as it was sent
+
+  Scenario: A zone that is evacuated gets nothing until it is taken back
+    Given configuration 3 and workers "i-1" of the desk
+    When the operator evacuates zone "attica-a"
+    Then within 2 s a client's order is refused unrun, with a time to return
+    When the operator takes zone "attica-a" back
+    Then within 8 s a client's order is answered 200
+
+  Scenario: A key that is taken away is refused
+    Given configuration 3 and workers "i-1" of the desk
+    When the operator sends configuration 4 without the key
+    Then within 2 s a client's order is answered 401
+
+  Scenario: SIGHUP and a changed file reload the settings
+    Given configuration 3 and workers "i-1" of the desk
+    When the settings name another seed and SIGHUP comes
+    Then the log tells of the reload with the new seed
+    When a client sends an order
+    Then the client gets 200
+
+  Scenario: A stop lets open streams end and tells the balancer
+    Given configuration 3 and workers "i-1" of the pool
+    And worker "i-1" takes 100 ms an event
+    When a client asks for a stream and SIGTERM comes meanwhile
+    Then it is not ready
+    And the client gets events 1 to 6, once each, and the end
+    And the daemon ends in good order
+
+  Scenario: The metrics and the log tell of a request
+    Given configuration 3 and workers "i-1" of the desk
+    When a client sends an order
+    Then the metrics count it
+    And the log has its lines "request taken, attempt sent, answer complete"
--- /dev/null
+++ b/fulmarbarrow/platform/features/standin.py
@@ -0,0 +1,171 @@
+"""A stand-in worker and operator that speak the platform's protocol."""
+
+from __future__ import annotations
+
+import collections
+import http.client
+import http.server
+import json
+import threading
+import time
+import urllib.request
+
+WAIT_SECONDS = 10.0
+
+
+class _Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *_):
+        pass
+
+    def do_POST(self):  # noqa: N802
+        self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        self._serve()
+
+    def do_GET(self):  # noqa: N802
+        self._serve()
+
+    def _serve(self):
+        worker = self.server.worker
+        request_id = self.headers["X-Request-Id"]
+        worker.seen.append(dict(self.headers))
+        fault = worker.take_fault()
+        if self.headers.get("X-Expected-Instance") != worker.worker_id:
+            self._answer(421, [("X-Instance-Id", worker.worker_id)])
+            return
+        if fault == "refuses":
+            self._answer(503, [("X-Not-Executed", "1")])
+            return
+        worker.runs[request_id] += 1
+        if fault == "resets":
+            self.close_connection = True
+            self.connection.close()
+            return
+        if fault == "is silent":
+            time.sleep(worker.silence)
+        if fault == "answers for another":
+            request_id = "another"
+        fields = [
+            ("X-Request-Id", request_id),
+            ("X-Response-Signature", f"s-{request_id}"),
+        ]
+        if fault == "fails":
+            self._answer(500, fields, b"failed")
+        elif "stream" in self.path:
+            self._stream(fields, fault)
+        else:
+            self._answer(200, fields, f"by {worker.worker_id}".encode())
+            if fault == "sends more":
+                self.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1")
+                self.wfile.write(b"\r\n\r\nx")
+
+    def _answer(self, status, fields, body=b""):
+        self.send_response(status)
+        for name, value in fields:
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def _stream(self, fields, fault):
+        worker = self.server.worker
+        self.send_response(200)
+        for name, value in fields:
+            self.send_header(name, value)
+        self.send_header("Content-Type", "text/event-stream")
+        self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+        first = int(self.headers.get("Last-Event-Id") or 0) + 1
+        for number in range(first, worker.events + 1):
+            if fault == "cuts" and number == first + 2:
+                self.wfile.write(b"20\r\nid: 9")
+                self.wfile.flush()
+                self.close_connection = True
+                self.connection.close()
+                return
+            event = f"id: {number}\ndata: {number}\n\n".encode()
+            self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+            self.wfile.flush()
+            time.sleep(worker.pause)
+        self.wfile.write(b"0\r\n\r\n")
+
+
+class Worker:
+    """One worker; each fault given to it strikes one request."""
+
+    def __init__(self, *, worker_id, service, model=""):
+        self.worker_id = worker_id
+        self.service = service
+        self.model = model
+        self.events = 6
+        self.pause = 0.01
+        self.silence = 3.0
+        self.runs = collections.Counter()
+        self.seen = []
+        self._faults = collections.deque()
+        self._sequence = 0
+        self._born = int(time.time() * 1000) - 60_000
+        self._server = http.server.ThreadingHTTPServer(
+            ("127.0.0.1", 0), _Handler
+        )
+        self._server.daemon_threads = True
+        self._server.worker = self
+        self.address = f"127.0.0.1:{self._server.server_port}"
+        threading.Thread(
+            target=self._server.serve_forever, daemon=True
+        ).start()
+
+    def fault(self, name, count=1):
+        """Let the next requests meet a fault."""
+        self._faults.extend([name] * count)
+
+    def take_fault(self):
+        """Return the fault of the request that has just come."""
+        return self._faults.popleft() if self._faults else ""
+
+    def beat(self, operators, state="ready", **changes):
+        """Send a heartbeat; return the status of its answer."""
+        self._sequence += 1
+        body = {
+            "Service": self.service,
+            "Address": self.address,
+            "Zone": "attica-a",
+            "Version": "v1",
+            "Slots": 8,
+            "State": state,
+            "ColdRemainingMs": 0,
+            "Sequence": self._sequence,
+            "born": self._born,
+            **changes,
+        }
+        if self.model:
+            body["Models"] = [{"Name": self.model, "Version": 1}]
+        path = f"/v1/instances/{self.worker_id}"
+        return call(operators, "PUT", path, json.dumps(body).encode())[0]
+
+    def close(self):
+        """Stop to serve."""
+        self._server.shutdown()
+        self._server.server_close()
+
+
+def call(address, method, path, body=b"", headers=None):
+    """Make a call; return its status, body and header fields."""
+    connection = http.client.HTTPConnection(address, timeout=WAIT_SECONDS)
+    try:
+        connection.request(method, path, body=body, headers=headers or {})
+        answer = connection.getresponse()
+        try:
+            data = answer.read()
+        except http.client.IncompleteRead as error:
+            return "cut", error.partial, dict(answer.headers)
+        return answer.status, data, dict(answer.headers)
+    finally:
+        connection.close()
+
+
+def fetch_text(url):
+    """Return the text at a URL."""
+    with urllib.request.urlopen(url, timeout=WAIT_SECONDS) as answer:
+        return answer.read().decode()
--- /dev/null
+++ b/fulmarbarrow/platform/features/steps/path.py
@@ -0,0 +1,501 @@
+"""Steps over a running daemon and stand-ins of the platform."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import itertools
+import json
+import signal
+import subprocess
+import sys
+import time
+
+import behave
+
+from fulmarbarrow.platform.features import standin
+from tools import fleet
+
+KEY = "n2ctnfzs989anu6wsjnb"
+HOST = "ficu95.example"
+FLEET_KEY = "0123456789abcdef"
+
+
+class Daemon:
+    """A daemon with both roles under the platform's interface."""
+
+    def __init__(self, *, folder):
+        ports = fleet.free_ports(5)
+        (
+            self.clients,
+            self.ready,
+            self.operators,
+            self.metrics,
+            self.peers,
+        ) = (f"127.0.0.1:{port}" for port in ports)
+        self.settings = folder / "node.toml"
+        self.log = folder / "node.log"
+        self.folder = folder
+        self.process = None
+        self.write_settings(seeds=())
+
+    def write_settings(self, *, seeds):
+        self.settings.write_text(
+            "[daemon]\n"
+            'id = "127.0.0.1"\nzone = "attica-a"\nregion = "attica"\n'
+            'roles = ["router", "control"]\n'
+            f'fleet_key = "{FLEET_KEY}"\n'
+            f'data_dir = "{self.folder / "data"}"\n'
+            'interface = "platform"\ngrace = "100ms"\nstop_within = "8s"\n'
+            "[listen]\n"
+            f'callers = "{self.clients}"\nready = "{self.ready}"\n'
+            f'operators = "{self.operators}"\nmetrics = "{self.metrics}"\n'
+            f'peers = "{self.peers}"\n'
+            f"[peers]\nseeds = {json.dumps(seeds)}\n"
+            "[control]\njournal = false\n"
+            '[upstreams]\nnames_owner = false\nlease = "10s"\n'
+            '[placement]\nfloor = 1.0\nceiling = 1.0\nramp = "100ms"\n'
+            "placed_factor = 0\nuncached_part = 1\nstranger_part = 1\n"
+            'home_wait = "50ms"\n'
+            '[zones]\nwarm_up = "500ms"\nramp = "500ms"\n'
+            "[timeouts]\nresume_grace = 0\n"
+            "[retries]\nratio = 0.2\nslack = 56\nisolate_suspects = false\n"
+            "unsent_are_free = true\n"
+            '[log]\nformat = "json"\n'
+        )
+
+    def start(self):
+        with self.log.open("ab") as output:
+            self.process = subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "fulmarbarrow.platform",
+                    str(self.settings),
+                ],
+                stdout=output,
+                stderr=output,
+            )
+        fleet.wait_until(self._answers, "the daemon answers")
+
+    def kill(self):
+        fleet.stop_process(self.process)
+
+    def lines(self):
+        return [
+            json.loads(line)
+            for line in self.log.read_text().splitlines()
+            if line.startswith("{")
+        ]
+
+    def _answers(self):
+        return fleet.fetch(f"http://{self.ready}/v1/ready")[0] != 0
+
+
+def document(version, keys=(KEY,), service="desk"):
+    def route(name, prefix, kind, **more):
+        return {
+            "Name": name,
+            "Host": HOST,
+            "PathPrefix": prefix,
+            "RouteType": kind,
+            "TimeoutMs": 4000,
+            "TargetLatencyMs": 400,
+            "Service": service,
+            "MaxAttempts": 2,
+            **more,
+        }
+
+    return {
+        "Version": version,
+        "Routes": [
+            route("order", "/order/", "non_idempotent", MaxAttempts=1),
+            route("lookup", "/lookup/", "idempotent"),
+            route(
+                "stream",
+                "/stream/",
+                "streaming",
+                StreamResume=True,
+                Service="pool",
+            ),
+            route("once", "/stream/once/", "streaming", Service="pool"),
+        ],
+        "Services": [
+            {"Name": "desk", "MaxConnections": 110},
+            {
+                "Name": "pool",
+                "Engine": {"Slots": 8, "KvCapacityTokens": 8000},
+            },
+        ],
+        "Tenants": [{"Name": "t1", "ApiKeys": list(keys)}],
+        "Unknown": {"kept": "as it was sent"},
+    }
+
+
+def configure(context, body):
+    context.sent = json.dumps(body).encode()
+    context.status = standin.call(
+        context.daemon.operators, "PUT", "/v1/config", context.sent
+    )[0]
+    return context.status
+
+
+def register(context, names, kind):
+    for name in names.split():
+        worker = standin.Worker(
+            worker_id=name,
+            service="pool" if kind == "pool" else "desk",
+            model="m" if kind == "pool" else "",
+        )
+        context.workers[name] = worker
+        assert worker.beat(context.daemon.operators) == 200
+
+
+_numbers = itertools.count(1)
+
+
+def ask(context, path, method="POST", key=KEY):
+    context.request_id = f"r{next(_numbers)}"
+    fields = {
+        "Host": HOST,
+        "X-Request-Id": context.request_id,
+        "X-Api-Key": key,
+        "X-Request-Deadline": "4000",
+    }
+    if path.startswith("/stream"):
+        fields["X-Model"] = "m"
+        fields["X-Token-Count"] = "100,50"
+        fields["X-Prompt-Prefix"] = "a:60,b:40"
+    body = b"body" if method == "POST" else b""
+    return standin.call(context.daemon.clients, method, path, body, fields)
+
+
+@behave.given("a daemon on the platform")
+def step_daemon(context):
+    context.daemon = Daemon(folder=context.path)
+    context.processes.append(context.daemon)
+    context.daemon.start()
+
+
+@behave.given('configuration {version:d} and workers "{names}" of the {kind}')
+def step_ready_path(context, version, names, kind):
+    fleet.wait_until(
+        lambda: configure(context, document(version)) == 200, "configured"
+    )
+    register(context, names, kind)
+    path = "/stream/1" if kind == "pool" else "/lookup/1"
+    fleet.wait_until(lambda: ask(context, path)[0] == 200, "served")
+    for worker in context.workers.values():
+        worker.runs.clear()
+        worker.seen.clear()
+
+
+@behave.given("whichever worker is asked first {fault}")
+def step_fault(context, fault):
+    shared = iter(["cuts" if fault == "cuts the answer" else fault])
+    for worker in context.workers.values():
+        worker.take_fault = lambda: next(shared, "")  # noqa: B023
+
+
+@behave.given('worker "{name}" answers under another id from now on')
+def step_other_id(context, name):
+    context.workers[name].worker_id = "i-another"
+
+
+@behave.given('worker "{name}" takes {pause:d} ms an event')
+def step_pause(context, name, pause):
+    context.workers[name].pause = pause / 1000
+
+
+@behave.then("it is not ready")
+def step_not_ready(context):
+    def refused():
+        status, _ = fleet.fetch(f"http://{context.daemon.ready}/v1/ready")
+        return status == 503
+
+    fleet.wait_until(refused, "not ready")
+
+
+@behave.then("it is ready")
+def step_ready(context):
+    def ready():
+        status, _ = fleet.fetch(f"http://{context.daemon.ready}/v1/ready")
+        return status == 200
+
+    fleet.wait_until(ready, "ready")
+
+
+@behave.when("the operator sends configuration {version:d}")
+def step_configure(context, version):
+    def clear():
+        return configure(context, document(version)) != 503
+
+    fleet.wait_until(clear, "a clear answer")
+    if version == 5:
+        context.newest = context.sent
+
+
+@behave.when("the operator sends configuration {version:d} without the key")
+def step_without_key(context, version):
+    assert configure(context, document(version, keys=("another",))) == 200
+
+
+@behave.when("the operator sends other content as configuration {version:d}")
+def step_other_content(context, version):
+    configure(context, document(version, service="pool"))
+
+
+@behave.when("the operator sends a configuration {version:d} that is invalid")
+def step_invalid(context, version):
+    configure(context, document(version, service="nobody"))
+
+
+@behave.then("the operator is answered {status:d}")
+def step_operator(context, status):
+    assert context.status == status, context.status
+
+
+@behave.then(
+    "the configuration that is read back is {version:d}, as it was sent"
+)
+def step_read_back(context, version):
+    status, body, _ = standin.call(
+        context.daemon.operators, "GET", "/v1/config"
+    )
+    assert status == 200, status
+    assert body == context.newest
+    assert json.loads(body)["Version"] == version
+
+
+@behave.when('worker "{name}" of the {kind} registers')
+def step_register(context, name, kind):
+    register(context, name, kind)
+
+
+@behave.when('worker "{name}" reports that it is draining')
+def step_drain(context, name):
+    worker = context.workers[name]
+    assert worker.beat(context.daemon.operators, state="draining") == 200
+
+
+@behave.when('worker "{name}" deletes its registration')
+def step_delete(context, name):
+    status, *_ = standin.call(
+        context.daemon.operators, "DELETE", f"/v1/instances/{name}"
+    )
+    assert status == 200, status
+
+
+@behave.when(
+    'heartbeats come with the state "{state}", without a sequence and as noise'
+)
+def step_bad_beats(context, state):
+    worker = context.workers["i-1"]
+    operators = context.daemon.operators
+    path = "/v1/instances/i-1"
+    context.statuses = [
+        worker.beat(operators, state=state),
+        worker.beat(operators, Sequence=None),
+        standin.call(operators, "PUT", path, b"\x00\xff{")[0],
+    ]
+
+
+@behave.then("each is answered {status:d}")
+def step_statuses(context, status):
+    assert set(context.statuses) == {status}, context.statuses
+
+
+@behave.when("a client sends an order")
+def step_order(context):
+    context.answer = ask(context, "/order/7")
+
+
+@behave.when("a client sends a lookup")
+def step_lookup(context):
+    context.answer = ask(context, "/lookup/7", method="GET")
+
+
+@behave.when("a client sends a lookup with an unknown key")
+def step_unknown_key(context):
+    context.answer = ask(context, "/lookup/7", key="unknown")
+
+
+@behave.when("{count:d} clients send an order one after the other")
+def step_orders(context, count):
+    context.answers = []
+    for _ in range(count):
+        status, body, fields = ask(context, "/order/7")
+        context.answers.append((context.request_id, status, fields))
+
+
+@behave.when("a client asks for a stream")
+def step_stream(context):
+    context.answer = ask(context, "/stream/1")
+
+
+@behave.when("a client asks for a stream that must run once")
+def step_stream_once(context):
+    context.answer = ask(context, "/stream/once/1")
+
+
+@behave.when("a client asks for a stream and SIGTERM comes meanwhile")
+def step_stream_term(context):
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        answer = pool.submit(ask, context, "/stream/1")
+        time.sleep(0.25)
+        context.daemon.process.send_signal(signal.SIGTERM)
+        step_not_ready(context)
+        context.answer = answer.result()
+
+
+@behave.then("the client gets {status:d}")
+def step_gets(context, status):
+    assert context.answer[0] == status, context.answer
+
+
+@behave.then("the client gets {status:d} unsigned")
+def step_gets_unsigned(context, status):
+    assert context.answer[0] == status, context.answer
+    assert "X-Response-Signature" not in context.answer[2], context.answer
+
+
+@behave.then(
+    'the client gets 200 with the body and the signature of worker "{name}"'
+)
+def step_signed(context, name):
+    status, body, fields = context.answer
+    assert (status, body) == (200, f"by {name}".encode()), context.answer
+    signature = fields["X-Response-Signature"]
+    assert signature == f"s-{context.request_id}", fields
+
+
+@behave.then("the worker got the tenant's name and not the key")
+def step_tenant(context):
+    fields = context.workers["i-1"].seen[-1]
+    assert fields["X-Tenant"] == "t1", fields
+    assert "X-Api-Key" not in fields, fields
+    assert int(fields["X-Request-Deadline"]) <= 4000, fields
+
+
+@behave.then(
+    "the client gets events {first:d} to {last:d}, once each, {end} the end"
+)
+def step_events(context, first, last, end):
+    status, body, _ = context.answer
+    numbers = [
+        int(line.removeprefix(b"id: "))
+        for line in body.split(b"\n")
+        if line.startswith(b"id: ")
+    ]
+    assert numbers == list(range(first, last + 1)), context.answer
+    assert (status == "cut") is (end == "without"), context.answer
+
+
+@behave.then("the request ran once")
+def step_once(context):
+    runs = sum(
+        worker.runs[context.request_id] for worker in context.workers.values()
+    )
+    assert runs == 1, runs
+
+
+@behave.then("each gets {status:d} with its own signature")
+def step_each(context, status):
+    for request_id, got, fields in context.answers:
+        assert got == status, context.answers
+        assert fields["X-Response-Signature"] == f"s-{request_id}", fields
+
+
+@behave.then('worker "{name}" was asked twice at most')
+def step_asked(context, name):
+    assert len(context.workers[name].seen) <= 2
+
+
+@behave.then('worker "{name}" ran none of them')
+def step_ran_none(context, name):
+    assert not context.workers[name].runs, context.workers[name].runs
+
+
+@behave.when('the operator evacuates zone "{zone}"')
+def step_evacuate(context, zone):
+    status, *_ = standin.call(
+        context.daemon.operators, "POST", f"/v1/evacuations/{zone}"
+    )
+    assert status == 200, status
+
+
+@behave.when('the operator takes zone "{zone}" back')
+def step_take_back(context, zone):
+    status, *_ = standin.call(
+        context.daemon.operators, "DELETE", f"/v1/evacuations/{zone}"
+    )
+    assert status == 200, status
+
+
+@behave.then(
+    "within {seconds:d} s a client's order is refused unrun, with a time "
+    "to return"
+)
+def step_refused_unrun(context, seconds):
+    until = time.monotonic() + seconds
+    while True:
+        status, _, fields = ask(context, "/order/7")
+        if status == 503:
+            break
+        assert time.monotonic() < until, status
+    assert 0 < float(fields["Retry-After"]) < 5, fields
+    worker = context.workers["i-1"]
+    assert not worker.runs[context.request_id]
+
+
+@behave.then("within {seconds:d} s a client's order is answered {status:d}")
+def step_answered(context, seconds, status):
+    until = time.monotonic() + seconds
+    while ask(context, "/order/7")[0] != status:
+        assert time.monotonic() < until
+        time.sleep(0.05)
+
+
+@behave.when("the settings name another seed and SIGHUP comes")
+def step_hup(context):
+    context.daemon.write_settings(seeds=("127.0.0.1:1",))
+    context.daemon.process.send_signal(signal.SIGHUP)
+
+
+@behave.then("the log tells of the reload with the new seed")
+def step_reloaded(context):
+    def told():
+        return any(
+            line["text"] == "settings reloaded"
+            and line["seeds"] == ["127.0.0.1:1"]
+            for line in context.daemon.lines()
+        )
+
+    fleet.wait_until(told, "reloaded")
+
+
+@behave.then("the daemon ends in good order")
+def step_ends(context):
+    assert context.daemon.process.wait(fleet.WAIT_SECONDS) == 0
+
+
+@behave.then("the metrics count it")
+def step_metrics(context):
+    url = f"http://{context.daemon.metrics}/metrics"
+    text = standin.fetch_text(url)
+    assert "fulmarbarrow_requests_total{" in text, text[:400]
+    assert "fulmarbarrow_request_seconds{" in text, text[:400]
+
+
+@behave.then('the log has its lines "{texts}"')
+def step_lines(context, texts):
+    wanted = [text.strip() for text in texts.split(",")]
+
+    def told():
+        found = [
+            line["text"]
+            for line in context.daemon.lines()
+            if line.get("request") == context.request_id
+        ]
+        return found == wanted
+
+    fleet.wait_until(told, "the lines")
--- /dev/null
+++ b/fulmarbarrow/platform/features/workers.feature
@@ -0,0 +1,64 @@
+Feature: Workers' answers become answers to attempts
+
+  Scenario: A request names the worker, the tenant and the time that is left
+    When an attempt of rank 2 goes to worker "i-7f" for tenant "t1" with 450 ms left
+    Then the worker gets
+      | name                | value |
+      | X-Expected-Instance | i-7f  |
+      | X-Tenant            | t1    |
+      | X-Request-Deadline  | 450   |
+      | X-Request-Priority  | 2     |
+
+  Scenario: A stream goes on after the last event that the client has
+    When an attempt resumes after event 12
+    Then the worker gets
+      | name          | value |
+      | Last-Event-Id | 12    |
+
+  Scenario: A prompt's memory comes from another engine
+    When an attempt may fetch from "http://10.0.0.2:80"
+    Then the worker gets
+      | name     | value       |
+      | Kv-Fetch | 10.0.0.2:80 |
+
+  Scenario Outline: Only a proven answer belongs to the attempt
+    When the worker answers <status> with the fields "<fields>"
+    Then the answer <belongs> to the attempt and <run>
+
+    Examples:
+      | status | fields                                              | belongs         | run         |
+      | 200    | X-Request-Id: r1; X-Response-Signature: s           | belongs         | may have run |
+      | 200    | X-Request-Id: r1                                    | does not belong | may have run |
+      | 200    | X-Request-Id: r0; X-Response-Signature: s           | does not belong | may have run |
+      | 200    | X-Response-Signature: s                             | does not belong | may have run |
+      | 200    | X-Request-Id: r1; X-Response-Signature: s; Content-Encoding: gzip | does not belong | may have run |
+      | 500    | X-Request-Id: r1; X-Response-Signature: s           | belongs         | may have run |
+      | 503    | X-Not-Executed: 1                                   | belongs         | has not run |
+      | 503    | X-Request-Id: r0; X-Not-Executed: 1                 | does not belong | has not run |
+      | 421    | X-Instance-Id: i-0                                  | belongs         | has not run |
+      | 503    | X-Request-Id: r1                                    | belongs         | may have run |
+
+  Scenario: Events are counted by their ids, whole and in order
+    Given a stream after event 3
+    When the bytes "id: 4\ndata: a\n\nid: 5\nda" arrive
+    Then event 4 is passed on as it came
+    When the bytes "ta: b\n\n" arrive
+    Then event 5 is passed on as it came
+    When the body ends
+    Then nothing more is passed on
+
+  Scenario: What a complete body ends with is passed on too
+    Given a stream after event 0
+    When the bytes "id: 1\ndata: a\n\n: bye" arrive
+    And the body ends
+    Then the last bytes are ": bye"
+
+  Scenario Outline: A stream that lacks an event is broken
+    Given a stream after event 0
+    When the bytes "<bytes>" arrive
+    Then the stream is broken
+
+    Examples:
+      | bytes                              |
+      | id: 1\ndata: a\n\nid: 3\ndata: c\n\n |
+      | data: without an id\n\n             |
