--- a/fulmarbarrow/config/checks.py
+++ b/fulmarbarrow/config/checks.py
@@ -152,6 +152,8 @@
     ):
         if value <= zero:
             yield source.finding(name, "must be above 0")
+    if settings.control.snapshot_entries <= 0:
+        yield source.finding("control.snapshot_entries", "must be above 0")
     for name in (
         "max_body_bytes",
         "max_answer_buffer_bytes",
--- a/fulmarbarrow/config/defaults.py
+++ b/fulmarbarrow/config/defaults.py
@@ -109,7 +109,9 @@
     as id. ``form`` says that a fleet may begin here; a host that replaces
     another must not begin a second history. ``losses`` hosts may be lost at
     once: the log has up to twice as many voting members and one. ``journal``
-    says whether actions with an idempotency key are recorded.
+    says whether actions with an idempotency key are recorded. After each
+    ``snapshot_entries`` changes the log begins anew from its state, which a
+    restart reads at once.
     """
 
     members: tuple[Member, ...] = ()
@@ -117,6 +119,7 @@
     form: bool = True
     losses: int = 0
     journal: bool = True
+    snapshot_entries: int = 1000
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/fulmarbarrow/consensus/joining.py
+++ b/fulmarbarrow/consensus/joining.py
@@ -147,15 +147,29 @@
         node = self._node
         if not self._may_form:
             return False
-        if self._exists or set(self._empty) != set(self._addresses):
+        founders = set(self._addresses)
+        if node.me.daemon_id not in founders:
             return False
-        members = tuple(self._empty.values())
+        # Hosts that are no founders ask to join and are empty too.
+        if self._exists or not founders <= set(self._empty):
+            return False
+        members = tuple(
+            self._empty[daemon_id] for daemon_id in sorted(founders)
+        )
         self._form(records.first_snapshot(node.group, members))
         return True
 
     def _form(self, first: records.Snapshot) -> None:
         node = self._node
-        log.info("%s starts with %d members", node.group, len(self._empty))
+        log.info(
+            "replicated log formed",
+            extra={
+                "group": node.group.value,
+                "members": [
+                    member.member_id for member in first.configuration.members
+                ],
+            },
+        )
         node.open_log(first)
         node.persist(snapshot=first, reset=True)
 
--- a/fulmarbarrow/daemon/control_cores.py
+++ b/fulmarbarrow/daemon/control_cores.py
@@ -78,5 +78,6 @@
         machines=machines,
         form=settings.form,
         losses=settings.losses,
+        snapshot_entries=settings.snapshot_entries,
     )
     made.add(name, core)
--- a/fulmarbarrow/wire/transport.py
+++ b/fulmarbarrow/wire/transport.py
@@ -24,7 +24,9 @@
 MAX_BATCH_MESSAGES = 64
 MAX_WAITING_BYTES = 4 << 20  # for one peer that does not read
 CONNECT_TIMEOUT_SECONDS = 1.0
-RECONNECT_SECONDS = 0.2
+RECONNECT_SECONDS = 0.1
+# A frame that could not be sent for longer is of no use to its receiver.
+MAX_FRAME_AGE_SECONDS = 1.0
 # Unacknowledged bytes for longer than this close a connection: below the
 # detector's suspicion, so that a silent connection is no dead daemon.
 UNACKNOWLEDGED_MS = 1_500
@@ -127,9 +129,11 @@
         self._metrics = metrics
         self._sender: Sender | None = None
         self._connector: interfaces.IConnector | None = None
-        self._waiting: collections.deque[bytes] = collections.deque()
+        self._waiting: collections.deque[tuple[float, bytes]] = (
+            collections.deque()
+        )
         self._waiting_bytes = 0
-        self._retry_at = 0.0
+        self._retry: interfaces.IDelayedCall | None = None
         self._reachable = True
         self._closed = False
 
@@ -144,15 +148,20 @@
         if self._waiting_bytes + len(frame) > MAX_WAITING_BYTES:
             self._metrics.count("peer_frames_unsent")
             return
-        if self._connector is None and not self._connect():
+        if self._closed:
             self._metrics.count("peer_frames_unsent")
             return
-        self._waiting.append(frame)
+        self._waiting.append((self._reactor.seconds(), frame))
         self._waiting_bytes += len(frame)
+        if self._connector is None and self._retry is None:
+            self._connect()
 
     def close(self) -> None:
         """Close the connection once all that was written is sent."""
         self._closed = True
+        if self._retry is not None:
+            self._retry.cancel()
+            self._retry = None
         if self._sender is not None:
             self._sender.transport.loseConnection()
         elif self._connector is not None:
@@ -172,7 +181,7 @@
             log.info("peer %s:%d reached again", self._host, self._port)
         waiting, self._waiting = self._waiting, collections.deque()
         self._waiting_bytes = 0
-        for frame in waiting:
+        for _, frame in waiting:
             self._write(frame)
 
     def lost(self, sender: Sender, reason: failures.Failure) -> None:
@@ -186,16 +195,29 @@
     def clientConnectionFailed(  # noqa: N802
         self, connector: interfaces.IConnector, reason: failures.Failure
     ) -> None:
-        """Drop what waited; whoever needs an answer has a timeout."""
+        """Try again while a frame waits that is not too old.
+
+        A daemon that restarts refuses connections for a moment.
+        """
         self._connector = None
-        self._metrics.count("peer_frames_unsent", len(self._waiting))
-        self._waiting.clear()
-        self._waiting_bytes = 0
-        if not self._closed:
-            self._unreachable(reason)
+        oldest = self._reactor.seconds() - MAX_FRAME_AGE_SECONDS
+        while self._waiting and self._waiting[0][0] < oldest:
+            _, frame = self._waiting.popleft()
+            self._waiting_bytes -= len(frame)
+            self._metrics.count("peer_frames_unsent")
+        if self._closed:
+            return
+        self._unreachable(reason)
+        if self._waiting:
+            self._retry = self._reactor.callLater(
+                RECONNECT_SECONDS, self._reconnect
+            )
+
+    def _reconnect(self) -> None:
+        self._retry = None
+        self._connect()
 
     def _unreachable(self, reason: failures.Failure) -> None:
-        self._retry_at = self._reactor.seconds() + RECONNECT_SECONDS
         if self._reachable:
             self._reachable = False
             log.warning(
@@ -205,14 +227,10 @@
                 reason.getErrorMessage(),
             )
 
-    def _connect(self) -> bool:
-        """Start to connect, unless that failed just now."""
-        if self._closed or self._reactor.seconds() < self._retry_at:
-            return False
+    def _connect(self) -> None:
         self._connector = self._reactor.connectTCP(
             self._host, self._port, self, timeout=CONNECT_TIMEOUT_SECONDS
         )
-        return True
 
     def _write(self, frame: bytes) -> None:
         self._sender.sendString(frame)
