--- /dev/null
+++ b/fulmarbarrow/consensus/features/steps/hosts.py
@@ -0,0 +1,231 @@
+"""Steps over whole control hosts whose messages are carried at once."""
+
+from __future__ import annotations
+
+import datetime
+import random
+
+import behave
+
+from fulmarbarrow import bus as buses
+from fulmarbarrow import clock as clocks
+from fulmarbarrow.consensus import core
+from fulmarbarrow.consensus import memory
+from fulmarbarrow.consensus import messages
+from fulmarbarrow.consensus import records
+from fulmarbarrow.consensus import state
+from fulmarbarrow.membership import messages as membership_messages
+from fulmarbarrow import message
+from fulmarbarrow.observe import metrics
+
+STEP = datetime.timedelta(milliseconds=50)
+GROUP = records.Group.CONFIGURATION
+
+
+class Host:
+    """One control host on a bus of its own."""
+
+    def __init__(self, *, world, name, founders, form, losses):
+        self.name = name
+        self.applied = []
+        self.results = []
+        self.bus = buses.Bus(clock=world.clock, strict=True)
+        logs = memory.MemoryLogs()
+        self.bus.attach(logs)
+        self.core = core.ConsensusCore(
+            group=GROUP,
+            me=records.Member(
+                daemon_id=name,
+                identity=f"disk-{next(world.disks)}",
+                address=name,
+            ),
+            addresses={item: item for item in founders},
+            stored=logs.open(GROUP),
+            source=random.Random(name),
+            metrics=metrics.Metrics(),
+            now=world.clock.now(),
+            form=form,
+            losses=losses,
+        )
+        self.bus.attach(self.core)
+        self.bus.subscribe(
+            message.Send,
+            lambda event, _: world.sent.append((event.address, event.message)),
+        )
+        self.bus.subscribe(
+            messages.Applied, lambda event, _: self.applied.append(event)
+        )
+        self.bus.subscribe(
+            messages.ProposeResult,
+            lambda event, _: self.results.append(event),
+        )
+        self.bus.subscribe(
+            messages.SnapshotWanted,
+            lambda event, _: [
+                messages.SnapshotTaken(
+                    group=GROUP, index=event.index, state=b""
+                )
+            ],
+        )
+
+
+class World:
+    """The hosts that run, and the messages between them."""
+
+    def __init__(self, *, founders, others, form, losses):
+        self.clock = clocks.ManualClock()
+        self.disks = iter(range(100))
+        self.sent = []
+        self._founders, self._losses = founders, losses
+        self.hosts = {
+            name: self.make(name, form) for name in [*founders, *others]
+        }
+
+    def make(self, name, form):
+        return Host(
+            world=self,
+            name=name,
+            founders=self._founders,
+            form=form,
+            losses=self._losses,
+        )
+
+    def run(self, seconds):
+        end = self.clock.now() + datetime.timedelta(seconds=seconds)
+        while self.clock.now() < end:
+            self.clock.advance(STEP)
+            for host in list(self.hosts.values()):
+                host.bus.post(message.Tick())
+            self.carry()
+
+    def carry(self):
+        while self.sent:
+            address, body = self.sent.pop(0)
+            host = self.hosts.get(address)
+            if host is not None:
+                host.bus.post(body)
+
+    def meet(self):
+        """Let every host know of every other control host."""
+        for host in self.hosts.values():
+            for name in self.hosts:
+                if name == host.name:
+                    continue
+                daemon = membership_messages.Daemon(
+                    daemon_id=name,
+                    incarnation=1,
+                    zone="z",
+                    region="r",
+                    address=name,
+                    roles=("control",),
+                )
+                host.bus.post(membership_messages.DaemonChanged(daemon=daemon))
+
+    def leader(self):
+        (found,) = [
+            host
+            for host in self.hosts.values()
+            if host.core.inspect().role is state.Role.LEADER
+        ]
+        return found
+
+    def voters(self):
+        return self.leader().core.inspect().members
+
+
+@behave.given(
+    'hosts "{founders}" as founders of which {losses:d} may be lost, and '
+    '"{others}" beside them'
+)
+@behave.given(
+    'hosts "{founders}" as founders of which {losses:d} may be lost, and '
+    '"" beside them'
+)
+def step_world(context, founders, losses, others=""):
+    context.world = World(
+        founders=founders.split(),
+        others=others.split(),
+        form=True,
+        losses=losses,
+    )
+    context.world.meet()
+
+
+@behave.given('hosts "{founders}" as founders that may not form')
+def step_no_form(context, founders):
+    context.world = World(
+        founders=founders.split(), others=[], form=False, losses=1
+    )
+
+
+@behave.when("{seconds:d} seconds pass")
+def step_pass(context, seconds):
+    context.world.run(seconds)
+
+
+@behave.when('"{name}" is gone for {seconds:d} seconds')
+def step_gone(context, name, seconds):
+    del context.world.hosts[name]
+    context.world.run(seconds)
+
+
+@behave.when('"{name}" loses its disk and comes back, not allowed to form')
+def step_wiped(context, name):
+    context.former = context.world.hosts[name].core.inspect().member
+    context.world.hosts[name] = context.world.make(name, form=False)
+
+
+@behave.then('the log was formed by "{names}" alone')
+def step_formed(context, names):
+    for name in names.split():
+        log = context.world.hosts[name].core.inspect().log
+        assert log is not None, name
+    assert names_of(context.world.voters()) == names.split()
+
+
+def names_of(members):
+    return sorted(member.partition("/")[0] for member in members)
+
+
+@behave.then('exactly one of "{names}" leads')
+def step_leads(context, names):
+    assert context.world.leader().name in names.split()
+
+
+@behave.then('the voters are "{names}"')
+def step_voters(context, names):
+    assert names_of(context.world.voters()) == names.split()
+
+
+@behave.then('the voters are "{names}" and the former "{name}" is none')
+def step_voters_former(context, names, name):
+    step_voters(context, names)
+    assert context.former not in context.world.voters()
+
+
+@behave.then("there are {count:d} voters")
+def step_count(context, count):
+    assert len(context.world.voters()) == count, context.world.voters()
+
+
+@behave.then("no host holds a log")
+def step_no_log(context):
+    for host in context.world.hosts.values():
+        assert host.core.inspect().log is None, host.name
+
+
+@behave.when("a command is committed")
+@behave.then("a command is committed")
+def step_commit(context):
+    leader = context.world.leader()
+    leader.bus.post(
+        messages.Propose(proposal_id="p", group=GROUP, command=b"done")
+    )
+    context.world.run(1)
+    assert leader.results and leader.results[-1].committed, leader.results
+
+
+@behave.then('"{name}" has applied the command')
+def step_applied(context, name):
+    applied = context.world.hosts[name].applied
+    assert [event.command for event in applied][-1:] == [b"done"], applied
--- a/fulmarbarrow/daemon/control_cores.py
+++ b/fulmarbarrow/daemon/control_cores.py
@@ -35,7 +35,7 @@
         _add_journal(made, logs)
 
 
-def _add_journal(made: joint.Joint, logs: joint.Logs) -> None:
+def _add_journal(made: joint.Joint, logs: consensus_memory.Logs) -> None:
     from fulmarbarrow.journal import control as journal_control
 
     group = consensus_messages.Group.JOURNAL
@@ -52,7 +52,7 @@
     made: joint.Joint,
     name: str,
     group: consensus_messages.Group,
-    logs: joint.Logs,
+    logs: consensus_memory.Logs,
     machines: tuple[str, ...],
 ) -> None:
     """Add the replicated log that the named machines apply."""
--- a/fulmarbarrow/daemon/cores.py
+++ b/fulmarbarrow/daemon/cores.py
@@ -9,6 +9,7 @@
 
 import datetime
 import random
+import typing
 
 from fulmarbarrow import bus as buses
 from fulmarbarrow.config import defaults
@@ -19,6 +20,9 @@
 from fulmarbarrow.publishing import follower
 from fulmarbarrow.publishing import messages as publishing_messages
 
+if typing.TYPE_CHECKING:
+    from fulmarbarrow.consensus import memory
+
 TICK = datetime.timedelta(milliseconds=250)
 PLACEMENT_TICK = datetime.timedelta(milliseconds=50)
 
@@ -49,7 +53,7 @@
         metrics: metrics_module.Metrics,
         rng: random.Random,
         now: datetime.datetime,
-        logs: joint.Logs | None = None,
+        logs: memory.Logs | None = None,
         restored: publishing_messages.StoreRevision | None = None,
         stores_revisions: bool = False,
     ) -> None:
--- a/fulmarbarrow/daemon/joint.py
+++ b/fulmarbarrow/daemon/joint.py
@@ -12,16 +12,8 @@
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow.observe import metrics as metrics_module
 
-
-class Logs(typing.Protocol):
-    """Where the replicated logs of a control host are stored."""
-
-    @property
-    def host_identity(self) -> str:
-        """The identity of this host's disk."""
-
-    def open(self, group: typing.Any) -> typing.Any:
-        """Return what is stored of a group's log."""
+if typing.TYPE_CHECKING:
+    from fulmarbarrow.consensus import memory
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -34,7 +26,7 @@
     metrics: metrics_module.Metrics
     rng: random.Random
     now: datetime.datetime
-    logs: Logs | None = None
+    logs: memory.Logs | None = None
     by_name: dict[str, buses.Core] = dataclasses.field(default_factory=dict)
 
     def add(self, name: str, core: buses.Core) -> None:
--- /dev/null
+++ b/fulmarbarrow/wire/features/steps/transport.py
@@ -0,0 +1,157 @@
+"""Steps on the connections to peers, over transports in memory."""
+
+from __future__ import annotations
+
+import socket
+
+import behave
+from twisted.internet import error as internet_errors
+from twisted.internet import testing
+from twisted.python import failure as failures
+
+from fulmarbarrow import message
+from fulmarbarrow.observe import metrics as metrics_module
+from fulmarbarrow.placement import messages
+from fulmarbarrow.wire import codec
+from fulmarbarrow.wire import transport
+
+PEER = "10.0.0.2:7000"
+
+
+class _Handle:
+    def __init__(self):
+        self.options = {}
+
+    def setsockopt(self, level, option, value):
+        self.options[option] = value
+
+
+class _Memory(testing.StringTransport):
+    def __init__(self):
+        super().__init__()
+        self.handle = _Handle()
+
+    def getHandle(self):  # noqa: N802
+        return self.handle
+
+    def setTcpNoDelay(self, _):  # noqa: N802
+        pass
+
+    def setTcpKeepAlive(self, _):  # noqa: N802
+        pass
+
+
+def make(context):
+    context.reactor = testing.MemoryReactorClock()
+    context.metrics = metrics_module.Metrics()
+    context.transport = transport.Transport(
+        reactor=context.reactor,
+        address="10.0.0.1:7000",
+        codec=codec.Codec(
+            fleet_key="a fleet key of tests",
+            sender="a",
+            address="10.0.0.1:7000",
+            incarnation=1,
+        ),
+        metrics=context.metrics,
+        received=lambda _: None,
+    )
+
+
+def send(context, size=10):
+    body = messages.Release(attempt_ids=("x" * size,))
+    context.transport.send(message.Send(address=PEER, message=body))
+    context.reactor.advance(0)
+
+
+def factory(context):
+    return context.reactor.tcpClients[-1][2]
+
+
+def refuse(context):
+    refused = failures.Failure(internet_errors.ConnectionRefusedError())
+    factory(context).clientConnectionFailed(None, refused)
+
+
+@behave.when("a message is sent to a peer")
+def step_send(context):
+    make(context)
+    send(context)
+
+
+@behave.then("a connection is opened, and nothing is written yet")
+def step_opened(context):
+    assert len(context.reactor.tcpClients) == 1
+    assert context.metrics.value("peer_frames_sent") == 0
+
+
+@behave.when("the connection is made")
+def step_made(context):
+    context.protocol = factory(context).buildProtocol(None)
+    context.memory = _Memory()
+    context.protocol.makeConnection(context.memory)
+
+
+@behave.then("the frame is written")
+def step_written(context):
+    written = context.memory.value()
+    assert int.from_bytes(written[:4], "big") == len(written) - 4, written
+
+
+@behave.then("the frame is written and the kernel watches the connection")
+def step_watched(context):
+    step_written(context)
+    options = context.memory.handle.options
+    timeout = options[socket.TCP_USER_TIMEOUT]
+    assert timeout == transport.UNACKNOWLEDGED_MS, options
+
+
+@behave.when("the connection is refused, and made {after:d} ms later")
+def step_refused(context, after):
+    refuse(context)
+    context.reactor.advance(after / 1000)
+    step_made(context)
+
+
+@behave.when("connections are refused for {span:d} ms")
+def step_refused_long(context, span):
+    for _ in range(span // 100 + 1):
+        refuse(context)
+        context.reactor.advance(0.1)
+
+
+@behave.then("nothing waits and {count:d} frame is counted as unsent")
+def step_unsent(context, count):
+    assert context.metrics.value("peer_frames_unsent") == count
+    before = len(context.reactor.tcpClients)
+    context.reactor.advance(5)
+    assert len(context.reactor.tcpClients) == before
+
+
+@behave.when("the connection is lost and another message is sent")
+def step_lost(context):
+    lost = failures.Failure(internet_errors.ConnectionLost())
+    context.protocol.connectionLost(lost)
+    send(context)
+
+
+@behave.then("a second connection is opened")
+def step_second(context):
+    assert len(context.reactor.tcpClients) == 2
+
+
+@behave.when(
+    "messages of {size:d} MB are sent {count:d} times to a peer that does "
+    "not answer"
+)
+def step_large(context, size, count):
+    make(context)
+    for _ in range(count):
+        send(context, size << 20)
+    context.count = count
+
+
+@behave.then("at most {size:d} MB wait and the others are counted as unsent")
+def step_bounded(context, size):
+    unsent = context.metrics.value("peer_frames_unsent")
+    assert context.count - unsent <= size, unsent
--- /dev/null
+++ b/fulmarbarrow/wire/features/transport.feature
@@ -0,0 +1,27 @@
+Feature: Frames travel on connections that end when they go silent
+
+  Scenario: A frame waits for the first connection
+    When a message is sent to a peer
+    Then a connection is opened, and nothing is written yet
+    When the connection is made
+    Then the frame is written and the kernel watches the connection
+
+  Scenario: A frame waits for a peer that refuses connections for a moment
+    When a message is sent to a peer
+    And the connection is refused, and made 100 ms later
+    Then the frame is written
+
+  Scenario: A frame that is too old is dropped and counted
+    When a message is sent to a peer
+    And connections are refused for 1500 ms
+    Then nothing waits and 1 frame is counted as unsent
+
+  Scenario: After a loss the next frame opens another connection
+    When a message is sent to a peer
+    And the connection is made
+    And the connection is lost and another message is sent
+    Then a second connection is opened
+
+  Scenario: What waits for a peer that does not answer is bounded
+    When messages of 1 MB are sent 8 times to a peer that does not answer
+    Then at most 4 MB wait and the others are counted as unsent
