Fetch from the first engine in the order that has had its place for a while

Cause: a prompt placed away from a home that was itself new was fetched from there, where nothing was, and a crashed engine could be named as source. Change: of the first three in the order of homes, the first that has been in place for 3 s and is not left out.

--- a/fulmarbarrow/placement/core.py
+++ b/fulmarbarrow/placement/core.py
@@ -92,7 +92,9 @@
             metrics=metrics,
         )
         self._health = healths.Health(zone=self._directory.zone)
-        self._sources = sources.Sources(directory=self._directory)
+        self._sources = sources.Sources(
+            directory=self._directory, health=self._health
+        )
         self._entry = entries.EntryCore(
             address=daemon.address,
             zone=daemon.zone,
--- a/fulmarbarrow/placement/features/load.feature
+++ b/fulmarbarrow/placement/features/load.feature
@@ -58,6 +58,7 @@
   Scenario: A prompt placed away from its home is fetched from there
     Given engines "old1 old2 old3" for a minute and "new" for 2 seconds
     Then a prompt placed at its second engine is fetched from its first
+    But from its third where the first is new
 
   Scenario Outline: An upstream holds at most about CapX times the mean
     Given a bound of 2 times the mean and 2, and 6 at least
--- a/fulmarbarrow/placement/features/steps/load.py
+++ b/fulmarbarrow/placement/features/steps/load.py
@@ -295,7 +295,9 @@
         context.directory.learn(engine(name, 60))
     context.directory.learn(engine(new, age))
     context.new = new
-    context.sources = sources.Sources(directory=context.directory)
+    context.sources = sources.Sources(
+        directory=context.directory, health=health.Health()
+    )
 
 
 def prompts(context, tokens=9000):
@@ -339,7 +341,18 @@
 @behave.then("a prompt placed at its second engine is fetched from its first")
 def step_away(context):
     for asked, order in prompts(context):
-        assert source(context, asked, order[1]) == f"http://{order[0]}"
+        if order[0] != context.new:
+            assert source(context, asked, order[1]) == f"http://{order[0]}"
+
+
+@behave.then("from its third where the first is new")
+def step_away_new(context):
+    found = 0
+    for asked, order in prompts(context):
+        if order[0] == context.new:
+            found += 1
+            assert source(context, asked, order[1]) == f"http://{order[2]}"
+    assert found
 
 
 @behave.given(
--- a/fulmarbarrow/placement/sources.py
+++ b/fulmarbarrow/placement/sources.py
@@ -11,12 +11,14 @@
 
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow.placement import directory as directories
+from fulmarbarrow.placement import health as healths
 from fulmarbarrow.placement import messages
 from fulmarbarrow.placement import prefixes
 
 # A shorter prompt is read faster than a transfer waits for its turn.
 LEAST_TOKENS = 3000
 # After so long at its place a home has read the prompts that come to it.
+LOOKED_AT = 3  # engines in the order of homes
 SETTLED = datetime.timedelta(seconds=20)
 # Engines that came together have read nothing of each other's prompts.
 LATER = datetime.timedelta(seconds=3)
@@ -25,8 +27,11 @@
 class Sources:
     """Placed requests in, engines that probably hold their prompts out."""
 
-    def __init__(self, *, directory: directories.Directory) -> None:
+    def __init__(
+        self, *, directory: directories.Directory, health: healths.Health
+    ) -> None:
         self._directory = directory
+        self._health = health
         self._returned: dict[str, datetime.datetime] = {}
         self._weights: dict[str, float] = {}
 
@@ -53,17 +58,18 @@
             return ""
         part = prefixes.base(request.chat)
         ring = self._directory.holders(request.service, request.model)
-        order = ring.best(part, 2)
-        if not order or order == [upstream.upstream_id]:
-            return ""
-        if order[0] != upstream.upstream_id:
-            return self._url(order[0])
-        second = self._directory.upstreams[order[1]]
-        since = self._since(upstream)
-        settled = now - since >= SETTLED
-        if settled or since - self._since(second) < LATER:
+        order = ring.best(part, LOOKED_AT)
+        at_home = bool(order) and order[0] == upstream.upstream_id
+        if at_home and now - self._since(upstream) >= SETTLED:
             return ""
-        return second.url
+        others = [item for item in order if item != upstream.upstream_id]
+        for name in self._health.fit(others, now, once=False):
+            other = self._directory.upstreams[name]
+            if not at_home and now - self._since(other) >= LATER:
+                return other.url
+            if at_home and self._since(upstream) - self._since(other) >= LATER:
+                return other.url
+        return ""
 
     def _since(
         self, upstream: membership_messages.Upstream
@@ -73,6 +79,3 @@
         if returned is None:
             return upstream.started_at
         return max(upstream.started_at, returned)
-
-    def _url(self, upstream_id: str) -> str:
-        return self._directory.upstreams[upstream_id].url
