Keep what the build makes out of the repository

Change: the folder is removed and ignored; the build makes it again. No code of the project changes.

--- a/target/deps/_distutils_hack/override.py
+++ /dev/null
@@ -1,1 +0,0 @@
-__import__('_distutils_hack').do_override()
--- a/target/deps/attr/filters.pyi
+++ /dev/null
@@ -1,6 +0,0 @@
-from typing import Any
-
-from . import Attribute, _FilterType
-
-def include(*what: type | str | Attribute[Any]) -> _FilterType[Any]: ...
-def exclude(*what: type | str | Attribute[Any]) -> _FilterType[Any]: ...
--- a/target/deps/attrs/converters.py
+++ /dev/null
@@ -1,3 +0,0 @@
-# SPDX-License-Identifier: MIT
-
-from attr.converters import *  # noqa: F403
--- a/target/deps/attrs/exceptions.py
+++ /dev/null
@@ -1,3 +0,0 @@
-# SPDX-License-Identifier: MIT
-
-from attr.exceptions import *  # noqa: F403
--- a/target/deps/attrs/filters.py
+++ /dev/null
@@ -1,3 +0,0 @@
-# SPDX-License-Identifier: MIT
-
-from attr.filters import *  # noqa: F403
--- a/target/deps/attrs/setters.py
+++ /dev/null
@@ -1,3 +0,0 @@
-# SPDX-License-Identifier: MIT
-
-from attr.setters import *  # noqa: F403
--- a/target/deps/attrs/validators.py
+++ /dev/null
@@ -1,3 +0,0 @@
-# SPDX-License-Identifier: MIT
-
-from attr.validators import *  # noqa: F403
--- a/target/deps/cattr/converters.py
+++ /dev/null
@@ -1,8 +0,0 @@
-from cattrs.converters import (
-    BaseConverter,
-    Converter,
-    GenConverter,
-    UnstructureStrategy,
-)
-
-__all__ = ["BaseConverter", "Converter", "GenConverter", "UnstructureStrategy"]
--- a/target/deps/cattr/dispatch.py
+++ /dev/null
@@ -1,3 +0,0 @@
-from cattrs.dispatch import FunctionDispatch, MultiStrategyDispatch
-
-__all__ = ["FunctionDispatch", "MultiStrategyDispatch"]
--- a/target/deps/cattr/preconf/__init__.py
+++ /dev/null
@@ -1,3 +0,0 @@
-from cattrs.preconf import validate_datetime
-
-__all__ = ["validate_datetime"]
--- a/target/deps/constantly/test/__init__.py
+++ /dev/null
@@ -1,7 +0,0 @@
-# Copyright (c) Twisted Matrix Laboratories.
-# See LICENSE for details.
-
-"""
-Tests for Constantly.
-"""
-
--- a/target/deps/klein/storage/memory.py
+++ /dev/null
@@ -1,7 +0,0 @@
-from ._memory import MemorySessionStore, declareMemoryAuthorizer
-
-
-__all__ = [
-    "declareMemoryAuthorizer",
-    "MemorySessionStore",
-]
--- a/target/deps/msgspec/_typing_utils.pyi
+++ /dev/null
@@ -1,6 +0,0 @@
-from typing_extensions import TypeIs
-
-from . import Struct
-
-def is_struct(obj: object) -> TypeIs[Struct]: ...
-def is_struct_type(tp: object) -> TypeIs[type[Struct]]: ...
--- a/target/deps/prometheus_client/django/__init__.py
+++ /dev/null
@@ -1,5 +0,0 @@
-from .exposition import PrometheusDjangoView
-
-__all__ = [
-    "PrometheusDjangoView",
-]
--- a/target/deps/prometheus_client/twisted/__init__.py
+++ /dev/null
@@ -1,3 +0,0 @@
-from ._exposition import MetricsResource
-
-__all__ = ['MetricsResource']
--- a/target/deps/setuptools/_distutils/_log.py
+++ /dev/null
@@ -1,3 +0,0 @@
-import logging
-
-log = logging.getLogger()
--- a/target/deps/setuptools/_distutils/compat/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-from __future__ import annotations
--- a/target/deps/setuptools/_distutils/zosccompiler.py
+++ /dev/null
@@ -1,3 +0,0 @@
-from .compilers.C import zos
-
-zOSCCompiler = zos.Compiler
--- a/target/deps/setuptools/_importlib.py
+++ /dev/null
@@ -1,4 +0,0 @@
-from importlib import (
-    metadata,  # noqa: F401
-    resources,  # noqa: F401
-)
--- a/target/deps/setuptools/_vendor/backports/tarfile/__main__.py
+++ /dev/null
@@ -1,5 +0,0 @@
-from . import main
-
-
-if __name__ == '__main__':
-    main()
--- a/target/deps/setuptools/_vendor/more_itertools/__init__.pyi
+++ /dev/null
@@ -1,2 +0,0 @@
-from .more import *
-from .recipes import *
--- a/target/deps/twisted/conch/client/__init__.py
+++ /dev/null
@@ -1,9 +0,0 @@
-# Copyright (c) Twisted Matrix Laboratories.
-# See LICENSE for details.
-
-#
-"""
-Client support code for Conch.
-
-Maintainer: Paul Swartz
-"""
--- a/target/deps/twisted/conch/insults/__init__.py
+++ /dev/null
@@ -1,4 +0,0 @@
-"""
-Insults: a replacement for Curses/S-Lang.
-
-Very basic at the moment."""
--- a/target/deps/twisted/conch/test/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"conch tests"
--- a/target/deps/twisted/mail/scripts/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"mail scripts"
--- a/target/deps/twisted/mail/test/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"Tests for twistd.mail"
--- a/target/deps/twisted/names/__init__.py
+++ /dev/null
@@ -1,6 +0,0 @@
-# Copyright (c) Twisted Matrix Laboratories.
-# See LICENSE for details.
-
-"""
-Twisted Names: DNS server and client implementations.
-"""
--- a/target/deps/twisted/names/test/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"Tests for twisted.names"
--- a/target/deps/twisted/pair/test/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"pair tests"
--- a/target/deps/twisted/python/test/__init__.py
+++ /dev/null
@@ -1,3 +0,0 @@
-"""
-Unit tests for L{twisted.python}.
-"""
--- a/target/deps/twisted/test/reflect_helper_IE.py
+++ /dev/null
@@ -1,3 +0,0 @@
-# Helper for a test_reflect test
-
-__import__("idonotexist")
--- a/target/deps/twisted/test/reflect_helper_VE.py
+++ /dev/null
@@ -1,3 +0,0 @@
-# Helper for a test_reflect test
-
-raise ValueError("Stuff is broken and things")
--- a/target/deps/twisted/test/reflect_helper_ZDE.py
+++ /dev/null
@@ -1,3 +0,0 @@
-# Helper module for a test_reflect test
-
-1 // 0
--- a/target/deps/twisted/trial/_dist/test/__init__.py
+++ /dev/null
@@ -1,6 +0,0 @@
-# Copyright (c) Twisted Matrix Laboratories.
-# See LICENSE for details.
-
-"""
-Distributed trial test runner tests.
-"""
--- a/target/deps/twisted/words/test/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"Words tests"
