--- a/fulmarbarrow/observe/features/logs.feature
+++ b/fulmarbarrow/observe/features/logs.feature
@@ -18,3 +18,7 @@
     Given a log of 10 lines a second
     When a line is logged with the fields request "r1" and age 12
     Then the line has text, level, time, request "r1" and age 12
+
+  Scenario: The page of log events is current
+    When the table of log events is generated
+    Then it is the same as in the user guide
--- a/fulmarbarrow/observe/features/steps/logs.py
+++ b/fulmarbarrow/observe/features/steps/logs.py
@@ -10,6 +10,7 @@
 import behave
 
 from fulmarbarrow.observe import logs
+from tools import log_reference
 
 
 def make(context, lines):
@@ -141,3 +142,14 @@
     (line,) = lines(context)
     assert {"text", "level", "time"} <= set(line), line
     assert (line["request"], line["age_ms"]) == (name, age), line
+
+
+@behave.when("the table of log events is generated")
+def step_generate(context):
+    context.page = log_reference.page()
+
+
+@behave.then("it is the same as in the user guide")
+def step_current(context):
+    written = log_reference.PAGE.read_text()
+    assert written == context.page, "run python -m tools.log_reference"
--- /dev/null
+++ b/tools/log_reference.py
@@ -0,0 +1,72 @@
+"""Writes the table of log events from the module that logs them."""
+
+from __future__ import annotations
+
+import ast
+import collections.abc
+import pathlib
+
+ROOT = pathlib.Path(__file__).parent.parent
+SOURCE = ROOT / "fulmarbarrow" / "observe" / "decisions.py"
+PAGE = ROOT / "docs" / "user-guide" / "log-events.md"
+HEAD = """# Log events
+
+Each decision that touches a request, or changes what a daemon believes, is
+one JSON line on standard output. All lines have `time`, `level`, `logger` and
+`text`, the event. Lines about a request have `request` too, the id that the
+caller gave or else the daemon's own, `age_ms` since it was taken, and once
+they are known `first_ms`, `last_upstream` and `attempts`. Fields without a
+value are left out.
+
+A daemon writes at most 150 lines a second, and as many again of warnings; a
+line `log lines left out` tells how many more there were.
+
+| text | fields |
+| --- | --- |
+"""
+# Positional arguments and keywords that are not fields of the line.
+_NO_FIELDS = ("level", "extra")
+
+
+def main() -> None:
+    """Write the page."""
+    PAGE.write_text(page())
+
+
+def page() -> str:
+    """Return the text of the page."""
+    tree = ast.parse(SOURCE.read_text())
+    rows = sorted(set(_events(tree)))
+    return HEAD + "".join(
+        f"| {text} | {', '.join(f'`{name}`' for name in names)} |\n"
+        for text, names in rows
+    )
+
+
+def _events(
+    tree: ast.AST,
+) -> collections.abc.Iterator[tuple[str, tuple[str, ...]]]:
+    for node in ast.walk(tree):
+        if not isinstance(node, ast.Call):
+            continue
+        texts = [
+            item.value
+            for item in node.args
+            if isinstance(item, ast.Constant) and isinstance(item.value, str)
+        ]
+        if texts and isinstance(node.func, ast.Attribute):
+            yield texts[0], tuple(_fields(node))
+
+
+def _fields(node: ast.Call) -> collections.abc.Iterator[str]:
+    for keyword in node.keywords:
+        if keyword.arg == "extra" and isinstance(keyword.value, ast.Dict):
+            for key in keyword.value.keys:
+                if isinstance(key, ast.Constant):
+                    yield str(key.value)
+        elif keyword.arg and keyword.arg not in _NO_FIELDS:
+            yield keyword.arg
+
+
+if __name__ == "__main__":
+    main()
