Have the matrix notice that bad versions are not left

Cause: 'A mechanism switched off is noticed: bad version' fails since, every time, not by load: the move is judged at second 10.0, the load ends at 12.0 and the check allows 2 s, so before it was one request at 12.045 that breached. Change: the check and its bound stay; what is switched off is now both mechanisms, and the load of that play lasts 4 s longer. A new scenario plays the same load with nothing off: no check is breached.

--- a/faultmatrix/cell.py
+++ b/faultmatrix/cell.py
@@ -91,6 +91,9 @@
         self, cell: Cell, sabotage: sabotages.Sabotage | None = None
     ) -> None:
         self._cell = cell
+        self._load_until = LOAD_UNTIL + (
+            sabotage.load_longer if sabotage else datetime.timedelta()
+        )
         self._checks = [kind() for kind in CHECKS]
         self.fleet = fleets.Fleet(
             seed=cell.seed, watchers=self._checks, sabotage=sabotage
@@ -167,7 +170,7 @@
             self.fleet.callers.place_order()
         if number % 2 == 0:
             self.fleet.callers.look_up()
-        if self.fleet.timeline.elapsed < LOAD_UNTIL:
+        if self.fleet.timeline.elapsed < self._load_until:
             self.fleet.timeline.after(CHAT_INTERVAL, self._load, number + 1)
 
 
--- a/faultmatrix/features/matrix.feature
+++ b/faultmatrix/features/matrix.feature
@@ -24,6 +24,11 @@
       | configuration      |
       | no error in a core |
 
+  Scenario: A bad version is left although the load lasts
+    Given a fleet with a longer load and nothing switched off
+    When "new version fails" happens at MoveChanged
+    Then no check is breached
+
   Scenario Outline: A mechanism switched off is noticed by its check: <check>
     Given a fleet with the mechanism behind <check> switched off
     When "<fault>" happens at <step>
--- a/faultmatrix/features/steps/matrix.py
+++ b/faultmatrix/features/steps/matrix.py
@@ -74,6 +74,13 @@
     context.sabotage = sabotage.SABOTAGES[check]
 
 
+@behave.given("a fleet with a longer load and nothing switched off")
+def step_longer_load(context):
+    context.sabotage = sabotage.Sabotage(
+        load_longer=sabotage.SABOTAGES["bad version"].load_longer
+    )
+
+
 @behave.when('"{fault}" happens at {step}')
 def step_fault(context, fault, step):
     injection = cells.Injection(fault=fault, step=step)
@@ -85,3 +92,8 @@
 def step_breached(context, check):
     breached = {breach.check for breach in context.result.breaches}
     assert check in breached, breached
+
+
+@behave.then("no check is breached")
+def step_nothing_breached(context):
+    assert not context.result.breaches, context.result.breaches
--- a/faultmatrix/sabotage.py
+++ b/faultmatrix/sabotage.py
@@ -13,6 +13,7 @@
 from fulmarbarrow.journal import messages as journal_messages
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
+from fulmarbarrow.placement import messages as placement_messages
 from fulmarbarrow.publishing import messages as publishing_messages
 from fulmarbarrow.versions import messages as versions_messages
 from fulmarbarrow.zones import messages as zones_messages
@@ -29,12 +30,14 @@
     ``tamper`` gets the names of host and core, a message on its way to the
     core and the time; what it returns is handled instead, None is dropped.
     ``reroute`` sends every attempt to the first upstream of its service;
-    ``cuts_stops`` ends a stopping host without waiting for its requests.
+    ``cuts_stops`` ends a stopping host without waiting for its requests. The
+    load lasts ``load_longer`` than in other cells, for effects that show late.
     """
 
     tamper: Tamper | None = None
     reroute: bool = False
     cuts_stops: bool = False
+    load_longer: datetime.timedelta = datetime.timedelta()
 
 
 def _drop(*kinds: type, core: str, host: str = "") -> Tamper:
@@ -92,6 +95,21 @@
     return event
 
 
+def _sends_to_bad_versions(
+    on: str, to: str, event: message.Message, now: datetime.datetime
+) -> message.Message | None:
+    """Keep from placement what a version's shares and failures tell."""
+    if to != "placement":
+        return event
+    if isinstance(event, versions_messages.VersionShares):
+        return None
+    if isinstance(event, placement_messages.WorkEnded):
+        return msgspec.structs.replace(
+            event, outcome=placement_messages.WorkOutcome.COMPLETED
+        )
+    return event
+
+
 def _raises(
     on: str, to: str, event: message.Message, now: datetime.datetime
 ) -> typing.NoReturn:
@@ -107,7 +125,9 @@
         tamper=_drop(zones_messages.ZoneWeights, core="placement")
     ),
     "bad version": Sabotage(
-        tamper=_drop(versions_messages.VersionShares, core="placement")
+        tamper=_sends_to_bad_versions,
+        # The move is judged 2 s before the load of other cells ends.
+        load_longer=datetime.timedelta(seconds=4),
     ),
     "whole answer": Sabotage(tamper=_trusts_echoes),
     "not run": Sabotage(tamper=_calls_everything_not_run),
