--- a/fulmarbarrow/placement/features/owner.feature
+++ b/fulmarbarrow/placement/features/owner.feature
@@ -113,6 +113,13 @@
     When router 2 places 1 requests of 200 tokens of the chat "a"
     Then 1 are at the chat's first engine and 0 at its second
 
+  Scenario: A moved chat is not sent to a misdirected engine
+    Given the chat "a" was moved from its first engine to its second
+    When router 2 places 1 requests of 200 tokens of the chat "a"
+    And router 2 hears that another has its upstream's address
+    And router 2 places 1 requests of 200 tokens of the chat "a"
+    Then 1 are at the chat's first engine and 1 at its second
+
   Scenario: A restarted engine keeps its owner until it names one
     When engine "engine-0" restarts and router 1 is agreed on with epoch 0
     Then router 2 still knows router 0 as the owner of "engine-0"
--- a/fulmarbarrow/placement/features/steps/placement.py
+++ b/fulmarbarrow/placement/features/steps/placement.py
@@ -645,3 +645,18 @@
             daemon_id=gone.daemon_id, incarnation=gone.incarnation
         )
     )
+
+
+@behave.when("router {index:d} hears that another has its upstream's address")
+def step_misdirected(context, index):
+    for attempt_id, (_, placed) in list(context.net.placed.items()):
+        context.net.give(
+            index,
+            messages.WorkEnded(
+                request_id=placed.request_id,
+                attempt_id=attempt_id,
+                upstream_id=placed.upstream_id,
+                incarnation=placed.incarnation,
+                outcome=messages.WorkOutcome.MISDIRECTED,
+            ),
+        )
