Give each test run ports of its own, and print a step's error

It now prints the error of each step. Two runs could also choose the same port: free_ports closed a port before its use, and a stopped daemon's ports were anybody's until it started again. Blocks of ports are now claimed for the life of a process. Whether this was the cause of the error is not shown, so the KNOWN-RED entry stays.

--- a/fulmarbarrow/consensus/features/processes.feature
+++ b/fulmarbarrow/consensus/features/processes.feature
@@ -39,3 +39,7 @@
     And revision 1 is in force on all of them
     When the leader is stopped gracefully
     Then another daemon leads the very next term
+
+  Scenario: Fleets of several test runs share no port
+    When two other processes and this one choose 600 ports each
+    Then no port was chosen twice
--- a/fulmarbarrow/consensus/features/steps/processes.py
+++ b/fulmarbarrow/consensus/features/steps/processes.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+import json
+import pathlib
+import subprocess
+import sys
+
 import behave
 
 from tools import control_fleet
@@ -183,3 +188,34 @@
     fleet.wait_until(lambda: context.fleet.leader(rest), "another leads")
     term = context.fleet.log(context.fleet.leader(rest))["term"]
     assert term == context.term + 1, (term, context.term)
+
+
+CHOOSE_PORTS = """
+import json, sys
+from tools import fleet
+print(json.dumps(fleet.free_ports(int(sys.argv[1]))), flush=True)
+sys.stdin.read()
+"""
+
+
+@behave.when("two other processes and this one choose {count:d} ports each")
+def step_choose(context, count):
+    others = [
+        subprocess.Popen(
+            [sys.executable, "-c", CHOOSE_PORTS, str(count)],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            cwd=pathlib.Path(fleet.__file__).parent.parent,
+        )
+        for _ in range(2)
+    ]
+    context.ports = fleet.free_ports(count)
+    for process in others:
+        context.ports += json.loads(process.stdout.readline())
+    for process in others:
+        process.communicate()
+
+
+@behave.then("no port was chosen twice")
+def step_no_port_twice(context):
+    assert len(set(context.ports)) == len(context.ports)
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -20,26 +20,50 @@
 WAIT_SECONDS = 20.0
 POLL_SECONDS = 0.05
 PORT_RANGE = (10_000, 30_000)
+# Ports; a fleet of one scenario takes some 40 of them.
+PORT_BLOCK = 50
+
+_claims: list[socket.socket] = []
+_claimed: list[int] = []
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports of 127.0.0.1 that nothing listens on.
+    """Return ports of 127.0.0.1 that no other process of the tests gets.
 
     They lie below those that the system gives to outgoing connections, one
-    of which could take a port between this check and its use.
+    of which could take a port between this check and its use. No port is
+    returned twice, as a stopped process may start again on its own.
     """
-    rng = random.SystemRandom()
     found: list[int] = []
-    with contextlib.ExitStack() as stack:
-        while len(found) < count:
-            item = stack.enter_context(socket.socket())
-            port = rng.randrange(*PORT_RANGE)
-            with contextlib.suppress(OSError):
-                item.bind(("127.0.0.1", port))
-                found.append(port)
+    while len(found) < count:
+        if not _claimed:
+            _claimed.extend(_claim_block())
+        port = _claimed.pop()
+        with contextlib.suppress(OSError), socket.socket() as item:
+            item.bind(("127.0.0.1", port))
+            found.append(port)
     return found
 
 
+def _claim_block() -> list[int]:
+    """Return the ports of a block that no other process has claimed.
+
+    The block's first port is kept bound until this process ends, which is
+    what keeps others from the block.
+    """
+    rng = random.SystemRandom()
+    while True:
+        first = rng.randrange(*PORT_RANGE, PORT_BLOCK)
+        claim = socket.socket()
+        try:
+            claim.bind(("127.0.0.1", first))
+        except OSError:
+            claim.close()
+            continue
+        _claims.append(claim)
+        return list(range(first + 1, first + PORT_BLOCK))
+
+
 def wait_until(check: typing.Callable[[], typing.Any], what: str) -> None:
     """Poll ``check`` until it is true; raises TimeoutError with ``what``."""
     until = time.monotonic() + WAIT_SECONDS
--- a/tools/run_scenarios.py
+++ b/tools/run_scenarios.py
@@ -102,9 +102,25 @@
                 red = f"scenario: {element['name']}\n" in known
                 outcome = "known_red" if red else "failed"
                 print(f"{outcome}: {element['location']} {element['name']}")
+                _print_errors(element)
             counts[outcome] += 1
     return counts
 
 
+def _print_errors(element: dict) -> None:
+    """Print the messages of a scenario's steps that did not pass.
+
+    The progress formatter leaves out what a step raised if it was no failed
+    assertion.
+    """
+    for step in element.get("steps", []):
+        result = step.get("result", {})
+        if result.get("status") in ("failed", "error"):
+            print(f"  {step['keyword']} {step['name']}")
+            text = result.get("error_message", "")
+            lines = text if isinstance(text, list) else text.splitlines()
+            print(*(f"    {line}" for line in lines), sep="\n")
+
+
 if __name__ == "__main__":
     main()
