Don't follow a moved chat to an upstream that is ruled out

Cause: an owner that refuses a moved chat names the upstream it was moved to, and the router asked there first, without looking at its own record of that upstream's attempts or at what the request had tried. After another upstream took the address, each request tried it four times. Change: the router follows only if the named upstream is as fit as the home and the request hasn't tried it; else it asks at the home again, where the second question places the chat. A router still asks each misdirected incarnation once.

--- a/fulmarbarrow/placement/entry.py
+++ b/fulmarbarrow/placement/entry.py
@@ -165,7 +165,7 @@
         elif event.code == "overloaded" and walk.stage is Stage.QUEUEING:
             return self._again(walk, now)
         elif event.code == "moved":
-            self._follow(walk, event)
+            self._follow(walk, event, now)
         elif event.code in ("bound_reached", "overloaded"):
             walk.offers[event.upstream_id] = event.wait_ms
         return self._next(walk, now)
@@ -249,16 +249,26 @@
             walk.position += 1
         return self._wait(walk, now)
 
-    def _follow(self, walk: Walk, event: messages.ReserveRefused) -> None:
-        """Ask next where the chat's cache is, then at its home again."""
-        home = walk.candidates[0]
-        walk.moved_to = event.moved_to
-        others = [
-            item
-            for item in walk.candidates
-            if item not in (home, event.moved_to)
-        ]
-        walk.candidates = [home, event.moved_to, home, *others]
+    def _follow(
+        self,
+        walk: Walk,
+        event: messages.ReserveRefused,
+        now: datetime.datetime,
+    ) -> None:
+        """Ask next where the chat's cache is, then at its home again.
+
+        The owner doesn't know how attempts from here went at the upstream
+        that it names, nor which ones the request has tried.
+        """
+        home, cached = walk.candidates[0], event.moved_to
+        others = [i for i in walk.candidates if i not in (home, cached)]
+        fit = self._health.fit([home, cached], now, once=walk.request.once)
+        if cached in fit and cached not in walk.request.excluded:
+            walk.moved_to = cached
+            others = [cached, home, *others]
+        else:
+            others = [home, *others]
+        walk.candidates = [home, *others]
 
     def _next(
         self, walk: Walk, now: datetime.datetime
--- a/fulmarbarrow/placement/features/owner.feature
+++ b/fulmarbarrow/placement/features/owner.feature
@@ -120,6 +120,11 @@
     And router 2 places 1 requests of 200 tokens of the chat "a"
     Then 1 are at the chat's first engine and 1 at its second
 
+  Scenario: A moved chat's retry is not sent to the engine that failed it
+    Given the chat "a" was moved from its first engine to its second
+    When router 2 places a request of 200 tokens of the chat "a" that its second engine has failed
+    Then 1 are at the chat's first engine and 0 at its second
+
   Scenario: A restarted engine keeps its owner until it names one
     When engine "engine-0" restarts and router 1 is agreed on with epoch 0
     Then router 2 still knows router 0 as the owner of "engine-0"
--- a/fulmarbarrow/placement/features/steps/placement.py
+++ b/fulmarbarrow/placement/features/steps/placement.py
@@ -215,7 +215,15 @@
         context.net.give(receiver, event)
 
 
-def place(context, index, chat, cost, service=SERVICE, model="lacework"):
+def place(
+    context,
+    index,
+    chat,
+    cost,
+    service=SERVICE,
+    model="lacework",
+    excluded=(),
+):
     context.count += 1
     request = messages.PlaceRequest(
         request_id=f"r{context.count}",
@@ -228,6 +236,7 @@
         cost_class=messages.CostClass.LONG,
         worth=1.0,
         deadline=context.net.clock.now() + datetime.timedelta(seconds=60),
+        excluded=excluded,
     )
     context.net.requests[request.attempt_id] = request
     context.net.give(index, request)
@@ -660,3 +669,13 @@
                 outcome=messages.WorkOutcome.MISDIRECTED,
             ),
         )
+
+
+@behave.when(
+    "router {index:d} places a request of {cost:d} tokens of the chat "
+    '"{chat}" that its second engine has failed'
+)
+def step_place_excluded(context, index, cost, chat):
+    second = order(context, chat)[1]
+    place(context, index, chat, cost, excluded=(second,))
+    settle(context, 0.5)
