Name the expected incarnation in each attempt; an upstream refuses others

Change: the product's own protocol names the incarnation that an attempt is meant for, as the platform's already does, and the stand-ins and the matrix's upstreams answer 421 with X-Not-Run to another one. The stand-in engine's cache events also named an incarnation of their own after a flap; one identity now serves both. Scenario: an engine refuses what is meant for an earlier incarnation.

--- a/faultmatrix/upstream.py
+++ b/faultmatrix/upstream.py
@@ -125,6 +125,9 @@
         if not self.up or not self._fleet.reachable(host, self.zone):
             self._fail(run, messages.FailureKind.CONNECT, sent=False)
             return
+        if not start.lookup and start.incarnation != self.incarnation:
+            self._turn_away(run)
+            return
         self._fleet.dispatched(self, run)
         self.runs[start.attempt_id] = run
         host.take(messages.AttemptSent(attempt_id=start.attempt_id))
@@ -223,6 +226,12 @@
         if event.incarnation == self.incarnation and event.owner:
             self._owner = (event.owner, event.owner_epoch)
 
+    def _turn_away(self, run: Run) -> None:
+        """Refuse a request that is meant for another incarnation."""
+        run.host.take(messages.AttemptSent(attempt_id=run.start.attempt_id))
+        self._post(run, self._headers(run, 421, not_run=True, length=0))
+        run.over = True
+
     def _refuse(self, run: Run) -> None:
         self._post(run, self._headers(run, 503, not_run=True, length=0))
         self.runs.pop(run.start.attempt_id, None)
--- a/fulmarbarrow/edge/headers.py
+++ b/fulmarbarrow/edge/headers.py
@@ -4,6 +4,7 @@
 
 CHAT = "X-Chat-Id"
 DEADLINE = "X-Deadline-Ms"
+INCARNATION = "X-Expected-Incarnation"
 KEY = "Idempotency-Key"
 ATTEMPT = "X-Attempt-Id"
 PRIORITY = "X-Priority"
--- a/fulmarbarrow/edge/own_dialect.py
+++ b/fulmarbarrow/edge/own_dialect.py
@@ -95,6 +95,8 @@
         if exchange.chat:
             fields[headers.CHAT] = exchange.chat
         method, target, body = exchange.method, exchange.target, exchange.body
+        if not start.lookup:
+            fields[headers.INCARNATION] = str(start.incarnation)
         if start.lookup:
             method, target, body = "GET", start.lookup_path, b""
         elif exchange.content_type:
--- a/fulmarbarrow/platform/workers.py
+++ b/fulmarbarrow/platform/workers.py
@@ -7,6 +7,7 @@
 
 from twisted.web import http
 
+from fulmarbarrow.delivery import answers
 from fulmarbarrow.delivery import messages
 from fulmarbarrow.edge import dialect
 from fulmarbarrow.edge import exchange as exchanges
@@ -15,7 +16,6 @@
 
 MILLISECOND = datetime.timedelta(milliseconds=1)
 EVENT_STREAM = "text/event-stream"
-STATUS_MISDIRECTED = 421
 LOWEST_PRIORITY = 9
 
 _EVENT_ID = re.compile(rb"(?:^|\n)id: ?(\d+)")
@@ -60,7 +60,7 @@
         fields: dialect.Fields,
     ) -> messages.AttemptHeaders:
         """Return what the head of an answer says."""
-        not_run = status == STATUS_MISDIRECTED or bool(
+        not_run = status == answers.STATUS_MISDIRECTED or bool(
             dialect.field(fields, headers.NOT_EXECUTED)
         )
         return messages.AttemptHeaders(
--- a/fulmarbarrow/standins/__main__.py
+++ b/fulmarbarrow/standins/__main__.py
@@ -47,27 +47,41 @@
     from fulmarbarrow.standins import announcer
     from fulmarbarrow.standins import engine
     from fulmarbarrow.standins import faults as faults_module
+    from fulmarbarrow.standins import identity as identities
     from fulmarbarrow.standins import plain
     from fulmarbarrow.standins import presence
 
     clock = clocks.SystemClock()
     faults = faults_module.Faults()
+    identity = identities.Identity(clock=clock)
     standin: engine.Engine | plain.PlainService
     if kind == "engine":
         standin = engine.Engine(
-            options=options, reactor=reactor, clock=clock, faults=faults
+            options=options,
+            reactor=reactor,
+            clock=clock,
+            faults=faults,
+            identity=identity,
         )
     else:
         standin = plain.PlainService(
-            options=options, reactor=reactor, faults=faults
+            options=options,
+            reactor=reactor,
+            faults=faults,
+            identity=identity,
         )
     admin.StandinAdmin(app=standin.app, faults=faults, state=standin.state)
     if isinstance(standin, plain.PlainService):
         standin.add_catch_all()
     announcements = announcer.Announcer(
-        options=options, clock=clock, load=standin.load, offers=standin.offers
+        options=options,
+        identity=identity,
+        load=standin.load,
+        offers=standin.offers,
+    )
+    presence.Presence(
+        announcer=announcements, faults=faults, identity=identity
     )
-    presence.Presence(announcer=announcements, faults=faults)
     reactor.listenTCP(
         options.port,
         server.Site(standin.app.resource()),
--- a/fulmarbarrow/standins/announcer.py
+++ b/fulmarbarrow/standins/announcer.py
@@ -14,6 +14,7 @@
 from fulmarbarrow.edge import headers
 from fulmarbarrow.edge import upstreams
 from fulmarbarrow.membership import messages
+from fulmarbarrow.standins import identity as identities
 from fulmarbarrow.standins import options as options_module
 
 RENEW_SECONDS = 1.0
@@ -35,15 +36,14 @@
         self,
         *,
         options: options_module.StandinOptions,
-        clock: typing.Any,
+        identity: identities.Identity,
         load: typing.Callable[[], upstreams.LoadBody],
         offers: typing.Callable[[], tuple[str, ...]] | None = None,
     ) -> None:
         self._options = options
         self._load = load
         self._offers = offers or (lambda: options.offers)
-        self._clock = clock
-        self._started = clock.now()
+        self._identity = identity
         self._entries = itertools.cycle(options.entries)
         self._sequence = itertools.count(1)
         self._loop = task.LoopingCall(self.announce)
@@ -56,10 +56,6 @@
         """Announce now and then often enough to keep the lease."""
         self._loop.start(RENEW_SECONDS).addErrback(lambda _: None)
 
-    def restart(self) -> None:
-        """Go on as a new incarnation."""
-        self._started = self._clock.now()
-
     async def _send(self) -> None:
         if self.muted:
             return
@@ -95,7 +91,7 @@
         options = self._options
         return upstreams.AnnounceBody(
             upstream_id=options.upstream_id,
-            incarnation=int(self._started.timestamp() * 1000),
+            incarnation=self._identity.incarnation,
             sequence=next(self._sequence),
             zone=options.zone,
             url=f"http://{options.host}:{options.port}",
@@ -103,7 +99,7 @@
             batch_tokens=options.batch_tokens,
             tokens_per_second=options.tokens_per_second,
             state=self.state,
-            started_at=self._started,
+            started_at=self._identity.started_at,
             checks_fencing=options.checks_fencing,
             owner=self._owner,
             owner_epoch=self._owner_epoch,
--- a/fulmarbarrow/standins/cache_events.py
+++ b/fulmarbarrow/standins/cache_events.py
@@ -11,6 +11,7 @@
 
 from fulmarbarrow.edge import headers
 from fulmarbarrow.edge import upstreams
+from fulmarbarrow.standins import identity as identities
 from fulmarbarrow.standins import options as options_module
 
 TIMEOUT_SECONDS = 1.0
@@ -24,11 +25,11 @@
         *,
         options: options_module.StandinOptions,
         reactor: typing.Any,
-        incarnation: int,
+        identity: identities.Identity,
     ) -> None:
         self._options = options
         self._reactor = reactor
-        self._incarnation = incarnation
+        self._identity = identity
         self._entries = itertools.cycle(options.entries)
         self._sequence = itertools.count(1)
         self._stored: list[str] = []
@@ -51,7 +52,7 @@
         sequence = next(self._sequence)
         body = upstreams.CacheBody(
             upstream_id=self._options.upstream_id,
-            incarnation=self._incarnation,
+            incarnation=self._identity.incarnation,
             sequence=sequence,
             stored=tuple(self._stored),
             evicted=tuple(self._evicted),
--- a/fulmarbarrow/standins/engine.py
+++ b/fulmarbarrow/standins/engine.py
@@ -22,6 +22,7 @@
 from fulmarbarrow.standins import cache_events
 from fulmarbarrow.standins import faults as faults_module
 from fulmarbarrow.standins import guard as guards
+from fulmarbarrow.standins import identity as identities
 from fulmarbarrow.standins import kv
 from fulmarbarrow.standins import load_lag
 from fulmarbarrow.standins import options as options_module
@@ -61,12 +62,15 @@
         reactor: typing.Any,
         clock: clocks.Clock,
         faults: faults_module.Faults,
+        identity: identities.Identity,
     ) -> None:
         self._options = options
         self._reactor = reactor
         self._clock = clock
         self._faults = faults
-        self._guard = guards.Guard(faults=faults, reactor=reactor)
+        self._guard = guards.Guard(
+            faults=faults, identity=identity, reactor=reactor
+        )
         self._bad = bad_version.BadVersion(faults=faults, clock=clock)
         self._batch = batches.Batch(
             limit=options.batch_requests,
@@ -81,7 +85,7 @@
         self._cache_reporter = cache_events.CacheReporter(
             options=options,
             reactor=reactor,
-            incarnation=int(clock.now().timestamp() * 1000),
+            identity=identity,
         )
         self._kv = kv.KvMover(cache=self._cache, stored=self._stored)
         self._orders = orders.OrderDesk(
--- a/fulmarbarrow/standins/features/faults.feature
+++ b/fulmarbarrow/standins/features/faults.feature
@@ -31,6 +31,10 @@
     When a chat says "hemlock"
     Then the answer is whole
 
+  Scenario: An engine refuses what is meant for an earlier incarnation
+    When a chat expects incarnation 1
+    Then the status is 421 with header X-Not-Run "true"
+
   Scenario: An answer is cut
     When the fault is switched on
       """
--- a/fulmarbarrow/standins/features/steps/standins.py
+++ b/fulmarbarrow/standins/features/steps/standins.py
@@ -362,3 +362,8 @@
     except TimeoutError:
         return
     raise AssertionError("the connection answered")
+
+
+@behave.when("a chat expects incarnation {number:d}")
+def step_incarnation(context, number):
+    ask(context, X_Expected_Incarnation=str(number))
--- a/fulmarbarrow/standins/guard.py
+++ b/fulmarbarrow/standins/guard.py
@@ -12,9 +12,11 @@
 from twisted.internet import task
 from twisted.web import http
 
+from fulmarbarrow.delivery import answers
 from fulmarbarrow.edge import headers
 from fulmarbarrow.edge import requests
 from fulmarbarrow.standins import faults as faults_module
+from fulmarbarrow.standins import identity as identities
 
 log = logging.getLogger(__name__)
 
@@ -25,9 +27,14 @@
     """Lets requests in and answers out as far as the faults allow."""
 
     def __init__(
-        self, *, faults: faults_module.Faults, reactor: typing.Any
+        self,
+        *,
+        faults: faults_module.Faults,
+        identity: identities.Identity,
+        reactor: typing.Any,
     ) -> None:
         self._faults = faults
+        self._identity = identity
         self._reactor = reactor
         self._channels: weakref.WeakSet[typing.Any] = weakref.WeakSet()
         self._silent: weakref.WeakSet[typing.Any] = weakref.WeakSet()
@@ -54,6 +61,10 @@
             await task.deferLater(self._reactor, late.seconds)
         if self._faults.take(faults_module.FaultKind.REFUSE):
             return refuse(request, "refused")
+        if self._misdirected(request):
+            return refuse(
+                request, "misdirected", status=answers.STATUS_MISDIRECTED
+            )
         return None
 
     def ran(self, body: bytes) -> None:
@@ -75,6 +86,11 @@
         log.error("crash")
         os._exit(CRASH_EXIT_CODE)
 
+    def _misdirected(self, request: http.Request) -> bool:
+        """Return whether a request is meant for another incarnation."""
+        expected = requests.header(request, headers.INCARNATION)
+        return bool(expected) and expected != str(self._identity.incarnation)
+
     def _echo(self, request: http.Request, attempt: str) -> None:
         crossed = self._faults.take(faults_module.FaultKind.CROSSED)
         echoed = self._last_attempt if crossed else attempt
@@ -90,9 +106,11 @@
             self._reactor.callLater(0, self.crash)
 
 
-def refuse(request: http.Request, code: str) -> bytes:
+def refuse(
+    request: http.Request, code: str, status: int = http.SERVICE_UNAVAILABLE
+) -> bytes:
     """Return the answer of an upstream that refused before running."""
-    request.setResponseCode(503)
+    request.setResponseCode(status)
     request.setHeader(headers.NOT_RUN, "true")
     request.setHeader("Content-Type", "application/json")
     return msgspec.json.encode({"error": {"code": code}})
--- a/fulmarbarrow/standins/plain.py
+++ b/fulmarbarrow/standins/plain.py
@@ -15,6 +15,7 @@
 from fulmarbarrow.edge import upstreams
 from fulmarbarrow.standins import faults as faults_module
 from fulmarbarrow.standins import guard as guards
+from fulmarbarrow.standins import identity as identities
 from fulmarbarrow.standins import options as options_module
 
 LOOKUP_PATH = "/by-key"
@@ -34,11 +35,14 @@
         options: options_module.StandinOptions,
         reactor: typing.Any,
         faults: faults_module.Faults,
+        identity: identities.Identity,
     ) -> None:
         self._options = options
         self._reactor = reactor
         self._faults = faults
-        self._guard = guards.Guard(faults=faults, reactor=reactor)
+        self._guard = guards.Guard(
+            faults=faults, identity=identity, reactor=reactor
+        )
         self._runs: collections.Counter[str] = collections.Counter()
         self._answers: dict[str, bytes] = {}
         self._open = 0
--- a/fulmarbarrow/standins/presence.py
+++ b/fulmarbarrow/standins/presence.py
@@ -7,6 +7,7 @@
 from fulmarbarrow.membership import messages
 from fulmarbarrow.standins import announcer as announcers
 from fulmarbarrow.standins import faults as faults_module
+from fulmarbarrow.standins import identity as identities
 
 
 class Presence:
@@ -17,7 +18,9 @@
         *,
         announcer: announcers.Announcer,
         faults: faults_module.Faults,
+        identity: identities.Identity,
     ) -> None:
+        self._identity = identity
         self._announcer = announcer
         self._flapping = task.LoopingCall(self._flap)
         faults.watch(faults_module.FaultKind.LEAVING, self._leave)
@@ -42,5 +45,5 @@
         """Leave, or come back as a new incarnation."""
         self._announcer.muted = not self._announcer.muted
         if not self._announcer.muted:
-            self._announcer.restart()
+            self._identity.restart()
             self._announcer.announce()
