End a reservation that nobody renews with its request's deadline

Load pattern: a zone is cut off while requests are under way. The routers behind the cut could not send their releases, and a lease of 30 s kept the slots of requests that have 2 to 4 s. Change: a reservation ends with its request's deadline and 1 s for the release, at the latest with the lease as before; a renewal tells the time left.

--- a/fulmarbarrow/placement/features/owner.feature
+++ b/fulmarbarrow/placement/features/owner.feature
@@ -40,6 +40,19 @@
     And 31 seconds pass
     Then router 0 keeps 0 tokens for the first engine
 
+  Scenario: What a holder that is cut off reserved ends with its requests
+    Given requests have 2 seconds
+    When router 1 places 4 requests of 200 tokens of the chat "a"
+    And router 1 dies
+    And 4 seconds pass
+    Then router 0 keeps 0 tokens for the first engine
+
+  Scenario: What a dead router had renewed ends with its requests
+    When router 1 renews 200 tokens of a request that has 2 seconds
+    Then router 0 keeps 200 tokens for the first engine
+    When 4 seconds pass
+    Then router 0 keeps 0 tokens for the first engine
+
   Scenario: A long answer's reservation is renewed
     When router 1 places 4 requests of 200 tokens of the chat "a"
     And 30 seconds pass
--- a/fulmarbarrow/placement/features/steps/placement.py
+++ b/fulmarbarrow/placement/features/steps/placement.py
@@ -235,7 +235,8 @@
         cost=cost,
         cost_class=messages.CostClass.LONG,
         worth=1.0,
-        deadline=context.net.clock.now() + datetime.timedelta(seconds=60),
+        deadline=context.net.clock.now()
+        + datetime.timedelta(seconds=getattr(context, "patience", 60)),
         excluded=excluded,
     )
     context.net.requests[request.attempt_id] = request
@@ -679,3 +680,30 @@
     second = order(context, chat)[1]
     place(context, index, chat, cost, excluded=(second,))
     settle(context, 0.5)
+
+
+@behave.given("requests have {seconds:d} seconds")
+def step_patience(context, seconds):
+    context.patience = seconds
+
+
+@behave.when(
+    "router {index:d} renews {cost:d} tokens of a request that has "
+    "{seconds:d} seconds"
+)
+def step_renew(context, index, cost, seconds):
+    held = messages.HeldWork(
+        attempt_id="lost-1",
+        left_ms=seconds * 1000,
+        cost=cost,
+        cost_class=messages.CostClass.LONG,
+        account="volos",
+    )
+    renewal = messages.Renew(
+        reply_to=context.net.daemons[index].address,
+        upstream_id=order(context)[0],
+        incarnation=1,
+        owner_epoch=1,
+        held=(held,),
+    )
+    context.net.give(0, renewal)
--- a/fulmarbarrow/placement/holdings.py
+++ b/fulmarbarrow/placement/holdings.py
@@ -12,6 +12,7 @@
 
 RENEW_AFTER = datetime.timedelta(seconds=12)
 RENEW_AGAIN = datetime.timedelta(seconds=1)
+MILLISECOND = datetime.timedelta(milliseconds=1)
 MAX_HELD_IN_RENEWAL = 64
 MAX_RELEASED_TOGETHER = 32
 
@@ -139,7 +140,9 @@
                 continue
             for first in range(0, len(held), MAX_HELD_IN_RENEWAL):
                 part = held[first : first + MAX_HELD_IN_RENEWAL]
-                effects.append(self._renew(owner, chosen, incarnation, part))
+                effects.append(
+                    self._renew(owner, chosen, incarnation, part, now)
+                )
                 # A new owner may hear of its role after this renewal.
                 again = RENEW_AFTER - RENEW_AGAIN
                 self._mark(part, now - again if upstream_id else now)
@@ -151,6 +154,7 @@
         upstream_id: str,
         incarnation: int,
         held: list[Holding],
+        now: datetime.datetime,
     ) -> message.Message:
         return message.Send(
             address=owner.address,
@@ -162,6 +166,7 @@
                 held=tuple(
                     messages.HeldWork(
                         attempt_id=item.request.attempt_id,
+                        left_ms=(item.request.deadline - now) // MILLISECOND,
                         cost=item.request.cost,
                         cost_class=item.request.cost_class,
                         account=item.request.account,
--- a/fulmarbarrow/placement/ledger.py
+++ b/fulmarbarrow/placement/ledger.py
@@ -13,6 +13,8 @@
 from fulmarbarrow.placement import recent
 
 LEASE = datetime.timedelta(seconds=30)
+# An attempt is over at its deadline; its release may take this much longer.
+RELEASE_TIME = datetime.timedelta(seconds=1)
 SECOND = datetime.timedelta(seconds=1)
 MAX_RELEASED = 512  # attempts whose release came before their reservation
 SETTLE = datetime.timedelta(seconds=14)  # all reservations are renewed
@@ -56,6 +58,17 @@
         return not self.by_right and self.cost_class is messages.CostClass.LONG
 
 
+def lease_end(
+    now: datetime.datetime, deadline: datetime.datetime
+) -> datetime.datetime:
+    """Return until when a reservation holds that nobody renews.
+
+    Work of a holder that is cut off, or whose release is lost, must not
+    count for longer than it can run.
+    """
+    return min(now + LEASE, max(now, deadline) + RELEASE_TIME)
+
+
 class Ledger:
     """Reservations of one incarnation of an upstream and their sums.
 
--- a/fulmarbarrow/placement/messages.py
+++ b/fulmarbarrow/placement/messages.py
@@ -213,9 +213,13 @@
 
 
 class HeldWork(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """One attempt that an entry host still runs at an upstream."""
+    """One attempt that an entry host still runs at an upstream.
+
+    ``left_ms`` is the time until its deadline.
+    """
 
     attempt_id: str
+    left_ms: int
     cost: int
     cost_class: CostClass
     account: str
--- a/fulmarbarrow/placement/owner.py
+++ b/fulmarbarrow/placement/owner.py
@@ -169,7 +169,9 @@
                     cost=held.cost,
                     cost_class=held.cost_class,
                     priority=priority,
-                    until=now + ledgers.LEASE,
+                    until=ledgers.lease_end(
+                        now, now + held.left_ms * replies.MILLISECOND
+                    ),
                 ),
                 now,
             )
@@ -318,7 +320,7 @@
             priority=self._capacity.priority(
                 ledger, work.account, work.cost, work
             ),
-            until=now + ledgers.LEASE,
+            until=ledgers.lease_end(now, work.deadline),
             chat=work.chat,
             expected=bool(work.chat) and ledger.chats.used(work.chat),
         )
