Have daemons that start ask seeds for the configuration until they are told

Change: a daemon without a configuration asks each 0.5 s, one that no leader has told each second, seeds and peers by turns. Control hosts and followers pack a revision once for all who ask.

--- a/fulmarbarrow/daemon/cores.py
+++ b/fulmarbarrow/daemon/cores.py
@@ -103,5 +103,6 @@
                 metrics=made.metrics,
                 stores=stores_revisions,
                 restored=restored,
+                seeds=tuple(map(str, settings.peers.addresses)),
             ),
         )
--- a/fulmarbarrow/publishing/control.py
+++ b/fulmarbarrow/publishing/control.py
@@ -57,6 +57,7 @@
         self._daemon = daemon
         self._state = state.PublishedState()
         self._fanout = fanout.FanOut(daemon=daemon, now=now)
+        self._packed = packing.Packed()
         self._requested: set[str] = set()
         self._amending: set[str] = set()
         self._leads = False
@@ -318,7 +319,9 @@
             sender=self._daemon.address,
             revision=self._state.revision,
             digest=self._state.digest,
-            bundle=packing.pack(self._state.content.encode()),
+            bundle=self._packed.get(
+                self._state.revision, self._state.content.encode
+            ),
             publisher=self._state.publisher,
         )
 
--- a/fulmarbarrow/publishing/features/publishing.feature
+++ b/fulmarbarrow/publishing/features/publishing.feature
@@ -89,3 +89,16 @@
     When the control host restarts from a snapshot
     And the first publish is sent again
     Then it is accepted as revision 1
+
+  Scenario: All daemons start at once and the leader has heard of none
+    Given "amina" has published account "volos" on revision 0
+    When all daemons restart without disks and without knowing each other
+    And 2 seconds pass
+    Then revision 1 is in force on all daemons
+
+  Scenario: A daemon that starts with an old revision asks for the newest soon
+    Given "amina" has published account "volos" on revision 0
+    And "babis" has published account "patras" on revision 1
+    When daemon 5 restarts with revision 1, and the leader has heard of none
+    And 2 seconds pass
+    Then revision 2 is in force on daemon 5
--- a/fulmarbarrow/publishing/features/steps/fleet.py
+++ b/fulmarbarrow/publishing/features/steps/fleet.py
@@ -50,6 +50,7 @@
             metrics=metrics.Metrics(),
             stores=True,
             restored=self.disk,
+            seeds=(f"address-{CONTROL}",),
         )
 
     @property
--- a/fulmarbarrow/publishing/features/steps/publishing.py
+++ b/fulmarbarrow/publishing/features/steps/publishing.py
@@ -11,6 +11,7 @@
 from fulmarbarrow.config import bundle as bundles
 from fulmarbarrow.publishing import delta as deltas
 from fulmarbarrow.publishing import messages
+from fulmarbarrow.publishing import packing
 
 # Behave loads step files by path, so they can't import each other.
 _SPEC = importlib.util.spec_from_file_location(
@@ -193,7 +194,7 @@
         sender="address-0",
         revision=revision,
         digest=request.digest,
-        bundle=request.bundle,
+        bundle=packing.pack(request.bundle),
     )
     context.fleet.post(context.fleet.nodes[number], push)
 
@@ -242,3 +243,27 @@
 @behave.when("the control host restarts from a snapshot")
 def step_snapshot(context):
     context.fleet.restart_control()
+
+
+def forget_disk(node):
+    node.disk = None
+    node.start()
+
+
+@behave.when(
+    "all daemons restart without disks and without knowing each other"
+)
+def step_all_restart(context):
+    for node in context.fleet.nodes[1:]:
+        forget_disk(node)
+    context.fleet.restart_control()
+
+
+@behave.when(
+    "daemon {number:d} restarts with revision {revision:d}, and the leader "
+    "has heard of none"
+)
+def step_restart_old(context, number, revision):
+    forget_disk(context.fleet.nodes[number])
+    push_first(context, number, revision)
+    context.fleet.restart_control()
--- a/fulmarbarrow/publishing/follower.py
+++ b/fulmarbarrow/publishing/follower.py
@@ -20,6 +20,10 @@
 
 ACK_INTERVAL = datetime.timedelta(seconds=10)
 PEER_INTERVAL = datetime.timedelta(seconds=5)
+# A daemon without a configuration can serve nothing.
+FIRST_INTERVAL = datetime.timedelta(milliseconds=500)
+# Until a leader has told it, a daemon may have an old revision from a peer.
+UNTOLD_INTERVAL = datetime.timedelta(seconds=1)
 STORE_TIMEOUT = datetime.timedelta(seconds=2)
 
 
@@ -38,6 +42,7 @@
         messages.RevisionStored,
         membership_messages.DaemonChanged,
         membership_messages.DaemonGone,
+        membership_messages.SeedsChanged,
         message.Tick,
     )
 
@@ -49,6 +54,7 @@
         metrics: metrics_module.Metrics,
         stores: bool = False,
         restored: messages.StoreRevision | None = None,
+        seeds: tuple[str, ...] = (),
     ) -> None:
         self._daemon = daemon
         self._source = source
@@ -61,11 +67,15 @@
         bundle = bundles.decode(restored.bundle if restored else b"{}")
         self._content = deltas.Content(bundle=bundle)
         self._history = history.History()
+        self._packed = packing.Packed()
         self._control = ""
         self._storing: tuple[messages.StoreRevision, datetime.datetime] | None
         self._storing = None
         self._steps: tuple[messages.Delta, ...] = ()
         self._peers: dict[str, str] = {}
+        self._seeds = seeds
+        self._told = False
+        self._asks = 0
         self._acked_at: datetime.datetime | None = None
         self._asked_at: datetime.datetime | None = None
 
@@ -116,6 +126,7 @@
     ) -> list[message.Message]:
         effects = self._relay(event)
         self._control = event.control
+        self._told = self._told or event.sender == event.control
         last = event.deltas[-1].base + 1
         if last <= self._revision:
             return [*effects, self._acknowledge(now)]
@@ -158,6 +169,7 @@
         self, event: messages.RevisionNotice, now: datetime.datetime
     ) -> list[message.Message]:
         self._control = event.control
+        self._told = True
         if event.revision <= self._revision:
             return [self._acknowledge(now)]
         return [self._fetch(event.control)]
@@ -183,7 +195,7 @@
             sender=self._daemon.address,
             revision=self._revision,
             digest=self._digest,
-            bundle=packing.pack(self._content.encode()),
+            bundle=self._packed.get(self._revision, self._content.encode),
             publisher=self._publisher,
         )
 
@@ -276,6 +288,8 @@
                     self._peers[daemon.daemon_id] = daemon.address
             case membership_messages.DaemonGone():
                 self._peers.pop(event.daemon_id, None)
+            case membership_messages.SeedsChanged():
+                self._seeds = event.addresses
 
     def _tick(self, now: datetime.datetime) -> list[message.Message]:
         effects: list[message.Message] = []
@@ -289,12 +303,33 @@
             )
         if self._control and _passed(self._acked_at, ACK_INTERVAL, now):
             effects.append(self._acknowledge(now))
-        if self._peers and _passed(self._asked_at, PEER_INTERVAL, now):
-            self._asked_at = now
-            peer = self._source.choice(sorted(self._peers.values()))
-            effects.append(self._fetch(peer))
+        if _passed(self._asked_at, self._ask_interval, now):
+            effects.extend(self._ask(now))
         return effects
 
+    @property
+    def _ask_interval(self) -> datetime.timedelta:
+        """How long to wait between two questions for a newer revision."""
+        if not self._revision:
+            return FIRST_INTERVAL
+        return PEER_INTERVAL if self._told else UNTOLD_INTERVAL
+
+    def _ask(self, now: datetime.datetime) -> list[message.Message]:
+        """Ask a peer of the zone; until told of a revision, seeds in turn.
+
+        Where all daemons start at once no peer has a configuration, and the
+        leader tells only whom it has heard of.
+        """
+        peers = sorted(self._peers.values())
+        seeds = [item for item in self._seeds if item != self._daemon.address]
+        self._asks += 1
+        if seeds and not self._told and (self._asks % 2 or not peers):
+            peers = seeds
+        if not peers:
+            return []
+        self._asked_at = now
+        return [self._fetch(self._source.choice(peers))]
+
 
 def _passed(
     since: datetime.datetime | None,
