Add a fault soak over real processes

Checked: an order runs at most once, as often as callers were told, a refusal that says not run is true, streams are whole and in order or end with an error, no process goes back to an older revision, planned stops end with code 0, and everything serves and agrees again in the end.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 PYTHON := $(VENV)/bin/python
 export PYTHONPATH := $(CURDIR)
-SOURCES := fulmarbarrow benchmarks faultmatrix tools
+SOURCES := fulmarbarrow benchmarks faultmatrix soak tools
 
 .PHONY: demo test measure traces format lint docs scenarios setup
 
--- a/fulmarbarrow/standins/announcer.py
+++ b/fulmarbarrow/standins/announcer.py
@@ -89,12 +89,13 @@
 
     def _body(self) -> upstreams.AnnounceBody:
         options = self._options
+        port = options.announced_port or options.port
         return upstreams.AnnounceBody(
             upstream_id=options.upstream_id,
             incarnation=self._identity.incarnation,
             sequence=next(self._sequence),
             zone=options.zone,
-            url=f"http://{options.host}:{options.port}",
+            url=f"http://{options.host}:{port}",
             offers=tuple(parse_offer(text) for text in self._offers()),
             batch_tokens=options.batch_tokens,
             tokens_per_second=options.tokens_per_second,
--- a/fulmarbarrow/standins/options.py
+++ b/fulmarbarrow/standins/options.py
@@ -17,7 +17,8 @@
     ``cache_tokens`` bounds the prompt cache. Cache events are sent
     ``cache_event_delay_ms`` late and each ``cache_event_gap``-th batch is
     lost; load is reported ``load_lag_ms`` late. ``work_ms`` is the time
-    that a plain service takes for a request.
+    that a plain service takes for a request. ``announced_port`` is that of a
+    proxy before the stand-in, 0 if there is none.
     """
 
     upstream_id: str
@@ -27,6 +28,7 @@
     entries: tuple[str, ...]
     key: str
     host: str = "127.0.0.1"
+    announced_port: int = 0
     batch_tokens: int = 4000
     tokens_per_second: int = 2000
     token_interval_ms: float = 5
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Fault soak: real programs on one machine, faults from outside."""
--- /dev/null
+++ b/soak/promises.py
@@ -0,0 +1,133 @@
+"""What callers and back ends must always see; pure checks of records."""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+import dataclasses
+import json
+
+END = "data: [DONE]"
+ERROR = "event: error"
+# A killed daemon's connections may be reported broken this much later.
+KILL_SLACK = 1.0  # seconds
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Call:
+    """One request as its caller saw it; times in seconds.
+
+    ``status`` is 0 without an answer. ``key`` is set for orders, and
+    ``asked`` for streams: the number of words that were asked for.
+    """
+
+    daemon_id: str
+    started: float
+    ended: float
+    status: int
+    body: str
+    whole: bool
+    key: str = ""
+    asked: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Kill:
+    """A daemon's process was ended at once."""
+
+    daemon_id: str
+    at: float
+
+
+def streams(
+    calls: collections.abc.Iterable[Call],
+    kills: collections.abc.Collection[Kill],
+) -> list[str]:
+    """Return what is wrong with streamed answers."""
+    found = []
+    for call in calls:
+        if call.asked and call.status == 200:
+            found.extend(_stream(call, kills))
+    return found
+
+
+def _stream(
+    call: Call, kills: collections.abc.Collection[Kill]
+) -> collections.abc.Iterator[str]:
+    events = call.body.split("\n\n")
+    ended = END in events
+    if not ended and ERROR not in call.body and not _killed(call, kills):
+        yield f"broken off without an error: {call}"
+    words = [_word(event) for event in events if event.startswith("data: {")]
+    if not call.whole and words and events[-1]:
+        words = words[:-1] if words[-1] is None else words
+    if words != [f"w{number} " for number in range(len(words))]:
+        yield f"words doubled, lost or out of order: {call}"
+    if ended and len(words) != call.asked:
+        yield f"{len(words)} of {call.asked} words before the end: {call}"
+
+
+def _word(event: str) -> str | None:
+    """Return an event's word; None where the event itself was cut."""
+    try:
+        choices = json.loads(event.removeprefix("data: "))["choices"]
+    except ValueError:
+        return None
+    return choices[0]["delta"]["content"]
+
+
+def _killed(call: Call, kills: collections.abc.Collection[Kill]) -> bool:
+    return any(
+        kill.daemon_id == call.daemon_id
+        and call.started <= kill.at <= call.ended + KILL_SLACK
+        for kill in kills
+    )
+
+
+def orders(
+    calls: collections.abc.Iterable[Call],
+    counts: collections.abc.Mapping[str, int],
+) -> list[str]:
+    """Compare what callers were told of orders with the runs counted."""
+    found = [
+        f"order {key} ran {count} times"
+        for key, count in counts.items()
+        if count > 1
+    ]
+    placed = [call for call in calls if call.key]
+    sent = collections.Counter(call.key for call in placed)
+    for call in placed:
+        count = counts.get(call.key, 0)
+        if call.status == 200 and call.whole and not count:
+            found.append(f"answered, but never ran: {call}")
+        if count and _says_not_run(call, only=sent[call.key] == 1):
+            found.append(f"said not to have run, but ran: {call}")
+    return found
+
+
+def _says_not_run(call: Call, *, only: bool) -> bool:
+    """Whether a refusal says that an order has not run and never will.
+
+    Where the order was sent again, only its seal says so of all copies.
+    """
+    if call.status in (0, 200):
+        return False
+    error = json.loads(call.body)["error"]
+    return error["ran"] == "no" and (only or error["code"] == "not_run")
+
+
+def revisions(
+    seen: collections.abc.Iterable[tuple[str, int, int]],
+) -> list[str]:
+    """Return where a daemon's process went back to an older revision.
+
+    ``seen`` holds daemon, incarnation and revision in order of time.
+    """
+    last: dict[tuple[str, int], int] = {}
+    found = []
+    for daemon_id, incarnation, revision in seen:
+        key = (daemon_id, incarnation)
+        if revision < last.get(key, 0):
+            found.append(f"{daemon_id} went back to revision {revision}")
+        last[key] = max(revision, last.get(key, 0))
+    return found
--- a/tools/run_scenarios.py
+++ b/tools/run_scenarios.py
@@ -44,14 +44,18 @@
 def _folders() -> list[pathlib.Path]:
     """Return every folder of features, the longest run first."""
     slices = sorted(ROOT.glob("fulmarbarrow/**/features"))
-    return [ROOT / "faultmatrix" / "features", *slices]
+    return [
+        ROOT / "faultmatrix" / "features",
+        ROOT / "soak" / "features",
+        *slices,
+    ]
 
 
 def _starts_processes(folder: pathlib.Path) -> bool:
     """Whether a folder's scenarios start daemons or stand-ins."""
     return any(
-        "from tools import" in path.read_text()
-        for path in folder.rglob("*.py")
+        "from tools import" in text or "from soak import" in text
+        for text in (path.read_text() for path in folder.rglob("*.py"))
     )
 
 
