--- a/soak/run.py
+++ b/soak/run.py
@@ -18,13 +18,13 @@
 from tools import control_fleet
 from tools import fleet
 
-OFFICE = pathlib.Path(__file__).parent.parent / "examples" / "office"
+ROOT = pathlib.Path(__file__).parent.parent
+OFFICE = ROOT / "examples" / "office"
 CONTROLS = 3
 ROUTERS = 2
 ENGINES = 2
 REGISTERS = 2
 CLIENTS = 4
-ROOT = pathlib.Path(__file__).parent.parent
 WATCH_INTERVAL = 0.2  # seconds
 
 
@@ -186,6 +186,13 @@
             thread.join()
 
     def _strike(self, fault: plan.Fault) -> None:
+        """Let a fault strike; what a process fails at breaks a promise."""
+        try:
+            self._strike_target(fault)
+        except (OSError, RuntimeError, TimeoutError) as error:
+            self._broken.append(f"{fault.kind.value}: {error}")
+
+    def _strike_target(self, fault: plan.Fault) -> None:
         if fault.kind in plan.DAEMON_KINDS:
             daemon = self.daemons[fault.target]
             with self._locks[daemon.daemon_id]:
