Check that a stopping router is not ready while a stream is open

Cause: the scenario asked once more for readiness after the stream had ended. Change: the check runs while the stream goes on, and the scenario fails unless the stream was still open when readiness was refused. That is stricter: before, a daemon that turned unready only after its streams would have passed.

--- a/fulmarbarrow/platform/features/path.feature
+++ b/fulmarbarrow/platform/features/path.feature
@@ -129,7 +129,7 @@
     Given configuration 3 and workers "i-1" of the pool
     And worker "i-1" takes 100 ms an event
     When a client asks for a stream and SIGTERM comes meanwhile
-    Then it is not ready
+    Then it was not ready while the stream went on
     And the client gets events 1 to 6, once each, and the end
     And the daemon ends in good order
 
--- a/fulmarbarrow/platform/features/steps/path.py
+++ b/fulmarbarrow/platform/features/steps/path.py
@@ -344,9 +344,15 @@
         time.sleep(0.25)
         context.daemon.process.send_signal(signal.SIGTERM)
         step_not_ready(context)
+        context.open_when_not_ready = not answer.done()
         context.answer = answer.result()
 
 
+@behave.then("it was not ready while the stream went on")
+def step_not_ready_meanwhile(context):
+    assert context.open_when_not_ready, context.answer
+
+
 @behave.then("the client gets {status:d}")
 def step_gets(context, status):
     assert context.answer[0] == status, context.answer
