Have an owner that replaces another one wait for the first renewals

Change: an owner that is known to replace another daemon's grants nothing for 300 ms; what waits for it looks at all upstreams again when that time is over. A fresh upstream's first owner, and owners after everything has started anew, replace nobody and don't wait.

--- a/fulmarbarrow/placement/capacity.py
+++ b/fulmarbarrow/placement/capacity.py
@@ -84,6 +84,8 @@
         ledger = owned.ledger
         room = self._room(owned, now)
         carried = ledger.work(now)
+        if now < ledger.renewed_from:
+            return False
         if room.ramping and ledger.handing_over(now):
             return False
         if ledger.starts(now) + 1 > self.starts(ledger, now):
--- a/fulmarbarrow/placement/core.py
+++ b/fulmarbarrow/placement/core.py
@@ -249,13 +249,16 @@
         )
         if self._keeps_owner(event):
             return []
+        replaces = self._replaces_other(event)
         if not self._directory.set_owner(event.upstream_id, owner):
             return []
         upstream = self._directory.upstreams.get(event.upstream_id)
         if event.owner != self._daemon.daemon_id:
             effects = self._owner.drop(event.upstream_id, "not_owner")
         elif upstream is not None:
-            self._owner.take(upstream, event.owner_epoch, now)
+            self._owner.take(
+                upstream, event.owner_epoch, now, replaces=replaces
+            )
             effects = []
         else:
             effects = []
@@ -264,6 +267,16 @@
         )
         return [*effects, *renewals]
 
+    def _replaces_other(self, event: membership_messages.OwnerChanged) -> bool:
+        """Whether another daemon owned this incarnation of the upstream."""
+        known = self._directory.owners.get(event.upstream_id)
+        return (
+            known is not None
+            and bool(known.daemon_id)
+            and known.daemon_id != event.owner
+            and known.incarnation == event.incarnation
+        )
+
     def _keeps_owner(self, event: membership_messages.OwnerChanged) -> bool:
         """Whether a restarted upstream's owner stays until it names one.
 
--- a/fulmarbarrow/placement/features/owner.feature
+++ b/fulmarbarrow/placement/features/owner.feature
@@ -64,6 +64,14 @@
     And 2 seconds pass
     Then router 2 keeps 800 tokens for the first engine
 
+  Scenario: A new owner grants nothing before it knows the former one's work
+    When router 1 places 6 requests of 200 tokens of the chat "a"
+    And router 2 takes every engine over with epoch 2 and places 3 more of them
+    And 250 ms later the other routers hear of it
+    And 1 seconds pass
+    Then no engine has more than 1250 tokens
+    And 9 requests are placed
+
   Scenario: Of two claimants the one with the later epoch is asked
     Given router 1 is told that router 2 owns every engine with epoch 2
     And router 1 is told that router 0 owns every engine with epoch 1
--- a/fulmarbarrow/placement/features/steps/placement.py
+++ b/fulmarbarrow/placement/features/steps/placement.py
@@ -182,6 +182,22 @@
     own(context, index, epoch, range(len(context.net.routers)))
 
 
+@behave.when(
+    "router {index:d} takes every engine over with epoch {epoch:d} "
+    "and places {count:d} more of them"
+)
+def step_take_over(context, index, epoch, count):
+    own(context, index, epoch, {index})
+    for _ in range(count):
+        place(context, index, "a", 200)
+
+
+@behave.when("250 ms later the other routers hear of it")
+def step_hear(context):
+    settle(context, 0.25)
+    own(context, 2, 2, range(len(context.net.routers)))
+
+
 @behave.given(
     "router {told:d} is told that router {index:d} owns every "
     "engine with epoch {epoch:d}"
@@ -324,7 +340,7 @@
 @behave.then("no engine has more than {limit:d} tokens")
 def step_no_more(context, limit):
     for name in context.upstreams:
-        assert 0 < context.net.work(name) <= limit
+        assert 0 < context.net.work(name) <= limit, context.net.work(name)
 
 
 @behave.then('engine "{name}" has at most {limit:d} tokens of work')
--- a/fulmarbarrow/placement/ledger.py
+++ b/fulmarbarrow/placement/ledger.py
@@ -19,6 +19,9 @@
 MAX_RELEASED = 512  # attempts whose release came before their reservation
 SETTLE = datetime.timedelta(seconds=14)  # all reservations are renewed
 HANDOVER = datetime.timedelta(seconds=2)  # entry hosts renew by then
+# An entry host renews at once when it hears of a new owner, which takes a
+# round of gossip.
+FIRST_RENEWALS = datetime.timedelta(milliseconds=300)
 
 
 class Priority(enum.IntEnum):
@@ -73,7 +76,8 @@
     """Reservations of one incarnation of an upstream and their sums.
 
     For a short time after the owner changed, the upstream's own report
-    stands for reservations that entry hosts have not yet renewed here.
+    stands for reservations that entry hosts have not yet renewed here. An
+    owner that ``replaces`` another one waits for the first renewals.
     """
 
     def __init__(
@@ -83,6 +87,7 @@
         epoch: int,
         since: datetime.datetime,
         placed_window: datetime.timedelta,
+        replaces: bool = False,
     ) -> None:
         self.upstream = upstream
         self.epoch = epoch
@@ -90,6 +95,7 @@
         self.cold = cold.ColdDetector()
         self.cold_since: datetime.datetime | None = None
         self._since = since
+        self._replaces = replaces
         self._placed_window = placed_window
         self._reservations: dict[str, Reservation] = {}
         self._released: collections.OrderedDict[str, None] = (
@@ -131,6 +137,12 @@
         """All reservations."""
         return tuple(self._reservations.values())
 
+    @property
+    def renewed_from(self) -> datetime.datetime:
+        """When what the former owner had granted is known here."""
+        wait = FIRST_RENEWALS if self._replaces else datetime.timedelta(0)
+        return self._since + wait
+
     def work(self, now: datetime.datetime) -> int:
         """Return the work in tokens that the upstream is taken to have."""
         if self.epoch and now - self._since < SETTLE:
--- a/fulmarbarrow/placement/owner.py
+++ b/fulmarbarrow/placement/owner.py
@@ -5,6 +5,8 @@
 import datetime
 import typing
 
+import msgspec
+
 from fulmarbarrow.limits import messages as limits_messages
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
@@ -49,8 +51,13 @@
         upstream: membership_messages.Upstream,
         epoch: int,
         now: datetime.datetime,
+        *,
+        replaces: bool = False,
     ) -> None:
-        """Become the owner of an upstream; idempotent by epoch."""
+        """Become the owner of an upstream; idempotent by epoch.
+
+        ``replaces`` says that another daemon is known to have owned it.
+        """
         known = self._owned.get(upstream.upstream_id)
         if known is not None and self._same(known.ledger, upstream, epoch):
             known.ledger.upstream = upstream
@@ -61,6 +68,7 @@
                 epoch=epoch,
                 since=now,
                 placed_window=self._bounds.placed_window,
+                replaces=replaces,
             ),
             queue=self._policy.queue(),
             waiting={},
@@ -344,6 +352,10 @@
         )
         if now + wait > work.deadline and not by_right:
             return [self._refuse(event, "deadline_exceeded", wait)]
+        if now < owned.ledger.renewed_from:
+            # It looks at all upstreams again once this one's work is known.
+            until = min(work.expires, owned.ledger.renewed_from)
+            work = msgspec.structs.replace(work, expires=until)
         refused = owned.queue.add(work)
         if refused is work:
             return [self._refuse(event, "queue_full", wait)]
