Let owners learn from attempts' ends whether an upstream serves

Cause 1: the bound on requests follows the mean over all members of a pool; engines that have crashed count with zero requests until their lease ends, 10 s, and lower what the others may take just when they have to take more. Change: the release of an attempt says how it ended. After two attempts in a row without an answer an upstream no longer counts in the mean; after a misdirected one its owner refuses places there for 2 s. Scenarios: engines that crash don't lower what the others may take (at most 7 of 60 started before, at least 30 now); idle engines still do, which keeps the bound; what one router finds misdirected no other one tries. Both fail with the mechanisms switched off.

--- a/fulmarbarrow/edge/sse.py
+++ b/fulmarbarrow/edge/sse.py
@@ -34,7 +34,8 @@
     """Whole events: their bytes, number and what they say.
 
     ``reused_tokens`` is what the engine says it found in its cache, None if
-    its protocol doesn't tell; ``echoed`` the attempt ids that the events carry, without repetition.
+    its protocol doesn't tell; ``echoed`` the attempt ids that the events
+    carry, without repetition.
     """
 
     data: bytes
--- a/fulmarbarrow/placement/features/owner.feature
+++ b/fulmarbarrow/placement/features/owner.feature
@@ -85,6 +85,25 @@
     And the chat "chat-0" is placed at its second engine once
     Then the chat "chat-0" is placed at its first engine again
 
+  Scenario: Engines that crash don't lower what the others may take
+    Given 3 routers and 5 engines, bounded by twice the mean number of requests
+    And the owner of every engine is router 0
+    When 2 attempts at each of "engine-2 engine-3 engine-4" are lost
+    And 60 attempts start at each of "engine-0 engine-1" within 6 seconds
+    Then at least 30 of them run at each of "engine-0 engine-1"
+
+  Scenario: Idle engines do lower what the others may take
+    Given 3 routers and 5 engines, bounded by twice the mean number of requests
+    And the owner of every engine is router 0
+    When 60 attempts start at each of "engine-0 engine-1" within 6 seconds
+    Then at most 7 of them run at each of "engine-0 engine-1"
+
+  Scenario: What one router finds misdirected no other one tries for a while
+    When an attempt at "engine-0" finds another engine at its address
+    Then another router is refused a place at "engine-0"
+    When 2 seconds pass
+    Then another router is granted a place at "engine-0"
+
   Scenario: A reservation under a wrong epoch is refused
     When a reservation with epoch 7 reaches router 0
     Then the reservation is refused with "not_owner"
--- a/fulmarbarrow/placement/features/steps/placement.py
+++ b/fulmarbarrow/placement/features/steps/placement.py
@@ -15,6 +15,7 @@
 from fulmarbarrow.membership import messages as membership
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics
+from fulmarbarrow.placement import bounds as bounds_module
 from fulmarbarrow.placement import core
 from fulmarbarrow.placement import messages
 from fulmarbarrow.placement import recent
@@ -98,7 +99,7 @@
     )
 
 
-def build(context, routers, upstreams):
+def build(context, routers, upstreams, bounds=None):
     clock = clocks.ManualClock()
     daemons = [daemon(index) for index in range(routers)]
     context.net = Network(
@@ -110,6 +111,7 @@
                 policy=policies.Policy(),
                 metrics=metrics.Metrics(),
                 rng=random.Random(item.daemon_id),
+                bounds=bounds,
             )
             for item in daemons
         ],
@@ -147,6 +149,27 @@
     build(context, routers, [upstream(i, batch, offer) for i in range(count)])
 
 
+@behave.given(
+    "{routers:d} routers and {count:d} engines, bounded by twice the mean "
+    "number of requests"
+)
+def step_build_counted(context, routers, count):
+    offer = membership.Offer(service=SERVICE, model="lacework", version="1")
+    build(
+        context,
+        routers,
+        [upstream(i, 100_000, offer) for i in range(count)],
+        bounds_module.Bounds(
+            requests_factor=2.0,
+            requests_slack=2.0,
+            least_requests=6,
+            placed_factor=0.0,
+            uncached_part=1.0,
+            stranger_part=1.0,
+        ),
+    )
+
+
 @behave.given("{routers:d} routers and {count:d} plain upstreams in 3 zones")
 def step_build_plain(context, routers, count):
     offer = membership.Offer(service="register")
@@ -765,3 +788,68 @@
     settle(context, 0.5)
     ((_, placed),) = context.net.placed.values()
     assert placed.upstream_id == order(context, chat)[0], placed
+
+
+def reserve_at(context, name, attempt_id):
+    """Ask the owner for 100 tokens of an engine; return its reply."""
+    context.net.replies.clear()
+    request = msgspec.structs.replace(
+        reserve(context),
+        upstream_id=name,
+        attempt_id=attempt_id,
+        cost=100,
+        deadline_ms=60_000,
+    )
+    context.net.give(0, request)
+    (reply,) = context.net.replies
+    return reply
+
+
+def release_at(context, name, attempt_id, **bits):
+    context.net.give(
+        0,
+        messages.Release(attempt_ids=(attempt_id,), upstream_id=name, **bits),
+    )
+
+
+@behave.when('2 attempts at each of "{names}" are lost')
+def step_lost(context, names):
+    for name in names.split():
+        for number in range(2):
+            reserve_at(context, name, f"lost-{number}")
+            release_at(context, name, f"lost-{number}", lost=1)
+
+
+@behave.when('{count:d} attempts start at each of "{names}" within 6 seconds')
+def step_start_all(context, count, names):
+    context.granted = collections.Counter()
+    for number in range(count):
+        for name in names.split():
+            reply = reserve_at(context, name, f"start-{number}")
+            context.granted[name] += isinstance(reply, messages.Reserved)
+        settle(context, 6 / count)
+
+
+@behave.then('at least {count:d} of them run at each of "{names}"')
+def step_run_at_least(context, count, names):
+    counts = [context.granted[name] for name in names.split()]
+    assert min(counts) >= count, counts
+
+
+@behave.then('at most {count:d} of them run at each of "{names}"')
+def step_run_at_most(context, count, names):
+    counts = [context.granted[name] for name in names.split()]
+    assert max(counts) <= count, counts
+
+
+@behave.when('an attempt at "{name}" finds another engine at its address')
+def step_misdirected_at(context, name):
+    reserve_at(context, name, "misdirected")
+    release_at(context, name, "misdirected", misdirected=1)
+
+
+@behave.then('another router is {answer} at "{name}"')
+def step_other_router(context, answer, name):
+    reply = reserve_at(context, name, f"other-{answer.split()[0]}")
+    granted = isinstance(reply, messages.Reserved)
+    assert granted == (answer == "granted a place"), reply
--- a/fulmarbarrow/placement/health.py
+++ b/fulmarbarrow/placement/health.py
@@ -35,13 +35,6 @@
 ZONE_UPSTREAMS = 2
 ZONE_PAUSE = datetime.timedelta(milliseconds=700)
 
-_HARD = frozenset(
-    (
-        messages.WorkOutcome.UNREACHABLE,
-        messages.WorkOutcome.CRASHED,
-        messages.WorkOutcome.SILENT,
-    )
-)
 _JUDGED = frozenset(
     (messages.WorkOutcome.COMPLETED, messages.WorkOutcome.FAILED)
 )
@@ -93,7 +86,7 @@
         if outcome is messages.WorkOutcome.MISDIRECTED:
             # Somebody else has the address; only a new record helps.
             record.misdirected = True
-        elif outcome in _HARD:
+        elif outcome in messages.LOST:
             record.hard += 1
             record.failed_at = now
             record.out_until = now + _pause(record)
--- a/fulmarbarrow/placement/holdings.py
+++ b/fulmarbarrow/placement/holdings.py
@@ -35,6 +35,26 @@
     attempt_ids: list[str] = dataclasses.field(default_factory=list)
     hits: int = 0
     misses: int = 0
+    answered: int = 0
+    lost: int = 0
+    misdirected: int = 0
+
+    def note(self, event: messages.WorkEnded) -> None:
+        """Note how the attempt that was added last ended."""
+        bit = 1 << (len(self.attempt_ids) - 1)
+        outcome = event.outcome
+        if outcome in messages.ANSWERED:
+            self.answered |= bit
+        elif outcome in messages.LOST:
+            self.lost |= bit
+        elif outcome is messages.WorkOutcome.MISDIRECTED:
+            self.misdirected |= bit
+        told = event.reused_tokens is not None
+        if told and outcome is messages.WorkOutcome.COMPLETED:
+            if event.reused_tokens:
+                self.hits |= bit
+            else:
+                self.misses |= bit
 
 
 class Holdings:
@@ -72,14 +92,7 @@
         self._work[upstream_id] -= holding.request.cost
         if not self._work[upstream_id]:
             del self._work[upstream_id]
-        planned = self._plan(upstream_id, event.attempt_id)
-        told = event.reused_tokens is not None
-        if told and event.outcome is messages.WorkOutcome.COMPLETED:
-            bit = 1 << (len(planned.attempt_ids) - 1)
-            if event.reused_tokens:
-                planned.hits |= bit
-            else:
-                planned.misses |= bit
+        self._plan(upstream_id, event.attempt_id).note(event)
         return True
 
     def release(self, upstream_id: str, attempt_id: str) -> None:
@@ -99,6 +112,9 @@
                     upstream_id=item.upstream_id,
                     hits=item.hits,
                     misses=item.misses,
+                    answered=item.answered,
+                    lost=item.lost,
+                    misdirected=item.misdirected,
                 ),
             )
             for item in planned
--- a/fulmarbarrow/placement/ledger.py
+++ b/fulmarbarrow/placement/ledger.py
@@ -16,6 +16,11 @@
 # An attempt is over at its deadline; its release may take this much longer.
 RELEASE_TIME = datetime.timedelta(seconds=1)
 SECOND = datetime.timedelta(seconds=1)
+# So many attempts in a row without an answer: the upstream doesn't serve.
+LOST_ATTEMPTS = 2
+# So long after an attempt found another upstream at the address, the owner
+# lets nobody else try; a report of the upstream's end takes about as long.
+MISDIRECTED = datetime.timedelta(seconds=2)
 MAX_RELEASED = 512  # attempts whose release came before their reservation
 SETTLE = datetime.timedelta(seconds=14)  # all reservations are renewed
 HANDOVER = datetime.timedelta(seconds=2)  # entry hosts renew by then
@@ -102,6 +107,8 @@
             collections.OrderedDict()
         )
         self._reported = 0
+        self._lost = 0
+        self._misdirected_until = since
         self._placements: collections.deque[tuple[datetime.datetime, int]] = (
             collections.deque()
         )
@@ -143,6 +150,15 @@
         wait = FIRST_RENEWALS if self._replaces else datetime.timedelta(0)
         return self._since + wait
 
+    @property
+    def answers(self) -> bool:
+        """Whether the last attempts got an answer of the upstream."""
+        return self._lost < LOST_ATTEMPTS
+
+    def misdirected(self, now: datetime.datetime) -> bool:
+        """Return whether another upstream seems to have the address."""
+        return now < self._misdirected_until
+
     def work(self, now: datetime.datetime) -> int:
         """Return the work in tokens that the upstream is taken to have."""
         if self.epoch and now - self._since < SETTLE:
@@ -217,7 +233,7 @@
             self._released.popitem(last=False)
         return None
 
-    def release(self, event: messages.Release) -> bool:
+    def release(self, event: messages.Release, now: datetime.datetime) -> bool:
         """Release attempts; return whether the upstream just turned cold.
 
         Their answers tell which chats the cache holds.
@@ -225,6 +241,8 @@
         turned_cold = False
         for number, attempt_id in enumerate(event.attempt_ids):
             item = self.remove(attempt_id)
+            if item is not None:
+                self._judge(event, number, now)
             hit = bool(event.hits >> number & 1)
             if not hit and not event.misses >> number & 1:
                 continue
@@ -233,6 +251,17 @@
                 turned_cold |= item.expected and self.cold.observe(hit)
         return turned_cold
 
+    def _judge(
+        self, event: messages.Release, number: int, now: datetime.datetime
+    ) -> None:
+        """Learn from an attempt's end whether the upstream serves."""
+        if event.answered >> number & 1:
+            self._lost = 0
+        elif event.lost >> number & 1:
+            self._lost += 1
+        elif event.misdirected >> number & 1:
+            self._misdirected_until = now + MISDIRECTED
+
     def expire(self, now: datetime.datetime) -> list[Reservation]:
         """Remove and return the reservations that nobody renewed."""
         over = [
--- a/fulmarbarrow/placement/messages.py
+++ b/fulmarbarrow/placement/messages.py
@@ -34,6 +34,15 @@
     MISDIRECTED = "misdirected"
 
 
+# Outcomes by which an upstream shows that it works, or that it doesn't.
+ANSWERED = frozenset(
+    (WorkOutcome.COMPLETED, WorkOutcome.FAILED, WorkOutcome.REFUSED)
+)
+LOST = frozenset(
+    (WorkOutcome.UNREACHABLE, WorkOutcome.CRASHED, WorkOutcome.SILENT)
+)
+
+
 class PlaceRequest(message.Message, frozen=True, kw_only=True):
     """Asks for an upstream for one attempt of a request.
 
@@ -203,14 +212,19 @@
 
     An empty ``upstream_id`` releases the attempts at every upstream. Bit
     ``n`` of ``hits`` says that the ``n``-th attempt found a part of its
-    prompt in the cache, of ``misses`` that it found none; at most 32
-    attempts share a message.
+    prompt in the cache, of ``misses`` that it found none, of ``answered``
+    that the upstream answered, of ``lost`` that it was not reached, crashed
+    or fell silent, of ``misdirected`` that another upstream has its address;
+    at most 32 attempts share a message.
     """
 
     attempt_ids: tuple[str, ...]
     upstream_id: str = ""
     hits: int = 0
     misses: int = 0
+    answered: int = 0
+    lost: int = 0
+    misdirected: int = 0
 
 
 class HeldWork(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/fulmarbarrow/placement/owner.py
+++ b/fulmarbarrow/placement/owner.py
@@ -105,7 +105,9 @@
             return [replies.grant(ledger, known, event.reply_to)]
         if ledger.crossed(event.attempt_id):
             return [self._refuse(event, "released")]
-        if not self._serves(ledger, event.incarnation):
+        if not self._serves(ledger, event.incarnation) or ledger.misdirected(
+            now
+        ):
             return [self._refuse(event, "not_serving")]
         if event.attempt_id in owned.waiting:
             owned.waiting[event.attempt_id] = event.reply_to
@@ -139,7 +141,7 @@
             for attempt_id in event.attempt_ids:
                 owned.queue.remove(attempt_id)
                 owned.waiting.pop(attempt_id, None)
-            if owned.ledger.release(event):
+            if owned.ledger.release(event, now):
                 self._turned_cold(owned.ledger, now)
             effects.extend(self._serve(owned, now))
         return effects
@@ -209,7 +211,12 @@
         return effects
 
     def pools(self, now: datetime.datetime) -> list[messages.PoolWork]:
-        """Return the work and capacity of the owned upstreams by pool."""
+        """Return the work and capacity of the owned upstreams by pool.
+
+        Load pattern: some engines of a pool crash, and the others take
+        their work. The number of requests is that of upstreams that answer:
+        the zeros of those that don't would lower what the others may take.
+        """
         sums: dict[int, list[int]] = {}
         serving = membership_messages.UpstreamState.SERVING
         for owned in self._owned.values():
@@ -218,7 +225,7 @@
             share = self._capacity.ramp_share(ledger, now)
             for pool in means_module.pools_of(ledger.upstream):
                 total = sums.setdefault(pool, [0, 0, 0, 0, 0])
-                if ledger.upstream.state is serving:
+                if ledger.upstream.state is serving and ledger.answers:
                     total[3] += len(ledger)
                     total[4] += 1
                 if usable:
