Replicate what changes of a document, not the whole document

Cause: each amendment carried the packed document and the packed bundle, which the leader sends to each other control host over its link of 6 Mbit/s, and each host compares and encodes all routes on a quarter of a core. A step whose base has moved is not applied, and the host proposes the whole document then. Scenarios: of 1,500 routes less than 2,000 bytes are replicated, hosts agree on document and digest; steps from a base that has moved are not applied.

--- a/fulmarbarrow/publishing/control.py
+++ b/fulmarbarrow/publishing/control.py
@@ -25,6 +25,10 @@
 INVALID = "bundle_invalid"
 NO_QUORUM = "no_quorum"
 UNKNOWN = "outcome_unknown"
+# Marks the second proposal of an amendment whose base has moved.
+AGAIN = "+"
+
+Command = state.PublishCommand | amendments.AmendCommand | state.ReviseCommand
 
 
 class PublishingControl:
@@ -59,7 +63,7 @@
         self._fanout = fanout.FanOut(daemon=daemon, now=now)
         self._packed = packing.Packed()
         self._requested: set[str] = set()
-        self._amending: set[str] = set()
+        self._amending: dict[str, amendments.AmendCommand] = {}
         self._leads = False
         self._status = status_module.StatusDesk(
             daemon=daemon, describe=self._describe, now=now
@@ -134,15 +138,15 @@
     def _(
         self, event: messages.AmendRequested, now: datetime.datetime
     ) -> list[message.Message]:
-        self._amending.add(event.amend_id)
         command = amendments.AmendCommand(
             amend_id=event.amend_id, amendment=event.amendment
         )
+        self._amending[event.amend_id] = command
         return [
             consensus_messages.Propose(
                 proposal_id=event.amend_id,
                 group=GROUP,
-                command=msgspec.msgpack.encode(command),
+                command=msgspec.msgpack.encode(self._state.shortened(command)),
                 machine=messages.MACHINE,
             )
         ]
@@ -185,16 +189,11 @@
     ) -> list[message.Message]:
         if event.machine != messages.MACHINE:
             return []
-        command = msgspec.msgpack.decode(
-            event.command, type=state.PublishCommand | amendments.AmendCommand
-        )
+        command = msgspec.msgpack.decode(event.command, type=Command)
         before = self._state.revision
-        result: messages.PublishResult | messages.AmendResult
-        if isinstance(command, amendments.AmendCommand):
-            result = self._state.amend(command)
-            self._amending.discard(command.amend_id)
-        else:
-            result = self._state.apply(command)
+        result = self._apply(command)
+        if result is None:
+            return self._propose_whole(command.amend_id)
         effects = [result, *self._documents.applied()]
         if self._state.revision == before or not self._leads:
             return effects
@@ -307,6 +306,49 @@
             effects += self._fanout.notices(self._state.revision, now)
         return effects
 
+    @functools.singledispatchmethod
+    def _apply(
+        self, command: typing.Any
+    ) -> messages.PublishResult | messages.AmendResult | None:
+        """Apply a committed command; None if its base has moved."""
+        raise TypeError(type(command).__name__)
+
+    @_apply.register
+    def _(self, command: state.PublishCommand) -> messages.PublishResult:
+        return self._state.apply(command)
+
+    @_apply.register
+    def _(self, command: amendments.AmendCommand) -> messages.AmendResult:
+        self._forget_amending(command.amend_id)
+        return self._state.amend(command)
+
+    @_apply.register
+    def _(self, command: state.ReviseCommand) -> messages.AmendResult | None:
+        result = self._state.revise(command)
+        if result is not None:
+            self._forget_amending(command.amend_id)
+        return result
+
+    def _forget_amending(self, amend_id: str) -> None:
+        for proposal_id in (amend_id, amend_id + AGAIN):
+            self._amending.pop(proposal_id, None)
+
+    def _propose_whole(self, amend_id: str) -> list[message.Message]:
+        """Propose an amendment of this host again, from any base."""
+        command = self._amending.pop(amend_id, None)
+        if command is None:
+            return []
+        proposal_id = amend_id + AGAIN
+        self._amending[proposal_id] = command
+        return [
+            consensus_messages.Propose(
+                proposal_id=proposal_id,
+                group=GROUP,
+                command=msgspec.msgpack.encode(command),
+                machine=messages.MACHINE,
+            )
+        ]
+
     def _answer(self, event: messages.RevisionFetch) -> message.Message:
         steps = self._state.history.after(event.revision)
         if steps and not event.whole:
@@ -334,9 +376,9 @@
         """
         if event.committed:
             return []
-        self._amending.discard(event.proposal_id)
+        command = self._amending.pop(event.proposal_id)
         code = UNKNOWN if event.unknown else NO_QUORUM
-        return [messages.AmendResult(amend_id=event.proposal_id, code=code)]
+        return [messages.AmendResult(amend_id=command.amend_id, code=code)]
 
     @staticmethod
     def _refused(
--- a/fulmarbarrow/publishing/features/amendments.feature
+++ b/fulmarbarrow/publishing/features/amendments.feature
@@ -18,6 +18,19 @@
     When zone "z1" is taken back in
     Then zone "z1" is in after 3 revisions
 
+  Scenario: Of a large document only what changes is replicated
+    Given an accepted state with a document 3 of 1500 routes
+    When document 4 with another time limit for one route is shortened
+    Then less than 2000 bytes are replicated
+    And applied by another host they make document 4 as it was sent
+    And the hosts agree on the revision's digest
+
+  Scenario: Steps from a base that has moved are not applied
+    Given an accepted state with a document 3 of 20 routes
+    When document 4 with another time limit for one route is shortened
+    And zone "z1" is taken out meanwhile
+    Then its steps are not applied, and the whole document is
+
   Scenario: A snapshot keeps the document as it was sent
     Given an accepted state
     When documents come with the numbers "3 7" and other accounts each
--- a/fulmarbarrow/publishing/features/steps/amendments.py
+++ b/fulmarbarrow/publishing/features/steps/amendments.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
+import datetime
+import json
+import random
+
 import behave
+import msgspec
 
 from fulmarbarrow.config import bundle as bundles
 from fulmarbarrow.publishing import amendments
@@ -98,3 +103,106 @@
         content.apply(step)
     assert content.encode() == context.state.content.encode()
     assert deltas.digest(content.encode()) == context.state.digest
+
+
+def routes_document(number, count, deadline_ms):
+    """Return a document; ``deadline_ms`` is that of one route."""
+    rng = random.Random(count)
+    routes = [
+        {"host": f"h{rng.random()}", "prefix": f"/p{rng.random()}/", "ms": 900}
+        for _ in range(count)
+    ]
+    routes[count // 2]["ms"] = deadline_ms
+    bundle = bundles.Bundle(
+        host_route=tuple(
+            bundles.HostRoute(
+                name=route["host"] + route["prefix"],
+                host=route["host"],
+                prefix=route["prefix"],
+                targets=(),
+                deadline=datetime.timedelta(milliseconds=route["ms"]),
+            )
+            for route in routes
+        )
+    )
+    text = json.dumps(
+        {"Number": number, "Routes": routes}, separators=(",", ":")
+    )
+    return amendments.ReplaceServices(
+        number=number,
+        bundle=packing.pack(bundles.encode(bundle)),
+        document=packing.pack(text.encode()),
+    )
+
+
+@behave.given(
+    "an accepted state with a document {number:d} of {count:d} routes"
+)
+def step_large(context, number, count):
+    context.states = [state.PublishedState() for _ in range(2)]
+    context.route_count = count
+    command = amendments.AmendCommand(
+        amend_id="a", amendment=routes_document(number, count, 900)
+    )
+    for item in context.states:
+        item.amend(command)
+
+
+@behave.when(
+    "document {number:d} with another time limit for one route is shortened"
+)
+def step_shortened(context, number):
+    context.whole = amendments.AmendCommand(
+        amend_id="b",
+        amendment=routes_document(number, context.route_count, 1200),
+    )
+    short = context.states[0].shortened(context.whole)
+    context.replicated = msgspec.msgpack.encode(short)
+
+
+@behave.then("less than {count:d} bytes are replicated")
+def step_bytes(context, count):
+    assert len(context.replicated) < count, len(context.replicated)
+
+
+@behave.then(
+    "applied by another host they make document {number:d} as it was sent"
+)
+def step_as_sent(context, number):
+    command = msgspec.msgpack.decode(
+        context.replicated, type=state.ReviseCommand
+    )
+    for item in context.states:
+        assert item.revise(command).number == number
+        sent = packing.unpack(context.whole.amendment.document)
+        assert packing.unpack(item.document) == sent
+
+
+@behave.then("the hosts agree on the revision's digest")
+def step_digests(context):
+    for item in context.states:
+        assert item.revision == 2
+        assert deltas.digest(item.content.encode()) == item.digest
+    whole = state.PublishedState()
+    whole.amend(context.whole)
+    assert whole.digest == context.states[0].digest
+
+
+@behave.when('zone "{zone}" is taken out meanwhile')
+def step_meanwhile(context, zone):
+    command = amendments.AmendCommand(
+        amend_id="c", amendment=amendments.SetZone(zone=zone, out=True)
+    )
+    for item in context.states:
+        item.amend(command)
+
+
+@behave.then("its steps are not applied, and the whole document is")
+def step_moved(context):
+    command = msgspec.msgpack.decode(
+        context.replicated, type=state.ReviseCommand
+    )
+    for item in context.states:
+        assert item.revise(command) is None
+        assert item.number == 3
+        assert item.amend(context.whole).number == 4
--- a/fulmarbarrow/publishing/state.py
+++ b/fulmarbarrow/publishing/state.py
@@ -9,8 +9,10 @@
 from fulmarbarrow.config import bundle as bundles
 from fulmarbarrow.publishing import amendments
 from fulmarbarrow.publishing import delta as deltas
+from fulmarbarrow.publishing import edits
 from fulmarbarrow.publishing import history
 from fulmarbarrow.publishing import messages
+from fulmarbarrow.publishing import packing
 
 KEPT_RESULTS = 1000
 CONFLICT = "revision_conflict"
@@ -30,6 +32,20 @@
     bundle: bytes = b""
 
 
+class ReviseCommand(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
+    """What is replicated of a new document: the steps from the one before.
+
+    ``step`` changes the configuration, ``document`` the document itself.
+    """
+
+    amend_id: str
+    number: int
+    step: messages.Delta
+    document: edits.Edit
+
+
 class AcceptedPublish(
     msgspec.Struct, frozen=True, kw_only=True, array_like=True
 ):
@@ -111,12 +127,38 @@
             self.document = amendment.document
             # Readers wait for a revision, so each document makes one.
             self._take(amendment, always=True)
-        return messages.AmendResult(
+        return self._amended(command.amend_id)
+
+    def shortened(
+        self, command: amendments.AmendCommand
+    ) -> amendments.AmendCommand | ReviseCommand:
+        """Return a command as steps from this state where it has steps."""
+        amendment = command.amendment
+        if not isinstance(amendment, amendments.ReplaceServices):
+            return command
+        if not self.document or amendment.number <= self.number:
+            return command
+        return ReviseCommand(
             amend_id=command.amend_id,
-            revision=self.revision,
-            number=self.number,
+            number=amendment.number,
+            step=self._step_to(amendment),
+            document=edits.edit(
+                packing.unpack(self.document),
+                packing.unpack(amendment.document),
+            ),
         )
 
+    def revise(self, command: ReviseCommand) -> messages.AmendResult | None:
+        """Apply the steps to a new document; None if the base has moved."""
+        if command.number > self.number:
+            if command.step.base != self.revision:
+                return None
+            base = packing.unpack(self.document)
+            self.number = command.number
+            self.document = packing.pack(edits.apply(base, command.document))
+            self._advance(command.step)
+        return self._amended(command.amend_id)
+
     def encode(self) -> bytes:
         """Return the state for a snapshot."""
         stored = StoredState(
@@ -152,13 +194,22 @@
         self, amendment: amendments.AnyAmendment, *, always: bool
     ) -> None:
         """Make the amended bundle the next revision if it is another."""
-        step = self.content.delta_to(
+        step = self._step_to(amendment)
+        if always or step.digest != self.digest:
+            self._advance(step)
+
+    def _step_to(self, amendment: amendments.AnyAmendment) -> messages.Delta:
+        """Return what turns the content into the amended one."""
+        return self.content.delta_to(
             amendments.amended(amendment, self.content.bundle()),
             base=self.revision,
             publisher=AMENDED,
         )
-        if always or step.digest != self.digest:
-            self._advance(step)
+
+    def _amended(self, amend_id: str) -> messages.AmendResult:
+        return messages.AmendResult(
+            amend_id=amend_id, revision=self.revision, number=self.number
+        )
 
     def _advance(self, step: messages.Delta) -> None:
         self.content.apply(step)
