Take only a leader's answer as being told of the newest revision

Cause: a control host that does not lead answers a question with deltas that name it as the control host, and the daemon that asked took itself as told and asked again only after 5 s, though that host may be behind. Change: a control host names itself only while it leads. Scenario: a daemon starts with an old revision while nobody leads; before, it stopped asking each second.

--- a/fulmarbarrow/publishing/control.py
+++ b/fulmarbarrow/publishing/control.py
@@ -354,7 +354,7 @@
         if steps and not event.whole:
             return messages.RevisionDeltas(
                 sender=self._daemon.address,
-                control=self._daemon.address,
+                control=self._daemon.address if self._leads else "",
                 deltas=steps,
             )
         return messages.RevisionPush(
--- a/fulmarbarrow/publishing/features/publishing.feature
+++ b/fulmarbarrow/publishing/features/publishing.feature
@@ -96,6 +96,15 @@
     And 2 seconds pass
     Then revision 1 is in force on all daemons
 
+  Scenario: Only the leader's answer ends a new daemon's frequent questions
+    Given "amina" has published account "volos" on revision 0
+    And "babis" has published account "patras" on revision 1
+    When daemon 5 starts with revision 1 while nobody leads, and asks
+    Then revision 2 is in force on daemon 5
+    And within 10 seconds it asks 9 times or more
+    When the control host leads and daemon 5 gets the leader's notice
+    Then within 10 seconds it asks 3 times or less
+
   Scenario: A daemon that starts with an old revision asks for the newest soon
     Given "amina" has published account "volos" on revision 0
     And "babis" has published account "patras" on revision 1
--- a/fulmarbarrow/publishing/features/steps/fleet.py
+++ b/fulmarbarrow/publishing/features/steps/fleet.py
@@ -75,6 +75,7 @@
         self.deaf = set()
         self.lossy_relays = False
         self.sent = collections.Counter()
+        self.asked = collections.Counter()
         self.results = []
         self.status = None
         self.published = []
@@ -142,6 +143,8 @@
                 )
                 if isinstance(effect.message, messages.RevisionDeltas):
                     self.sent[node.number] += 1
+                if isinstance(effect.message, messages.RevisionFetch):
+                    self.asked[node.number] += 1
                 if self.reaches(node, target) and not (
                     relayed and self.lossy_relays
                 ):
--- a/fulmarbarrow/publishing/features/steps/publishing.py
+++ b/fulmarbarrow/publishing/features/steps/publishing.py
@@ -267,3 +267,45 @@
     forget_disk(context.fleet.nodes[number])
     push_first(context, number, revision)
     context.fleet.restart_control()
+
+
+@behave.when(
+    "daemon {number:d} starts with revision {revision:d} while nobody "
+    "leads, and asks"
+)
+def step_start_leaderless(context, number, revision):
+    fleet = context.fleet
+    context.number = number
+    fleet.leads = False
+    fleet.lead()
+    forget_disk(fleet.nodes[number])
+    push_first(context, number, revision)
+    fleet.run(datetime.timedelta(seconds=2))
+
+
+@behave.when(
+    "the control host leads and daemon {number:d} gets the leader's notice"
+)
+def step_leads_again(context, number):
+    context.fleet.leads = True
+    context.fleet.lead()
+    context.fleet.run(datetime.timedelta(seconds=2))
+
+
+def count_questions(context, seconds):
+    fleet = context.fleet
+    fleet.asked.clear()
+    fleet.run(datetime.timedelta(seconds=seconds))
+    return fleet.asked[context.number]
+
+
+@behave.then("within {seconds:d} seconds it asks {count:d} times or more")
+def step_asks_often(context, seconds, count):
+    asked = count_questions(context, seconds)
+    assert asked >= count, asked
+
+
+@behave.then("within {seconds:d} seconds it asks {count:d} times or less")
+def step_asks_seldom(context, seconds, count):
+    asked = count_questions(context, seconds)
+    assert asked <= count, asked
--- a/fulmarbarrow/publishing/follower.py
+++ b/fulmarbarrow/publishing/follower.py
@@ -125,7 +125,7 @@
         self, event: messages.RevisionDeltas, now: datetime.datetime
     ) -> list[message.Message]:
         effects = self._relay(event)
-        self._control = event.control
+        self._control = event.control or self._control
         self._told = self._told or event.sender == event.control
         last = event.deltas[-1].base + 1
         if last <= self._revision:
