Ask on until the revision that was told of is in force

It had been told of a newer revision and the answer was lost or came from a host that was behind; being told once, it asked again only after 5 s. Change: a daemon that has less than it was told of asks each second, seeds and peers by turns.

--- a/fulmarbarrow/publishing/features/publishing.feature
+++ b/fulmarbarrow/publishing/features/publishing.feature
@@ -105,6 +105,11 @@
     When the control host leads and daemon 5 gets the leader's notice
     Then within 10 seconds it asks 3 times or less
 
+  Scenario: A daemon that hears of a newer revision than it has asks on soon
+    Given "amina" has published account "volos" on revision 0
+    When a notice of revision 9 reaches daemon 5, and no answer brings it
+    Then within 10 seconds it asks 9 times or more
+
   Scenario: A daemon that starts with an old revision asks for the newest soon
     Given "amina" has published account "volos" on revision 0
     And "babis" has published account "patras" on revision 1
--- a/fulmarbarrow/publishing/features/steps/publishing.py
+++ b/fulmarbarrow/publishing/features/steps/publishing.py
@@ -309,3 +309,14 @@
 def step_asks_seldom(context, seconds, count):
     asked = count_questions(context, seconds)
     assert asked <= count, asked
+
+
+@behave.when(
+    "a notice of revision {revision:d} reaches daemon {number:d}, and no "
+    "answer brings it"
+)
+def step_notice(context, revision, number):
+    context.number = number
+    fleet = context.fleet
+    notice = messages.RevisionNotice(control="address-0", revision=revision)
+    fleet.post(fleet.nodes[number], notice)
--- a/fulmarbarrow/publishing/follower.py
+++ b/fulmarbarrow/publishing/follower.py
@@ -22,7 +22,7 @@
 PEER_INTERVAL = datetime.timedelta(seconds=5)
 # A daemon without a configuration can serve nothing.
 FIRST_INTERVAL = datetime.timedelta(milliseconds=500)
-# Until a leader has told it, a daemon may have an old revision from a peer.
+# Until it has what a leader has told of, a daemon may have an old revision.
 UNTOLD_INTERVAL = datetime.timedelta(seconds=1)
 STORE_TIMEOUT = datetime.timedelta(seconds=2)
 
@@ -75,6 +75,7 @@
         self._peers: dict[str, str] = {}
         self._seeds = seeds
         self._told = False
+        self._newest = 0
         self._asks = 0
         self._acked_at: datetime.datetime | None = None
         self._asked_at: datetime.datetime | None = None
@@ -128,6 +129,7 @@
         self._control = event.control or self._control
         self._told = self._told or event.sender == event.control
         last = event.deltas[-1].base + 1
+        self._newest = max(self._newest, last)
         if last <= self._revision:
             return [*effects, self._acknowledge(now)]
         steps = tuple(d for d in event.deltas if d.base >= self._revision)
@@ -170,6 +172,7 @@
     ) -> list[message.Message]:
         self._control = event.control
         self._told = True
+        self._newest = max(self._newest, event.revision)
         if event.revision <= self._revision:
             return [self._acknowledge(now)]
         return [self._fetch(event.control)]
@@ -312,10 +315,19 @@
         """How long to wait between two questions for a newer revision."""
         if not self._revision:
             return FIRST_INTERVAL
-        return PEER_INTERVAL if self._told else UNTOLD_INTERVAL
+        return PEER_INTERVAL if self._current else UNTOLD_INTERVAL
+
+    @property
+    def _current(self) -> bool:
+        """Whether a leader has told of a revision and nothing newer is known.
+
+        The answer to a question may be lost, or come from a daemon that is
+        behind itself.
+        """
+        return self._told and self._revision >= self._newest
 
     def _ask(self, now: datetime.datetime) -> list[message.Message]:
-        """Ask a peer of the zone; until told of a revision, seeds in turn.
+        """Ask a peer of the zone; until this is current, seeds in turn.
 
         Where all daemons start at once no peer has a configuration, and the
         leader tells only whom it has heard of.
@@ -323,7 +335,7 @@
         peers = sorted(self._peers.values())
         seeds = [item for item in self._seeds if item != self._daemon.address]
         self._asks += 1
-        if seeds and not self._told and (self._asks % 2 or not peers):
+        if seeds and not self._current and (self._asks % 2 or not peers):
             peers = seeds
         if not peers:
             return []
