Log how the end of an answer was marked, and events that have no end

The line now has 'framing' and 'unfinished_bytes', and attempts_ended counts both. No decision changes.

--- a/fulmarbarrow/delivery/messages.py
+++ b/fulmarbarrow/delivery/messages.py
@@ -41,6 +41,18 @@
     LEASE_PASSED = "lease_passed"
 
 
+class BodyFraming(enum.StrEnum):
+    """How the end of a response body is marked.
+
+    ``LENGTH``: by a declared length, which may be 0. ``CHUNKED``: by a last
+    chunk. ``CONNECTION``: only by the end of the connection.
+    """
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CONNECTION = "connection"
+
+
 class RequestArrived(message.Message, frozen=True, kw_only=True):
     """A validated, authenticated request entered this daemon.
 
@@ -122,6 +134,7 @@
     before running it. ``length`` is the declared body length, or None for a
     stream. ``resume_offset`` is the event index at which the engine says it
     resumes. ``fields`` are the header fields to forward to the caller.
+    ``framing`` tells how the end of the body is marked.
     ``ends_with_body`` is set if a stream is complete at the end of the body
     and has no end marker.
     """
@@ -135,6 +148,7 @@
     resume_offset: int = 0
     fields: tuple[tuple[str, str], ...] = ()
     ends_with_body: bool = False
+    framing: BodyFraming = BodyFraming.LENGTH
 
 
 class AttemptData(message.Message, frozen=True, kw_only=True):
@@ -163,9 +177,13 @@
 
 
 class AttemptEnded(message.Message, frozen=True, kw_only=True):
-    """The upstream ended the response without a protocol error."""
+    """The upstream ended the response without a protocol error.
+
+    ``unfinished_bytes`` is the size of an event in which a stream ended.
+    """
 
     attempt_id: str
+    unfinished_bytes: int = 0
 
 
 class AttemptFailed(message.Message, frozen=True, kw_only=True):
--- a/fulmarbarrow/delivery/responses.py
+++ b/fulmarbarrow/delivery/responses.py
@@ -75,6 +75,11 @@
                 attempt.progress_at = now
                 return []
             case messages.AttemptEnded():
+                self._metrics.count(
+                    "attempts_ended",
+                    framing=attempt.framing.value,
+                    inside_event="yes" if event.unfinished_bytes else "no",
+                )
                 if attempt.complete or not self._mechanisms.completeness:
                     return self._complete(entry, attempt, now)
                 return self._fail(
--- a/fulmarbarrow/delivery/state.py
+++ b/fulmarbarrow/delivery/state.py
@@ -57,6 +57,13 @@
             self.headers.content_type.startswith("text/event-stream")
         )
 
+    @property
+    def framing(self) -> messages.BodyFraming:
+        """How the end of the response body is marked."""
+        if self.headers is None:
+            return messages.BodyFraming.LENGTH
+        return self.headers.framing
+
     @property
     def complete(self) -> bool:
         """Whether the response is complete if it ends now."""
--- a/fulmarbarrow/edge/client.py
+++ b/fulmarbarrow/edge/client.py
@@ -208,10 +208,16 @@
         """Take the end of a whole answer."""
         self._connection = None
         self._pass_on()
+        unfinished_bytes = 0
         if self._events is not None:
+            unfinished_bytes = self._events.unfinished_bytes
             self._post_part(self._events.rest())
         self._ended(self._attempt_id)
-        self._post(messages.AttemptEnded(attempt_id=self._attempt_id))
+        self._post(
+            messages.AttemptEnded(
+                attempt_id=self._attempt_id, unfinished_bytes=unfinished_bytes
+            )
+        )
 
     def failed(self, error: Exception) -> None:
         """Take the end of a connection without a whole answer."""
--- a/fulmarbarrow/edge/dialect.py
+++ b/fulmarbarrow/edge/dialect.py
@@ -150,6 +150,15 @@
     return natural(field(fields, name))
 
 
+def framing(fields: Fields) -> messages.BodyFraming:
+    """Return how the end of a body is marked."""
+    if field(fields, "Transfer-Encoding"):
+        return messages.BodyFraming.CHUNKED
+    if field(fields, "Content-Length"):
+        return messages.BodyFraming.LENGTH
+    return messages.BodyFraming.CONNECTION
+
+
 def length(fields: Fields) -> int | None:
     """Return the announced length of a body, or None."""
     return number(fields, "Content-Length")
--- a/fulmarbarrow/edge/own_dialect.py
+++ b/fulmarbarrow/edge/own_dialect.py
@@ -126,6 +126,7 @@
             echoed_attempt=dialect.field(fields, headers.ATTEMPT),
             content_type=dialect.field(fields, "Content-Type"),
             length=dialect.length(fields),
+            framing=dialect.framing(fields),
             not_run=dialect.field(fields, headers.NOT_RUN) == "true",
             resume_offset=offset or 0,
         )
--- a/fulmarbarrow/edge/sse.py
+++ b/fulmarbarrow/edge/sse.py
@@ -58,6 +58,10 @@
 class Splitter(typing.Protocol):
     """Gathers bytes into whole events."""
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """The size of an event without its end; comments are no event."""
+
     def feed(self, data: bytes) -> Part:
         """Return the events that are whole now; raises BrokenStreamError."""
 
@@ -76,6 +80,13 @@
         self._max_event_bytes = max_event_bytes
         self._pending = bytearray()
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """The size of an event without its end; comments are no event."""
+        if _COMMENTS.fullmatch(self._pending):
+            return 0
+        return len(self._pending)
+
     def feed(self, data: bytes) -> bytes:
         """Return the events that are whole now, with their separators.
 
@@ -115,6 +126,11 @@
         self._carriage_return = b""
         self._count = first
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """The size of an event without its end; comments are no event."""
+        return self._buffer.unfinished_bytes
+
     def feed(self, data: bytes) -> Part:
         """Return the events that are whole now."""
         whole = self._buffer.feed(self._normalize(data))
--- a/fulmarbarrow/observe/decisions.py
+++ b/fulmarbarrow/observe/decisions.py
@@ -34,6 +34,8 @@
     first_at: datetime.datetime | None = None
     upstream: str = ""
     attempts: int = 0
+    framing: str | None = None
+    unfinished_bytes: int | None = None
 
 
 class DecisionLog:
@@ -43,6 +45,7 @@
         delivery_messages.RequestArrived,
         delivery_messages.StartAttempt,
         delivery_messages.AttemptHeaders,
+        delivery_messages.AttemptEnded,
         delivery_messages.AttemptFailed,
         delivery_messages.ResponseStarted,
         delivery_messages.ResponseEnded,
@@ -127,6 +130,9 @@
     def _(
         self, event: delivery_messages.AttemptHeaders, now: datetime.datetime
     ) -> None:
+        entry = self._open.get(event.attempt_id.rpartition("-")[0])
+        if entry is not None:
+            entry.framing = event.framing.value
         if event.status < 400 and event.echoed_attempt:
             return
         self._attempt(
@@ -138,6 +144,14 @@
             echoed=bool(event.echoed_attempt),
         )
 
+    @_on.register
+    def _(
+        self, event: delivery_messages.AttemptEnded, now: datetime.datetime
+    ) -> None:
+        entry = self._open.get(event.attempt_id.rpartition("-")[0])
+        if entry is not None:
+            entry.unfinished_bytes = event.unfinished_bytes or None
+
     @_on.register
     def _(
         self, event: delivery_messages.AttemptFailed, now: datetime.datetime
@@ -179,7 +193,15 @@
     def _(
         self, event: delivery_messages.ResponseEnded, now: datetime.datetime
     ) -> None:
-        self._end("answer complete", event.request_id, now, logging.INFO)
+        entry = self._open.get(event.request_id)
+        self._end(
+            "answer complete",
+            event.request_id,
+            now,
+            logging.INFO,
+            framing=entry and entry.framing,
+            unfinished_bytes=entry and entry.unfinished_bytes,
+        )
 
     @_on.register
     def _(
--- a/fulmarbarrow/platform/workers.py
+++ b/fulmarbarrow/platform/workers.py
@@ -69,6 +69,7 @@
             echoed_attempt=_echoed(start, exchange, status, fields, not_run),
             content_type=dialect.field(fields, "Content-Type"),
             length=dialect.length(fields),
+            framing=dialect.framing(fields),
             not_run=not_run,
             resume_offset=start.resume_offset,
             fields=headers.for_caller(fields),
@@ -115,6 +116,11 @@
         self._buffer = sse.EventBuffer()
         self._last = after
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """The size of an event without its end; comments are no event."""
+        return self._buffer.unfinished_bytes
+
     def feed(self, data: bytes) -> sse.Part:
         """Return the events that are whole now.
 
