Show streams that end inside an event and look complete, listed as red

A stand-in ends a stream with its connection, or with a last chunk, inside an event or before the first one. On this code the caller gets 200 with a proper end and, in the first two cases, a part of an event.

--- a/fulmarbarrow/platform/features/path.feature
+++ b/fulmarbarrow/platform/features/path.feature
@@ -33,6 +33,37 @@
     Then the client gets events 1 to 2, once each, without the end
     And the request ran once
 
+  Scenario: A stream whose connection ends inside an event looks broken off
+    Given configuration 3 and workers "i-1 i-2" of the pool
+    When a worker ends its connection inside an event after 1, 8, 13 and 14 bytes of it
+    Then each client gets events 1 to 2, once each, without the end
+
+  Scenario: A stream whose last chunk ends inside an event looks broken off
+    Given configuration 3 and workers "i-1 i-2" of the pool
+    When a worker ends its chunks inside an event after 1, 8, 13 and 14 bytes of it
+    Then each client gets events 1 to 2, once each, without the end
+
+  Scenario: A resumable stream whose connection ends inside an event goes on
+    Given configuration 3 and workers "i-1 i-2" of the pool
+    And whichever worker is asked first ends its connection inside an event
+    When a client asks for a stream
+    Then the client gets events 1 to 6, once each, and the end
+
+  Scenario: A stream whose connection ends before its first event has failed
+    Given configuration 3 and workers "i-1 i-2" of the pool
+    And whichever worker is asked first ends its connection before the first event
+    When a client asks for a stream that must run once
+    Then the client gets 502
+    And the request ran once
+
+  Scenario: A stream that ends with its connection comes whole
+    Given configuration 3 and workers "i-1 i-2" of the pool
+    And whichever worker is asked first ends its connection after the last event
+    When a client asks for a stream that must run once
+    Then the client gets events 1 to 6, once each, and the end
+    And the request ran once
+    And the log tells that its body was framed by the connection
+
   Scenario Outline: An order runs once at most, and "not run" is true
     Given configuration 3 and workers "i-1 i-2" of the desk
     And whichever worker is asked first <fault>
--- a/fulmarbarrow/platform/features/standin.py
+++ b/fulmarbarrow/platform/features/standin.py
@@ -36,6 +36,13 @@
     "sends noise without end": (None, _PIECE),
 }
 
+# Streams with neither a length nor chunks.
+_UNFRAMED = (
+    "ends its connection after the last event",
+    "ends its connection before the first event",
+    "ends its connection inside an event",
+)
+
 
 class _Handler(http.server.BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
@@ -123,21 +130,37 @@
         for name, value in fields:
             self.send_header(name, value)
         self.send_header("Content-Type", "text/event-stream")
-        self.send_header("Transfer-Encoding", "chunked")
+        unframed = fault in _UNFRAMED
+        if unframed:
+            self.send_header("Connection", "close")
+        else:
+            self.send_header("Transfer-Encoding", "chunked")
         self.end_headers()
+        self.close_connection = self.close_connection or unframed
+        if fault == "ends its connection before the first event":
+            return
         first = int(self.headers.get("Last-Event-Id") or 0) + 1
         for number in range(first, worker.events + 1):
-            if fault == "cuts" and number == first + 2:
+            event = f"id: {number}\ndata: {number}\n\n".encode()
+            if number == first + 2 and fault == "cuts":
                 self.wfile.write(b"20\r\nid: 9")
                 self.wfile.flush()
                 self.close_connection = True
                 self.connection.close()
                 return
-            event = f"id: {number}\ndata: {number}\n\n".encode()
-            self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
-            self.wfile.flush()
+            if number == first + 2 and fault.endswith("inside an event"):
+                self._send_part(event[: worker.cut_bytes], unframed)
+                break
+            self._send_part(event, unframed)
             time.sleep(worker.pause)
-        self.wfile.write(b"0\r\n\r\n")
+        if not unframed:
+            self.wfile.write(b"0\r\n\r\n")
+
+    def _send_part(self, data, unframed):
+        if not unframed:
+            data = b"%x\r\n%s\r\n" % (len(data), data)
+        self.wfile.write(data)
+        self.wfile.flush()
 
 
 class Worker:
@@ -149,6 +172,7 @@
         self.model = model
         self.events = 6
         self.pause = 0.01
+        self.cut_bytes = 8  # of an event in which a stream ends
         self.silence = 3.0
         self.work = 0.0
         self.runs = collections.Counter()
--- a/fulmarbarrow/platform/features/steps/path.py
+++ b/fulmarbarrow/platform/features/steps/path.py
@@ -559,6 +559,44 @@
     assert (status == "cut") is (end == "without"), context.answer
 
 
+@behave.when(
+    "a worker {fault} inside an event after {first}, {second}, {third} and "
+    "{fourth} bytes of it"
+)
+def step_cut_inside_event(context, fault, first, second, third, fourth):
+    context.answers = []
+    for count in (first, second, third, fourth):
+        for worker in context.workers.values():
+            worker.cut_bytes = int(count)
+        step_fault(context, f"{fault} inside an event")
+        context.answers.append(ask(context, "/stream/once/1"))
+
+
+@behave.then(
+    "each client gets events {first:d} to {last:d}, once each, without the end"
+)
+def step_each_cut(context, first, last):
+    whole = "".join(
+        f"id: {number}\ndata: {number}\n\n"
+        for number in range(first, last + 1)
+    )
+    for status, body, _ in context.answers:
+        assert (status, body) == ("cut", whole.encode()), context.answers
+
+
+@behave.then("the log tells that its body was framed by the connection")
+def step_logged_framing(context):
+    def framing():
+        return [
+            line.get("framing")
+            for line in context.daemon.lines()
+            if line.get("request") == context.request_id
+            and line["text"] == "answer complete"
+        ]
+
+    fleet.wait_until(lambda: framing() == ["connection"], "logged")
+
+
 @behave.then("the request ran once")
 def step_once(context):
     runs = sum(
