Break off streams that end inside an event or before the first one

Cause: an answer with neither a length nor chunks ends with its connection, and a process that ends closes its connections in the same way. For the HTTP layer the body was complete, and Attempt.complete took every stream of the platform as whole at the end of its body, whatever it ended with. IdSplitter.rest() passed the part of an event on, too. The class: the end of the transport taken as the end of the message, against what the message says.

Now the splitter tells how much of an event is unfinished, delivery takes such a stream as cut, and nothing of the unfinished event is passed on, so that another attempt can resume after the last whole one. The same goes for a success that ends with its connection before any event. Where only the end of the connection marked the end, it counts as evidence of a crash, as a reset does.

--- a/fulmarbarrow/delivery/responses.py
+++ b/fulmarbarrow/delivery/responses.py
@@ -80,14 +80,18 @@
                     framing=attempt.framing.value,
                     inside_event="yes" if event.unfinished_bytes else "no",
                 )
+                attempt.unfinished_bytes = event.unfinished_bytes
                 if attempt.complete or not self._mechanisms.completeness:
                     return self._complete(entry, attempt, now)
-                return self._fail(
-                    entry, attempt, messages.FailureKind.CUT, now
-                )
+                return self._fail_truncated(entry, attempt, now)
             case messages.AttemptFailed():
+                crashed = []
+                if event.sent:
+                    crashed = self._report_crash(
+                        entry.request, attempt, event.kind, now
+                    )
                 return [
-                    *self._report_crash(entry.request, attempt, event, now),
+                    *crashed,
                     *self._fail(
                         entry, attempt, event.kind, now, sent=event.sent
                     ),
@@ -337,15 +341,32 @@
         )
         return effects
 
+    def _fail_truncated(
+        self,
+        entry: open_requests.OpenRequest,
+        attempt: state.Attempt,
+        now: datetime.datetime,
+    ) -> Effects:
+        """Fail an attempt whose response ended early without an error.
+
+        The end of the connection may be that of the upstream's process; an
+        upstream that marked the end of the body is alive.
+        """
+        kind = messages.FailureKind.CUT
+        crashed: Effects = []
+        if attempt.framing is messages.BodyFraming.CONNECTION:
+            crashed = self._report_crash(entry.request, attempt, kind, now)
+        return [*crashed, *self._fail(entry, attempt, kind, now)]
+
     def _report_crash(
         self,
         request: state.Request,
         attempt: state.Attempt,
-        event: messages.AttemptFailed,
+        kind: messages.FailureKind,
         now: datetime.datetime,
     ) -> Effects:
         """Make the request a suspect if its upstream crashed."""
-        if not event.sent or event.kind not in _CRASH_KINDS:
+        if kind not in _CRASH_KINDS:
             return []
         if attempt.purpose is state.Purpose.LOOKUP:
             return []
--- a/fulmarbarrow/delivery/state.py
+++ b/fulmarbarrow/delivery/state.py
@@ -9,6 +9,7 @@
 from fulmarbarrow.delivery import messages
 from fulmarbarrow.placement import messages as placement_messages
 
+STATUS_ERROR = 400  # the lowest status of an error
 RESUME_GRACE = datetime.timedelta(seconds=10)
 
 
@@ -26,7 +27,8 @@
 
     ``received_events`` is the index of the next expected event of the
     response, so it includes the events before ``resume_offset``.
-    ``received_bytes`` counts the body bytes received. ``relayed`` is set if a
+    ``received_bytes`` counts the body bytes received. ``unfinished_bytes`` is
+    the size of an event in which the response ended. ``relayed`` is set if a
     body above the buffer limit was partly sent to the caller, which rules out
     a retry.
     """
@@ -42,6 +44,7 @@
     received_events: int = 0
     received_bytes: int = 0
     end_marker: bool = False
+    unfinished_bytes: int = 0
     time_to_first_token: datetime.timedelta | None = None
     tokens: int = 0
     reused_tokens: int | None = None
@@ -64,6 +67,18 @@
             return messages.BodyFraming.LENGTH
         return self.headers.framing
 
+    @property
+    def _ended_empty(self) -> bool:
+        """Whether a success without any event ended with its connection.
+
+        An upstream that fails before the first event closes it as well.
+        """
+        return (
+            self.framing is messages.BodyFraming.CONNECTION
+            and self.headers.status < STATUS_ERROR
+            and not self.received_events
+        )
+
     @property
     def complete(self) -> bool:
         """Whether the response is complete if it ends now."""
@@ -72,7 +87,7 @@
         if self.streamed and not self.headers.ends_with_body:
             return self.end_marker
         if self.streamed:
-            return True
+            return not self.unfinished_bytes and not self._ended_empty
         length = self.headers.length
         return length is None or length == self.received_bytes
 
--- a/fulmarbarrow/edge/sse.py
+++ b/fulmarbarrow/edge/sse.py
@@ -66,7 +66,7 @@
         """Return the events that are whole now; raises BrokenStreamError."""
 
     def rest(self) -> Part:
-        """Return what follows the last whole event of a complete body."""
+        """Return what follows the last event, but no part of another one."""
 
 
 class EventBuffer:
--- a/fulmarbarrow/observe/decisions.py
+++ b/fulmarbarrow/observe/decisions.py
@@ -35,7 +35,6 @@
     upstream: str = ""
     attempts: int = 0
     framing: str | None = None
-    unfinished_bytes: int | None = None
 
 
 class DecisionLog:
@@ -148,9 +147,14 @@
     def _(
         self, event: delivery_messages.AttemptEnded, now: datetime.datetime
     ) -> None:
-        entry = self._open.get(event.attempt_id.rpartition("-")[0])
-        if entry is not None:
-            entry.unfinished_bytes = event.unfinished_bytes or None
+        if event.unfinished_bytes:
+            self._attempt(
+                "attempt ended inside an event",
+                event.attempt_id,
+                now,
+                logging.WARNING,
+                unfinished_bytes=event.unfinished_bytes,
+            )
 
     @_on.register
     def _(
@@ -193,15 +197,7 @@
     def _(
         self, event: delivery_messages.ResponseEnded, now: datetime.datetime
     ) -> None:
-        entry = self._open.get(event.request_id)
-        self._end(
-            "answer complete",
-            event.request_id,
-            now,
-            logging.INFO,
-            framing=entry and entry.framing,
-            unfinished_bytes=entry and entry.unfinished_bytes,
-        )
+        self._end("answer complete", event.request_id, now, logging.INFO)
 
     @_on.register
     def _(
@@ -454,6 +450,9 @@
         level: int,
         **fields: typing.Any,
     ) -> None:
+        entry = self._open.get(request_id)
+        if entry is not None:
+            fields["framing"] = entry.framing
         self._request(text, request_id, now, level=level, **fields)
         self._open.pop(request_id, None)
 
--- a/fulmarbarrow/platform/features/steps/path.py
+++ b/fulmarbarrow/platform/features/steps/path.py
@@ -569,7 +569,8 @@
         for worker in context.workers.values():
             worker.cut_bytes = int(count)
         step_fault(context, f"{fault} inside an event")
-        context.answers.append(ask(context, "/stream/once/1"))
+        # Requests that differ, as a repeated one would be quarantined.
+        context.answers.append(ask(context, f"/stream/once/{count}"))
 
 
 @behave.then(
--- a/fulmarbarrow/platform/features/steps/workers.py
+++ b/fulmarbarrow/platform/features/steps/workers.py
@@ -114,6 +114,7 @@
 
 @behave.when("the body ends")
 def step_end(context):
+    context.unfinished_bytes = context.splitter.unfinished_bytes
     context.part = context.splitter.rest()
 
 
@@ -129,6 +130,11 @@
     assert context.part.data == b""
 
 
+@behave.then("{count:d} bytes of an event are unfinished")
+def step_unfinished(context, count):
+    assert context.unfinished_bytes == count, context.unfinished_bytes
+
+
 @behave.then('the last bytes are "{text}"')
 def step_last(context, text):
     assert context.part.data == text.encode(), context.part
--- a/fulmarbarrow/platform/features/workers.feature
+++ b/fulmarbarrow/platform/features/workers.feature
@@ -53,6 +53,13 @@
     And the body ends
     Then the last bytes are ": bye"
 
+  Scenario: No part of an event is passed on when a body ends inside it
+    Given a stream after event 0
+    When the bytes "id: 1\ndata: a\n\nid: 2\ndata: b\n" arrive
+    And the body ends
+    Then nothing more is passed on
+    And 14 bytes of an event are unfinished
+
   Scenario Outline: A stream that lacks an event is broken
     Given a stream after event 0
     When the bytes "<bytes>" arrive
--- a/fulmarbarrow/platform/workers.py
+++ b/fulmarbarrow/platform/workers.py
@@ -143,7 +143,9 @@
         return part
 
     def rest(self) -> sse.Part:
-        """Return what follows the last whole event of a complete body."""
+        """Return comments after the last event, no part of another event."""
+        if self.unfinished_bytes:
+            return self._part(b"", 0)
         return self._part(self._buffer.take_rest(), 0)
 
     def _part(self, data: bytes, events: int) -> sse.Part:
--- a/tools/log_reference.py
+++ b/tools/log_reference.py
@@ -15,8 +15,10 @@
 one JSON line on standard output. All lines have `time`, `level`, `logger` and
 `text`, the event. Lines about a request have `request` too, the id that the
 caller gave or else the daemon's own, `age_ms` since it was taken, and once
-they are known `first_ms`, `last_upstream` and `attempts`. Fields without a
-value are left out.
+they are known `first_ms`, `last_upstream` and `attempts`. The line that ends a
+request has `framing`, how its last upstream marked the end of the body:
+`length`, `chunked`, or `connection` if only its connection ended. Fields
+without a value are left out.
 
 A daemon writes at most 150 lines a second, and as many again of warnings; a
 line `log lines left out` tells how many more there were.
