Reset the connection of an HTTP/1.0 caller whose answer breaks off

An HTTP/1.0 caller of a stream that was cut saw a regular end: it gets no chunks, so the end of the connection marks the end of the body, and an answer that broke off closed it like a whole one.

An answer without a length or chunks now ends with a reset, unless the interface tells of the error in the stream itself.

--- a/fulmarbarrow/edge/answer.py
+++ b/fulmarbarrow/edge/answer.py
@@ -86,15 +86,29 @@
     def break_off(self, code: str, ran: messages.Ran) -> None:
         """End a started answer so that the caller sees it is not whole.
 
-        A stream says why; any other answer just ends before its time.
+        A stream says why if the interface has a way to; any other answer just
+        ends before its time. Where the end of the connection would mark the
+        end of the body, as for an HTTP/1.0 caller, the connection is reset.
         """
+        last = b""
         if self._streamed:
             last = self._dialect.broken(code, ran)
-            if last:
-                self._request.write(last)
+        if not last and not self._end_is_marked:
+            self.abort()
+            return
+        if last:
+            self._request.write(last)
         self._request.unregisterProducer()
         self._request.loseConnection()
 
+    @property
+    def _end_is_marked(self) -> bool:
+        """Whether the body has a length or a last chunk."""
+        request = self._request
+        return bool(request.chunked) or request.responseHeaders.hasHeader(
+            "Content-Length"
+        )
+
     def refuse(
         self,
         code: str,
--- a/fulmarbarrow/platform/features/path.feature
+++ b/fulmarbarrow/platform/features/path.feature
@@ -56,6 +56,12 @@
     Then the client gets 502
     And the request ran once
 
+  Scenario: A cut stream does not end regularly for an HTTP/1.0 client
+    Given configuration 3 and workers "i-1 i-2" of the pool
+    And whichever worker is asked first cuts the answer
+    When an HTTP/1.0 client asks for a stream that must run once
+    Then its connection is reset
+
   Scenario: A stream that ends with its connection comes whole
     Given configuration 3 and workers "i-1 i-2" of the pool
     And whichever worker is asked first ends its connection after the last event
--- a/fulmarbarrow/platform/features/steps/path.py
+++ b/fulmarbarrow/platform/features/steps/path.py
@@ -9,6 +9,7 @@
 import json
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -412,6 +413,29 @@
     context.answer = ask(context, "/stream/once/1")
 
 
+@behave.when("an HTTP/1.0 client asks for a stream that must run once")
+def step_stream_http10(context):
+    host, _, port = context.daemon.clients.rpartition(":")
+    head = (
+        f"POST /stream/once/1 HTTP/1.0\r\nHost: {HOST}\r\n"
+        f"X-Request-Id: http10\r\nX-Api-Key: {KEY}\r\nX-Model: m\r\n"
+        "X-Token-Count: 100,50\r\nContent-Length: 0\r\n\r\n"
+    )
+    context.data, context.reset = b"", False
+    with socket.create_connection((host, int(port)), timeout=10) as caller:
+        caller.sendall(head.encode())
+        try:
+            while data := caller.recv(1 << 16):
+                context.data += data
+        except ConnectionResetError:
+            context.reset = True
+
+
+@behave.then("its connection is reset")
+def step_reset(context):
+    assert context.reset, context.data
+
+
 @behave.when("a client asks for a stream and SIGTERM comes meanwhile")
 def step_stream_term(context):
     with concurrent.futures.ThreadPoolExecutor(1) as pool:
