Log what requests have in common: their digest and the parts of their prompt

'request taken' now has the digest and the shared parts, crashes_reported counts own and peers' reports. No decision changes.

--- a/fulmarbarrow/delivery/core.py
+++ b/fulmarbarrow/delivery/core.py
@@ -146,6 +146,8 @@
                 | messages.SuspectStarted()
                 | messages.SuspectEnded()
             ):
+                if isinstance(event, messages.PoisonSuspected):
+                    self._metrics.count("crashes_reported", by="peer")
                 self._suspects.handle_peer_message(event, now)
                 return []
             case _:
--- a/fulmarbarrow/delivery/responses.py
+++ b/fulmarbarrow/delivery/responses.py
@@ -370,6 +370,7 @@
             return []
         if attempt.purpose is state.Purpose.LOOKUP:
             return []
+        self._metrics.count("crashes_reported", by="self")
         return self._suspects.report_crash(request, attempt, now)
 
     @staticmethod
--- a/fulmarbarrow/observe/decisions.py
+++ b/fulmarbarrow/observe/decisions.py
@@ -21,6 +21,9 @@
 log = logging.getLogger(__name__)
 
 MILLISECOND = datetime.timedelta(milliseconds=1)
+DIGEST_CHARACTERS = 8
+MAX_PARTS = 8  # of a prompt, in a line
+PART_CHARACTERS = 16
 MAX_OPEN = 20_000  # requests whose lines still miss their end
 
 
@@ -104,6 +107,8 @@
             left_ms=(event.deadline - now) // MILLISECOND,
             cost=event.cost,
             rank=event.rank,
+            digest=event.digest[:DIGEST_CHARACTERS] or None,
+            parts=_names(event.parts),
         )
 
     @_on.register
@@ -483,3 +488,12 @@
             text,
             extra={k: v for k, v in known.items() if v is not None},
         )
+
+
+def _names(parts: tuple[tuple[str, int], ...]) -> list[str] | None:
+    """Return the ids of the shared parts of a prompt, without the last.
+
+    The last one belongs to the session and is found by the request's id.
+    """
+    shared = [name[:PART_CHARACTERS] for name, _ in parts[:-1][:MAX_PARTS]]
+    return shared or None
