--- a/benchmarks/delivery_callers.py
+++ b/benchmarks/delivery_callers.py
@@ -63,6 +63,7 @@
         promises: bool = False,
         resends: int = MAX_SENDINGS,
         padding: int = 0,
+        parts: tuple[tuple[str, int], ...] = (),
     ) -> None:
         self._world = world
         self._resends = resends
@@ -72,6 +73,7 @@
         self.promises = promises
         self.sendings: dict[str, Sending] = {}
         self._padding = b"." * padding
+        self._parts = parts
         self.queued = 0
         self.runs: collections.Counter[str] = collections.Counter()
 
@@ -156,6 +158,7 @@
                 worth=1.0,
                 best_effort=False,
                 deadline=self._world.now + DEADLINE,
+                parts=self._parts,
                 lookup_path=(
                     "/by-key" if self.kind is Kind.ORDER_WITH_LOOKUP else ""
                 ),
--- a/benchmarks/delivery_world.py
+++ b/benchmarks/delivery_world.py
@@ -15,6 +15,8 @@
 import random
 import typing
 
+import msgspec
+
 from benchmarks import delivery_upstreams as upstreams
 from fulmarbarrow import bus as buses
 from fulmarbarrow import clock as clocks
@@ -219,6 +221,29 @@
         node.bus.record(self._count)
         return node
 
+    def restart_router(self, router: Node) -> None:
+        """Replace a router by a process that knows nothing.
+
+        Its open requests are lost. It and its peers learn of each other.
+        """
+        router.alive = False
+        started = self._router(self.routers.index(router))
+        started.record = msgspec.structs.replace(
+            router.record, incarnation=router.record.incarnation + 1
+        )
+        self.routers[self.routers.index(router)] = started
+        self.nodes[started.address] = started
+        for other in (*self.controls, *self.routers):
+            if other is not started:
+                started.post(
+                    membership_messages.DaemonChanged(daemon=other.record)
+                )
+                other.post(
+                    membership_messages.DaemonChanged(daemon=started.record)
+                )
+        for upstream in self.upstreams.values():
+            upstream.announce()
+
     def _introduce(self) -> None:
         for router in self.routers:
             for other in (*self.controls, *self.routers):
--- a/fulmarbarrow/delivery/features/faults.feature
+++ b/fulmarbarrow/delivery/features/faults.feature
@@ -58,6 +58,21 @@
     Then at most 2 upstreams crashed
     But without quarantine more than 10 crashed
 
+  Scenario: Requests with a crashing part of a prompt stop reaching upstreams
+    When requests whose prompt has a crashing second part go through 8 routers
+    Then at most 3 of them are sent later than 3 s after the fifth crash
+    And the sound requests are served as before 6 s after it
+
+  Scenario: Requests with a crashing first part of a prompt stop reaching upstreams
+    When requests whose prompt has a crashing first part go through 8 routers
+    Then at most 3 of them are sent later than 3 s after the fifth crash
+    And the sound requests are served as before 6 s after it
+
+  Scenario: A router that starts later knows the crashing part of a prompt
+    When requests whose prompt has a crashing second part go through 8 routers, one of which restarts
+    Then at most 3 of them are sent later than 3 s after the fifth crash
+    And the sound requests are served as before 6 s after it
+
   Scenario: A stream on a silent connection resumes at another upstream
     When the connection of a stream goes silent
     Then the stream resumes within 2.5 seconds of the last event
--- a/fulmarbarrow/delivery/features/steps/faults.py
+++ b/fulmarbarrow/delivery/features/steps/faults.py
@@ -7,6 +7,7 @@
 import behave
 
 from benchmarks import delivery_faults as faults
+from benchmarks import delivery_poison_parts as poison_parts
 from benchmarks import delivery_trials as trials
 from fulmarbarrow.delivery import attempt
 from fulmarbarrow.delivery import policy
@@ -193,6 +194,50 @@
     assert crashes > least, crashes
 
 
+POSITIONS = {"first": 0, "second": 1}
+SERIES_SEEDS = range(8)
+
+
+def run_series(context, place, **options):
+    context.outcomes = [
+        poison_parts.Series(
+            seed=seed, position=POSITIONS[place], **options
+        ).run()
+        for seed in SERIES_SEEDS
+    ]
+
+
+@behave.when(
+    "requests whose prompt has a crashing {place} part go through {routers:d} "
+    "routers"
+)
+def step_poison_part(context, place, routers):
+    run_series(context, place, routers=routers)
+
+
+@behave.when(
+    "requests whose prompt has a crashing {place} part go through {routers:d} "
+    "routers, one of which restarts"
+)
+def step_poison_part_restart(context, place, routers):
+    run_series(context, place, routers=routers, restarted=True)
+
+
+@behave.then(
+    "at most {limit:d} of them are sent later than 3 s after the fifth crash"
+)
+def step_late_arrivals(context, limit):
+    late = [outcome.late_arrivals for outcome in context.outcomes]
+    assert max(late) <= limit, context.outcomes
+
+
+@behave.then("the sound requests are served as before 6 s after it")
+def step_sound_served(context):
+    for outcome in context.outcomes:
+        assert outcome.served_before > 0.99, outcome
+        assert outcome.served_after > 0.99, outcome
+
+
 @behave.when("the connection of a stream goes silent")
 def step_silent_connection(context):
     context.gap, context.complete = trials.silent_stream(SEED)
