Quarantine the part of a prompt that crashes the upstreams it runs on

Cause: crashes were counted by the digest of a whole request. Such requests come no two alike, so no digest was ever seen twice, and none was refused. The class: evidence is counted by an identity that is narrower than the cause.

Now crashes are counted by prompt part as well. A crash accuses the parts of all requests on the upstream; a completed run clears its parts. Of the parts in three crashes or more since they last completed, the one that has not completed for the longest time is quarantined, and what it explains is held against no other part. So sound requests that share the account, the first or any other part are served. Routers exchange crashes and sound parts, and tell routers that start or return. Attempts that no upstream has answered yet are cancelled. Crashes within 100 ms count as one; an upstream that answers a later request, or leaves, has not crashed.

The scenario on leaving engines fails without its condition.

--- a/fulmarbarrow/delivery/core.py
+++ b/fulmarbarrow/delivery/core.py
@@ -11,6 +11,7 @@
 from fulmarbarrow.delivery import messages
 from fulmarbarrow.delivery import open_requests
 from fulmarbarrow.delivery import policy
+from fulmarbarrow.delivery import prompt_parts
 from fulmarbarrow.delivery import recovery as recoveries
 from fulmarbarrow.delivery import refusals
 from fulmarbarrow.delivery import responses
@@ -58,6 +59,8 @@
         messages.PoisonSuspected,
         messages.SuspectStarted,
         messages.SuspectEnded,
+        messages.UpstreamsCrashed,
+        messages.PartsServed,
         messages.Wake,
         message.Tick,
         limits_messages.Admitted,
@@ -94,6 +97,7 @@
         retries = retries or defaults.RetriesSection()
         self._suspects = suspects_module.SuspectTracker(
             pools=self._pools,
+            rng=rng,
             enabled=mechanisms.quarantine,
             isolate=retries.isolate_suspects,
             crash_limit=retries.crashes,
@@ -124,7 +128,10 @@
             case messages.RequestArrived():
                 effects = self._handle_arrival(event, now)
             case message.Tick() | messages.Wake():
-                effects = self._handle_due_timers(now)
+                effects = [
+                    *self._exchange_evidence(now),
+                    *self._handle_due_timers(now),
+                ]
             case membership_messages.UpstreamChanged():
                 self._pools.update(event)
                 return []
@@ -135,9 +142,8 @@
                 self._suspects.handle_load_report(event, now)
                 return []
             case membership_messages.DaemonChanged():
-                self._suspects.update_daemon(event)
                 self._recovery.update_daemon(event.daemon)
-                return []
+                return self._suspects.update_daemon(event, now)
             case membership_messages.DaemonGone():
                 self._suspects.remove_daemon(event)
                 return []
@@ -145,6 +151,8 @@
                 messages.PoisonSuspected()
                 | messages.SuspectStarted()
                 | messages.SuspectEnded()
+                | messages.UpstreamsCrashed()
+                | messages.PartsServed()
             ):
                 if isinstance(event, messages.PoisonSuspected):
                     self._metrics.count("crashes_reported", by="peer")
@@ -171,6 +179,7 @@
                 for entry in self._open_requests
             },
             "suspects": self._suspects.dump(),
+            "prompt_parts": self._suspects.dump_parts(),
             "retry_budgets": self._recovery.dump(),
         }
 
@@ -182,6 +191,7 @@
                 arrival=event,
                 delivered_events=event.resumed_from,
                 grace=self._timeouts.resume_grace,
+                part_keys=prompt_parts.part_keys(event),
             )
         )
         self._timers.add(event.deadline, event.request_id)
@@ -364,6 +374,18 @@
         effects = self._responses.end_suspect_runs(entry)
         return [*effects, *entry.inputs.disconnect()]
 
+    def _exchange_evidence(self, now: datetime.datetime) -> Effects:
+        """Tell of crashes; end attempts with parts quarantined just now."""
+        effects, quarantined = self._suspects.exchange_evidence(now)
+        if not quarantined:
+            return effects
+        for entry in list(self._open_requests):
+            if quarantined.isdisjoint(entry.request.part_keys):
+                continue
+            effects.extend(self._responses.stop_unanswered(entry, now))
+            self._remove_or_schedule(entry, now)
+        return effects
+
     def _handle_due_timers(self, now: datetime.datetime) -> Effects:
         effects: Effects = []
         for request_id in list(self._timers.pop_due(now)):
--- a/fulmarbarrow/delivery/features/faults.feature
+++ b/fulmarbarrow/delivery/features/faults.feature
@@ -73,6 +73,11 @@
     Then at most 3 of them are sent later than 3 s after the fifth crash
     And the sound requests are served as before 6 s after it
 
+  Scenario: Reports of crashes stay within the traffic of a region's routers
+    When a crashing part comes to 100 routers and 80 engines with 250 requests a second
+    Then each router gets at most 7 KB of reports in any second
+    And at most 3 of them are sent later than 3 s after the fifth crash
+
   Scenario: A stream on a silent connection resumes at another upstream
     When the connection of a stream goes silent
     Then the stream resumes within 2.5 seconds of the last event
--- a/fulmarbarrow/delivery/features/steps/faults.py
+++ b/fulmarbarrow/delivery/features/steps/faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import datetime
 
 import behave
 
@@ -223,6 +224,27 @@
     run_series(context, place, routers=routers, restarted=True)
 
 
+@behave.when(
+    "a crashing part comes to {routers:d} routers and {engines:d} engines "
+    "with {rate:d} requests a second"
+)
+def step_poison_part_region(context, routers, engines, rate):
+    series = poison_parts.Series(
+        seed=SEED,
+        routers=routers,
+        engines=engines,
+        sound_gap=datetime.timedelta(seconds=1) / rate,
+        second_parts=300,
+    )
+    context.outcomes = [series.run()]
+
+
+@behave.then("each router gets at most {limit:d} KB of reports in any second")
+def step_report_bytes(context, limit):
+    for outcome in context.outcomes:
+        assert 0 < outcome.bytes_per_router <= limit * 1000, outcome
+
+
 @behave.then(
     "at most {limit:d} of them are sent later than 3 s after the fifth crash"
 )
--- a/fulmarbarrow/delivery/features/steps/requests.py
+++ b/fulmarbarrow/delivery/features/steps/requests.py
@@ -44,6 +44,13 @@
     context.sent_at = world.now
 
 
+def pass_time(world, duration_ms):
+    """Let time pass, also where nothing is due."""
+    passed = []
+    world.after(milliseconds(duration_ms), passed.append, True)
+    world.run(lambda: passed, duration_ms)
+
+
 def open_attempts(context):
     (request,) = context.world.cores["entry-0"].dump()["open"].values()
     return list(request["attempts"])
@@ -172,6 +179,41 @@
     context.world.run(lambda: False, 0.01)
 
 
+@behave.when(
+    "the connections of {count:d} leaving engines break under a shared part, "
+    "{gap:d} ms apart"
+)
+def step_leaving_engines(context, count, gap):
+    world = get_world(context, engines=count + 2)
+    for upstream in world.upstreams.values():
+        upstream.delay = milliseconds(10_000)  # nothing completes meanwhile
+    for number in range(count):
+        caller = callers.Caller(
+            world=world,
+            tag=f"stream-{number}",
+            kind=callers.Kind.STREAM,
+            resends=1,
+            parts=(("shared", 100), (f"own-{number}", 100)),
+        )
+        caller.send(world.routers[0])
+        pass_time(world, gap // 2)
+        engine = next(
+            upstream
+            for upstream in world.upstreams.values()
+            if upstream.runs and upstream.serves("engine")
+        )
+        engine.leave()
+        engine.break_connections()
+        pass_time(world, gap // 2)
+    pass_time(world, 2_000)
+
+
+@behave.then("no prompt part is quarantined on any router")
+def step_no_part_quarantined(context):
+    for core in context.world.cores.values():
+        assert not core.dump()["prompt_parts"]["quarantined"], core.dump()
+
+
 def suspects(context):
     return [core.dump()["suspects"] for core in context.world.cores.values()]
 
--- a/fulmarbarrow/delivery/messages.py
+++ b/fulmarbarrow/delivery/messages.py
@@ -5,6 +5,8 @@
 import datetime
 import enum
 
+import msgspec
+
 from fulmarbarrow import message
 from fulmarbarrow.placement import messages as placement_messages
 
@@ -311,6 +313,23 @@
     reused: bool = False
 
 
+class PartQuarantined(message.Message, frozen=True, kw_only=True):
+    """Effect: tell that requests with a prompt part are refused from now on.
+
+    ``part`` is the part's key in hexadecimal digits, ``upstreams`` are those
+    that crashed under it.
+    """
+
+    part: str
+    upstreams: tuple[str, ...]
+
+
+class PartReleased(message.Message, frozen=True, kw_only=True):
+    """Effect: tell that requests with a prompt part are served again."""
+
+    part: str
+
+
 # Messages sent to other routers.
 
 
@@ -343,4 +362,38 @@
     harmless: bool
 
 
-PEER_MESSAGES = (PoisonSuspected, SuspectStarted, SuspectEnded)
+class CrashReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A suspected crash of an upstream incarnation, ``age`` ago.
+
+    ``parts`` are the keys of prompt parts that ran there and have not
+    completed since; see ``prompt_parts.part_keys``.
+    """
+
+    upstream_id: str
+    incarnation: int
+    age: datetime.timedelta
+    parts: tuple[int, ...]
+
+
+class UpstreamsCrashed(message.Message, frozen=True, kw_only=True):
+    """A router saw requests fail as they do when their upstream crashes."""
+
+    crashes: tuple[CrashReport, ...]
+
+
+class PartsServed(message.Message, frozen=True, kw_only=True):
+    """Runs with prompt parts completed; pairs of a part's key and the age.
+
+    Ages, not times, as the clocks of hosts may differ.
+    """
+
+    parts: tuple[tuple[int, datetime.timedelta], ...]
+
+
+PEER_MESSAGES = (
+    PoisonSuspected,
+    SuspectStarted,
+    SuspectEnded,
+    UpstreamsCrashed,
+    PartsServed,
+)
--- /dev/null
+++ b/fulmarbarrow/delivery/prompt_parts.py
@@ -0,0 +1,452 @@
+"""Finds the shared part of prompts that crashes the upstreams it runs on.
+
+A request that crashes its upstream fails all others there, so one crash
+accuses every part of their prompts. A part that crashes upstreams is in each
+of the crashes and no run with it completes, whereas sound parts complete
+between crashes, or did before. Routers exchange the crashes that they see and
+the parts that they have seen complete; each decides on the same evidence.
+"""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+import dataclasses
+import datetime
+import hashlib
+import random
+import typing
+
+from fulmarbarrow.delivery import messages
+
+CRASHES_TO_QUARANTINE = 3
+# Crashes closer together may have one cause outside of the requests, such as
+# a host that fails, and count as one.
+SAME_FAULT = datetime.timedelta(milliseconds=100)
+# Until the other routers' reports about a crash are in.
+SETTLE_TIME = datetime.timedelta(milliseconds=500)
+# Failures at one incarnation within this time belong to one crash. An
+# upstream that crashed takes longer to come back.
+SAME_CRASH = datetime.timedelta(milliseconds=1_500)
+# A part that completed so shortly before a crash is not reported for it.
+RECENTLY_SERVED = datetime.timedelta(seconds=5)
+MEMORY = datetime.timedelta(minutes=10)
+REPORT_DELAY = datetime.timedelta(milliseconds=20)  # gathers one crash
+MAX_ANNOUNCE_DELAY = datetime.timedelta(milliseconds=200)
+EVALUATION_INTERVAL = datetime.timedelta(milliseconds=200)
+SYNC_INTERVAL = datetime.timedelta(seconds=1)
+MAX_CRASHES = 128
+MAX_PARTS_PER_CRASH = 64
+MAX_REPORTED_PARTS = 16  # of one crash, in one message
+MAX_REPORTED_CRASHES = 8  # in one message
+MAX_SYNCED_PARTS = 8
+MAX_SERVED_PARTS = 4_096
+KEY_BYTES = 8
+_NEVER = datetime.datetime.min.replace(tzinfo=datetime.UTC)
+
+_Incarnation = tuple[str, int]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Verdicts:
+    """The keys of parts that are quarantined, or released, from now on."""
+
+    quarantined: tuple[int, ...] = ()
+    released: tuple[int, ...] = ()
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Crash:
+    """A suspected crash and the parts that ran then.
+
+    ``learned_at`` is when this router first heard of it. ``refuted`` is set
+    once the incarnation is known to have lived on.
+    """
+
+    at: datetime.datetime
+    learned_at: datetime.datetime
+    parts: set[int] = dataclasses.field(default_factory=set)
+    refuted: bool = False
+
+
+def part_keys(arrival: messages.RequestArrived) -> tuple[int, ...]:
+    """Return keys of a request's prompt parts but the last, its own.
+
+    The key of a part is a hash with the pool, as a part may crash one model
+    and not another. Hashes bound what callers' names take of memory.
+    """
+    pool = f"{arrival.service}\0{arrival.model}\0"
+    return tuple(
+        int.from_bytes(
+            hashlib.blake2b(
+                f"{pool}{name}".encode(), digest_size=KEY_BYTES
+            ).digest()
+        )
+        for name, _ in arrival.parts[:-1]
+    )
+
+
+class PartSuspects:
+    """Crashes by prompt part, and the parts that are quarantined for them.
+
+    ``due`` is when ``collect`` has something to do, None if nothing.
+    """
+
+    def __init__(self, *, rng: random.Random) -> None:
+        self._rng = rng
+        self._crashes: dict[_Incarnation, _Crash] = {}
+        self._served: collections.OrderedDict[int, datetime.datetime] = (
+            collections.OrderedDict()
+        )
+        self._told: dict[int, datetime.datetime] = {}
+        self._unreported: dict[_Incarnation, set[int]] = {}
+        self._announcements: dict[int, datetime.datetime] = {}
+        self._accused: dict[int, datetime.datetime] = {}
+        self._quarantined: frozenset[int] = frozenset()
+        self._evaluate_at: datetime.datetime | None = None
+        self._evaluated_at = _NEVER
+        self.due: datetime.datetime | None = None
+
+    @property
+    def quarantined(self) -> frozenset[int]:
+        """The keys of the quarantined parts."""
+        return self._quarantined
+
+    def record_failure(
+        self,
+        upstream: _Incarnation,
+        parts: collections.abc.Iterable[int],
+        now: datetime.datetime,
+    ) -> None:
+        """Record that a request of this router failed as in a crash."""
+        accused = {
+            part
+            for part in parts
+            if now - self._served.get(part, _NEVER) > RECENTLY_SERVED
+        }
+        added = self._add_crash(upstream, accused, now, now)
+        if added:
+            self._unreported.setdefault(upstream, set()).update(added)
+            self._plan(now + REPORT_DELAY)
+
+    def record_life(
+        self,
+        upstream: _Incarnation,
+        sent_at: datetime.datetime,
+        now: datetime.datetime,
+    ) -> None:
+        """Record an answer of an incarnation to a request sent at a time."""
+        crash = self._crashes.get(upstream)
+        if crash is not None and crash.at < sent_at <= crash.at + SAME_CRASH:
+            crash.refuted = True
+            self._plan_evaluation(now)
+
+    def record_served(
+        self, parts: collections.abc.Iterable[int], now: datetime.datetime
+    ) -> None:
+        """Record that a run with these parts completed at this router."""
+        for part in parts:
+            self._add_served(part, now, now)
+            if part in self._accused:
+                self._announce_if_news(part, now)
+
+    def merge_crashes(
+        self, event: messages.UpstreamsCrashed, now: datetime.datetime
+    ) -> None:
+        """Add the crashes that another router reports."""
+        for report in event.crashes:
+            upstream = (report.upstream_id, report.incarnation)
+            parts = set(report.parts)
+            self._add_crash(upstream, parts, now - report.age, now)
+            for part in parts:
+                self._announce_if_news(part, now)
+
+    def merge_served(
+        self, event: messages.PartsServed, now: datetime.datetime
+    ) -> None:
+        """Add the completed runs that another router tells of."""
+        for part, age in event.parts:
+            at = now - age
+            self._add_served(part, at, now)
+            if part in self._accused:
+                self._told[part] = max(at, self._told.get(part, _NEVER))
+
+    def is_quarantined(self, parts: collections.abc.Iterable[int]) -> bool:
+        """Return whether a request with these parts must not run."""
+        return not self._quarantined.isdisjoint(parts)
+
+    def collect(
+        self, now: datetime.datetime
+    ) -> list[messages.UpstreamsCrashed | messages.PartsServed]:
+        """Return what the other routers have to know now."""
+        self.due = None
+        collected: list[messages.UpstreamsCrashed | messages.PartsServed] = []
+        reports = self._take_reports(now)
+        if reports:
+            collected.append(messages.UpstreamsCrashed(crashes=reports))
+        served = self._take_announcements(now)
+        if served:
+            collected.append(messages.PartsServed(parts=served))
+        if self._announcements:
+            self._plan(min(self._announcements.values()))
+        if self._evaluate_at is not None:
+            self._plan(self._evaluate_at)
+        return collected
+
+    def evaluate(self, now: datetime.datetime) -> Verdicts:
+        """Decide again which parts are quarantined, if it is time."""
+        if self._evaluate_at is None or now < self._evaluate_at:
+            return Verdicts()
+        self._evaluate_at = None
+        self._forget_old(now)
+        before, self._quarantined = self._quarantined, self._convict(now)
+        self._evaluated_at = now
+        if self._crashes:
+            self._plan_evaluation(self._next_change(now))
+        return Verdicts(
+            quarantined=tuple(sorted(self._quarantined - before)),
+            released=tuple(sorted(before - self._quarantined)),
+        )
+
+    def evidence(
+        self, now: datetime.datetime
+    ) -> messages.UpstreamsCrashed | None:
+        """Return what a router needs to quarantine the same parts."""
+        evidence = self._evidence_by_part(now)
+        crashes = []
+        for part in sorted(self._quarantined)[:MAX_SYNCED_PARTS]:
+            spaced = _independent(evidence.get(part, ()))[
+                -CRASHES_TO_QUARANTINE:
+            ]
+            crashes.extend(
+                _report(upstream, crash.at, (part,), now)
+                for upstream, crash in spaced
+            )
+        if not crashes:
+            return None
+        return messages.UpstreamsCrashed(crashes=tuple(crashes))
+
+    def crashed_upstreams(
+        self, part: int, now: datetime.datetime
+    ) -> tuple[str, ...]:
+        """Return the upstreams that crashed under a part."""
+        evidence = self._evidence_by_part(now).get(part, ())
+        return tuple(upstream_id for (upstream_id, _), _ in evidence)
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return the crashes and quarantined parts as plain data."""
+        return {
+            "quarantined": [key_name(key) for key in sorted(self.quarantined)],
+            "crashes": [
+                {
+                    "upstream": upstream,
+                    "incarnation": incarnation,
+                    "at": crash.at.isoformat(),
+                    "refuted": crash.refuted,
+                    "parts": [key_name(key) for key in sorted(crash.parts)],
+                }
+                for (upstream, incarnation), crash in self._crashes.items()
+            ],
+        }
+
+    def _add_crash(
+        self,
+        upstream: _Incarnation,
+        parts: set[int],
+        at: datetime.datetime,
+        now: datetime.datetime,
+    ) -> set[int]:
+        """Add parts to a crash and return those that are new to it."""
+        if not parts:
+            return set()
+        crash = self._crashes.get(upstream)
+        if crash is None or at - crash.at > SAME_CRASH:
+            self._crashes.pop(upstream, None)
+            if len(self._crashes) >= MAX_CRASHES:
+                del self._crashes[next(iter(self._crashes))]
+            crash = _Crash(at=at, learned_at=now)
+            self._crashes[upstream] = crash
+        room = MAX_PARTS_PER_CRASH - len(crash.parts)
+        added = set(self._longest_unserved(parts - crash.parts)[:room])
+        crash.parts |= added
+        for part in added:
+            newest = self._accused.get(part, _NEVER)
+            self._accused[part] = max(newest, crash.at)
+        if added:
+            self._plan_evaluation(now + SETTLE_TIME)
+        return added
+
+    def _add_served(
+        self, part: int, at: datetime.datetime, now: datetime.datetime
+    ) -> None:
+        before = self._served.get(part, _NEVER)
+        self._served[part] = max(at, before)
+        self._served.move_to_end(part)
+        if len(self._served) > MAX_SERVED_PARTS:
+            self._served.popitem(last=False)
+        if before < self._accused.get(part, _NEVER) <= at:
+            self._plan_evaluation(now)
+
+    def _longest_unserved(
+        self, parts: collections.abc.Iterable[int]
+    ) -> list[int]:
+        """Return parts in the order in which they were last served."""
+        return sorted(
+            parts, key=lambda part: (self._served.get(part, _NEVER), part)
+        )
+
+    def _plan_evaluation(self, at: datetime.datetime) -> None:
+        """Plan to evaluate, not more often than the interval allows."""
+        at = max(at, self._evaluated_at + EVALUATION_INTERVAL)
+        if self._evaluate_at is None or at < self._evaluate_at:
+            self._evaluate_at = at
+            self._plan(at)
+
+    def _next_change(self, now: datetime.datetime) -> datetime.datetime:
+        """Return when a crash settles or is forgotten next."""
+        settling = [
+            crash.learned_at + SETTLE_TIME
+            for crash in self._crashes.values()
+            if now - crash.learned_at < SETTLE_TIME
+        ]
+        oldest = min(crash.at for crash in self._crashes.values())
+        return min([*settling, oldest + MEMORY])
+
+    def _announce_if_news(self, part: int, now: datetime.datetime) -> None:
+        """Plan to tell of a part that completed, after a random delay.
+
+        Most routers then hear of it from another one first.
+        """
+        if part not in self._announcements and self._is_news(part):
+            delay = MAX_ANNOUNCE_DELAY * self._rng.random()
+            self._announcements[part] = now + delay
+            self._plan(now + delay)
+
+    def _is_news(self, part: int) -> bool:
+        """Return whether routers may not know when a part completed."""
+        served, told = self._served.get(part), self._told.get(part)
+        if served is None:
+            return False
+        accused = self._accused.get(part, _NEVER)
+        return told is None or told < accused <= served
+
+    def _take_reports(
+        self, now: datetime.datetime
+    ) -> tuple[messages.CrashReport, ...]:
+        reports = []
+        for upstream in list(self._unreported)[:MAX_REPORTED_CRASHES]:
+            parts = self._unreported[upstream]
+            crash = self._crashes.get(upstream)
+            chosen = self._longest_unserved(parts)[:MAX_REPORTED_PARTS]
+            parts.difference_update(chosen)
+            if not parts or crash is None:
+                del self._unreported[upstream]
+            if crash is not None:
+                reports.append(_report(upstream, crash.at, chosen, now))
+        if self._unreported:
+            self._plan(now + REPORT_DELAY)
+        return tuple(reports)
+
+    def _take_announcements(
+        self, now: datetime.datetime
+    ) -> tuple[tuple[int, datetime.timedelta], ...]:
+        served = []
+        for part, at in list(self._announcements.items()):
+            if at > now or len(served) >= MAX_REPORTED_PARTS:
+                continue
+            del self._announcements[part]
+            if self._is_news(part):
+                self._told[part] = self._served[part]
+                served.append((part, now - self._served[part]))
+        return tuple(served)
+
+    def _plan(self, at: datetime.datetime) -> None:
+        if self.due is None or at < self.due:
+            self.due = at
+
+    def _forget_old(self, now: datetime.datetime) -> None:
+        for upstream, crash in list(self._crashes.items()):
+            if now - crash.at > MEMORY:
+                del self._crashes[upstream]
+        self._accused = {}
+        for crash in self._crashes.values():
+            for part in crash.parts if not crash.refuted else ():
+                newest = self._accused.get(part, _NEVER)
+                self._accused[part] = max(newest, crash.at)
+        self._told = {
+            part: at
+            for part, at in self._told.items()
+            if part in self._accused
+        }
+
+    def _convict(self, now: datetime.datetime) -> frozenset[int]:
+        """Return the parts that best explain the crashes.
+
+        Of the parts in enough crashes, the one that has not completed for
+        the longest time is quarantined; then the one with the most crashes.
+        Its crashes accuse no other part.
+        """
+        evidence = {
+            part: crashes
+            for part, crashes in self._evidence_by_part(now).items()
+            if len(crashes) >= CRASHES_TO_QUARANTINE
+        }
+        convicted: set[int] = set()
+        explained: set[_Incarnation] = set()
+        while True:
+            candidates = []
+            for part, crashes in evidence.items():
+                left = [item for item in crashes if item[0] not in explained]
+                count = len(_independent(left))
+                if count >= CRASHES_TO_QUARANTINE:
+                    served = self._served.get(part, _NEVER)
+                    candidates.append((served, -count, part))
+            if not candidates:
+                return frozenset(convicted)
+            part = min(candidates)[-1]
+            convicted.add(part)
+            explained.update(upstream for upstream, _ in evidence[part])
+
+    def _evidence_by_part(
+        self, now: datetime.datetime
+    ) -> dict[int, list[tuple[_Incarnation, _Crash]]]:
+        """Return the settled crashes with each part since it was served."""
+        evidence: dict[int, list[tuple[_Incarnation, _Crash]]] = {}
+        for upstream, crash in self._crashes.items():
+            if crash.refuted or now - crash.learned_at < SETTLE_TIME:
+                continue
+            for part in crash.parts:
+                if crash.at > self._served.get(part, _NEVER):
+                    evidence.setdefault(part, []).append((upstream, crash))
+        return evidence
+
+
+def key_name(key: int) -> str:
+    """Return a part's key as logs and dumps show it."""
+    return f"{key:0{2 * KEY_BYTES}x}"
+
+
+def _report(
+    upstream: _Incarnation,
+    at: datetime.datetime,
+    parts: collections.abc.Iterable[int],
+    now: datetime.datetime,
+) -> messages.CrashReport:
+    upstream_id, incarnation = upstream
+    return messages.CrashReport(
+        upstream_id=upstream_id,
+        incarnation=incarnation,
+        age=now - at,
+        parts=tuple(parts),
+    )
+
+
+def _independent(
+    crashes: collections.abc.Iterable[tuple[_Incarnation, _Crash]],
+) -> list[tuple[_Incarnation, _Crash]]:
+    """Return crashes that are too far apart to have one outer cause."""
+    spaced: list[tuple[_Incarnation, _Crash]] = []
+    for item in sorted(crashes, key=lambda item: item[1].at):
+        if not spaced or item[1].at - spaced[-1][1].at > SAME_FAULT:
+            spaced.append(item)
+    return spaced
--- a/fulmarbarrow/delivery/refusals.py
+++ b/fulmarbarrow/delivery/refusals.py
@@ -164,7 +164,7 @@
         code="quarantined",
         status=503,
         ran=messages.Ran.NO,
-        message="the request crashed upstreams and is quarantined",
+        message="the request, or a part of its prompt, crashed upstreams",
         proof="this copy of the request was not dispatched",
     ),
     Refusal(
--- a/fulmarbarrow/delivery/responses.py
+++ b/fulmarbarrow/delivery/responses.py
@@ -123,6 +123,25 @@
             return []
         if request.refusal_code:
             return []
+        return self._abandon(entry, "deadline_exceeded", now)
+
+    def stop_unanswered(
+        self, entry: open_requests.OpenRequest, now: datetime.datetime
+    ) -> Effects:
+        """Give up a quarantined request that upstreams may not have begun."""
+        request = entry.request
+        if request.response_started or not request.attempts:
+            return []
+        return self._abandon(entry, "quarantined", now)
+
+    def _abandon(
+        self,
+        entry: open_requests.OpenRequest,
+        code: str,
+        now: datetime.datetime,
+    ) -> Effects:
+        """Cancel all attempts of a request and give it up."""
+        request = entry.request
         request.may_have_run = request.may_have_run or bool(request.attempts)
         effects: Effects = []
         for attempt in list(request.attempts.values()):
@@ -130,7 +149,7 @@
             effects.extend(effects_module.cancel_attempt(request, attempt))
         return [
             *effects,
-            *self._recovery.give_up(entry, "deadline_exceeded", now),
+            *self._recovery.give_up(entry, code, now),
         ]
 
     def end_suspect_runs(self, entry: open_requests.OpenRequest) -> Effects:
@@ -227,6 +246,8 @@
                 kind = messages.FailureKind.CUT
                 return self._fail(entry, attempt, kind, now)
             new_data = _skip_events(event, next_event)
+        if attempt.time_to_first_token is None:
+            self._suspects.record_life(attempt, now)
         if not attempt_machine.receive_data(attempt, event, now):
             self._metrics.count("late_answers_dropped")
             return []
@@ -301,6 +322,8 @@
             request, attempt, placement_messages.WorkOutcome.COMPLETED
         )
         effects.extend(self._suspects.end_run(request, attempt, True))
+        if attempt.headers.status < state.STATUS_ERROR:
+            self._suspects.record_served(request, now)
         for other in list(request.attempts.values()):
             effects.extend(self._discard(entry, other))
             effects.extend(effects_module.cancel_attempt(request, other))
--- a/fulmarbarrow/delivery/state.py
+++ b/fulmarbarrow/delivery/state.py
@@ -103,7 +103,8 @@
     that no upstream ran the request; ``possible_runs`` counts the attempts
     that may have run it. ``ready`` is set while only ``wait_until`` delays
     the next attempt. ``placing_id`` and ``hedge_id`` are the ids of attempts
-    that wait for an upstream. A stream that has started may continue for
+    that wait for an upstream. ``part_keys`` are those of the shared parts of
+    its prompt. A stream that has started may continue for
     ``grace`` after its deadline.
     """
 
@@ -133,6 +134,7 @@
     grace_timer_set: bool = False
     closed: bool = False
     possible_runs: int = 0
+    part_keys: tuple[int, ...] = ()
     grace: datetime.timedelta = RESUME_GRACE
 
     @property
--- a/fulmarbarrow/delivery/suspects.py
+++ b/fulmarbarrow/delivery/suspects.py
@@ -4,10 +4,12 @@
 
 import datetime
 import enum
+import random
 import typing
 
 from fulmarbarrow.delivery import messages
 from fulmarbarrow.delivery import poison
+from fulmarbarrow.delivery import prompt_parts
 from fulmarbarrow.delivery import state
 from fulmarbarrow.delivery import upstreams
 from fulmarbarrow.membership import messages as membership_messages
@@ -16,6 +18,8 @@
 Effects = list[message.Message]
 
 ROUTER_ROLE = "router"
+# Routers of which one that starts hears of quarantined parts, on average.
+SYNC_SENDERS = 8
 
 
 class DispatchDecision(enum.StrEnum):
@@ -34,6 +38,7 @@
         self,
         *,
         pools: upstreams.UpstreamPools,
+        rng: random.Random,
         enabled: bool,
         isolate: bool = True,
         crash_limit: int = poison.CRASHES_TO_QUARANTINE,
@@ -42,13 +47,33 @@
         self._enabled = enabled
         self._isolate = isolate
         self._registry = poison.PoisonRegistry(crash_limit=crash_limit)
-        self._peers: dict[str, str] = {}
+        self._rng = rng
+        self._parts = prompt_parts.PartSuspects(rng=rng)
+        self._sync_at: datetime.datetime | None = None
+        self._peers: dict[str, membership_messages.Daemon] = {}
 
-    def update_daemon(self, event: membership_messages.DaemonChanged) -> None:
-        """Add a router to the peers."""
+    def update_daemon(
+        self,
+        event: membership_messages.DaemonChanged,
+        now: datetime.datetime,
+    ) -> Effects:
+        """Add a router to the peers; tell one that starts what it missed."""
         daemon = event.daemon
-        if ROUTER_ROLE in daemon.roles:
-            self._peers[daemon.daemon_id] = daemon.address
+        if ROUTER_ROLE not in daemon.roles:
+            return []
+        known = self._peers.get(daemon.daemon_id)
+        self._peers[daemon.daemon_id] = daemon
+        if known is not None and (known.incarnation, known.state) == (
+            daemon.incarnation,
+            daemon.state,
+        ):
+            return []
+        if not self._parts.quarantined:
+            return []
+        # Some routers of a large fleet are enough to tell a new one.
+        if self._rng.random() * len(self._peers) < SYNC_SENDERS:
+            return self._send_evidence(daemon.address, now)
+        return []
 
     def remove_daemon(self, event: membership_messages.DaemonGone) -> None:
         """Remove a router from the peers."""
@@ -75,6 +100,51 @@
                 self._registry.start_run(event, now)
             case messages.SuspectEnded():
                 self._registry.end_run(event)
+            case messages.UpstreamsCrashed():
+                self._parts.merge_crashes(event, now)
+            case messages.PartsServed():
+                self._parts.merge_served(event, now)
+
+    def record_life(
+        self, attempt: state.Attempt, now: datetime.datetime
+    ) -> None:
+        """Record that an upstream has begun to answer an attempt."""
+        placed = attempt.placed
+        self._parts.record_life(
+            (placed.upstream_id, placed.incarnation), attempt.sent_at, now
+        )
+
+    def record_served(
+        self, request: state.Request, now: datetime.datetime
+    ) -> None:
+        """Record that a run of a request completed with success."""
+        if request.part_keys:
+            self._parts.record_served(request.part_keys, now)
+
+    def exchange_evidence(
+        self, now: datetime.datetime
+    ) -> tuple[Effects, frozenset[int]]:
+        """Return what is due to be told, and parts quarantined just now."""
+        due = self._parts.due
+        if due is None or now < due:
+            return self._sync(now), frozenset()
+        verdicts = self._parts.evaluate(now)
+        effects: Effects = [
+            *(
+                messages.PartQuarantined(
+                    part=prompt_parts.key_name(key),
+                    upstreams=self._parts.crashed_upstreams(key, now),
+                )
+                for key in verdicts.quarantined
+            ),
+            *(
+                messages.PartReleased(part=prompt_parts.key_name(key))
+                for key in verdicts.released
+            ),
+        ]
+        for event in self._parts.collect(now):
+            effects.extend(self._broadcast(event))
+        return [*effects, *self._sync(now)], frozenset(verdicts.quarantined)
 
     def excluded_upstreams(
         self, request: state.Request, now: datetime.datetime
@@ -102,6 +172,8 @@
         crashed on it nor run another suspect: one to run it and one that
         remains for all other requests.
         """
+        if self._enabled and self._parts.is_quarantined(request.part_keys):
+            return DispatchDecision.QUARANTINED
         digest = request.arrival.digest
         status = self._registry.status(digest, now)
         if not self._enabled or status is poison.DigestStatus.NONE:
@@ -143,6 +215,17 @@
         now: datetime.datetime,
     ) -> Effects:
         """Record a crash and announce it to the other routers."""
+        placed = attempt.placed
+        # An upstream that leaves closes its connections without a crash.
+        leaving = self._pools.is_leaving(
+            placed.upstream_id, placed.incarnation
+        )
+        if request.part_keys and not leaving:
+            self._parts.record_failure(
+                (placed.upstream_id, placed.incarnation),
+                request.part_keys,
+                now,
+            )
         suspected = messages.PoisonSuspected(
             digest=request.arrival.digest,
             upstream_id=attempt.placed.upstream_id,
@@ -174,6 +257,10 @@
         """Return the suspect and quarantined digests as plain data."""
         return self._registry.dump()
 
+    def dump_parts(self) -> dict[str, typing.Any]:
+        """Return the crashes by prompt part as plain data."""
+        return self._parts.dump()
+
     def _serving_and_crashed(
         self, request: state.Request
     ) -> tuple[dict[str, int], set[str]]:
@@ -201,7 +288,27 @@
     def _broadcast(self, event: message.Message) -> Effects:
         if not self._enabled:
             return []
+        addresses = sorted(peer.address for peer in self._peers.values())
         return [
             message.Send(address=address, message=event, urgent=True)
-            for address in sorted(self._peers.values())
+            for address in addresses
         ]
+
+    def _sync(self, now: datetime.datetime) -> Effects:
+        """Repeat the evidence to one router each interval.
+
+        It may have been cut off when the crashes were reported.
+        """
+        if not self._parts.quarantined or not self._peers:
+            return []
+        if self._sync_at is not None and now < self._sync_at:
+            return []
+        self._sync_at = now + prompt_parts.SYNC_INTERVAL
+        peer = self._rng.choice(sorted(self._peers))
+        return self._send_evidence(self._peers[peer].address, now)
+
+    def _send_evidence(self, address: str, now: datetime.datetime) -> Effects:
+        evidence = self._parts.evidence(now)
+        if evidence is None or not self._enabled:
+            return []
+        return [message.Send(address=address, message=evidence, urgent=True)]
--- a/fulmarbarrow/delivery/upstreams.py
+++ b/fulmarbarrow/delivery/upstreams.py
@@ -21,6 +21,14 @@
         if known is not None and known.incarnation <= event.incarnation:
             del self._upstreams[event.upstream_id]
 
+    def is_leaving(self, upstream_id: str, incarnation: int) -> bool:
+        """Return whether an upstream has said that it leaves, or has left."""
+        known = self._upstreams.get(upstream_id)
+        if known is None:
+            return True
+        leaving = known.state is membership_messages.UpstreamState.LEAVING
+        return leaving and known.incarnation == incarnation
+
     def serving(self, service: str, model: str) -> dict[str, int]:
         """Return the serving upstreams of a pool with their incarnations."""
         return {
--- a/fulmarbarrow/observe/decisions.py
+++ b/fulmarbarrow/observe/decisions.py
@@ -55,6 +55,8 @@
         delivery_messages.RequestRefused,
         delivery_messages.RequestRejected,
         delivery_messages.CallerDisconnected,
+        delivery_messages.PartQuarantined,
+        delivery_messages.PartReleased,
         placement_messages.NotPlaced,
         membership_messages.UpstreamChanged,
         membership_messages.UpstreamGone,
@@ -255,6 +257,21 @@
     ) -> None:
         self._end("caller gone", event.request_id, now, logging.INFO)
 
+    @_on.register
+    def _(
+        self, event: delivery_messages.PartQuarantined, now: datetime.datetime
+    ) -> None:
+        log.warning(
+            "prompt part quarantined",
+            extra={"part": event.part, "upstreams": list(event.upstreams)},
+        )
+
+    @_on.register
+    def _(
+        self, event: delivery_messages.PartReleased, now: datetime.datetime
+    ) -> None:
+        log.warning("prompt part released", extra={"part": event.part})
+
     @_on.register
     def _(
         self,
