Let a stand-in answer the call that makes it crash

It is not the product: the crash waited one turn of the loop as a timer, and if another timer was due in the same turn, both ran before the answer was sent.

--- a/fulmarbarrow/standins/guard.py
+++ b/fulmarbarrow/standins/guard.py
@@ -103,7 +103,10 @@
 
     def _crash(self, fault: faults_module.Fault) -> None:
         if fault.on:
-            self._reactor.callLater(0, self.crash)
+            # The answer to this call is sent by the next turn of the loop. A
+            # timer that is due in this turn would run the crash before that.
+            later = self._reactor.callLater
+            later(0, later, 0, self.crash)
 
 
 def refuse(
