Bound the prompt parts of a request that crashes are counted by

A prompt of 4,000 parts, which a header of 16 KB can hold, kept 4,000 keys as long as its request was open. The new scenario failed before.

--- a/fulmarbarrow/delivery/core.py
+++ b/fulmarbarrow/delivery/core.py
@@ -147,15 +147,16 @@
             case membership_messages.DaemonGone():
                 self._suspects.remove_daemon(event)
                 return []
+            case messages.PoisonSuspected():
+                self._metrics.count("crashes_reported", by="peer")
+                self._suspects.handle_peer_message(event, now)
+                return []
             case (
-                messages.PoisonSuspected()
-                | messages.SuspectStarted()
+                messages.SuspectStarted()
                 | messages.SuspectEnded()
                 | messages.UpstreamsCrashed()
                 | messages.PartsServed()
             ):
-                if isinstance(event, messages.PoisonSuspected):
-                    self._metrics.count("crashes_reported", by="peer")
                 self._suspects.handle_peer_message(event, now)
                 return []
             case _:
--- a/fulmarbarrow/delivery/features/prompt_parts.feature
+++ b/fulmarbarrow/delivery/features/prompt_parts.feature
@@ -67,3 +67,6 @@
   Scenario: The last part of a prompt accuses nothing
     Then a prompt of the parts "a b c" has the keys of "a b"
     And keys of the same part differ by service and model
+
+  Scenario: A prompt of many parts takes bounded memory
+    Then a prompt of 4000 parts has at most 64 keys
--- a/fulmarbarrow/delivery/features/steps/prompt_parts.py
+++ b/fulmarbarrow/delivery/features/steps/prompt_parts.py
@@ -316,6 +316,12 @@
     assert found == keys(others), found
 
 
+@behave.then("a prompt of {count:d} parts has at most {limit:d} keys")
+def step_many_parts(context, count, limit):
+    names = [str(number) for number in range(count)]
+    assert len(prompt_parts.part_keys(arrival(names))) <= limit
+
+
 @behave.then("keys of the same part differ by service and model")
 def step_keys_by_pool(context):
     found = {
--- a/fulmarbarrow/delivery/prompt_parts.py
+++ b/fulmarbarrow/delivery/prompt_parts.py
@@ -35,6 +35,7 @@
 MAX_ANNOUNCE_DELAY = datetime.timedelta(milliseconds=200)
 EVALUATION_INTERVAL = datetime.timedelta(milliseconds=200)
 SYNC_INTERVAL = datetime.timedelta(seconds=1)
+MAX_PROMPT_PARTS = 64  # of one request that are told apart
 MAX_CRASHES = 128
 MAX_PARTS_PER_CRASH = 64
 MAX_REPORTED_PARTS = 16  # of one crash, in one message
@@ -82,7 +83,7 @@
                 f"{pool}{name}".encode(), digest_size=KEY_BYTES
             ).digest()
         )
-        for name, _ in arrival.parts[:-1]
+        for name, _ in arrival.parts[:-1][:MAX_PROMPT_PARTS]
     )
 
 
--- a/fulmarbarrow/delivery/state.py
+++ b/fulmarbarrow/delivery/state.py
@@ -104,8 +104,8 @@
     that may have run it. ``ready`` is set while only ``wait_until`` delays
     the next attempt. ``placing_id`` and ``hedge_id`` are the ids of attempts
     that wait for an upstream. ``part_keys`` are those of the shared parts of
-    its prompt. A stream that has started may continue for
-    ``grace`` after its deadline.
+    its prompt. A stream that has started may continue for ``grace`` after its
+    deadline.
     """
 
     arrival: messages.RequestArrived
--- a/fulmarbarrow/delivery/suspects.py
+++ b/fulmarbarrow/delivery/suspects.py
@@ -89,7 +89,9 @@
         self,
         event: messages.PoisonSuspected
         | messages.SuspectStarted
-        | messages.SuspectEnded,
+        | messages.SuspectEnded
+        | messages.UpstreamsCrashed
+        | messages.PartsServed,
         now: datetime.datetime,
     ) -> None:
         """Handle a message from another router."""
