--- a/fulmarbarrow/delivery/features/prompt_parts.feature
+++ b/fulmarbarrow/delivery/features/prompt_parts.feature
@@ -1,4 +1,4 @@
-Feature: Crashes are held against the part of a prompt that explains them
+Feature: Crashes are attributed to the part of a prompt that causes them
 
   Scenario: A part in crashes that are apart is quarantined
     When upstreams crash under the parts "bad" at 0, 400 and 800 ms
@@ -8,7 +8,7 @@
     When upstreams crash under the parts "bad" at 0, 400 and 800 ms
     Then by 1200 ms nothing is quarantined
 
-  Scenario: A host that takes its upstreams down accuses no part
+  Scenario: A host that takes its upstreams down implicates no part
     When upstreams crash under the parts "first" at 0, 20, 40, 60 and 80 ms
     Then by 2000 ms nothing is quarantined
 
@@ -23,7 +23,7 @@
     When upstreams crash under the parts "first bad" at 0, 400 and 800 ms
     Then by 1400 ms "bad" is quarantined
 
-  Scenario: A part that another one explains is released
+  Scenario: A part is released once another one fits the crashes better
     When upstreams crash under the parts "bad second" at 0, 400 and 800 ms
     And upstreams crash under the parts "bad" at 1200 ms
     Then by 2000 ms "bad" is quarantined
@@ -64,7 +64,7 @@
     And each message about them has at most 2 KB
     And deciding takes less than 100 ms
 
-  Scenario: The last part of a prompt accuses nothing
+  Scenario: The last part of a prompt is never implicated
     Then a prompt of the parts "a b c" has the keys of "a b"
     And keys of the same part differ by service and model
 
--- a/fulmarbarrow/delivery/features/requests.feature
+++ b/fulmarbarrow/delivery/features/requests.feature
@@ -30,7 +30,7 @@
     Then it completes within 1 second
     And a resend through another router is refused with answer_not_kept
 
-  Scenario: A leaving engine that closes its connections accuses no prompt part
+  Scenario: A leaving engine that closes its connections implicates no prompt part
     When the connections of 4 leaving engines break under a shared part, 400 ms apart
     Then no prompt part is quarantined on any router
 
--- a/fulmarbarrow/delivery/prompt_parts.py
+++ b/fulmarbarrow/delivery/prompt_parts.py
@@ -1,8 +1,8 @@
 """Finds the shared part of prompts that crashes the upstreams it runs on.
 
 A request that crashes its upstream fails all others there, so one crash
-accuses every part of their prompts. A part that crashes upstreams is in each
-of the crashes and no run with it completes, whereas sound parts complete
+implicates every part of their prompts. A part that crashes upstreams is in
+each of the crashes and no run with it completes, whereas sound parts complete
 between crashes, or did before. Routers exchange the crashes that they see and
 the parts that they have seen complete; each decides on the same evidence.
 """
@@ -49,7 +49,7 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class Verdicts:
+class QuarantineChanges:
     """The keys of parts that are quarantined, or released, from now on."""
 
     quarantined: tuple[int, ...] = ()
@@ -60,14 +60,14 @@
 class _Crash:
     """A suspected crash and the parts that ran then.
 
-    ``learned_at`` is when this router first heard of it. ``refuted`` is set
+    ``learned_at`` is when this router first heard of it. ``disproved`` is set
     once the incarnation is known to have lived on.
     """
 
     at: datetime.datetime
     learned_at: datetime.datetime
     parts: set[int] = dataclasses.field(default_factory=set)
-    refuted: bool = False
+    disproved: bool = False
 
 
 def part_keys(arrival: messages.RequestArrived) -> tuple[int, ...]:
@@ -102,7 +102,7 @@
         self._told: dict[int, datetime.datetime] = {}
         self._unreported: dict[_Incarnation, set[int]] = {}
         self._announcements: dict[int, datetime.datetime] = {}
-        self._accused: dict[int, datetime.datetime] = {}
+        self._newest_crashes: dict[int, datetime.datetime] = {}
         self._quarantined: frozenset[int] = frozenset()
         self._evaluate_at: datetime.datetime | None = None
         self._evaluated_at = _NEVER
@@ -120,12 +120,12 @@
         now: datetime.datetime,
     ) -> None:
         """Record that a request of this router failed as in a crash."""
-        accused = {
+        implicated = {
             part
             for part in parts
             if now - self._served.get(part, _NEVER) > RECENTLY_SERVED
         }
-        added = self._add_crash(upstream, accused, now, now)
+        added = self._add_crash(upstream, implicated, now, now)
         if added:
             self._unreported.setdefault(upstream, set()).update(added)
             self._plan(now + REPORT_DELAY)
@@ -139,7 +139,7 @@
         """Record an answer of an incarnation to a request sent at a time."""
         crash = self._crashes.get(upstream)
         if crash is not None and crash.at < sent_at <= crash.at + SAME_CRASH:
-            crash.refuted = True
+            crash.disproved = True
             self._plan_evaluation(now)
 
     def record_served(
@@ -148,7 +148,7 @@
         """Record that a run with these parts completed at this router."""
         for part in parts:
             self._add_served(part, now, now)
-            if part in self._accused:
+            if part in self._newest_crashes:
                 self._announce_if_news(part, now)
 
     def merge_crashes(
@@ -169,7 +169,7 @@
         for part, age in event.parts:
             at = now - age
             self._add_served(part, at, now)
-            if part in self._accused:
+            if part in self._newest_crashes:
                 self._told[part] = max(at, self._told.get(part, _NEVER))
 
     def is_quarantined(self, parts: collections.abc.Iterable[int]) -> bool:
@@ -194,17 +194,20 @@
             self._plan(self._evaluate_at)
         return collected
 
-    def evaluate(self, now: datetime.datetime) -> Verdicts:
+    def evaluate(self, now: datetime.datetime) -> QuarantineChanges:
         """Decide again which parts are quarantined, if it is time."""
         if self._evaluate_at is None or now < self._evaluate_at:
-            return Verdicts()
+            return QuarantineChanges()
         self._evaluate_at = None
         self._forget_old(now)
-        before, self._quarantined = self._quarantined, self._convict(now)
+        before, self._quarantined = (
+            self._quarantined,
+            self._attribute_crashes(now),
+        )
         self._evaluated_at = now
         if self._crashes:
             self._plan_evaluation(self._next_change(now))
-        return Verdicts(
+        return QuarantineChanges(
             quarantined=tuple(sorted(self._quarantined - before)),
             released=tuple(sorted(before - self._quarantined)),
         )
@@ -243,7 +246,7 @@
                     "upstream": upstream,
                     "incarnation": incarnation,
                     "at": crash.at.isoformat(),
-                    "refuted": crash.refuted,
+                    "disproved": crash.disproved,
                     "parts": [key_name(key) for key in sorted(crash.parts)],
                 }
                 for (upstream, incarnation), crash in self._crashes.items()
@@ -271,8 +274,8 @@
         added = set(self._longest_unserved(parts - crash.parts)[:room])
         crash.parts |= added
         for part in added:
-            newest = self._accused.get(part, _NEVER)
-            self._accused[part] = max(newest, crash.at)
+            newest = self._newest_crashes.get(part, _NEVER)
+            self._newest_crashes[part] = max(newest, crash.at)
         if added:
             self._plan_evaluation(now + SETTLE_TIME)
         return added
@@ -285,7 +288,7 @@
         self._served.move_to_end(part)
         if len(self._served) > MAX_SERVED_PARTS:
             self._served.popitem(last=False)
-        if before < self._accused.get(part, _NEVER) <= at:
+        if before < self._newest_crashes.get(part, _NEVER) <= at:
             self._plan_evaluation(now)
 
     def _longest_unserved(
@@ -328,8 +331,8 @@
         served, told = self._served.get(part), self._told.get(part)
         if served is None:
             return False
-        accused = self._accused.get(part, _NEVER)
-        return told is None or told < accused <= served
+        crashed = self._newest_crashes.get(part, _NEVER)
+        return told is None or told < crashed <= served
 
     def _take_reports(
         self, now: datetime.datetime
@@ -369,44 +372,44 @@
         for upstream, crash in list(self._crashes.items()):
             if now - crash.at > MEMORY:
                 del self._crashes[upstream]
-        self._accused = {}
+        self._newest_crashes = {}
         for crash in self._crashes.values():
-            for part in crash.parts if not crash.refuted else ():
-                newest = self._accused.get(part, _NEVER)
-                self._accused[part] = max(newest, crash.at)
+            for part in crash.parts if not crash.disproved else ():
+                newest = self._newest_crashes.get(part, _NEVER)
+                self._newest_crashes[part] = max(newest, crash.at)
         self._told = {
             part: at
             for part, at in self._told.items()
-            if part in self._accused
+            if part in self._newest_crashes
         }
 
-    def _convict(self, now: datetime.datetime) -> frozenset[int]:
-        """Return the parts that best explain the crashes.
+    def _attribute_crashes(self, now: datetime.datetime) -> frozenset[int]:
+        """Return the parts to which the crashes are attributed.
 
         Of the parts in enough crashes, the one that has not completed for
-        the longest time is quarantined; then the one with the most crashes.
-        Its crashes accuse no other part.
+        the longest time comes first, then the one with the most crashes. A
+        crash that is attributed to one part does not count for another.
         """
         evidence = {
             part: crashes
             for part, crashes in self._evidence_by_part(now).items()
             if len(crashes) >= CRASHES_TO_QUARANTINE
         }
-        convicted: set[int] = set()
-        explained: set[_Incarnation] = set()
+        causes: set[int] = set()
+        attributed: set[_Incarnation] = set()
         while True:
             candidates = []
             for part, crashes in evidence.items():
-                left = [item for item in crashes if item[0] not in explained]
+                left = [item for item in crashes if item[0] not in attributed]
                 count = len(_independent(left))
                 if count >= CRASHES_TO_QUARANTINE:
                     served = self._served.get(part, _NEVER)
                     candidates.append((served, -count, part))
             if not candidates:
-                return frozenset(convicted)
+                return frozenset(causes)
             part = min(candidates)[-1]
-            convicted.add(part)
-            explained.update(upstream for upstream, _ in evidence[part])
+            causes.add(part)
+            attributed.update(upstream for upstream, _ in evidence[part])
 
     def _evidence_by_part(
         self, now: datetime.datetime
@@ -414,7 +417,7 @@
         """Return the settled crashes with each part since it was served."""
         evidence: dict[int, list[tuple[_Incarnation, _Crash]]] = {}
         for upstream, crash in self._crashes.items():
-            if crash.refuted or now - crash.learned_at < SETTLE_TIME:
+            if crash.disproved or now - crash.learned_at < SETTLE_TIME:
                 continue
             for part in crash.parts:
                 if crash.at > self._served.get(part, _NEVER):
--- a/fulmarbarrow/delivery/suspects.py
+++ b/fulmarbarrow/delivery/suspects.py
@@ -130,23 +130,23 @@
         due = self._parts.due
         if due is None or now < due:
             return self._sync(now), frozenset()
-        verdicts = self._parts.evaluate(now)
+        changes = self._parts.evaluate(now)
         effects: Effects = [
             *(
                 messages.PartQuarantined(
                     part=prompt_parts.key_name(key),
                     upstreams=self._parts.crashed_upstreams(key, now),
                 )
-                for key in verdicts.quarantined
+                for key in changes.quarantined
             ),
             *(
                 messages.PartReleased(part=prompt_parts.key_name(key))
-                for key in verdicts.released
+                for key in changes.released
             ),
         ]
         for event in self._parts.collect(now):
             effects.extend(self._broadcast(event))
-        return [*effects, *self._sync(now)], frozenset(verdicts.quarantined)
+        return [*effects, *self._sync(now)], frozenset(changes.quarantined)
 
     def excluded_upstreams(
         self, request: state.Request, now: datetime.datetime
