Log the versions of an upstream and placements without a reservation

What callers saw: nothing yet. 'upstream changed' names the versions; 'attempt placed without a reservation' is new. No decision changes.

--- a/fulmarbarrow/observe/decisions.py
+++ b/fulmarbarrow/observe/decisions.py
@@ -57,6 +57,7 @@
         delivery_messages.CallerDisconnected,
         delivery_messages.PartQuarantined,
         delivery_messages.PartReleased,
+        placement_messages.Placed,
         placement_messages.NotPlaced,
         membership_messages.UpstreamChanged,
         membership_messages.UpstreamGone,
@@ -176,6 +177,19 @@
             sent=event.sent,
         )
 
+    @_on.register
+    def _(
+        self, event: placement_messages.Placed, now: datetime.datetime
+    ) -> None:
+        if not event.reserved:
+            self._request(
+                "attempt placed without a reservation",
+                event.request_id,
+                now,
+                attempt=event.attempt_id,
+                upstream=event.upstream_id,
+            )
+
     @_on.register
     def _(
         self, event: placement_messages.NotPlaced, now: datetime.datetime
@@ -290,6 +304,7 @@
                 "zone": upstream.zone,
                 "url": upstream.url,
                 "services": [offer.service for offer in upstream.offers],
+                "versions": [offer.version for offer in upstream.offers],
                 "cold_ms": (cold - now) // MILLISECOND if cold else None,
             },
         )
--- a/fulmarbarrow/placement/entry.py
+++ b/fulmarbarrow/placement/entry.py
@@ -479,6 +479,8 @@
         priority: int,
         now: datetime.datetime,
         renewed_at: datetime.datetime | None = None,
+        *,
+        reserved: bool = True,
     ) -> message.Message:
         """Record the placement and return the message that reports it."""
         request = pending.request
@@ -512,6 +514,7 @@
                 if self._fetch_enabled
                 else ""
             ),
+            reserved=reserved,
         )
 
     def _notify_home_owner(
@@ -547,7 +550,7 @@
         self._metrics.count("requests_placed_alone")
         due_since = now - running_attempts.RENEWAL_INTERVAL
         return self._finish_placement(
-            pending, upstream, 0, now, renewed_at=due_since
+            pending, upstream, 0, now, renewed_at=due_since, reserved=False
         )
 
     def _release_unneeded_grant(self, event: messages.Reserved) -> None:
--- a/fulmarbarrow/placement/messages.py
+++ b/fulmarbarrow/placement/messages.py
@@ -80,7 +80,7 @@
 
     ``priority`` is the engine's scheduling priority; lower values run first.
     ``fetch_from`` is the URL of an engine from which the upstream may copy
-    the KV cache of the prompt.
+    the KV cache of the prompt. ``reserved`` is False if no owner granted it.
     """
 
     request_id: str
@@ -91,6 +91,7 @@
     version: str
     priority: int = 0
     fetch_from: str = ""
+    reserved: bool = True
 
 
 class NotPlaced(message.Message, frozen=True, kw_only=True):
