--- a/fulmarbarrow/placement/features/owner.feature
+++ b/fulmarbarrow/placement/features/owner.feature
@@ -98,6 +98,15 @@
     When 60 attempts start at each of "engine-0 engine-1" within 6 seconds
     Then at most 7 of them run at each of "engine-0 engine-1"
 
+  # Guards against a bound from the mean of one version, which grows with the
+  # requests of its only engine (LIMIT).
+  Scenario: Idle engines of another version lower the bound of the first engines of a new one
+    Given 3 routers and 5 engines, bounded by twice the mean number of requests
+    And the owner of every engine is router 0
+    And version "2" of the service runs at "engine-0"
+    When 60 attempts start at each of "engine-0" within 6 seconds
+    Then at most 7 of them run at each of "engine-0"
+
   Scenario: An engine that one router finds misdirected is refused to others for a while
     When an attempt at "engine-0" finds another engine at its address
     Then another router is refused a place at "engine-0"
--- a/fulmarbarrow/placement/features/steps/placement.py
+++ b/fulmarbarrow/placement/features/steps/placement.py
@@ -563,6 +563,15 @@
     )
 
 
+@behave.given('version "{version}" of the service runs at "{names}"')
+def step_version_runs(context, version, names):
+    offer = membership.Offer(
+        service=SERVICE, model="lacework", version=version
+    )
+    for name in names.split():
+        change_upstream(context, name, offers=(offer,), sequence=2)
+
+
 @behave.given('engine "{name}" reports {work:d} tokens')
 def step_reports_load(context, name, work):
     context.net.broadcast(
