Measure an engine's requests against the mean of its service

Ours shows it for an engine that alone runs a new version: 51 of 60 requests ran there, where 7 are allowed.

Cause: the mean number of requests was kept by version, and the busiest pool of an engine counted. An engine that is alone in its pool is measured against its own requests, which a multiple of their mean never bounds; two share a mean that is half theirs.

Evidence: the scenario failed on (51 of 60) and passes now; all of placement and the fault matrix pass.

Why it works: owners tell requests and members of the service besides those of the version, and the bound uses the service's. Owners of an earlier build tell none for the service; while a fleet is mixed, theirs are left out.

--- a/fulmarbarrow/placement/messages.py
+++ b/fulmarbarrow/placement/messages.py
@@ -278,8 +278,8 @@
 
     ``pool`` is a hash of service, model and version. ``placed`` is the work
     that was placed within the recent window. ``requests`` counts the
-    reservations at the ``members`` that are serving, including those in
-    zones that get no work.
+    reservations at the ``members`` that are serving, including those in zones
+    that get no work. Each service has an entry of its own for these two.
     """
 
     pool: int
--- a/fulmarbarrow/placement/owner.py
+++ b/fulmarbarrow/placement/owner.py
@@ -226,7 +226,7 @@
         return effects
 
     def pools(self, now: datetime.datetime) -> list[messages.PoolWork]:
-        """Return the work and capacity of the owned upstreams by pool.
+        """Return the work and capacity by pool, and the requests by service.
 
         Requests are counted only for upstreams that respond. When some
         engines of a pool crash, the others take over their work; counting
@@ -239,11 +239,16 @@
             ledger = owned.ledger
             usable = self._directory.usable(ledger.upstream)
             share = self._capacity.ramp_share(ledger, now)
-            for pool in pool_means.pool_hashes(ledger.upstream):
-                total = sums.setdefault(pool, [0, 0, 0, 0, 0])
-                if ledger.upstream.state is serving and ledger.responsive:
+            pools = pool_means.pool_hashes(ledger.upstream)
+            services = pool_means.service_hashes(ledger.upstream)
+            if ledger.upstream.state is serving and ledger.responsive:
+                # Routers of an earlier build read the requests of the pool.
+                for key in pools | services:
+                    total = sums.setdefault(key, [0, 0, 0, 0, 0])
                     total[3] += len(ledger)
                     total[4] += 1
+            for pool in pools:
+                total = sums.setdefault(pool, [0, 0, 0, 0, 0])
                 if usable:
                     total[0] += ledger.reserved
                     total[1] += int(share * ledger.upstream.batch_tokens)
--- a/fulmarbarrow/placement/pool_means.py
+++ b/fulmarbarrow/placement/pool_means.py
@@ -29,6 +29,14 @@
     }
 
 
+def service_hashes(upstream: membership_messages.Upstream) -> set[int]:
+    """Return the hashes of the services that an upstream belongs to."""
+    return {
+        xxhash.xxh32_intdigest(item.service.encode())
+        for item in upstream.offers
+    }
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class _ReceivedSummary:
     summary: messages.OwnerSummary
@@ -38,6 +46,10 @@
 class PoolMeans:
     """Mean work of each pool in full batches, that is work over capacity.
 
+    The mean number of requests is that of a service: the versions of a model
+    share its callers, and a pool of few upstreams would be measured against
+    its own requests.
+
     Each owner sends its summaries to a few randomly chosen routers. The
     summaries that a router received within ``MAX_SUMMARY_AGE`` are a sample
     that is large enough for a mean.
@@ -107,11 +119,11 @@
         )
 
     def mean_requests(self, upstream: membership_messages.Upstream) -> float:
-        """Return the mean number of requests at an upstream of the pool."""
-        return max(
+        """Return the mean number of requests at an upstream of the service."""
+        return min(
             (
-                self._mean_requests.get(pool, 0.0)
-                for pool in pool_hashes(upstream)
+                self._mean_requests.get(service, 0.0)
+                for service in service_hashes(upstream)
             ),
             default=0.0,
         )
