Bound an idle engine of a large pool by what its size allows

Cause: least_requests = 6 is allowed whatever the mean. In a pool of 12 where one engine holds all, the mean is a twelfth, and 3.6 is what the rule allows; 6 is right for pools of up to 4.

Evidence: the scenario of 12 engines got 6 of 20 requests before, 3 now.

Why it works: if an engine holds all requests of n engines, h = 2 h / n + 3 gives what it may hold alone; the lowest bound is the smaller of that and least_requests. With other requests in the pool the mean decides, as before.

--- a/fulmarbarrow/placement/capacity.py
+++ b/fulmarbarrow/placement/capacity.py
@@ -100,7 +100,8 @@
         if ledger.recent_starts(now) + 1 > self.start_rate_limit(ledger, now):
             return False
         request_limit = self._bounds.max_requests(
-            self._means.mean_requests(ledger.upstream)
+            self._means.mean_requests(ledger.upstream),
+            self._means.members(ledger.upstream),
         )
         if current_work and len(ledger) + 1 > request_limit:
             return False
--- a/fulmarbarrow/placement/features/owner.feature
+++ b/fulmarbarrow/placement/features/owner.feature
@@ -107,6 +107,14 @@
     When 60 attempts start at each of "engine-0" within 6 seconds
     Then at most 7 of them run at each of "engine-0"
 
+  # Guards against a lowest bound that a large idle pool does not allow (LIMIT).
+  Scenario: The lowest bound in a large idle pool is what its mean allows
+    Given 3 routers and 12 engines, bounded by twice the mean number of requests
+    And the owner of every engine is router 0
+    When 20 attempts start at each of "engine-0" within 6 seconds
+    Then at least 3 of them run at each of "engine-0"
+    And at most 3 of them run at each of "engine-0"
+
   Scenario: An engine that one router finds misdirected is refused to others for a while
     When an attempt at "engine-0" finds another engine at its address
     Then another router is refused a place at "engine-0"
