Show that a named limit is not kept, listed as red

The scenario plays it over the real edge: a worker that names 4.5 a second gets every lookup of four clients.

--- a/fulmarbarrow/platform/features/path.feature
+++ b/fulmarbarrow/platform/features/path.feature
@@ -143,6 +143,13 @@
       | sends a chunk size without end        |
       | sends noise without end               |
 
+  Scenario: A worker that names a limit gets no more than that
+    Given configuration 3 and workers "i-1" of the desk
+    And worker "i-1" names a limit of "4.5" requests a second
+    When 4 clients send lookups for 5 s
+    Then worker "i-1" gets at most 32 requests in any 4 s
+    And each client that was refused was told within 700 ms when to return
+
   Scenario: An address that another worker has got is left
     Given configuration 3 and workers "i-1 i-2" of the desk
     And worker "i-1" answers under another id from now on
--- a/fulmarbarrow/platform/features/standin.py
+++ b/fulmarbarrow/platform/features/standin.py
@@ -62,6 +62,7 @@
         worker = self.server.worker
         request_id = self.headers["X-Request-Id"]
         worker.seen.append(dict(self.headers))
+        worker.arrivals.append(time.monotonic())
         fault = worker.take_fault()
         if self.headers.get("X-Expected-Instance") != worker.worker_id:
             self._answer(421, [("X-Instance-Id", worker.worker_id)])
@@ -102,6 +103,8 @@
 
     def _answer(self, status, fields, body=b""):
         self.send_response(status)
+        if self.server.worker.limit:
+            self.send_header("Server-Limit", self.server.worker.limit)
         for name, value in fields:
             self.send_header(name, value)
         self.send_header("Content-Length", str(len(body)))
@@ -177,6 +180,8 @@
         self.work = 0.0
         self.runs = collections.Counter()
         self.seen = []
+        self.limit = ""  # requests a second that its answers name
+        self.arrivals = []
         self.endless_bytes = 0
         self.closed_on = 0  # connections closed on bytes without end
         self._faults = collections.deque()
--- a/fulmarbarrow/platform/features/steps/path.py
+++ b/fulmarbarrow/platform/features/steps/path.py
@@ -231,6 +231,54 @@
     assert written - kernel_buffer_bytes() <= most << 20, written
 
 
+@behave.given('worker "{name}" names a limit of "{limit}" requests a second')
+def step_names_limit(context, name, limit):
+    context.workers[name].limit = limit
+    assert ask(context, "/lookup/1", method="GET")[0] == 200
+    time.sleep(0.5)
+    context.workers[name].arrivals.clear()
+
+
+@behave.when("{count:d} clients send lookups for {seconds:d} s")
+def step_send_for(context, count, seconds):
+    until = time.monotonic() + seconds
+    context.refusals = []
+
+    def send():
+        while time.monotonic() < until:
+            started = time.monotonic()
+            status, _, fields = ask(context, "/lookup/7", method="GET")
+            if status != 200:
+                took = time.monotonic() - started
+                context.refusals.append((status, took, fields))
+                time.sleep(0.05)
+
+    with concurrent.futures.ThreadPoolExecutor(count) as pool:
+        for _ in range(count):
+            pool.submit(send)
+
+
+@behave.then('worker "{name}" gets at most {count:d} requests in any 4 s')
+def step_at_most_in_window(context, name, count):
+    arrivals = context.workers[name].arrivals
+    most = max(
+        sum(1 for at in arrivals if start <= at < start + 4)
+        for start in arrivals
+    )
+    assert 10 <= most <= count, (most, len(context.refusals))
+
+
+@behave.then(
+    "each client that was refused was told within {most:d} ms when to return"
+)
+def step_told_when(context, most):
+    assert context.refusals
+    for status, took, fields in context.refusals:
+        assert status == 503, (status, took)
+        assert float(fields["Retry-After"]) > 0, fields
+        assert took * 1000 <= most, took
+
+
 @behave.given('worker "{name}" answers under another id from now on')
 def step_other_id(context, name):
     context.workers[name].worker_id = "i-another"
