--- a/fulmarbarrow/publishing/features/publishing.feature
+++ b/fulmarbarrow/publishing/features/publishing.feature
@@ -123,3 +123,26 @@
     When daemon 5 restarts with revision 1, gets a notice of it and no later one
     And 3 seconds pass
     Then revision 2 is active on daemon 5
+
+  # Guards against a router that serves an old configuration while it stops.
+  Scenario: A daemon that is leaving gets each revision until it is gone
+    Given "amina" has published account "volos" on revision 0
+    And daemon 7 is leaving
+    When "babis" publishes account "patras" on revision 1
+    Then revision 2 is active on all daemons
+    When daemon 7 is gone and "calliope" publishes account "syros" on revision 2
+    Then the status counts 9 of 9 daemons in zone 3
+
+  Scenario: A lost push to a daemon that is leaving is repaired
+    Given "amina" has published account "volos" on revision 0
+    And daemon 7 is leaving
+    And daemon 7 is disconnected
+    And "babis" has published account "patras" on revision 1
+    When daemon 7 is connected again and 2 seconds pass
+    Then revision 2 is active on all daemons
+
+  Scenario: Changes are not relayed by daemons that are leaving
+    Given all daemons but 4 of each zone are leaving
+    And daemons that are leaving relay no messages
+    When "amina" publishes account "volos" on revision 0
+    Then revision 1 is active on all daemons
--- a/fulmarbarrow/publishing/features/steps/fleet.py
+++ b/fulmarbarrow/publishing/features/steps/fleet.py
@@ -74,6 +74,7 @@
         self.by_address = {node.record.address: node for node in self.nodes}
         self.disconnected = set()
         self.drops_relays = False
+        self.leaving_relay = True
         self.sent = collections.Counter()
         self.polls = collections.Counter()
         self.results = []
@@ -145,9 +146,11 @@
                     self.sent[node.number] += 1
                 if isinstance(effect.message, messages.RevisionFetch):
                     self.polls[node.number] += 1
-                if self.is_connected(node, target) and not (
-                    relayed and self.drops_relays
-                ):
+                leaving = membership_messages.DaemonState.LEAVING
+                drops = self.drops_relays or (
+                    not self.leaving_relay and node.record.state is leaving
+                )
+                if self.is_connected(node, target) and not (relayed and drops):
                     yield target, effect.message
             case messages.StoreRevision():
                 stored = not node.disk_full
--- a/fulmarbarrow/publishing/features/steps/publishing.py
+++ b/fulmarbarrow/publishing/features/steps/publishing.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import collections
 import datetime
 import importlib.util
 import pathlib
 
 import behave
+import msgspec
 
 from fulmarbarrow.config import bundle as bundles
+from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow.publishing import delta as deltas
 from fulmarbarrow.publishing import messages
 from fulmarbarrow.publishing import packing
@@ -120,6 +123,46 @@
     context.fleet.run(datetime.timedelta(seconds=seconds))
 
 
+def set_leaving(context, number):
+    node = context.fleet.nodes[number]
+    node.record = msgspec.structs.replace(
+        node.record, state=membership_messages.DaemonState.LEAVING
+    )
+    context.fleet.announce(node)
+
+
+@behave.given("daemon {number:d} is leaving")
+def step_leaving(context, number):
+    set_leaving(context, number)
+
+
+@behave.given("all daemons but {count:d} of each zone are leaving")
+def step_most_leave(context, count):
+    zones = collections.Counter()
+    for node in context.fleet.nodes:
+        zones[node.record.zone] += 1
+        if zones[node.record.zone] > count:
+            set_leaving(context, node.number)
+
+
+@behave.given("daemons that are leaving relay no messages")
+def step_leaving_relay_nothing(context):
+    context.fleet.leaving_relay = False
+
+
+@behave.when(
+    'daemon {number:d} is gone and "{publisher}" publishes account "{name}" '
+    "on revision {base:d}"
+)
+def step_gone(context, number, publisher, name, base):
+    gone = membership_messages.DaemonGone(
+        daemon_id=f"daemon-{number}", incarnation=1
+    )
+    context.fleet.disconnected.add(number)
+    context.fleet.post(context.fleet.nodes[0], gone)
+    context.fleet.publish(publisher, [*context.names, name], base)
+
+
 @behave.given("no daemon relays messages")
 def step_no_relays(context):
     context.fleet.drops_relays = True
