Tell routers that are leaving of each revision until they are gone

A router that was told to stop went on answering by an older configuration, up to 5 s after a change was confirmed, while it ended its open requests.

Cause: FanOut.daemon_changed removed a follower as soon as it was leaving. It got neither pushes nor notices from then on, and polls each 5 s only. Leaving was taken for gone: a daemon that ends its duty to take new work still has the duty to decide on what it has.

Why it works: a leaving follower is pushed to and gets notices like any other, also when a missed probe has it taken for dead; it only relays nothing, as it may be gone before it has, and isn't counted in the status.

--- a/fulmarbarrow/publishing/fanout.py
+++ b/fulmarbarrow/publishing/fanout.py
@@ -28,6 +28,12 @@
     gone: bool = False
     notice_sent_at: datetime.datetime | None = None
 
+    @property
+    def leaving(self) -> bool:
+        """Whether the daemon ends its open requests and takes no new work."""
+        leaving = membership_messages.DaemonState.LEAVING
+        return self.daemon.state is leaving
+
     def is_unreachable(self, now: datetime.datetime) -> bool:
         """Return whether the daemon has stopped answering."""
         return self.gone or now - self.seen_at > ACK_TIMEOUT
@@ -59,10 +65,11 @@
     def daemon_changed(
         self, daemon: membership_messages.Daemon, now: datetime.datetime
     ) -> None:
-        """Add or update a daemon; one that is leaving is removed."""
-        if daemon.state is membership_messages.DaemonState.LEAVING:
-            self._followers.pop(daemon.daemon_id, None)
-            return
+        """Add or update a daemon.
+
+        One that is leaving stays until it is gone, as it still decides on
+        requests.
+        """
         follower = self._followers.get(daemon.daemon_id)
         if (
             follower is None
@@ -95,25 +102,31 @@
     def push(
         self, delta: messages.Delta, now: datetime.datetime
     ) -> list[message.Message]:
-        """Return the messages that send a delta to all reachable daemons."""
+        """Return the messages that send a delta to all reachable daemons.
+
+        A daemon that is leaving may be gone before it has relayed the delta.
+        """
         reachable = [
-            item.daemon
+            item
             for item in self._followers.values()
             if not item.is_unreachable(now)
         ]
         for item in self._followers.values():
             item.notice_sent_at = now
         if len(reachable) <= MAX_DIRECT_PUSHES:
-            return [self._push(delta, daemon, ()) for daemon in reachable]
-        zones: dict[str, list[membership_messages.Daemon]] = {}
-        for daemon in sorted(reachable, key=lambda item: item.daemon_id):
-            if daemon.daemon_id != self._daemon.daemon_id:
-                zones.setdefault(daemon.zone, []).append(daemon)
+            return [self._push(delta, item.daemon, ()) for item in reachable]
+        zones: dict[str, list[FollowerState]] = {}
+        for item in sorted(reachable, key=lambda item: item.daemon.daemon_id):
+            if item.daemon.daemon_id != self._daemon.daemon_id:
+                zones.setdefault(item.daemon.zone, []).append(item)
         effects = [self._push(delta, self._daemon, ())]
-        for daemons in zones.values():
-            relay = daemons.pop(delta.base % len(daemons))
-            addresses = tuple(daemon.address for daemon in daemons)
-            effects.append(self._push(delta, relay, addresses))
+        for items in zones.values():
+            relays = [item for item in items if not item.leaving] or items
+            relay = relays[delta.base % len(relays)]
+            addresses = tuple(
+                item.daemon.address for item in items if item is not relay
+            )
+            effects.append(self._push(delta, relay.daemon, addresses))
         return effects
 
     def notices(
@@ -131,9 +144,14 @@
         return effects
 
     def remove_gone(self, now: datetime.datetime) -> None:
-        """Remove daemons that have been gone for a long time."""
+        """Remove daemons that have been gone for a long time.
+
+        One that is leaving may be slow and not gone, so it is removed only
+        when it has not answered for ``ACK_TIMEOUT`` either.
+        """
         for daemon_id, item in list(self._followers.items()):
-            if item.gone and now - item.seen_at > REMOVE_AFTER:
+            after = ACK_TIMEOUT if item.leaving else REMOVE_AFTER
+            if item.gone and now - item.seen_at > after:
                 del self._followers[daemon_id]
 
     def start_leading(self, now: datetime.datetime) -> None:
@@ -146,10 +164,14 @@
     def zone_statuses(
         self, revision: int, now: datetime.datetime
     ) -> tuple[messages.ZoneStatus, ...]:
-        """Return the rollout status of a revision by zone."""
+        """Return the rollout status of a revision by zone.
+
+        Daemons that are leaving are not counted.
+        """
         zones = collections.defaultdict(list)
         for item in self._followers.values():
-            zones[item.daemon.zone].append(item)
+            if not item.leaving:
+                zones[item.daemon.zone].append(item)
         return tuple(
             _zone_status(zone, items, revision, now)
             for zone, items in sorted(zones.items())
--- a/fulmarbarrow/publishing/features/publishing.feature
+++ b/fulmarbarrow/publishing/features/publishing.feature
@@ -132,6 +132,16 @@
     Then revision 2 is active on all daemons
     When daemon 7 is gone and "calliope" publishes account "syros" on revision 2
     Then the status counts 9 of 9 daemons in zone 3
+    When 40 seconds pass
+    Then the control host sends daemon 7 no notice any more
+
+  Scenario: A leaving daemon that is wrongly taken for dead gets each revision
+    Given "amina" has published account "volos" on revision 0
+    And daemon 7 is leaving
+    And the control host takes daemon 7 for dead
+    When "babis" publishes account "patras" on revision 1
+    And 2 seconds pass
+    Then revision 2 is active on all daemons
 
   Scenario: A lost push to a daemon that is leaving is repaired
     Given "amina" has published account "volos" on revision 0
--- a/fulmarbarrow/publishing/features/steps/fleet.py
+++ b/fulmarbarrow/publishing/features/steps/fleet.py
@@ -77,6 +77,7 @@
         self.leaving_relay = True
         self.sent = collections.Counter()
         self.polls = collections.Counter()
+        self.notices = collections.Counter()
         self.results = []
         self.status = None
         self.published = []
@@ -144,6 +145,8 @@
                 )
                 if isinstance(effect.message, messages.RevisionDeltas):
                     self.sent[node.number] += 1
+                if isinstance(effect.message, messages.RevisionNotice):
+                    self.notices[target.number] += 1
                 if isinstance(effect.message, messages.RevisionFetch):
                     self.polls[node.number] += 1
                 leaving = membership_messages.DaemonState.LEAVING
--- a/fulmarbarrow/publishing/features/steps/publishing.py
+++ b/fulmarbarrow/publishing/features/steps/publishing.py
@@ -150,16 +150,28 @@
     context.fleet.leaving_relay = False
 
 
+@behave.given("the control host takes daemon {number:d} for dead")
+def step_taken_for_dead(context, number):
+    gone = membership_messages.DaemonGone(
+        daemon_id=f"daemon-{number}", incarnation=1
+    )
+    context.fleet.post(context.fleet.nodes[0], gone)
+
+
+@behave.then("the control host sends daemon {number:d} no notice any more")
+def step_no_notice(context, number):
+    context.fleet.notices.clear()
+    context.fleet.run(datetime.timedelta(seconds=5))
+    assert not context.fleet.notices[number], context.fleet.notices
+
+
 @behave.when(
     'daemon {number:d} is gone and "{publisher}" publishes account "{name}" '
     "on revision {base:d}"
 )
 def step_gone(context, number, publisher, name, base):
-    gone = membership_messages.DaemonGone(
-        daemon_id=f"daemon-{number}", incarnation=1
-    )
     context.fleet.disconnected.add(number)
-    context.fleet.post(context.fleet.nodes[0], gone)
+    step_taken_for_dead(context, number)
     context.fleet.publish(publisher, [*context.names, name], base)
 
 
