Keep the requests a second that an upstream names, for all routers together

Cause: no code read the limit.

Why it works: the router that reads an answer tells the upstream's owner, which spaces all starts there, first attempts, retries and hedges alike, as each needs its grant. What can't start within its wait is refused at once with the true time. A limit ends with an answer to an attempt that was sent after the one that named it, or if starts go 5 s unconfirmed; one that can't be read leaves the last. Routers without an owner share a quarter of it among the first few of the upstream's order. Each router keeps one entry for a limited upstream, and tells the owner on a change, else once a second.

--- a/fulmarbarrow/delivery/core.py
+++ b/fulmarbarrow/delivery/core.py
@@ -137,6 +137,7 @@
                 return []
             case membership_messages.UpstreamGone():
                 self._pools.remove(event)
+                self._responses.forget_upstream(event.upstream_id)
                 return []
             case membership_messages.LoadReported():
                 self._suspects.handle_load_report(event, now)
--- a/fulmarbarrow/delivery/messages.py
+++ b/fulmarbarrow/delivery/messages.py
@@ -138,7 +138,9 @@
     resumes. ``fields`` are the header fields to forward to the caller.
     ``framing`` tells how the end of the body is marked.
     ``ends_with_body`` is set if a stream is complete at the end of the body
-    and has no end marker.
+    and has no end marker. ``rate_limit`` is the number of requests a second
+    that the upstream takes from all routers together, None if it names none;
+    ``rate_limit_unreadable`` is set if it names one that can't be read.
     """
 
     attempt_id: str
@@ -151,6 +153,8 @@
     fields: tuple[tuple[str, str], ...] = ()
     ends_with_body: bool = False
     framing: BodyFraming = BodyFraming.LENGTH
+    rate_limit: float | None = None
+    rate_limit_unreadable: bool = False
 
 
 class AttemptData(message.Message, frozen=True, kw_only=True):
--- a/fulmarbarrow/delivery/responses.py
+++ b/fulmarbarrow/delivery/responses.py
@@ -9,6 +9,7 @@
 from fulmarbarrow.delivery import messages
 from fulmarbarrow.delivery import open_requests
 from fulmarbarrow.delivery import policy
+from fulmarbarrow.delivery import rate_limits
 from fulmarbarrow.delivery import recovery as recoveries
 from fulmarbarrow.delivery import request as request_machine
 from fulmarbarrow.delivery import state
@@ -53,6 +54,11 @@
         self._suspects = suspects
         self._recovery = recovery
         self._mechanisms = mechanisms
+        self._limits = rate_limits.NamedLimits()
+
+    def forget_upstream(self, upstream_id: str) -> None:
+        """Forget what an upstream that is gone has named."""
+        self._limits.forget(upstream_id)
 
     def handle_event(
         self,
@@ -168,7 +174,6 @@
         event: messages.AttemptHeaders,
         now: datetime.datetime,
     ) -> Effects:
-        request = entry.request
         if self._echo_differs(attempt, event):
             kind = messages.FailureKind.WRONG_ATTEMPT
             if not event.echoed_attempt and event.status >= (
@@ -178,6 +183,20 @@
             return self._fail(entry, attempt, kind, now)
         if not entry.attempts[attempt.attempt_id].start(event, now):
             return []
+        limits: Effects = []
+        if event.status != STATUS_MISDIRECTED:
+            limits = self._limits.read(attempt, event, now)
+        return [*limits, *self._handle_status(entry, attempt, event, now)]
+
+    def _handle_status(
+        self,
+        entry: open_requests.OpenRequest,
+        attempt: state.Attempt,
+        event: messages.AttemptHeaders,
+        now: datetime.datetime,
+    ) -> Effects:
+        """Fail an attempt whose status can't be passed on to the caller."""
+        request = entry.request
         if event.not_run:
             return self._handle_not_run(entry, attempt, event, now)
         if attempt.purpose is state.Purpose.LOOKUP:
--- a/fulmarbarrow/placement/capacity.py
+++ b/fulmarbarrow/placement/capacity.py
@@ -99,6 +99,8 @@
             return False
         if ledger.recent_starts(now) + 1 > self.start_rate_limit(ledger, now):
             return False
+        if ledger.pacer.wait(now):
+            return False
         request_limit = self._bounds.max_requests(
             self._means.mean_requests(ledger.upstream),
             self._means.members(ledger.upstream),
--- a/fulmarbarrow/placement/core.py
+++ b/fulmarbarrow/placement/core.py
@@ -21,6 +21,7 @@
 from fulmarbarrow.placement import owner as owners
 from fulmarbarrow.placement import ownerless as ownerless_module
 from fulmarbarrow.placement import pool_means
+from fulmarbarrow.placement import rate_limits
 from fulmarbarrow.placement import running_attempts
 from fulmarbarrow.placement import scheduling
 from fulmarbarrow.publishing import messages as publishing_messages
@@ -55,6 +56,8 @@
         messages.PlaceRequest,
         messages.PlaceCancelled,
         messages.WorkEnded,
+        messages.RateLimitNamed,
+        messages.UpstreamRateLimit,
         messages.Reserve,
         messages.Reserved,
         messages.ReserveRefused,
@@ -86,8 +89,9 @@
         self._running = running_attempts.RunningAttempts(
             address=daemon.address
         )
+        self._limits = rate_limits.KnownLimits()
         self._ownerless = ownerless_module.OwnerlessLimits(
-            router=daemon.daemon_id, bounds=bounds
+            router=daemon.daemon_id, bounds=bounds, limits=self._limits
         )
         self._owner_core = owners.OwnerCore(
             directory=self._directory,
@@ -154,6 +158,7 @@
             "walks": self._entry_core.dump(),
             "held": len(self._running),
             "left_out": self._health.dump(),
+            "rate_limits": self._limits.dump(),
             "pool_loads": self._means.dump(),
         }
 
@@ -173,6 +178,10 @@
                 return self._work_ended(event, now)
             case messages.Release():
                 return self._owner_core.release(event, now)
+            case messages.RateLimitNamed():
+                return self._limits.record(event, self._directory, now)
+            case messages.UpstreamRateLimit():
+                self._owner_core.record_rate_limit(event, now)
             case messages.PlacementTick():
                 return self._tick(now)
             case messages.PlaceCancelled():
@@ -227,6 +236,7 @@
         upstream_id = upstream.upstream_id
         if new_run:
             self._ownerless.remove_upstream(upstream_id)
+            self._limits.remove_upstream(upstream_id)
         self._update_owned(self._directory.upstreams[upstream_id], now)
         return self._assume_ownership(now)
 
@@ -246,6 +256,7 @@
         ):
             return []
         self._ownerless.remove_upstream(event.upstream_id)
+        self._limits.remove_upstream(event.upstream_id)
         self._health.forget(event.upstream_id)
         return self._owner_core.drop(event.upstream_id, "not_serving")
 
@@ -281,7 +292,10 @@
         renewals = self._running.renewals(
             self._directory, now, event.upstream_id
         )
-        return [*effects, *renewals]
+        limits = self._limits.tell_new_owner(
+            event.upstream_id, self._directory
+        )
+        return [*effects, *renewals, *limits]
 
     def _replaces_other(self, event: membership_messages.OwnerChanged) -> bool:
         """Return whether another daemon owned this incarnation before."""
--- a/fulmarbarrow/placement/entry.py
+++ b/fulmarbarrow/placement/entry.py
@@ -548,6 +548,7 @@
         it to the owner.
         """
         self._metrics.count("requests_placed_alone")
+        self._ownerless.record_start(upstream.upstream_id, now)
         due_since = now - running_attempts.RENEWAL_INTERVAL
         return self._finish_placement(
             pending, upstream, 0, now, renewed_at=due_since, reserved=False
--- a/fulmarbarrow/placement/features/steps/placement.py
+++ b/fulmarbarrow/placement/features/steps/placement.py
@@ -42,6 +42,9 @@
     refused_at: list = dataclasses.field(default_factory=list)
     requests: dict = dataclasses.field(default_factory=dict)
     replies: list = dataclasses.field(default_factory=list)
+    sent: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
     def deliver(self, index, event):
         queue = collections.deque([(index, event)])
@@ -57,6 +60,7 @@
     def _apply_effect(self, queue, router_index, effect):
         match effect:
             case message.Send():
+                self.sent[type(effect.message)] += 1
                 receiver = self.index(effect.address)
                 if receiver is None:
                     self.replies.append(effect.message)
@@ -955,3 +959,221 @@
     reply = reserve_at(context, name, f"other-{answer.split()[0]}")
     granted = isinstance(reply, messages.Reserved)
     assert granted == (answer == "granted a place"), reply
+
+
+# Upstreams that name a limit in their answers.
+
+LIMITED = "engine-0"
+ANSWER_AFTER = datetime.timedelta(milliseconds=100)
+LIMIT_WINDOW = datetime.timedelta(seconds=4)
+# A bound counts from when the routers know the limit.
+LIMIT_KNOWN_AFTER = datetime.timedelta(seconds=1)
+
+
+class LimitedPlay:
+    """Sends requests in turn to the routers and names a limit in answers."""
+
+    def __init__(self, context):
+        self._context = context
+        self._due = []
+        self._seen = set()
+        self._started_at = context.net.clock.now()
+        self._turn = 0
+        self.arrivals = []
+        self.named_to = None
+
+    def run(self, per_second, seconds, rate, *, answers=True):
+        net = self._context.net
+        until = net.clock.now() + datetime.timedelta(seconds=seconds)
+        due = 0.0
+        while net.clock.now() < until:
+            net.clock.advance(TICK)
+            due += per_second * TICK.total_seconds()
+            while due >= 1:
+                due -= 1
+                self._place()
+            net.broadcast(messages.PlacementTick())
+            self._collect()
+            self._answer(rate, answers=answers)
+
+    def arrived(self, *, since):
+        return [at for at in self.arrivals if at >= since]
+
+    def most_in_window(self):
+        since = self._started_at + LIMIT_KNOWN_AFTER
+        times = self.arrived(since=since)
+        return max(
+            sum(1 for at in times if start <= at < start + LIMIT_WINDOW)
+            for start in times
+        )
+
+    def _place(self):
+        net = self._context.net
+        for _ in net.routers:
+            self._turn = (self._turn + 1) % len(net.routers)
+            if self._turn not in net.dead:
+                break
+        self._context.start_within = datetime.timedelta(milliseconds=600)
+        place_request(self._context, self._turn, f"c{self._turn}", 100)
+
+    def _collect(self):
+        net = self._context.net
+        for attempt_id, (index, placed) in net.placed.items():
+            if attempt_id not in self._seen:
+                self._seen.add(attempt_id)
+                self.arrivals.append(net.clock.now())
+                self._due.append(
+                    (net.clock.now() + ANSWER_AFTER, index, placed)
+                )
+
+    def _answer(self, rate, *, answers):
+        net = self._context.net
+        due = [item for item in self._due if item[0] <= net.clock.now()]
+        self._due = [item for item in self._due if item[0] > net.clock.now()]
+        for _, index, placed in due:
+            if answers and self.named_to in (None, index):
+                self.name(index, rate)
+            ended = messages.WorkEnded(
+                request_id=placed.request_id,
+                attempt_id=placed.attempt_id,
+                upstream_id=placed.upstream_id,
+                incarnation=placed.incarnation,
+                outcome=messages.WorkOutcome.COMPLETED,
+            )
+            net.deliver(index, ended)
+
+    def name(self, index, rate):
+        context = self._context
+        event = messages.RateLimitNamed(
+            upstream_id=LIMITED,
+            incarnation=context.upstreams[LIMITED].incarnation,
+            rate=rate,
+        )
+        context.net.deliver(index, event)
+
+
+def limited_play(context):
+    if not hasattr(context, "play"):
+        context.play = LimitedPlay(context)
+    return context.play
+
+
+@behave.given("only answers to router {index:d} name a limit")
+def step_named_to(context, index):
+    limited_play(context).named_to = index
+
+
+@behave.when(
+    "{per_second:d} requests a second come for {seconds:d} s and the engine "
+    "names {rate:g} a second"
+)
+def step_requests_limited(context, per_second, seconds, rate):
+    limited_play(context).run(per_second, seconds, rate)
+
+
+@behave.when(
+    "{per_second:d} requests a second come for {seconds:d} s and the engine "
+    "names no limit"
+)
+def step_requests_unlimited(context, per_second, seconds):
+    limited_play(context).run(per_second, seconds, None)
+
+
+@behave.when(
+    "{per_second:d} requests a second come for {seconds:d} s and no answer "
+    "is read"
+)
+def step_requests_unanswered(context, per_second, seconds):
+    limited_play(context).run(per_second, seconds, None, answers=False)
+
+
+@behave.then(
+    "it gets at most {most:d} and at least {least:d} requests in any 4 s"
+)
+def step_in_any_window(context, most, least):
+    found = context.play.most_in_window()
+    assert least <= found <= most, found
+
+
+@behave.then("it got at {bound} {count:d} requests in the last 4 s")
+def step_in_last_window(context, bound, count):
+    since = context.net.clock.now() - LIMIT_WINDOW
+    found = len(context.play.arrived(since=since))
+    assert found >= count if bound == "least" else found <= count, found
+
+
+@behave.then("the requests that got no place were refused within {limit:d} ms")
+def step_refused_soon(context, limit):
+    net = context.net
+    assert net.refused
+    for refused, at in zip(net.refused, net.refused_at, strict=True):
+        request = net.requests[refused.attempt_id]
+        arrived = request.start_by - datetime.timedelta(milliseconds=600)
+        assert at - arrived <= datetime.timedelta(milliseconds=limit), at
+        assert refused.retry_after > datetime.timedelta(0), refused
+
+
+@behave.when("router {index:d} dies and router {other:d} owns every engine")
+def step_owner_replaced(context, index, other):
+    context.net.dead.add(index)
+    announce_owner(context, other, 2, range(len(context.net.routers)))
+
+
+@behave.when("router {index:d} dies and returns after {seconds:d} s")
+def step_owner_asleep(context, index, seconds):
+    context.net.dead.add(index)
+    limited_play(context).run(40, seconds, 6)
+    context.net.dead.discard(index)
+
+
+@behave.when(
+    "router {index:d} forgets all and router {other:d} owns every engine"
+)
+def step_owner_new(context, index, other):
+    net = context.net
+    net.routers[index] = core.PlacementCore(
+        daemon=net.daemons[index],
+        policy=policies.Policy(),
+        metrics=metrics.Metrics(),
+        rng=random.Random(1),
+    )
+    for item in net.daemons:
+        net.deliver(index, membership.DaemonChanged(daemon=item))
+    for item in context.upstreams.values():
+        net.deliver(index, membership.UpstreamChanged(upstream=item))
+    announce_owner(context, other, 2, range(len(net.routers)))
+
+
+@behave.then("no router knows a limit")
+def step_no_limit(context):
+    for router in context.net.routers:
+        assert not router.dump()["rate_limits"], router.dump()
+        for owned in router.dump()["owned"].values():
+            assert not owned["limited"], owned
+
+
+@behave.when(
+    "router {first:d} hears of another limit and router {second:d} 100 ms "
+    "later of none"
+)
+def step_hears_none(context, first, second):
+    context.play.name(first, 3.5)
+    context.net.clock.advance(TICK * 2)
+    context.play.name(second, None)
+
+
+@behave.then("the owner still limits the engine")
+def step_still_limited(context):
+    owned = context.net.routers[0].dump()["owned"]
+    assert owned[LIMITED]["limited"], owned
+
+
+@behave.when('engine "{name}" starts anew')
+def step_starts_anew(context, name):
+    step_restart(context, name)
+
+
+@behave.then("the owner was told of the limit at most {count:d} times")
+def step_told(context, count):
+    told = context.net.sent[messages.UpstreamRateLimit]
+    assert 0 < told <= count, told
--- a/fulmarbarrow/placement/ledger.py
+++ b/fulmarbarrow/placement/ledger.py
@@ -10,6 +10,7 @@
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow.placement import cold_detection
 from fulmarbarrow.placement import messages
+from fulmarbarrow.placement import rate_limits
 from fulmarbarrow.placement import recent_chats
 
 LEASE = datetime.timedelta(seconds=30)
@@ -108,6 +109,7 @@
         self.epoch = epoch
         self.recent_chats = recent_chats.RecentChats()
         self.cold_detector = cold_detection.ColdDetector()
+        self.pacer = rate_limits.Pacer()
         self.cold_since: datetime.datetime | None = None
         self._owned_since = owned_since
         self._replaces = replaces
--- a/fulmarbarrow/placement/messages.py
+++ b/fulmarbarrow/placement/messages.py
@@ -132,6 +132,19 @@
     reused_tokens: int | None = 0
 
 
+class RateLimitNamed(message.Message, frozen=True, kw_only=True):
+    """An upstream's answer named a limit, or none any more.
+
+    ``rate`` is the number of requests a second that it takes from all routers
+    together, None if an attempt that was sent after the last naming answer
+    was answered without a limit.
+    """
+
+    upstream_id: str
+    incarnation: int
+    rate: float | None
+
+
 class PreemptWork(message.Message, frozen=True, kw_only=True):
     """Effect: cancel a local best-effort attempt; it may resume later."""
 
@@ -211,6 +224,17 @@
     moved_to: str = ""
 
 
+class UpstreamRateLimit(message.Message, frozen=True, kw_only=True):
+    """Tells an upstream's owner the limit that the upstream named.
+
+    ``rate`` is in requests a second, None if it names none any more.
+    """
+
+    upstream_id: str
+    incarnation: int
+    rate: float | None
+
+
 class ChatMoved(message.Message, frozen=True, kw_only=True):
     """A chat whose home is ``upstream_id`` was placed at ``moved_to``."""
 
@@ -307,4 +331,5 @@
     Renew,
     Preempt,
     OwnerSummary,
+    UpstreamRateLimit,
 )
--- a/fulmarbarrow/placement/owner.py
+++ b/fulmarbarrow/placement/owner.py
@@ -21,6 +21,10 @@
 from fulmarbarrow.placement import scheduling
 
 
+# Queues are served by a timer, so a queued attempt starts this much late.
+SERVING_DELAY = datetime.timedelta(milliseconds=100)
+
+
 class OwnerCore:
     """Grants, queues and refuses reservations at owned upstreams."""
 
@@ -99,6 +103,14 @@
         if owned and owned.ledger.upstream.incarnation == event.incarnation:
             owned.ledger.record_load(event.load)
 
+    def record_rate_limit(
+        self, event: messages.UpstreamRateLimit, now: datetime.datetime
+    ) -> None:
+        """Record the requests a second that an upstream named."""
+        owned = self._owned.get(event.upstream_id)
+        if owned and owned.ledger.upstream.incarnation == event.incarnation:
+            owned.ledger.pacer.name(event.rate, now)
+
     def reserve(
         self, event: messages.Reserve, now: datetime.datetime
     ) -> list[message.Message]:
@@ -275,6 +287,7 @@
                 "queued": len(owned.queue),
                 "recent_chats": len(owned.ledger.recent_chats),
                 "cold_since": owned.ledger.cold_since,
+                "limited": owned.ledger.pacer.limited,
             }
             for upstream_id, owned in self._owned.items()
         }
@@ -368,6 +381,7 @@
         )
         ledger.recent_chats.forget_move(work.chat)
         ledger.add(reservation, now)
+        ledger.pacer.record_start(now)
         return replies.grant(ledger, reservation, address)
 
     def _queue(
@@ -394,6 +408,11 @@
         if waits_for_home and now + wait > work.expires and not guaranteed:
             # Other upstreams can be asked instead of waiting in vain.
             return [self._refuse(event, "bound_reached", wait)]
+        paced = owned.ledger.pacer.limited and not waits_for_home
+        start_at = now + wait + SERVING_DELAY
+        if paced and start_at > work.expires and not guaranteed:
+            # Nothing but time makes room, so the wait can't turn out shorter.
+            return [self._refuse(event, "queue_full", wait)]
         if now < owned.ledger.grants_start_at:
             # The reservations that the former owner granted are not known
             # yet. The attempt leaves the queue when they are, and its router
@@ -437,7 +456,10 @@
             work_ahead += work.cost
         start_rate = self._capacity.start_rate_limit(ledger, now)
         seconds = max(work_ahead / speed, len(owned.queue) / start_rate)
-        return datetime.timedelta(seconds=seconds)
+        return max(
+            datetime.timedelta(seconds=seconds),
+            ledger.pacer.wait(now, len(owned.queue)),
+        )
 
     def _serve_queue(
         self, owned: capacity.OwnedUpstream, now: datetime.datetime
--- a/fulmarbarrow/placement/ownerless.py
+++ b/fulmarbarrow/placement/ownerless.py
@@ -9,6 +9,7 @@
 from fulmarbarrow.config import bundle as bundles
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow.placement import bounds as bounds_module
+from fulmarbarrow.placement import rate_limits
 from fulmarbarrow.placement import rendezvous
 
 # Smallest share of an upstream that a router gets, as a fraction of a full
@@ -63,7 +64,14 @@
     batch, so only as many routers are selected as the limit allows.
     """
 
-    def __init__(self, *, router: str, bounds: bounds_module.Bounds) -> None:
+    def __init__(
+        self,
+        *,
+        router: str,
+        bounds: bounds_module.Bounds,
+        limits: rate_limits.KnownLimits,
+    ) -> None:
+        self._limits = limits
         self._router = router
         self._bounds = bounds
         self._routers: frozenset[str] = frozenset((router,))
@@ -98,6 +106,10 @@
         while now - load.placements[0][0] > MAX_REPORT_AGE:
             load.placements.popleft()
 
+    def record_start(self, upstream_id: str, now: datetime.datetime) -> None:
+        """Record an attempt that was placed without an owner."""
+        self._limits.record_ownerless_start(upstream_id, now)
+
     def known_work(self, upstream_id: str) -> int:
         """Return the last reported work plus own work placed since then."""
         load = self._loads.get(upstream_id)
@@ -125,6 +137,11 @@
         share *= min(1.0, zone_weight)
         if now - upstream.started_at < OWNER_GRACE:
             return False
+        upstream_id = upstream.upstream_id
+        if not self._limits.fits(
+            upstream_id, lambda: self._rank(upstream_id), now
+        ):
+            return False
         start_rate = self._bounds.start_rate_limit(
             upstream, pool, now, zone_weight
         )
--- a/fulmarbarrow/placement/waiting.py
+++ b/fulmarbarrow/placement/waiting.py
@@ -51,7 +51,8 @@
     """Return when a caller may come back, ``wait`` being the shortest queue.
 
     The delays are spread, so that callers rejected together return apart.
+    None is shorter than ``wait``.
     """
     delay = wait * (1.0 + RETURN_SPREAD * rng.random())
     least = LEAST_RETURN * (1.0 + rng.random())
-    return min(max(delay, least), MOST_RETURN)
+    return min(max(delay, least), max(MOST_RETURN, wait))
--- a/fulmarbarrow/platform/features/path.feature
+++ b/fulmarbarrow/platform/features/path.feature
@@ -146,7 +146,7 @@
   Scenario: A worker that names a limit gets no more than that
     Given configuration 3 and workers "i-1" of the desk
     And worker "i-1" names a limit of "4.5" requests a second
-    When 4 clients send lookups for 5 s
+    When 12 clients send lookups for 5 s
     Then worker "i-1" gets at most 32 requests in any 4 s
     And each client that was refused was told within 700 ms when to return
 
--- a/fulmarbarrow/platform/features/steps/workers.py
+++ b/fulmarbarrow/platform/features/steps/workers.py
@@ -81,7 +81,8 @@
 
 @behave.when('the worker answers {status:d} with the fields "{fields}"')
 def step_answer(context, status, fields):
-    pairs = [item.split(": ") for item in fields.split("; ")]
+    parts = [item.partition(":") for item in fields.split("; ")]
+    pairs = [(name, value.strip()) for name, _, value in parts]
     context.answer = workers.Workers().answer(
         start(),
         exchange(),
@@ -97,6 +98,17 @@
     assert context.answer.not_run is (run == "has not run"), context.answer
 
 
+@behave.then("the answer names {limit}")
+def step_names_limit(context, limit):
+    answer = context.answer
+    unreadable = limit == "one that can't be read"
+    assert answer.rate_limit_unreadable is unreadable, answer
+    expected = None
+    if limit.startswith("the limit"):
+        expected = float(limit.rpartition(" ")[2])
+    assert answer.rate_limit == expected, answer
+
+
 @behave.given("a stream after event {event:d}")
 def step_stream(context, event):
     context.splitter = workers.IdSplitter(after=event)
--- a/fulmarbarrow/platform/features/workers.feature
+++ b/fulmarbarrow/platform/features/workers.feature
@@ -38,6 +38,23 @@
       | 421    | X-Instance-Id: i-0                                  | belongs         | has not run |
       | 503    | X-Request-Id: r1                                    | belongs         | may have run |
 
+  Scenario Outline: A limit is a decimal number, anything else leaves it as it is
+    When the worker answers 200 with the fields "X-Request-Id: r1; X-Response-Signature: s; <fields>"
+    Then the answer names <limit>
+
+    Examples:
+      | fields                              | limit                    |
+      | Server-Limit: 5.6                   | the limit 5.6            |
+      | Server-Limit: 7                     | the limit 7              |
+      | Server-Limit: 0                     | the limit 0              |
+      | X-Other: 1                          | no limit                 |
+      | Server-Limit:                       | one that can't be read   |
+      | Server-Limit: -1                    | one that can't be read   |
+      | Server-Limit: nan                   | one that can't be read   |
+      | Server-Limit: 1e9                   | one that can't be read   |
+      | Server-Limit: 99999999999999999999  | one that can't be read   |
+      | Server-Limit: 5, 6                  | one that can't be read   |
+
   Scenario: Events are counted by their ids, whole and in order
     Given a stream after event 3
     When the bytes "id: 4\ndata: a\n\nid: 5\nda" arrive
--- a/fulmarbarrow/platform/headers.py
+++ b/fulmarbarrow/platform/headers.py
@@ -20,6 +20,7 @@
 NOT_EXECUTED = "X-Not-Executed"
 CONTENT_ENCODING = "Content-Encoding"
 RETRY_AFTER = "Retry-After"
+RATE_LIMIT = "Server-Limit"  # requests a second, from all routers together
 
 _ONE_CONNECTION = frozenset(
     (
--- a/fulmarbarrow/platform/workers.py
+++ b/fulmarbarrow/platform/workers.py
@@ -19,6 +19,7 @@
 LOWEST_PRIORITY = 9
 
 # More digits than a 64-bit number has are no id of an event.
+_RATE = re.compile(r"\d{1,9}(?:\.\d{0,9})?")
 _EVENT_ID = re.compile(rb"(?:^|\n)id: ?(\d{1,18})(?!\d)")
 
 
@@ -60,6 +61,7 @@
         fields: dialect.Fields,
     ) -> messages.AttemptHeaders:
         """Return what the head of an answer says."""
+        rate, unreadable = _rate_limit(fields)
         not_run = status == responses.STATUS_MISDIRECTED or bool(
             dialect.field(fields, headers.NOT_EXECUTED)
         )
@@ -74,6 +76,8 @@
             resume_offset=start.resume_offset,
             fields=headers.for_caller(fields),
             ends_with_body=True,
+            rate_limit=rate,
+            rate_limit_unreadable=unreadable,
         )
 
     def splitter(self, head: messages.AttemptHeaders) -> sse.Splitter | None:
@@ -106,6 +110,17 @@
     return start.attempt_id
 
 
+def _rate_limit(fields: dialect.Fields) -> tuple[float | None, bool]:
+    """Return the named limit, and whether one is named that can't be read."""
+    names = {name.lower() for name, _ in fields}
+    if headers.RATE_LIMIT.lower().encode() not in names:
+        return None, False
+    text = dialect.field(fields, headers.RATE_LIMIT).strip()
+    if _RATE.fullmatch(text) is None:
+        return None, True
+    return float(text), False
+
+
 class IdSplitter:
     """Gathers bytes into whole events with increasing ids.
 
