Believe a refusal without an id on a new connection only

What callers saw: other operators report that a faulty worker wrote an earlier refusal once more on a kept connection, and requests that ran were refused as not run or ran twice. Here an order ran twice and its caller got 200.

Cause: a refusal that names no request was taken for that of the request sent last. It proves that some request has not run, not which.

Evidence: the scenario over the real edge failed before (200, and a second run at the same worker) and passes now.

Why it works: on a connection that carried an answer before, a refusal has to name the request; else the attempt may have run. On a new one no earlier answer can be repeated. The two other reports can't happen here, and have scenarios: an error after a stream broke off, and a head that is cut short.

--- a/fulmarbarrow/edge/client.py
+++ b/fulmarbarrow/edge/client.py
@@ -186,8 +186,13 @@
     def head(self, status: int, fields: dialects.Fields) -> None:
         """Take the head of the answer."""
         self._answering = True
+        connection = self._connection
         head = self._dialect.answer(
-            self._start, self._exchange, status, fields
+            self._start,
+            self._exchange,
+            status,
+            fields,
+            kept=connection is not None and connection.kept,
         )
         self._events = self._dialect.splitter(head)
         self._post(head)
--- a/fulmarbarrow/edge/connections.py
+++ b/fulmarbarrow/edge/connections.py
@@ -84,8 +84,14 @@
         self._idle_timeout = IDLE_TIMEOUT
         self._idle_since: float | None = None
         self._open = False
+        self._kept = False
         self._informational_heads = 0
 
+    @property
+    def kept(self) -> bool:
+        """Whether an earlier request was answered on the connection."""
+        return self._kept
+
     def connectionMade(self) -> None:  # noqa: N802
         """Watch the connection."""
         self._open = True
@@ -217,6 +223,7 @@
             and self._http.their_state is h11.DONE
         )
         if reusable:
+            self._kept = True
             self._http.start_next_cycle()
             self._start_idling()
             self._pool.idle(self._place, self)
--- a/fulmarbarrow/edge/dialect.py
+++ b/fulmarbarrow/edge/dialect.py
@@ -114,8 +114,13 @@
         exchange: exchanges.Exchange,
         status: int,
         fields: Fields,
+        *,
+        kept: bool,
     ) -> messages.AttemptHeaders:
-        """Return what the head of an answer says."""
+        """Return what the head of an answer says.
+
+        ``kept`` is set if the connection has carried another answer before.
+        """
 
     def splitter(
         self, headers: messages.AttemptHeaders
--- a/fulmarbarrow/edge/own_dialect.py
+++ b/fulmarbarrow/edge/own_dialect.py
@@ -117,6 +117,8 @@
         exchange: exchanges.Exchange,
         status: int,
         fields: dialect.Fields,
+        *,
+        kept: bool = False,
     ) -> messages.AttemptHeaders:
         """Return what the head of an answer says."""
         offset = dialect.number(fields, headers.RESUME_OFFSET)
--- a/fulmarbarrow/platform/features/path.feature
+++ b/fulmarbarrow/platform/features/path.feature
@@ -111,6 +111,40 @@
     Then each gets 200 with its own signature
     And no request ran twice
 
+  # Guards against a refusal that belongs to an earlier request.
+  Scenario: An earlier refusal on a kept connection proves nothing
+    Given configuration 3 and workers "i-1" of the desk
+    When a client sends an order
+    Then the client gets 200 with the body and the signature of worker "i-1"
+    Given whichever worker is asked first writes an earlier refusal
+    When a client sends an order
+    Then the client gets 502
+    And the request ran once
+
+  Scenario Outline: The text of an error never gets into a stream that has begun
+    Given configuration 3 and workers "i-1 i-2" of the pool
+    And workers asked in turn cut the answer and then <fault>
+    When a client asks for a stream
+    Then the client gets events 1 to 2, once each, without the end
+
+    Examples:
+      | fault                 |
+      | fail                  |
+      | stop inside the head  |
+
+  Scenario: A head that is cut short is no answer
+    Given configuration 3 and workers "i-1 i-2" of the desk
+    And whichever worker is asked first stops inside its head
+    When a client sends an order
+    Then the client gets 502
+    And the request ran once
+
+  Scenario: A stream whose head is cut short goes on elsewhere
+    Given configuration 3 and workers "i-1 i-2" of the pool
+    And whichever worker is asked first stops inside its head
+    When a client asks for a stream
+    Then the client gets events 1 to 6, once each, and the end
+
   Scenario Outline: A resumable stream outlives bytes without end
     Given configuration 3 and workers "i-1 i-2" of the pool
     And whichever worker is asked first <fault>
--- a/fulmarbarrow/platform/features/standin.py
+++ b/fulmarbarrow/platform/features/standin.py
@@ -65,13 +65,26 @@
         worker.arrivals.append(time.monotonic())
         fault = worker.take_fault()
         if self.headers.get("X-Expected-Instance") != worker.worker_id:
-            self._answer(421, [("X-Instance-Id", worker.worker_id)])
+            misdirected = [
+                ("X-Instance-Id", worker.worker_id),
+                ("X-Request-Id", request_id),
+            ]
+            self._answer(421, misdirected)
             return
         if fault == "refuses" or fault == "repeats its refusal":
-            self._answer(503, [("X-Not-Executed", "1")])
+            refusal = [("X-Not-Executed", "1"), ("X-Request-Id", request_id)]
+            self._answer(503, refusal)
             self.repeats = fault == "repeats its refusal"
             return
         worker.runs[request_id] += 1
+        if fault == "writes an earlier refusal":
+            self._answer(503, [("X-Not-Executed", "1")])
+            return
+        if fault == "stops inside its head":
+            own = f"X-Request-Id: {request_id}\r\nX-Response-Signature: s"
+            self.wfile.write(_OK + own.encode() + b"\r\nContent-Le")
+            self.close_connection = True
+            return
         if self.repeats:
             # The second copy comes where the next answer is expected.
             self._answer(503, [("X-Not-Executed", "1")])
--- a/fulmarbarrow/platform/features/steps/path.py
+++ b/fulmarbarrow/platform/features/steps/path.py
@@ -200,6 +200,14 @@
         worker.take_fault = lambda: next(shared, "")  # noqa: B023
 
 
+@behave.given("workers asked in turn cut the answer and then {fault}")
+def step_faults_in_turn(context, fault):
+    later = {"fail": "fails", "stop inside the head": "stops inside its head"}
+    shared = iter(["cuts", *[later[fault]] * 10])
+    for worker in context.workers.values():
+        worker.take_fault = lambda: next(shared, "")
+
+
 @behave.given("each worker that is asked first {fault}")
 def step_first_faults(context, fault):
     for worker in context.workers.values():
--- a/fulmarbarrow/platform/features/steps/workers.py
+++ b/fulmarbarrow/platform/features/steps/workers.py
@@ -79,8 +79,16 @@
         assert fields.get(row["name"]) == row["value"], fields
 
 
+@behave.when(
+    "the worker answers {status:d} on a kept connection with the fields "
+    '"{fields}"'
+)
+def step_answer_kept(context, status, fields):
+    step_answer(context, status, fields, kept=True)
+
+
 @behave.when('the worker answers {status:d} with the fields "{fields}"')
-def step_answer(context, status, fields):
+def step_answer(context, status, fields, *, kept=False):
     parts = [item.partition(":") for item in fields.split("; ")]
     pairs = [(name, value.strip()) for name, _, value in parts]
     context.answer = workers.Workers().answer(
@@ -88,6 +96,7 @@
         exchange(),
         status,
         [(name.encode(), value.encode()) for name, value in pairs],
+        kept=kept,
     )
 
 
--- a/fulmarbarrow/platform/features/workers.feature
+++ b/fulmarbarrow/platform/features/workers.feature
@@ -38,6 +38,16 @@
       | 421    | X-Instance-Id: i-0                                  | belongs         | has not run |
       | 503    | X-Request-Id: r1                                    | belongs         | may have run |
 
+  Scenario Outline: A refusal without an id is proven on a new connection only
+    When the worker answers <status> on a kept connection with the fields "<fields>"
+    Then the answer <belongs> to the attempt and has not run
+
+    Examples:
+      | status | fields                              | belongs        |
+      | 503    | X-Not-Executed: 1                   | does not belong |
+      | 421    | X-Instance-Id: i-0                  | does not belong |
+      | 503    | X-Request-Id: r1; X-Not-Executed: 1 | belongs         |
+
   Scenario Outline: A limit is a decimal number, anything else leaves it as it is
     When the worker answers 200 with the fields "X-Request-Id: r1; X-Response-Signature: s; <fields>"
     Then the answer names <limit>
--- a/fulmarbarrow/platform/workers.py
+++ b/fulmarbarrow/platform/workers.py
@@ -18,8 +18,8 @@
 EVENT_STREAM = "text/event-stream"
 LOWEST_PRIORITY = 9
 
+_RATE = re.compile(r"[0-9]{1,9}(?:\.[0-9]{0,9})?")
 # More digits than a 64-bit number has are no id of an event.
-_RATE = re.compile(r"\d{1,9}(?:\.\d{0,9})?")
 _EVENT_ID = re.compile(rb"(?:^|\n)id: ?(\d{1,18})(?!\d)")
 
 
@@ -59,6 +59,8 @@
         exchange: exchanges.Exchange,
         status: int,
         fields: dialect.Fields,
+        *,
+        kept: bool = False,
     ) -> messages.AttemptHeaders:
         """Return what the head of an answer says."""
         rate, unreadable = _rate_limit(fields)
@@ -68,7 +70,13 @@
         return messages.AttemptHeaders(
             attempt_id=start.attempt_id,
             status=status,
-            echoed_attempt=_echoed(start, exchange, status, fields, not_run),
+            echoed_attempt=_echoed(
+                start,
+                exchange,
+                status,
+                fields,
+                without_id=not_run and not kept,
+            ),
             content_type=dialect.field(fields, "Content-Type"),
             length=dialect.length(fields),
             framing=dialect.framing(fields),
@@ -92,15 +100,17 @@
     exchange: exchanges.Exchange,
     status: int,
     fields: dialect.Fields,
-    not_run: bool,
+    *,
+    without_id: bool,
 ) -> str:
     """Return the attempt that an answer belongs to, "" if none is proven.
 
-    A success without a signature, or with an encoded body, is not what the
-    worker made.
+    ``without_id`` is set if the answer may lack an id: a refusal on a new
+    connection, where no earlier answer can be repeated. A success without a
+    signature, or with an encoded body, is not what the worker made.
     """
     told = dialect.field(fields, headers.REQUEST_ID)
-    if told != exchange.echo and (told or not not_run):
+    if told != exchange.echo and (told or not without_id):
         return ""
     signed = dialect.field(fields, headers.SIGNATURE)
     if http.OK <= status < http.MULTIPLE_CHOICE and not signed:
