Leave engines that named a limit out of the mean of the others

Cause: an engine that takes fewer requests holds fewer and lowers the mean, and with it what the others may take over. Crashed engines are left out for the same reason.

Why it works: limited engines do not count in the mean, and are not bound by it, as their pace bounds them.

--- a/fulmarbarrow/placement/capacity.py
+++ b/fulmarbarrow/placement/capacity.py
@@ -105,7 +105,8 @@
             self._means.mean_requests(ledger.upstream),
             self._means.members(ledger.upstream),
         )
-        if current_work and len(ledger) + 1 > request_limit:
+        unlimited = not ledger.pacer.limited
+        if unlimited and current_work and len(ledger) + 1 > request_limit:
             return False
         if not current_work:
             # An idle upstream accepts any attempt; otherwise an attempt that
--- a/fulmarbarrow/placement/features/owner.feature
+++ b/fulmarbarrow/placement/features/owner.feature
@@ -92,6 +92,13 @@
     And 60 attempts start at each of "engine-0 engine-1" within 6 seconds
     Then at least 30 of them run at each of "engine-0 engine-1"
 
+  Scenario: Engines that named a limit do not lower the bound of the others
+    Given 3 routers and 5 engines, bounded by twice the mean number of requests
+    And the owner of every engine is router 0
+    When each of "engine-2 engine-3 engine-4" names a limit of 3 a second
+    And 60 attempts start at each of "engine-0 engine-1" within 6 seconds
+    Then at least 30 of them run at each of "engine-0 engine-1"
+
   Scenario: Idle engines lower the bound of the others
     Given 3 routers and 5 engines, bounded by twice the mean number of requests
     And the owner of every engine is router 0
--- a/fulmarbarrow/placement/features/steps/placement.py
+++ b/fulmarbarrow/placement/features/steps/placement.py
@@ -926,6 +926,15 @@
             release_at(context, name, f"lost-{number}", lost=1)
 
 
+@behave.when('each of "{names}" names a limit of {rate:d} a second')
+def step_name_limits(context, names, rate):
+    for name in names.split():
+        event = messages.RateLimitNamed(
+            upstream_id=name, incarnation=1, rate=float(rate)
+        )
+        context.net.deliver(1, event)
+
+
 @behave.when('{count:d} attempts start at each of "{names}" within 6 seconds')
 def step_attempts_start(context, count, names):
     context.granted = collections.Counter()
--- a/fulmarbarrow/placement/owner.py
+++ b/fulmarbarrow/placement/owner.py
@@ -240,10 +240,10 @@
     def pools(self, now: datetime.datetime) -> list[messages.PoolWork]:
         """Return the work and capacity by pool, and the requests by service.
 
-        Requests are counted only for upstreams that respond. When some
-        engines of a pool crash, the others take over their work; counting
-        the crashed engines with 0 requests would lower the mean and with it
-        the number of requests that the others may take.
+        Requests are counted only for upstreams that respond and have named no
+        limit. When some engines of a pool crash or take less, the others take
+        over their work; counting those engines would lower the mean and with
+        it the number of requests that the others may take.
         """
         sums: dict[int, list[int]] = {}
         serving = membership_messages.UpstreamState.SERVING
@@ -253,7 +253,8 @@
             share = self._capacity.ramp_share(ledger, now)
             pools = pool_means.pool_hashes(ledger.upstream)
             services = pool_means.service_hashes(ledger.upstream)
-            if ledger.upstream.state is serving and ledger.responsive:
+            counted = ledger.responsive and not ledger.pacer.limited
+            if ledger.upstream.state is serving and counted:
                 # Routers of an earlier build read the requests of the pool.
                 for key in pools | services:
                     total = sums.setdefault(key, [0, 0, 0, 0, 0])
