Play the loss of disks and of all power right after an acknowledgement

Schedules over 3 and 5 hosts end so, with as many disks lost as are tolerated: nothing acknowledged is lost in 120 and 60 of them, and 300 with the sync skipped notice it. No change of the log was needed: an entry is acknowledged once a quorum has synced it, a host with an empty disk has no vote as its former self, and the voters that remain need each other's.

--- a/benchmarks/consensus_explorer.py
+++ b/benchmarks/consensus_explorer.py
@@ -32,6 +32,7 @@
 SNAPSHOT_ENTRIES = 12
 MAX_IN_FLIGHT = 300
 SETTLE_ROUNDS = 3
+MAX_COMMIT_STEPS = 2_000  # of a schedule, until a commit is acknowledged
 
 
 class Sabotage(enum.StrEnum):
@@ -145,6 +146,40 @@
             self.checks.leases(self._lease_holders(), self.time)
         self.settle()
 
+    def lose_power_and_disks(self, disks: int) -> None:
+        """Lose the power of all hosts, and some disks, after a commit.
+
+        The commit was acknowledged just now; which hosts besides the quorum
+        have it, and which of their last writes survive, is random.
+        """
+        self._cut.clear()
+        self._repair(next(iter(self.hosts.values())))
+        self._calm_until(self._whole, 400)
+        acknowledged = self.counts["acknowledged"]
+        for _ in range(MAX_COMMIT_STEPS):
+            if self.counts["acknowledged"] > acknowledged:
+                break
+            host = self.source.choice(list(self.hosts.values()))
+            leader = self._leader()
+            if leader is not None and self.source.random() < 0.1:
+                self.propose(leader)
+            self._deliver_one()
+            self.sync(host, self.source.randint(1, 2))
+            if self.source.random() < 0.1:
+                self._pass_time(host)
+        else:
+            return
+        self.counts["power losses"] += 1
+        for host in self.hosts.values():
+            self.crash(host)
+        for host in self.source.sample(list(self.hosts.values()), disks):
+            self.counts["lost disks"] += 1
+            host.disk = Disk()
+            if self._sabotage is not Sabotage.IDENTITY_KEPT:
+                host.generation += 1
+        self._network.clear()
+        self.settle()
+
     def settle(self) -> None:
         """Heal all faults; the group must become whole again."""
         self._cut.clear()
@@ -471,3 +506,21 @@
     explorer = Explorer(seed=seed, hosts=hosts, sabotage=sabotage)
     explorer.run(steps)
     return explorer
+
+
+def run_power_loss(
+    *,
+    seed: int,
+    hosts: int,
+    steps: int,
+    disks: int,
+    sabotage: Sabotage = Sabotage.NONE,
+) -> Explorer:
+    """Run a schedule that ends with a loss of power and of some disks.
+
+    Raises consensus_checks.ViolationError.
+    """
+    explorer = Explorer(seed=seed, hosts=hosts, sabotage=sabotage)
+    explorer.run(steps)
+    explorer.lose_power_and_disks(disks)
+    return explorer
--- a/fulmarbarrow/consensus/features/schedules.feature
+++ b/fulmarbarrow/consensus/features/schedules.feature
@@ -13,6 +13,20 @@
       | 150       | 500   | 3     |
       | 60        | 500   | 5     |
 
+  Scenario Outline: Nothing acknowledged is lost with disks and the power of all
+    When <schedules> schedules over <hosts> hosts end with the loss of all power and <disks> disks
+    Then no invariant was violated
+    And each schedule lost its power
+
+    Examples:
+      | schedules | hosts | disks |
+      | 120       | 3     | 1     |
+      | 60        | 5     | 2     |
+
+  Scenario: The loss of all power and of disks is noticed if the sync is skipped
+    When 300 schedules over 3 hosts lose all power and 1 disks without a sync
+    Then an invariant was violated
+
   Scenario Outline: The checks detect deliberate faults
     When schedules run over 3 hosts with "<fault>" until a check fails
     Then a check failed within <schedules> schedules
--- a/fulmarbarrow/consensus/features/steps/schedules.py
+++ b/fulmarbarrow/consensus/features/steps/schedules.py
@@ -24,6 +24,52 @@
             context.violations.append(f"seed {seed}: {error}")
 
 
+@behave.when(
+    "{count:d} schedules over {hosts:d} hosts end with the loss of all power "
+    "and {disks:d} disks"
+)
+def step_power_loss(context, count, hosts, disks):
+    lose_power(context, count, hosts, disks, consensus_explorer.Sabotage.NONE)
+
+
+@behave.when(
+    "{count:d} schedules over {hosts:d} hosts lose all power and {disks:d} "
+    "disks without a sync"
+)
+def step_power_loss_unsynced(context, count, hosts, disks):
+    lose_power(
+        context, count, hosts, disks, consensus_explorer.Sabotage.SYNC_SKIPPED
+    )
+
+
+def lose_power(context, count, hosts, disks, sabotage):
+    context.schedules = count
+    context.counts = collections.Counter()
+    context.violations = []
+    for seed in range(count):
+        try:
+            result = consensus_explorer.run_power_loss(
+                seed=seed,
+                hosts=hosts,
+                steps=60,
+                disks=disks,
+                sabotage=sabotage,
+            )
+            context.counts.update(result.counts)
+        except consensus_checks.ViolationError as error:
+            context.violations.append(f"seed {seed}: {error}")
+
+
+@behave.then("each schedule lost its power")
+def step_all_lost_power(context):
+    assert context.counts["power losses"] == context.schedules, context.counts
+
+
+@behave.then("an invariant was violated")
+def step_violated(context):
+    assert context.violations
+
+
 @behave.then("no invariant was violated")
 def step_no_violation(context):
     assert not context.violations, context.violations
