Revert "Bound an idle engine of a large pool by what its size allows"

The means of 60 engines lag at the start, and a bound that begins at 3 doubles more slowly than the load.

--- a/fulmarbarrow/placement/bounds.py
+++ b/fulmarbarrow/placement/bounds.py
@@ -24,8 +24,7 @@
     - ``requests_factor``: multiple of the pool's mean number of requests
       above which an upstream gets no more, plus ``requests_slack``; 0
       disables this bound. ``least_requests`` are always allowed, because the
-      mean of an idle pool is not meaningful, unless the pool is so large that
-      an engine alone may hold fewer.
+      mean of an idle pool is not meaningful.
     - ``ceiling``: bound on all work, including that of priority accounts.
     - ``placed_factor``: multiple of the pool's mean that the work placed
       within ``placed_window`` may not exceed.
@@ -90,29 +89,13 @@
         share = max(self.mean_factor * mean_load, self.floor)
         return int(share * upstream.batch_tokens)
 
-    def max_requests(self, mean_requests: float, members: int = 0) -> float:
-        """Return how many concurrent requests the pool's mean allows.
-
-        ``members`` is the size of the pool, 0 if it is not known.
-        """
+    def max_requests(self, mean_requests: float) -> float:
+        """Return how many concurrent requests the pool's mean allows."""
         if not self.requests_factor:
             return math.inf
         factor = self.requests_factor * REQUESTS_MARGIN
         bound = factor * mean_requests + self.requests_slack
-        return max(bound, self._least_requests(members))
-
-    def _least_requests(self, members: int) -> float:
-        """Return how many requests an upstream may hold in an idle pool.
-
-        If it holds all requests of the pool, the mean is their number divided
-        by ``members``.
-        """
-        if members <= self.requests_factor:
-            return self.least_requests
-        alone = (self.requests_slack + 1) / (
-            1 - self.requests_factor / members
-        )
-        return min(self.least_requests, alone)
+        return max(bound, self.least_requests)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/fulmarbarrow/placement/capacity.py
+++ b/fulmarbarrow/placement/capacity.py
@@ -102,8 +102,7 @@
         if ledger.pacer.wait(now):
             return False
         request_limit = self._bounds.max_requests(
-            self._means.mean_requests(ledger.upstream),
-            self._means.members(ledger.upstream),
+            self._means.mean_requests(ledger.upstream)
         )
         unlimited = not ledger.pacer.limited
         if unlimited and current_work and len(ledger) + 1 > request_limit:
--- a/fulmarbarrow/placement/pool_means.py
+++ b/fulmarbarrow/placement/pool_means.py
@@ -61,7 +61,6 @@
         self._mean_load: dict[int, float] = {}
         self._mean_recent_work: dict[int, float] = {}
         self._mean_requests: dict[int, float] = {}
-        self._members: dict[int, int] = {}
 
     def record_summary(
         self, summary: messages.OwnerSummary, now: datetime.datetime
@@ -99,7 +98,6 @@
             k: v[2] / max(1, v[1]) for k, v in sums.items()
         }
         self._mean_requests = {k: v[3] / max(1, v[4]) for k, v in sums.items()}
-        self._members = {k: v[4] for k, v in sums.items()}
 
     def mean_load(self, upstream: membership_messages.Upstream) -> float:
         """Return the mean load of the upstream's busiest pool."""
@@ -130,16 +128,6 @@
             default=0.0,
         )
 
-    def members(self, upstream: membership_messages.Upstream) -> int:
-        """Return how many upstreams of its services take requests."""
-        return max(
-            (
-                self._members.get(service, 0)
-                for service in service_hashes(upstream)
-            ),
-            default=0,
-        )
-
     def dump(self) -> dict[str, float]:
         """Return the mean load of each pool."""
         return {
