--- a/fulmarbarrow/placement/owner.py
+++ b/fulmarbarrow/placement/owner.py
@@ -20,7 +20,6 @@
 from fulmarbarrow.placement import replies
 from fulmarbarrow.placement import scheduling
 
-
 # Queues are served by a timer, so a queued attempt starts this much late.
 SERVING_DELAY = datetime.timedelta(milliseconds=100)
 
