Name the parts of named limits as they are used

Read as a newcomer would: delivery's module has the name of its feature, a pacer's rate is set, and a known limit says what its fields are. No behaviour changes; the scenarios of placement, delivery and the edge pass.

--- a/fulmarbarrow/delivery/features/steps/named_limits.py
+++ b/fulmarbarrow/delivery/features/steps/named_limits.py
@@ -7,7 +7,7 @@
 import behave
 
 from fulmarbarrow.delivery import messages
-from fulmarbarrow.delivery import rate_limits
+from fulmarbarrow.delivery import named_limits
 from fulmarbarrow.delivery import state
 from fulmarbarrow.placement import messages as placement_messages
 
@@ -20,7 +20,7 @@
 )
 def step_answer(context, sent, named, now):
     if not hasattr(context, "limits"):
-        context.limits = rate_limits.NamedLimits()
+        context.limits = named_limits.NamedLimits()
     placed = placement_messages.Placed(
         request_id="r",
         attempt_id="r-1",
--- a/fulmarbarrow/delivery/responses.py
+++ b/fulmarbarrow/delivery/responses.py
@@ -7,9 +7,9 @@
 from fulmarbarrow.delivery import attempt as attempt_machine
 from fulmarbarrow.delivery import effects as effects_module
 from fulmarbarrow.delivery import messages
+from fulmarbarrow.delivery import named_limits
 from fulmarbarrow.delivery import open_requests
 from fulmarbarrow.delivery import policy
-from fulmarbarrow.delivery import rate_limits
 from fulmarbarrow.delivery import recovery as recoveries
 from fulmarbarrow.delivery import request as request_machine
 from fulmarbarrow.delivery import state
@@ -54,11 +54,11 @@
         self._suspects = suspects
         self._recovery = recovery
         self._mechanisms = mechanisms
-        self._limits = rate_limits.NamedLimits()
+        self._named_limits = named_limits.NamedLimits()
 
     def forget_upstream(self, upstream_id: str) -> None:
         """Forget what an upstream that is gone has named."""
-        self._limits.forget(upstream_id)
+        self._named_limits.forget(upstream_id)
 
     def handle_event(
         self,
@@ -185,7 +185,7 @@
             return []
         limits: Effects = []
         if event.status != STATUS_MISDIRECTED:
-            limits = self._limits.read(attempt, event, now)
+            limits = self._named_limits.read(attempt, event, now)
         return [*limits, *self._handle_status(entry, attempt, event, now)]
 
     def _handle_status(
--- a/fulmarbarrow/placement/owner.py
+++ b/fulmarbarrow/placement/owner.py
@@ -108,7 +108,7 @@
         """Record the requests a second that an upstream named."""
         owned = self._owned.get(event.upstream_id)
         if owned and owned.ledger.upstream.incarnation == event.incarnation:
-            owned.ledger.pacer.name(event.rate, now)
+            owned.ledger.pacer.set_rate(event.rate, now)
 
     def reserve(
         self, event: messages.Reserve, now: datetime.datetime
--- a/fulmarbarrow/placement/pool_means.py
+++ b/fulmarbarrow/placement/pool_means.py
@@ -119,7 +119,10 @@
         )
 
     def mean_requests(self, upstream: membership_messages.Upstream) -> float:
-        """Return the mean number of requests at an upstream of the service."""
+        """Return the mean number of requests at an upstream of the service.
+
+        Of several services the one with the lowest mean counts.
+        """
         return min(
             (
                 self._mean_requests.get(service, 0.0)
--- a/fulmarbarrow/placement/rate_limits.py
+++ b/fulmarbarrow/placement/rate_limits.py
@@ -11,6 +11,7 @@
 import dataclasses
 import datetime
 import logging
+import math
 
 from fulmarbarrow import message
 from fulmarbarrow.placement import directory as directories
@@ -54,8 +55,8 @@
         """Whether the upstream named a limit that has not ended."""
         return self._rate is not None
 
-    def name(self, rate: float | None, now: datetime.datetime) -> None:
-        """Record the rate that an answer named, None if it named none."""
+    def set_rate(self, rate: float | None, now: datetime.datetime) -> None:
+        """Apply the rate that an answer named, None if it named none."""
         if rate is None:
             if self._named_at and now - self._named_at >= REORDERED_WITHIN:
                 self._rate = None
@@ -98,12 +99,16 @@
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class _KnownLimit:
-    """A limit that answers to this router named; ``told_at`` to the owner."""
+    """A limit that answers to this router named.
+
+    ``rate`` and ``told_at`` are what the owner was told last, and when.
+    ``pacer`` spaces this router's own starts while there is no owner.
+    """
 
     incarnation: int
-    rate: float
     pacer: Pacer
     told_at: datetime.datetime
+    rate: float = math.nan
 
 
 class KnownLimits:
@@ -139,13 +144,10 @@
             return self._tell_owner(event.upstream_id, event, directory)
         if known is None or known.incarnation != event.incarnation:
             known = self._known[event.upstream_id] = _KnownLimit(
-                incarnation=event.incarnation,
-                rate=-1.0,
-                pacer=Pacer(),
-                told_at=now,
+                incarnation=event.incarnation, pacer=Pacer(), told_at=now
             )
         share = event.rate * OWNERLESS_PART / _ownerless_routers(event.rate)
-        known.pacer.name(share, now)
+        known.pacer.set_rate(share, now)
         changed = event.rate != known.rate
         if changed:
             log.info(
