Show a withdrawal that is acknowledged and not spread, listed as red

A scenario plays it: a daemon that took the announcements of 64 upstreams is far over the byte budget of membership, and a withdrawal there is not known to 91 others within 2 s.

--- a/fulmarbarrow/membership/features/members.feature
+++ b/fulmarbarrow/membership/features/members.feature
@@ -94,6 +94,14 @@
     And that upstream announces that it is leaving
     Then within 2 s every daemon knows that it is leaving
 
+  # Guards against a leave that is acknowledged and not spread (DRAIN).
+  Scenario: A withdrawal is spread by a daemon that forwards many announcements
+    Given 4 zones with 23 daemons and 16 upstreams each
+    And 5 s have passed
+    And one daemon has taken the announcements of all upstreams for 12 s
+    When an upstream withdraws there
+    Then within 2 s every daemon knows that it is leaving
+
   Scenario: An announcement that arrives after the tombstone changes nothing
     Given 3 zones with 3 daemons and 4 upstreams each
     And 5 s have passed
--- a/fulmarbarrow/membership/features/steps/fleet.py
+++ b/fulmarbarrow/membership/features/steps/fleet.py
@@ -222,6 +222,28 @@
     context.fleet.announce(context.upstream, node)
 
 
+@behave.given(
+    "one daemon has taken the announcements of all upstreams for {seconds:d} s"
+)
+def step_announced_at_one(context, seconds):
+    fleet = context.fleet
+    context.node = fleet.nodes["entry-5"]
+    for _ in range(seconds):
+        for upstream in fleet.upstreams.values():
+            fleet.announce(upstream, context.node)
+        fleet.run(SECOND)
+
+
+@behave.when("an upstream withdraws there")
+def step_withdraws(context):
+    context.upstream = context.fleet.upstreams["engine-1"]
+    context.upstream.running = False
+    withdrawn = messages.Withdrawn(
+        upstream_id=context.upstream.record.upstream_id
+    )
+    context.fleet.post(context.node, withdrawn)
+
+
 @behave.when("it stops")
 def step_stops(context):
     context.upstream.running = False
