Log by which way a revision came and which daemons confirm it late

An activation now names its sender, the deltas that it took and the newest revision announced; a leader logs each daemon that has not confirmed a revision after 2 s, once, and when it does.

--- a/fulmarbarrow/publishing/fanout.py
+++ b/fulmarbarrow/publishing/fanout.py
@@ -5,15 +5,20 @@
 import collections
 import dataclasses
 import datetime
+import logging
 
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
 from fulmarbarrow.publishing import messages
 
+log = logging.getLogger(__name__)
+
 # Above this number of daemons, pushes go through one relay per zone.
 MAX_DIRECT_PUSHES = 16
 NOTICE_INTERVAL = datetime.timedelta(seconds=1)
 ACK_TIMEOUT = datetime.timedelta(seconds=30)
+# A daemon that takes longer to confirm a revision is logged.
+CONFIRM_TARGET = datetime.timedelta(seconds=2)
 # Daemons that have been gone for longer are dropped from the status.
 REMOVE_AFTER = datetime.timedelta(minutes=10)
 
@@ -27,6 +32,8 @@
     revision: int = 0
     gone: bool = False
     notice_sent_at: datetime.datetime | None = None
+    behind_since: datetime.datetime | None = None
+    late_logged: bool = False
 
     @property
     def leaving(self) -> bool:
@@ -38,6 +45,36 @@
         """Return whether the daemon has stopped answering."""
         return self.gone or now - self.seen_at > ACK_TIMEOUT
 
+    def confirm(self, revision: int, now: datetime.datetime) -> None:
+        """Record that the daemon has a revision."""
+        self.seen_at = now
+        self.revision = max(self.revision, revision)
+
+    def check_late(self, revision: int, now: datetime.datetime) -> None:
+        """Log, once each time that it falls behind, that it is late."""
+        if self.revision >= revision:
+            if self.late_logged and self.behind_since is not None:
+                self._log("late revision confirmed", now)
+            self.behind_since = None
+            self.late_logged = False
+        elif self.behind_since is None:
+            self.behind_since = now
+        elif now - self.behind_since > CONFIRM_TARGET and not self.late_logged:
+            self.late_logged = True
+            self._log("revision not confirmed in time", now)
+
+    def _log(self, text: str, now: datetime.datetime) -> None:
+        late = now - (self.behind_since or now)
+        log.warning(
+            text,
+            extra={
+                "daemon": self.daemon.daemon_id,
+                "revision": self.revision,
+                "late_ms": round(late.total_seconds() * 1000),
+                "gone": self.gone,
+            },
+        )
+
     def notice_due(self, revision: int, now: datetime.datetime) -> bool:
         """Return whether to send the daemon a notice, or another one.
 
@@ -96,8 +133,7 @@
         """Record the revision that a daemon acknowledged."""
         follower = self._followers.get(event.daemon_id)
         if follower is not None:
-            follower.seen_at = now
-            follower.revision = max(follower.revision, event.revision)
+            follower.confirm(event.revision, now)
 
     def push(
         self, delta: messages.Delta, now: datetime.datetime
@@ -138,6 +174,7 @@
             control=self._daemon.address, revision=revision
         )
         for item in self._followers.values():
+            item.check_late(revision, now)
             if item.notice_due(revision, now):
                 item.notice_sent_at = now
                 effects.append(self._send(item.daemon.address, notice))
--- a/fulmarbarrow/publishing/follower.py
+++ b/fulmarbarrow/publishing/follower.py
@@ -72,6 +72,7 @@
         self._storing: tuple[messages.StoreRevision, datetime.datetime] | None
         self._storing = None
         self._storing_deltas: tuple[messages.Delta, ...] = ()
+        self._storing_sender = ""
         self._peers: dict[str, str] = {}
         self._seeds = seeds
         self._notified = False
@@ -120,7 +121,7 @@
             publisher=event.publisher,
             bundle=packing.unpack(event.bundle),
         )
-        return self._store_or_activate(revision, (), now)
+        return self._store_or_activate(revision, (), event.sender, now)
 
     def _on_deltas(
         self, event: messages.RevisionDeltas, now: datetime.datetime
@@ -154,7 +155,10 @@
             publisher=new_deltas[-1].publisher,
             bundle=data,
         )
-        return [*effects, *self._store_or_activate(revision, new_deltas, now)]
+        activated = self._store_or_activate(
+            revision, new_deltas, event.sender, now
+        )
+        return [*effects, *activated]
 
     def _relay(self, event: messages.RevisionDeltas) -> list[message.Message]:
         forwarded = messages.RevisionDeltas(
@@ -217,10 +221,11 @@
         self,
         revision: messages.StoreRevision,
         new_deltas: tuple[messages.Delta, ...],
+        sender: str,
         now: datetime.datetime,
     ) -> list[message.Message]:
         if not self._stores:
-            return self._activate(revision, new_deltas, now)
+            return self._activate(revision, new_deltas, sender, now)
         if self._storing is not None:
             storing, since = self._storing
             newer = revision.revision > storing.revision
@@ -228,6 +233,7 @@
                 return []
         self._storing = (revision, now)
         self._storing_deltas = new_deltas
+        self._storing_sender = sender
         return [revision]
 
     def _on_stored(
@@ -241,12 +247,15 @@
         self._storing = None
         if not event.stored:
             return []
-        return self._activate(revision, self._storing_deltas, now)
+        return self._activate(
+            revision, self._storing_deltas, self._storing_sender, now
+        )
 
     def _activate(
         self,
         revision: messages.StoreRevision,
         new_deltas: tuple[messages.Delta, ...],
+        sender: str,
         now: datetime.datetime,
     ) -> list[message.Message]:
         if revision.revision <= self._revision:
@@ -261,7 +270,15 @@
         for delta in new_deltas:
             self._history.add(delta)
         self._metrics.count("revisions_in_force")
-        log.info("activated revision %d", self._revision)
+        log.info(
+            "revision activated",
+            extra={
+                "revision": self._revision,
+                "sender": sender,
+                "deltas": len(new_deltas),
+                "newest_announced": self._newest_announced,
+            },
+        )
         changed = messages.ConfigurationChanged(
             revision=self._revision, bundle=bundle
         )
