--- a/fulmarbarrow/publishing/features/publishing.feature
+++ b/fulmarbarrow/publishing/features/publishing.feature
@@ -156,3 +156,15 @@
     And daemons that are leaving relay no messages
     When "amina" publishes account "volos" on revision 0
     Then revision 1 is active on all daemons
+
+  # Guards against routers that stay behind for as long as changes come.
+  Scenario: Changes in quick succession do not defer the repair of lost pushes
+    Given no daemon relays messages
+    When a change is published every 750 ms for 9 seconds
+    Then each revision was active on all daemons within 2 seconds
+
+  Scenario: A daemon behind a relay that is behind as well gets the changes
+    Given daemon 1 relays no messages
+    And "amina" has published account "volos" on revision 0
+    When "babis" publishes account "patras" on revision 1
+    Then revision 2 is active on all daemons
--- a/fulmarbarrow/publishing/features/steps/fleet.py
+++ b/fulmarbarrow/publishing/features/steps/fleet.py
@@ -74,6 +74,7 @@
         self.by_address = {node.record.address: node for node in self.nodes}
         self.disconnected = set()
         self.drops_relays = False
+        self.broken_relays = set()
         self.leaving_relay = True
         self.sent = collections.Counter()
         self.polls = collections.Counter()
@@ -150,8 +151,12 @@
                 if isinstance(effect.message, messages.RevisionFetch):
                     self.polls[node.number] += 1
                 leaving = membership_messages.DaemonState.LEAVING
-                drops = self.drops_relays or (
-                    not self.leaving_relay and node.record.state is leaving
+                drops = (
+                    self.drops_relays
+                    or node.number in self.broken_relays
+                    or (
+                        not self.leaving_relay and node.record.state is leaving
+                    )
                 )
                 if self.is_connected(node, target) and not (relayed and drops):
                     yield target, effect.message
@@ -216,6 +221,28 @@
         self.published.append(request)
         self.post(self.nodes[CONTROL], request)
 
+    def publish_in_succession(self, interval, count):
+        """Publish changes; return by revision when all daemons had it."""
+        accepted = {}
+        delays = {}
+        published = 0
+        started = self.clock.now()
+        last = started + interval * count + datetime.timedelta(seconds=10)
+        while self.clock.now() < last and len(delays) < count:
+            now = self.clock.now()
+            if published < count and now >= started + interval * published:
+                names = [f"account-{item}" for item in range(published + 1)]
+                self.publish("amina", names, published)
+                published += 1
+                accepted[published] = now
+            self.run(TICK)
+            oldest = min(node.revision for node in self.nodes)
+            for revision in range(1, oldest + 1):
+                delays.setdefault(
+                    revision, self.clock.now() - accepted[revision]
+                )
+        return delays
+
     def retry_publish(self, number):
         self.post(self.nodes[CONTROL], self.published[number])
 
--- a/fulmarbarrow/publishing/features/steps/publishing.py
+++ b/fulmarbarrow/publishing/features/steps/publishing.py
@@ -180,6 +180,34 @@
     context.fleet.drops_relays = True
 
 
+@behave.given("daemon {number:d} relays no messages")
+def step_no_relay(context, number):
+    context.fleet.broken_relays.add(number)
+
+
+@behave.when(
+    "a change is published every {milliseconds:d} ms for {seconds:d} seconds"
+)
+def step_publish_in_succession(context, milliseconds, seconds):
+    interval = datetime.timedelta(milliseconds=milliseconds)
+    context.late = context.fleet.publish_in_succession(
+        interval, seconds * 1000 // milliseconds
+    )
+
+
+@behave.then(
+    "each revision was active on all daemons within {seconds:d} seconds"
+)
+def step_in_time(context, seconds):
+    bound = datetime.timedelta(seconds=seconds)
+    late = {
+        revision: str(delay)
+        for revision, delay in context.late.items()
+        if delay > bound
+    }
+    assert context.late and not late, late
+
+
 @behave.given("zone {zone:d} is disconnected except for daemon {number:d}")
 def step_disconnect_most(context, zone, number):
     context.fleet.disconnected = {
