Send notices to daemons that are behind while further changes come

Cause: a push restarted the second after which a notice is due, also for daemons that had not confirmed the revision before. On more than 16 daemons a change goes to one relay in each zone; if that relay is dead and not yet known to be, which takes about 5 s, is cut off, or its connection to a host that was restarted is stale, the daemons behind it depend on the notice. Changes that follow each other within a second deferred it for as long as they came.

A push now defers the notice only of daemons that have the revision before it, so each daemon gets one at most 1 s after the first push that it missed.

--- a/fulmarbarrow/publishing/fanout.py
+++ b/fulmarbarrow/publishing/fanout.py
@@ -148,7 +148,9 @@
             if not item.is_unreachable(now)
         ]
         for item in self._followers.values():
-            item.notice_sent_at = now
+            # A notice to a daemon that is behind must not wait for longer.
+            if item.revision >= delta.base:
+                item.notice_sent_at = now
         if len(reachable) <= MAX_DIRECT_PUSHES:
             return [self._push(delta, item.daemon, ()) for item in reachable]
         zones: dict[str, list[FollowerState]] = {}
