Pass a request for revisions on to the leader where a relay lacks them too

Found with the fault before it, on reading what follows a lost relay: the daemons of a zone that lack the change before a relayed one ask the relay, as it is its sender. It lacks that change as well, asks the leader for itself, and answered nothing to the others, so that the zone waited for a notice or a poll.

It now passes their requests on to the leader, which answers them directly. The scenario 'A daemon behind a relay that is behind as well gets the changes' failed before.

--- a/fulmarbarrow/publishing/follower.py
+++ b/fulmarbarrow/publishing/follower.py
@@ -188,10 +188,21 @@
             return []
         if event.revision > self._revision:
             return [self._fetch(event.reply_to)]
-        if event.revision == self._revision or self._is_control:
+        if self._is_control:
             return []
+        if event.revision == self._revision:
+            return self._pass_on(event)
         return [self._send(event.reply_to, self._fetch_response(event))]
 
+    def _pass_on(self, event: messages.RevisionFetch) -> list[message.Message]:
+        """Have the leader answer a daemon that lacks the same revisions.
+
+        This daemon may have relayed a change that it could not apply itself.
+        """
+        if self._revision >= self._newest_announced or not self._control:
+            return []
+        return [self._send(self._control, event)]
+
     def _fetch_response(
         self, event: messages.RevisionFetch
     ) -> message.Message:
