Ask often for newer revisions while a daemon starts

The scenario 'A daemon that a new leader told of an old revision soon gets the newest one' failed before.

--- a/fulmarbarrow/publishing/follower.py
+++ b/fulmarbarrow/publishing/follower.py
@@ -24,6 +24,9 @@
 INITIAL_POLL_INTERVAL = datetime.timedelta(milliseconds=500)
 # Until it has the revision that a leader announced, a daemon may be outdated.
 UNCONFIRMED_POLL_INTERVAL = datetime.timedelta(seconds=1)
+# After all hosts were restarted, a new leader may announce a revision before
+# it has applied the newest one, and its next announcement may be lost.
+STARTUP_PHASE = datetime.timedelta(seconds=10)
 STORE_TIMEOUT = datetime.timedelta(seconds=2)
 
 
@@ -80,6 +83,8 @@
         self._polls = 0
         self._acked_at: datetime.datetime | None = None
         self._polled_at: datetime.datetime | None = None
+        self._startup_ends_at: datetime.datetime | None = None
+        self._starting = True
 
     def handle(
         self, event: message.Message, now: datetime.datetime
@@ -330,6 +335,9 @@
 
     def _on_tick(self, now: datetime.datetime) -> list[message.Message]:
         effects: list[message.Message] = []
+        if self._startup_ends_at is None:
+            self._startup_ends_at = now + STARTUP_PHASE
+        self._starting = now < self._startup_ends_at
         if self._restored is not None:
             bundle = bundles.decode(self._restored.bundle)
             self._restored = None
@@ -356,9 +364,14 @@
         """Whether a leader announced a revision and no newer one is known.
 
         A fetched revision proves nothing: the answer may come from a daemon
-        that is itself behind, and answers may be lost.
+        that is itself behind, and answers may be lost. Nor does a leader's
+        announcement while this daemon starts.
         """
-        return self._notified and self._revision >= self._newest_announced
+        return (
+            self._notified
+            and not self._starting
+            and self._revision >= self._newest_announced
+        )
 
     def _poll(self, now: datetime.datetime) -> list[message.Message]:
         """Ask a peer in the zone; until current, alternate with seeds.
