Charge forwarded heartbeats to half of the byte budget of membership

Cause: heartbeats that a daemon forwards to the lease holder are always sent and were charged in full. They come at the rate of the upstreams, so that a daemon that forwards many overdrew its budget without a bound; changes then wait, also urgent ones once it is overdrawn by 8 KB.

Heartbeats are now charged up to half of the rates, so that the other half always refills for changes and no debt grows with time. The scenario 'A withdrawal is spread by a daemon that forwards many announcements' failed before.

--- a/fulmarbarrow/membership/announcements.py
+++ b/fulmarbarrow/membership/announcements.py
@@ -310,6 +310,7 @@
                     load=event.load,
                     upstream=None if holder_has_record else upstream,
                 ),
+                heartbeat=True,
             )
 
     def _report_load(
--- a/fulmarbarrow/membership/outbox.py
+++ b/fulmarbarrow/membership/outbox.py
@@ -13,6 +13,8 @@
 RATE_BYTES_PER_SECOND = 4_000  # averaged over a minute
 BURST_BYTES = 64_000  # capacity of the bucket that fills while idle
 PEAK_BYTES_PER_SECOND = 4_500
+# Of both rates; forwarded heartbeats beyond it leave the rest to changes.
+HEARTBEAT_SHARE = 0.5
 FRAME_OVERHEAD_BYTES = 72  # envelope, names, sequence and MAC of a frame
 
 
@@ -36,6 +38,7 @@
         self._burst_bytes = burst_bytes
         self._burst_tokens = float(burst_bytes)
         self._peak_tokens = float(PEAK_BYTES_PER_SECOND)
+        self._heartbeat_tokens = HEARTBEAT_SHARE * rate_bytes_per_second
         self._refilled_at: datetime.datetime | None = None
         self._effects: list[message.Message] = []
         self._last_compressed: (
@@ -60,6 +63,10 @@
             peak_tokens = self._peak_tokens + elapsed * PEAK_BYTES_PER_SECOND
             self._burst_tokens = min(self._burst_bytes, burst_tokens)
             self._peak_tokens = min(PEAK_BYTES_PER_SECOND / 2, peak_tokens)
+            rate = HEARTBEAT_SHARE * self._rate_bytes_per_second
+            self._heartbeat_tokens = min(
+                rate, self._heartbeat_tokens + elapsed * rate
+            )
         self._refilled_at = now
 
     def emit(self, effect: message.Message) -> None:
@@ -73,17 +80,24 @@
         *,
         urgent: bool = False,
         exempt_from_peak: bool = False,
+        heartbeat: bool = False,
     ) -> None:
         """Queue a message to another daemon and charge its bytes.
 
-        With ``exempt_from_peak`` only the bucket for the average is charged.
+        With ``exempt_from_peak`` only the bucket for the average is charged,
+        and with ``heartbeat`` none once the share of heartbeats is used up.
         """
         if type(body) is messages.Gossip:
             body = self._compress(body)
         size = len(self._encoder.encode(body)) + FRAME_OVERHEAD_BYTES
-        self._burst_tokens -= size
-        self._peak_tokens -= 0 if exempt_from_peak else size
         self.sent_bytes += size
+        charged = min(size, max(0, self._heartbeat_tokens))
+        if heartbeat:
+            self._heartbeat_tokens -= charged
+        else:
+            charged = size
+        self._burst_tokens -= charged
+        self._peak_tokens -= 0 if exempt_from_peak else charged
         self._effects.append(
             message.Send(address=address, message=body, urgent=urgent)
         )
