Send nothing to the former process of a peer that has started again

A host that loses its power closes none of its connections, so that the first frame that each daemon sends it afterwards is lost, with a reset as the answer. Relays of changes rotate, so that a router that was restarted lost the push of one relay after another, and each loss cost it a notice of the leader.

A daemon now gives up its connection to an address when membership names a newer incarnation there; what was written on it is still sent. The scenario 'No frame is sent to the former process of a peer that has started' failed before (there was no such call). The same holds for all messages between daemons.

--- a/fulmarbarrow/daemon/assembly.py
+++ b/fulmarbarrow/daemon/assembly.py
@@ -78,6 +78,12 @@
         self._bus.subscribe(
             message.Send, lambda event, _: self._transport.send(event)
         )
+        self._bus.subscribe(
+            membership_messages.DaemonChanged,
+            lambda event, _: self._transport.peer_started(
+                event.daemon.address, event.daemon.incarnation
+            ),
+        )
         self._placement_ticks: placement_shell.TickScheduler | None = None
         self._consensus: consensus_shell.ConsensusShell | None = None
         self._revisions: publishing_shell.RevisionFile | None = None
--- a/fulmarbarrow/wire/features/steps/transport.py
+++ b/fulmarbarrow/wire/features/steps/transport.py
@@ -136,6 +136,30 @@
     send(context)
 
 
+@behave.when("the peer has started again and another message is sent")
+def step_started_again(context):
+    context.transport.peer_started(PEER, 1)
+    context.transport.peer_started(PEER, 2)
+    send(context)
+
+
+@behave.when("the peer is announced again and another message is sent")
+def step_announced_again(context):
+    context.transport.peer_started(PEER, 1)
+    context.transport.peer_started(PEER, 1)
+    send(context)
+
+
+@behave.then("what was written on the first one is still sent")
+def step_first_is_flushed(context):
+    assert context.memory.disconnecting and not context.memory.disconnected
+
+
+@behave.then("no second connection is opened")
+def step_no_second(context):
+    assert len(context.reactor.tcpClients) == 1
+
+
 @behave.then("a second connection is opened")
 def step_second(context):
     assert len(context.reactor.tcpClients) == 2
--- a/fulmarbarrow/wire/features/transport.feature
+++ b/fulmarbarrow/wire/features/transport.feature
@@ -22,6 +22,20 @@
     And the connection is lost and another message is sent
     Then a second connection is opened
 
+  # Guards against the loss of the first message to a host that lost power.
+  Scenario: No frame is sent to the former process of a peer that has started
+    When a message is sent to a peer
+    And the connection is made
+    And the peer has started again and another message is sent
+    Then a second connection is opened
+    And what was written on the first one is still sent
+
+  Scenario: A peer that runs on keeps its connection
+    When a message is sent to a peer
+    And the connection is made
+    And the peer is announced again and another message is sent
+    Then no second connection is opened
+
   Scenario: What waits for a peer that does not answer is bounded
     When messages of 1 MB are sent 8 times to a peer that does not answer
     Then at most 4 MB wait and the others are counted as unsent
--- a/fulmarbarrow/wire/transport.py
+++ b/fulmarbarrow/wire/transport.py
@@ -156,6 +156,15 @@
         if self._connector is None and self._retry is None:
             self._connect()
 
+    def reconnect(self) -> None:
+        """Open a new connection for the next frame.
+
+        What was written is still sent, in case the connection is sound.
+        """
+        if self._sender is not None:
+            sender, self._sender, self._connector = self._sender, None, None
+            sender.transport.loseConnection()
+
     def close(self) -> None:
         """Close the connection once all that was written is sent."""
         self._closed = True
@@ -260,6 +269,7 @@
         self._metrics = metrics
         self._received = received
         self._peers: dict[str, Peer] = {}
+        self._incarnations: dict[str, int] = {}
         self._waiting: dict[str, collections.deque[messages.Message]] = {}
         self._flush_planned = False
         self._port: interfaces.IListeningPort | None = None
@@ -283,6 +293,19 @@
         if self._port is not None:
             self._port.stopListening()
 
+    def peer_started(self, address: str, incarnation: int) -> None:
+        """Use no connection to an earlier process at an address.
+
+        A host that lost its power closed none of its connections, and the
+        first frame on each of them would be lost.
+        """
+        known = self._incarnations.get(address, 0)
+        if incarnation <= known:
+            return
+        self._incarnations[address] = incarnation
+        if known and address in self._peers:
+            self._peers[address].reconnect()
+
     def send(self, send: messages.Send) -> None:
         """Send a message; those of one loop turn share a frame."""
         queue = self._waiting.setdefault(send.address, collections.deque())
