Reach an upstream by way of a peer while the own path is cut

Cause: a host that can't connect to an upstream tried the next one, which it can't reach either, five times a request, until the caller left; that others reach all of them was not used. A request sent on a connection that lived on half dead was lost as well.

A connection that can't be made is now asked of a peer, which relays it byte for byte over one hop. If the peer connects to the same upstream, the path is at fault and not the upstream: after two failures in a row connections go by way of peers at once, and return when two probes of the own path succeed. Idle connections to an upstream that answers nothing are given up.

--- a/fulmarbarrow/daemon/assembly.py
+++ b/fulmarbarrow/daemon/assembly.py
@@ -27,6 +27,9 @@
 from fulmarbarrow.observe import decisions
 from fulmarbarrow.observe import metrics as metrics_module
 from fulmarbarrow.publishing import shell as publishing_shell
+from fulmarbarrow.relay import dialer
+from fulmarbarrow.relay import paths
+from fulmarbarrow.relay import server as relay_server
 from fulmarbarrow.wire import codec
 from fulmarbarrow.wire import transport
 
@@ -74,6 +77,12 @@
         self._record = cores.describe(settings, self._started)
         self._fresh = _is_fresh(settings.daemon.data_dir)
         self._recorder: recorder.Recorder | None = None
+        self._codec = codec.Codec(
+            fleet_key=settings.daemon.fleet_key,
+            sender=self._record.daemon_id,
+            address=self._record.address,
+            incarnation=self._record.incarnation,
+        )
         self._transport = self._make_transport()
         self._bus.subscribe(
             message.Send, lambda event, _: self._transport.send(event)
@@ -96,8 +105,11 @@
             )
         if defaults.Role.CONTROL in settings.daemon.roles:
             self._add_storage()
+        self._paths: paths.Paths | None = None
+        self._relays: relay_server.RelayServer | None = None
         if routes:
             self._add_timers()
+            self._add_relays()
         self._interface = _make_interface(
             interfaces.Parts(
                 settings=settings,
@@ -107,6 +119,7 @@
                 clock=clock,
                 metrics=self._metrics,
                 exchanges=self._exchanges,
+                dialer=self._make_dialer(),
             )
         )
         self._callers = self._interface.callers
@@ -173,6 +186,8 @@
             "errors": dict(self._bus.errors),
             "disk": self._consensus.dump() if self._consensus else None,
             "cores": {name: core.dump() for name, core in self._cores.items()},
+            "paths": self._paths.dump() if self._paths else None,
+            "relays": self._relays.count if self._relays else 0,
             "metrics": self._metrics.dump(),
         }
 
@@ -283,6 +298,8 @@
     def _check_drained(self) -> None:
         if self._callers is not None and self._callers.answered():
             self._listeners.stop_accepting("callers")
+        if self._relays is not None and self._relays.count:
+            return
         if self._callers is None or self._callers.drained():
             self._lifecycle.drained()
             return
@@ -299,12 +316,7 @@
         return transport.Transport(
             reactor=self._reactor,
             address=self._record.address,
-            codec=codec.Codec(
-                fleet_key=self._settings.daemon.fleet_key,
-                sender=self._record.daemon_id,
-                address=self._record.address,
-                incarnation=self._record.incarnation,
-            ),
+            codec=self._codec,
             metrics=self._metrics,
             received=self._bus.post,
         )
@@ -324,6 +336,42 @@
 
         delivery_shell.WakeScheduler(reactor=self._reactor, bus=self._bus)
 
+    def _add_relays(self) -> None:
+        """Relay connections to upstreams for peers without a path."""
+        connect_timeout = self._settings.timeouts.connect
+        self._paths = paths.Paths(
+            daemon=self._record,
+            rng=random.Random(self._record.daemon_id),
+            metrics=self._metrics,
+        )
+        self._bus.attach(self._paths)
+        self._relays = relay_server.RelayServer(
+            reactor=self._reactor,
+            clock=self._clock,
+            paths=self._paths,
+            metrics=self._metrics,
+            connect_timeout=connect_timeout,
+        )
+        self._transport.relay_with(self._relays.open)
+        self._bus.subscribe(
+            membership_messages.LeaveStarted,
+            lambda event, now: self._relays.leave(),
+        )
+
+    def _make_dialer(self) -> dialer.Dialer | None:
+        if self._paths is None:
+            return None
+        return dialer.Dialer(
+            reactor=self._reactor,
+            clock=self._clock,
+            codec=self._codec,
+            paths=self._paths,
+            metrics=self._metrics,
+            daemon_id=self._record.daemon_id,
+            address=self._record.address,
+            connect_timeout=self._settings.timeouts.connect,
+        )
+
     def _add_placement_ticks(self) -> None:
         from fulmarbarrow.placement import shell
 
--- a/fulmarbarrow/daemon/interfaces.py
+++ b/fulmarbarrow/daemon/interfaces.py
@@ -12,6 +12,7 @@
 from fulmarbarrow.edge import exchange
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow.observe import metrics as metrics_module
+from fulmarbarrow.relay import dialer as dialers
 
 MAX_OWN_BODY_BYTES = 16 << 20  # bundles and announcements
 
@@ -46,6 +47,7 @@
     clock: clocks.Clock
     metrics: metrics_module.Metrics
     exchanges: exchange.Exchanges
+    dialer: dialers.Dialer | None = None
 
 
 class Interface(typing.Protocol):
--- a/fulmarbarrow/daemon/own_interface.py
+++ b/fulmarbarrow/daemon/own_interface.py
@@ -68,4 +68,5 @@
             clock=parts.clock,
             exchanges=parts.exchanges,
             connect_timeout=parts.settings.timeouts.connect,
+            dialer=parts.dialer,
         )
--- a/fulmarbarrow/edge/client.py
+++ b/fulmarbarrow/edge/client.py
@@ -18,6 +18,8 @@
 from fulmarbarrow.edge import own_dialect
 from fulmarbarrow.edge import sse
 from fulmarbarrow import exceptions
+from fulmarbarrow.membership import messages as membership_messages
+from fulmarbarrow.relay import dialer as dialers
 
 log = logging.getLogger(__name__)
 
@@ -37,6 +39,7 @@
         exchanges: exchanges_module.Exchanges,
         dialect: dialects.UpstreamDialect | None = None,
         connect_timeout: datetime.timedelta = CONNECT_TIMEOUT,
+        dialer: dialers.Dialer | None = None,
     ) -> None:
         self._reactor = reactor
         self._bus = bus
@@ -45,11 +48,12 @@
         self._dialect = dialect or own_dialect.OwnUpstreams()
         self._open: dict[str, Attempt] = {}
         self._pool = connections.Pool(
-            reactor=reactor, connect_timeout=connect_timeout
+            reactor=reactor, connect_timeout=connect_timeout, dialer=dialer
         )
         bus.subscribe(messages.StartAttempt, self._start)
         bus.subscribe(messages.CancelAttempt, self._cancel)
         bus.subscribe(messages.RetireConnections, self._suspect)
+        bus.subscribe(membership_messages.DaemonChanged, self._peer_changed)
 
     def _start(
         self, event: messages.StartAttempt, now: datetime.datetime
@@ -102,6 +106,15 @@
     ) -> None:
         self._pool.suspect(place(event.url))
 
+    def _peer_changed(
+        self,
+        event: membership_messages.DaemonChanged,
+        now: datetime.datetime,
+    ) -> None:
+        """Let a peer that stops end the connections that it relays."""
+        if event.daemon.state is membership_messages.DaemonState.LEAVING:
+            self._pool.retire_relayed(event.daemon.address)
+
     def _ended(self, attempt_id: str) -> None:
         self._open.pop(attempt_id, None)
 
--- a/fulmarbarrow/edge/connections.py
+++ b/fulmarbarrow/edge/connections.py
@@ -16,6 +16,7 @@
 from twisted.python import failure as failures
 
 from fulmarbarrow.edge import dialect
+from fulmarbarrow.relay import dialer as dialers
 from fulmarbarrow.wire import transport as transports
 
 log = logging.getLogger(__name__)
@@ -85,6 +86,7 @@
         self._idle_since: float | None = None
         self._open = False
         self._kept = False
+        self.peer = ""
         self._informational_heads = 0
 
     @property
@@ -283,9 +285,12 @@
         self, addr: addresses.IPv4Address
     ) -> Connection:
         """Return the connection, which sends the request once it is made."""
-        return _FirstUse(
+        connection = _FirstUse(
             pool=self._pool, place=self._place, connected=self._connected
         )
+        if isinstance(addr, dialers.RelayedAddress):
+            connection.peer = addr.peer
+        return connection
 
     def clientConnectionFailed(  # noqa: N802
         self, connector: interfaces.IConnector, reason: failures.Failure
@@ -331,9 +336,13 @@
         *,
         reactor: interfaces.IReactorTCP,
         connect_timeout: datetime.timedelta,
+        dialer: dialers.Dialer | None = None,
     ) -> None:
         self.reactor = reactor
         self._connect_timeout = connect_timeout.total_seconds()
+        self._dialer = dialer
+        if dialer is not None:
+            dialer.watch_silence(self.retire_direct)
         self._idle: dict[Place, list[Connection]] = {}
         self._open: dict[Place, set[Connection]] = {}
         self._opening: collections.Counter[Place] = collections.Counter()
@@ -361,9 +370,12 @@
         )
         self._opening[place] += 1
         self.opened_total += 1
-        connector.connector = self.reactor.connectTCP(
-            place[0], place[1], connector, timeout=self._connect_timeout
-        )
+        if self._dialer is not None:
+            connector.connector = self._dialer.connect(place, connector)
+        else:
+            connector.connector = self.reactor.connectTCP(
+                place[0], place[1], connector, timeout=self._connect_timeout
+            )
         return connector.cancel
 
     def suspect(self, place: Place) -> None:
@@ -371,6 +383,19 @@
         for connection in list(self._idle.get(place, ())):
             connection.abort()
 
+    def retire_direct(self, place: Place) -> None:
+        """Reuse no idle connection to an upstream that no peer relays."""
+        for connection in list(self._idle.get(place, ())):
+            if not connection.peer:
+                connection.abort()
+
+    def retire_relayed(self, peer: str) -> None:
+        """Reuse no idle connection that a peer relays."""
+        for kept in list(self._idle.values()):
+            for connection in list(kept):
+                if connection.peer == peer:
+                    connection.abort()
+
     def opened(self, place: Place, connection: Connection) -> None:
         """Count a connection."""
         self._open.setdefault(place, set()).add(connection)
--- a/fulmarbarrow/platform/interface.py
+++ b/fulmarbarrow/platform/interface.py
@@ -59,6 +59,7 @@
             exchanges=parts.exchanges,
             dialect=workers.Workers(),
             connect_timeout=parts.settings.timeouts.connect,
+            dialer=parts.dialer,
         )
 
     def _control_site(self) -> sites.BoundedSite:
--- a/fulmarbarrow/relay/features/relay.feature
+++ b/fulmarbarrow/relay/features/relay.feature
@@ -14,3 +14,93 @@
     Given connections of "a" to the upstream are refused
     When "a" sends a request
     Then it is answered within 100 ms
+
+  Scenario: A host that is cut off goes by way of peers at once
+    Given "a" is cut off from the upstream
+    And "a" has sent 2 requests
+    When "a" sends a request
+    Then it is answered within 100 ms
+
+  Scenario: A single connection that fails does not move a host to peers
+    Given "a" is cut off from the upstream
+    And "a" has sent 1 request
+    And all paths are open again
+    When "a" sends a request
+    Then it is answered directly
+
+  Scenario: A host returns to its own path when probes succeed twice
+    Given "a" is cut off from the upstream
+    And "a" has sent 2 requests
+    And all paths are open again
+    When "a" sends a request every 300 ms for 3 s
+    Then all are answered
+    And the last one is answered directly
+
+  Scenario: An upstream that no router reaches fails as without peers
+    Given all routers are cut off from the upstream
+    When "a" sends a request
+    Then it fails without a byte sent within 1100 ms
+    When "a" sends a request
+    Then it fails without a byte sent within 200 ms
+
+  Scenario: Peers that are cut off as well say so at once and another one serves
+    Given "a" and "b" are cut off from the upstream
+    And "b" has sent 2 requests
+    And "a" has sent 2 requests
+    When "a" sends a request
+    Then it is answered within 100 ms
+
+  Scenario: A peer that is leaving relays nothing new
+    Given "a" is cut off from the upstream
+    And "b" is leaving, which "a" does not know
+    And "a" has sent 2 requests
+    When "a" sends a request
+    Then it is answered within 100 ms
+    And "b" relayed no connection
+
+  Scenario: A peer relays a bounded number of connections
+    Given "a" is cut off from the upstream
+    And "b" and "c" relay as many connections as they may
+    When "a" sends a request
+    Then it fails without a byte sent within 400 ms
+
+  Scenario: A peer connects to nothing but upstreams
+    Given an address that is no upstream's
+    And "a" is cut off from the address
+    When "a" sends a request there
+    Then it fails without a byte sent within 600 ms
+    And nothing was connected to the address
+
+  Scenario: A caller's close reaches the upstream over the peer
+    Given "a" is cut off from the upstream
+    And the upstream answers nothing
+    When "a" sends a request
+    And it is cancelled after 700 ms
+    Then the upstream's connection is closed within 10 ms
+
+  Scenario: A request on a relayed connection that is lost may have run
+    Given "a" is cut off from the upstream
+    And the upstream answers nothing
+    When "a" sends a request
+    And the upstream resets its connection after 700 ms
+    Then it fails after bytes were sent
+
+  Scenario: An answer without a length that is reset on the way is not complete
+    Given "a" is cut off from the upstream
+    And the upstream answers a part without a length
+    When "a" sends a request
+    And the upstream resets its connection after 700 ms
+    Then it fails after bytes were sent
+
+  Scenario: A peer that stops keeps no idle connection of others
+    Given "a" is cut off from the upstream
+    And "a" has sent 1 request
+    When the peer that relayed it announces that it leaves
+    Then no connection is relayed any more
+
+  Scenario: Silent connections are not used again after a failure to connect
+    Given "a" has sent 1 request
+    And "a" is cut off from the upstream
+    When "a" sends a request that needs a fresh connection
+    Then it is answered within 600 ms
+    And "a" keeps no direct connection
--- a/fulmarbarrow/relay/features/steps/network.py
+++ b/fulmarbarrow/relay/features/steps/network.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import datetime
+import random
 
 from twisted.internet import error as internet_errors
 from twisted.internet import protocol
@@ -15,6 +16,9 @@
 from fulmarbarrow.edge import dialect
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow.observe import metrics as metrics_module
+from fulmarbarrow.relay import dialer
+from fulmarbarrow.relay import paths
+from fulmarbarrow.relay import server
 from fulmarbarrow.wire import codec
 from fulmarbarrow.wire import transport
 
@@ -202,8 +206,32 @@
             received=lambda _: None,
         )
         self.transport.start()
+        self.paths = paths.Paths(
+            daemon=self.record,
+            rng=random.Random(number),
+            metrics=self.metrics,
+        )
+        self.relays = server.RelayServer(
+            reactor=self.reactor,
+            clock=network.wall,
+            paths=self.paths,
+            metrics=self.metrics,
+            connect_timeout=CONNECT_TIMEOUT,
+        )
+        self.transport.relay_with(self.relays.open)
         self.pool = connections.Pool(
-            reactor=self.reactor, connect_timeout=CONNECT_TIMEOUT
+            reactor=self.reactor,
+            connect_timeout=CONNECT_TIMEOUT,
+            dialer=dialer.Dialer(
+                reactor=self.reactor,
+                clock=network.wall,
+                codec=made,
+                paths=self.paths,
+                metrics=self.metrics,
+                daemon_id=name,
+                address=self.record.address,
+                connect_timeout=CONNECT_TIMEOUT,
+            ),
         )
 
 
@@ -224,6 +252,30 @@
             name: Router(self, name, number)
             for number, name in enumerate(names, 1)
         }
+        for router in self.routers.values():
+            for other in self.routers.values():
+                self.tell(router, other.record)
+            self.tell_upstream(router)
+
+    def tell(self, router, record):
+        changed = membership_messages.DaemonChanged(daemon=record)
+        router.paths.handle(changed, self.wall.now())
+
+    def tell_upstream(self, router):
+        record = membership_messages.Upstream(
+            upstream_id="engine-1",
+            incarnation=1,
+            sequence=1,
+            zone="zone-1",
+            url=f"http://{UPSTREAM[0]}:{UPSTREAM[1]}",
+            offers=(),
+            batch_tokens=1,
+            tokens_per_second=1,
+            state=membership_messages.UpstreamState.SERVING,
+            started_at=self.wall.now(),
+        )
+        changed = membership_messages.UpstreamChanged(upstream=record)
+        router.paths.handle(changed, self.wall.now())
 
     def send(self, name, place=UPSTREAM, *, fresh=False):
         request = Request(self)
--- a/fulmarbarrow/relay/features/steps/relay.py
+++ b/fulmarbarrow/relay/features/steps/relay.py
@@ -6,6 +6,10 @@
 import pathlib
 
 import behave
+import msgspec
+
+from fulmarbarrow.membership import messages as membership_messages
+from fulmarbarrow.relay import server
 
 # Behave loads step files by path, so they can't import each other.
 _SPEC = importlib.util.spec_from_file_location(
@@ -14,6 +18,8 @@
 networks = importlib.util.module_from_spec(_SPEC)
 _SPEC.loader.exec_module(networks)
 
+OTHER_PLACE = ("10.8.0.1", 22)
+
 
 @behave.given('routers "a", "b" and "c" and an upstream that all of them know')
 def step_network(context):
@@ -30,12 +36,42 @@
     cut(context, name)
 
 
+@behave.given('"{name}" and "{other}" are cut off from the upstream')
+def step_cut_two(context, name, other):
+    cut(context, name)
+    cut(context, other)
+
+
+@behave.given("all routers are cut off from the upstream")
+def step_cut_all(context):
+    for name in context.network.routers:
+        cut(context, name)
+
+
 @behave.given('connections of "{name}" to the upstream are refused')
 def step_refused(context, name):
     host = context.network.routers[name].host
     context.network.refused.add((host, networks.UPSTREAM[0]))
 
 
+@behave.given("all paths are open again")
+def step_heal(context):
+    context.network.cut.clear()
+
+
+@behave.given('"{name}" has sent {count:d} request')
+@behave.given('"{name}" has sent {count:d} requests')
+def step_has_sent(context, name, count):
+    for _ in range(count):
+        request = context.network.send(name, fresh=True)
+        context.network.run(1.2)
+        assert request.outcome == "answered", request.outcome
+        # Idle connections end, so that each request needs another one.
+        if count > 1:
+            context.network.routers[name].pool.suspect(networks.UPSTREAM)
+            context.network.settle()
+
+
 def send(context, name, **options):
     context.network.connects.clear()
     context.network.upstream.requests = 0
@@ -49,12 +85,158 @@
     send(context, name)
 
 
+@behave.when('"{name}" sends a request that needs a fresh connection')
+def step_send_fresh(context, name):
+    context.network.run(0.6)
+    send(context, name, fresh=True)
+
+
+@behave.when('"{name}" sends a request there')
+def step_send_there(context, name):
+    send(context, name, place=OTHER_PLACE)
+
+
 @behave.then("it is answered within {milliseconds:d} ms")
 def step_answered(context, milliseconds):
     context.network.run(milliseconds / 1000)
     assert context.request.outcome == "answered", context.request.outcome
 
 
+@behave.then("it is answered directly")
+@behave.then("the last one is answered directly")
+def step_directly(context):
+    context.network.run(0.1)
+    assert context.request.outcome == "answered", context.request.outcome
+    peer = context.request.connection.peer
+    assert not peer, peer
+
+
 @behave.then("the upstream got {count:d} request")
 def step_requests(context, count):
     assert context.network.upstream.requests == count
+
+
+@behave.when(
+    '"{name}" sends a request every {interval:d} ms for {seconds:d} s'
+)
+def step_series(context, name, interval, seconds):
+    context.requests = []
+    for _ in range(seconds * 1000 // interval):
+        context.network.routers[name].pool.suspect(networks.UPSTREAM)
+        send(context, name)
+        context.requests.append(context.request)
+        context.network.run(interval / 1000)
+
+
+@behave.then("all are answered")
+def step_all_answered(context):
+    found = [request.outcome for request in context.requests]
+    assert found and set(found) == {"answered"}, found
+
+
+@behave.then("it fails without a byte sent within {milliseconds:d} ms")
+def step_fails(context, milliseconds):
+    context.network.run(milliseconds / 1000)
+    assert context.request.outcome == "failed", context.request.outcome
+    assert not context.request.sent
+
+
+@behave.given('"{name}" is leaving, which "{other}" does not know')
+def step_leaving(context, name, other):
+    context.network.routers[name].relays.leave()
+
+
+@behave.then('"{name}" relayed no connection')
+def step_no_relay(context, name):
+    metrics = context.network.routers[name].metrics
+    assert not metrics.value("relays_opened")
+
+
+@behave.given('"b" and "c" relay as many connections as they may')
+def step_full(context):
+    for name in "bc":
+        relays = context.network.routers[name].relays
+        relays._relays = set(range(server.MAX_RELAYS))
+
+
+@behave.given("an address that is no upstream's")
+def step_other_address(context):
+    context.other = networks.Upstream()
+    context.network.listening[OTHER_PLACE] = context.other
+
+
+@behave.given('"{name}" is cut off from the address')
+def step_cut_address(context, name):
+    cut(context, name, OTHER_PLACE)
+
+
+@behave.then("nothing was connected to the address")
+def step_nothing_connected(context):
+    assert not context.other.made
+
+
+@behave.given("the upstream answers nothing")
+def step_mute(context):
+    context.network.upstream.answer = b""
+
+
+@behave.given("the upstream answers a part without a length")
+def step_part(context):
+    context.network.upstream.answer = networks.PART
+
+
+@behave.when("it is cancelled after {milliseconds:d} ms")
+def step_cancel(context, milliseconds):
+    context.network.run(milliseconds / 1000)
+    assert context.network.upstream.requests == 1
+    context.request.connection.abort()
+
+
+@behave.then("the upstream's connection is closed within {milliseconds:d} ms")
+def step_closed(context, milliseconds):
+    context.network.run(milliseconds / 1000)
+    assert context.network.upstream.lost == 1
+
+
+@behave.when("the upstream resets its connection after {milliseconds:d} ms")
+def step_reset(context, milliseconds):
+    context.network.run(milliseconds / 1000)
+    context.network.upstream.made[-1].transport.abortConnection()
+    context.network.run(0.1)
+
+
+@behave.then("it fails after bytes were sent")
+def step_fails_sent(context):
+    assert context.request.outcome == "failed", context.request.outcome
+    assert context.request.sent
+
+
+def relayed_count(context):
+    return sum(
+        router.relays.count for router in context.network.routers.values()
+    )
+
+
+@behave.when("the peer that relayed it announces that it leaves")
+def step_announces(context):
+    assert relayed_count(context) == 1
+    for router in context.network.routers.values():
+        if router.relays.count:
+            record = msgspec.structs.replace(
+                router.record, state=membership_messages.DaemonState.LEAVING
+            )
+            pool = context.network.routers["a"].pool
+            pool.retire_relayed(record.address)
+    context.network.run(0.1)
+
+
+@behave.then("no connection is relayed any more")
+def step_none_relayed(context):
+    assert not relayed_count(context)
+
+
+@behave.then('"{name}" keeps no direct connection')
+def step_no_direct(context, name):
+    pool = context.network.routers[name].pool
+    kept = [item.peer for items in pool._idle.values() for item in items]
+    assert kept and all(kept), kept
--- a/fulmarbarrow/wire/codec.py
+++ b/fulmarbarrow/wire/codec.py
@@ -18,6 +18,7 @@
 from fulmarbarrow import message as messages
 from fulmarbarrow.placement import messages as placement_messages
 from fulmarbarrow.publishing import messages as publishing_messages
+from fulmarbarrow.relay import messages as relay_messages
 from fulmarbarrow.versions import messages as versions_messages
 from fulmarbarrow.zones import messages as zones_messages
 
@@ -33,6 +34,7 @@
     *membership_messages.PEER_MESSAGES,
     *placement_messages.PEER_MESSAGES,
     *publishing_messages.PEER_MESSAGES,
+    *relay_messages.PEER_MESSAGES,
     *versions_messages.PEER_MESSAGES,
     *zones_messages.PEER_MESSAGES,
 )
--- a/fulmarbarrow/wire/transport.py
+++ b/fulmarbarrow/wire/transport.py
@@ -16,6 +16,7 @@
 
 from fulmarbarrow import message as messages
 from fulmarbarrow.observe import metrics as metrics_module
+from fulmarbarrow.relay import messages as relay_messages
 from fulmarbarrow.wire import codec as codecs
 
 log = logging.getLogger(__name__)
@@ -54,21 +55,64 @@
         handle.setsockopt(socket.IPPROTO_TCP, option, value)
 
 
+class Splice(typing.Protocol):
+    """Takes the bytes of a connection that carries no frames any more."""
+
+    def write(self, data: bytes) -> None:
+        """Take bytes."""
+
+    def peer_lost(self) -> None:
+        """Take note that the connection ended."""
+
+
 class Receiver(basic.Int32StringReceiver):
     """A connection on which another daemon's frames come."""
 
     MAX_LENGTH = MAX_FRAME_BYTES
 
-    def __init__(self, *, taken: typing.Callable[[bytes], None]) -> None:
+    def __init__(
+        self,
+        *,
+        taken: typing.Callable[[bytes, Receiver], None],
+        encode: typing.Callable[[str, tuple[messages.Message, ...]], bytes],
+    ) -> None:
         self._taken = taken
+        self._encode = encode
+        self._splice: Splice | None = None
+
+    def splice(self, target: Splice) -> None:
+        """Pass on all further bytes instead of reading frames."""
+        self._splice = target
+
+    def answer(self, address: str, body: messages.Message) -> None:
+        """Send a frame back on this connection."""
+        self.sendString(self._encode(address, (body,)))
 
     def connectionMade(self) -> None:  # noqa: N802
         """Watch the connection."""
         watch_connection(self.transport)
 
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Read frames, or pass bytes on."""
+        if self._splice is not None:
+            self._splice.write(data)
+            return
+        super().dataReceived(data)
+
+    def connectionLost(  # noqa: N802
+        self, reason: failures.Failure = protocol.connectionDone
+    ) -> None:
+        """Tell who took the connection over."""
+        if self._splice is not None:
+            self._splice.peer_lost()
+
     def stringReceived(self, string: bytes) -> None:  # noqa: N802
         """Take one frame."""
-        self._taken(string)
+        if self._splice is not None:
+            # Sent along with the request, before it was answered.
+            self.transport.abortConnection()
+            return
+        self._taken(string, self)
 
 
 class ReceiverFactory(protocol.ServerFactory):
@@ -76,14 +120,20 @@
 
     noisy = False
 
-    def __init__(self, *, taken: typing.Callable[[bytes], None]) -> None:
+    def __init__(
+        self,
+        *,
+        taken: typing.Callable[[bytes, Receiver], None],
+        encode: typing.Callable[[str, tuple[messages.Message, ...]], bytes],
+    ) -> None:
         self._taken = taken
+        self._encode = encode
 
     def buildProtocol(  # noqa: N802
         self, addr: addresses.IPv4Address
     ) -> Receiver:
         """Return a protocol for a new connection."""
-        return Receiver(taken=self._taken)
+        return Receiver(taken=self._taken, encode=self._encode)
 
 
 class Sender(basic.Int32StringReceiver):
@@ -247,6 +297,9 @@
         self._metrics.count("peer_bytes_sent", len(frame))
 
 
+OpenRelay = typing.Callable[[Receiver, relay_messages.OpenRelay], None]
+
+
 class Transport:
     """Sends messages to daemons by address and receives theirs.
 
@@ -273,13 +326,20 @@
         self._waiting: dict[str, collections.deque[messages.Message]] = {}
         self._flush_planned = False
         self._port: interfaces.IListeningPort | None = None
+        self._open_relay: OpenRelay | None = None
+
+    def relay_with(self, open_relay: OpenRelay) -> None:
+        """Have connections relayed where a peer asks for it."""
+        self._open_relay = open_relay
 
     def start(self) -> str:
         """Listen for the other daemons' messages; return what failed."""
         host, _, port = self._address.rpartition(":")
         try:
             self._port = self._reactor.listenTCP(
-                int(port), ReceiverFactory(taken=self._take), interface=host
+                int(port),
+                ReceiverFactory(taken=self._take, encode=self._codec.encode),
+                interface=host,
             )
         except internet_errors.CannotListenError as error:
             return f"{self._address}: {error.socketError}"
@@ -366,11 +426,24 @@
             self._peers[address] = peer
         return peer
 
-    def _take(self, frame: bytes) -> None:
+    def _take(self, frame: bytes, receiver: Receiver) -> None:
         self._metrics.count("peer_bytes_received", len(frame))
         decoded = self._codec.decode(frame)
         if isinstance(decoded, codecs.DropReason):
             self._metrics.count("peer_frames_dropped", reason=decoded.value)
             return
         for message in decoded:
-            self._received(message)
+            if isinstance(message, relay_messages.OpenRelay):
+                self._relay(receiver, message)
+            else:
+                self._received(message)
+
+    def _relay(
+        self, receiver: Receiver, event: relay_messages.OpenRelay
+    ) -> None:
+        if self._open_relay is not None:
+            self._open_relay(receiver, event)
+            return
+        code = relay_messages.RelayCode.UNKNOWN_UPSTREAM
+        receiver.answer(event.reply_to, relay_messages.RelayOpened(code=code))
+        receiver.transport.loseConnection()
