Judge unacknowledged bytes and lost keep-alive probes apart

All connections to peers and upstreams had both, so that an idle one ended with the first probe that was lost, not with the third.

Decision: a side that writes has the timeout of unacknowledged bytes and no probes; a side that only reads, the receiver of a peer's frames, has probes and no such timeout. Connections to upstreams are bounded by the timeouts of answers. The scenario 'Unacknowledged bytes and lost probes are judged apart' failed before.

--- a/fulmarbarrow/edge/connections.py
+++ b/fulmarbarrow/edge/connections.py
@@ -97,7 +97,7 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Watch the connection."""
         self._open = True
-        transports.watch_connection(
+        transports.watch_writes(
             self.transport, unacknowledged_ms=UNACKNOWLEDGED_MS
         )
 
--- a/fulmarbarrow/relay/dialer.py
+++ b/fulmarbarrow/relay/dialer.py
@@ -272,7 +272,7 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         """Ask the peer."""
-        transports.watch_connection(
+        transports.watch_writes(
             self.transport, unacknowledged_ms=UNACKNOWLEDGED_MS
         )
         self._timer = self._dial.watch(self)
--- a/fulmarbarrow/relay/server.py
+++ b/fulmarbarrow/relay/server.py
@@ -149,9 +149,12 @@
         if self._ended:
             self.transport.abortConnection()
             return
-        transports.watch_connection(
+        transports.watch_writes(
             self.transport, unacknowledged_ms=UNACKNOWLEDGED_MS
         )
+        transports.watch_writes(
+            self.incoming.transport, unacknowledged_ms=UNACKNOWLEDGED_MS
+        )
         self.transport.registerProducer(self.incoming.transport, True)
         self.incoming.transport.registerProducer(self.transport, True)
         self._server.opened(self)
--- a/fulmarbarrow/wire/features/steps/transport.py
+++ b/fulmarbarrow/wire/features/steps/transport.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import datetime
 import socket
 
 import behave
@@ -9,6 +10,7 @@
 from twisted.internet import testing
 from twisted.python import failure as failures
 
+from fulmarbarrow.edge import connections
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics as metrics_module
 from fulmarbarrow.placement import messages
@@ -22,6 +24,7 @@
 class _Handle:
     def __init__(self):
         self.options = {}
+        self.probed = None
 
     def setsockopt(self, level, option, value):
         self.options[option] = value
@@ -38,8 +41,8 @@
     def setTcpNoDelay(self, _):  # noqa: N802
         pass
 
-    def setTcpKeepAlive(self, _):  # noqa: N802
-        pass
+    def setTcpKeepAlive(self, probed):  # noqa: N802
+        self.handle.probed = probed
 
 
 def make(context):
@@ -107,6 +110,38 @@
     assert timeout == transport.UNACKNOWLEDGED_MS, options
 
 
+@behave.then("it ends after bytes that nobody acknowledges, and is not probed")
+def step_writes_watched(context):
+    handle = context.memory.handle
+    assert handle.options[socket.TCP_USER_TIMEOUT], handle.options
+    assert not handle.probed
+
+
+@behave.then("a connection that a peer opens ends after {count:d} lost probes")
+def step_reads_watched(context, count):
+    receiver = transport.Receiver(taken=None, encode=None)
+    memory = _Memory()
+    receiver.makeConnection(memory)
+    assert memory.handle.probed
+    assert memory.handle.options[socket.TCP_KEEPCNT] == count
+    # It would decide instead of the count.
+    assert socket.TCP_USER_TIMEOUT not in memory.handle.options
+
+
+@behave.then(
+    "a connection to an upstream outlives a silence of {milliseconds:d} ms"
+)
+def step_upstream_watched(context, milliseconds):
+    pool = connections.Pool(
+        reactor=context.reactor, connect_timeout=datetime.timedelta(seconds=1)
+    )
+    made = connections.Connection(pool=pool, place=("10.9.0.1", 8080))
+    memory = _Memory()
+    made.makeConnection(memory)
+    timeout = memory.handle.options[socket.TCP_USER_TIMEOUT]
+    assert timeout > milliseconds and not memory.handle.probed, timeout
+
+
 @behave.when("the connection is refused, and made {after:d} ms later")
 def step_refused(context, after):
     refuse(context)
--- a/fulmarbarrow/wire/features/transport.feature
+++ b/fulmarbarrow/wire/features/transport.feature
@@ -6,6 +6,13 @@
     When the connection is made
     Then the frame is written and the kernel watches the connection
 
+  # Guards against a sound connection that ends with one lost probe.
+  Scenario: Unacknowledged bytes and lost probes are judged apart
+    When a message is sent to a peer
+    And the connection is made
+    Then it ends after bytes that nobody acknowledges, and is not probed
+    And a connection that a peer opens ends after 3 lost probes
+
   Scenario: A frame waits for a peer that refuses connections for a moment
     When a message is sent to a peer
     And the connection is refused, and made 100 ms later
--- a/fulmarbarrow/wire/transport.py
+++ b/fulmarbarrow/wire/transport.py
@@ -36,10 +36,26 @@
 KEEPALIVE_PROBES = 3
 
 
-def watch_connection(
+def watch_writes(
     transport: typing.Any, *, unacknowledged_ms: int = UNACKNOWLEDGED_MS
 ) -> None:
-    """Have the kernel close a connection whose other end is silent."""
+    """Have the kernel close a connection that acknowledges nothing.
+
+    Without keep-alive probes: where TCP_USER_TIMEOUT is set, it decides when
+    these give up, so that a single lost one would close a sound connection.
+    """
+    get_handle = getattr(transport, "getHandle", None)
+    if get_handle is None:  # a connection in memory
+        return
+    transport.setTcpNoDelay(True)
+    transport.setTcpKeepAlive(False)
+    get_handle().setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacknowledged_ms
+    )
+
+
+def watch_reads(transport: typing.Any) -> None:
+    """Have the kernel probe a connection on which little is written."""
     get_handle = getattr(transport, "getHandle", None)
     if get_handle is None:  # a connection in memory
         return
@@ -47,7 +63,6 @@
     transport.setTcpKeepAlive(True)
     handle = get_handle()
     for option, value in (
-        (socket.TCP_USER_TIMEOUT, unacknowledged_ms),
         (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
         (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
         (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
@@ -90,7 +105,7 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         """Watch the connection."""
-        watch_connection(self.transport)
+        watch_reads(self.transport)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Read frames, or pass bytes on."""
@@ -150,7 +165,7 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         """Send what has waited for the connection."""
-        watch_connection(self.transport)
+        watch_writes(self.transport)
         self._peer.connected(self)
 
     def connectionLost(  # noqa: N802
