Keep connections to an upstream that is silent for a second

The kernel closed connections to upstreams after 1 s without an acknowledgement, by which an order that ran was answered 502. It now waits 2 s.

--- a/fulmarbarrow/edge/connections.py
+++ b/fulmarbarrow/edge/connections.py
@@ -31,7 +31,8 @@
 FRESH_IDLE = datetime.timedelta(milliseconds=500)
 MAX_HEAD_BYTES = 64 << 10
 MAX_INFORMATIONAL_HEADS = 16  # 1xx heads before the head of one answer
-UNACKNOWLEDGED_MS = 1_000
+# A sound upstream may be silent for a second.
+UNACKNOWLEDGED_MS = 2_000
 
 Place = tuple[str, int]
 _KEEP_ALIVE = re.compile(r"timeout=(\d+)")
--- a/fulmarbarrow/platform/features/path.feature
+++ b/fulmarbarrow/platform/features/path.feature
@@ -85,6 +85,13 @@
       | answers for another | 502    |
       | sends more          | 200    |
 
+  Scenario: A sound worker that is silent for a second keeps its orders
+    Given configuration 3 and workers "i-1 i-2" of the desk
+    And each worker that is asked first is silent for 1300 ms
+    When 6 clients send an order one after the other
+    Then each gets 200 with its own signature
+    And no request ran twice
+
   Scenario Outline: A lookup is answered by another worker
     Given configuration 3 and workers "i-1 i-2" of the desk
     And whichever worker is asked first <fault>
--- a/fulmarbarrow/platform/features/steps/path.py
+++ b/fulmarbarrow/platform/features/steps/path.py
@@ -208,6 +208,15 @@
         worker.take_fault = lambda: next(shared, "")
 
 
+@behave.given(
+    "each worker that is asked first is silent for {milliseconds:d} ms"
+)
+def step_first_silent(context, milliseconds):
+    for worker in context.workers.values():
+        worker.silence = milliseconds / 1000
+        worker.fault("is silent")
+
+
 @behave.given("each worker that is asked first {fault}")
 def step_first_faults(context, fault):
     for worker in context.workers.values():
--- a/fulmarbarrow/relay/dialer.py
+++ b/fulmarbarrow/relay/dialer.py
@@ -24,7 +24,8 @@
 # way there and back.
 ANSWER_MARGIN = datetime.timedelta(milliseconds=200)
 MAX_ANSWER_BYTES = 4096
-UNACKNOWLEDGED_MS = 1_000
+# A sound upstream may be silent for a second.
+UNACKNOWLEDGED_MS = 2_000
 
 Place = tuple[str, int]
 
--- a/fulmarbarrow/relay/server.py
+++ b/fulmarbarrow/relay/server.py
@@ -17,7 +17,8 @@
 from fulmarbarrow.wire import transport as transports
 
 MAX_RELAYS = 256
-UNACKNOWLEDGED_MS = 1_000
+# A sound upstream may be silent for a second.
+UNACKNOWLEDGED_MS = 2_000
 
 
 class RelayServer:
--- a/fulmarbarrow/wire/features/transport.feature
+++ b/fulmarbarrow/wire/features/transport.feature
@@ -12,6 +12,7 @@
     And the connection is made
     Then it ends after bytes that nobody acknowledges, and is not probed
     And a connection that a peer opens ends after 3 lost probes
+    And a connection to an upstream outlives a silence of 1500 ms
 
   Scenario: A frame waits for a peer that refuses connections for a moment
     When a message is sent to a peer
