Refuse entries that are nested too deeply or name no usable address

Reported by another operator: one odd entry among those of the workers, very deeply nested, with a number too large or a port out of range, ended the machines that read the list. Here no process ended, but JSON nested 100,000 times was an internal error: a heartbeat got 500 and a configuration 500, by which operators go on to the next daemon, where it has to be refused. On the product's own interface an announcement with a port out of range or a number above 64 bits was accepted, and each router that placed work there failed.

What comes from outside is decoded in one place, where nesting is an error of its writer; announcements need a host, a port that exists and numbers that messages between daemons can carry.

--- a/fulmarbarrow/config/bundle.py
+++ b/fulmarbarrow/config/bundle.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from fulmarbarrow import decoding
 from fulmarbarrow.placement import messages as placement_messages
 
 
@@ -206,5 +207,5 @@
 
 
 def decode(data: bytes) -> Bundle:
-    """Deserialize a bundle; raises msgspec.ValidationError."""
-    return msgspec.json.decode(data, type=Bundle)
+    """Deserialize a bundle; raises msgspec.DecodeError."""
+    return decoding.decode_json(data, Bundle)
--- a/fulmarbarrow/edge/admin.py
+++ b/fulmarbarrow/edge/admin.py
@@ -12,6 +12,7 @@
 from twisted.web import http
 
 from fulmarbarrow import bus as buses
+from fulmarbarrow import decoding
 from fulmarbarrow.observe import metrics as metrics_module
 from fulmarbarrow.publishing import messages
 
@@ -92,9 +93,7 @@
         if not self._publishes:
             return _refuse(request, "not_a_control_host")
         try:
-            body = msgspec.json.decode(
-                request.content.read(), type=PublishBody
-            )
+            body = decoding.decode_json(request.content.read(), PublishBody)
         except msgspec.DecodeError as error:
             return _refuse(request, "publish_invalid", str(error))
         done: defer.Deferred[bytes] = defer.Deferred()
--- a/fulmarbarrow/edge/sse.py
+++ b/fulmarbarrow/edge/sse.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from fulmarbarrow import decoding
+
 END_MARKER = b"data: [DONE]"
 SEPARATOR = b"\n\n"
 # Memory that one stream may hold for an event whose end has not come.
@@ -191,9 +193,7 @@
         if _USAGE_HINT not in event:
             continue
         try:
-            chunk = msgspec.json.decode(
-                event.removeprefix(b"data: "), type=_Chunk
-            )
+            chunk = decoding.decode_json(event.removeprefix(b"data: "), _Chunk)
         except msgspec.DecodeError:
             continue
         if chunk.usage is not None:
--- a/fulmarbarrow/edge/upstreams.py
+++ b/fulmarbarrow/edge/upstreams.py
@@ -5,16 +5,21 @@
 import datetime
 import hmac
 import typing
+import urllib.parse
 
 import klein
 import msgspec
 from twisted.web import http
 
 from fulmarbarrow import bus as buses
+from fulmarbarrow import decoding
 from fulmarbarrow.edge import headers
 from fulmarbarrow.edge import requests
 from fulmarbarrow.membership import messages
 
+# Messages between daemons carry numbers of 64 bits.
+Count = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
 
 class OfferBody(msgspec.Struct, frozen=True, kw_only=True):
     """A service, with its model and version, that an upstream runs."""
@@ -27,10 +32,10 @@
 class LoadBody(msgspec.Struct, frozen=True, kw_only=True):
     """The work that an upstream has, in tokens and in requests."""
 
-    running_tokens: int = 0
-    queued_tokens: int = 0
-    running_requests: int = 0
-    queued_requests: int = 0
+    running_tokens: Count = 0
+    queued_tokens: Count = 0
+    running_requests: Count = 0
+    queued_requests: Count = 0
     measured_at: datetime.datetime | None = None
 
 
@@ -43,22 +48,28 @@
     """
 
     upstream_id: str
-    incarnation: int
-    sequence: int
+    incarnation: Count
+    sequence: Count
     zone: str
     url: str
     offers: tuple[OfferBody, ...]
-    batch_tokens: int
-    tokens_per_second: int
+    batch_tokens: Count
+    tokens_per_second: Count
     state: messages.UpstreamState
     started_at: datetime.datetime
     checks_fencing: bool = False
     owner: str = ""
-    owner_epoch: int = 0
+    owner_epoch: Count = 0
     load: LoadBody = LoadBody()
 
     def upstream(self) -> messages.Upstream:
-        """Return the record that membership keeps."""
+        """Return the record that membership keeps.
+
+        Raises ValueError for a URL without a host or a port that exists.
+        """
+        parts = urllib.parse.urlsplit(self.url)
+        if not parts.hostname or parts.port == 0:
+            raise ValueError(f"no place at {self.url!r}")
         fields = msgspec.structs.asdict(self)
         del fields["load"]
         fields["offers"] = tuple(
@@ -84,8 +95,8 @@
     """What an engine sends to ``POST /v1/cache-events``."""
 
     upstream_id: str
-    incarnation: int
-    sequence: int
+    incarnation: Count
+    sequence: Count
     stored: tuple[str, ...] = ()
     evicted: tuple[str, ...] = ()
 
@@ -108,17 +119,12 @@
         if not self._authentic(request):
             return _error(request, 401, "wrong_upstream_key")
         try:
-            body = msgspec.json.decode(
-                request.content.read(), type=AnnounceBody
-            )
-        except msgspec.DecodeError as error:
+            body = decoding.decode_json(request.content.read(), AnnounceBody)
+            upstream, load = body.upstream(), body.reported_load()
+        except (msgspec.DecodeError, ValueError) as error:
             return _error(request, 400, str(error))
         self._reply = self._refusal = None
-        self._bus.post(
-            messages.Announced(
-                upstream=body.upstream(), load=body.reported_load()
-            )
-        )
+        self._bus.post(messages.Announced(upstream=upstream, load=load))
         if self._reply is None:
             code = self._refusal.code if self._refusal else "not_taken"
             return _error(request, 409, code)
@@ -134,7 +140,7 @@
         if not self._authentic(request):
             return _error(request, 401, "wrong_upstream_key")
         try:
-            body = msgspec.json.decode(request.content.read(), type=CacheBody)
+            body = decoding.decode_json(request.content.read(), CacheBody)
         except msgspec.DecodeError as error:
             return _error(request, 400, str(error))
         self._bus.post(messages.CacheEvents(**msgspec.structs.asdict(body)))
--- a/fulmarbarrow/platform/documents.py
+++ b/fulmarbarrow/platform/documents.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from fulmarbarrow.config import bundle as bundles
+from fulmarbarrow import decoding
 from fulmarbarrow.edge import directory as directories
 
 # Larger numbers have no exact form in JSON and none in messages of 64 bits.
@@ -94,7 +95,7 @@
 
 def decode(data: bytes) -> Document:
     """Return the document; raises msgspec.DecodeError."""
-    return msgspec.json.decode(data, type=Document)
+    return decoding.decode_json(data, Document)
 
 
 def findings(document: Document) -> list[str]:
--- a/fulmarbarrow/platform/features/path.feature
+++ b/fulmarbarrow/platform/features/path.feature
@@ -225,6 +225,19 @@
     When a client sends an order
     Then the client gets 200
 
+  # Guards against readers that end at an entry of another writer.
+  Scenario Outline: An entry that is nested too deeply is refused like any other
+    Given configuration 3 and workers "i-1" of the desk
+    When a <call> comes that is nested 100000 times
+    Then it is answered 400
+    When a client sends an order
+    Then the client gets 200
+
+    Examples:
+      | call          |
+      | heartbeat     |
+      | configuration |
+
   Scenario Outline: A heartbeat with a value that none can have names no worker
     Given configuration 3 and workers "i-1" of the desk
     When a heartbeat comes with <field> <value>
--- a/fulmarbarrow/platform/features/steps/documents.py
+++ b/fulmarbarrow/platform/features/steps/documents.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from fulmarbarrow.config import bundle as bundles
+from fulmarbarrow import decoding
 from fulmarbarrow.edge import client
 from fulmarbarrow.platform import documents
 from fulmarbarrow.platform import registrations
@@ -147,7 +148,7 @@
 def take_heartbeat(data):
     """Return whether a heartbeat names a worker."""
     try:
-        heartbeat = msgspec.json.decode(data, type=registrations.Heartbeat)
+        heartbeat = decoding.decode_json(data, registrations.Heartbeat)
         announced = heartbeat.announced("i-1", NOW)
     except registrations.UNREADABLE:
         return False
--- a/fulmarbarrow/platform/features/steps/path.py
+++ b/fulmarbarrow/platform/features/steps/path.py
@@ -411,6 +411,15 @@
     assert status == 200, status
 
 
+@behave.when("a {name} comes that is nested {count:d} times")
+def step_nested(context, name, count):
+    path = {"heartbeat": "/v1/instances/i-9", "configuration": "/v1/config"}
+    body = b'{"Odd":' + b"[" * count + b"]" * count + b"}"
+    context.status = standin.call(
+        context.daemon.operators, "PUT", path[name], body
+    )[0]
+
+
 @behave.when(
     'heartbeats come with the state "{state}", without a sequence and as noise'
 )
--- a/fulmarbarrow/platform/registrations.py
+++ b/fulmarbarrow/platform/registrations.py
@@ -13,6 +13,7 @@
 
 from fulmarbarrow import bus as buses
 from fulmarbarrow import clock as clocks
+from fulmarbarrow import decoding
 from fulmarbarrow.membership import messages
 from fulmarbarrow.platform import calls
 
@@ -128,7 +129,7 @@
 
     def _heartbeat(self, request: http.Request, upstream_id: str) -> bytes:
         try:
-            body = msgspec.json.decode(request.content.read(), type=Heartbeat)
+            body = decoding.decode_json(request.content.read(), Heartbeat)
             announced = body.announced(upstream_id, self._clock.now())
         except UNREADABLE as error:
             log.warning(
--- a/fulmarbarrow/relay/paths.py
+++ b/fulmarbarrow/relay/paths.py
@@ -97,11 +97,7 @@
             case membership_messages.DaemonGone():
                 self._peers.pop(event.daemon_id, None)
             case membership_messages.UpstreamChanged():
-                url = urllib.parse.urlsplit(event.upstream.url)
-                place = url.hostname or "", url.port or DEFAULT_PORT
-                self._remove(event.upstream.upstream_id)
-                self._places[event.upstream.upstream_id] = place
-                self._place_counts[place] += 1
+                self._upstream_changed(event.upstream)
             case membership_messages.UpstreamGone():
                 self._remove(event.upstream_id)
         return []
@@ -215,6 +211,22 @@
         path = self._paths.setdefault(place, _Path())
         path.unreachable_until = now + RETRY_INTERVAL
 
+    def _upstream_changed(
+        self, upstream: membership_messages.Upstream
+    ) -> None:
+        self._remove(upstream.upstream_id)
+        url = urllib.parse.urlsplit(upstream.url)
+        try:
+            place = url.hostname or "", url.port or DEFAULT_PORT
+        except ValueError as error:
+            log.warning(
+                "upstream has no usable address",
+                extra={"upstream": upstream.upstream_id, "reason": str(error)},
+            )
+            return
+        self._places[upstream.upstream_id] = place
+        self._place_counts[place] += 1
+
     def _remove(self, upstream_id: str) -> None:
         place = self._places.pop(upstream_id, None)
         if place is None:
--- a/fulmarbarrow/tracing/edge.py
+++ b/fulmarbarrow/tracing/edge.py
@@ -9,6 +9,7 @@
 import msgspec
 from twisted.web import http
 
+from fulmarbarrow import decoding
 from fulmarbarrow import exceptions
 
 DEFAULT_MAX_BYTES = 64 << 20
@@ -36,7 +37,7 @@
     def _take(self, request: http.Request) -> bytes:
         request.setHeader("Content-Type", "application/json")
         try:
-            body = msgspec.json.decode(request.content.read(), type=RecordBody)
+            body = decoding.decode_json(request.content.read(), RecordBody)
             path = self._record(body.path, body.max_bytes)
         except msgspec.DecodeError as error:
             return _error(request, 400, "bad_request", error)
--- a/fulmarbarrow/wire/codec.py
+++ b/fulmarbarrow/wire/codec.py
@@ -128,7 +128,7 @@
             return DropReason.WRONG_KEY
         try:
             envelope = self._envelopes.decode(payload)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
             return DropReason.GARBAGE
         if envelope.version != WIRE_VERSION:
             return DropReason.OLD_VERSION
@@ -136,7 +136,7 @@
             return DropReason.REPLAYED
         try:
             return tuple(self._bodies.decode(raw) for raw in envelope.bodies)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
             return DropReason.GARBAGE
 
     def _fresh(self, envelope: Envelope) -> bool:
