Answer the requests that outlast a planned stop before the process ends

Reported by another operator: in a planned stop, requests that came late in the grace were taken and passed on, and cut with no answer at its end, among them ones that may not be repeated. It happened here too: what was open when the time of a stop was over ended with its connection.

300 ms before the end each open request now gets its answer: 503 if it has not run, 502 if it may have. A stream that has begun still ends with its connection. Scenario over the real daemon: 'A request that outlasts a stop is answered before the process ends', failed before.

--- a/fulmarbarrow/daemon/assembly.py
+++ b/fulmarbarrow/daemon/assembly.py
@@ -19,6 +19,7 @@
 from fulmarbarrow.daemon import lifecycle
 from fulmarbarrow.daemon import listeners
 from fulmarbarrow.daemon import reloading
+from fulmarbarrow.delivery import messages as delivery_messages
 from fulmarbarrow.edge import exchange
 from fulmarbarrow.edge import exposition
 from fulmarbarrow.edge import site as sites
@@ -46,6 +47,10 @@
 STOP_PART = 0.94
 
 
+# Time in which the last answers reach their callers.
+ANSWERS_BEFORE_END = datetime.timedelta(milliseconds=300)
+
+
 class Daemon:
     """One daemon with its roles, listeners and state."""
 
@@ -264,6 +269,11 @@
             self._reactor.callLater(
                 limit.total_seconds(), self._lifecycle.time_over
             )
+            self._reactor.callLater(
+                max(0, (limit - ANSWERS_BEFORE_END).total_seconds()),
+                self._bus.post,
+                delivery_messages.StopDue(),
+            )
 
     def refuse_new(self) -> None:
         """Refuse new requests and wait for the open ones."""
--- a/fulmarbarrow/delivery/core.py
+++ b/fulmarbarrow/delivery/core.py
@@ -61,6 +61,7 @@
         messages.SuspectEnded,
         messages.UpstreamsCrashed,
         messages.PartsServed,
+        messages.StopDue,
         messages.Wake,
         message.Tick,
         limits_messages.Admitted,
@@ -132,6 +133,8 @@
                     *self._exchange_evidence(now),
                     *self._handle_due_timers(now),
                 ]
+            case messages.StopDue():
+                effects = self._end_all(now)
             case membership_messages.UpstreamChanged():
                 self._pools.update(event)
                 return []
@@ -388,6 +391,13 @@
             self._remove_or_schedule(entry, now)
         return effects
 
+    def _end_all(self, now: datetime.datetime) -> Effects:
+        effects: Effects = []
+        for entry in list(self._open_requests):
+            effects.extend(self._responses.end_for_stop(entry, now))
+            self._remove_or_schedule(entry, now)
+        return effects
+
     def _handle_due_timers(self, now: datetime.datetime) -> Effects:
         effects: Effects = []
         for request_id in list(self._timers.pop_due(now)):
--- a/fulmarbarrow/delivery/messages.py
+++ b/fulmarbarrow/delivery/messages.py
@@ -301,6 +301,10 @@
     """The time requested by a ``WakeRequested`` was reached."""
 
 
+class StopDue(message.Message, frozen=True, kw_only=True):
+    """The process ends in a moment: answer every request that is open."""
+
+
 class AttemptObserved(message.Message, frozen=True, kw_only=True):
     """Effect: report the outcome and latency of one finished attempt.
 
--- a/fulmarbarrow/delivery/responses.py
+++ b/fulmarbarrow/delivery/responses.py
@@ -131,6 +131,22 @@
             return []
         return self._abandon(entry, "deadline_exceeded", now)
 
+    def end_for_stop(
+        self, entry: open_requests.OpenRequest, now: datetime.datetime
+    ) -> Effects:
+        """Answer a request whose work can't end before the process does.
+
+        A stream that has begun can't be answered any more.
+        """
+        request = entry.request
+        if request.response_started or request.response is not None:
+            return []
+        if request.refusal_code:
+            return []
+        if not request.admitted:
+            return self._recovery.refuse(entry, "stopping", now)
+        return self._abandon(entry, "stopping", now)
+
     def stop_unanswered(
         self, entry: open_requests.OpenRequest, now: datetime.datetime
     ) -> Effects:
--- a/fulmarbarrow/platform/features/path.feature
+++ b/fulmarbarrow/platform/features/path.feature
@@ -305,6 +305,16 @@
     And the client gets events 1 to 6, once each, and the end
     And the daemon ends in good order
 
+  # Guards against requests that are cut with no answer at the end of a stop.
+  Scenario: A request that outlasts a stop is answered before the process ends
+    Given a daemon that has 2 s to stop
+    And configuration 3 and workers "i-1" of the desk
+    And workers take 3000 ms an answer
+    When a client sends an order and SIGTERM comes meanwhile
+    Then the client gets 502
+    And the request ran once
+    And the daemon ends in good order
+
   Scenario: A stop under load answers each request that it was sent
     Given configuration 3 and workers "i-1 i-2" of the desk
     And workers take 20 ms an answer
--- a/fulmarbarrow/platform/features/steps/path.py
+++ b/fulmarbarrow/platform/features/steps/path.py
@@ -42,14 +42,15 @@
         self.process = None
         self.write_settings(seeds=())
 
-    def write_settings(self, *, seeds):
+    def write_settings(self, *, seeds, stop_within="8s"):
         self.settings.write_text(
             "[daemon]\n"
             'id = "127.0.0.1"\nzone = "attica-a"\nregion = "attica"\n'
             'roles = ["router", "control"]\n'
             f'fleet_key = "{FLEET_KEY}"\n'
             f'data_dir = "{self.folder / "data"}"\n'
-            'interface = "platform"\ngrace = "100ms"\nstop_within = "8s"\n'
+            'interface = "platform"\ngrace = "100ms"\n'
+            f'stop_within = "{stop_within}"\n'
             "[listen]\n"
             f'callers = "{self.clients}"\nready = "{self.ready}"\n'
             f'operators = "{self.operators}"\nmetrics = "{self.metrics}"\n'
@@ -180,6 +181,14 @@
     context.daemon.start()
 
 
+@behave.given("a daemon that has {seconds:d} s to stop")
+def step_short_stop(context, seconds):
+    context.daemon.process.kill()
+    context.daemon.process.wait()
+    context.daemon.write_settings(seeds=(), stop_within=f"{seconds}s")
+    context.daemon.start()
+
+
 @behave.given('configuration {version:d} and workers "{names}" of the {kind}')
 def step_ready_path(context, version, names, kind):
     fleet.wait_until(
@@ -547,6 +556,15 @@
         context.answer = answer.result()
 
 
+@behave.when("a client sends an order and SIGTERM comes meanwhile")
+def step_order_term(context):
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        answer = pool.submit(ask, context, "/order/7")
+        time.sleep(0.5)
+        context.daemon.process.send_signal(signal.SIGTERM)
+        context.answer = answer.result()
+
+
 @behave.given("workers take {pause:d} ms an answer")
 def step_work(context, pause):
     for worker in context.workers.values():
