Write on after a disk was full at any call of a write

Reported by another operator: the disks of control hosts were full for a few seconds each, one after another; long after the last had room again, changes were refused or stayed unanswered while all processes ran.

It happened here: 'no space' from a sync, as from file systems that allocate late, counted as a failed disk, after which a host writes nothing until it restarts; three such hosts have no quorum left. A segment that could not be started left the log without an open file or with the new file under the old one's name, and a failed record of the identity lost the batch.

The bytes of a frame that did not fit are cut off and written anew, which makes the kernel write its pages again; the last segment stays in use until the next one exists. Any other failed sync still ends writing.

--- a/fulmarbarrow/consensus/features/steps/storage.py
+++ b/fulmarbarrow/consensus/features/steps/storage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import itertools
 import os
 import shutil
 from unittest import mock
@@ -232,6 +233,97 @@
     assert len(reopen(context).entries) == count
 
 
+class FullDisk:
+    """Fails every call that may need space, from one of them on."""
+
+    CALLS = ("open", "write", "fsync", "fdatasync", "replace", "unlink")
+
+    def __init__(self, first):
+        self.left = first
+        self.patches = [
+            mock.patch.object(os, name, self.fail_from(getattr(os, name)))
+            for name in self.CALLS
+        ]
+
+    def fail_from(self, call):
+        def called(*args, **options):
+            self.left -= 1
+            if self.left < 0:
+                raise OSError(errno.ENOSPC, "No space left on device")
+            return call(*args, **options)
+
+        return called
+
+    def __enter__(self):
+        for patch in self.patches:
+            patch.start()
+
+    def __exit__(self, *_):
+        for patch in self.patches:
+            patch.stop()
+
+
+@behave.when("the disk fills at each call in turn of a write with a snapshot")
+def step_fills_at_each_call(context):
+    context.outcomes = {}
+    for first in itertools.count():
+        folder = context.path / f"log-{first}"
+        log = storage.LogStorage(folder=folder, segment_bytes=512)
+        log.write(
+            [persist(snapshot=INITIAL_SNAPSHOT, reset=True, ballot=BALLOT)]
+        )
+        for index in range(1, 11):
+            log.write([persist(entries=(entry(index),))])
+        batch = [
+            persist(entries=(entry(11),)),
+            persist(snapshot=snapshot(10, 3)),
+            persist(entries=(entry(12),)),
+        ]
+        full = FullDisk(first)
+        with full:
+            codes = [write_code(log, batch) for _ in range(3)]
+        codes += [write_code(log, batch)]
+        codes += [write_code(log, [persist(entries=(entry(13),))])]
+        log.close()
+        try:
+            stored = storage.LogStorage(folder=folder).stored()
+            found = [item.index for item in stored.entries]
+        except exceptions.StorageError as error:
+            found = error.code
+        context.outcomes[first] = (codes, found)
+        if full.left >= 0:
+            break
+
+
+def write_code(log, batch):
+    try:
+        log.write(batch)
+    except exceptions.StorageError as error:
+        return error.code
+    return ""
+
+
+@behave.then("each time the write succeeds once there is room")
+def step_succeeds_with_room(context):
+    wrong = {
+        first: codes
+        for first, (codes, _) in context.outcomes.items()
+        if codes[-2:] != ["", ""]
+    }
+    assert len(context.outcomes) > 10 and not wrong, wrong
+
+
+@behave.then("{count:d} entries after the snapshot are found after a restart")
+def step_found_after_full(context, count):
+    expected = list(range(11, 11 + count))
+    wrong = {
+        first: found
+        for first, (_, found) in context.outcomes.items()
+        if found != expected
+    }
+    assert not wrong, wrong
+
+
 @behave.when("a sync fails")
 def step_sync_fails(context):
     context.codes = []
--- a/fulmarbarrow/consensus/features/storage.feature
+++ b/fulmarbarrow/consensus/features/storage.feature
@@ -46,6 +46,12 @@
     And with free space the same write succeeds
     And 6 entries are found after a restart
 
+  # Guards against a host that writes nothing more once its disk has room.
+  Scenario: A disk that fills at any call of a write takes the same write later
+    When the disk fills at each call in turn of a write with a snapshot
+    Then each time the write succeeds once there is room
+    And 3 entries after the snapshot are found after a restart
+
   Scenario: No write succeeds after a failed sync
     Given a stored log with 5 entries
     When a sync fails
--- a/fulmarbarrow/consensus/identity.py
+++ b/fulmarbarrow/consensus/identity.py
@@ -54,10 +54,15 @@
         """Record that this host stores the log of a group."""
         if group in self._identity.formed:
             return
+        before = self._identity
         self._identity = msgspec.structs.replace(
-            self._identity, formed=(*self._identity.formed, group)
+            before, formed=(*before.formed, group)
         )
-        self._write()
+        try:
+            self._write()
+        except exceptions.StorageError:
+            self._identity = before
+            raise
 
     def _read(self) -> Identity:
         with files.storage_errors(self._path):
--- a/fulmarbarrow/consensus/shell.py
+++ b/fulmarbarrow/consensus/shell.py
@@ -121,6 +121,8 @@
         started = time.perf_counter()
         try:
             self._log_storages[group].write(batch)
+            if any(persist.reset for persist in batch):
+                self._identity.mark_formed(group.value)
         except exceptions.StorageFullError as error:
             self._metrics.count("consensus_disk_full")
             if not self._disk_full:
@@ -138,8 +140,6 @@
         if self._disk_full:
             log.info("the disk is no longer full")
             self._disk_full = False
-        if any(persist.reset for persist in batch):
-            self._identity.mark_formed(group.value)
         elapsed = time.perf_counter() - started
         self._metrics.count("consensus_syncs", group=group)
         self._metrics.record(
--- a/fulmarbarrow/consensus/storage.py
+++ b/fulmarbarrow/consensus/storage.py
@@ -158,18 +158,13 @@
                 view = memoryview(frame)
                 while view:
                     view = view[os.write(descriptor, view) :]
+                os.fdatasync(descriptor)
         except exceptions.StorageFullError:
+            # The kernel may mark pages that it failed to write as clean, so
+            # that a second sync would not write them; they are written anew.
             with files.storage_errors(segment.path):
                 os.ftruncate(descriptor, segment.size)
             raise
-        with files.storage_errors(segment.path):
-            try:
-                os.fdatasync(descriptor)
-            except OSError as error:
-                # The kernel may mark pages that it failed to write as clean,
-                # so a second sync would succeed without writing them.
-                reason = f"{segment.path}: sync failed: {error}"
-                raise exceptions.StorageError(reason) from error
         segment.size += len(frame)
         self._next_frame += 1
 
@@ -178,14 +173,22 @@
 
         Its first frame repeats the ballot, so older segments can be deleted.
         """
-        self.close()
         number = self._next_frame
         path = self._folder / f"{number:016d}.log"
+        # The last segment stays in use where the disk has no room for another.
         with files.storage_errors(path):
-            self._descriptor = os.open(
+            descriptor = os.open(
                 path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600
             )
-            files.sync_folder(self._folder)
+            try:
+                files.sync_folder(self._folder)
+            except OSError:
+                os.close(descriptor)
+                # With a later segment, a torn end of this one is damage.
+                path.unlink(missing_ok=True)
+                raise
+        self.close()
+        self._descriptor = descriptor
         segment = Segment(path=path, size=path.stat().st_size)
         if not self._segments or self._segments[-1].path != path:
             self._segments.append(segment)
