Play the loss of two of six disks and of all power

The deployments with six control hosts bear the loss of two disks; the schedules that end with the loss of disks and of all power had three and five hosts only. 40 schedules over six hosts lost nothing acknowledged.

--- a/fulmarbarrow/consensus/features/schedules.feature
+++ b/fulmarbarrow/consensus/features/schedules.feature
@@ -22,6 +22,7 @@
       | schedules | hosts | disks |
       | 120       | 3     | 1     |
       | 60        | 5     | 2     |
+      | 40        | 6     | 2     |
 
   Scenario: The loss of all power and of disks is noticed if the sync is skipped
     When 300 schedules over 3 hosts lose all power and 1 disks without a sync
