Reuse no connection that a leaving peer relays once its request has ended

Found on reading: a peer that stops waits until it relays nothing. The idle connections by way of it were closed when it announced that it leaves, a busy one was kept afterwards and used for as long as requests came, until the time of the stop was over. The scenario 'A peer that stops lets a request end and keeps no connection for more' failed before.

--- a/fulmarbarrow/edge/client.py
+++ b/fulmarbarrow/edge/client.py
@@ -112,8 +112,10 @@
         now: datetime.datetime,
     ) -> None:
         """Let a peer that stops end the connections that it relays."""
-        if event.daemon.state is membership_messages.DaemonState.LEAVING:
-            self._pool.retire_relayed(event.daemon.address)
+        leaving = membership_messages.DaemonState.LEAVING
+        self._pool.peer_leaves(
+            event.daemon.address, leaving=event.daemon.state is leaving
+        )
 
     def _ended(self, attempt_id: str) -> None:
         self._open.pop(attempt_id, None)
--- a/fulmarbarrow/edge/connections.py
+++ b/fulmarbarrow/edge/connections.py
@@ -87,6 +87,7 @@
         self._idle_since: float | None = None
         self._open = False
         self._kept = False
+        # The address of the peer that relays the connection, if one does.
         self.peer = ""
         self._informational_heads = 0
 
@@ -347,6 +348,7 @@
         self._idle: dict[Place, list[Connection]] = {}
         self._open: dict[Place, set[Connection]] = {}
         self._opening: collections.Counter[Place] = collections.Counter()
+        self._leaving_peers: set[str] = set()
         self.opened_total = 0
 
     def request(
@@ -390,8 +392,15 @@
             if not connection.peer:
                 connection.abort()
 
-    def retire_relayed(self, peer: str) -> None:
-        """Reuse no idle connection that a peer relays."""
+    def peer_leaves(self, peer: str, *, leaving: bool) -> None:
+        """Reuse no connection that a leaving peer relays, so that it can stop.
+
+        A request that is open on one of them still ends.
+        """
+        if not leaving:
+            self._leaving_peers.discard(peer)
+            return
+        self._leaving_peers.add(peer)
         for kept in list(self._idle.values()):
             for connection in list(kept):
                 if connection.peer == peer:
@@ -410,7 +419,8 @@
     def idle(self, place: Place, connection: Connection) -> None:
         """Keep a connection for reuse, unless there are many already."""
         kept = self._idle.setdefault(place, [])
-        if len(kept) >= IDLE_PER_UPSTREAM:
+        leaving = connection.peer in self._leaving_peers
+        if leaving or len(kept) >= IDLE_PER_UPSTREAM:
             connection.abort()
             return
         kept.append(connection)
--- a/fulmarbarrow/relay/features/relay.feature
+++ b/fulmarbarrow/relay/features/relay.feature
@@ -98,6 +98,15 @@
     When the peer that relayed it announces that it leaves
     Then no connection is relayed any more
 
+  Scenario: A peer that stops lets a request end and keeps no connection for more
+    Given "a" is cut off from the upstream
+    And the upstream answers nothing
+    When "a" sends a request
+    And the peer that relayed it announces that it leaves after 500 ms
+    And the upstream answers
+    Then it is answered within 100 ms
+    And no connection is relayed any more
+
   Scenario: Silent connections are not used again after a failure to connect
     Given "a" has sent 1 request
     And "a" is cut off from the upstream
--- a/fulmarbarrow/relay/features/steps/relay.py
+++ b/fulmarbarrow/relay/features/steps/relay.py
@@ -6,9 +6,7 @@
 import pathlib
 
 import behave
-import msgspec
 
-from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow.relay import server
 
 # Behave loads step files by path, so they can't import each other.
@@ -222,14 +220,26 @@
     assert relayed_count(context) == 1
     for router in context.network.routers.values():
         if router.relays.count:
-            record = msgspec.structs.replace(
-                router.record, state=membership_messages.DaemonState.LEAVING
-            )
             pool = context.network.routers["a"].pool
-            pool.retire_relayed(record.address)
+            pool.peer_leaves(router.record.address, leaving=True)
     context.network.run(0.1)
 
 
+@behave.when(
+    "the peer that relayed it announces that it leaves after "
+    "{milliseconds:d} ms"
+)
+def step_announces_later(context, milliseconds):
+    context.network.run(milliseconds / 1000)
+    step_announces(context)
+
+
+@behave.when("the upstream answers")
+def step_upstream_answers(context):
+    made = context.network.upstream.made[-1]
+    made.transport.write(networks.ANSWER)
+
+
 @behave.then("no connection is relayed any more")
 def step_none_relayed(context):
     assert not relayed_count(context)
