Give a new upstream work without a pause when its only router is named

What callers saw: the first order after an upstream's start was answered `503 not_run` after 2 s, though the upstream was idle.

Cause: an upstream that names no owner has one with epoch 0. When it names the same router with epoch 1, about a second after its start, the router began a new ledger: its reservations and its queue were gone, and a ramping upstream got no work for the 2 s in which other routers renew theirs. An order that came within some 20 ms after that waited until just after its dispatch lease of 2 s. No other router can hold work at the upstream of a router that has never had a peer.

Change: the ledger of epoch 0 goes on as that of epoch 1, with its queue. The pause stays where there has been a peer, and where the upstream named this router before this run of it began.

--- a/fulmarbarrow/placement/core.py
+++ b/fulmarbarrow/placement/core.py
@@ -101,6 +101,8 @@
             metrics=metrics,
         )
         self._routers: dict[str, membership_messages.Daemon] = {}
+        # Peers behind a cut may place work, so they count after their death.
+        self._had_peers = False
         self._health = healths.Health(
             zone_of=self._directory.zone,
             router_count=lambda: len(self._routers) + 1,
@@ -287,7 +289,11 @@
             effects = self._owner_core.drop(event.upstream_id, "not_owner")
         elif upstream is not None:
             self._owner_core.acquire(
-                upstream, event.owner_epoch, now, replaces=replaces
+                upstream,
+                event.owner_epoch,
+                now,
+                replaces=replaces,
+                has_peers=self._had_peers,
             )
             effects = []
         else:
@@ -334,6 +340,7 @@
             self._routers.pop(daemon.daemon_id, None)
         elif _ROUTER_ROLE in daemon.roles:
             self._routers[daemon.daemon_id] = daemon
+            self._had_peers = True
         return self._update_routers(now)
 
     def _update_routers(self, now: datetime.datetime) -> list[message.Message]:
--- a/fulmarbarrow/placement/features/steps/placement.py
+++ b/fulmarbarrow/placement/features/steps/placement.py
@@ -208,6 +208,9 @@
     announce_owner(context, index, 1, range(len(context.net.routers)))
 
 
+@behave.given(
+    "router {index:d} is the owner of every engine with epoch {epoch:d}"
+)
 @behave.when(
     "the owner of every engine becomes router {index:d} with epoch {epoch:d}"
 )
@@ -541,6 +544,21 @@
     change_upstream(context, name, incarnation=2, started_at=now)
 
 
+@behave.given(
+    'engine "{name}" restarts now and names router {index:d} with epoch '
+    "{epoch:d}"
+)
+def step_restart_named(context, name, index, epoch):
+    change_upstream(
+        context,
+        name,
+        incarnation=2,
+        started_at=context.net.clock.now(),
+        owner=context.net.daemons[index].daemon_id,
+        owner_epoch=epoch,
+    )
+
+
 @behave.given('engine "{name}" is leaving')
 def step_leaving(context, name):
     change_upstream(context, name, state=membership.UpstreamState.LEAVING)
@@ -753,6 +771,12 @@
     assert sum(item["queued"] for item in owned.values()) > 0, owned
 
 
+@behave.then('router {index:d} has {count:d} request queued at "{name}"')
+def step_queued(context, index, count, name):
+    owned = context.net.routers[index].dump()["owned"]
+    assert owned[name]["queued"] == count, owned
+
+
 @behave.when("the zone of the chat's first engine is taken out")
 def step_first_zone_excluded(context):
     step_zone_excluded(context, upstream_order(context)[0])
--- a/fulmarbarrow/placement/ledger.py
+++ b/fulmarbarrow/placement/ledger.py
@@ -30,6 +30,8 @@
 SETTLING_TIME = datetime.timedelta(seconds=14)
 # By this time after a change of owner most entry hosts have renewed.
 HANDOVER_TIME = datetime.timedelta(seconds=2)
+# The epoch of the first owner that an incarnation of an upstream names.
+FIRST_EPOCH = 1
 # Entry hosts renew as soon as they learn of a new owner, which takes one
 # round of gossip.
 FIRST_RENEWAL_TIME = datetime.timedelta(milliseconds=300)
@@ -94,6 +96,9 @@
     reports stands in for reservations that entry hosts have not renewed here
     yet. An owner that ``replaces`` another one grants nothing before the
     first renewals.
+
+    An upstream that names no owner has one with epoch 0. If it then names
+    the same owner, the ledger goes on (see ``continue_as_named``).
     """
 
     def __init__(
@@ -113,6 +118,8 @@
         self.cold_since: datetime.datetime | None = None
         self._owned_since = owned_since
         self._replaces = replaces
+        self._may_lack_work = epoch > 0
+        self._began_unnamed = not epoch and not upstream.owner
         self._placed_window = placed_window
         self._reservations: dict[str, Reservation] = {}
         self._early_releases: collections.OrderedDict[str, None] = (
@@ -173,13 +180,39 @@
 
     def estimated_work(self, now: datetime.datetime) -> int:
         """Return the estimated work of the upstream in tokens."""
-        if self.epoch and now - self._owned_since < SETTLING_TIME:
+        if self._may_lack_work and now - self._owned_since < SETTLING_TIME:
             return max(self._reserved, self._reported_work)
         return self._reserved
 
     def in_handover(self, now: datetime.datetime) -> bool:
         """Return whether entry hosts may still have to renew here."""
-        return bool(self.epoch) and now - self._owned_since < HANDOVER_TIME
+        return self._may_lack_work and now - self._owned_since < HANDOVER_TIME
+
+    def continues(self, incarnation: int, epoch: int) -> bool:
+        """Return whether the upstream names its owner for the first time.
+
+        A ledger that began when the upstream named an owner already does not
+        continue: that owner may be this daemon before a restart.
+        """
+        return (
+            self._began_unnamed
+            and not self.epoch
+            and epoch == FIRST_EPOCH
+            and incarnation == self.upstream.incarnation
+        )
+
+    def continue_as_named(
+        self, now: datetime.datetime, *, has_peers: bool
+    ) -> None:
+        """Go on as the first owner that the upstream names.
+
+        Routers of other zones may have placed work without an owner until
+        now, which they renew here. Without peers there is no such work.
+        """
+        self.epoch = FIRST_EPOCH
+        if has_peers:
+            self._owned_since = now
+            self._may_lack_work = True
 
     def recent_work(self, now: datetime.datetime) -> int:
         """Return the work in tokens that was placed within the window."""
--- a/fulmarbarrow/placement/owner.py
+++ b/fulmarbarrow/placement/owner.py
@@ -61,17 +61,21 @@
         now: datetime.datetime,
         *,
         replaces: bool = False,
+        has_peers: bool = True,
     ) -> None:
         """Become the owner of an upstream; idempotent by epoch.
 
-        ``replaces`` is set if another daemon is known to have owned it.
+        ``replaces`` is set if another daemon is known to have owned it,
+        ``has_peers`` unless this daemon has always been the only router.
         """
         known = self._owned.get(upstream.upstream_id)
-        if known is not None and self._is_current(
-            known.ledger, upstream, epoch
-        ):
-            known.ledger.upstream = upstream
-            return
+        if known is not None:
+            ledger = known.ledger
+            if ledger.continues(upstream.incarnation, epoch):
+                ledger.continue_as_named(now, has_peers=has_peers)
+            if self._is_current(ledger, upstream, epoch):
+                ledger.upstream = upstream
+                return
         self._owned[upstream.upstream_id] = capacity.OwnedUpstream(
             ledger=ledgers.Ledger(
                 upstream=upstream,
