Refuse the requests queued at an upstream that restarts

What callers saw: a request that waited in the queue of an upstream's owner got neither a place nor a refusal when that upstream restarted, or when its owner got a new lease. It waited for the reply timeout, and its router then left that owner out for a while, for all of the owner's upstreams.

Cause: the owner began a new ledger and dropped the former one with its queue. Where another daemon becomes the owner, the queue was refused already.

Both new scenarios failed before: routers waited for places in queues that were gone.

Change: an owner that begins a new ledger refuses what was queued at the former one with "not_serving", on which the routers look at once for other upstreams.

--- a/fulmarbarrow/placement/core.py
+++ b/fulmarbarrow/placement/core.py
@@ -213,8 +213,11 @@
             case membership_messages.UpstreamGone():
                 return self._upstream_gone(event)
             case publishing_messages.ConfigurationChanged():
-                for upstream in self._directory.configure(event.bundle):
-                    self._update_owned(upstream, now)
+                return [
+                    effect
+                    for upstream in self._directory.configure(event.bundle)
+                    for effect in self._update_owned(upstream, now)
+                ]
             case membership_messages.OwnerChanged():
                 return self._owner_changed(event, now)
             case membership_messages.LoadReported():
@@ -242,16 +245,19 @@
         if new_run:
             self._ownerless.remove_upstream(upstream_id)
             self._limits.remove_upstream(upstream_id)
-        self._update_owned(self._directory.upstreams[upstream_id], now)
-        return self._assume_ownership(now)
+        refusals = self._update_owned(
+            self._directory.upstreams[upstream_id], now
+        )
+        return [*refusals, *self._assume_ownership(now)]
 
     def _update_owned(
         self, upstream: membership_messages.Upstream, now: datetime.datetime
-    ) -> None:
+    ) -> list[message.Message]:
         """Update an owned upstream's ledger from its latest record."""
         owner = self._directory.owners.get(upstream.upstream_id)
-        if owner is not None and owner.daemon_id == self._daemon.daemon_id:
-            self._owner_core.acquire(upstream, owner.epoch, now)
+        if owner is None or owner.daemon_id != self._daemon.daemon_id:
+            return []
+        return self._owner_core.acquire(upstream, owner.epoch, now)
 
     def _upstream_gone(
         self, event: membership_messages.UpstreamGone
@@ -288,14 +294,13 @@
         if event.owner != self._daemon.daemon_id:
             effects = self._owner_core.drop(event.upstream_id, "not_owner")
         elif upstream is not None:
-            self._owner_core.acquire(
+            effects = self._owner_core.acquire(
                 upstream,
                 event.owner_epoch,
                 now,
                 replaces=replaces,
                 has_peers=self._had_peers,
             )
-            effects = []
         else:
             effects = []
         renewals = self._running.renewals(
--- a/fulmarbarrow/placement/features/owner.feature
+++ b/fulmarbarrow/placement/features/owner.feature
@@ -167,6 +167,16 @@
     And 1 seconds pass
     Then none of them is queued at the chat's first engine
 
+  Scenario: Queued attempts leave an upstream that restarts
+    Given router 1 has 16 requests of 200 tokens of the chat "a" in progress
+    When the chat's first engine restarts
+    Then no request waits for its place in a queue that is gone
+
+  Scenario: Queued attempts leave an upstream whose owner has a new lease
+    Given router 1 has 16 requests of 200 tokens of the chat "a" in progress
+    When the owner of every engine becomes router 0 with epoch 3
+    Then no request waits for its place in a queue that is gone
+
   Scenario: An engine that lost its cache is ramped again
     Given 60 chats have hit the cache of "engine-0"
     When 12 chats miss the cache of "engine-0"
--- a/fulmarbarrow/placement/features/steps/placement.py
+++ b/fulmarbarrow/placement/features/steps/placement.py
@@ -790,6 +790,24 @@
     assert context.net.work(first) == context.work_before
 
 
+@behave.when("the chat's first engine restarts")
+def step_first_restarts(context):
+    step_restart(context, upstream_order(context)[0])
+
+
+@behave.then("no request waits for its place in a queue that is gone")
+def step_none_orphaned(context):
+    asked, queued = collections.Counter(), collections.Counter()
+    for router in context.net.routers:
+        state = router.dump()
+        for walk in state["walks"].values():
+            if walk["asked"]:
+                asked[walk["asked"]] += 1
+        for name, owned in state["owned"].items():
+            queued[name] += owned["queued"]
+    assert asked == +queued, (asked, queued)
+
+
 @behave.when(
     'engine "{name}" restarts and router {index:d} is announced as '
     "owner with epoch {epoch:d}"
--- a/fulmarbarrow/placement/owner.py
+++ b/fulmarbarrow/placement/owner.py
@@ -62,11 +62,13 @@
         *,
         replaces: bool = False,
         has_peers: bool = True,
-    ) -> None:
+    ) -> list[message.Message]:
         """Become the owner of an upstream; idempotent by epoch.
 
         ``replaces`` is set if another daemon is known to have owned it,
         ``has_peers`` unless this daemon has always been the only router.
+        Returns refusals for the attempts that were queued at an earlier run
+        of the upstream or under an earlier epoch.
         """
         known = self._owned.get(upstream.upstream_id)
         if known is not None:
@@ -75,7 +77,8 @@
                 ledger.continue_as_named(now, has_peers=has_peers)
             if self._is_current(ledger, upstream, epoch):
                 ledger.upstream = upstream
-                return
+                return []
+        refusals = self.drop(upstream.upstream_id, "not_serving")
         self._owned[upstream.upstream_id] = capacity.OwnedUpstream(
             ledger=ledgers.Ledger(
                 upstream=upstream,
@@ -87,6 +90,7 @@
             queue=self._policy.create_queue(),
             reply_addresses={},
         )
+        return refusals
 
     def drop(self, upstream_id: str, code: str) -> list[message.Message]:
         """Stop owning an upstream and refuse the attempts queued there."""
