Serve a zone that is cut off from upstreams by way of other zones

Cause: a host asked three peers of its own zone first, which were cut off as well. Until they knew it themselves, their failed attempt counted as proof that the upstream was at fault, and no peer was asked for a second.

Change: while it is open who is at fault, a router of another zone is asked first, whose answer tells that for the zone, too. Once the path is known to be cut, peers of the zone and of others are asked by turns, and all zones alike when most peers of the zone that were asked lately could not relay, so that the few that are left don't relay for the whole zone. A peer of the zone that tried in vain proves nothing while there are others.

Not measured: over processes.

--- a/fulmarbarrow/relay/dialer.py
+++ b/fulmarbarrow/relay/dialer.py
@@ -151,6 +151,7 @@
         self._connector: interfaces.IConnector | None = None
         self._peers: tuple[str, ...] = ()
         self._asked = ""
+        self._tried = False
         self._relayed: _Relayed | None = None
         self._reason: failures.Failure | None = None
         self._ended = False
@@ -229,24 +230,31 @@
             self.refused(code)
             return None
         self._ended = True
-        self._dialer.paths.relayed(self._place, self._dialer.now())
+        self._dialer.paths.relayed(
+            self._place, self._asked, self._dialer.now()
+        )
         return self._factory.buildProtocol(RelayedAddress(peer=self._asked))
 
     def refused(self, code: messages.RelayCode | None) -> None:
-        """Ask the next peer.
+        """Ask the next peer, unless this one has proved the upstream's fault.
 
-        One that tried in vain proves the upstream's fault, unless this host
-        suspects itself: then peers may be cut off with it.
+        Peers that don't try, as they are cut off, full or leaving, tell
+        nothing about the upstream.
         """
         self._relayed = None
         now = self._dialer.now()
         paths = self._dialer.paths
         paths.refused(self._asked, code, now)
-        tried = code is messages.RelayCode.UNREACHABLE
-        if self._peers and (not tried or paths.suspects_itself(now)):
+        tried = code in (None, messages.RelayCode.UNREACHABLE)
+        self._tried = self._tried or tried
+        proved = code is messages.RelayCode.UNREACHABLE and paths.proves_fault(
+            self._asked, now
+        )
+        if self._peers and not proved:
             self._ask_next()
             return
-        paths.not_relayed(self._place, now)
+        if self._tried:
+            paths.not_relayed(self._place, now)
         self._fail()
 
     def _ask_next(self) -> None:
--- a/fulmarbarrow/relay/features/steps/network.py
+++ b/fulmarbarrow/relay/features/steps/network.py
@@ -24,7 +24,7 @@
 
 CONNECT_TIMEOUT = datetime.timedelta(milliseconds=200)
 PEER_PORT = 7000
-UPSTREAM = ("10.9.0.1", 8080)
+UPSTREAM = ("10.255.0.1", 8080)
 STEP_SECONDS = 0.01
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 PART = b"HTTP/1.1 200 OK\r\n\r\npart"
@@ -179,13 +179,13 @@
 
 
 class Router:
-    def __init__(self, network, name, number):
+    def __init__(self, network, name, number, zone):
         self.name = name
         self.host = f"10.{number}.0.1"
         self.record = membership_messages.Daemon(
             daemon_id=name,
             incarnation=1,
-            zone="zone-1",
+            zone=zone,
             region="attica",
             address=f"{self.host}:{PEER_PORT}",
             roles=("router",),
@@ -238,7 +238,7 @@
 class Network:
     """All hosts, the time and the paths between them."""
 
-    def __init__(self, names):
+    def __init__(self, names, zones=1):
         self.clock = task.Clock()
         self.wall = clocks.ManualClock()
         self.listening = {}
@@ -249,7 +249,7 @@
         self.upstream = Upstream()
         self.listening[UPSTREAM] = self.upstream
         self.routers = {
-            name: Router(self, name, number)
+            name: Router(self, name, number, f"zone-{number % zones}")
             for number, name in enumerate(names, 1)
         }
         for router in self.routers.values():
--- a/fulmarbarrow/relay/features/steps/relay.py
+++ b/fulmarbarrow/relay/features/steps/relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import importlib.util
 import pathlib
 
@@ -16,7 +17,7 @@
 networks = importlib.util.module_from_spec(_SPEC)
 _SPEC.loader.exec_module(networks)
 
-OTHER_PLACE = ("10.8.0.1", 22)
+OTHER_PLACE = ("10.254.0.1", 22)
 
 
 @behave.given('routers "a", "b" and "c" and an upstream that all of them know')
@@ -24,6 +25,64 @@
     context.network = networks.Network(("a", "b", "c"))
 
 
+@behave.given(
+    "{count:d} routers in {zones:d} zones and an upstream that all of them "
+    "know"
+)
+def step_large_network(context, count, zones):
+    names = [f"router-{number}" for number in range(count)]
+    context.network = networks.Network(names, zones)
+
+
+@behave.given("{count:d} routers of one zone are {how} the upstream")
+def step_cut_zone(context, count, how):
+    zone = context.network.routers["router-0"].record.zone
+    context.cut = [
+        name
+        for name, router in context.network.routers.items()
+        if router.record.zone == zone
+    ][:count]
+    assert len(context.cut) == count
+    for name in context.cut:
+        CUTS[how](context, name)
+
+
+@behave.when(
+    "each of them sends a request every {interval:d} ms for {seconds:d} s"
+)
+def step_many(context, interval, seconds):
+    context.sent = []
+    network = context.network
+    for _ in range(seconds * 1000 // interval):
+        for name in context.cut:
+            context.sent.append((name, network.send(name, fresh=True)))
+        network.run(interval / 1000)
+    network.run(1)
+
+
+@behave.then("of those sent from {seconds:d} s on at most 1 in 50 fail")
+def step_few_fail(context, seconds):
+    outcomes = [
+        request.outcome
+        for _, request in context.sent
+        if request.started >= seconds
+    ]
+    failed = len(outcomes) - outcomes.count("answered")
+    assert failed * 50 <= len(outcomes), (failed, len(outcomes))
+
+
+@behave.then("no peer relayed for more than {hosts:d} hosts")
+def step_shared(context, hosts):
+    relayed = collections.Counter(
+        request.connection.peer
+        for _, request in context.sent
+        if request.outcome == "answered" and request.connection.peer
+    )
+    most = max(relayed.values())
+    of_one_host = len(context.sent) / len(context.cut)
+    assert most <= hosts * of_one_host, (most, of_one_host)
+
+
 def cut(context, name, place=networks.UPSTREAM):
     host = context.network.routers[name].host
     context.network.cut.add((host, place[0]))
@@ -46,12 +105,19 @@
         cut(context, name)
 
 
-@behave.given('connections of "{name}" to the upstream are refused')
-def step_refused(context, name):
+def refuse(context, name):
     host = context.network.routers[name].host
     context.network.refused.add((host, networks.UPSTREAM[0]))
 
 
+CUTS = {"cut off from": cut, "refused by": refuse}
+
+
+@behave.given('connections of "{name}" to the upstream are refused')
+def step_refused(context, name):
+    refuse(context, name)
+
+
 @behave.given("all paths are open again")
 def step_heal(context):
     context.network.cut.clear()
--- a/fulmarbarrow/relay/paths.py
+++ b/fulmarbarrow/relay/paths.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import collections
+import collections.abc
 import dataclasses
 import datetime
 import enum
+import itertools
 import logging
 import random
 import typing
@@ -25,6 +27,8 @@
 # For so long no peer is asked about an upstream that none could reach, and a
 # peer that could not relay is asked last.
 RETRY_INTERVAL = datetime.timedelta(seconds=1)
+# The same for a peer that is cut off as well. A cut lasts longer than that.
+CUT_OFF_INTERVAL = datetime.timedelta(seconds=3)
 MAX_PEERS_ASKED = 3
 # So many paths cut and none that works: this host is cut off.
 PATHS_TO_CUT_OFF = 2
@@ -86,6 +90,7 @@
         self._connected_at: datetime.datetime | None = None
         self._peers: dict[str, membership_messages.Daemon] = {}
         self._failed_peers: dict[str, datetime.datetime] = {}
+        self._able_peers: dict[str, datetime.datetime] = {}
 
     def handle(
         self, event: message.Message, now: datetime.datetime
@@ -95,7 +100,7 @@
             case membership_messages.DaemonChanged():
                 self._daemon_changed(event.daemon)
             case membership_messages.DaemonGone():
-                self._peers.pop(event.daemon_id, None)
+                self._remove_peer(event.daemon_id)
             case membership_messages.UpstreamChanged():
                 self._upstream_changed(event.upstream)
             case membership_messages.UpstreamGone():
@@ -145,20 +150,41 @@
         """Return the addresses of the peers to ask, in order.
 
         There are none while no peer reached the upstream; it then counts as
-        failed, as without peers.
+        failed, as without peers. Peers of the own zone come first once the
+        path is cut. Before, one of another zone does, as it tells whether the
+        upstream is at fault also where the whole zone is cut off.
         """
         path = self._paths.get(place)
         if path and path.unreachable_until and now < path.unreachable_until:
             return ()
         peers = list(self._peers.values())
         self._rng.shuffle(peers)
-        peers.sort(
-            key=lambda peer: (
-                now < self._failed_peers.get(peer.address, now),
-                peer.zone != self._daemon.zone,
-            )
-        )
-        return tuple(peer.address for peer in peers[:MAX_PEERS_ASKED])
+        peers.sort(key=lambda peer: self._failed_lately(peer.address, now))
+        if self.way(place) is Way.BY_PEER and self._zone_fails(now):
+            return tuple(peer.address for peer in peers[:MAX_PEERS_ASKED])
+        near = [peer for peer in peers if peer.zone == self._daemon.zone]
+        far = [peer for peer in peers if peer.zone != self._daemon.zone]
+        if self.way(place) is Way.DIRECT:
+            near, far = far, near
+        order = [
+            peer
+            for pair in itertools.zip_longest(near, far)
+            for peer in pair
+            if peer is not None
+        ]
+        return tuple(peer.address for peer in order[:MAX_PEERS_ASKED])
+
+    def proves_fault(self, address: str, now: datetime.datetime) -> bool:
+        """Return whether a peer's failed attempt proves an upstream's fault.
+
+        The peer may be cut off with this host if several upstreams fail here,
+        or if it is of the same zone.
+        """
+        if self.suspects_itself(now):
+            return False
+        zone = self._daemon.zone
+        near = {peer.address for peer in self._peers_of(zone)}
+        return address not in near or len(near) == len(self._peers)
 
     def connected(self, place: Place, now: datetime.datetime) -> None:
         """Record that this host connected to an upstream itself."""
@@ -182,8 +208,12 @@
         path.successes = 0
         path.failures += 1
 
-    def relayed(self, place: Place, now: datetime.datetime) -> None:
+    def relayed(
+        self, place: Place, address: str, now: datetime.datetime
+    ) -> None:
         """Record that a peer connected to an upstream."""
+        self._failed_peers.pop(address, None)
+        self._able_peers[address] = now + CUT_OFF_INTERVAL
         path = self._paths.setdefault(place, _Path())
         path.unreachable_until = None
         if path.cut or path.failures < FAILURES_TO_CUT:
@@ -207,7 +237,11 @@
         now: datetime.datetime,
     ) -> None:
         """Record why a peer relays nothing; None if it did not answer."""
-        self._failed_peers[address] = now + RETRY_INTERVAL
+        interval = RETRY_INTERVAL
+        if code is messages.RelayCode.CUT_OFF:
+            interval = CUT_OFF_INTERVAL
+        self._failed_peers[address] = now + interval
+        self._able_peers.pop(address, None)
         reason = code.value if code is not None else "no_answer"
         self._metrics.count("relays_refused", reason=reason)
 
@@ -220,6 +254,28 @@
         path = self._paths.setdefault(place, _Path())
         path.unreachable_until = now + RETRY_INTERVAL
 
+    def _peers_of(
+        self, zone: str
+    ) -> collections.abc.Iterator[membership_messages.Daemon]:
+        return (peer for peer in self._peers.values() if peer.zone == zone)
+
+    def _failed_lately(self, address: str, now: datetime.datetime) -> bool:
+        until = self._failed_peers.get(address)
+        return until is not None and now < until
+
+    def _zone_fails(self, now: datetime.datetime) -> bool:
+        """Return whether most of the zone's peers asked lately can't relay.
+
+        The others would have to relay for the whole zone.
+        """
+        failed = able = 0
+        for peer in self._peers_of(self._daemon.zone):
+            if self._failed_lately(peer.address, now):
+                failed += 1
+            elif now < self._able_peers.get(peer.address, now):
+                able += 1
+        return failed > able
+
     def _connects(self, now: datetime.datetime) -> bool:
         """Return whether a direct connection was made just now."""
         if self._connected_at is None:
@@ -262,7 +318,13 @@
         if serves:
             self._peers[daemon.daemon_id] = daemon
         else:
-            self._peers.pop(daemon.daemon_id, None)
+            self._remove_peer(daemon.daemon_id)
+
+    def _remove_peer(self, daemon_id: str) -> None:
+        peer = self._peers.pop(daemon_id, None)
+        if peer is not None:
+            self._failed_peers.pop(peer.address, None)
+            self._able_peers.pop(peer.address, None)
 
 
 def _fields(place: Place) -> dict[str, str]:
