List that new owners tell routers no wait for a ramping upstream

Not repaired: the wait, once it is told, also refuses requests that must start sooner, and what that costs while a whole fleet starts was not measured.

--- a/fulmarbarrow/placement/features/owner.feature
+++ b/fulmarbarrow/placement/features/owner.feature
@@ -144,6 +144,14 @@
     And each router places 6 requests of 100 tokens of many chats
     Then engine "engine-0" has at most 0 tokens of work
 
+  # Guards against orders whose dispatch lease ends in the queue of an owner
+  # that grants nothing yet.
+  Scenario: A request does not wait at a restarted engine whose owner waits for renewals
+    When the chat's first engine restarts
+    And the owner of every engine becomes router 2 with epoch 2
+    And router 1 places a request of 100 tokens of the chat "a" and 100 ms pass
+    Then 0 are at the chat's first engine and 1 at its second
+
   Scenario: A restarted engine gets only what its ramp allows
     Given engine "engine-0" restarts now
     When 3 seconds pass
--- a/fulmarbarrow/placement/features/steps/placement.py
+++ b/fulmarbarrow/placement/features/steps/placement.py
@@ -383,6 +383,15 @@
         advance_time(context, 0.5)
 
 
+@behave.when(
+    "router {index:d} places a request of {cost:d} tokens of the chat "
+    '"{chat}" and {passed:d} ms pass'
+)
+def step_place_soon(context, index, cost, chat, passed):
+    place_request(context, index, chat, cost)
+    advance_time(context, passed / 1000)
+
+
 @behave.when(
     "each router places {count:d} requests of {cost:d} tokens of "
     'the chat "{chat}"'
