--- a/fulmarbarrow/relay/paths.py
+++ b/fulmarbarrow/relay/paths.py
@@ -27,7 +27,7 @@
 # For so long no peer is asked about an upstream that none could reach, and a
 # peer that could not relay is asked last.
 RETRY_INTERVAL = datetime.timedelta(seconds=1)
-# The same for a peer that is cut off as well. A cut lasts longer than that.
+# For so long a peer that is cut off as well is asked last.
 CUT_OFF_INTERVAL = datetime.timedelta(seconds=3)
 MAX_PEERS_ASKED = 3
 # So many paths cut and none that works: this host is cut off.
@@ -150,9 +150,11 @@
         """Return the addresses of the peers to ask, in order.
 
         There are none while no peer reached the upstream; it then counts as
-        failed, as without peers. Peers of the own zone come first once the
-        path is cut. Before, one of another zone does, as it tells whether the
-        upstream is at fault also where the whole zone is cut off.
+        failed, as without peers.
+
+        While it is open whether the path or the upstream is at fault, a peer
+        of another zone comes first, as peers of this zone may be cut off with
+        this host. Once the path is cut, a peer of this zone does.
         """
         path = self._paths.get(place)
         if path and path.unreachable_until and now < path.unreachable_until:
@@ -177,8 +179,9 @@
     def proves_fault(self, address: str, now: datetime.datetime) -> bool:
         """Return whether a peer's failed attempt proves an upstream's fault.
 
-        The peer may be cut off with this host if several upstreams fail here,
-        or if it is of the same zone.
+        It does not if the peer may be cut off with this host: if several
+        upstreams fail here, or if the peer is of the same zone and there are
+        others.
         """
         if self.suspects_itself(now):
             return False
