--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,50 +1,117 @@
-"""A heartbeat that arrives late brings a worker back that has left."""
+"""The peer that relays an answer without a length is killed midway."""
 
 from __future__ import annotations
 
+import socket
 import threading
 import time
 
 import harness
 
-LATE_SECONDS = 3.0
-DRAIN_SECONDS = harness.BOUNDS["DrainMs"] / 1000
-# "continues serving for DrainMs after the acknowledgement and a little longer
-# (at times many seconds)"
-SERVES_ON_SECONDS = 7.0
-REQUEST_PAUSE = 0.1
-BEAT_SECONDS = 1.2
+PIECES = 30
+PIECE = b"0123456789abcdef" * 8
+PAUSE_SECONDS = 0.1
+ROUNDS = 2
+WORK_SECONDS = 1.0  # of the answer, when the relaying process is killed
 
 
-class Beats:
-    """The heartbeats of a worker, to the machine that answered the last."""
+class UnframedWorker(harness.Worker):
+    """Answers without a length and ends the answer with its connection."""
 
-    def __init__(self, *, worker, core):
-        self._worker, self._core = worker, core
-        self._running = True
-        threading.Thread(target=self._run, daemon=True).start()
+    def serve(self, taken, request_id, path, body):
+        """Answer piece by piece."""
+        taken.sendall(
+            self.head(
+                request_id,
+                "Content-Type: application/octet-stream",
+                "Connection: close",
+            )
+        )
+        for _ in range(PIECES):
+            taken.sendall(PIECE)
+            time.sleep(PAUSE_SECONDS)
+        self.record(f"{self.name} sent all of {request_id}")
+        return False
+
+
+class Link:
+    """The network before a worker: a proxy that can lose opening packets.
+
+    While its queue of new connections is full, the kernel drops the opening
+    packet of another one, which is sent again after a second.
+    """
+
+    def __init__(self, *, worker):
+        self._worker = worker
+        self._listener = socket.socket()
+        self._listener.bind(("127.0.0.1", 0))
+        self._listener.listen(0)
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self._open = threading.Event()
+        self._open.set()
+        self._fillers = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def lose_openings(self):
+        """Lose opening packets from now on."""
+        self._open.clear()
+        refused = 0
+        while refused < 2:
+            # The first one may make room in the queue once it is accepted.
+            filler = socket.socket()
+            filler.settimeout(0.05)
+            lost = filler.connect_ex(self._listener.getsockname()) != 0
+            refused = refused + 1 if lost else 0
+            self._fillers.append(filler)
+
+    def pass_openings(self):
+        """Lose none any more."""
+        fillers, self._fillers = self._fillers, []
+        for filler in fillers:
+            filler.close()
+        self._open.set()
+
+    def _accept(self):
+        while True:
+            self._open.wait()
+            taken, _ = self._listener.accept()
+            threading.Thread(
+                target=self._join, args=(taken,), daemon=True
+            ).start()
+
+    def _join(self, taken):
+        host, _, port = self._worker.own_address.rpartition(":")
+        try:
+            onward = socket.create_connection((host, int(port)))
+        except OSError:
+            taken.close()
+            return
+        for source, target in ((taken, onward), (onward, taken)):
+            threading.Thread(
+                target=_pass_on, args=(source, target), daemon=True
+            ).start()
 
-    def stop(self):
-        """Send no more."""
-        self._running = False
 
-    def _run(self):
-        while self._running:
-            self._worker.beat(self._core)
-            time.sleep(BEAT_SECONDS)
+def _pass_on(source, target):
+    try:
+        while data := source.recv(65536):
+            target.sendall(data)
+        target.shutdown(socket.SHUT_WR)
+    except OSError:
+        for item in (source, target):
+            item.close()
 
 
 def case(record, trouble):
     """Run the case; return whether the rule was broken."""
-    fleet = harness.Fleet(record=record, cores=3, edges=2, losses=1)
+    fleet = harness.Fleet(record=record, cores=1, edges=2, losses=0)
     operator = harness.Operator(fleet=fleet, record=record)
-    first, second, third = fleet.cores
-    staying, leaving = (
-        harness.Worker(record=record, name=name, service="die-register")
-        for name in ("i-staying", "i-leaving")
+    worker = UnframedWorker(
+        record=record, name="i-unframed", service="die-register"
     )
-    for worker in (staying, leaving):
-        worker.work_seconds = 0.5
+    link = Link(worker=worker)
+    worker.address = link.address
+    taking, relaying = fleet.edges
     try:
         fleet.start()
         operator.order(
@@ -56,95 +123,60 @@
                 [harness.service("die-register")],
             ),
         )
-        Beats(worker=staying, core=first)
-        beats = Beats(worker=leaving, core=first)
-        harness.wait_until(
-            lambda: all(edge.is_ready() for edge in fleet.edges), "edges ready"
-        )
-        clients = Clients(fleet=fleet, record=record)
-        time.sleep(8.0)
-        if not leaving.runs:
-            raise harness.CannotRunError("no request reached the worker")
-        beats.stop()
-        time.sleep(BEAT_SECONDS)
-        # The heartbeat is on its way while the worker begins to leave.
-        body = leaving.body("ready")
-        late = threading.Thread(
-            target=_arrive, args=(record, leaving, first, body, trouble)
-        )
-        late.start()
-        time.sleep(1.0)
-        # Without an answer within a second, the next daemon is called.
-        if trouble:
-            record(f"heartbeat to {second.ip}: {leaving.beat(second)}")
-        if leaving.leave(third) != 200:
-            raise harness.CannotRunError("the departure is not acknowledged")
-        acknowledged = time.monotonic()
-        time.sleep(DRAIN_SECONDS + SERVES_ON_SECONDS)
-        record("i-leaving exits")
-        leaving.end()
-        time.sleep(3.0)
-        clients.stop()
-        late.join()
-        reached = [
-            moment - acknowledged
-            for moment, _ in leaving.runs
-            if moment > acknowledged + DRAIN_SECONDS
-        ]
-        record(
-            f"{len(reached)} requests reached i-leaving later than DrainMs "
-            f"after the acknowledgement"
-            + (f", the last after {reached[-1]:.1f} s" if reached else "")
-        )
-        late_ids = {
-            request_id
-            for moment, request_id in leaving.runs
-            if moment > acknowledged + DRAIN_SECONDS
-        }
-        lost = [item for item in clients.unanswered if item in late_ids]
-        record(f"{len(lost)} of them have no success")
-        return bool(reached)
+        threading.Thread(
+            target=_beat, args=(worker, fleet.cores[0]), daemon=True
+        ).start()
+        broken = 0
+        for number in range(ROUNDS):
+            harness.wait_until(
+                lambda: all(edge.is_ready() for edge in fleet.edges),
+                "edges ready",
+            )
+            time.sleep(5.0)  # the peers know each other and the worker
+            broken += _round(record, link, worker, taking, relaying, trouble)
+            if trouble and number + 1 < ROUNDS:
+                relaying.start()
+        record(f"{broken} of {ROUNDS} answers were cut and look complete")
+        return broken > 0
     finally:
         fleet.close()
 
 
-def _arrive(record, worker, core, body, late):
-    """Carry a heartbeat to a machine, late if asked for."""
-    record(f"i-leaving sends a heartbeat to {core.ip}")
-    if late:
-        time.sleep(LATE_SECONDS)
-    status, _, _ = harness.call(core.control, "PUT", worker.path, body)
-    record(f"the heartbeat has arrived at {core.ip}: {status}")
-
-
-class Clients:
-    """Requests at a steady pace, by each machine in turn."""
-
-    def __init__(self, *, fleet, record):
-        self._fleet, self._record = fleet, record
-        self._running = True
-        self.unanswered = []
-        threading.Thread(target=self._run, daemon=True).start()
-
-    def stop(self):
-        """Send no more."""
-        self._running = False
-        time.sleep(1.0)
+def _round(record, link, worker, taking, relaying, trouble):
+    """Return whether a success with a part of the body reached the client."""
+    answer = []
+    link.lose_openings()
+    client = threading.Thread(
+        target=lambda: answer.extend(
+            harness.send(taking, record, "/order/1", deadline=12000)
+        )
+    )
+    before = len(worker.runs)
+    client.start()
+    time.sleep(0.12)
+    link.pass_openings()
+    until = time.monotonic() + 3
+    while len(worker.runs) == before and time.monotonic() < until:
+        time.sleep(0.01)
+    time.sleep(WORK_SECONDS)
+    if trouble:
+        record(f"{relaying.ip} is killed")
+        relaying.kill()
+    client.join()
+    _, status, body, fields = answer
+    if len(worker.runs) == before:
+        record("the request reached no worker")
+    return (
+        status == 200
+        and "X-Response-Signature" in fields
+        and body != PIECE * PIECES
+    )
 
-    def _run(self):
-        number = 0
-        while self._running:
-            edge = self._fleet.edges[number % len(self._fleet.edges)]
-            number += 1
-            threading.Thread(
-                target=self._send, args=(edge,), daemon=True
-            ).start()
-            time.sleep(REQUEST_PAUSE)
 
-    def _send(self, edge):
-        request_id, status, _, _ = harness.send(edge, self._record, "/order/1")
-        if status != 200:
-            self.unanswered.append(request_id)
+def _beat(worker, core):
+    while True:
+        worker.beat(core)
+        time.sleep(1.2)
 
 
 harness.main(case)
