Log which peer relayed an attempt and how many events went out

The line that ends a request has `peer` and `events` now, beside `framing`, and `attempt relayed` is written where a peer relays. Nothing else changes.

--- a/fulmarbarrow/delivery/effects.py
+++ b/fulmarbarrow/delivery/effects.py
@@ -186,7 +186,10 @@
                     request_id=request_id, data=bytes(attempt.body)
                 )
             )
-    return [*effects, messages.ResponseEnded(request_id=request_id)]
+    ended = messages.ResponseEnded(
+        request_id=request_id, events=request.delivered_events
+    )
+    return [*effects, ended]
 
 
 def replay(
@@ -212,7 +215,10 @@
     refusal = refusals.REFUSALS[code]
     if request.response_started:
         return messages.ResponseAborted(
-            request_id=request.request_id, code=code, ran=refusal.ran
+            request_id=request.request_id,
+            code=code,
+            ran=refusal.ran,
+            events=request.delivered_events,
         )
     return messages.RequestRefused(
         request_id=request.request_id,
--- a/fulmarbarrow/delivery/messages.py
+++ b/fulmarbarrow/delivery/messages.py
@@ -123,9 +123,13 @@
 
 
 class AttemptSent(message.Message, frozen=True, kw_only=True):
-    """The first byte of the attempt may have left this host."""
+    """The first byte of the attempt may have left this host.
+
+    ``peer`` is the address of the peer that relays it, if one does.
+    """
 
     attempt_id: str
+    peer: str = ""
 
 
 class AttemptHeaders(message.Message, frozen=True, kw_only=True):
@@ -245,19 +249,27 @@
 class ResponseEnded(
     message.Message, frozen=True, kw_only=True, tag="AnswerEnded"
 ):
-    """Effect: the response is complete; end it."""
+    """Effect: the response is complete; end it.
+
+    ``events`` is the number of stream events that were forwarded.
+    """
 
     request_id: str
+    events: int = 0
 
 
 class ResponseAborted(
     message.Message, frozen=True, kw_only=True, tag="AnswerBroken"
 ):
-    """Effect: end a started response with an error event."""
+    """Effect: end a started response with an error event.
+
+    ``events`` is the number of stream events that were forwarded.
+    """
 
     request_id: str
     code: str
     ran: Ran
+    events: int = 0
 
 
 class RequestRefused(message.Message, frozen=True, kw_only=True):
--- a/fulmarbarrow/edge/client.py
+++ b/fulmarbarrow/edge/client.py
@@ -196,7 +196,13 @@
         if until is not None and self._clock.now() >= until:
             raise exceptions.DispatchLeaseExpiredError(self._attempt_id)
         self._sent = True
-        self._post(messages.AttemptSent(attempt_id=self._attempt_id))
+        connection = self._connection
+        self._post(
+            messages.AttemptSent(
+                attempt_id=self._attempt_id,
+                peer=connection.peer if connection is not None else "",
+            )
+        )
 
     def head(self, status: int, fields: dialects.Fields) -> None:
         """Take the head of the answer."""
--- a/fulmarbarrow/observe/decisions.py
+++ b/fulmarbarrow/observe/decisions.py
@@ -38,6 +38,7 @@
     upstream: str = ""
     attempts: int = 0
     framing: str | None = None
+    peer: str | None = None
 
 
 class DecisionLog:
@@ -46,6 +47,7 @@
     handles = (
         delivery_messages.RequestArrived,
         delivery_messages.StartAttempt,
+        delivery_messages.AttemptSent,
         delivery_messages.AttemptHeaders,
         delivery_messages.AttemptEnded,
         delivery_messages.AttemptFailed,
@@ -133,6 +135,18 @@
             resume_after=event.resume_offset or None,
         )
 
+    @_on.register
+    def _(
+        self, event: delivery_messages.AttemptSent, now: datetime.datetime
+    ) -> None:
+        entry = self._open.get(event.attempt_id.rpartition("-")[0])
+        if entry is not None:
+            entry.peer = event.peer or None
+        if event.peer:
+            self._attempt(
+                "attempt relayed", event.attempt_id, now, peer=event.peer
+            )
+
     @_on.register
     def _(
         self, event: delivery_messages.AttemptHeaders, now: datetime.datetime
@@ -218,7 +232,13 @@
     def _(
         self, event: delivery_messages.ResponseEnded, now: datetime.datetime
     ) -> None:
-        self._end("answer complete", event.request_id, now, logging.INFO)
+        self._end(
+            "answer complete",
+            event.request_id,
+            now,
+            logging.INFO,
+            events=event.events or None,
+        )
 
     @_on.register
     def _(
@@ -231,6 +251,7 @@
             logging.WARNING,
             code=event.code,
             ran=event.ran.value,
+            events=event.events or None,
         )
 
     @_on.register
@@ -490,6 +511,7 @@
         entry = self._open.get(request_id)
         if entry is not None:
             fields["framing"] = entry.framing
+            fields["peer"] = entry.peer
         self._request(text, request_id, now, level=level, **fields)
         self._open.pop(request_id, None)
 
--- a/tools/log_reference.py
+++ b/tools/log_reference.py
@@ -17,8 +17,10 @@
 caller gave or else the daemon's own, `age_ms` since it was taken, and once
 they are known `first_ms`, `last_upstream` and `attempts`. The line that ends a
 request has `framing`, how its last upstream marked the end of the body:
-`length`, `chunked`, or `connection` if only its connection ended. Fields
-without a value are left out.
+`length`, `chunked`, or `connection` if only its connection ended; `peer`, the
+address of the daemon that relayed its last attempt, if one did; and `events`,
+how many events of a stream went to the caller (on the platform, the id of the
+last one). Fields without a value are left out.
 
 A daemon writes at most 150 lines a second, and as many again of warnings; a
 line `log lines left out` tells how many more there were.
