Tell the end of an answer from the end of the peer that relays it

Cause: the kernel closes the connections of a process that ends as the process would, the relayed bytes had no end of their own, and a body without a length is complete with its connection.

What a peer relays back is in frames now, the last of which says how the upstream's connection ended; any end without it fails the attempt.

Old builds ignore the field that asks for frames. For one that asks without, the kernel resets the connection if the process ends; from one that relays without, a regular end cuts the answer.

--- a/benchmarks/delivery_upstreams.py
+++ b/benchmarks/delivery_upstreams.py
@@ -78,10 +78,12 @@
         self.crashes += 1
         self.break_connections()
 
-    def break_connections(self) -> None:
+    def break_connections(
+        self, kind: messages.FailureKind = messages.FailureKind.CUT
+    ) -> None:
         """Lose every open connection, as a proxy between does."""
         for run in list(self.runs.values()):
-            self._end(run, messages.FailureKind.CUT)
+            self._end(run, kind)
 
     def _crash_by(self, run: Run) -> None:
         if self.up and run.incarnation == self.incarnation:
--- a/fulmarbarrow/delivery/features/requests.feature
+++ b/fulmarbarrow/delivery/features/requests.feature
@@ -40,6 +40,11 @@
     When the engine renews its lease 4 seconds later
     Then no digest is a suspect
 
+  # Guards against an upstream that is left out because a peer was stopped.
+  Scenario: A lost relay is no evidence against the upstream or the request
+    When the peer that relays a stream is lost
+    Then no digest is a suspect
+
   Scenario: A suspect is never dispatched to the last healthy upstream
     Given a pool of two engines
     When a poison stream is sent once
--- a/fulmarbarrow/delivery/features/steps/requests.py
+++ b/fulmarbarrow/delivery/features/steps/requests.py
@@ -167,7 +167,7 @@
 
 
 @behave.when("a stream's connection is cut")
-def step_connection_cut(context):
+def step_connection_cut(context, kind=messages.FailureKind.CUT):
     send(context, "stream")
     context.world.run(lambda: False, 0.07)
     context.engine = next(
@@ -175,10 +175,15 @@
         for upstream in context.world.upstreams.values()
         if upstream.runs
     )
-    context.engine.break_connections()
+    context.engine.break_connections(kind)
     context.world.run(lambda: False, 0.01)
 
 
+@behave.when("the peer that relays a stream is lost")
+def step_relay_lost(context):
+    step_connection_cut(context, messages.FailureKind.RELAY_LOST)
+
+
 @behave.when(
     "the connections of {count:d} leaving engines break under a shared part, "
     "{gap:d} ms apart"
--- a/fulmarbarrow/delivery/messages.py
+++ b/fulmarbarrow/delivery/messages.py
@@ -30,6 +30,8 @@
     the response belongs to another attempt. ``SERVER_ERROR``: an error
     response that is not forwarded to the caller. ``MISDIRECTED``: status 421.
     ``LEASE_PASSED``: the dispatch lease ended before the first byte was sent.
+    ``RELAY_LOST``: the peer that relayed the attempt has ended, which tells
+    nothing about the upstream.
     """
 
     CONNECT = "connect"
@@ -41,6 +43,7 @@
     SERVER_ERROR = "server_error"
     MISDIRECTED = "misdirected"
     LEASE_PASSED = "lease_passed"
+    RELAY_LOST = "relay_lost"
 
 
 class BodyFraming(enum.StrEnum):
--- a/fulmarbarrow/delivery/responses.py
+++ b/fulmarbarrow/delivery/responses.py
@@ -32,6 +32,8 @@
     messages.FailureKind.MISDIRECTED: (
         placement_messages.WorkOutcome.MISDIRECTED
     ),
+    # The router gave the upstream no chance to answer.
+    messages.FailureKind.RELAY_LOST: placement_messages.WorkOutcome.CANCELLED,
 }
 _SUSPICIOUS_KINDS = (
     messages.FailureKind.SILENT,
--- a/fulmarbarrow/edge/client.py
+++ b/fulmarbarrow/edge/client.py
@@ -252,6 +252,8 @@
         self._ended(self._attempt_id)
         if isinstance(error, exceptions.DispatchLeaseExpiredError):
             kind = messages.FailureKind.LEASE_PASSED
+        elif isinstance(error, dialers.RelayLostError):
+            kind = messages.FailureKind.RELAY_LOST
         elif self._answering:
             kind = messages.FailureKind.CUT
         elif self._sent:
--- a/fulmarbarrow/edge/connections.py
+++ b/fulmarbarrow/edge/connections.py
@@ -181,6 +181,9 @@
             self._take_events()
         if self._receiver is receiver:
             self._receiver = None
+            if reason.check(dialers.RelayLostError):
+                receiver.failed(reason.value)
+                return
             receiver.failed(IncompleteAnswerError(reason.getErrorMessage()))
 
     def _take_events(self) -> None:
--- a/fulmarbarrow/relay/dialer.py
+++ b/fulmarbarrow/relay/dialer.py
@@ -37,6 +37,13 @@
     peer: str
 
 
+class RelayLostError(Exception):
+    """The peer that relays a connection has ended, or the link to it.
+
+    Tells nothing about the upstream.
+    """
+
+
 class Dialer:
     """Opens a connection for a factory, like ``connectTCP``.
 
@@ -119,17 +126,18 @@
             reply_to=self._address,
             host=place[0],
             port=place[1],
+            framed=True,
         )
         return self._codec.encode(peer, (request,))
 
-    def answer(self, frame: bytes) -> messages.RelayCode | None:
-        """Return the code of a peer's answer, None if it is no answer."""
+    def answer(self, frame: bytes) -> messages.RelayOpened | None:
+        """Return a peer's answer, None if the frame is none."""
         decoded = self._codec.decode(frame)
         if isinstance(decoded, codecs.DropReason) or len(decoded) != 1:
             return None
         (answer,) = decoded
         if isinstance(answer, messages.RelayOpened):
-            return answer.code
+            return answer
         return None
 
 
@@ -161,6 +169,11 @@
         """The frame that asks the peer."""
         return self._dialer.request(self._asked, self._place)
 
+    @property
+    def dialer(self) -> Dialer:
+        """The dialer that opens the connection."""
+        return self._dialer
+
     def connect_directly(self) -> None:
         """Try the own path."""
         self._connector = self._dialer.reactor.connectTCP(
@@ -221,11 +234,13 @@
             self._dialer.answer_seconds, relayed.timed_out
         )
 
-    def answered(self, frame: bytes) -> protocol.Protocol | None:
+    def answered(
+        self, answer: messages.RelayOpened | None
+    ) -> protocol.Protocol | None:
         """Take a peer's answer; return the protocol to go on with."""
-        code = self._dialer.answer(frame)
         if self._ended:
             return None
+        code = answer.code if answer is not None else None
         if code is not messages.RelayCode.OPENED:
             self.refused(code)
             return None
@@ -276,13 +291,20 @@
 
 
 class _Relayed(basic.Int32StringReceiver):
-    """A connection to a peer that becomes one to the upstream."""
+    """A connection to a peer that becomes one to the upstream.
+
+    Only the peer's last frame tells of the end of the upstream's connection.
+    Without frames, from a peer of an earlier build, a regular end may be that
+    of the peer, and an answer that has no end of its own is not complete.
+    """
 
     MAX_LENGTH = MAX_ANSWER_BYTES
 
     def __init__(self, *, dial: Dial) -> None:
         self._dial: Dial | None = dial
         self._inner: protocol.Protocol | None = None
+        self._framed = False
+        self._takes_frames = False
         self._timer: interfaces.IDelayedCall | None = None
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -295,13 +317,17 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Take the answer, then the upstream's bytes."""
-        if self._inner is not None:
+        if self._inner is not None and not self._framed:
             self._inner.dataReceived(data)
             return
         super().dataReceived(data)
+        self._takes_frames = self._framed
 
     def stringReceived(self, string: bytes) -> None:  # noqa: N802
-        """Take the peer's answer."""
+        """Take the peer's answer or a frame of the upstream's bytes."""
+        if self._takes_frames and self._inner is not None:
+            self._take_frame(string)
+            return
         if self._inner is not None or self._dial is None:
             # Bytes that came with the answer are no upstream's: it speaks
             # only when it is asked.
@@ -309,18 +335,38 @@
             return
         dial, self._dial = self._dial, None
         self._stop_timer()
-        self._inner = dial.answered(string)
+        answer = dial.dialer.answer(string)
+        self._inner = dial.answered(answer)
         if self._inner is None:
             self.transport.abortConnection()
             return
+        self._framed = answer.framed
+        self.MAX_LENGTH = messages.MAX_FRAME_BYTES + 1
         self._inner.makeConnection(self.transport)
 
+    def _take_frame(self, frame: bytes) -> None:
+        """Pass the upstream's bytes on, or its end."""
+        kind, data = frame[:1], frame[1:]
+        if kind == messages.FrameKind.DATA:
+            self._inner.dataReceived(data)
+            return
+        end = internet_errors.ConnectionLost("the upstream's connection")
+        if kind == messages.FrameKind.END:
+            end = internet_errors.ConnectionDone()
+        inner, self._inner = self._inner, None
+        inner.connectionLost(failures.Failure(end))
+        self.transport.abortConnection()
+
     def connectionLost(  # noqa: N802
         self, reason: failures.Failure = protocol.connectionDone
     ) -> None:
-        """Pass the end on."""
+        """Pass on that the peer is lost, which ends no answer."""
         self._stop_timer()
         if self._inner is not None:
+            regular = reason.check(internet_errors.ConnectionDone)
+            if self._framed or regular:
+                lost = RelayLostError(reason.getErrorMessage())
+                reason = failures.Failure(lost)
             self._inner.connectionLost(reason)
             return
         dial, self._dial = self._dial, None
--- a/fulmarbarrow/relay/features/relay.feature
+++ b/fulmarbarrow/relay/features/relay.feature
@@ -91,6 +91,59 @@
     When "a" sends a request
     And the upstream resets its connection after 700 ms
     Then it fails after bytes were sent
+    And the failure is the upstream's
+
+  # Guards against a part of an answer that is passed on as the whole.
+  Scenario: An answer without a length whose relaying peer ends is not complete
+    Given "a" is cut off from the upstream
+    And the upstream answers a part without a length
+    When "a" sends a request
+    And the peer that relayed it ends after 700 ms
+    Then it fails after bytes were sent
+    And the failure is not the upstream's
+
+  Scenario: An answer without a length that ends by way of a peer is complete
+    Given "a" is cut off from the upstream
+    And the upstream answers a part without a length
+    When "a" sends a request
+    And the upstream ends its connection after 700 ms
+    Then it is answered within 100 ms
+    And its body is "part"
+
+  Scenario: A long answer comes whole by way of a peer
+    Given "a" is cut off from the upstream
+    And the upstream answers 1000000 bytes in one part
+    When "a" sends a request
+    Then it is answered within 700 ms
+    And its body has 1000000 bytes
+
+  Scenario: A peer of a build without frames relays what has a length
+    Given "a" is cut off from the upstream
+    And "b" and "c" are daemons of a build without frames
+    When "a" sends a request
+    Then it is answered within 600 ms
+    And its body is "ok"
+
+  # Its end can't be told from the peer's own.
+  Scenario Outline: A peer of a build without frames completes no answer by its end
+    Given "a" is cut off from the upstream
+    And "b" and "c" are daemons of a build without frames
+    And the upstream answers a part without a length
+    When "a" sends a request
+    And <end> after 700 ms
+    Then it fails after bytes were sent
+
+    Examples:
+      | end                              |
+      | the peer that relayed it ends    |
+      | the upstream ends its connection |
+
+  Scenario: A daemon that asks for no frames gets plain bytes
+    Given "a" is cut off from the upstream
+    And "a" is a daemon of a build that asks for no frames
+    When "a" sends a request
+    Then it is answered within 600 ms
+    And its body is "ok"
 
   Scenario: A peer that stops keeps no idle connection of others
     Given "a" is cut off from the upstream
--- a/fulmarbarrow/relay/features/steps/network.py
+++ b/fulmarbarrow/relay/features/steps/network.py
@@ -109,6 +109,7 @@
         far = Transport(accepted, isServer=True)
         near.other, far.other = far, near
         connector.client = client
+        self.network.ends.append((host, far))
         pump = iosim.connect(accepted, far, client, near)
         self.network.pumps.append((self.host, host, pump))
 
@@ -171,6 +172,7 @@
         self.end("answered")
 
     def failed(self, error):
+        self.error = error
         self.end("failed")
 
     def end(self, outcome):
@@ -244,6 +246,7 @@
         self.listening = {}
         self.connects = []
         self.pumps = []
+        self.ends = []  # pairs of the host that accepted and its transport
         self.cut = set()
         self.refused = set()
         self.upstream = Upstream()
@@ -296,6 +299,15 @@
             self.clock.advance(elapsed)
             self.settle()
 
+    def end_process(self, host):
+        """Close what a host accepted, as its kernel does, and let it not know.
+
+        Bytes that the process writes from now on go nowhere.
+        """
+        for accepting, end in self.ends:
+            if accepting == host:
+                end.loseConnection()
+
     def settle(self):
         busy = True
         while busy:
--- a/fulmarbarrow/relay/features/steps/relay.py
+++ b/fulmarbarrow/relay/features/steps/relay.py
@@ -5,9 +5,14 @@
 import collections
 import importlib.util
 import pathlib
+import re
+from unittest import mock
 
 import behave
+import msgspec
 
+from fulmarbarrow.edge import connections
+from fulmarbarrow.relay import dialer
 from fulmarbarrow.relay import server
 
 # Behave loads step files by path, so they can't import each other.
@@ -269,12 +274,83 @@
     context.network.run(0.1)
 
 
+@behave.when("the upstream ends its connection after {milliseconds:d} ms")
+def step_upstream_ends(context, milliseconds):
+    context.network.run(milliseconds / 1000)
+    context.network.upstream.made[-1].transport.loseConnection()
+    context.network.run(0.1)
+
+
+@behave.when("the peer that relayed it ends after {milliseconds:d} ms")
+def step_peer_ends(context, milliseconds):
+    context.network.run(milliseconds / 1000)
+    host = context.request.connection.peer.rpartition(":")[0]
+    assert host
+    context.network.end_process(host)
+    context.network.run(0.1)
+
+
+@behave.given("{names} are daemons of a build without frames")
+def step_earlier_servers(context, names):
+    for name in re.findall(r'"(\w+)"', names):
+        router = context.network.routers[name]
+        router.transport.relay_with(
+            lambda receiver, event, relays=router.relays: relays.open(
+                receiver, msgspec.structs.replace(event, framed=False)
+            )
+        )
+
+
+@behave.given('"{name}" is a daemon of a build that asks for no frames')
+def step_earlier_dialer(context, name):
+    made = context.network.routers[name].pool._dialer
+    asked = made._codec.encode
+
+    def encode(peer, bodies):
+        return asked(
+            peer,
+            tuple(
+                msgspec.structs.replace(body, framed=False) for body in bodies
+            ),
+        )
+
+    made._codec = mock.Mock(wraps=made._codec, encode=encode)
+
+
+@behave.then('its body is "{body}"')
+def step_body(context, body):
+    assert context.request.body == body.encode(), context.request.body
+
+
+@behave.given("the upstream answers {count:d} bytes in one part")
+def step_long(context, count):
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % count
+    context.network.upstream.answer = head + b"x" * count
+
+
+@behave.then("its body has {count:d} bytes")
+def step_length(context, count):
+    assert len(context.request.body) == count, len(context.request.body)
+
+
 @behave.then("it fails after bytes were sent")
 def step_fails_sent(context):
     assert context.request.outcome == "failed", context.request.outcome
     assert context.request.sent
 
 
+@behave.then("the failure is not the upstream's")
+def step_lost_relay(context):
+    error = context.request.error
+    assert isinstance(error, dialer.RelayLostError), error
+
+
+@behave.then("the failure is the upstream's")
+def step_lost_upstream(context):
+    error = context.request.error
+    assert isinstance(error, connections.IncompleteAnswerError), error
+
+
 def relayed_count(context):
     return sum(
         router.relays.count for router in context.network.routers.values()
--- a/fulmarbarrow/relay/messages.py
+++ b/fulmarbarrow/relay/messages.py
@@ -1,8 +1,15 @@
 """Messages that open a connection to an upstream by way of a peer.
 
 They travel on the connection that is relayed afterwards: the first frame of a
-connection to a peer asks, the first frame back answers, and all bytes after
-them are the upstream's.
+connection to a peer asks, the first frame back answers, and what follows is
+the upstream's.
+
+Towards the upstream the bytes follow as they are. Back they follow in frames:
+the length in four bytes, the kind in one and at most 64 KiB of the upstream's
+bytes. The last frame says how the upstream's connection ended, so an end
+without it is that of the peer, and never the end of an answer. A daemon of a
+build without frames neither asks for them nor confirms them, and gets and
+sends plain bytes.
 """
 
 from __future__ import annotations
@@ -11,6 +18,17 @@
 
 from fulmarbarrow import message
 
+MAX_FRAME_BYTES = 64 << 10
+
+
+class FrameKind(bytes, enum.Enum):
+    """What a frame of a relayed connection carries."""
+
+    DATA = b"d"
+    # The upstream closed its connection regularly, or it was lost.
+    END = b"e"
+    RESET = b"r"
+
 
 class RelayCode(enum.StrEnum):
     """Why a peer does not relay a connection; empty if it does."""
@@ -26,18 +44,26 @@
 
 
 class OpenRelay(message.Message, frozen=True, kw_only=True):
-    """Asks a peer to connect this connection to an upstream."""
+    """Asks a peer to connect this connection to an upstream.
+
+    ``framed`` asks for the upstream's bytes in frames.
+    """
 
     daemon_id: str
     reply_to: str
     host: str
     port: int
+    framed: bool = False
 
 
 class RelayOpened(message.Message, frozen=True, kw_only=True):
-    """The answer; unless it is opened, the peer ends the connection."""
+    """The answer; unless it is opened, the peer ends the connection.
+
+    ``framed`` confirms that the upstream's bytes come in frames.
+    """
 
     code: RelayCode = RelayCode.OPENED
+    framed: bool = False
 
 
 PEER_MESSAGES = (OpenRelay, RelayOpened)
--- a/fulmarbarrow/relay/server.py
+++ b/fulmarbarrow/relay/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import datetime
+import logging
 
 from twisted.internet import address as addresses
 from twisted.internet import error as internet_errors
@@ -16,6 +17,8 @@
 from fulmarbarrow.relay import paths as paths_module
 from fulmarbarrow.wire import transport as transports
 
+log = logging.getLogger(__name__)
+
 MAX_RELAYS = 256
 # A sound upstream may be silent for a second.
 UNACKNOWLEDGED_MS = 2_000
@@ -72,7 +75,9 @@
         event = outgoing.event
         self._paths.connected((event.host, event.port), self._clock.now())
         self._metrics.count("relays_opened")
-        outgoing.incoming.answer(event.reply_to, messages.RelayOpened())
+        outgoing.incoming.answer(
+            event.reply_to, messages.RelayOpened(framed=event.framed)
+        )
 
     def failed(self, outgoing: Outgoing) -> None:
         """Tell the peer that this host can't reach the upstream either."""
@@ -123,6 +128,7 @@
         self.incoming = incoming
         self._server = server
         self._connector: interfaces.IConnector | None = None
+        self._bytes = 0
         self._ended = False
 
     def connect(self, reactor: interfaces.IReactorTCP, timeout: float) -> None:
@@ -156,31 +162,49 @@
         transports.watch_writes(
             self.incoming.transport, unacknowledged_ms=UNACKNOWLEDGED_MS
         )
+        if not self.event.framed:
+            # Nothing else marks the upstream's end for an earlier build.
+            transports.reset_when_lost(self.incoming.transport, reset=True)
         self.transport.registerProducer(self.incoming.transport, True)
         self.incoming.transport.registerProducer(self.transport, True)
         self._server.opened(self)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Pass the upstream's bytes on to the peer."""
-        self.incoming.transport.write(data)
+        self._bytes += len(data)
+        if not self.event.framed:
+            self.incoming.transport.write(data)
+            return
+        for begin in range(0, len(data), messages.MAX_FRAME_BYTES):
+            part = data[begin : begin + messages.MAX_FRAME_BYTES]
+            self.incoming.sendString(messages.FrameKind.DATA.value + part)
 
     def connectionLost(  # noqa: N802
         self, reason: failures.Failure = protocol.connectionDone
     ) -> None:
         """End the peer's connection after all bytes of the upstream.
 
-        A reset is passed on as one, as an answer without a length that ends
-        by a reset is not complete.
+        A reset is told from a regular end, as an answer without a length that
+        ends by a reset is not complete.
         """
         self._server.closed(self)
         if self._ended:
             return
         self._ended = True
         self.incoming.transport.unregisterProducer()
-        if reason.check(internet_errors.ConnectionDone):
-            self.incoming.transport.loseConnection()
+        regular = bool(reason.check(internet_errors.ConnectionDone))
+        self._log_end("upstream" if regular else "reset")
+        if self.event.framed:
+            kind = messages.FrameKind.END
+            if not regular:
+                kind = messages.FrameKind.RESET
+            self.incoming.sendString(kind.value)
+        elif regular:
+            transports.reset_when_lost(self.incoming.transport, reset=False)
         else:
             self.incoming.transport.abortConnection()
+            return
+        self.incoming.transport.loseConnection()
 
     def write(self, data: bytes) -> None:
         """Pass a peer's bytes on to the upstream."""
@@ -196,7 +220,19 @@
         self._ended = True
         self._server.closed(self)
         if self.transport is not None:
+            self._log_end("requester")
             self.transport.unregisterProducer()
             self.transport.abortConnection()
         elif self._connector is not None:
             self._connector.disconnect()
+
+    def _log_end(self, ended: str) -> None:
+        log.info(
+            "relay ended",
+            extra={
+                "upstream": f"{self.event.host}:{self.event.port}",
+                "requester": self.event.daemon_id,
+                "bytes": self._bytes,
+                "ended": ended,
+            },
+        )
--- a/fulmarbarrow/wire/transport.py
+++ b/fulmarbarrow/wire/transport.py
@@ -5,6 +5,7 @@
 import collections
 import logging
 import socket
+import struct
 import typing
 
 from twisted.internet import address as addresses
@@ -54,6 +55,20 @@
     )
 
 
+def reset_when_lost(transport: typing.Any, *, reset: bool) -> None:
+    """Choose whether the kernel resets a connection whose process ends.
+
+    Otherwise the end of the process looks like a regular close. Has to be
+    taken back before a regular close, which would drop what is unsent.
+    """
+    get_handle = getattr(transport, "getHandle", None)
+    if get_handle is None:  # a connection in memory
+        return
+    get_handle().setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", int(reset), 0)
+    )
+
+
 def watch_reads(transport: typing.Any) -> None:
     """Have the kernel probe a connection on which little is written."""
     get_handle = getattr(transport, "getHandle", None)
--- a/tools/log_reference.py
+++ b/tools/log_reference.py
@@ -22,6 +22,11 @@
 how many events of a stream went to the caller (on the platform, the id of the
 last one). Fields without a value are left out.
 
+A daemon that relays writes `relay ended` with the `upstream`'s address, the
+`requester`, the `bytes` that came from the upstream and how it ended: `ended`
+is `upstream` for a regular end, `reset` for a reset of the upstream's
+connection, `requester` if the other daemon closed.
+
 A daemon writes at most 150 lines a second, and as many again of warnings; a
 line `log lines left out` tells how many more there were.
 
