Reset an HTTP/1.0 caller's open answer when the process ends

A caller of HTTP/1.0 whose router was killed got the first events of a stream and a regular end, as the kernel closes the connections of a killed process.

Nothing but the connection marks the end of such an answer, so the kernel is told to reset it, until the answer is whole.

--- a/fulmarbarrow/edge/answer.py
+++ b/fulmarbarrow/edge/answer.py
@@ -10,9 +10,11 @@
 from fulmarbarrow.edge import dialect as dialects
 from fulmarbarrow.edge import exchange as exchanges
 from fulmarbarrow.edge import headers
+from fulmarbarrow.wire import transport as transports
 
 TRANSPORT_BUFFER_BYTES = 64 << 10
 EVENT_STREAM = "text/event-stream"
+HTTP_1_1 = b"HTTP/1.1"
 
 
 class Answer:
@@ -41,6 +43,7 @@
         self._paused = False
         self._streamed = False
         self._written_bytes = 0
+        self._ends_with_connection = False
         self.started = False
         self.backlog_bytes = 0
         self.account = arrived.account
@@ -61,6 +64,9 @@
             request.setHeader(headers.REPLAYED, "true")
         for name, value in event.fields:
             request.responseHeaders.addRawHeader(name, value)
+        if event.length is None and request.clientproto != HTTP_1_1:
+            self._ends_with_connection = True
+            transports.reset_when_lost(request.channel.transport, reset=True)
         request.registerProducer(self, True)
 
     def write(self, data: bytes) -> bool:
@@ -75,6 +81,10 @@
 
     def finish(self) -> None:
         """End a whole answer."""
+        if self._ends_with_connection:
+            transports.reset_when_lost(
+                self._request.channel.transport, reset=False
+            )
         self._request.unregisterProducer()
         self._request.finish()
 
@@ -89,6 +99,7 @@
         A stream says why if the interface has a way to; any other answer just
         ends before its time. Where the end of the connection would mark the
         end of the body, as for an HTTP/1.0 caller, the connection is reset.
+        The kernel does the same if the process ends.
         """
         last = b""
         if self._streamed:
--- a/fulmarbarrow/platform/features/path.feature
+++ b/fulmarbarrow/platform/features/path.feature
@@ -62,6 +62,18 @@
     When an HTTP/1.0 client asks for a stream that must run once
     Then its connection is reset
 
+  # Guards against a part of a stream that looks whole as its router was killed.
+  Scenario: A stream of a killed daemon does not end regularly for an HTTP/1.0 client
+    Given configuration 3 and workers "i-1" of the pool
+    And worker "i-1" takes 200 ms an event
+    When an HTTP/1.0 client asks for a stream and the daemon is killed meanwhile
+    Then its connection is reset
+
+  Scenario: A whole stream ends regularly for an HTTP/1.0 client
+    Given configuration 3 and workers "i-1" of the pool
+    When an HTTP/1.0 client asks for a stream that must run once
+    Then its connection ends regularly after events 1 to 6
+
   Scenario: A stream that ends with its connection comes whole
     Given configuration 3 and workers "i-1 i-2" of the pool
     And whichever worker is asked first ends its connection after the last event
--- a/fulmarbarrow/platform/features/steps/path.py
+++ b/fulmarbarrow/platform/features/steps/path.py
@@ -540,6 +540,25 @@
             context.reset = True
 
 
+@behave.when(
+    "an HTTP/1.0 client asks for a stream and the daemon is killed meanwhile"
+)
+def step_stream_http10_killed(context):
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        done = pool.submit(step_stream_http10, context)
+        fleet.wait_until(lambda: context.data, "the first event")
+        context.daemon.process.kill()
+        done.result()
+
+
+@behave.then("its connection ends regularly after events 1 to {last:d}")
+def step_regular(context, last):
+    assert not context.reset
+    body = context.data.partition(b"\r\n\r\n")[2]
+    whole = "".join(f"id: {n}\ndata: {n}\n\n" for n in range(1, last + 1))
+    assert body == whole.encode(), body
+
+
 @behave.then("its connection is reset")
 def step_reset(context):
     assert context.reset, context.data
