Let a withdrawal outrank every announcement of its incarnation

Cause: a DELETE has no sequence. Its host made one up from what it had been sent itself, which was lower than sequences that other hosts had seen, as renewals are not spread. The routers' lines show the leave at sequence 2 and the worker serving again at a higher one.

A withdrawal gets the sequence that outranks all others, and daemons keep the sequence of a leave whose record they don't have.

--- a/fulmarbarrow/membership/announcements.py
+++ b/fulmarbarrow/membership/announcements.py
@@ -108,7 +108,12 @@
     def handle_withdrawal(
         self, event: messages.Withdrawn, now: datetime.datetime
     ) -> None:
-        """Mark an upstream as leaving, given only its id, and broadcast it."""
+        """Mark an upstream as leaving, given only its id, and broadcast it.
+
+        The withdrawal has no sequence, and other daemons may have taken later
+        announcements than this one knows of. As an incarnation that withdraws
+        does not return, the withdrawal outranks all of its announcements.
+        """
         entry = self._upstream_table.get(event.upstream_id)
         if entry is None:
             known = (
@@ -120,7 +125,7 @@
         before = entry.upstream
         leaving = msgspec.structs.replace(
             before,
-            sequence=entry.sequence + 1,
+            sequence=state.DEREGISTERED_SEQUENCE,
             state=messages.UpstreamState.LEAVING,
         )
         if before.state is not messages.UpstreamState.LEAVING:
@@ -211,6 +216,8 @@
             same_incarnation = (
                 upstream.incarnation == entry.upstream.incarnation
             )
+            if same_incarnation and entry.withdrawn:
+                return "already_left"
             if same_incarnation and upstream.sequence <= entry.sequence:
                 return "stale_sequence"
         return ""
--- a/fulmarbarrow/membership/features/members.feature
+++ b/fulmarbarrow/membership/features/members.feature
@@ -102,6 +102,15 @@
     When an upstream withdraws there
     Then within 2 s every daemon knows that it is leaving
 
+  Scenario: A withdrawal outranks announcements that its host never got
+    Given 4 zones with 23 daemons and 16 upstreams each
+    And 5 s have passed
+    And one daemon has taken the announcements of all upstreams for 12 s
+    When an upstream withdraws at another daemon
+    And its last announcement arrives late at each daemon
+    And 2 s have passed
+    Then within 1 s every daemon knows that it is leaving
+
   Scenario: An announcement that arrives after the tombstone changes nothing
     Given 3 zones with 3 daemons and 4 upstreams each
     And 5 s have passed
--- a/fulmarbarrow/membership/features/registrar.feature
+++ b/fulmarbarrow/membership/features/registrar.feature
@@ -32,6 +32,33 @@
     Then every router is sent at once, as urgent, that "e1" is leaving
     And it is acknowledged
 
+  # Guards against a withdrawal that a late announcement undoes (DRAIN).
+  Scenario: An announcement from before a withdrawal does not undo it
+    Given a control host that knows routers "r1 r2 r3"
+    And upstream "e1" is known
+    When upstream "e1" is withdrawn
+    And upstream "e1" announces itself with sequence 40
+    Then it is refused as already_left
+
+  Scenario: An upstream that starts again under its id is taken
+    Given a control host that knows routers "r1 r2 r3"
+    And upstream "e1" is known
+    When upstream "e1" is withdrawn
+    And a later incarnation of upstream "e1" announces itself
+    Then it is acknowledged
+
+  Scenario Outline: A record from before a leave does not undo it, whatever came first
+    Given a router that knows upstream "e1" by its record 5
+    When it hears that "e1" leaves at sequence <leave>, of a record that it does not have
+    And it hears of record <late> of "e1"
+    Then it knows that "e1" is <state>
+
+    Examples:
+      | leave            | late | state   |
+      | 9                | 8    | leaving |
+      | 9                | 10   | serving |
+      | 9007199254740992 | 40   | leaving |
+
   Scenario: A withdrawal of an unknown upstream is refused, for another host to try
     Given a control host that knows routers "r1 r2 r3"
     When upstream "e9" is withdrawn
--- a/fulmarbarrow/membership/features/steps/fleet.py
+++ b/fulmarbarrow/membership/features/steps/fleet.py
@@ -244,6 +244,12 @@
     context.fleet.post(context.node, withdrawn)
 
 
+@behave.when("an upstream withdraws at another daemon")
+def step_withdraws_elsewhere(context):
+    context.node = context.fleet.nodes["entry-11"]
+    step_withdraws(context)
+
+
 @behave.when("it stops")
 def step_stops(context):
     context.upstream.running = False
--- a/fulmarbarrow/membership/features/steps/registrar.py
+++ b/fulmarbarrow/membership/features/steps/registrar.py
@@ -113,6 +113,50 @@
     announce(context, name)
 
 
+@behave.when('upstream "{name}" announces itself with sequence {sequence:d}')
+def step_announce_sequence(context, name, sequence):
+    announce(context, name, sequence=sequence)
+
+
+@behave.when('a later incarnation of upstream "{name}" announces itself')
+def step_announce_incarnation(context, name):
+    announce(context, name, incarnation=2, sequence=1)
+
+
+@behave.given('a router that knows upstream "{name}" by its record {number:d}')
+def step_router_knows(context, name, number):
+    make_core(context, "r1", "router")
+    announce(context, name, sequence=number)
+
+
+@behave.when(
+    'it hears that "{name}" leaves at sequence {sequence:d}, of a record that '
+    "it does not have"
+)
+def step_hears_leave(context, name, sequence):
+    delta = messages.UpstreamDelta(
+        upstream_id=name,
+        incarnation=1,
+        base=3,
+        sequence=sequence,
+        state=messages.UpstreamState.LEAVING,
+    )
+    handle(context, messages.Gossip(changes=(delta,)))
+
+
+@behave.when('it hears of record {number:d} of "{name}"')
+def step_hears_record(context, number, name):
+    record = msgspec.structs.replace(context.record, sequence=number)
+    handle(context, messages.Gossip(upstreams=(record,)))
+
+
+@behave.then('it knows that "{name}" is {upstream_state}')
+def step_knows_state(context, name, upstream_state):
+    (found,) = context.core.dump()["upstreams"]
+    assert found["upstream_id"] == name
+    assert found["state"] == upstream_state, found
+
+
 @behave.when('upstream "{name}" announces itself again {seconds:d} s later')
 def step_announce_again(context, name, seconds):
     handle(context, messages.Gossip(upstreams=(context.record_with_owner,)))
--- a/fulmarbarrow/membership/state.py
+++ b/fulmarbarrow/membership/state.py
@@ -33,6 +33,8 @@
     ``renewed_at`` is when an announcement or renewal was last received here.
     ``lease_holder`` is the id of the daemon that holds the lease. ``hidden``
     is set while the zone of the upstream is unreachable from this daemon.
+    ``leaving_sequence`` is the highest one at which the upstream is known to
+    leave; the record may be older.
     """
 
     upstream: messages.Upstream
@@ -44,12 +46,18 @@
     lease_held_since: datetime.datetime | None = None
     lease_queried_at: datetime.datetime | None = None
     owner: Owner | None = None
+    leaving_sequence: int = -1
 
     @property
     def version(self) -> tuple[int, int, int]:
         """The version of the record; the highest version wins."""
         return self.upstream.incarnation, self.upstream.sequence, 0
 
+    @property
+    def withdrawn(self) -> bool:
+        """Whether the upstream deregistered itself."""
+        return self.leaving_sequence >= DEREGISTERED_SEQUENCE
+
     def renewed_within(
         self, period: datetime.timedelta, now: datetime.datetime
     ) -> bool:
--- a/fulmarbarrow/membership/upstreams.py
+++ b/fulmarbarrow/membership/upstreams.py
@@ -66,11 +66,15 @@
         entry = self._entries.get(upstream.upstream_id)
         if entry is not None and entry.version >= version:
             return None
+        if entry is not None and _undoes_leave(entry, upstream):
+            return None
         if entry is None:
             self._tombstones.pop(upstream.upstream_id, None)
             entry = self._add(upstream, now)
         else:
             self._replace(entry, upstream, now)
+        if upstream.state is messages.UpstreamState.LEAVING:
+            entry.leaving_sequence = upstream.sequence
         self._update_index(entry)
         self._outbox.emit(messages.UpstreamChanged(upstream=upstream))
         return entry
@@ -82,7 +86,7 @@
 
         If the delta is based on another record, its state and a higher epoch
         are applied, but the sequence is kept, so that anti-entropy fetches
-        the full record.
+        the full record. No record from before a leave undoes it meanwhile.
         """
         entry = self._entries.get(delta.upstream_id)
         if entry is None:
@@ -105,6 +109,10 @@
             return None
         entry.upstream = updated
         entry.sequence = max(entry.sequence, delta.sequence)
+        if delta.state is messages.UpstreamState.LEAVING:
+            entry.leaving_sequence = max(
+                entry.leaving_sequence, delta.sequence
+            )
         entry.hidden = False
         self._update_index(entry)
         self._outbox.emit(messages.UpstreamChanged(upstream=updated))
@@ -181,6 +189,7 @@
             self._flap_damping.record_departure(upstream.upstream_id, now)
             entry.owner = None
             entry.sequence = 0
+            entry.leaving_sequence = -1
         entry.upstream = upstream
         entry.sequence = max(entry.sequence, upstream.sequence)
         entry.received_at = now
@@ -202,3 +211,14 @@
                 reason=reason,
             )
         )
+
+
+def _undoes_leave(
+    entry: state.UpstreamEntry, upstream: messages.Upstream
+) -> bool:
+    """Return whether a record is from before a leave that is known of."""
+    return (
+        upstream.incarnation == entry.upstream.incarnation
+        and upstream.state is not messages.UpstreamState.LEAVING
+        and upstream.sequence < entry.leaving_sequence
+    )
--- a/fulmarbarrow/observe/decisions.py
+++ b/fulmarbarrow/observe/decisions.py
@@ -61,6 +61,7 @@
         delivery_messages.PartReleased,
         placement_messages.Placed,
         placement_messages.NotPlaced,
+        membership_messages.Withdrawn,
         membership_messages.UpstreamChanged,
         membership_messages.UpstreamGone,
         membership_messages.OwnerChanged,
@@ -307,6 +308,12 @@
     ) -> None:
         log.warning("prompt part released", extra={"part": event.part})
 
+    @_on.register
+    def _(
+        self, event: membership_messages.Withdrawn, now: datetime.datetime
+    ) -> None:
+        log.info("withdrawal taken", extra={"upstream": event.upstream_id})
+
     @_on.register
     def _(
         self,
--- a/fulmarbarrow/platform/features/path.feature
+++ b/fulmarbarrow/platform/features/path.feature
@@ -230,6 +230,16 @@
     And 8 clients send an order one after the other
     Then worker "i-1" ran none of them
 
+  # Guards against a departure that a heartbeat from before it undoes.
+  Scenario: A heartbeat that is late does not bring a worker back that has left
+    Given configuration 3 and workers "i-1 i-2" of the desk
+    When worker "i-1" deletes its registration
+    And 3 heartbeats of worker "i-1" arrive late, each answered 200
+    And 8 clients send an order one after the other
+    Then worker "i-1" ran none of them
+    When worker "i-1" starts again
+    Then within 4 s worker "i-1" runs an order
+
   Scenario: Heartbeats that can't be read name no worker
     Given configuration 3 and workers "i-1" of the desk
     When heartbeats come with the state "sleeping", without a sequence and as noise
@@ -266,6 +276,7 @@
       | born            | 100000000000000000      |
       | born            | 9000000000000000000     |
       | Sequence        | 99999999999999999999999 |
+      | Sequence        | 9007199254740992        |
       | Slots           | 99999999999999999999999 |
       | ColdRemainingMs | 1e300                   |
 
--- a/fulmarbarrow/platform/features/steps/path.py
+++ b/fulmarbarrow/platform/features/steps/path.py
@@ -412,6 +412,31 @@
     assert worker.beat(context.daemon.operators, state="draining") == 200
 
 
+@behave.when(
+    '{count:d} heartbeats of worker "{name}" arrive late, each answered '
+    "{status:d}"
+)
+def step_late_heartbeats(context, count, name, status):
+    worker = context.workers[name]
+    for _ in range(count):
+        assert worker.beat(context.daemon.operators) == status
+
+
+@behave.when('worker "{name}" starts again')
+def step_worker_restarts(context, name):
+    worker = context.workers[name]
+    born = int(time.time() * 1000)
+    assert worker.beat(context.daemon.operators, born=born, Sequence=1) == 200
+
+
+@behave.then('within {seconds:d} s worker "{name}" runs an order')
+def step_runs_order(context, seconds, name):
+    until = time.monotonic() + seconds
+    while not context.workers[name].runs:
+        assert time.monotonic() < until
+        assert ask(context, "/order/1")[0] == 200
+
+
 @behave.when('worker "{name}" deletes its registration')
 def step_delete(context, name):
     status, *_ = standin.call(
--- a/fulmarbarrow/platform/registrations.py
+++ b/fulmarbarrow/platform/registrations.py
@@ -22,6 +22,8 @@
 MILLISECOND = datetime.timedelta(milliseconds=1)
 MAX_PORT = 65_535
 NonNegative = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+# Below the sequence that a withdrawal gets.
+Sequence = typing.Annotated[int, msgspec.Meta(ge=0, lt=2**53)]
 Name = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=255)]
 # What reading a heartbeat may raise.
 UNREADABLE = (msgspec.DecodeError, KeyError, ValueError, OverflowError)
@@ -51,7 +53,7 @@
     slots: NonNegative = msgspec.field(name="Slots")
     state: str = msgspec.field(name="State")
     # Grows with each call of one incarnation.
-    sequence: NonNegative = msgspec.field(name="Sequence")
+    sequence: Sequence = msgspec.field(name="Sequence")
     cold_ms: typing.Annotated[float, msgspec.Meta(ge=0)] = msgspec.field(
         name="ColdRemainingMs", default=0
     )
