Carry an order out only while its caller waits, and on its base

Cause: calls were proposed when they were read, whatever their age, and orders for zones carry nothing that tells an old one from a new one; one whose base was outdated was proposed again in full.

A host now looks whether the caller still waits and leaves what it reads after it stood still to others; the order is a publish on the revision that the host knows, which the log refuses once another one was accepted. All builds apply that command alike, so the replicated state stays the same in a mixed fleet.

--- a/fulmarbarrow/platform/calls.py
+++ b/fulmarbarrow/platform/calls.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import collections.abc
+import datetime
+import logging
+import socket
 
 from twisted.internet import defer
 from twisted.python import failure as failures
@@ -10,11 +13,65 @@
 from twisted.web import resource as resources
 from twisted.web import server
 
+from fulmarbarrow import bus as buses
+from fulmarbarrow import clock as clocks
+from fulmarbarrow import message
+
+log = logging.getLogger(__name__)
+
+# A caller turns to another daemon after this long without an answer.
+PATIENCE = datetime.timedelta(seconds=1)
+# Time in which what arrived during a pause of the process is read.
+BACKLOG_TIME = datetime.timedelta(milliseconds=500)
+
 Answer = bytes | defer.Deferred[bytes]
 Call = collections.abc.Callable[[http.Request], Answer]
 NamedCall = collections.abc.Callable[[http.Request, str], Answer]
 
 
+class CallerWatch:
+    """Tells which calls must not be carried out, as nobody waits for them.
+
+    A process that stood still reads calls whose callers have long turned to
+    another daemon, which has carried them out, and perhaps later ones.
+    """
+
+    def __init__(self, *, bus: buses.Bus, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._seen_at: datetime.datetime | None = None
+        self._resumed_at: datetime.datetime | None = None
+        bus.subscribe(message.Tick, lambda _, now: self._look(now))
+
+    def waits(self, request: http.Request) -> bool:
+        """Return whether a call's caller can be taken to wait; logs if not."""
+        self._look(self._clock.now())
+        reason = ""
+        if self._reads_backlog():
+            reason = "process stood still"
+        elif _has_hung_up(request):
+            reason = "caller gone"
+        if not reason:
+            return True
+        log.warning(
+            "call not carried out",
+            extra={
+                "method": request.method.decode("latin-1"),
+                "path": request.path.decode("latin-1"),
+                "reason": reason,
+            },
+        )
+        return False
+
+    def _look(self, now: datetime.datetime) -> None:
+        if self._seen_at is not None and now - self._seen_at > PATIENCE:
+            self._resumed_at = now
+        self._seen_at = now
+
+    def _reads_backlog(self) -> bool:
+        resumed = self._resumed_at
+        return resumed is not None and self._seen_at - resumed < BACKLOG_TIME
+
+
 class CallResource(resources.Resource):
     """Answers one path by the method of the call."""
 
@@ -67,3 +124,16 @@
     if not gone:
         request.write(body)
         request.finish()
+
+
+def _has_hung_up(request: http.Request) -> bool:
+    """Return whether the end of a call's connection has arrived already."""
+    get_handle = getattr(request.channel.transport, "getHandle", None)
+    if get_handle is None:  # a connection in memory
+        return False
+    try:
+        return not get_handle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
--- a/fulmarbarrow/platform/features/path.feature
+++ b/fulmarbarrow/platform/features/path.feature
@@ -299,6 +299,19 @@
     When the operator takes zone "attica-a" back
     Then within 8 s a client's order is answered 200
 
+  # Guards against an order that undoes later ones (EVAC).
+  Scenario: An order whose caller hung up while the daemon stood still is dropped
+    Given configuration 3 and workers "i-1" of the desk
+    When the daemon stands still for 1500 ms and the operator gives up to evacuate zone "attica-a" after 1000 ms
+    Then for 3 s each client's order is answered 200
+    And the log tells that a call was not carried out
+
+  Scenario: An order that was read after a long stop is left to another daemon
+    Given configuration 3 and workers "i-1" of the desk
+    When the daemon stands still for 1500 ms and the operator waits to evacuate zone "attica-a"
+    Then the operator is answered 503
+    And for 3 s each client's order is answered 200
+
   Scenario: A key that is taken away is refused
     Given configuration 3 and workers "i-1" of the desk
     When the operator sends configuration 4 without the key
--- a/fulmarbarrow/platform/features/steps/path.py
+++ b/fulmarbarrow/platform/features/steps/path.py
@@ -12,6 +12,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 
 import behave
@@ -817,6 +818,62 @@
     assert status == 200, status
 
 
+def stand_still(context, milliseconds):
+    context.daemon.process.send_signal(signal.SIGSTOP)
+    resume = threading.Timer(
+        milliseconds / 1000,
+        context.daemon.process.send_signal,
+        (signal.SIGCONT,),
+    )
+    resume.start()
+    return resume
+
+
+@behave.when(
+    "the daemon stands still for {milliseconds:d} ms and the operator gives "
+    'up to evacuate zone "{zone}" after {patience:d} ms'
+)
+def step_given_up(context, milliseconds, zone, patience):
+    resumes = stand_still(context, milliseconds)
+    host, _, port = context.daemon.operators.rpartition(":")
+    head = f"POST /v1/evacuations/{zone} HTTP/1.1\r\nHost: c\r\n"
+    with socket.create_connection((host, int(port))) as operator:
+        operator.sendall(head.encode() + b"Content-Length: 0\r\n\r\n")
+        time.sleep(patience / 1000)
+    resumes.join()
+
+
+@behave.when(
+    "the daemon stands still for {milliseconds:d} ms and the operator waits "
+    'to evacuate zone "{zone}"'
+)
+def step_waits(context, milliseconds, zone):
+    resumes = stand_still(context, milliseconds)
+    context.status = standin.call(
+        context.daemon.operators, "POST", f"/v1/evacuations/{zone}"
+    )[0]
+    resumes.join()
+
+
+@behave.then("for {seconds:d} s each client's order is answered {status:d}")
+def step_each_order(context, seconds, status):
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        context.answer = ask(context, "/order/7")
+        assert context.answer[0] == status, context.answer
+        time.sleep(0.02)
+
+
+@behave.then("the log tells that a call was not carried out")
+def step_not_carried_out(context):
+    (line,) = [
+        line
+        for line in context.daemon.lines()
+        if line["text"] == "call not carried out"
+    ]
+    assert line["method"] == "POST", line
+
+
 @behave.when('the operator takes zone "{zone}" back')
 def step_take_back(context, zone):
     status, *_ = standin.call(
--- a/fulmarbarrow/platform/interface.py
+++ b/fulmarbarrow/platform/interface.py
@@ -68,9 +68,12 @@
 
         parts = self._parts
         version = resources.Resource()
-        operators.Operators(root=version, bus=parts.bus)
+        watch = calls.CallerWatch(bus=parts.bus, clock=parts.clock)
+        operators.Operators(
+            root=version, bus=parts.bus, clock=parts.clock, watch=watch
+        )
         registrations.Registrations(
-            root=version, bus=parts.bus, clock=parts.clock
+            root=version, bus=parts.bus, clock=parts.clock, watch=watch
         )
         root = resources.Resource()
         root.putChild(b"v1", version)
--- a/fulmarbarrow/platform/operators.py
+++ b/fulmarbarrow/platform/operators.py
@@ -8,10 +8,12 @@
 
 import msgspec
 from twisted.internet import defer
+from twisted.python import failure as failures
 from twisted.web import http
 from twisted.web import resource as resources
 
 from fulmarbarrow import bus as buses
+from fulmarbarrow import clock as clocks
 from fulmarbarrow.config import bundle as bundles
 from fulmarbarrow.platform import calls
 from fulmarbarrow.platform import documents
@@ -27,8 +29,17 @@
 class Operators:
     """Takes configurations and evacuations, and reads configurations."""
 
-    def __init__(self, *, root: resources.Resource, bus: buses.Bus) -> None:
+    def __init__(
+        self,
+        *,
+        root: resources.Resource,
+        bus: buses.Bus,
+        clock: clocks.Clock,
+        watch: calls.CallerWatch,
+    ) -> None:
         self._bus = bus
+        self._clock = clock
+        self._watch = watch
         self._amending: dict[str, tuple[http.Request, Answer]] = {}
         self._reading: dict[str, tuple[http.Request, Answer]] = {}
         root.putChild(
@@ -65,11 +76,23 @@
             ),
         )
 
-    def _evacuate(self, request: http.Request, zone: str) -> Answer:
-        return self._amend(request, amendments.SetZone(zone=zone, out=True))
+    def _evacuate(self, request: http.Request, zone: str) -> Answer | bytes:
+        return self._set_zone(request, zone, out=True)
+
+    def _return(self, request: http.Request, zone: str) -> Answer | bytes:
+        return self._set_zone(request, zone, out=False)
 
-    def _return(self, request: http.Request, zone: str) -> Answer:
-        return self._amend(request, amendments.SetZone(zone=zone, out=False))
+    def _set_zone(
+        self, request: http.Request, zone: str, *, out: bool
+    ) -> Answer | bytes:
+        """Order a zone's state, but not in place of a later order.
+
+        Unlike documents, such orders have no number.
+        """
+        if not self._watch.waits(request):
+            request.setResponseCode(http.SERVICE_UNAVAILABLE)
+            return b"{}"
+        return self._amend(request, amendments.SetZone(zone=zone, out=out))
 
     def _amend(
         self, request: http.Request, amendment: amendments.AnyAmendment
@@ -77,11 +100,21 @@
         amend_id = uuid.uuid4().hex
         done: Answer = defer.Deferred()
         self._amending[amend_id] = request, done
+        request.notifyFinish().addErrback(self._abandon, amend_id)
         self._bus.post(
-            messages.AmendRequested(amend_id=amend_id, amendment=amendment)
+            messages.AmendRequested(
+                amend_id=amend_id,
+                amendment=amendment,
+                until=self._clock.now() + calls.PATIENCE,
+            )
         )
         return done
 
+    def _abandon(self, _: failures.Failure, amend_id: str) -> None:
+        """Tell that the caller has closed its connection."""
+        self._amending.pop(amend_id, None)
+        self._bus.post(messages.AmendAbandoned(amend_id=amend_id))
+
     def _amended(
         self, event: messages.AmendResult, _: datetime.datetime
     ) -> None:
--- a/fulmarbarrow/platform/registrations.py
+++ b/fulmarbarrow/platform/registrations.py
@@ -115,9 +115,11 @@
         root: resources.Resource,
         bus: buses.Bus,
         clock: clocks.Clock,
+        watch: calls.CallerWatch,
     ) -> None:
         self._bus = bus
         self._clock = clock
+        self._watch = watch
         self._accepted = False
         self._refused = ""
         root.putChild(
@@ -143,6 +145,10 @@
         return self._ask(request, announced)
 
     def _leave(self, request: http.Request, upstream_id: str) -> bytes:
+        # It has no sequence, and its worker may have started again since.
+        if not self._watch.waits(request):
+            request.setResponseCode(http.SERVICE_UNAVAILABLE)
+            return b"{}"
         return self._ask(request, messages.Withdrawn(upstream_id=upstream_id))
 
     def _ask(
--- a/fulmarbarrow/publishing/control.py
+++ b/fulmarbarrow/publishing/control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import datetime
 import functools
 import typing
@@ -25,18 +26,34 @@
 BUNDLE_INVALID = "bundle_invalid"
 NO_QUORUM = "no_quorum"
 OUTCOME_UNKNOWN = "outcome_unknown"
-# Suffix of the second proposal of an amendment whose base was outdated.
+SUPERSEDED = "superseded"
+# Suffix of the next proposal of an amendment whose base was outdated.
 RETRY_SUFFIX = "+"
 
 Command = state.PublishCommand | amendments.AmendCommand | state.ReviseCommand
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _PendingAmendment:
+    """An amendment that this host proposed and that has no result yet."""
+
+    command: amendments.AmendCommand
+    until: datetime.datetime | None
+
+    @property
+    def numbered(self) -> bool:
+        """Whether a number of its own orders it among its like."""
+        kind = amendments.ReplaceServices
+        return isinstance(self.command.amendment, kind)
+
+
 class PublishingControl:
     """Handles publish requests and pushes accepted revisions to daemons."""
 
     handles = (
         messages.PublishRequested,
         messages.AmendRequested,
+        messages.AmendAbandoned,
         messages.DocumentRequested,
         messages.StatusResponse,
         messages.RevisionAck,
@@ -63,7 +80,7 @@
         self._fanout = fanout.FanOut(daemon=daemon, now=now)
         self._packed_revision = packing.RevisionCache()
         self._pending_publishes: set[str] = set()
-        self._pending_amendments: dict[str, amendments.AmendCommand] = {}
+        self._pending_amendments: dict[str, _PendingAmendment] = {}
         self._is_leader = False
         self._status = status_module.StatusService(
             daemon=daemon, describe=self._describe, now=now
@@ -141,18 +158,25 @@
         command = amendments.AmendCommand(
             amend_id=event.amend_id, amendment=event.amendment
         )
-        self._pending_amendments[event.amend_id] = command
+        pending = _PendingAmendment(command=command, until=event.until)
+        if not pending.numbered:
+            return self._propose_order(event.amend_id, pending)
+        self._pending_amendments[event.amend_id] = pending
         return [
-            consensus_messages.Propose(
-                proposal_id=event.amend_id,
-                group=GROUP,
-                command=msgspec.msgpack.encode(
-                    self._state.to_delta_command(command)
-                ),
-                machine=messages.MACHINE,
-            )
+            _proposal(event.amend_id, self._state.to_delta_command(command))
         ]
 
+    @_on.register
+    def _(
+        self, event: messages.AmendAbandoned, now: datetime.datetime
+    ) -> None:
+        """Propose an order without a number no further."""
+        for proposal_id, pending in list(self._pending_amendments.items()):
+            if pending.command.amend_id != event.amend_id:
+                continue
+            if not pending.numbered:
+                del self._pending_amendments[proposal_id]
+
     @_on.register
     def _(
         self, event: messages.DocumentRequested, now: datetime.datetime
@@ -196,7 +220,13 @@
         result = self._apply(command)
         if result is None:
             return self._propose_full(command.amend_id)
-        effects = [result, *self._documents.on_applied()]
+        own = None
+        if isinstance(result, messages.PublishResult):
+            own = self._pending_amendments.pop(result.publish_id, None)
+        results = (
+            [result] if own is None else self._end_order(result, own, now)
+        )
+        effects = [*results, *self._documents.on_applied()]
         if self._state.revision == before or not self._is_leader:
             return effects
         latest = self._state.history.deltas[-1:]
@@ -343,17 +373,44 @@
 
         Only the host that received the amendment does so.
         """
-        command = self._pending_amendments.pop(amend_id, None)
-        if command is None:
+        pending = self._pending_amendments.pop(amend_id, None)
+        if pending is None:
             return []
         proposal_id = amend_id + RETRY_SUFFIX
-        self._pending_amendments[proposal_id] = command
+        self._pending_amendments[proposal_id] = pending
+        return [_proposal(proposal_id, pending.command)]
+
+    def _propose_order(
+        self, proposal_id: str, pending: _PendingAmendment
+    ) -> list[message.Message]:
+        """Propose an order that is valid on this host's state only."""
+        self._pending_amendments[proposal_id] = pending
+        command = self._state.to_publish_amendment(
+            pending.command.amendment, proposal_id
+        )
+        return [_proposal(proposal_id, command)]
+
+    def _end_order(
+        self,
+        result: messages.PublishResult,
+        pending: _PendingAmendment,
+        now: datetime.datetime,
+    ) -> list[message.Message]:
+        """Report an order's result, or propose it again on a new base.
+
+        Only while its caller waits: after that it may be older than what was
+        accepted meanwhile.
+        """
+        if result.code and (pending.until is None or now < pending.until):
+            return self._propose_order(
+                result.publish_id + RETRY_SUFFIX, pending
+            )
         return [
-            consensus_messages.Propose(
-                proposal_id=proposal_id,
-                group=GROUP,
-                command=msgspec.msgpack.encode(command),
-                machine=messages.MACHINE,
+            messages.AmendResult(
+                amend_id=pending.command.amend_id,
+                code=SUPERSEDED if result.code else "",
+                revision=result.revision,
+                number=self._state.number,
             )
         ]
 
@@ -386,9 +443,10 @@
         """
         if event.committed:
             return []
-        command = self._pending_amendments.pop(event.proposal_id)
+        pending = self._pending_amendments.pop(event.proposal_id)
+        amend_id = pending.command.amend_id
         code = OUTCOME_UNKNOWN if event.unknown else NO_QUORUM
-        return [messages.AmendResult(amend_id=command.amend_id, code=code)]
+        return [messages.AmendResult(amend_id=amend_id, code=code)]
 
     @staticmethod
     def _rejected(
@@ -397,3 +455,12 @@
         return messages.PublishResult(
             publish_id=event.publish_id, code=code, revision=0
         )
+
+
+def _proposal(proposal_id: str, command: Command) -> message.Message:
+    return consensus_messages.Propose(
+        proposal_id=proposal_id,
+        group=GROUP,
+        command=msgspec.msgpack.encode(command),
+        machine=messages.MACHINE,
+    )
--- a/fulmarbarrow/publishing/features/amendments.feature
+++ b/fulmarbarrow/publishing/features/amendments.feature
@@ -18,6 +18,44 @@
     When zone "z1" is enabled
     Then zone "z1" is in after 3 revisions
 
+  # Guards against an order that undoes a later one (EVAC).
+  Scenario: An order that is committed late does not undo what was accepted since
+    Given control hosts "a" and "b", where zone "z1" is out
+    And "a" is ordered to take "z1" in, which is not committed yet
+    When "b" is ordered to take "z1" in, and then out
+    And 2 s later the order of "a" is committed
+    Then zone "z1" is out at every host
+    And "a" has answered its order with "superseded"
+
+  Scenario: An order whose caller has hung up is not proposed again
+    Given control hosts "a" and "b", where zone "z1" is out
+    And "a" is ordered to take "z1" in, which is not committed yet
+    When the caller of "a" hangs up
+    And "b" is ordered to take "z1" in, and then out
+    And 0 s later the order of "a" is committed
+    Then zone "z1" is out at every host
+
+  Scenario: An order beside another change is carried out while its caller waits
+    Given control hosts "a" and "b", where zone "z1" is out
+    And "a" is ordered to take "z1" in, which is not committed yet
+    When "b" is ordered to take "z2" out
+    And 0 s later the order of "a" is committed
+    Then zone "z1" is in at every host
+    And "a" has answered its order with ""
+
+  Scenario: The same order sent twice is acknowledged twice
+    Given control hosts "a" and "b", where zone "z1" is out
+    And "a" is ordered to take "z1" in, which is not committed yet
+    When "b" is ordered to take "z1" in
+    And 2 s later the order of "a" is committed
+    Then zone "z1" is in at every host
+    And "a" has answered its order with ""
+
+  Scenario: An order of a daemon of an earlier build is applied
+    Given control hosts "a" and "b", where zone "z1" is out
+    When an unconditional order to take "z1" in is committed
+    Then zone "z1" is in at every host
+
   Scenario: Only the changes of a large document are replicated
     Given a state with document 3 of 1500 routes
     When document 4 with a different deadline for one route is encoded as a diff
--- a/fulmarbarrow/publishing/messages.py
+++ b/fulmarbarrow/publishing/messages.py
@@ -58,10 +58,21 @@
 
 
 class AmendRequested(message.Message, frozen=True, kw_only=True):
-    """An operator's request to change a part of the configuration."""
+    """An operator's request to change a part of the configuration.
+
+    From ``until`` on the operator may have turned to another daemon, and the
+    request is not proposed again; None for no such limit.
+    """
 
     amend_id: str
     amendment: amendments.AnyAmendment
+    until: datetime.datetime | None = None
+
+
+class AmendAbandoned(message.Message, frozen=True, kw_only=True):
+    """The operator no longer waits for the result of an amendment."""
+
+    amend_id: str
 
 
 class AmendResult(message.Message, frozen=True, kw_only=True):
--- a/fulmarbarrow/publishing/state.py
+++ b/fulmarbarrow/publishing/state.py
@@ -130,6 +130,23 @@
             self._apply_amendment(amendment, force=True)
         return self._amend_result(command.amend_id)
 
+    def to_publish_amendment(
+        self, amendment: amendments.AnyAmendment, publish_id: str
+    ) -> PublishCommand:
+        """Return an amendment as a publish that is valid on this state only.
+
+        An order without a number of its own must not be applied after what
+        was accepted since.
+        """
+        delta = self._delta_to(amendment)
+        return PublishCommand(
+            publish_id=publish_id,
+            publisher=AMENDMENT_PUBLISHER,
+            base_revision=self.revision,
+            digest=delta.digest,
+            delta=delta,
+        )
+
     def to_delta_command(
         self, command: amendments.AmendCommand
     ) -> amendments.AmendCommand | ReviseCommand:
