Leave a silent upstream only once another one has been found

Cause: an attempt was ended at its time limit if another one might follow by their number; the retry budget and placement were asked afterwards, and refused.

Placement is asked first, and the attempt goes on until it has an answer and the budget room. A silence that several upstreams share is waited for a quarter longer, since moving would have each prompt read in again.

The lines of the log tell now why no attempt followed.

--- a/benchmarks/delivery_upstreams.py
+++ b/benchmarks/delivery_upstreams.py
@@ -48,6 +48,7 @@
         self.runs: dict[str, Run] = {}
         self.calls = 0
         self.crashes = 0
+        self._resumes_at = world.now
 
     def serves(self, service: str) -> bool:
         """Return whether placement may choose this upstream."""
@@ -106,6 +107,10 @@
         for run in self.runs.values():
             run.silent = True
 
+    def pause(self, duration: datetime.timedelta) -> None:
+        """Make no event for a while; the connections stay open."""
+        self._resumes_at = self._world.now + duration
+
     def cancel(self, attempt_id: str) -> None:
         """Stop an answer; work that has begun may still be done."""
         run = self.runs.pop(attempt_id, None)
@@ -204,6 +209,10 @@
         """Send one event of a stream and plan the next."""
         if run.ended:
             return
+        if self._resumes_at > self._world.now:
+            pause = self._resumes_at - self._world.now
+            self._world.after(pause, self._event, run, number)
+            return
         if run.cut_after is not None and number >= run.cut_after:
             self._finish(run)
             return
--- a/benchmarks/delivery_world.py
+++ b/benchmarks/delivery_world.py
@@ -20,6 +20,7 @@
 from benchmarks import delivery_upstreams as upstreams
 from fulmarbarrow import bus as buses
 from fulmarbarrow import clock as clocks
+from fulmarbarrow.config import defaults
 from fulmarbarrow.consensus import messages as consensus_messages
 from fulmarbarrow.delivery import core as delivery_core
 from fulmarbarrow.delivery import messages
@@ -80,7 +81,9 @@
         registers: int = 2,
         mechanisms: policy.Mechanisms | None = None,
         check_lease: bool = True,
+        retries: defaults.RetriesSection | None = None,
     ) -> None:
+        self.retries = retries
         self.clock = clocks.ManualClock()
         self.rng = random.Random(seed)
         self.mechanisms = mechanisms or policy.Mechanisms()
@@ -89,6 +92,7 @@
         self.steps = 0
         self.on_step: typing.Callable[[int], None] = lambda step: None
         self.drop_next = 0
+        self.place_delay = HOP
         self._lost_to: collections.Counter[str] = collections.Counter()
         self.client_pause = datetime.timedelta(0)
         self._queue: list[tuple[datetime.datetime, int, typing.Any]] = []
@@ -191,6 +195,7 @@
             metrics=node.metrics,
             rng=random.Random(self.rng.random()),
             mechanisms=self.mechanisms,
+            retries=self.retries,
         )
         self.cores[node.name] = core
         node.bus.attach(core)
@@ -266,7 +271,7 @@
     def _place_later(
         self, node: Node, event: placement_messages.PlaceRequest
     ) -> None:
-        self.after(HOP, self._place, node, event)
+        self.after(self.place_delay, self._place, node, event)
 
     def _place(
         self, node: Node, event: placement_messages.PlaceRequest
--- a/fulmarbarrow/delivery/core.py
+++ b/fulmarbarrow/delivery/core.py
@@ -14,6 +14,7 @@
 from fulmarbarrow.delivery import prompt_parts
 from fulmarbarrow.delivery import recovery as recoveries
 from fulmarbarrow.delivery import refusals
+from fulmarbarrow.delivery import replacement
 from fulmarbarrow.delivery import responses
 from fulmarbarrow.delivery import state
 from fulmarbarrow.delivery import suspects as suspects_module
@@ -117,6 +118,12 @@
             recovery=self._recovery,
             mechanisms=mechanisms,
         )
+        self._replacements = replacement.Replacements(
+            metrics=metrics,
+            recovery=self._recovery,
+            handler=self._responses,
+            suspects=self._suspects,
+        )
 
     def handle(
         self, event: message.Message, now: datetime.datetime
@@ -218,6 +225,10 @@
         if entry is None:
             return self._drop_late_event(event)
         effects = self._responses.handle_event(entry, event, now)
+        request = entry.request
+        attempt = request.attempts.get(event.attempt_id)
+        if attempt is not None and attempt.resumed_by_itself:
+            effects += self._replacements.progressed(request, attempt)
         self._remove_or_schedule(entry, now)
         return effects
 
@@ -264,7 +275,7 @@
         limit = policy.silence_timeout(request, attempt, self._timeouts)
         if limit is None or not self._mechanisms.silence:
             return
-        due = attempt.progress_at + limit
+        due = replacement.due_at(attempt, limit)
         if attempt.timer_at is None or due < attempt.timer_at:
             attempt.timer_at = due
             self._timers.add(due, request.request_id)
@@ -343,6 +354,8 @@
         now: datetime.datetime,
     ) -> Effects:
         request = entry.request
+        if event.attempt_id == request.hedge_id and request.replaced_id:
+            return self._replacements.take(entry, event, now)
         if event.attempt_id == request.hedge_id:
             return self._recovery.send_hedge(entry, event, now)
         if event.attempt_id != request.placing_id:
@@ -360,6 +373,9 @@
         now: datetime.datetime,
     ) -> Effects:
         request = entry.request
+        if event.attempt_id == request.hedge_id and request.replaced_id:
+            self._replacements.refused(request)
+            return []
         if event.attempt_id == request.hedge_id:
             request.hedge_id = ""
             return []
@@ -398,18 +414,51 @@
             self._remove_or_schedule(entry, now)
         return effects
 
+    def _handle_silence(
+        self,
+        entry: open_requests.OpenRequest,
+        attempt: state.Attempt,
+        limit: datetime.timedelta,
+        silent: dict[str, policy.SilentUpstreams],
+        now: datetime.datetime,
+    ) -> Effects:
+        """Replace a silent attempt if possible; end one that has stalled.
+
+        ``silent`` keeps what is known of each service's upstreams, as many
+        attempts go silent at once.
+        """
+        request = entry.request
+        stalled = now - attempt.progress_at >= self._timeouts.stalled
+        if stalled or not self._replacements.applies(request):
+            return self._responses.fail_silent(entry, attempt, now)
+        service = request.arrival.service
+        if service not in silent:
+            silent[service] = policy.silent_upstreams(
+                (item.request for item in self._open_requests),
+                service,
+                self._timeouts,
+                now,
+            )
+        return self._replacements.ask(
+            entry, attempt, limit, silent[service], now
+        )
+
     def _handle_due_timers(self, now: datetime.datetime) -> Effects:
         effects: Effects = []
+        silent: dict[str, policy.SilentUpstreams] = {}
         for request_id in list(self._timers.pop_due(now)):
             entry = self._open_requests.find(request_id)
             if entry is None:
                 continue
-            effects.extend(self._handle_timeouts(entry, now))
+            effects.extend(self._handle_timeouts(entry, silent, now))
             self._remove_or_schedule(entry, now)
         return effects
 
     def _handle_timeouts(
-        self, entry: open_requests.OpenRequest, now: datetime.datetime
+        self,
+        entry: open_requests.OpenRequest,
+        silent: dict[str, policy.SilentUpstreams],
+        now: datetime.datetime,
     ) -> Effects:
         """Act on every expired timeout of a request."""
         request = entry.request
@@ -420,9 +469,9 @@
             limit = policy.silence_timeout(request, attempt, self._timeouts)
             if limit is None or not self._mechanisms.silence:
                 continue
-            if now - attempt.progress_at >= limit:
+            if replacement.due_at(attempt, limit) <= now:
                 effects.extend(
-                    self._responses.fail_silent(entry, attempt, now)
+                    self._handle_silence(entry, attempt, limit, silent, now)
                 )
         if request.wait_until is not None and request.wait_until <= now:
             request.wait_until = None
--- a/fulmarbarrow/delivery/effects.py
+++ b/fulmarbarrow/delivery/effects.py
@@ -219,6 +219,7 @@
             code=code,
             ran=refusal.ran,
             events=request.delivered_events,
+            no_retry=request.no_retry,
         )
     return messages.RequestRefused(
         request_id=request.request_id,
@@ -226,6 +227,7 @@
         ran=refusal.ran,
         status=refusal.status,
         retry_after=request.retry_after,
+        no_retry=request.no_retry,
     )
 
 
--- a/fulmarbarrow/delivery/features/steps/requests.py
+++ b/fulmarbarrow/delivery/features/steps/requests.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import datetime
+import itertools
 
 import behave
 
 from benchmarks import delivery_callers as callers
 from benchmarks import delivery_world as worlds
+from fulmarbarrow.config import defaults
 from fulmarbarrow.delivery import messages
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow.placement import messages as placement_messages
@@ -166,6 +168,86 @@
     context.world.run(lambda: False, seconds)
 
 
+@behave.given("a pool of one engine")
+def step_one_engine(context):
+    get_world(context, engines=1)
+
+
+@behave.given("a pool of two engines and a budget of {count:d} retries")
+def step_small_budget(context, count):
+    # The routers and one more share the slack.
+    slack = 3 * count
+    retries = defaults.RetriesSection(ratio=0.0, slack=slack)
+    get_world(context, engines=2, retries=retries)
+
+
+@behave.given("placement takes {duration:d} ms")
+def step_slow_placement(context, duration):
+    context.place_delay = milliseconds(duration)
+
+
+def pause_engines(context, engines, duration):
+    for engine in engines:
+        engine.pause(milliseconds(duration))
+    if hasattr(context, "place_delay"):
+        context.world.place_delay = context.place_delay
+
+
+@behave.when("a stream's engine pauses for {duration:d} ms")
+def step_engine_pauses(context, duration):
+    send(context, "stream")
+    pass_time(context.world, 70)
+    arrivals = [context.world.now]
+    take = context.caller.take
+
+    def take_and_note(event):
+        arrivals.append(context.world.now)
+        take(event)
+
+    context.caller.take = take_and_note
+    engines = [item for item in context.world.upstreams.values() if item.runs]
+    pause_engines(context, engines, duration)
+    context.world.run(lambda: context.sending.over, 30)
+    context.gap = max(
+        later - earlier for earlier, later in itertools.pairwise(arrivals)
+    )
+
+
+@behave.when(
+    "{count:d} streams are sent and all engines pause for {duration:d} ms"
+)
+def step_all_pause(context, count, duration):
+    world = get_world(context)
+    context.streams = [
+        callers.Caller(
+            world=world, tag=f"chat-{n}", kind=callers.Kind.STREAM, resends=0
+        )
+        for n in range(count)
+    ]
+    for caller in context.streams:
+        caller.send(world.routers[0])
+    pass_time(world, 70)
+    pause_engines(context, world.upstreams.values(), duration)
+    world.run(lambda: all(item.settled for item in context.streams), 30)
+
+
+@behave.then("every stream is complete")
+def step_all_complete(context):
+    for caller in context.streams:
+        (sending,) = caller.sendings.values()
+        assert sending.data in caller.expected(200), sending
+
+
+@behave.then("{count:d} attempts were made")
+def step_attempts_made(context, count):
+    step_attempt_count(context, count)
+
+
+@behave.then("its longest gap was less than {limit:d} ms")
+def step_gap(context, limit):
+    assert context.gap < milliseconds(limit), context.gap
+
+
 @behave.when("a stream's connection is cut")
 def step_connection_cut(context, kind=messages.FailureKind.CUT):
     send(context, "stream")
--- a/fulmarbarrow/delivery/messages.py
+++ b/fulmarbarrow/delivery/messages.py
@@ -212,10 +212,14 @@
 
 
 class CancelAttempt(message.Message, frozen=True, kw_only=True):
-    """Effect: abort the attempt and tell the engine to stop its work."""
+    """Effect: abort the attempt and tell the engine to stop its work.
+
+    ``kind`` is how it failed, None if its response is not needed any more.
+    """
 
     attempt_id: str
     upstream_id: str
+    kind: FailureKind | None = None
 
 
 class RetireConnections(
@@ -266,23 +270,29 @@
 ):
     """Effect: end a started response with an error event.
 
-    ``events`` is the number of stream events that were forwarded.
+    ``events`` is the number of stream events that were forwarded, ``no_retry``
+    why no further attempt was made, if that was ruled out.
     """
 
     request_id: str
     code: str
     ran: Ran
     events: int = 0
+    no_retry: str = ""
 
 
 class RequestRefused(message.Message, frozen=True, kw_only=True):
-    """Effect: send an error response; no response has started yet."""
+    """Effect: send an error response; no response has started yet.
+
+    ``no_retry`` is why no further attempt was made, if that was ruled out.
+    """
 
     request_id: str
     code: str
     ran: Ran
     status: int
     retry_after: datetime.timedelta | None = None
+    no_retry: str = ""
 
 
 class RequestRejected(message.Message, frozen=True, kw_only=True):
--- a/fulmarbarrow/delivery/policy.py
+++ b/fulmarbarrow/delivery/policy.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import dataclasses
 import datetime
 
@@ -60,12 +61,55 @@
     proof_of_not_run: bool = True
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SilentUpstreams:
+    """Upstreams of a service whose open streams make no progress.
+
+    ``heard`` is the number of those whose streams do.
+    """
+
+    silent: frozenset[str]
+    heard: int
+
+    @property
+    def all_silent(self) -> bool:
+        """Whether several upstreams are silent, and no other is heard."""
+        return len(self.silent) > 1 and not self.heard
+
+
+def silent_upstreams(
+    requests: collections.abc.Iterable[state.Request],
+    service: str,
+    timeouts: Timeouts,
+    now: datetime.datetime,
+) -> SilentUpstreams:
+    """Return the upstreams of a service that seem silent from here.
+
+    Only streams that have begun tell: their events come at a pace.
+    """
+    newest: dict[str, datetime.datetime] = {}
+    for request in requests:
+        if request.arrival.service != service:
+            continue
+        for attempt in request.attempts.values():
+            if attempt.paused or attempt.time_to_first_token is None:
+                continue
+            if not attempt.streamed:
+                continue
+            upstream_id = attempt.placed.upstream_id
+            known = newest.get(upstream_id, attempt.progress_at)
+            newest[upstream_id] = max(known, attempt.progress_at)
+    since = now - timeouts.between_events / 2
+    silent = frozenset(name for name, at in newest.items() if at <= since)
+    return SilentUpstreams(silent=silent, heard=len(newest) - len(silent))
+
+
 def silence_timeout(
     request: state.Request, attempt: state.Attempt, timeouts: Timeouts
 ) -> datetime.timedelta | None:
     """Return how long an attempt may make no progress, None for no limit.
 
-    Silence is a reason to end an attempt where another one may follow. An
+    Silence is a reason to replace an attempt where another one may follow. An
     action can't be retried, so it waits until its deadline, as does a stream
     that nothing came of yet; one that has started is ended when it stalls for
     much longer than a sound upstream pauses. A response that is not streamed
--- a/fulmarbarrow/delivery/recovery.py
+++ b/fulmarbarrow/delivery/recovery.py
@@ -146,7 +146,7 @@
         if (
             request.attempt_number > 1
             or single_attempt
-            or not self._withdraw_retry(request, now)
+            or not self.withdraw_retry(request, now)
         ):
             return []
         self._metrics.count("hedges", service=request.arrival.service)
@@ -181,6 +181,22 @@
         request.attempts[attempt.attempt_id] = attempt
         return [effects_module.start_attempt(request, attempt)]
 
+    def resume(
+        self,
+        entry: open_requests.OpenRequest,
+        placed: placement_messages.Placed,
+        now: datetime.datetime,
+    ) -> Effects:
+        """Send the attempt that replaces a silent one."""
+        request = entry.request
+        self._metrics.count("retries", service=request.arrival.service)
+        attempt = self._create_attempt(entry, placed, state.Purpose.RUN, now)
+        request.attempts[attempt.attempt_id] = attempt
+        return [
+            *self._suspects.start_run(request, attempt),
+            effects_module.start_attempt(request, attempt),
+        ]
+
     def preempt(
         self,
         entry: open_requests.OpenRequest,
@@ -245,16 +261,42 @@
     ) -> Effects:
         """Decide what follows a failed attempt."""
         request = entry.request
+        self.record_failure(request, attempt, not_run=not_run)
+        if request.attempts:
+            return []
+        if request.replaced_id:
+            # What was asked for on its silence has not been found yet.
+            effects = effects_module.cancel_placements(request)
+            request.replaced_id = ""
+            return [
+                *effects,
+                *self._follow(entry, attempt, not_run, now, sent),
+            ]
+        if request.hedge_id:
+            return list(entry.inputs.promote_hedge())
+        return self._follow(entry, attempt, not_run, now, sent)
+
+    @staticmethod
+    def record_failure(
+        request: state.Request, attempt: state.Attempt, *, not_run: bool
+    ) -> None:
+        """Keep what a failed attempt means for those that follow."""
         request.excluded = tuple(
             sorted({*request.excluded, attempt.placed.upstream_id})
         )
         if not not_run and attempt.purpose is not state.Purpose.LOOKUP:
             request.may_have_run = True
             request.possible_runs += 1
-        if request.attempts:
-            return []
-        if request.hedge_id:
-            return list(entry.inputs.promote_hedge())
+
+    def _follow(
+        self,
+        entry: open_requests.OpenRequest,
+        attempt: state.Attempt,
+        not_run: bool,
+        now: datetime.datetime,
+        sent: bool,
+    ) -> Effects:
+        request = entry.request
         if attempt.purpose is state.Purpose.LOOKUP:
             return self.give_up(entry, "outcome_unknown", now)
         if request.action and not not_run:
@@ -327,23 +369,42 @@
         progressed: bool,
         now: datetime.datetime,
     ) -> bool:
-        if request.caller_gone or attempt.relayed:
+        request.no_retry = self._retry_obstacle(request, attempt, now)
+        if request.no_retry:
             return False
+        if progressed and attempt.streamed and not self._retries.slack:
+            self._budget(request).charge(now)
+            return True
+        if self.withdraw_retry(request, now):
+            return True
+        request.no_retry = "budget"
+        return False
+
+    @staticmethod
+    def _retry_obstacle(
+        request: state.Request, attempt: state.Attempt, now: datetime.datetime
+    ) -> str:
+        """Return what rules a retry out, "" if only the budget decides."""
+        if request.caller_gone:
+            return "caller_gone"
+        if attempt.relayed:
+            return "part_sent"
         if request.attempts_without_progress >= policy.MAX_ATTEMPTS:
-            return False
+            return "no_progress"
         if request.arrival.attempts and (
             request.possible_runs >= request.arrival.attempts
         ):
-            return False
-        if request.dispatch_until is not None:
-            if now >= request.dispatch_until:
-                return False
-        elif now >= request.deadline:
-            return False
-        if progressed and attempt.streamed and not self._retries.slack:
-            self._budget(request).charge(now)
+            return "attempts"
+        until = request.dispatch_until or request.deadline
+        return "deadline" if now >= until else ""
+
+    def has_retry(
+        self, request: state.Request, now: datetime.datetime
+    ) -> bool:
+        """Return whether the retry budget of the service has room."""
+        if not self._mechanisms.retry_budget:
             return True
-        return self._withdraw_retry(request, now)
+        return self._budget(request).has_retry(now, self._slack_share)
 
     def may_retry_error_response(
         self, request: state.Request, now: datetime.datetime
@@ -357,7 +418,7 @@
             request.possible_runs + 1 >= request.arrival.attempts
         ):
             return False
-        return self._budget(request).has_retry(now, self._slack_share)
+        return self.has_retry(request, now)
 
     def _create_attempt(
         self,
@@ -382,9 +443,10 @@
         self._metrics.count("attempts", service=request.arrival.service)
         return attempt
 
-    def _withdraw_retry(
+    def withdraw_retry(
         self, request: state.Request, now: datetime.datetime
     ) -> bool:
+        """Take a retry from the budget; return whether there was one."""
         if not self._mechanisms.retry_budget:
             return True
         if self._budget(request).withdraw(now, self._slack_share):
--- a/fulmarbarrow/delivery/responses.py
+++ b/fulmarbarrow/delivery/responses.py
@@ -379,18 +379,9 @@
         sent: bool = True,
         not_run: bool = False,
     ) -> Effects:
-        request = entry.request
-        inputs = entry.attempts[attempt.attempt_id]
-        if not inputs.fail():
+        if not entry.attempts[attempt.attempt_id].fail():
             return []
-        self._metrics.count("attempts_failed", kind=kind.value)
-        effects = self._suspects.end_run(request, attempt, False)
-        effects.extend(self._close_connection(request, attempt, kind))
-        effects.extend(
-            effects_module.work_ended(request, attempt, _outcome(kind, sent))
-        )
-        del request.attempts[attempt.attempt_id]
-        del entry.attempts[attempt.attempt_id]
+        effects = self._end_failed(entry, attempt, kind, sent=sent)
         proven_not_run = (
             not sent or not_run or not self._mechanisms.proof_of_not_run
         )
@@ -401,6 +392,39 @@
         )
         return effects
 
+    def discard_failed(
+        self,
+        entry: open_requests.OpenRequest,
+        attempt: state.Attempt,
+        kind: messages.FailureKind,
+        now: datetime.datetime,
+    ) -> Effects:
+        """End a failed attempt whose successor has been found already."""
+        entry.attempts[attempt.attempt_id].fail()
+        effects = self._end_failed(entry, attempt, kind, sent=True)
+        self._recovery.record_failure(entry.request, attempt, not_run=False)
+        return effects
+
+    def _end_failed(
+        self,
+        entry: open_requests.OpenRequest,
+        attempt: state.Attempt,
+        kind: messages.FailureKind,
+        *,
+        sent: bool,
+    ) -> Effects:
+        """Close a failed attempt's connection and report its outcome."""
+        request = entry.request
+        self._metrics.count("attempts_failed", kind=kind.value)
+        effects = self._suspects.end_run(request, attempt, False)
+        effects.extend(self._close_connection(request, attempt, kind))
+        effects.extend(
+            effects_module.work_ended(request, attempt, _outcome(kind, sent))
+        )
+        del request.attempts[attempt.attempt_id]
+        del entry.attempts[attempt.attempt_id]
+        return effects
+
     def _fail_truncated(
         self,
         entry: open_requests.OpenRequest,
@@ -444,6 +468,7 @@
             messages.CancelAttempt(
                 attempt_id=attempt.attempt_id,
                 upstream_id=attempt.placed.upstream_id,
+                kind=kind,
             )
         ]
         if kind in _SUSPICIOUS_KINDS:
--- a/fulmarbarrow/delivery/state.py
+++ b/fulmarbarrow/delivery/state.py
@@ -30,7 +30,8 @@
     ``received_bytes`` counts the body bytes received. ``unfinished_bytes`` is
     the size of an event in which the response ended. ``relayed`` is set if a
     body above the buffer limit was partly sent to the caller, which rules out
-    a retry.
+    a retry. ``asked_at`` is when a replacement was last asked for, None
+    since its last progress.
     """
 
     attempt_id: str
@@ -52,6 +53,7 @@
     paused: bool = False
     relayed: bool = False
     timer_at: datetime.datetime | None = None
+    asked_at: datetime.datetime | None = None
 
     @property
     def streamed(self) -> bool:
@@ -60,6 +62,11 @@
             self.headers.content_type.startswith("text/event-stream")
         )
 
+    @property
+    def resumed_by_itself(self) -> bool:
+        """Whether there was progress since a replacement was asked for."""
+        return self.asked_at is not None and self.progress_at > self.asked_at
+
     @property
     def framing(self) -> messages.BodyFraming:
         """How the end of the response body is marked."""
@@ -105,7 +112,8 @@
     the next attempt. ``placing_id`` and ``hedge_id`` are the ids of attempts
     that wait for an upstream. ``part_keys`` are those of the shared parts of
     its prompt. A stream that has started may continue for ``grace`` after its
-    deadline.
+    deadline. ``replaced_id`` is the silent attempt that the one with
+    ``hedge_id`` is to replace. ``no_retry`` tells why no attempt followed.
     """
 
     arrival: messages.RequestArrived
@@ -115,6 +123,8 @@
     purpose: Purpose = Purpose.RUN
     placing_id: str = ""
     hedge_id: str = ""
+    replaced_id: str = ""
+    no_retry: str = ""
     excluded: tuple[str, ...] = ()
     admitted: bool = False
     intending: bool = False
--- a/fulmarbarrow/observe/decisions.py
+++ b/fulmarbarrow/observe/decisions.py
@@ -51,6 +51,7 @@
         delivery_messages.AttemptHeaders,
         delivery_messages.AttemptEnded,
         delivery_messages.AttemptFailed,
+        delivery_messages.CancelAttempt,
         delivery_messages.ResponseStarted,
         delivery_messages.ResponseEnded,
         delivery_messages.ResponseAborted,
@@ -192,6 +193,19 @@
             sent=event.sent,
         )
 
+    @_on.register
+    def _(
+        self, event: delivery_messages.CancelAttempt, now: datetime.datetime
+    ) -> None:
+        if event.kind is delivery_messages.FailureKind.SILENT:
+            self._attempt(
+                "attempt left in silence",
+                event.attempt_id,
+                now,
+                logging.WARNING,
+                upstream=event.upstream_id,
+            )
+
     @_on.register
     def _(
         self, event: placement_messages.Placed, now: datetime.datetime
@@ -253,6 +267,7 @@
             code=event.code,
             ran=event.ran.value,
             events=event.events or None,
+            no_retry=event.no_retry or None,
         )
 
     @_on.register
@@ -268,6 +283,7 @@
             code=event.code,
             ran=event.ran.value,
             retry_after_ms=after // MILLISECOND if after else None,
+            no_retry=event.no_retry or None,
         )
 
     @_on.register
