Show that a worker's bytes without end stay bounded in memory

Other operators reported a machine that kept the bytes of a faulty worker until it ran out of memory. The daemon makes no calls of its own to workers. Nothing was repaired.

--- a/fulmarbarrow/platform/features/standin.py
+++ b/fulmarbarrow/platform/features/standin.py
@@ -5,6 +5,7 @@
 import collections
 import http.client
 import http.server
+import itertools
 import json
 import threading
 import time
@@ -13,6 +14,8 @@
 WAIT_SECONDS = 10.0
 MAX_ENDLESS_BYTES = 64 << 20
 _PIECE = b"x" * (16 << 10)
+# An event, but for its id.
+_EVENTS = b"data: %s\n\n" % _PIECE
 _OK = b"HTTP/1.1 200 OK\r\n"
 _CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 # What goes before the bytes without end, and these; the answer's own fields
@@ -34,6 +37,15 @@
         b"X-Endless: 1\r\n" * 1000,
     ),
     "sends noise without end": (None, _PIECE),
+    "sends a body without end": ((_OK, b"Connection: close\r\n\r\n"), _PIECE),
+    "sends chunks without end": (
+        (_OK, _CHUNKED),
+        b"%x\r\n%s\r\n" % (len(_PIECE), _PIECE),
+    ),
+    "sends events without end": (
+        (_OK, b"Connection: close\r\n\r\n"),
+        _EVENTS,
+    ),
 }
 
 # Streams with neither a length nor chunks.
@@ -140,7 +152,11 @@
             own = "".join(f"{name}: {value}\r\n" for name, value in lines)
             self.wfile.write(start[0] + own.encode() + start[1])
         try:
-            while worker.endless_bytes < MAX_ENDLESS_BYTES:
+            for number in itertools.count(1):
+                if worker.endless_bytes >= worker.max_endless_bytes:
+                    break
+                if piece is _EVENTS:
+                    self.wfile.write(b"id: %d\n" % number)
                 self.wfile.write(piece)
                 worker.endless_bytes += len(piece)
         except OSError:
@@ -205,6 +221,7 @@
         self.full = False
         self.refusals = []
         self.endless_bytes = 0
+        self.max_endless_bytes = MAX_ENDLESS_BYTES
         self.closed_on = 0  # connections closed on bytes without end
         self._faults = collections.deque()
         self._sequence = 0
