Take a worker's word in its answers that it leaves

Nothing read the header.

The router that reads it takes the incarnation out by itself and tells all daemons, as for a DELETE, whose sequence outranks heartbeats before and after. A value other than a single 1, an answer of another request and one with 421 are no departure.

Scenario "A worker that says in an answer that it leaves gets nothing more" failed before.

--- a/fulmarbarrow/delivery/messages.py
+++ b/fulmarbarrow/delivery/messages.py
@@ -150,7 +150,8 @@
     ``rate_limit_unreadable`` is set if it names one that can't be read.
     ``refusals_borne`` is the number of requests a second, from all routers
     together, that the upstream can refuse for want of room without failing,
-    None if it says nothing of it.
+    None if it says nothing of it. ``leaving`` is set if the upstream says that
+    it leaves.
     """
 
     attempt_id: str
@@ -166,6 +167,7 @@
     rate_limit: float | None = None
     rate_limit_unreadable: bool = False
     refusals_borne: float | None = None
+    leaving: bool = False
 
 
 class AttemptData(message.Message, frozen=True, kw_only=True):
--- a/fulmarbarrow/delivery/responses.py
+++ b/fulmarbarrow/delivery/responses.py
@@ -14,6 +14,7 @@
 from fulmarbarrow.delivery import request as request_machine
 from fulmarbarrow.delivery import state
 from fulmarbarrow.delivery import suspects as suspects_module
+from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics as metrics_module
 from fulmarbarrow.placement import messages as placement_messages
@@ -57,10 +58,13 @@
         self._recovery = recovery
         self._mechanisms = mechanisms
         self._named_limits = named_limits.NamedLimits()
+        # Incarnations of upstreams that said in an answer that they leave.
+        self._departed: dict[str, int] = {}
 
     def forget_upstream(self, upstream_id: str) -> None:
         """Forget what an upstream that is gone has named."""
         self._named_limits.forget(upstream_id)
+        self._departed.pop(upstream_id, None)
 
     def handle_event(
         self,
@@ -201,10 +205,24 @@
             return self._fail(entry, attempt, kind, now)
         if not entry.attempts[attempt.attempt_id].start(event, now):
             return []
-        limits: Effects = []
+        told: Effects = []
         if event.status != STATUS_MISDIRECTED:
-            limits = self._named_limits.read(attempt, event, now)
-        return [*limits, *self._handle_status(entry, attempt, event, now)]
+            told = self._named_limits.read(attempt, event, now)
+            if event.leaving:
+                told.extend(self._depart(attempt))
+        return [*told, *self._handle_status(entry, attempt, event, now)]
+
+    def _depart(self, attempt: state.Attempt) -> Effects:
+        """Tell once that an upstream says in its answers that it leaves."""
+        placed = attempt.placed
+        if self._departed.get(placed.upstream_id) == placed.incarnation:
+            return []
+        self._departed[placed.upstream_id] = placed.incarnation
+        return [
+            membership_messages.Withdrawn(
+                upstream_id=placed.upstream_id, incarnation=placed.incarnation
+            )
+        ]
 
     def _handle_status(
         self,
--- a/fulmarbarrow/membership/announcements.py
+++ b/fulmarbarrow/membership/announcements.py
@@ -123,6 +123,8 @@
             self._reply(event.upstream_id, 0, "" if known else NOT_KNOWN)
             return
         before = entry.upstream
+        if event.incarnation not in (None, before.incarnation):
+            return
         leaving = msgspec.structs.replace(
             before,
             sequence=state.DEREGISTERED_SEQUENCE,
--- a/fulmarbarrow/membership/messages.py
+++ b/fulmarbarrow/membership/messages.py
@@ -157,9 +157,13 @@
 
 
 class Withdrawn(message.Message, frozen=True, kw_only=True):
-    """An upstream deregistered at this daemon without sending its record."""
+    """An upstream leaves and told this daemon so without sending its record.
+
+    ``incarnation`` is None if it is not known which one did.
+    """
 
     upstream_id: str
+    incarnation: int | None = None
 
 
 class AnnounceAccepted(message.Message, frozen=True, kw_only=True):
--- a/fulmarbarrow/platform/features/path.feature
+++ b/fulmarbarrow/platform/features/path.feature
@@ -230,6 +230,31 @@
     And 8 clients send an order one after the other
     Then worker "i-1" ran none of them
 
+  # Guards against a departure that is told in answers only (DRAIN).
+  Scenario: A worker that says in an answer that it leaves gets nothing more
+    Given configuration 3 and workers "i-1 i-2" of the desk
+    And worker "i-1" answers with "Server-Leaving: 1"
+    When worker "i-1" has answered a client
+    And 3 heartbeats of worker "i-1" arrive late, each answered 200
+    And 8 clients send an order one after the other
+    Then each gets 200 with its own signature
+    And worker "i-1" ran none of them
+    When worker "i-1" starts again
+    Then within 4 s worker "i-1" runs an order
+
+  Scenario Outline: A departure that can't be read is none
+    Given configuration 3 and workers "i-1" of the desk
+    And worker "i-1" answers with "<field>"
+    When 4 clients send an order one after the other
+    Then each gets 200 with its own signature
+
+    Examples:
+      | field             |
+      | Server-Leaving: 0 |
+      | Server-Leaving: 1 1 |
+      | Server-Leaving: -1 |
+      | Server-Leaving:   |
+
   # Guards against a departure that a heartbeat from before it undoes.
   Scenario: A heartbeat that is late does not bring a worker back that has left
     Given configuration 3 and workers "i-1 i-2" of the desk
--- a/fulmarbarrow/platform/features/standin.py
+++ b/fulmarbarrow/platform/features/standin.py
@@ -134,6 +134,8 @@
         self.send_response(status)
         if self.server.worker.limit:
             self.send_header("Server-Limit", self.server.worker.limit)
+        for name, value in self.server.worker.told:
+            self.send_header(name, value)
         if self.server.worker.bears is not None:
             self.send_header("Server-Brittle", str(self.server.worker.bears))
         for name, value in fields:
@@ -215,6 +217,7 @@
         self.work = 0.0
         self.runs = collections.Counter()
         self.seen = []
+        self.told = []  # fields that its answers have besides
         self.limit = ""  # requests a second that its answers name
         self.arrivals = []
         self.bears = None  # refusals a second above which it falls over
--- a/fulmarbarrow/platform/features/steps/path.py
+++ b/fulmarbarrow/platform/features/steps/path.py
@@ -423,6 +423,24 @@
         assert worker.beat(context.daemon.operators) == status
 
 
+@behave.given('worker "{name}" answers with "{field}"')
+def step_answers_with(context, name, field):
+    key, _, value = field.partition(":")
+    context.workers[name].told.append((key, value.strip()))
+
+
+@behave.when('worker "{name}" has answered a client')
+def step_has_answered(context, name):
+    worker = context.workers[name]
+    for _ in range(40):
+        assert ask(context, "/lookup/1", method="GET")[0] == 200
+        if worker.runs:
+            break
+    assert worker.runs
+    for item in context.workers.values():
+        item.runs.clear()
+
+
 @behave.when('worker "{name}" starts again')
 def step_worker_restarts(context, name):
     worker = context.workers[name]
--- a/fulmarbarrow/platform/headers.py
+++ b/fulmarbarrow/platform/headers.py
@@ -21,6 +21,7 @@
 CONTENT_ENCODING = "Content-Encoding"
 RETRY_AFTER = "Retry-After"
 RATE_LIMIT = "Server-Limit"  # requests a second, from all routers together
+LEAVING = "Server-Leaving"  # "1" if the worker leaves
 BRITTLE = "Server-Brittle"  # refusals a second that the worker bears
 
 _ONE_CONNECTION = frozenset(
--- a/fulmarbarrow/platform/workers.py
+++ b/fulmarbarrow/platform/workers.py
@@ -96,6 +96,7 @@
             rate_limit=rate,
             rate_limit_unreadable=unreadable,
             refusals_borne=borne,
+            leaving=_leaves(start, fields),
         )
 
     def splitter(self, head: messages.AttemptHeaders) -> sse.Splitter | None:
@@ -130,6 +131,18 @@
     return start.attempt_id
 
 
+def _leaves(start: messages.StartAttempt, fields: dialect.Fields) -> bool:
+    """Return whether a worker says that it leaves, once and legibly."""
+    name = headers.LEAVING.lower().encode()
+    values = [value.strip() for key, value in fields if key.lower() == name]
+    if values and values != [b"1"]:
+        log.warning(
+            "departure not understood", extra={"upstream": start.upstream_id}
+        )
+        return False
+    return bool(values)
+
+
 def _rate_limit(fields: dialect.Fields) -> tuple[float | None, bool]:
     """Return the named limit, and whether one is named that can't be read."""
     return _number(fields, headers.RATE_LIMIT)
