Send nothing to a worker for the time that it asks for

Nothing read the header.

The time goes with the attempt's end to the router's health checks, which place nothing there until then, even if no other upstream is left. Ten minutes at most; a value that is no number of seconds is ignored with a log line.

Scenarios "A worker that asks for a pause gets none of its callers back before" failed before.

--- a/fulmarbarrow/delivery/effects.py
+++ b/fulmarbarrow/delivery/effects.py
@@ -125,6 +125,7 @@
             refusals_borne=(
                 attempt.headers.refusals_borne if attempt.headers else None
             ),
+            hold_off=attempt.headers.hold_off if attempt.headers else None,
             first_token=attempt.time_to_first_token,
             generated_tokens=attempt.tokens,
             reused_tokens=attempt.reused_tokens,
--- a/fulmarbarrow/delivery/messages.py
+++ b/fulmarbarrow/delivery/messages.py
@@ -151,7 +151,7 @@
     ``refusals_borne`` is the number of requests a second, from all routers
     together, that the upstream can refuse for want of room without failing,
     None if it says nothing of it. ``leaving`` is set if the upstream says that
-    it leaves.
+    it leaves, and ``hold_off`` is for how long it wants no request from here.
     """
 
     attempt_id: str
@@ -168,6 +168,7 @@
     rate_limit_unreadable: bool = False
     refusals_borne: float | None = None
     leaving: bool = False
+    hold_off: datetime.timedelta | None = None
 
 
 class AttemptData(message.Message, frozen=True, kw_only=True):
--- a/fulmarbarrow/placement/health.py
+++ b/fulmarbarrow/placement/health.py
@@ -7,6 +7,8 @@
   unreachable and its other upstreams are excluded too.
 - An upstream that fails part of its requests, or is many times slower than
   its pool while its own health check passes, is excluded for a while.
+- An upstream that says for how long it wants nothing gets nothing until then,
+  even if no other is left.
 - An upstream that says how many refusals it bears gets nothing after one
   until this router's share of them is free again, even if no other is left.
 - If all upstreams of a pool do equally badly, none is excluded, as no other
@@ -62,6 +64,7 @@
     failed_at: datetime.datetime | None = None
     excluded_until: datetime.datetime | None = None
     barred_until: datetime.datetime | None = None
+    held_off_until: datetime.datetime | None = None
     brittle_pause: datetime.timedelta | None = None
     misdirected: bool = False
     samples: int = 0
@@ -102,6 +105,9 @@
     ) -> None:
         """Record the outcome of an attempt."""
         record = self._record_of(event)
+        if event.hold_off is not None:
+            until = now + event.hold_off
+            record.held_off_until = max(record.held_off_until or until, until)
         outcome = event.outcome
         if outcome is messages.WorkOutcome.MISDIRECTED:
             # Another upstream uses the address, so retries are useless until
@@ -243,9 +249,12 @@
 
     def _is_barred(self, upstream_id: str, now: datetime.datetime) -> bool:
         record = self._records.get(upstream_id)
-        if record is None or record.barred_until is None:
+        if record is None:
             return False
-        return now < record.barred_until
+        return any(
+            until is not None and now < until
+            for until in (record.barred_until, record.held_off_until)
+        )
 
     def _brittle_pause(
         self, event: messages.WorkEnded
--- a/fulmarbarrow/placement/messages.py
+++ b/fulmarbarrow/placement/messages.py
@@ -120,7 +120,8 @@
     ``reused_tokens`` is the number of prompt tokens that the engine reports
     as served from its cache, None if it does not report any.
     ``refusals_borne`` is the number of refusals a second that the upstream
-    says it bears, None if it says nothing of it.
+    says it bears, None if it says nothing of it. ``hold_off`` is the time for
+    which it wants no request from this router, None if it named none.
     """
 
     request_id: str
@@ -133,6 +134,7 @@
     prompt_tokens: int = 0
     generated_tokens: int = 0
     reused_tokens: int | None = 0
+    hold_off: datetime.timedelta | None = None
 
 
 class RateLimitNamed(message.Message, frozen=True, kw_only=True):
--- a/fulmarbarrow/platform/features/path.feature
+++ b/fulmarbarrow/platform/features/path.feature
@@ -203,6 +203,33 @@
     Then worker "i-1" gets at most 32 requests in any 4 s
     And each client that was refused was told within 700 ms when to return
 
+  # Guards against requests within the time that a worker asked for (BUDGET).
+  Scenario Outline: A worker that asks for a pause gets none of its callers back before
+    Given configuration 3 and workers "i-1" of the desk
+    And worker "i-1" answers with "Retry-After: <seconds>"
+    And worker "i-1" is full
+    When 6 clients send lookups for 5 s
+    Then worker "i-1" gets at most 2 requests from 0.5 s after its first refusal until <ms> ms after it
+
+    Examples:
+      | seconds | ms   |
+      | 4       | 4000 |
+      | 2.5     | 2500 |
+
+  Scenario Outline: A pause that can't be read is none
+    Given configuration 3 and workers "i-1" of the desk
+    And worker "i-1" answers with "Retry-After: <value>"
+    And worker "i-1" is full
+    When 2 clients send lookups for 1 s
+    Then worker "i-1" refuses at least 2 requests
+
+    Examples:
+      | value                         |
+      | Sat, 05 Dec 2026 20:00:00 GMT |
+      | -4                            |
+      | nan                           |
+      | 1111111111111111111111        |
+
   # Guards against workers that fall over because they refuse too much.
   Scenario: A worker that is brittle refuses no more than it bears
     Given configuration 3 and workers "i-1" of the desk
--- a/fulmarbarrow/platform/features/steps/path.py
+++ b/fulmarbarrow/platform/features/steps/path.py
@@ -429,6 +429,32 @@
     context.workers[name].told.append((key, value.strip()))
 
 
+@behave.given('worker "{name}" is full')
+def step_full(context, name):
+    assert ask(context, "/lookup/1", method="GET")[0] == 200
+    context.workers[name].full = True
+
+
+@behave.then(
+    'worker "{name}" gets at most {most:d} requests from 0.5 s after its '
+    "first refusal until {duration:d} ms after it"
+)
+def step_held_off(context, name, most, duration):
+    refusals = context.workers[name].refusals
+    first = refusals[0]
+    found = [
+        at - first
+        for at in refusals
+        if first + 0.5 < at < first + duration / 1000
+    ]
+    assert len(found) <= most, found
+
+
+@behave.then('worker "{name}" refuses at least {least:d} requests')
+def step_refuses_some(context, name, least):
+    assert len(context.workers[name].refusals) >= least
+
+
 @behave.when('worker "{name}" has answered a client')
 def step_has_answered(context, name):
     worker = context.workers[name]
--- a/fulmarbarrow/platform/workers.py
+++ b/fulmarbarrow/platform/workers.py
@@ -20,6 +20,7 @@
 MILLISECOND = datetime.timedelta(milliseconds=1)
 EVENT_STREAM = "text/event-stream"
 LOWEST_PRIORITY = 9
+MAX_HOLD_OFF = datetime.timedelta(minutes=10)
 
 _RATE = re.compile(r"[0-9]{1,9}(?:\.[0-9]{0,9})?")
 # More digits than a 64-bit number has are no id of an event.
@@ -97,6 +98,7 @@
             rate_limit_unreadable=unreadable,
             refusals_borne=borne,
             leaving=_leaves(start, fields),
+            hold_off=_hold_off(start, status, fields),
         )
 
     def splitter(self, head: messages.AttemptHeaders) -> sse.Splitter | None:
@@ -131,6 +133,23 @@
     return start.attempt_id
 
 
+def _hold_off(
+    start: messages.StartAttempt, status: int, fields: dialect.Fields
+) -> datetime.timedelta | None:
+    """Return for how long a worker that is busy wants no request from here."""
+    if status != http.SERVICE_UNAVAILABLE:
+        return None
+    seconds, unreadable = _number(fields, headers.RETRY_AFTER)
+    if unreadable:
+        log.warning(
+            "time of return not understood",
+            extra={"upstream": start.upstream_id},
+        )
+    if seconds is None:
+        return None
+    return min(datetime.timedelta(seconds=seconds), MAX_HOLD_OFF)
+
+
 def _leaves(start: messages.StartAttempt, fields: dialect.Fields) -> bool:
     """Return whether a worker says that it leaves, once and legibly."""
     name = headers.LEAVING.lower().encode()
