Send an unconfirmed revision again on a new connection

Cause: the notice that repairs a lost push went into the same connection, which the kernel ends after 1.5 s only, and had the router ask over another silent one.

What is not confirmed within 0.5 s is sent again whole, on a new connection, once a push; later notices go on new ones too. A daemon that confirms in time costs nothing more.

Scenario "A change reaches daemons whose connections have gone silent in time" failed before.

--- a/fulmarbarrow/message.py
+++ b/fulmarbarrow/message.py
@@ -33,9 +33,11 @@
 class Send(Message, frozen=True, kw_only=True):
     """Effect: send ``message`` to the daemon at ``address``.
 
-    ``urgent`` messages are sent before all other queued messages.
+    ``urgent`` messages are sent before all other queued messages. One that is
+    ``fresh`` goes on a new connection, as the open one may be silent.
     """
 
     address: str
     message: Message
     urgent: bool = False
+    fresh: bool = False
--- a/fulmarbarrow/publishing/control.py
+++ b/fulmarbarrow/publishing/control.py
@@ -338,7 +338,9 @@
         effects = [*self._status.on_tick(now), *self._documents.on_tick(now)]
         if self._is_leader:
             self._fanout.remove_gone(now)
-            effects += self._fanout.notices(self._state.revision, now)
+            effects += self._fanout.notices(
+                self._state.history, self._state.revision, now
+            )
         return effects
 
     @functools.singledispatchmethod
--- a/fulmarbarrow/publishing/fanout.py
+++ b/fulmarbarrow/publishing/fanout.py
@@ -9,6 +9,7 @@
 
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
+from fulmarbarrow.publishing import history as histories
 from fulmarbarrow.publishing import messages
 
 log = logging.getLogger(__name__)
@@ -16,6 +17,8 @@
 # Above this number of daemons, pushes go through one relay per zone.
 MAX_DIRECT_PUSHES = 16
 NOTICE_INTERVAL = datetime.timedelta(seconds=1)
+# A revision that is not confirmed then is sent again, on a new connection.
+REPAIR_AFTER = datetime.timedelta(milliseconds=500)
 ACK_TIMEOUT = datetime.timedelta(seconds=30)
 # A daemon that takes longer to confirm a revision is logged.
 CONFIRM_TARGET = datetime.timedelta(seconds=2)
@@ -32,6 +35,7 @@
     revision: int = 0
     gone: bool = False
     notice_sent_at: datetime.datetime | None = None
+    pushed_at: datetime.datetime | None = None
     behind_since: datetime.datetime | None = None
     late_logged: bool = False
 
@@ -75,6 +79,13 @@
             },
         )
 
+    def repair_due(self, revision: int, now: datetime.datetime) -> bool:
+        """Return whether a push seems to be lost, once for each push."""
+        if self.pushed_at is None or now - self.pushed_at < REPAIR_AFTER:
+            return False
+        self.pushed_at = None
+        return self.revision < revision and not self.is_unreachable(now)
+
     def notice_due(self, revision: int, now: datetime.datetime) -> bool:
         """Return whether to send the daemon a notice, or another one.
 
@@ -150,7 +161,7 @@
         for item in self._followers.values():
             # A notice to a daemon that is behind must not wait for longer.
             if item.revision >= delta.base:
-                item.notice_sent_at = now
+                item.notice_sent_at = item.pushed_at = now
         if len(reachable) <= MAX_DIRECT_PUSHES:
             return [self._push(delta, item.daemon, ()) for item in reachable]
         zones: dict[str, list[FollowerState]] = {}
@@ -168,18 +179,32 @@
         return effects
 
     def notices(
-        self, revision: int, now: datetime.datetime
+        self, history: histories.History, revision: int, now: datetime.datetime
     ) -> list[message.Message]:
-        """Return the notices that are due."""
+        """Return the notices that are due, and lost pushes once more.
+
+        Whatever follows a push that is not confirmed goes on new connections:
+        the one that it went on may be silent, and the kernel takes longer to
+        find out than a revision may take.
+        """
         effects = []
         notice = messages.RevisionNotice(
             control=self._daemon.address, revision=revision
         )
         for item in self._followers.values():
             item.check_late(revision, now)
-            if item.notice_due(revision, now):
+            if item.repair_due(revision, now):
+                missing = history.after(item.revision)
+                again = self._deltas(missing, ()) if missing else notice
+                effects.append(
+                    self._send(item.daemon.address, again, fresh=True)
+                )
+            elif item.notice_due(revision, now):
+                fresh = item.notice_sent_at is not None
                 item.notice_sent_at = now
-                effects.append(self._send(item.daemon.address, notice))
+                effects.append(
+                    self._send(item.daemon.address, notice, fresh=fresh)
+                )
         return effects
 
     def remove_gone(self, now: datetime.datetime) -> None:
@@ -222,18 +247,26 @@
         daemon: membership_messages.Daemon,
         relay_to: tuple[str, ...],
     ) -> message.Message:
-        push = messages.RevisionDeltas(
+        return self._send(daemon.address, self._deltas((delta,), relay_to))
+
+    def _deltas(
+        self, deltas: tuple[messages.Delta, ...], relay_to: tuple[str, ...]
+    ) -> message.Message:
+        return messages.RevisionDeltas(
             sender=self._daemon.address,
             control=self._daemon.address,
-            deltas=(delta,),
+            deltas=deltas,
             relay_to=relay_to,
         )
-        return self._send(daemon.address, push)
 
-    def _send(self, address: str, body: message.Message) -> message.Message:
+    def _send(
+        self, address: str, body: message.Message, *, fresh: bool = False
+    ) -> message.Message:
         if address == self._daemon.address:
             return body
-        return message.Send(address=address, message=body, urgent=True)
+        return message.Send(
+            address=address, message=body, urgent=True, fresh=fresh
+        )
 
 
 def _zone_status(
--- a/fulmarbarrow/publishing/features/publishing.feature
+++ b/fulmarbarrow/publishing/features/publishing.feature
@@ -143,6 +143,13 @@
     And 2 seconds pass
     Then revision 2 is active on all daemons
 
+  # Guards against a change that waits for a dead connection to be noticed.
+  Scenario: A change reaches daemons whose connections have gone silent in time
+    Given "amina" has published account "volos" on revision 0
+    And every connection of daemons 4 to 21 has gone silent
+    When "babis" publishes account "patras" on revision 1 and 1 second passes
+    Then revision 2 is active on all daemons
+
   Scenario: A lost push to a daemon that is leaving is repaired
     Given "amina" has published account "volos" on revision 0
     And daemon 7 is leaving
--- a/fulmarbarrow/publishing/features/steps/fleet.py
+++ b/fulmarbarrow/publishing/features/steps/fleet.py
@@ -74,6 +74,8 @@
         self.by_address = {node.record.address: node for node in self.nodes}
         self.disconnected = set()
         self.drops_relays = False
+        # Pairs of hosts whose connection takes bytes and delivers none.
+        self.silent = set()
         self.broken_relays = set()
         self.leaving_relay = True
         self.sent = collections.Counter()
@@ -158,7 +160,11 @@
                         not self.leaving_relay and node.record.state is leaving
                     )
                 )
-                if self.is_connected(node, target) and not (relayed and drops):
+                if effect.fresh:
+                    self.silent.discard((node.number, target.number))
+                silent = (node.number, target.number) in self.silent
+                lost = silent or (relayed and drops)
+                if self.is_connected(node, target) and not lost:
                     yield target, effect.message
             case messages.StoreRevision():
                 stored = not node.disk_full
--- a/fulmarbarrow/publishing/features/steps/publishing.py
+++ b/fulmarbarrow/publishing/features/steps/publishing.py
@@ -46,6 +46,28 @@
     context.names = names
 
 
+@behave.given(
+    "every connection of daemons {first:d} to {last:d} has gone silent"
+)
+def step_silent(context, first, last):
+    fleet = context.fleet
+    fleet.silent = {
+        pair
+        for number in range(first, last + 1)
+        for node in fleet.nodes
+        for pair in ((number, node.number), (node.number, number))
+    }
+
+
+@behave.when(
+    '"{publisher}" publishes account "{name}" on revision {base:d} and '
+    "{seconds:d} second passes"
+)
+def step_publish_and_wait(context, publisher, name, base, seconds):
+    step_publish(context, publisher, name, base)
+    context.fleet.run(datetime.timedelta(seconds=seconds))
+
+
 @behave.when("the first publish is retried")
 def step_retry(context):
     context.fleet.retry_publish(0)
--- a/fulmarbarrow/wire/transport.py
+++ b/fulmarbarrow/wire/transport.py
@@ -398,6 +398,8 @@
 
     def send(self, send: messages.Send) -> None:
         """Send a message; those of one loop turn share a frame."""
+        if send.fresh and send.address in self._peers:
+            self._peers[send.address].reconnect()
         queue = self._waiting.setdefault(send.address, collections.deque())
         if send.urgent:
             queue.appendleft(send.message)
