Look at a silence again by a time of its own

A replacement that was put off kept the time of its next look as that of the question, and a placement of a request whose attempt was taken away meanwhile raised an error. A body that was passed on in part is not replaced.

Found by reading, with the diff.

--- a/fulmarbarrow/delivery/effects.py
+++ b/fulmarbarrow/delivery/effects.py
@@ -57,7 +57,7 @@
 def cancel_placements(request: state.Request) -> Effects:
     """Cancel all pending placements of a request."""
     attempt_ids = [request.placing_id, request.hedge_id]
-    request.placing_id = request.hedge_id = ""
+    request.placing_id = request.hedge_id = request.replaced_id = ""
     return [
         placement_messages.PlaceCancelled(
             request_id=request.request_id, attempt_id=attempt_id
--- a/fulmarbarrow/delivery/recovery.py
+++ b/fulmarbarrow/delivery/recovery.py
@@ -267,7 +267,6 @@
         if request.replaced_id:
             # What was asked for on its silence has not been found yet.
             effects = effects_module.cancel_placements(request)
-            request.replaced_id = ""
             return [
                 *effects,
                 *self._follow(entry, attempt, not_run, now, sent),
--- a/fulmarbarrow/delivery/replacement.py
+++ b/fulmarbarrow/delivery/replacement.py
@@ -72,11 +72,12 @@
         request = entry.request
         shared_until = attempt.progress_at + limit * SHARED_SILENCE_FACTOR
         if peers.all_silent and now < shared_until:
-            attempt.asked_at = shared_until - ASK_AGAIN
+            attempt.look_again_at = shared_until
             return []
-        attempt.asked_at = now
-        if request.hedge_id or not self._may_replace(request, now):
+        attempt.look_again_at = now + ASK_AGAIN
+        if request.hedge_id or not self._may_replace(request, attempt, now):
             return []
+        attempt.asked_at = now
         request.attempt_number += 1
         request.hedge_id = request.attempt_id
         request.replaced_id = attempt.attempt_id
@@ -105,10 +106,12 @@
     ) -> Effects:
         """Move the request to the upstream that placement has found."""
         request = entry.request
-        attempt = request.attempts[request.replaced_id]
+        attempt = request.attempts.get(request.replaced_id)
         self._forget(request)
-        if attempt.resumed_by_itself or not self._recovery.withdraw_retry(
-            request, now
+        if (
+            attempt is None
+            or attempt.resumed_by_itself
+            or not self._recovery.withdraw_retry(request, now)
         ):
             return [effects_module.release_placement(placed)]
         self._metrics.count("silent_attempts")
@@ -140,9 +143,12 @@
         ]
 
     def _may_replace(
-        self, request: state.Request, now: datetime.datetime
+        self,
+        request: state.Request,
+        attempt: state.Attempt,
+        now: datetime.datetime,
     ) -> bool:
-        if request.caller_gone or now >= request.deadline:
+        if request.caller_gone or attempt.relayed or now >= request.deadline:
             return False
         if request.attempts_without_progress + 1 >= policy.MAX_ATTEMPTS:
             return False
@@ -161,6 +167,6 @@
 ) -> datetime.datetime:
     """Return when to act on an attempt's silence."""
     due = attempt.progress_at + limit
-    if attempt.asked_at is None:
+    if attempt.look_again_at is None:
         return due
-    return max(due, attempt.asked_at + ASK_AGAIN)
+    return max(due, attempt.look_again_at)
--- a/fulmarbarrow/delivery/state.py
+++ b/fulmarbarrow/delivery/state.py
@@ -31,7 +31,8 @@
     the size of an event in which the response ended. ``relayed`` is set if a
     body above the buffer limit was partly sent to the caller, which rules out
     a retry. ``asked_at`` is when a replacement was last asked for, None
-    since its last progress.
+    since its last progress. Its silence is looked at next at
+    ``look_again_at``, if that is later than its time limit.
     """
 
     attempt_id: str
@@ -54,6 +55,7 @@
     relayed: bool = False
     timer_at: datetime.datetime | None = None
     asked_at: datetime.datetime | None = None
+    look_again_at: datetime.datetime | None = None
 
     @property
     def streamed(self) -> bool:
@@ -78,7 +80,8 @@
     def _ended_empty(self) -> bool:
         """Whether a success without any event ended with its connection.
 
-        An upstream that fails before the first event closes it as well.
+        An upstream that fails before the first event closes it as well, also
+        one that was to go on after the events of another.
         """
         return (
             self.framing is messages.BodyFraming.CONNECTION
