Take no resumed stream as complete that ended before an event

A stream was cut, resumed at a second worker, and that one closed its connection at once: the caller got 200, the signature, the first events and a regular end (ORDER).

Cause: a stream that ends with its connection and has no event counts as failed, but a resumed one counted the events before it as its own.

Scenario "A resumed stream whose connection ends at once is not complete" failed before.

--- a/fulmarbarrow/delivery/state.py
+++ b/fulmarbarrow/delivery/state.py
@@ -86,7 +86,7 @@
         return (
             self.framing is messages.BodyFraming.CONNECTION
             and self.headers.status < STATUS_ERROR
-            and not self.received_events
+            and self.received_events <= self.resume_offset
         )
 
     @property
--- a/fulmarbarrow/platform/features/path.feature
+++ b/fulmarbarrow/platform/features/path.feature
@@ -151,6 +151,13 @@
       | fail                  |
       | stop inside the head  |
 
+  # Guards against a stream that looks whole as its second run said nothing.
+  Scenario: A resumed stream whose connection ends at once is not complete
+    Given configuration 3 and workers "i-1 i-2" of the pool
+    And workers asked in turn cut the answer and then end the connection before an event
+    When a client asks for a stream
+    Then the client gets events 1 to 2, once each, without the end
+
   Scenario: A head that is cut short is no answer
     Given configuration 3 and workers "i-1 i-2" of the desk
     And whichever worker is asked first stops inside its head
--- a/fulmarbarrow/platform/features/steps/path.py
+++ b/fulmarbarrow/platform/features/steps/path.py
@@ -212,7 +212,13 @@
 
 @behave.given("workers asked in turn cut the answer and then {fault}")
 def step_faults_in_turn(context, fault):
-    later = {"fail": "fails", "stop inside the head": "stops inside its head"}
+    later = {
+        "fail": "fails",
+        "stop inside the head": "stops inside its head",
+        "end the connection before an event": (
+            "ends its connection before the first event"
+        ),
+    }
     shared = iter(["cuts", *[later[fault]] * 10])
     for worker in context.workers.values():
         worker.take_fault = lambda: next(shared, "")
