Log on whose word a revision is handed out and enforced

A control host wrote nothing about what it hands out.

Revisions, deltas and notices carry the leader's term where a leader sends them; 'revision handed out' tells the leader that a control host follows and for how long it has had none; 'revision activated', 'configuration in force' and 'request rejected' tell the last confirmation. No decision changes.

--- a/fulmarbarrow/observe/decisions.py
+++ b/fulmarbarrow/observe/decisions.py
@@ -81,6 +81,8 @@
     def __init__(self, *, bus: buses.Bus) -> None:
         self._open: dict[str, _Open] = {}
         self._revision = 0
+        self._term = 0
+        self._confirmed_at: datetime.datetime | None = None
         self._leader: tuple[str, int] | None = None
         for kind in self.handles:
             bus.subscribe(kind, self._take)
@@ -297,6 +299,7 @@
                 "request": event.caller_id,
                 "code": event.code,
                 "revision": self._revision,
+                **self._confirmation(now),
                 "retry_after_ms": after // MILLISECOND if after else None,
             },
         )
@@ -424,16 +427,28 @@
         now: datetime.datetime,
     ) -> None:
         self._revision = event.revision
+        self._term = event.term
+        self._confirmed_at = event.confirmed_at
         log.info(
             "configuration in force",
             extra={
                 "revision": event.revision,
+                **self._confirmation(now),
                 "routes": len(event.bundle.host_route),
                 "services": len(event.bundle.service),
                 "accounts": len(event.bundle.account),
             },
         )
 
+    def _confirmation(self, now: datetime.datetime) -> dict[str, typing.Any]:
+        """Return which leader confirmed the revision in force, and when."""
+        if self._confirmed_at is None:
+            return {}
+        return {
+            "confirmed_term": self._term,
+            "confirmed_ms_ago": (now - self._confirmed_at) // MILLISECOND,
+        }
+
     @_on.register
     def _(
         self, event: publishing_messages.AmendResult, now: datetime.datetime
--- a/fulmarbarrow/publishing/control.py
+++ b/fulmarbarrow/publishing/control.py
@@ -5,6 +5,7 @@
 import dataclasses
 import datetime
 import functools
+import logging
 import typing
 
 import msgspec
@@ -22,11 +23,14 @@
 from fulmarbarrow.publishing import state
 from fulmarbarrow.publishing import status as status_module
 
+log = logging.getLogger(__name__)
+
 GROUP = consensus_messages.Group.CONFIGURATION
 BUNDLE_INVALID = "bundle_invalid"
 NO_QUORUM = "no_quorum"
 OUTCOME_UNKNOWN = "outcome_unknown"
 SUPERSEDED = "superseded"
+MILLISECOND = datetime.timedelta(milliseconds=1)
 # Suffix of the next proposal of an amendment whose base was outdated.
 RETRY_SUFFIX = "+"
 
@@ -82,6 +86,7 @@
         self._pending_publishes: set[str] = set()
         self._pending_amendments: dict[str, _PendingAmendment] = {}
         self._is_leader = False
+        self._term = 0
         self._status = status_module.StatusService(
             daemon=daemon, describe=self._describe, now=now
         )
@@ -253,6 +258,7 @@
         if event.revision >= self._state.revision:
             return []
         answer = self._fetch_response(event)
+        self._log_hand_out(event, now)
         if event.reply_to == self._daemon.address:
             return [answer]
         return [message.Send(address=event.reply_to, message=answer)]
@@ -264,8 +270,9 @@
         now: datetime.datetime,
     ) -> list[message.Message]:
         is_leader = event.lease_until is not None
+        self._term = event.term
         if is_leader and not self._is_leader:
-            self._fanout.start_leading(now)
+            self._fanout.start_leading(event.term, now)
         self._is_leader = is_leader
         return self._status.on_leader_changed(event, now)
 
@@ -436,6 +443,22 @@
             publisher=self._state.publisher,
         )
 
+    def _log_hand_out(
+        self, event: messages.RevisionFetch, now: datetime.datetime
+    ) -> None:
+        since = self._status.leaderless_since
+        log.info(
+            "revision handed out",
+            extra={
+                "daemon": event.daemon_id,
+                "from_revision": event.revision,
+                "revision": self._state.revision,
+                "leader": self._status.leader,
+                "term": self._term,
+                "leaderless_ms": (now - since) // MILLISECOND if since else 0,
+            },
+        )
+
     def _report_failed_amendment(
         self, event: consensus_messages.ProposeResult
     ) -> list[message.Message]:
--- a/fulmarbarrow/publishing/fanout.py
+++ b/fulmarbarrow/publishing/fanout.py
@@ -106,6 +106,7 @@
         self, *, daemon: membership_messages.Daemon, now: datetime.datetime
     ) -> None:
         self._daemon = daemon
+        self._term = 0
         self._followers = {
             daemon.daemon_id: FollowerState(daemon=daemon, seen_at=now)
         }
@@ -189,7 +190,7 @@
         """
         effects = []
         notice = messages.RevisionNotice(
-            control=self._daemon.address, revision=revision
+            control=self._daemon.address, revision=revision, term=self._term
         )
         for item in self._followers.values():
             item.check_late(revision, now)
@@ -218,8 +219,9 @@
             if item.gone and now - item.seen_at > after:
                 del self._followers[daemon_id]
 
-    def start_leading(self, now: datetime.datetime) -> None:
+    def start_leading(self, term: int, now: datetime.datetime) -> None:
         """Reset acknowledgement times; a new leader has received none yet."""
+        self._term = term
         for item in self._followers.values():
             item.notice_sent_at = None
             if not item.gone:
@@ -257,6 +259,7 @@
             control=self._daemon.address,
             deltas=deltas,
             relay_to=relay_to,
+            term=self._term,
         )
 
     def _send(
--- a/fulmarbarrow/publishing/follower.py
+++ b/fulmarbarrow/publishing/follower.py
@@ -11,6 +11,7 @@
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics as metrics_module
+from fulmarbarrow.publishing import confirmation as confirmations
 from fulmarbarrow.publishing import delta as deltas
 from fulmarbarrow.publishing import history
 from fulmarbarrow.publishing import messages
@@ -79,6 +80,7 @@
         self._peers: dict[str, str] = {}
         self._seeds = seeds
         self._notified = False
+        self._confirmation: confirmations.Confirmation | None = None
         self._newest_announced = 0
         self._polls = 0
         self._acked_at: datetime.datetime | None = None
@@ -118,6 +120,8 @@
     def _on_push(
         self, event: messages.RevisionPush, now: datetime.datetime
     ) -> list[message.Message]:
+        if event.term:
+            self._confirm(event.revision, event.term, event.sender, now)
         if event.revision <= self._revision:
             return []
         revision = messages.StoreRevision(
@@ -135,6 +139,8 @@
         self._control = event.control or self._control
         self._notified = self._notified or event.sender == event.control
         last = event.deltas[-1].base + 1
+        if event.term or event.sender == event.control:
+            self._confirm(last, event.term, event.sender, now)
         self._newest_announced = max(self._newest_announced, last)
         if last <= self._revision:
             return [*effects, self._acknowledge(now)]
@@ -181,11 +187,19 @@
     ) -> list[message.Message]:
         self._control = event.control
         self._notified = True
+        self._confirm(event.revision, event.term, event.control, now)
         self._newest_announced = max(self._newest_announced, event.revision)
         if event.revision <= self._revision:
             return [self._acknowledge(now)]
         return [self._fetch(event.control)]
 
+    def _confirm(
+        self, revision: int, term: int, sender: str, now: datetime.datetime
+    ) -> None:
+        self._confirmation = confirmations.Confirmation(
+            revision=revision, term=term, sender=sender, received_at=now
+        )
+
     def _on_fetch(
         self, event: messages.RevisionFetch
     ) -> list[message.Message]:
@@ -293,13 +307,23 @@
                 "sender": sender,
                 "deltas": len(new_deltas),
                 "newest_announced": self._newest_announced,
+                **confirmations.describe(self._confirmation, now),
             },
         )
-        changed = messages.ConfigurationChanged(
-            revision=self._revision, bundle=bundle
-        )
+        changed = self._configuration_changed(bundle)
         return [changed, self._acknowledge(now)]
 
+    def _configuration_changed(
+        self, bundle: bundles.Bundle
+    ) -> messages.ConfigurationChanged:
+        known = self._confirmation
+        return messages.ConfigurationChanged(
+            revision=self._revision,
+            bundle=bundle,
+            term=known.term if known else 0,
+            confirmed_at=known.received_at if known else None,
+        )
+
     def _acknowledge(self, now: datetime.datetime) -> message.Message:
         self._acked_at = now
         ack = messages.RevisionAck(
@@ -341,11 +365,7 @@
         if self._restored is not None:
             bundle = bundles.decode(self._restored.bundle)
             self._restored = None
-            effects.append(
-                messages.ConfigurationChanged(
-                    revision=self._revision, bundle=bundle
-                )
-            )
+            effects.append(self._configuration_changed(bundle))
         if self._control and _elapsed(self._acked_at, ACK_INTERVAL, now):
             effects.append(self._acknowledge(now))
         if _elapsed(self._polled_at, self._poll_interval, now):
--- a/fulmarbarrow/publishing/messages.py
+++ b/fulmarbarrow/publishing/messages.py
@@ -109,10 +109,15 @@
 
 
 class ConfigurationChanged(message.Message, frozen=True, kw_only=True):
-    """A higher revision is now active on this daemon."""
+    """A higher revision is now active on this daemon.
+
+    A leader of ``term`` confirmed it at ``confirmed_at``; None if none did.
+    """
 
     revision: int
     bundle: bundles.Bundle
+    term: int = 0
+    confirmed_at: datetime.datetime | None = None
 
 
 class DaemonRevision(
@@ -194,33 +199,45 @@
 
 
 class RevisionPush(message.Message, frozen=True, kw_only=True):
-    """A full revision, packed, for a daemon to activate."""
+    """A full revision, packed, for a daemon to activate.
+
+    ``term`` is that of the leader that confirms it as the newest one, 0 if
+    none does.
+    """
 
     sender: str
     revision: int
     digest: str
     bundle: bytes
     publisher: str = ""
+    term: int = 0
 
 
 class RevisionDeltas(message.Message, frozen=True, kw_only=True):
     """Consecutive deltas that lead to a revision.
 
     The receiver forwards them to the addresses in ``relay_to``; ``control``
-    is the address that acknowledgements are sent to.
+    is the address that acknowledgements are sent to. ``term`` is that of the
+    leader that confirms the last revision as the newest one, 0 if none does.
     """
 
     sender: str
     control: str
     deltas: tuple[Delta, ...]
     relay_to: tuple[str, ...] = ()
+    term: int = 0
 
 
 class RevisionNotice(message.Message, frozen=True, kw_only=True):
-    """Announces the accepted revision until the daemon acknowledges it."""
+    """A leader of ``term`` announces the newest accepted revision.
+
+    It is repeated until the daemon acknowledges it. ``control`` is the address
+    that acknowledgements are sent to.
+    """
 
     control: str
     revision: int
+    term: int = 0
 
 
 class RevisionAck(message.Message, frozen=True, kw_only=True):
