--- a/fulmarbarrow/publishing/features/steps/fleet.py
+++ b/fulmarbarrow/publishing/features/steps/fleet.py
@@ -86,6 +86,8 @@
         self.published = []
         self.has_leader = True
         self.index = 0
+        self.committed = []
+        self.snapshot = None
         self.start_control()
         for node in self.nodes:
             self.announce(node)
@@ -178,16 +180,15 @@
                 )
             case consensus_messages.Propose():
                 self.index += 1
-                yield (
-                    node,
-                    consensus_messages.Applied(
-                        group=effect.group,
-                        index=self.index,
-                        term=1,
-                        command=effect.command,
-                        machine=effect.machine,
-                    ),
+                applied = consensus_messages.Applied(
+                    group=effect.group,
+                    index=self.index,
+                    term=1,
+                    command=effect.command,
+                    machine=effect.machine,
                 )
+                self.committed.append(applied)
+                yield node, applied
             case consensus_messages.ReadBarrier():
                 yield (
                     node,
@@ -252,20 +253,32 @@
     def retry_publish(self, number):
         self.post(self.nodes[CONTROL], self.published[number])
 
-    def restart_control(self):
-        node = self.nodes[CONTROL]
-        (taken,) = node.control.handle(
+    def write_snapshot(self):
+        (self.snapshot,) = self.nodes[CONTROL].control.handle(
             consensus_messages.SnapshotWanted(
                 group=control.GROUP, index=self.index
             ),
             self.clock.now(),
         )
+
+    def restart_from_snapshot(self):
+        """Restart the control host with what its last snapshot holds."""
         self.start_control()
         restored = consensus_messages.SnapshotRestored(
             group=control.GROUP,
-            index=taken.index,
-            state=taken.state,
-            machine=taken.machine,
+            index=self.snapshot.index,
+            state=self.snapshot.state,
+            machine=self.snapshot.machine,
         )
-        self.post(node, restored)
+        self.post(self.nodes[CONTROL], restored)
+
+    def apply_committed(self):
+        """Apply what was committed after the last snapshot."""
+        for applied in self.committed:
+            if applied.index > self.snapshot.index:
+                self.post(self.nodes[CONTROL], applied)
+
+    def restart_control(self):
+        self.write_snapshot()
+        self.restart_from_snapshot()
         self.announce_leader()
