Enforce a revision at a start only once a leader has confirmed it

Change: what a daemon holds, what a leader has confirmed and what is in force are three things. A control host that is not the leader reads the leader's revision after a fetch has arrived and answers once that is applied; a daemon that starts enforces a revision once a leader's word since its start covers it. Why this works: whoever answers has been told, after the question, by a host whose lease rules out another leader, what the newest revision is.

A zone that is cut off goes on: routers that run keep what they have, those that start enforce the highest revision that they hold after 4.8 s without a leader's word.

Two scenarios change. 'A new daemon polls frequently until the leader's notice' asserted that a host without a leader hands its revision out at once, which was the fault; it now asserts that nothing is in force, then the same polls, then the revision. 'A restarted daemon restores its revision from disk' waits a second for the leader's word.

--- /dev/null
+++ b/faultmatrix/features/power.feature
@@ -0,0 +1,32 @@
+Feature: A fleet that lost all its power enforces what was accepted last
+
+  # Guards against routers that refuse by a configuration that was replaced (CONFIG).
+  Scenario: No host enforces a revision that was replaced before the loss
+    Given 10 fleets whose control hosts write a snapshot after 8 entries
+    And 10 changes were published
+    When all hosts lose their power for 1.0 s
+    And 4.0 s pass
+    Then no check is breached in any fleet
+    And revision 10 is in force on all hosts of every fleet
+
+  # What serves through cuts goes on: a zone alone keeps what it has.
+  Scenario: A zone that is cut off when its power returns goes on with what it has
+    Given 10 fleets whose control hosts write a snapshot after 8 entries
+    And 10 changes were published
+    When zone "a" is cut off and all hosts lose their power for 1.0 s
+    And 4.5 s pass
+    Then no revision is in force in zone "a" of any fleet
+    When 3.0 s pass
+    Then no check is breached in any fleet
+    And a revision is in force on all routers in zone "a" of every fleet
+    And revision 10 is in force on all hosts of the other zones of every fleet
+
+  Scenario: Routers that keep running keep their revision without a leader
+    Given 10 fleets whose control hosts write a snapshot after 8 entries
+    And 10 changes were published
+    When all control hosts lose their power for 1.0 s
+    And 0.2 s pass
+    Then revision 10 is in force on all routers of every fleet
+    When 6.0 s pass
+    Then no check is breached in any fleet
+    And revision 10 is in force on all hosts of every fleet
--- a/faultmatrix/fleet.py
+++ b/faultmatrix/fleet.py
@@ -67,7 +67,9 @@
         seed: int,
         watchers: collections.abc.Sequence[Watcher] = (),
         sabotage: sabotages.Sabotage | None = None,
+        snapshot_entries: int = defaults.ControlSection.snapshot_entries,
     ) -> None:
+        self._snapshot_entries = snapshot_entries
         self.sabotage = sabotage or sabotages.Sabotage()
         self.timeline = world.Timeline(seed=seed)
         self.rng = self.timeline.rng
@@ -114,6 +116,7 @@
             timeline=self.timeline,
             network=self.network,
             edges=self,
+            snapshot_entries=self._snapshot_entries,
         )
         self.hosts[plan.daemon_id] = host
         return host
--- a/faultmatrix/host.py
+++ b/faultmatrix/host.py
@@ -81,6 +81,7 @@
         timeline: world.Timeline,
         network: networks.Network,
         edges: typing.Any,
+        snapshot_entries: int = defaults.ControlSection.snapshot_entries,
     ) -> None:
         self.plan = plan
         self.zone = plan.zone
@@ -105,7 +106,7 @@
         )
         self._join_edges()
         self.cores = cores.Cores(
-            settings=self._settings(members, seeds),
+            settings=self._settings(members, seeds, snapshot_entries),
             record=self.record,
             bus=self.bus,
             metrics=self.metrics,
@@ -154,7 +155,10 @@
             self.bus.attach(_Tampered(core, self.plan.daemon_id, name, tamper))
 
     def _settings(
-        self, members: tuple[HostPlan, ...], seeds: tuple[str, ...]
+        self,
+        members: tuple[HostPlan, ...],
+        seeds: tuple[str, ...],
+        snapshot_entries: int,
     ) -> defaults.Settings:
         parse = options.parse_address
         return defaults.Settings(
@@ -179,7 +183,8 @@
                         id=member.daemon_id, address=parse(member.address)
                     )
                     for member in members
-                )
+                ),
+                snapshot_entries=snapshot_entries,
             ),
         )
 
--- a/fulmarbarrow/publishing/confirmation.py
+++ b/fulmarbarrow/publishing/confirmation.py
@@ -6,7 +6,13 @@
 import datetime
 import typing
 
+from fulmarbarrow.consensus import timing
+
 MILLISECOND = datetime.timedelta(milliseconds=1)
+# A group that can elect a leader has one after three attempts. Without a
+# confirmation for this long, a daemon may be cut off for good and goes on with
+# the newest revision that it has.
+CUT_OFF_AFTER = 3 * timing.ELECTION_MAX
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/fulmarbarrow/publishing/control.py
+++ b/fulmarbarrow/publishing/control.py
@@ -18,6 +18,7 @@
 from fulmarbarrow.publishing import delta as deltas
 from fulmarbarrow.publishing import documents
 from fulmarbarrow.publishing import fanout
+from fulmarbarrow.publishing import fetches
 from fulmarbarrow.publishing import messages
 from fulmarbarrow.publishing import packing
 from fulmarbarrow.publishing import state
@@ -85,7 +86,7 @@
         self._packed_revision = packing.RevisionCache()
         self._pending_publishes: set[str] = set()
         self._pending_amendments: dict[str, _PendingAmendment] = {}
-        self._is_leader = False
+        self._lease_until: datetime.datetime | None = None
         self._term = 0
         self._status = status_module.StatusService(
             daemon=daemon, describe=self._describe, now=now
@@ -93,6 +94,21 @@
         self._documents = documents.DocumentReader(
             state=self._state, status=self._status
         )
+        self._fetches = fetches.ConfirmedFetches(
+            daemon=daemon,
+            state=self._state,
+            status=self._status,
+            answer=self._answer_fetch,
+        )
+
+    @property
+    def _is_leader(self) -> bool:
+        """Whether this host leads, even if its lease has just ended."""
+        return self._lease_until is not None
+
+    def _has_lease(self, now: datetime.datetime) -> bool:
+        """Whether no other host can lead yet, so that this state is newest."""
+        return self._lease_until is not None and now < self._lease_until
 
     def handle(
         self, event: message.Message, now: datetime.datetime
@@ -123,6 +139,7 @@
             publisher=self._state.publisher,
             zones=self._fanout.zone_statuses(self._state.revision, now),
             leaderless_since=self._status.leaderless_since,
+            term=self._term,
         )
 
     @functools.singledispatchmethod
@@ -192,7 +209,10 @@
     def _(
         self, event: messages.StatusResponse, now: datetime.datetime
     ) -> list[message.Message]:
-        return self._documents.on_status(event, now)
+        return [
+            *self._documents.on_status(event, now),
+            *self._fetches.on_status(event, now),
+        ]
 
     @_on.register
     def _(
@@ -231,14 +251,18 @@
         results = (
             [result] if own is None else self._end_order(result, own, now)
         )
-        effects = [*results, *self._documents.on_applied()]
+        effects = [
+            *results,
+            *self._documents.on_applied(),
+            *self._fetches.on_applied(now),
+        ]
         if self._state.revision == before or not self._is_leader:
             return effects
         latest = self._state.history.deltas[-1:]
-        return [
-            *effects,
-            *(self._fanout.push(latest[0], now) if latest else ()),
-        ]
+        if not latest:
+            return effects
+        term = self._term if self._has_lease(now) else 0
+        return [*effects, *self._fanout.push(latest[0], term, now)]
 
     @_on.register
     def _(
@@ -255,13 +279,7 @@
     def _(
         self, event: messages.RevisionFetch, now: datetime.datetime
     ) -> list[message.Message]:
-        if event.revision >= self._state.revision:
-            return []
-        answer = self._fetch_response(event)
-        self._log_hand_out(event, now)
-        if event.reply_to == self._daemon.address:
-            return [answer]
-        return [message.Send(address=event.reply_to, message=answer)]
+        return self._fetches.add(event, now)
 
     @_on.register
     def _(
@@ -269,11 +287,11 @@
         event: consensus_messages.LeaderChanged,
         now: datetime.datetime,
     ) -> list[message.Message]:
-        is_leader = event.lease_until is not None
+        was_leader = self._is_leader
+        self._lease_until = event.lease_until
         self._term = event.term
-        if is_leader and not self._is_leader:
-            self._fanout.start_leading(event.term, now)
-        self._is_leader = is_leader
+        if self._is_leader and not was_leader:
+            self._fanout.start_leading(now)
         return self._status.on_leader_changed(event, now)
 
     @_on.register
@@ -342,13 +360,25 @@
     def _(
         self, event: message.Tick, now: datetime.datetime
     ) -> list[message.Message]:
-        effects = [*self._status.on_tick(now), *self._documents.on_tick(now)]
+        effects = [
+            *self._status.on_tick(now),
+            *self._documents.on_tick(now),
+            *self._fetches.on_tick(now),
+        ]
         if self._is_leader:
             self._fanout.remove_gone(now)
-            effects += self._fanout.notices(
-                self._state.history, self._state.revision, now
-            )
-        return effects
+        return [*effects, *self._notices(now)]
+
+    def _notices(self, now: datetime.datetime) -> list[message.Message]:
+        """Return what the leader has to tell other daemons, if this is it.
+
+        A leader that was suspended may have been replaced meanwhile.
+        """
+        if not self._has_lease(now):
+            return []
+        return self._fanout.notices(
+            self._state.history, self._state.revision, self._term, now
+        )
 
     @functools.singledispatchmethod
     def _apply(
@@ -423,15 +453,41 @@
             )
         ]
 
+    def _answer_fetch(
+        self, event: messages.RevisionFetch, term: int, now: datetime.datetime
+    ) -> list[message.Message]:
+        """Return the answer to a fetch, confirmed by the leader of ``term``.
+
+        A daemon that has the newest revision already gets the confirmation
+        only. Without a leader, ``term`` is 0 and nothing is confirmed.
+        """
+        if event.revision < self._state.revision:
+            answer = self._fetch_response(event, term)
+        elif event.confirm and term:
+            answer = messages.RevisionNotice(
+                control=self._status.leader_address,
+                revision=self._state.revision,
+                term=term,
+            )
+        else:
+            return []
+        self._log_hand_out(event, term, now)
+        if self._has_lease(now):
+            self._fanout.handed_out(event.daemon_id, now)
+        if event.reply_to == self._daemon.address:
+            return [answer]
+        return [message.Send(address=event.reply_to, message=answer)]
+
     def _fetch_response(
-        self, event: messages.RevisionFetch
+        self, event: messages.RevisionFetch, term: int
     ) -> message.Message:
         missing = self._state.history.after(event.revision)
         if missing and not event.whole:
             return messages.RevisionDeltas(
                 sender=self._daemon.address,
-                control=self._daemon.address if self._is_leader else "",
+                control=self._status.leader_address,
                 deltas=missing,
+                term=term,
             )
         return messages.RevisionPush(
             sender=self._daemon.address,
@@ -441,10 +497,11 @@
                 self._state.revision, self._state.content.encode
             ),
             publisher=self._state.publisher,
+            term=term,
         )
 
     def _log_hand_out(
-        self, event: messages.RevisionFetch, now: datetime.datetime
+        self, event: messages.RevisionFetch, term: int, now: datetime.datetime
     ) -> None:
         since = self._status.leaderless_since
         log.info(
@@ -454,7 +511,7 @@
                 "from_revision": event.revision,
                 "revision": self._state.revision,
                 "leader": self._status.leader,
-                "term": self._term,
+                "term": term,
                 "leaderless_ms": (now - since) // MILLISECOND if since else 0,
             },
         )
--- a/fulmarbarrow/publishing/fanout.py
+++ b/fulmarbarrow/publishing/fanout.py
@@ -106,7 +106,6 @@
         self, *, daemon: membership_messages.Daemon, now: datetime.datetime
     ) -> None:
         self._daemon = daemon
-        self._term = 0
         self._followers = {
             daemon.daemon_id: FollowerState(daemon=daemon, seen_at=now)
         }
@@ -147,11 +146,21 @@
         if follower is not None:
             follower.confirm(event.revision, now)
 
+    def handed_out(self, daemon_id: str, now: datetime.datetime) -> None:
+        """Record that a daemon was sent the newest revision at its request.
+
+        A notice on top would have it ask for the same revision again.
+        """
+        follower = self._followers.get(daemon_id)
+        if follower is not None:
+            follower.notice_sent_at = now
+
     def push(
-        self, delta: messages.Delta, now: datetime.datetime
+        self, delta: messages.Delta, term: int, now: datetime.datetime
     ) -> list[message.Message]:
         """Return the messages that send a delta to all reachable daemons.
 
+        The leader of ``term`` confirms it as the newest one, unless that is 0.
         A daemon that is leaving may be gone before it has relayed the delta.
         """
         reachable = [
@@ -164,39 +173,47 @@
             if item.revision >= delta.base:
                 item.notice_sent_at = item.pushed_at = now
         if len(reachable) <= MAX_DIRECT_PUSHES:
-            return [self._push(delta, item.daemon, ()) for item in reachable]
+            return [
+                self._push(delta, item.daemon, (), term) for item in reachable
+            ]
         zones: dict[str, list[FollowerState]] = {}
         for item in sorted(reachable, key=lambda item: item.daemon.daemon_id):
             if item.daemon.daemon_id != self._daemon.daemon_id:
                 zones.setdefault(item.daemon.zone, []).append(item)
-        effects = [self._push(delta, self._daemon, ())]
+        effects = [self._push(delta, self._daemon, (), term)]
         for items in zones.values():
             relays = [item for item in items if not item.leaving] or items
             relay = relays[delta.base % len(relays)]
             addresses = tuple(
                 item.daemon.address for item in items if item is not relay
             )
-            effects.append(self._push(delta, relay.daemon, addresses))
+            effects.append(self._push(delta, relay.daemon, addresses, term))
         return effects
 
     def notices(
-        self, history: histories.History, revision: int, now: datetime.datetime
+        self,
+        history: histories.History,
+        revision: int,
+        term: int,
+        now: datetime.datetime,
     ) -> list[message.Message]:
         """Return the notices that are due, and lost pushes once more.
 
+        The leader of ``term`` confirms ``revision`` as the newest one.
+
         Whatever follows a push that is not confirmed goes on new connections:
         the one that it went on may be silent, and the kernel takes longer to
         find out than a revision may take.
         """
         effects = []
         notice = messages.RevisionNotice(
-            control=self._daemon.address, revision=revision, term=self._term
+            control=self._daemon.address, revision=revision, term=term
         )
         for item in self._followers.values():
             item.check_late(revision, now)
             if item.repair_due(revision, now):
                 missing = history.after(item.revision)
-                again = self._deltas(missing, ()) if missing else notice
+                again = self._deltas(missing, (), term) if missing else notice
                 effects.append(
                     self._send(item.daemon.address, again, fresh=True)
                 )
@@ -219,9 +236,8 @@
             if item.gone and now - item.seen_at > after:
                 del self._followers[daemon_id]
 
-    def start_leading(self, term: int, now: datetime.datetime) -> None:
+    def start_leading(self, now: datetime.datetime) -> None:
         """Reset acknowledgement times; a new leader has received none yet."""
-        self._term = term
         for item in self._followers.values():
             item.notice_sent_at = None
             if not item.gone:
@@ -248,18 +264,23 @@
         delta: messages.Delta,
         daemon: membership_messages.Daemon,
         relay_to: tuple[str, ...],
+        term: int,
     ) -> message.Message:
-        return self._send(daemon.address, self._deltas((delta,), relay_to))
+        deltas = self._deltas((delta,), relay_to, term)
+        return self._send(daemon.address, deltas)
 
     def _deltas(
-        self, deltas: tuple[messages.Delta, ...], relay_to: tuple[str, ...]
+        self,
+        deltas: tuple[messages.Delta, ...],
+        relay_to: tuple[str, ...],
+        term: int,
     ) -> message.Message:
         return messages.RevisionDeltas(
             sender=self._daemon.address,
             control=self._daemon.address,
             deltas=deltas,
             relay_to=relay_to,
-            term=self._term,
+            term=term,
         )
 
     def _send(
--- a/fulmarbarrow/publishing/features/confirmation.feature
+++ b/fulmarbarrow/publishing/features/confirmation.feature
@@ -14,3 +14,75 @@
     When the control host leads and has applied all that is committed
     And 1 seconds pass
     Then revision 2 is active on all daemons
+
+  Scenario: A daemon that never hears of a leader goes on with what it has
+    Given "amina" has published account "volos" on revision 0
+    And the control host has written a snapshot
+    And "babis" has published account "patras" on revision 1
+    When all hosts restart after a loss of power, and there is no leader
+    And 4 seconds pass
+    Then no revision is in force on any daemon
+    When 4 seconds pass
+    Then revision 1 is active on all daemons
+
+  Scenario: Daemons that keep running keep their revision without a leader
+    Given "amina" has published account "volos" on revision 0
+    When the control host loses leadership and 20 seconds pass
+    Then revision 1 is active on all daemons
+
+  Scenario Outline: What a daemon that starts takes for a confirmation: <word>
+    Given "amina" has published account "volos" on revision 0
+    And a daemon that starts and holds revision 1
+    When it is sent <word>
+    Then revision <revision> is in force on it
+
+    Examples:
+      | word                                              | revision |
+      | a notice of revision 1 by the leader of term 2    | 1        |
+      | a notice of revision 2 by the leader of term 2    | 0        |
+      | a notice of revision 1 by an earlier release      | 1        |
+      | revision 1 by the leader of term 2                | 1        |
+      | revision 1 by an earlier release                  | 0        |
+      | the delta to revision 1, relayed by a peer        | 0        |
+
+  Scenario: A daemon hands out no revision that is not in force on it
+    Given "amina" has published account "volos" on revision 0
+    And a daemon that starts and holds revision 1
+    When a peer without a revision asks it
+    Then the peer is sent nothing
+
+  Scenario: A leader whose lease has ended confirms nothing
+    Given "amina" has published account "volos" on revision 0
+    And the lease of the control host has ended
+    When daemon 5 restarts with an empty disk and 2 seconds pass
+    Then no revision is in force on daemon 5
+
+  Scenario: A control host that follows a leader asks it before it answers
+    Given a control host that follows a leader and has restored revision 1
+    When a daemon that starts asks it for a revision
+    Then the daemon is sent nothing, and the leader is asked for its revision
+    When the leader answers that revision 2 is the newest
+    Then the daemon is sent nothing
+    When revision 2 is applied
+    Then the daemon is sent revision 2, confirmed by the leader of term 3
+
+  Scenario: One question to the leader covers all who asked before it
+    Given a control host that follows a leader and has restored revision 1
+    When 40 daemons that start ask it for a revision
+    Then the leader is asked once
+    When the leader answers that revision 1 is the newest
+    Then the leader is asked twice
+    And 1 daemons are sent revision 1
+    When the leader answers that revision 1 is the newest
+    Then 40 daemons are sent revision 1
+
+  Scenario: A question to a leader that was lost is asked of the next one
+    Given a control host that follows a leader and has restored revision 1
+    When a daemon that starts asks it for a revision
+    And the leader is lost and this host is elected
+    Then the daemon is sent revision 1, confirmed by the leader of term 4
+
+  Scenario: Daemons that run and are not behind cost the leader nothing
+    Given a control host that follows a leader and has restored revision 1
+    When a daemon with revision 1 in force asks it for a revision
+    Then the leader is not asked
--- a/fulmarbarrow/publishing/features/publishing.feature
+++ b/fulmarbarrow/publishing/features/publishing.feature
@@ -71,6 +71,7 @@
     Given "amina" has published account "volos" on revision 0
     And "babis" has published account "patras" on revision 1
     When daemon 5 restarts from disk and receives revision 1
+    And 1 seconds pass
     Then revision 2 is active on daemon 5
 
   Scenario: A revision that cannot be stored is not activated
@@ -100,8 +101,9 @@
     Given "amina" has published account "volos" on revision 0
     And "babis" has published account "patras" on revision 1
     When daemon 5 starts with revision 1 while there is no leader
-    Then revision 2 is active on daemon 5
+    Then no revision is in force on daemon 5
     And it polls at least 9 times within 10 seconds
+    And revision 2 is active on daemon 5
     When the control host becomes leader and sends daemon 5 a notice
     Then it polls at most 3 times within 10 seconds
 
--- a/fulmarbarrow/publishing/features/steps/fleet.py
+++ b/fulmarbarrow/publishing/features/steps/fleet.py
@@ -85,6 +85,7 @@
         self.status = None
         self.published = []
         self.has_leader = True
+        self.answers_reads = True
         self.index = 0
         self.committed = []
         self.snapshot = None
@@ -189,6 +190,8 @@
                 )
                 self.committed.append(applied)
                 yield node, applied
+            case consensus_messages.ReadBarrier() if not self.answers_reads:
+                return
             case consensus_messages.ReadBarrier():
                 yield (
                     node,
@@ -202,6 +205,7 @@
                 self.results.append(effect)
             case messages.StatusResponse():
                 self.status = effect.status
+                yield node, effect
             case _:
                 yield node, effect
 
--- a/fulmarbarrow/publishing/follower.py
+++ b/fulmarbarrow/publishing/follower.py
@@ -1,4 +1,8 @@
-"""Activates revisions on a daemon, in increasing order only."""
+"""Activates revisions on a daemon, in increasing order only.
+
+A daemon that starts takes the newest revision that it is given, but enforces
+none until a leader has confirmed that no newer one had been accepted.
+"""
 
 from __future__ import annotations
 
@@ -25,9 +29,10 @@
 INITIAL_POLL_INTERVAL = datetime.timedelta(milliseconds=500)
 # Until it has the revision that a leader announced, a daemon may be outdated.
 UNCONFIRMED_POLL_INTERVAL = datetime.timedelta(seconds=1)
-# After all hosts were restarted, a new leader may announce a revision before
-# it has applied the newest one, and its next announcement may be lost.
+# The leader does not know a daemon that has just started, and sends it no
+# revision that is accepted after the confirmation.
 STARTUP_PHASE = datetime.timedelta(seconds=10)
+CONTROL_ROLE = "control"
 STORE_TIMEOUT = datetime.timedelta(seconds=2)
 
 
@@ -36,6 +41,10 @@
 
     With ``stores``, a revision is synced to disk before it is activated, so
     that a restart never reverts it; ``restored`` is the stored revision.
+
+    The first revision is put in force once a leader has confirmed it, or after
+    ``CUT_OFF_AFTER`` without a word of any leader: a daemon whose zone is cut
+    off serves what it can. Each later one is newer, and needs no confirmation.
     """
 
     handles = (
@@ -64,20 +73,25 @@
         self._source = source
         self._metrics = metrics
         self._stores = stores
-        self._restored = restored
         self._revision = restored.revision if restored else 0
         self._digest = restored.digest if restored else ""
+        self._sender = "disk" if restored else ""
         self._publisher = restored.publisher if restored else ""
         bundle = bundles.decode(restored.bundle if restored else b"{}")
         self._content = deltas.Content(bundle=bundle)
         self._history = history.History()
         self._packed_revision = packing.RevisionCache()
         self._control = ""
+        self._in_force = False
+        self._started_at: datetime.datetime | None = None
         self._storing: tuple[messages.StoreRevision, datetime.datetime] | None
         self._storing = None
         self._storing_deltas: tuple[messages.Delta, ...] = ()
         self._storing_sender = ""
         self._peers: dict[str, str] = {}
+        self._control_peers: dict[str, str] = {}
+        # Daemons that start together do not all ask the same host first.
+        self._first_host = random.Random(daemon.daemon_id).getrandbits(16)
         self._seeds = seeds
         self._notified = False
         self._confirmation: confirmations.Confirmation | None = None
@@ -85,7 +99,6 @@
         self._polls = 0
         self._acked_at: datetime.datetime | None = None
         self._polled_at: datetime.datetime | None = None
-        self._startup_ends_at: datetime.datetime | None = None
         self._starting = True
 
     def handle(
@@ -109,28 +122,38 @@
         return []
 
     def dump(self) -> dict[str, typing.Any]:
-        """Return the active revision for debugging."""
+        """Return the active revision and the newest held one for debugging."""
+        confirmed = self._confirmation
         return {
-            "revision": self._revision,
+            "revision": self._revision if self._in_force else 0,
+            "held_revision": self._revision,
             "digest": self._digest,
             "publisher": self._publisher,
             "storing": self._storing[0].revision if self._storing else 0,
+            "confirmed_revision": confirmed.revision if confirmed else 0,
+            "confirmed_term": confirmed.term if confirmed else 0,
         }
 
     def _on_push(
         self, event: messages.RevisionPush, now: datetime.datetime
     ) -> list[message.Message]:
+        effects = []
         if event.term:
-            self._confirm(event.revision, event.term, event.sender, now)
+            effects = self._confirm(
+                event.revision, event.term, event.sender, now
+            )
         if event.revision <= self._revision:
-            return []
+            return effects
         revision = messages.StoreRevision(
             revision=event.revision,
             digest=event.digest,
             publisher=event.publisher,
             bundle=packing.unpack(event.bundle),
         )
-        return self._store_or_activate(revision, (), event.sender, now)
+        return [
+            *effects,
+            *self._store_or_activate(revision, (), event.sender, now),
+        ]
 
     def _on_deltas(
         self, event: messages.RevisionDeltas, now: datetime.datetime
@@ -139,11 +162,11 @@
         self._control = event.control or self._control
         self._notified = self._notified or event.sender == event.control
         last = event.deltas[-1].base + 1
-        if event.term or event.sender == event.control:
-            self._confirm(last, event.term, event.sender, now)
+        if event.term:
+            effects += self._confirm(last, event.term, event.sender, now)
         self._newest_announced = max(self._newest_announced, last)
         if last <= self._revision:
-            return [*effects, self._acknowledge(now)]
+            return [*effects, *self._acknowledge(now)]
         new_deltas = tuple(d for d in event.deltas if d.base >= self._revision)
         if new_deltas[0].base != self._revision:
             return [*effects, self._fetch(event.sender)]
@@ -158,6 +181,7 @@
                 reply_to=self._daemon.address,
                 revision=self._revision,
                 whole=True,
+                confirm=not self._in_force,
             )
             return [*effects, self._send(event.sender, whole)]
         revision = messages.StoreRevision(
@@ -187,18 +211,37 @@
     ) -> list[message.Message]:
         self._control = event.control
         self._notified = True
-        self._confirm(event.revision, event.term, event.control, now)
         self._newest_announced = max(self._newest_announced, event.revision)
-        if event.revision <= self._revision:
-            return [self._acknowledge(now)]
-        return [self._fetch(event.control)]
+        effects = self._confirm(event.revision, event.term, event.control, now)
+        if event.revision > self._revision:
+            return [self._fetch(event.control)]
+        return effects or self._acknowledge(now)
 
     def _confirm(
         self, revision: int, term: int, sender: str, now: datetime.datetime
-    ) -> None:
+    ) -> list[message.Message]:
+        """Record a leader's statement; put the held revision in force by it.
+
+        A lower revision than before is that of a leader that was replaced.
+        """
+        known = self._confirmation
+        if known is not None and revision < known.revision:
+            return []
         self._confirmation = confirmations.Confirmation(
             revision=revision, term=term, sender=sender, received_at=now
         )
+        if self._in_force or not self._revision or not self._is_confirmed:
+            return []
+        return self._put_in_force(self._content.bundle(), now)
+
+    @property
+    def _is_confirmed(self) -> bool:
+        """Whether a leader has confirmed the held revision or an older one.
+
+        Revision 0 is confirmed while nothing is published yet.
+        """
+        known = self._confirmation
+        return known is not None and known.revision <= self._revision
 
     def _on_fetch(
         self, event: messages.RevisionFetch
@@ -209,12 +252,12 @@
             return [self._fetch(event.reply_to)]
         if self._is_control:
             return []
-        if event.revision == self._revision:
+        if event.revision == self._revision or not self._in_force:
             return self._pass_on(event)
         return [self._send(event.reply_to, self._fetch_response(event))]
 
     def _pass_on(self, event: messages.RevisionFetch) -> list[message.Message]:
-        """Have the leader answer a daemon that lacks the same revisions.
+        """Have the leader answer a daemon that this one can't help.
 
         This daemon may have relayed a change that it could not apply itself.
         """
@@ -245,7 +288,7 @@
     @property
     def _is_control(self) -> bool:
         """Whether this is a control host; its control core answers fetches."""
-        return "control" in self._daemon.roles
+        return CONTROL_ROLE in self._daemon.roles
 
     def _store_or_activate(
         self,
@@ -299,45 +342,55 @@
             self._history = history.History()
         for delta in new_deltas:
             self._history.add(delta)
-        self._metrics.count("revisions_in_force")
-        log.info(
-            "revision activated",
-            extra={
-                "revision": self._revision,
-                "sender": sender,
-                "deltas": len(new_deltas),
-                "newest_announced": self._newest_announced,
-                **confirmations.describe(self._confirmation, now),
-            },
-        )
-        changed = self._configuration_changed(bundle)
-        return [changed, self._acknowledge(now)]
+        self._sender = sender
+        if self._in_force or self._is_confirmed:
+            return self._put_in_force(bundle, now)
+        log.info("revision held", extra=self._describe(now))
+        return []
 
-    def _configuration_changed(
-        self, bundle: bundles.Bundle
-    ) -> messages.ConfigurationChanged:
+    def _put_in_force(
+        self, bundle: bundles.Bundle, now: datetime.datetime
+    ) -> list[message.Message]:
+        """Enforce the held revision, whose content is given, and tell so."""
+        self._in_force = True
+        self._metrics.count("revisions_in_force")
+        log.info("revision activated", extra=self._describe(now))
         known = self._confirmation
-        return messages.ConfigurationChanged(
+        changed = messages.ConfigurationChanged(
             revision=self._revision,
             bundle=bundle,
             term=known.term if known else 0,
             confirmed_at=known.received_at if known else None,
         )
+        return [changed, *self._acknowledge(now)]
+
+    def _describe(self, now: datetime.datetime) -> dict[str, typing.Any]:
+        """Return where the held revision comes from, for log lines."""
+        return {
+            "revision": self._revision,
+            "sender": self._sender,
+            "newest_announced": self._newest_announced,
+            **confirmations.describe(self._confirmation, now),
+        }
 
-    def _acknowledge(self, now: datetime.datetime) -> message.Message:
+    def _acknowledge(self, now: datetime.datetime) -> list[message.Message]:
+        """Tell the leader which revision is in force, if any is."""
+        if not self._in_force:
+            return []
         self._acked_at = now
         ack = messages.RevisionAck(
             daemon_id=self._daemon.daemon_id,
             address=self._daemon.address,
             revision=self._revision,
         )
-        return self._send(self._control or self._daemon.address, ack)
+        return [self._send(self._control or self._daemon.address, ack)]
 
     def _fetch(self, address: str) -> message.Message:
         fetch = messages.RevisionFetch(
             daemon_id=self._daemon.daemon_id,
             reply_to=self._daemon.address,
             revision=self._revision,
+            confirm=not self._in_force,
         )
         return self._send(address, fetch)
 
@@ -352,30 +405,43 @@
                 daemon = event.daemon
                 if daemon.zone == self._daemon.zone:
                     self._peers[daemon.daemon_id] = daemon.address
+                    if CONTROL_ROLE in daemon.roles:
+                        self._control_peers[daemon.daemon_id] = daemon.address
             case membership_messages.DaemonGone():
                 self._peers.pop(event.daemon_id, None)
+                self._control_peers.pop(event.daemon_id, None)
             case membership_messages.SeedsChanged():
                 self._seeds = event.addresses
 
     def _on_tick(self, now: datetime.datetime) -> list[message.Message]:
         effects: list[message.Message] = []
-        if self._startup_ends_at is None:
-            self._startup_ends_at = now + STARTUP_PHASE
-        self._starting = now < self._startup_ends_at
-        if self._restored is not None:
-            bundle = bundles.decode(self._restored.bundle)
-            self._restored = None
-            effects.append(self._configuration_changed(bundle))
+        if self._started_at is None:
+            self._started_at = now
+        self._starting = now < self._started_at + STARTUP_PHASE
+        if self._is_cut_off(now):
+            log.warning(
+                "no leader has confirmed the revision; the daemon may be cut"
+                " off and goes on with what it has"
+            )
+            effects.extend(self._put_in_force(self._content.bundle(), now))
         if self._control and _elapsed(self._acked_at, ACK_INTERVAL, now):
-            effects.append(self._acknowledge(now))
+            effects.extend(self._acknowledge(now))
         if _elapsed(self._polled_at, self._poll_interval, now):
             effects.extend(self._poll(now))
         return effects
 
+    def _is_cut_off(self, now: datetime.datetime) -> bool:
+        """Whether to go on with a revision that no leader has confirmed."""
+        if self._in_force or not self._revision or self._started_at is None:
+            return False
+        known = self._confirmation
+        since = known.received_at if known else self._started_at
+        return now - since >= confirmations.CUT_OFF_AFTER
+
     @property
     def _poll_interval(self) -> datetime.timedelta:
         """Interval between requests for a newer revision."""
-        if not self._revision:
+        if not self._in_force:
             return INITIAL_POLL_INTERVAL
         return POLL_INTERVAL if self._is_current else UNCONFIRMED_POLL_INTERVAL
 
@@ -402,6 +468,8 @@
         peers = sorted(self._peers.values())
         seeds = [item for item in self._seeds if item != self._daemon.address]
         self._polls += 1
+        if not self._in_force:
+            return self._poll_for_confirmation(seeds, peers, now)
         if seeds and not self._is_current and (self._polls % 2 or not peers):
             peers = seeds
         if not peers:
@@ -409,6 +477,25 @@
         self._polled_at = now
         return [self._fetch(self._source.choice(peers))]
 
+    def _poll_for_confirmation(
+        self, seeds: list[str], peers: list[str], now: datetime.datetime
+    ) -> list[message.Message]:
+        """Ask the control hosts in turn, and each third time a peer.
+
+        Only control hosts can confirm a revision. A zone that is cut off may
+        have none, and the revision that it goes on with is at a peer.
+        """
+        hosts = sorted({*seeds, *self._control_peers.values()})
+        if peers and (not hosts or self._polls % 3 == 0):
+            address = self._source.choice(peers)
+        elif hosts:
+            turn = self._first_host + self._polls - self._polls // 3
+            address = hosts[turn % len(hosts)]
+        else:
+            return []
+        self._polled_at = now
+        return [self._fetch(address)]
+
 
 def _elapsed(
     since: datetime.datetime | None,
--- a/fulmarbarrow/publishing/messages.py
+++ b/fulmarbarrow/publishing/messages.py
@@ -178,6 +178,7 @@
     publisher: str
     zones: tuple[ZoneStatus, ...] = ()
     leaderless_since: datetime.datetime | None = None
+    term: int = 0
 
 
 class StatusRequested(message.Message, frozen=True, kw_only=True):
@@ -252,19 +253,26 @@
     """Asks a control host or a peer for anything newer than ``revision``.
 
     ``whole`` asks for the full bundle, because the deltas did not apply.
+    ``confirm`` asks for a leader's confirmation as well, as ``revision`` is
+    not in force yet.
     """
 
     daemon_id: str
     reply_to: str
     revision: int
     whole: bool = False
+    confirm: bool = False
 
 
 class StatusCall(message.Message, frozen=True, kw_only=True):
-    """Another control host's status request to the leader."""
+    """Another control host's status request to the leader.
+
+    A ``brief`` answer leaves out the zones.
+    """
 
     status_id: str
     reply_to: str
+    brief: bool = False
 
 
 class StatusReply(message.Message, frozen=True, kw_only=True):
--- a/fulmarbarrow/publishing/status.py
+++ b/fulmarbarrow/publishing/status.py
@@ -20,10 +20,14 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class PendingRequest:
-    """A pending status request; ``reply_to`` is empty for a local one."""
+    """A pending status request; ``reply_to`` is empty for a local one.
+
+    The answer to a ``brief`` one has no zones.
+    """
 
     deadline: datetime.datetime
     reply_to: str = ""
+    brief: bool = False
 
 
 class StatusService:
@@ -41,40 +45,64 @@
         self._pending: dict[str, PendingRequest] = {}
         self._leader_address = ""
         self.leader = ""
+        self.term = 0
         self.leaderless_since: datetime.datetime | None = now
 
+    @property
+    def leader_address(self) -> str:
+        """The leader's address, empty if there is no leader."""
+        return self._leader_address
+
     def on_leader_changed(
         self,
         event: consensus_messages.LeaderChanged,
         now: datetime.datetime,
     ) -> list[message.Message]:
-        """Record the leader and forward the requests that wait for one."""
+        """Record the leader and repeat the local requests that wait for one.
+
+        Those were refused while this host was not the leader.
+        """
         self.leader = event.leader
+        self.term = event.term
         self._leader_address = event.address
         if event.leader:
             self.leaderless_since = None
         elif self.leaderless_since is None:
             self.leaderless_since = now
-        return [
-            effect
+        local = [
+            status_id
             for status_id, request in self._pending.items()
             if not request.reply_to
+        ]
+        if event.lease_until is not None:
+            return [_barrier(status_id) for status_id in local]
+        return [
+            effect
+            for status_id in local
             for effect in self._forward(status_id)
         ]
 
     def on_requested(
-        self, event: messages.StatusRequested, now: datetime.datetime
+        self,
+        event: messages.StatusRequested,
+        now: datetime.datetime,
+        *,
+        brief: bool = False,
     ) -> list[message.Message]:
         """Handle a local request."""
-        return self._start_read(
-            event.status_id, PendingRequest(deadline=now + ANSWER_TIMEOUT)
-        )
+        request = PendingRequest(deadline=now + ANSWER_TIMEOUT, brief=brief)
+        return self._start_read(event.status_id, request)
+
+    def cancel(self, status_id: str) -> None:
+        """Drop a local request, which gets no answer."""
+        self._pending.pop(status_id, None)
 
     def on_call(self, event: messages.StatusCall) -> list[message.Message]:
         """Handle a request forwarded by another control host."""
         request = PendingRequest(
             deadline=datetime.datetime.max.replace(tzinfo=datetime.UTC),
             reply_to=event.reply_to,
+            brief=event.brief,
         )
         return self._start_read(event.status_id, request)
 
@@ -88,6 +116,8 @@
         if event.ready:
             del self._pending[event.read_id]
             status = msgspec.structs.replace(self._describe(now), current=True)
+            if request.brief:
+                status = msgspec.structs.replace(status, zones=())
             return [self._answer(event.read_id, request, status)]
         if request.reply_to:
             del self._pending[event.read_id]
@@ -120,7 +150,9 @@
         if self._leader_address in ("", self._daemon.address):
             return []
         call = messages.StatusCall(
-            status_id=status_id, reply_to=self._daemon.address
+            status_id=status_id,
+            reply_to=self._daemon.address,
+            brief=self._pending[status_id].brief,
         )
         return [message.Send(address=self._leader_address, message=call)]
 
@@ -128,12 +160,7 @@
         self, status_id: str, request: PendingRequest
     ) -> list[message.Message]:
         self._pending[status_id] = request
-        return [
-            consensus_messages.ReadBarrier(
-                read_id=status_id,
-                group=consensus_messages.Group.CONFIGURATION,
-            )
-        ]
+        return [_barrier(status_id)]
 
     @staticmethod
     def _answer(
@@ -143,3 +170,9 @@
             return messages.StatusResponse(status_id=status_id, status=status)
         reply = messages.StatusReply(status_id=status_id, status=status)
         return message.Send(address=request.reply_to, message=reply)
+
+
+def _barrier(status_id: str) -> message.Message:
+    return consensus_messages.ReadBarrier(
+        read_id=status_id, group=consensus_messages.Group.CONFIGURATION
+    )
