--- a/tools/log_reference.py
+++ b/tools/log_reference.py
@@ -27,14 +27,15 @@
 is `upstream` for a regular end, `reset` for a reset of the upstream's
 connection, `requester` if the other daemon closed.
 
-`configuration in force` and `request rejected` also have `confirmed_term` and
+`configuration in force` and `request rejected` have `confirmed_term`, too, and
 `confirmed_ms_ago`: the term of the leader that has last confirmed the daemon's
-revision as the newest one, and how long ago; without them none has. `revision
-activated` names the `sender` of a revision, and the leader's statement in
-`confirmed_by`, `confirmed_revision` and the two fields above. A control host
-writes `revision handed out` with the `daemon` that asked, `from_revision` and
-`revision`, the `leader` and `term` that it follows, and for how long it has had
-no leader, `leaderless_ms`.
+revision as the newest one, and how long ago. They are left out where none has.
+`revision activated`, and `revision held` if no leader has confirmed it yet,
+name the `sender` of a revision; `confirmed_by` and `confirmed_revision` tell
+the leader's statement. A control host writes `revision handed out` with the
+`daemon` that asked, `from_revision` and `revision`, the `leader` that it
+follows, the `term` of the one that confirms the answer (0 if none does), and
+for how long it has had no leader, `leaderless_ms`.
 
 A daemon writes at most 150 lines a second, and as many again of warnings; a
 line `log lines left out` tells how many more there were.
