Let a host that lost its disk vote again over a slow link

A part of 512 KB takes 0.7 s on the 6 Mbit/s of a control host, so no reply ever counted, and the copies filled the link that heartbeats need. The host stayed a learner, and the next loss of a disk left no quorum.

Evidence: three scenarios over links of 200 and 750 KB/s.

--- a/fulmarbarrow/consensus/features/hosts.feature
+++ b/fulmarbarrow/consensus/features/hosts.feature
@@ -44,3 +44,19 @@
     And 10 seconds pass
     Then the voters are "a b c" and the former "c" is not a voter
     And "c" has applied the command
+
+  # Guards against a host that lost its disk and never votes again (CONFIG).
+  Scenario Outline: A host that lost its disk votes again, <link>
+    Given hosts "a b c" as founders with loss tolerance 1 and no further hosts
+    And snapshots of <bytes> bytes after 4 entries, on links of <rate> bytes per second
+    When 5 seconds pass
+    And 8 commands are committed in 2 seconds
+    And "c" restarts with an empty disk and may not form a log
+    And <time> seconds pass while a command is sent each 300 ms
+    Then the voters are "a b c" and the former "c" is not a voter
+
+    Examples:
+      | link                                                   | bytes   | rate   | time |
+      | where a large snapshot takes longer than a resend      | 800000  | 750000 | 12   |
+      | where snapshots are taken faster than one can be sent  | 1600000 | 750000 | 20   |
+      | where each part takes longer than a resend             | 800000  | 200000 | 25   |
--- a/fulmarbarrow/consensus/features/steps/hosts.py
+++ b/fulmarbarrow/consensus/features/steps/hosts.py
@@ -6,9 +6,11 @@
 import random
 
 import behave
+import msgspec
 
 from fulmarbarrow import bus as buses
 from fulmarbarrow import clock as clocks
+from fulmarbarrow.consensus import applying
 from fulmarbarrow.consensus import core
 from fulmarbarrow.consensus import memory
 from fulmarbarrow.consensus import messages
@@ -46,13 +48,12 @@
             now=network.clock.now(),
             may_form=form,
             tolerated_losses=losses,
+            snapshot_entries=network.snapshot_entries,
         )
         self.bus.attach(self.core)
         self.bus.subscribe(
             message.Send,
-            lambda event, _: network.sent.append(
-                (event.address, event.message)
-            ),
+            lambda event, _: network.send(name, event),
         )
         self.bus.subscribe(
             messages.Applied, lambda event, _: self.applied.append(event)
@@ -65,7 +66,9 @@
             messages.SnapshotWanted,
             lambda event, _: [
                 messages.SnapshotTaken(
-                    group=GROUP, index=event.index, state=b""
+                    group=GROUP,
+                    index=event.index,
+                    state=bytes(network.snapshot_bytes),
                 )
             ],
         )
@@ -78,6 +81,11 @@
         self.clock = clocks.ManualClock()
         self.disk_numbers = iter(range(100))
         self.sent = []
+        self.snapshot_bytes = 0
+        self.snapshot_entries = applying.SNAPSHOT_ENTRIES
+        # Bytes per second that a host can send; None for any number.
+        self.rate = None
+        self._link_free_at = {}
         self._founders, self._losses = founders, losses
         self.hosts = {
             name: self.make_host(name, form) for name in [*founders, *others]
@@ -92,6 +100,16 @@
             losses=self._losses,
         )
 
+    def send(self, sender, event):
+        """Put a message behind the others on its sender's link."""
+        due = self.clock.now()
+        if self.rate is not None:
+            size = len(msgspec.msgpack.encode(event.message))
+            due = max(due, self._link_free_at.get(sender, due))
+            due += datetime.timedelta(seconds=size / self.rate)
+            self._link_free_at[sender] = due
+        self.sent.append((due, event.address, event.message))
+
     def run(self, seconds):
         end = self.clock.now() + datetime.timedelta(seconds=seconds)
         while self.clock.now() < end:
@@ -101,8 +119,10 @@
             self.deliver()
 
     def deliver(self):
-        while self.sent:
-            address, body = self.sent.pop(0)
+        now = self.clock.now()
+        while due := [item for item in self.sent if item[0] <= now]:
+            self.sent.remove(due[0])
+            _, address, body = due[0]
             host = self.hosts.get(address)
             if host is not None:
                 host.bus.post(body)
@@ -123,12 +143,21 @@
                 )
                 host.bus.post(membership_messages.DaemonChanged(daemon=daemon))
 
-    def leader(self):
-        (leader,) = [
+    def restart_all(self):
+        """Start all hosts anew, before any of them has run."""
+        for name in list(self.hosts):
+            self.hosts[name] = self.make_host(name, form=True)
+        self.announce_hosts()
+
+    def leaders(self):
+        return [
             host
             for host in self.hosts.values()
             if host.core.inspect().role is state.Role.LEADER
         ]
+
+    def leader(self):
+        (leader,) = self.leaders()
         return leader
 
     def voters(self):
@@ -153,6 +182,37 @@
     context.network.announce_hosts()
 
 
+@behave.given(
+    "snapshots of {size:d} bytes after {entries:d} entries, on links of "
+    "{rate:d} bytes per second"
+)
+def step_slow_links(context, size, entries, rate):
+    network = context.network
+    network.snapshot_bytes = size
+    network.snapshot_entries = entries
+    network.rate = rate
+    network.restart_all()
+
+
+@behave.when("{count:d} commands are committed in {seconds:d} seconds")
+def step_commit_many(context, count, seconds):
+    step_pass_while_sent(context, seconds, seconds * 1000 // count)
+
+
+@behave.when(
+    "{seconds:d} seconds pass while a command is sent each {interval:d} ms"
+)
+def step_pass_while_sent(context, seconds, interval):
+    network = context.network
+    for number in range(seconds * 1000 // interval):
+        for host in network.leaders():
+            propose = messages.Propose(
+                proposal_id=f"p{number}", group=GROUP, command=b"more"
+            )
+            host.bus.post(propose)
+        network.run(interval / 1000)
+
+
 @behave.given('hosts "{founders}" as founders that may not form a log')
 def step_founders_may_not_form(context, founders):
     context.network = Network(
--- a/fulmarbarrow/consensus/joining.py
+++ b/fulmarbarrow/consensus/joining.py
@@ -197,7 +197,7 @@
         progress = self._replication.progress(member.member_id)
         if node.log.configuration.find(member.member_id) is not None:
             if progress is not None and not event.log_id:
-                progress.install_offset = 0
+                progress.install_offset = progress.install_offset or 0
             return
         current = node.log.configuration.member_of_daemon(member.daemon_id)
         may_join = current is not None or member.daemon_id in node.founder_ids
--- a/fulmarbarrow/consensus/replication.py
+++ b/fulmarbarrow/consensus/replication.py
@@ -12,8 +12,11 @@
 from fulmarbarrow.consensus import timing
 
 MAX_BATCH_ENTRIES = 512
-MAX_BATCH_BYTES = 512 << 10
-SNAPSHOT_PART_BYTES = 512 << 10
+# Heartbeats wait behind these bytes on a leader's link.
+MAX_BATCH_BYTES = 128 << 10
+SNAPSHOT_PART_BYTES = 128 << 10
+# Each copy without a reply doubles the wait for the next one, this many times.
+MAX_BACKOFF = 2
 
 
 class Replication:
@@ -64,11 +67,13 @@
     def send_heartbeats(self, now: datetime.datetime) -> None:
         """Send entries or a heartbeat to every host; resend lost entries."""
         for progress in self._progress.values():
+            wait = timing.RESEND_AFTER * 2 ** min(progress.copies, MAX_BACKOFF)
             timed_out = (
                 progress.in_flight_since is not None
-                and now - progress.in_flight_since >= timing.RESEND_AFTER
+                and now - progress.in_flight_since >= wait
             )
             if timed_out:
+                progress.copies += 1
                 progress.in_flight_since = None
                 progress.next_index = min(
                     progress.next_index, progress.match_index + 1
@@ -94,11 +99,13 @@
             return
         self._record_reply(progress, event.sent_at, now)
         if event.success:
+            if event.match_index > progress.match_index:
+                progress.copies = 0
             progress.match_index = max(progress.match_index, event.match_index)
             progress.next_index = max(
                 progress.next_index, progress.match_index + 1
             )
-            progress.install_offset = None
+            progress.end_install()
         elif (
             event.sent_at == progress.in_flight_since
             or not progress.in_flight_since
@@ -124,19 +131,30 @@
     def install_reply(
         self, event: peer.InstallReply, now: datetime.datetime
     ) -> None:
-        """Send the next part of a snapshot, or the entries after it."""
+        """Send the next part of a snapshot, or the entries after it.
+
+        A reply that shows progress counts even if the part was sent again
+        meanwhile. One that shows none counts for the latest copy only: the
+        host may have lost what it had received.
+        """
         progress = self._progress.get(event.follower)
         if progress is None:
             return
         self._record_reply(progress, event.sent_at, now)
-        if event.sent_at != progress.in_flight_since:
+        offset = progress.install_offset
+        if offset is None or event.index != progress.install_index:
+            return
+        advanced = event.done or event.offset > offset
+        if not advanced and event.sent_at != progress.in_flight_since:
             return
         progress.in_flight_since = None
+        if advanced:
+            progress.copies = 0
         if event.done:
-            progress.install_offset = None
+            progress.end_install()
             progress.match_index = max(progress.match_index, event.index)
             progress.next_index = progress.match_index + 1
-        elif event.index == progress.install_index:
+        else:
             progress.install_offset = event.offset
         self._send(progress, now)
 
@@ -242,12 +260,14 @@
         self, progress: state.Progress, now: datetime.datetime
     ) -> None:
         node = self._node
-        data = self._encode_snapshot()
-        index = node.log.snapshot.index
-        if progress.install_index != index:
-            progress.install_offset = None
+        if not progress.install_data:
+            progress.install_data = self._encode_snapshot()
+            progress.install_index = node.log.snapshot.index
+            progress.install_offset = 0
+        # The snapshot that the installation began with is sent to its end, as
+        # newer ones may come faster than they can be sent.
+        data, index = progress.install_data, progress.install_index
         offset = progress.install_offset or 0
-        progress.install_index = index
         progress.install_offset = offset
         progress.in_flight_since = now
         part = data[offset : offset + SNAPSHOT_PART_BYTES]
--- a/fulmarbarrow/consensus/state.py
+++ b/fulmarbarrow/consensus/state.py
@@ -46,8 +46,9 @@
     ``in_flight_since`` is set, entries or a snapshot part sent at that time
     have no reply yet and no others are sent. ``acked_sent_at`` is when the
     latest message that was replied to was sent; ``last_reply_at`` is when its
-    latest reply arrived. ``install_offset`` is the next byte of the snapshot
-    at ``install_index`` to send, or None if no snapshot is needed.
+    latest reply arrived. ``copies`` counts how often what is in flight was
+    sent again. ``install_offset`` is the next byte to send of the snapshot at
+    ``install_index``, which is ``install_data``, or None if none is needed.
     """
 
     member: records.Member
@@ -56,8 +57,15 @@
     in_flight_since: datetime.datetime | None = None
     last_reply_at: datetime.datetime | None = None
     acked_sent_at: datetime.datetime | None = None
+    copies: int = 0
     install_offset: int | None = None
     install_index: int = 0
+    install_data: bytes = b""
+
+    def end_install(self) -> None:
+        """Send entries from now on."""
+        self.install_offset = None
+        self.install_data = b""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
