Request pre-votes again while a host waits for its next timeout

Cause: a host whose first pre-vote requests are lost, as its peers don't listen yet, waits for its next election timeout of 0.8 to 1.6 s.

Change: a pre-candidate requests missing pre-votes each 200 ms. So of two pre-candidates with equal logs only the first by id goes on, for at most two timeouts: one that isn't heard must not hold up the others. Pre-votes bind nobody, so no invariant of the log rests on this.

--- a/faultmatrix/features/power.feature
+++ b/faultmatrix/features/power.feature
@@ -30,3 +30,11 @@
     When 6.0 s pass
     Then no check is breached in any fleet
     And revision 10 is in force on all hosts of every fleet
+
+  # Guards against a fleet that waits a second longer than it has to.
+  Scenario: Control hosts that reach each other late elect a leader at once
+    Given 10 fleets whose control hosts write a snapshot after 8 entries
+    And 3 changes were published
+    When all hosts lose their power for 1.0 s, and control hosts reach nobody for 1.7 s
+    And 0.5 s pass
+    Then each fleet has a leader
--- a/faultmatrix/features/steps/power.py
+++ b/faultmatrix/features/steps/power.py
@@ -104,6 +104,30 @@
     step_all_lose_power(context, seconds)
 
 
+@behave.when(
+    "all hosts lose their power for {down:f} s, and control hosts reach nobody "
+    "for {silent:f} s"
+)
+def step_control_is_silent(context, down, silent):
+    step_all_lose_power(context, down)
+    for play in context.plays:
+        for plan in play.fleet.control_plans:
+            play.fleet.network.isolate(plan.address)
+        play.run(datetime.timedelta(seconds=silent))
+        assert play.fleet.leader() is None
+        play.fleet.network.heal()
+
+
+@behave.then("each fleet has a leader")
+def step_leaders(context):
+    without = [
+        number
+        for number, play in enumerate(context.plays)
+        if play.fleet.leader() is None
+    ]
+    assert not without, without
+
+
 @behave.when("{seconds:f} s pass")
 def step_pass(context, seconds):
     for play in context.plays:
--- a/fulmarbarrow/consensus/election.py
+++ b/fulmarbarrow/consensus/election.py
@@ -15,6 +15,9 @@
 
 log = logging.getLogger(__name__)
 
+# Election timeouts for which a host with equals goes first by its id.
+MAX_ROUNDS_FIRST = 2
+
 
 class Leadership(typing.Protocol):
     """The leadership that the election starts and ends."""
@@ -33,6 +36,8 @@
         self._node = node
         self._leadership = leadership
         self._votes: set[str] = set()
+        self._pre_votes_sent_at = node.leader_heard_at
+        self._rounds = 0
         self._now = node.leader_heard_at
         self._by_handover = False
         self._roles = role_machine.make_roles(self)
@@ -52,12 +57,13 @@
         node = self._node
         if node.role in (state.Role.UNFORMED, state.Role.LEADER):
             return
-        if now < node.election_due_at:
-            return
         if not node.is_voter or (node.leaving and not node.is_only_voter):
             return
         self._now = now
-        self._roles.timed_out()
+        if now >= node.election_due_at:
+            self._roles.timed_out()
+        elif node.role is state.Role.PRE_CANDIDATE:
+            self._repeat_pre_votes()
 
     def step_down(self, now: datetime.datetime) -> None:
         """Become a follower without a change of term."""
@@ -110,7 +116,11 @@
         if not event.handover and self._has_recent_leader(now):
             return
         if event.pre:
-            granted = event.term > node.term and self._is_up_to_date(event)
+            granted = (
+                event.term > node.term
+                and self._is_up_to_date(event)
+                and not self._comes_before(event)
+            )
             self._reply(event, granted)
             return
         self.observe_term(event.term, now)
@@ -155,6 +165,7 @@
     def follow(self) -> None:
         """Wait for a leader."""
         node = self._node
+        self._rounds = 0
         was_leading = node.role is state.Role.LEADER
         node.role = state.Role.FOLLOWER
         node.election_due_at = self._now + self._election_timeout()
@@ -165,6 +176,7 @@
     def request_pre_votes(self) -> None:
         """Request pre-votes, without starting a new term."""
         node = self._node
+        self._rounds += 1
         node.role = state.Role.PRE_CANDIDATE
         if node.leader is not None:
             node.leader = None
@@ -173,8 +185,7 @@
         node.metrics.count("consensus_pre_votes", group=node.group)
         self._by_handover = False
         self._votes = {node.me.member_id}
-        for member in node.other_voters:
-            node.send(member, self._vote_request(node.term + 1, pre=True))
+        self._send_pre_votes()
         self._count_votes()
 
     def request_votes(self) -> None:
@@ -209,6 +220,21 @@
         log.info("%s is no longer leader of %s", node.me.member_id, node.group)
         self._leadership.end()
 
+    def _repeat_pre_votes(self) -> None:
+        """Request missing pre-votes again, from hosts that may be up now.
+
+        A pre-vote binds nobody, so that more requests split no votes.
+        """
+        if self._now - self._pre_votes_sent_at >= timing.PRE_VOTE_INTERVAL:
+            self._send_pre_votes()
+
+    def _send_pre_votes(self) -> None:
+        node = self._node
+        self._pre_votes_sent_at = self._now
+        for member in node.other_voters:
+            if member.member_id not in self._votes:
+                node.send(member, self._vote_request(node.term + 1, pre=True))
+
     def _count_votes(self) -> None:
         configuration = self._node.log.configuration
         voters = {member.member_id for member in configuration.members}
@@ -225,9 +251,30 @@
             return True
         return now - node.leader_heard_at < timing.ELECTION_MIN
 
+    def _comes_before(self, event: peer.VoteRequest) -> bool:
+        """Whether this host requests pre-votes too, and should win them.
+
+        Hosts that started together request them at the same moments, and would
+        split the votes each time. Of two with equal logs, the first by id goes
+        on until ``MAX_ROUNDS_FIRST`` timeouts have passed: it may be unheard.
+        """
+        node = self._node
+        if node.role is not state.Role.PRE_CANDIDATE:
+            return False
+        if self._rounds > MAX_ROUNDS_FIRST or self._log_position != (
+            event.last_term,
+            event.last_index,
+        ):
+            return False
+        return node.me.member_id < event.candidate.member_id
+
+    @property
+    def _log_position(self) -> tuple[int, int]:
+        """The term and index of the last entry."""
+        return (self._node.log.last_term, self._node.log.last_index)
+
     def _is_up_to_date(self, event: peer.VoteRequest) -> bool:
-        own = (self._node.log.last_term, self._node.log.last_index)
-        return (event.last_term, event.last_index) >= own
+        return (event.last_term, event.last_index) >= self._log_position
 
     def _reply(self, event: peer.VoteRequest, granted: bool) -> None:
         node = self._node
--- a/fulmarbarrow/consensus/timing.py
+++ b/fulmarbarrow/consensus/timing.py
@@ -8,6 +8,9 @@
 ELECTION_MIN = datetime.timedelta(milliseconds=800)
 ELECTION_MAX = datetime.timedelta(milliseconds=1600)
 
+# Interval at which a host requests pre-votes again.
+PRE_VOTE_INTERVAL = datetime.timedelta(milliseconds=200)
+
 # Interval at which a leader sends to every member, with or without entries.
 HEARTBEAT = datetime.timedelta(milliseconds=200)
 # Entries and snapshot parts without a reply are sent again after this long.
