Answer 503 on the product's own interface before a configuration is in force

What callers saw: 401 from a daemon that has just started, for keys that are valid (found by reading, for the same cause: a refusal that rests on a state which the daemon can't know to be the newest; here on none at all).

Cause: the product's own interface looked keys up in an empty directory; the platform's interface asked first whether there is a configuration.

Change: requests and the list of models are refused with 503, 'no_configuration', and when to come back, until a revision is in force. The scenario failed before with 401 on each of three paths.

--- a/fulmarbarrow/edge/callers.py
+++ b/fulmarbarrow/edge/callers.py
@@ -74,7 +74,9 @@
         self._answers: dict[str, answers.Answer] = {}
         self._largest_backlog = 0
         self._numbers = itertools.count(1)
-        self._directory = directories.Directory(bundle=bundles.Bundle())
+        self._directory = directories.Directory(
+            bundle=bundles.Bundle(), in_force=False
+        )
         self._accepting = True
         self._healthy = True
         self._configured = False
--- a/fulmarbarrow/edge/directory.py
+++ b/fulmarbarrow/edge/directory.py
@@ -64,10 +64,14 @@
     A key is compared with every account, in constant time, when it is first
     seen. The result is remembered under the key's digest, for a bounded
     number of unknown keys, so that 1,900 accounts cost one digest a request.
+    Without ``in_force`` it stands for a configuration that is not known yet.
     """
 
-    def __init__(self, *, bundle: bundles.Bundle) -> None:
+    def __init__(
+        self, *, bundle: bundles.Bundle, in_force: bool = True
+    ) -> None:
         self._bundle = bundle
+        self.in_force = in_force
         self._services = {item.name: item for item in bundle.service}
         self.host_routes = HostRoutes(routes=bundle.host_route)
         self._proven: dict[bytes, bundles.Account] = {}
--- a/fulmarbarrow/edge/features/errors.feature
+++ b/fulmarbarrow/edge/features/errors.feature
@@ -6,6 +6,19 @@
     Then the edge answers 500 with code internal_error and ran "unknown"
     And no exchange is open
 
+  # Guards against 401 for keys that an unconfirmed configuration holds.
+  Scenario Outline: An edge without a configuration in force refuses nothing for good: <path>
+    Given an edge without a configuration in force
+    When a request for "<path>" arrives at the edge
+    Then the edge answers 503 with code no_configuration and ran "no"
+    And it tells when to come back
+
+    Examples:
+      | path                 |
+      | /v1/chat/completions |
+      | /v1/models           |
+      | /unknown             |
+
   Scenario: A core that fails in the middle of a stream ends it
     Given an edge over a core that fails on the second part of an answer
     When a chat arrives at the edge
--- a/fulmarbarrow/edge/features/steps/errors.py
+++ b/fulmarbarrow/edge/features/steps/errors.py
@@ -17,6 +17,7 @@
 from fulmarbarrow.edge import callers
 from fulmarbarrow.edge import directory
 from fulmarbarrow.edge import exchange
+from fulmarbarrow.edge import own_routes
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics
 from fulmarbarrow.publishing import messages as publishing_messages
@@ -77,7 +78,7 @@
     )
 
 
-def make_edge(context, handler):
+def make_edge(context, handler, bundle=BUNDLE):
     # The failures of these cores are meant; their logs would only distract.
     logging.getLogger("fulmarbarrow.bus").setLevel(logging.CRITICAL)
     clock = clocks.ManualClock()
@@ -98,14 +99,34 @@
         exchanges=context.exchanges,
         limits=defaults.LimitsSection(max_answer_buffer_bytes=66000),
     )
-    bus.post(
-        publishing_messages.ConfigurationChanged(revision=1, bundle=BUNDLE)
-    )
+    edge.serve_fixed(own_routes.OwnRoutes(callers=edge))
+    if bundle is not None:
+        bus.post(
+            publishing_messages.ConfigurationChanged(revision=1, bundle=bundle)
+        )
     context.transport = Transport()
     context.channel = edge.site.buildProtocol(None)
     context.channel.makeConnection(context.transport)
 
 
+@behave.given("an edge without a configuration in force")
+def step_unconfigured(context):
+    make_edge(context, fail, bundle=None)
+
+
+@behave.when('a request for "{path}" arrives at the edge')
+def step_asked(context, path):
+    context.channel.dataReceived(
+        b"GET %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key\r\n\r\n"
+        % path.encode()
+    )
+
+
+@behave.then("it tells when to come back")
+def step_come_back(context):
+    assert b"\r\nRetry-After: " in context.transport.value()
+
+
 @behave.given("an edge over a core that fails on every request")
 def step_fails(context):
     make_edge(context, fail)
--- a/fulmarbarrow/edge/own_routes.py
+++ b/fulmarbarrow/edge/own_routes.py
@@ -44,6 +44,10 @@
 
     def _models(self, request: http.Request) -> bytes:
         directory = self._callers.directory
+        if not directory.in_force:
+            return self._callers.reject(
+                request, dialects.Rejected(code="no_configuration")
+            )
         account = directory.account(requests.bearer_key(request))
         if account is None:
             return self._callers.reject(
--- a/fulmarbarrow/edge/requests.py
+++ b/fulmarbarrow/edge/requests.py
@@ -100,6 +100,8 @@
     directory: directories.Directory,
     now: datetime.datetime,
 ) -> delivery_messages.RequestArrived:
+    if not directory.in_force:
+        raise RejectedError(dialect.Rejected(code="no_configuration"))
     account = directory.account(bearer_key(request))
     if account is None:
         raise RejectedError(dialect.Rejected(code="unauthorized"))
--- a/fulmarbarrow/platform/clients.py
+++ b/fulmarbarrow/platform/clients.py
@@ -49,7 +49,7 @@
     ) -> dialect.Taken | dialect.Rejected:
         """Return the checked request, or why it is refused."""
         caller_id = requests.header(request, headers.REQUEST_ID)
-        if not len(directory.host_routes):
+        if not directory.in_force or not len(directory.host_routes):
             return dialect.Rejected(
                 code="no_configuration", caller_id=caller_id
             )
