--- a/faultmatrix/features/steps/power.py
+++ b/faultmatrix/features/steps/power.py
@@ -105,8 +105,8 @@
 
 
 @behave.when(
-    "all hosts lose their power for {down:f} s, and control hosts reach nobody "
-    "for {silent:f} s"
+    "all hosts lose their power for {down:f} s, and control hosts reach "
+    "nobody for {silent:f} s"
 )
 def step_control_is_silent(context, down, silent):
     step_all_lose_power(context, down)
