Log whom a daemon reaches that goes on without a leader

Fetches carry a number that their sender uses once; answers repeat it, and what is sent without a question carries 0. "revision activated" and the warning of a daemon that goes on name the question that was answered and when it was asked, the warning also whom the daemon heard and who is alive for it, and "revision handed out" names the question. Fields are appended: earlier releases ignore them.

--- a/fulmarbarrow/publishing/confirmation.py
+++ b/fulmarbarrow/publishing/confirmation.py
@@ -20,13 +20,17 @@
     """A leader's statement that ``revision`` is the newest accepted one.
 
     ``sender`` is the address that it came from and ``term`` the leader's
-    term, 0 if a daemon of an earlier release sent it.
+    term, 0 if a daemon of an earlier release sent it. ``question`` and
+    ``asked_at`` tell which question of this daemon it answers; 0 and None if
+    it answers none that this daemon still knows.
     """
 
     revision: int
     term: int
     sender: str
     received_at: datetime.datetime
+    question: int = 0
+    asked_at: datetime.datetime | None = None
 
     def describe(self, now: datetime.datetime) -> dict[str, typing.Any]:
         """Return the fields that log lines show."""
@@ -35,6 +39,10 @@
             "confirmed_term": self.term,
             "confirmed_by": self.sender,
             "confirmed_ms_ago": (now - self.received_at) // MILLISECOND,
+            "question": self.question,
+            "asked_ms_ago": (
+                (now - self.asked_at) // MILLISECOND if self.asked_at else None
+            ),
         }
 
 
--- a/fulmarbarrow/publishing/control.py
+++ b/fulmarbarrow/publishing/control.py
@@ -468,6 +468,7 @@
                 control=self._status.leader_address,
                 revision=self._state.revision,
                 term=term,
+                question=event.question,
             )
         else:
             return []
@@ -488,6 +489,7 @@
                 control=self._status.leader_address,
                 deltas=missing,
                 term=term,
+                question=event.question,
             )
         return messages.RevisionPush(
             sender=self._daemon.address,
@@ -498,6 +500,7 @@
             ),
             publisher=self._state.publisher,
             term=term,
+            question=event.question,
         )
 
     def _log_hand_out(
@@ -508,6 +511,7 @@
             "revision handed out",
             extra={
                 "daemon": event.daemon_id,
+                "question": event.question,
                 "from_revision": event.revision,
                 "revision": self._state.revision,
                 "leader": self._status.leader,
--- a/fulmarbarrow/publishing/fanout.py
+++ b/fulmarbarrow/publishing/fanout.py
@@ -207,7 +207,10 @@
         """
         effects = []
         notice = messages.RevisionNotice(
-            control=self._daemon.address, revision=revision, term=term
+            control=self._daemon.address,
+            revision=revision,
+            term=term,
+            question=0,
         )
         for item in self._followers.values():
             item.check_late(revision, now)
@@ -281,6 +284,7 @@
             deltas=deltas,
             relay_to=relay_to,
             term=term,
+            question=0,
         )
 
     def _send(
--- a/fulmarbarrow/publishing/follower.py
+++ b/fulmarbarrow/publishing/follower.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import collections
 import datetime
 import logging
 import random
@@ -34,6 +35,8 @@
 STARTUP_PHASE = datetime.timedelta(seconds=10)
 CONTROL_ROLE = "control"
 STORE_TIMEOUT = datetime.timedelta(seconds=2)
+# Answers to older questions are not attributed to a question any more.
+MAX_QUESTIONS = 64
 
 
 class PublishingFollower:
@@ -97,6 +100,14 @@
         self._confirmation: confirmations.Confirmation | None = None
         self._newest_announced = 0
         self._polls = 0
+        # Numbers of questions are not used again by the next process.
+        name = f"{daemon.daemon_id}/{daemon.incarnation}"
+        self._question = random.Random(name).getrandbits(32) << 16
+        self._questions: collections.OrderedDict[int, datetime.datetime] = (
+            collections.OrderedDict()
+        )
+        self._daemons: dict[str, membership_messages.Daemon] = {}
+        self._heard_from: set[str] = set()
         self._acked_at: datetime.datetime | None = None
         self._polled_at: datetime.datetime | None = None
         self._starting = True
@@ -113,7 +124,7 @@
             case messages.RevisionNotice():
                 return self._on_notice(event, now)
             case messages.RevisionFetch():
-                return self._on_fetch(event)
+                return self._on_fetch(event, now)
             case messages.RevisionStored():
                 return self._on_stored(event, now)
             case message.Tick():
@@ -138,9 +149,10 @@
         self, event: messages.RevisionPush, now: datetime.datetime
     ) -> list[message.Message]:
         effects = []
+        self._heard_from.add(event.sender)
         if event.term:
             effects = self._confirm(
-                event.revision, event.term, event.sender, now
+                event.revision, event.term, event.sender, event.question, now
             )
         if event.revision <= self._revision:
             return effects
@@ -159,17 +171,20 @@
         self, event: messages.RevisionDeltas, now: datetime.datetime
     ) -> list[message.Message]:
         effects = self._relay(event)
+        self._heard_from.add(event.sender)
         self._control = event.control or self._control
         self._notified = self._notified or event.sender == event.control
         last = event.deltas[-1].base + 1
         if event.term:
-            effects += self._confirm(last, event.term, event.sender, now)
+            effects += self._confirm(
+                last, event.term, event.sender, event.question, now
+            )
         self._newest_announced = max(self._newest_announced, last)
         if last <= self._revision:
             return [*effects, *self._acknowledge(now)]
         new_deltas = tuple(d for d in event.deltas if d.base >= self._revision)
         if new_deltas[0].base != self._revision:
-            return [*effects, self._fetch(event.sender)]
+            return [*effects, self._fetch(event.sender, now)]
         content = deltas.Content(bundle=self._content.bundle())
         for delta in new_deltas:
             content.apply(delta)
@@ -182,6 +197,7 @@
                 revision=self._revision,
                 whole=True,
                 confirm=not self._in_force,
+                question=self._next_question(now),
             )
             return [*effects, self._send(event.sender, whole)]
         revision = messages.StoreRevision(
@@ -200,6 +216,7 @@
             sender=self._daemon.address,
             control=event.control,
             deltas=event.deltas,
+            question=0,
         )
         return [
             message.Send(address=address, message=forwarded, urgent=True)
@@ -210,15 +227,23 @@
         self, event: messages.RevisionNotice, now: datetime.datetime
     ) -> list[message.Message]:
         self._control = event.control
+        self._heard_from.add(event.control)
         self._notified = True
         self._newest_announced = max(self._newest_announced, event.revision)
-        effects = self._confirm(event.revision, event.term, event.control, now)
+        effects = self._confirm(
+            event.revision, event.term, event.control, event.question, now
+        )
         if event.revision > self._revision:
-            return [self._fetch(event.control)]
+            return [self._fetch(event.control, now)]
         return effects or self._acknowledge(now)
 
     def _confirm(
-        self, revision: int, term: int, sender: str, now: datetime.datetime
+        self,
+        revision: int,
+        term: int,
+        sender: str,
+        question: int | None,
+        now: datetime.datetime,
     ) -> list[message.Message]:
         """Record a leader's statement; put the held revision in force by it.
 
@@ -228,7 +253,12 @@
         if known is not None and revision < known.revision:
             return []
         self._confirmation = confirmations.Confirmation(
-            revision=revision, term=term, sender=sender, received_at=now
+            revision=revision,
+            term=term,
+            sender=sender,
+            received_at=now,
+            question=question or 0,
+            asked_at=self._questions.get(question or 0),
         )
         if self._in_force or not self._revision or not self._is_confirmed:
             return []
@@ -244,12 +274,12 @@
         return known is not None and known.revision <= self._revision
 
     def _on_fetch(
-        self, event: messages.RevisionFetch
+        self, event: messages.RevisionFetch, now: datetime.datetime
     ) -> list[message.Message]:
         if event.daemon_id == self._daemon.daemon_id:
             return []
         if event.revision > self._revision:
-            return [self._fetch(event.reply_to)]
+            return [self._fetch(event.reply_to, now)]
         if self._is_control:
             return []
         if event.revision == self._revision or not self._in_force:
@@ -274,6 +304,7 @@
                 sender=self._daemon.address,
                 control=self._control,
                 deltas=new_deltas,
+                question=event.question,
             )
         return messages.RevisionPush(
             sender=self._daemon.address,
@@ -283,6 +314,7 @@
                 self._revision, self._content.encode
             ),
             publisher=self._publisher,
+            question=event.question,
         )
 
     @property
@@ -373,6 +405,23 @@
             **confirmations.describe(self._confirmation, now),
         }
 
+    def _describe_contacts(self) -> dict[str, typing.Any]:
+        """Return whom this daemon reaches, for log lines.
+
+        ``heard_from`` are the senders of revisions and statements since the
+        start; the others are alive by the records of membership.
+        """
+        daemons = self._daemons.values()
+        return {
+            "heard_from": sorted(self._heard_from),
+            "control_alive": sorted(
+                daemon.daemon_id
+                for daemon in daemons
+                if CONTROL_ROLE in daemon.roles
+            ),
+            "zones_alive": sorted({daemon.zone for daemon in daemons}),
+        }
+
     def _acknowledge(self, now: datetime.datetime) -> list[message.Message]:
         """Tell the leader which revision is in force, if any is."""
         if not self._in_force:
@@ -385,12 +434,21 @@
         )
         return [self._send(self._control or self._daemon.address, ack)]
 
-    def _fetch(self, address: str) -> message.Message:
+    def _next_question(self, now: datetime.datetime) -> int:
+        """Return the number of a question that is asked now."""
+        self._question += 1
+        self._questions[self._question] = now
+        if len(self._questions) > MAX_QUESTIONS:
+            self._questions.popitem(last=False)
+        return self._question
+
+    def _fetch(self, address: str, now: datetime.datetime) -> message.Message:
         fetch = messages.RevisionFetch(
             daemon_id=self._daemon.daemon_id,
             reply_to=self._daemon.address,
             revision=self._revision,
             confirm=not self._in_force,
+            question=self._next_question(now),
         )
         return self._send(address, fetch)
 
@@ -403,11 +461,13 @@
         match event:
             case membership_messages.DaemonChanged():
                 daemon = event.daemon
+                self._daemons[daemon.daemon_id] = daemon
                 if daemon.zone == self._daemon.zone:
                     self._peers[daemon.daemon_id] = daemon.address
                     if CONTROL_ROLE in daemon.roles:
                         self._control_peers[daemon.daemon_id] = daemon.address
             case membership_messages.DaemonGone():
+                self._daemons.pop(event.daemon_id, None)
                 self._peers.pop(event.daemon_id, None)
                 self._control_peers.pop(event.daemon_id, None)
             case membership_messages.SeedsChanged():
@@ -421,7 +481,8 @@
         if self._is_cut_off(now):
             log.warning(
                 "no leader has confirmed the revision; the daemon may be cut"
-                " off and goes on with what it has"
+                " off and goes on with what it has",
+                extra=self._describe(now) | self._describe_contacts(),
             )
             effects.extend(self._put_in_force(self._content.bundle(), now))
         if self._control and _elapsed(self._acked_at, ACK_INTERVAL, now):
@@ -475,7 +536,7 @@
         if not peers:
             return []
         self._polled_at = now
-        return [self._fetch(self._source.choice(peers))]
+        return [self._fetch(self._source.choice(peers), now)]
 
     def _poll_for_confirmation(
         self, seeds: list[str], peers: list[str], now: datetime.datetime
@@ -494,7 +555,7 @@
         else:
             return []
         self._polled_at = now
-        return [self._fetch(address)]
+        return [self._fetch(address, now)]
 
 
 def _elapsed(
--- a/fulmarbarrow/publishing/messages.py
+++ b/fulmarbarrow/publishing/messages.py
@@ -203,7 +203,8 @@
     """A full revision, packed, for a daemon to activate.
 
     ``term`` is that of the leader that confirms it as the newest one, 0 if
-    none does.
+    none does. ``question`` is the number of the fetch that it answers, 0 if
+    it was sent without one and None if an earlier release sent it.
     """
 
     sender: str
@@ -212,6 +213,7 @@
     bundle: bytes
     publisher: str = ""
     term: int = 0
+    question: int | None = None
 
 
 class RevisionDeltas(message.Message, frozen=True, kw_only=True):
@@ -220,6 +222,7 @@
     The receiver forwards them to the addresses in ``relay_to``; ``control``
     is the address that acknowledgements are sent to. ``term`` is that of the
     leader that confirms the last revision as the newest one, 0 if none does.
+    ``question`` is that of a RevisionPush.
     """
 
     sender: str
@@ -227,18 +230,20 @@
     deltas: tuple[Delta, ...]
     relay_to: tuple[str, ...] = ()
     term: int = 0
+    question: int | None = None
 
 
 class RevisionNotice(message.Message, frozen=True, kw_only=True):
     """A leader of ``term`` announces the newest accepted revision.
 
     It is repeated until the daemon acknowledges it. ``control`` is the address
-    that acknowledgements are sent to.
+    that acknowledgements are sent to, and ``question`` that of a RevisionPush.
     """
 
     control: str
     revision: int
     term: int = 0
+    question: int | None = None
 
 
 class RevisionAck(message.Message, frozen=True, kw_only=True):
@@ -254,7 +259,8 @@
 
     ``whole`` asks for the full bundle, because the deltas did not apply.
     ``confirm`` asks for a leader's confirmation as well, as ``revision`` is
-    not in force yet.
+    not in force yet. Answers repeat ``question``, a number that the sender
+    uses once; earlier releases send 0.
     """
 
     daemon_id: str
@@ -262,6 +268,7 @@
     revision: int
     whole: bool = False
     confirm: bool = False
+    question: int = 0
 
 
 class StatusCall(message.Message, frozen=True, kw_only=True):
