Take only a side of the network without a majority for cut off

Cause: a daemon that had heard of no leader for 4.8 s, and a control host without one for as long, took themselves for cut off for good. Time is no evidence.

consensus/authority.py now answers in one place whether a daemon may act on replicated state: a leader has confirmed it, or this side of the network has no majority of the control hosts, counting those that may only be down. A daemon that starts asks control hosts and daemons of its own and other zones; each answers, also without a leader, and control hosts name those that they hear. A control host hands its revision out only as confirmed; without a leader a fetch is left to what is in force on the host. A revision below one that a leader announced is never put in force.

The scenario "A daemon that never hears of a leader goes on with what it has" expected the fault: its daemons reach each other and the control host. It is replaced by one that expects no revision for 60 s of it, and one in which a zone is cut off; "A new daemon polls frequently" expects no revision without a leader for the same reason. The check of the fault matrix excused a host whenever there was no leader; now only one that reaches no other zone. It also compares each request that is sent with what a host in reach has in force, so that it needs no request of the difference.

--- a/faultmatrix/checks/configuration.py
+++ b/faultmatrix/checks/configuration.py
@@ -6,8 +6,8 @@
 
 from faultmatrix.checks import base
 from faultmatrix import host as hosts
+from faultmatrix import upstream as upstreams
 from fulmarbarrow.config import bundle as bundles
-from fulmarbarrow.publishing import confirmation
 from fulmarbarrow.publishing import messages
 
 LIMIT = datetime.timedelta(seconds=2)
@@ -49,10 +49,10 @@
     ) -> None:
         """Compare with the revision before, within one incarnation.
 
-        The first one must be as new as what was accepted before the start, as
-        long as the host may still find a leader or is connected to one.
+        The first one must be as new as what was accepted before the start,
+        unless the host reaches no other zone.
         """
-        key = f"{host.plan.daemon_id}.{host.record.incarnation}"
+        key = _key(host)
         floor = max(
             (
                 number
@@ -61,7 +61,7 @@
             ),
             default=0,
         )
-        if revision < floor and not self._may_be_cut_off(host):
+        if revision < floor and not self._is_cut_off(host):
             self.breach(
                 f"{key} enforces revision {revision}, {floor} was accepted"
                 f" before it started"
@@ -70,13 +70,56 @@
             self.breach(f"{key} went back to revision {revision}")
         self._in_force[key] = revision
 
-    def _may_be_cut_off(self, host: hosts.Host) -> bool:
-        """Whether a host has waited and is connected to no leader."""
-        age = self.fleet.timeline.now - host.started_at
-        if age < confirmation.CUT_OFF_AFTER:
-            return False
-        leader = self.fleet.leader()
-        return leader is None or not self.fleet.network.connected(host, leader)
+    def dispatched(
+        self, upstream: upstreams.Upstream, run: upstreams.Run
+    ) -> None:
+        """Compare what a host goes by with what it could know.
+
+        Whether it sends by a replaced revision hangs on no request of the
+        difference, and not on whether there is a leader.
+        """
+        host = run.host
+        now = self.fleet.timeline.now
+        due = max(
+            (
+                number
+                for number, at in self._accepted_at.items()
+                if now - at >= LIMIT
+            ),
+            default=0,
+        )
+        present = self._in_force.get(_key(host), 0)
+        if present >= due:
+            return
+        better = [
+            other.plan.daemon_id
+            for other in self._reached(host)
+            if self._in_force.get(_key(other), 0) >= due
+        ]
+        if better:
+            self.breach(
+                f"{_key(host)} sends by revision {present}, {due} was accepted"
+                f" {LIMIT.total_seconds():g} s ago and is in force on"
+                f" {better[0]}"
+            )
+
+    def _is_cut_off(self, host: hosts.Host) -> bool:
+        """Whether a host reaches no host of another zone."""
+        return all(other.zone == host.zone for other in self._reached(host))
+
+    def _reached(self, host: hosts.Host) -> list[hosts.Host]:
+        """Return the hosts with which one has been connected for a while."""
+        network = self.fleet.network
+        latest = self.fleet.timeline.now - LIMIT
+        reached = []
+        for other in self.fleet.hosts.values():
+            if not other.alive or other is host or other.started_at > latest:
+                continue
+            since = network.connected_since(host, other)
+            healed = since is None or since <= latest
+            if healed and network.connected(host, other):
+                reached.append(other)
+        return reached
 
     def finish(self) -> None:
         """Compare each live host with the highest accepted revision."""
@@ -85,9 +128,14 @@
         for host in self.fleet.hosts.values():
             if not host.alive or now - host.started_at < LIMIT:
                 continue
-            key = f"{host.plan.daemon_id}.{host.record.incarnation}"
+            key = _key(host)
             present = self._in_force.get(key, 0)
             if present < highest:
                 self.breach(
                     f"{key} has revision {present}, accepted was {highest}"
                 )
+
+
+def _key(host: hosts.Host) -> str:
+    """Return the name of one incarnation of a host."""
+    return f"{host.plan.daemon_id}.{host.record.incarnation}"
--- a/faultmatrix/features/power.feature
+++ b/faultmatrix/features/power.feature
@@ -9,6 +9,23 @@
     Then no check is breached in any fleet
     And revision 10 is in force on all hosts of every fleet
 
+  # Guards against routers that take a wait without a leader for a cut (CONFIG).
+  Scenario: Routers that restart wait for a leader, however long there is none
+    Given 10 fleets whose control hosts write a snapshot after 8 entries
+    And 4 changes were published
+    When "control-a" is cut off from the other control hosts
+    And 3.0 s pass
+    And 6 more changes are published
+    And the cut ends as "control-c" goes dark and "control-b" loses its disk
+    And all routers lose their power for 0.5 s
+    And 12.0 s pass
+    Then no check is breached in any fleet
+    And no revision is in force on any router of any fleet
+    When "control-c" starts again
+    And 4.0 s pass
+    Then no check is breached in any fleet
+    And revision 10 is in force on all hosts of every fleet
+
   # What serves through cuts goes on: a zone alone keeps what it has.
   Scenario: A zone that is cut off when its power returns goes on with what it has
     Given 10 fleets whose control hosts write a snapshot after 8 entries
--- a/faultmatrix/features/steps/power.py
+++ b/faultmatrix/features/steps/power.py
@@ -55,6 +55,10 @@
                 )
         self.run(down)
 
+    def plan(self, name):
+        (plan,) = (plan for plan in self.fleet.plans if plan.daemon_id == name)
+        return plan
+
     def revisions(self, zones=hosts.ZONES, roles=tuple(defaults.Role)):
         return {
             host.plan.daemon_id: host.cores.by_name["publishing"].dump()[
@@ -83,6 +87,57 @@
         assert set(play.revisions().values()) == {count}, play.revisions()
 
 
+@behave.when('"{name}" is cut off from the other control hosts')
+def step_control_cut(context, name):
+    for play in context.plays:
+        address, *others = sorted(
+            (plan.address for plan in play.fleet.control_plans),
+            key=lambda item: item != play.plan(name).address,
+        )
+        for other in others:
+            play.fleet.network.separate(address, other)
+
+
+@behave.when("{count:d} more changes are published")
+def step_published_more(context, count):
+    for play in context.plays:
+        known = max(play.revisions().values())
+        for number in range(known, known + count):
+            play.publish(number)
+
+
+@behave.when(
+    'the cut ends as "{dark}" goes dark and "{emptied}" loses its disk'
+)
+def step_majority_lost(context, dark, emptied):
+    for play in context.plays:
+        fleet = play.fleet
+        for name in (dark, emptied):
+            fleet.crash_host(fleet.hosts[name])
+        fleet.network.heal()
+        fleet.disks[emptied] = hosts.HostDisk(identity=f"{emptied}-2")
+        fleet.start_host(play.plan(emptied))
+
+
+@behave.when("all routers lose their power for {seconds:f} s")
+def step_routers_lose_power(context, seconds):
+    for play in context.plays:
+        play.lose_power(seconds, (defaults.Role.ROUTER,))
+
+
+@behave.when('"{name}" starts again')
+def step_starts_again(context, name):
+    for play in context.plays:
+        play.fleet.start_host(play.plan(name))
+
+
+@behave.then("no revision is in force on any router of any fleet")
+def step_none_on_routers(context):
+    for play in context.plays:
+        found = play.revisions(roles=(defaults.Role.ROUTER,))
+        assert not any(found.values()), found
+
+
 @behave.when("all hosts lose their power for {seconds:f} s")
 def step_all_lose_power(context, seconds):
     for play in context.plays:
--- a/faultmatrix/network.py
+++ b/faultmatrix/network.py
@@ -31,6 +31,7 @@
         self._hosts: dict[str, Receiver] = {}
         self._cut_zones: set[frozenset[str]] = set()
         self._isolated: set[str] = set()
+        self._separated: set[frozenset[str]] = set()
         self._zones_healed: dict[frozenset[str], datetime.datetime] = {}
         self._hosts_healed: dict[str, datetime.datetime] = {}
         self._doubled = False
@@ -63,6 +64,8 @@
         """Whether a message can pass between two hosts now."""
         if not self.reaches(one.zone, other.zone):
             return False
+        if frozenset((one.address, other.address)) in self._separated:
+            return False
         return not self._isolated & {one.address, other.address}
 
     def connected_since(
@@ -90,6 +93,10 @@
         """Drop every message from and to one host."""
         self._isolated.add(address)
 
+    def separate(self, one: str, other: str) -> None:
+        """Drop every message between two hosts."""
+        self._separated.add(frozenset((one, other)))
+
     def double(self, on: bool) -> None:
         """Deliver half of the messages twice and out of their order."""
         self._doubled = on
@@ -102,6 +109,7 @@
         self._hosts_healed.update(dict.fromkeys(self._isolated, now))
         self._cut_zones.clear()
         self._isolated.clear()
+        self._separated.clear()
         self.loss = 0.0
         self.double(False)
 
--- a/fulmarbarrow/consensus/core.py
+++ b/fulmarbarrow/consensus/core.py
@@ -9,6 +9,7 @@
 import typing
 
 from fulmarbarrow.consensus import applying
+from fulmarbarrow.consensus import contacts
 from fulmarbarrow.consensus import election
 from fulmarbarrow.consensus import following
 from fulmarbarrow.consensus import joining
@@ -55,6 +56,7 @@
     handles = (
         messages.Propose,
         messages.ReadBarrier,
+        messages.ContactsWanted,
         messages.SnapshotTaken,
         messages.Persisted,
         membership_messages.LeaveStarted,
@@ -89,6 +91,7 @@
             metrics=metrics,
             now=now,
         )
+        self._contacts = contacts.Contacts(address=me.address)
         self._replication = replication.Replication(node=node)
         self._applier = applying.Applier(
             node=node, snapshot_entries=snapshot_entries
@@ -125,6 +128,7 @@
         """Handle an event and return its effects."""
         if getattr(event, "group", self._node.group) != self._node.group:
             return []
+        self._contacts.hear(event, now)
         had_log, former_leader = self._node.has_log, self._node.leader
         self._handle_event(event, now)
         if self._node.has_log and not had_log:
@@ -218,6 +222,16 @@
     def _(self, event: messages.ReadBarrier, now: datetime.datetime) -> None:
         self._leadership.read(event, now)
 
+    @_handle_event.register
+    def _(
+        self, event: messages.ContactsWanted, now: datetime.datetime
+    ) -> None:
+        self._node.effects.append(
+            messages.Contacts(
+                group=self._node.group, addresses=self._contacts.recent(now)
+            )
+        )
+
     @_handle_event.register
     def _(self, event: messages.SnapshotTaken, now: datetime.datetime) -> None:
         self._applier.snapshot_taken(event)
--- a/fulmarbarrow/consensus/messages.py
+++ b/fulmarbarrow/consensus/messages.py
@@ -93,6 +93,19 @@
     lease_until: datetime.datetime | None = None
 
 
+class ContactsWanted(message.Message, frozen=True, kw_only=True):
+    """Asks which control hosts this one hears."""
+
+    group: Group
+
+
+class Contacts(message.Message, frozen=True, kw_only=True):
+    """The addresses of the control hosts heard lately, with this one."""
+
+    group: Group
+    addresses: tuple[str, ...]
+
+
 class SnapshotWanted(message.Message, frozen=True, kw_only=True):
     """Effect: request the state of each of the group's state machines.
 
--- a/fulmarbarrow/consensus/timing.py
+++ b/fulmarbarrow/consensus/timing.py
@@ -32,6 +32,8 @@
 
 # Interval at which a host that is not a voter sends join requests.
 JOIN_INTERVAL = datetime.timedelta(milliseconds=500)
+# A host that was not heard for this long may be out of reach.
+CONTACT_TIMEOUT = datetime.timedelta(seconds=2)
 # A leader forgets a learner that has sent no request for this long.
 LEARNER_TIMEOUT = datetime.timedelta(seconds=2)
 # A member must be silent for this long before another host replaces it.
--- a/fulmarbarrow/publishing/confirmation.py
+++ b/fulmarbarrow/publishing/confirmation.py
@@ -6,13 +6,7 @@
 import datetime
 import typing
 
-from fulmarbarrow.consensus import timing
-
 MILLISECOND = datetime.timedelta(milliseconds=1)
-# A group that can elect a leader has one after three attempts. Without a
-# confirmation for this long, a daemon may be cut off for good and goes on with
-# the newest revision that it has.
-CUT_OFF_AFTER = 3 * timing.ELECTION_MAX
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -32,6 +26,11 @@
     question: int = 0
     asked_at: datetime.datetime | None = None
 
+    @property
+    def valid_at(self) -> datetime.datetime:
+        """When the statement held: when the question was asked, if known."""
+        return self.asked_at or self.received_at
+
     def describe(self, now: datetime.datetime) -> dict[str, typing.Any]:
         """Return the fields that log lines show."""
         return {
--- a/fulmarbarrow/publishing/control.py
+++ b/fulmarbarrow/publishing/control.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from fulmarbarrow.config import bundle as bundles
+from fulmarbarrow.consensus import authority
 from fulmarbarrow.consensus import messages as consensus_messages
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
@@ -69,6 +70,7 @@
         consensus_messages.Applied,
         consensus_messages.ProposeResult,
         consensus_messages.ReadReady,
+        consensus_messages.Contacts,
         consensus_messages.LeaderChanged,
         consensus_messages.SnapshotWanted,
         consensus_messages.SnapshotRestored,
@@ -86,8 +88,7 @@
         self._packed_revision = packing.RevisionCache()
         self._pending_publishes: set[str] = set()
         self._pending_amendments: dict[str, _PendingAmendment] = {}
-        self._lease_until: datetime.datetime | None = None
-        self._term = 0
+        self._leader: consensus_messages.LeaderChanged | None = None
         self._status = status_module.StatusService(
             daemon=daemon, describe=self._describe, now=now
         )
@@ -104,11 +105,18 @@
     @property
     def _is_leader(self) -> bool:
         """Whether this host leads, even if its lease has just ended."""
-        return self._lease_until is not None
+        return (
+            self._leader is not None and self._leader.lease_until is not None
+        )
+
+    @property
+    def _term(self) -> int:
+        """The term of the last leader that is known, 0 for none."""
+        return self._leader.term if self._leader else 0
 
     def _has_lease(self, now: datetime.datetime) -> bool:
         """Whether no other host can lead yet, so that this state is newest."""
-        return self._lease_until is not None and now < self._lease_until
+        return authority.has_lease(self._leader, self._daemon.daemon_id, now)
 
     def handle(
         self, event: message.Message, now: datetime.datetime
@@ -288,8 +296,7 @@
         now: datetime.datetime,
     ) -> list[message.Message]:
         was_leader = self._is_leader
-        self._lease_until = event.lease_until
-        self._term = event.term
+        self._leader = event
         if self._is_leader and not was_leader:
             self._fanout.start_leading(now)
         return self._status.on_leader_changed(event, now)
@@ -356,6 +363,12 @@
     ) -> list[message.Message]:
         return self._status.on_read_ready(event, now)
 
+    @_on.register
+    def _(
+        self, event: consensus_messages.Contacts, now: datetime.datetime
+    ) -> list[message.Message]:
+        return self._fetches.on_contacts(event)
+
     @_on.register
     def _(
         self, event: message.Tick, now: datetime.datetime
--- a/fulmarbarrow/publishing/features/confirmation.feature
+++ b/fulmarbarrow/publishing/features/confirmation.feature
@@ -15,15 +15,26 @@
     And 1 seconds pass
     Then revision 2 is active on all daemons
 
-  Scenario: A daemon that never hears of a leader goes on with what it has
+  # Guards against routers that take a wait without a leader for a cut (CONFIG).
+  Scenario: A wait without a leader puts no replaced revision in force
     Given "amina" has published account "volos" on revision 0
     And the control host has written a snapshot
     And "babis" has published account "patras" on revision 1
     When all hosts restart after a loss of power, and there is no leader
-    And 4 seconds pass
+    And 60 seconds pass
     Then no revision is in force on any daemon
+    When the control host leads and has applied all that is committed
+    And 1 seconds pass
+    Then revision 2 is active on all daemons
+
+  Scenario: A zone that is cut off goes on with what it holds
+    Given "amina" has published account "volos" on revision 0
+    And "babis" has published account "patras" on revision 1
+    When zone 1 is cut off, and its daemons restart, one of them with an empty disk
+    And 4 seconds pass
+    Then no revision is in force on the daemons of zone 1
     When 4 seconds pass
-    Then revision 1 is active on all daemons
+    Then revision 2 is active on all daemons of zone 1
 
   Scenario: Daemons that keep running keep their revision without a leader
     Given "amina" has published account "volos" on revision 0
@@ -36,7 +47,7 @@
     When it is sent <word>
     Then revision <revision> is in force on it
 
-    Examples:
+    Examples: answers to its question
       | word                                              | revision |
       | a notice of revision 1 by the leader of term 2    | 1        |
       | a notice of revision 2 by the leader of term 2    | 0        |
@@ -45,6 +56,14 @@
       | revision 1 by an earlier release                  | 0        |
       | the delta to revision 1, relayed by a peer        | 0        |
 
+  # A leader's statement tells that what is below it is replaced, cut off or not.
+  Scenario: No revision below an announced one is in force on a daemon that is cut off
+    Given "amina" has published account "volos" on revision 0
+    And a daemon that starts and holds revision 1
+    When it is sent a notice of revision 2 by the leader of term 2
+    And it reaches nobody for 60 seconds
+    Then revision 0 is in force on it
+
   Scenario: A daemon hands out no revision that is not in force on it
     Given "amina" has published account "volos" on revision 0
     And a daemon that starts and holds revision 1
--- a/fulmarbarrow/publishing/features/publishing.feature
+++ b/fulmarbarrow/publishing/features/publishing.feature
@@ -103,9 +103,10 @@
     When daemon 5 starts with revision 1 while there is no leader
     Then no revision is in force on daemon 5
     And it polls at least 9 times within 10 seconds
-    And revision 2 is active on daemon 5
+    And no revision is in force on daemon 5
     When the control host becomes leader and sends daemon 5 a notice
     Then it polls at most 3 times within 10 seconds
+    And revision 2 is active on daemon 5
 
   Scenario: A daemon polls frequently after a notice of a newer revision
     Given "amina" has published account "volos" on revision 0
--- a/fulmarbarrow/publishing/features/steps/confirmation.py
+++ b/fulmarbarrow/publishing/features/steps/confirmation.py
@@ -72,6 +72,41 @@
     fleet.announce_leader()
 
 
+@behave.when(
+    "zone {zone:d} is cut off, and its daemons restart, one of them with an "
+    "empty disk"
+)
+def step_zone_cut(context, zone):
+    nodes = nodes_of_zone(context, zone)
+    context.fleet.disconnected = {node.number for node in nodes}
+    nodes[0].disk = None
+    for node in nodes:
+        node.start()
+    for node in nodes:
+        for other in nodes:
+            changed = membership_messages.DaemonChanged(daemon=other.record)
+            if other is not node:
+                context.fleet.post(node, changed)
+
+
+def nodes_of_zone(context, zone):
+    nodes = context.fleet.nodes
+    return [node for node in nodes if node.record.zone == f"zone-{zone}"]
+
+
+@behave.then("revision {revision:d} is active on all daemons of zone {zone:d}")
+def step_active_in_zone(context, revision, zone):
+    found = {
+        node.number: node.revision for node in nodes_of_zone(context, zone)
+    }
+    assert set(found.values()) == {revision}, found
+
+
+@behave.then("no revision is in force on the daemons of zone {zone:d}")
+def step_none_in_zone(context, zone):
+    step_active_in_zone(context, 0, zone)
+
+
 @behave.then("no revision is in force on daemon {number:d}")
 def step_not_in_force(context, number):
     assert context.fleet.nodes[number].revision == 0
@@ -93,18 +128,24 @@
             daemon=daemon_record("starting", ("router",)),
             source=random.Random(1),
             metrics=metrics.Metrics(),
+            seeds=(LEADER,),
         )
         self.request = request
-        self.give(message.Tick())
+        (self.asked,) = sends(self.give(message.Tick()))
         self.give(self.push())
 
-    def push(self, term=0):
+    @property
+    def question(self):
+        return self.asked.message.question
+
+    def push(self, term=0, question=None):
         return messages.RevisionPush(
             sender="address-any",
             revision=1,
             digest=self.request.digest,
             bundle=packing.pack(self.request.bundle),
             term=term,
+            question=question,
         )
 
     def delta(self):
@@ -113,7 +154,10 @@
             bundles.decode(self.request.bundle), base=0, publisher="amina"
         )
         return messages.RevisionDeltas(
-            sender="address-peer", control=LEADER, deltas=(delta,)
+            sender="address-peer",
+            control=LEADER,
+            deltas=(delta,),
+            question=0,
         )
 
     def give(self, event):
@@ -132,16 +176,65 @@
 
 @behave.when("it is sent a notice of revision {revision:d} by {sender}")
 def step_sent_notice(context, revision, sender):
-    term = 2 if sender == "the leader of term 2" else 0
+    leads = sender == "the leader of term 2"
     context.starting.give(
-        messages.RevisionNotice(control=LEADER, revision=revision, term=term)
+        messages.RevisionNotice(
+            control=LEADER,
+            revision=revision,
+            term=2 if leads else 0,
+            question=context.starting.question if leads else None,
+        )
     )
 
 
+@behave.when(
+    "it is sent an unasked notice of revision 1 by the leader of term 2"
+)
+def step_sent_unasked(context):
+    notice = messages.RevisionNotice(
+        control=LEADER, revision=1, term=2, question=0
+    )
+    context.sent = sends(context.starting.give(notice))
+
+
+@behave.when("it is sent a late notice of revision 1 to the process before")
+def step_sent_late(context):
+    notice = messages.RevisionNotice(
+        control=LEADER,
+        revision=1,
+        term=2,
+        question=context.starting.question - 1,
+    )
+    context.starting.give(notice)
+
+
+@behave.when("it is sent unasked revision 1 by the leader of term 2")
+def step_sent_unasked_revision(context):
+    context.starting.give(context.starting.push(2, question=0))
+
+
+@behave.when("it reaches nobody for {seconds:d} seconds")
+def step_reaches_nobody(context, seconds):
+    for _ in range(seconds):
+        context.starting.now += datetime.timedelta(seconds=1)
+        context.starting.give(message.Tick())
+
+
+@behave.then("it asks the leader to confirm revision 1")
+def step_asks_leader(context):
+    (sent,) = context.sent
+    assert sent.address == LEADER, sent
+    assert sent.message.confirm, sent
+    assert sent.message.revision == 1, sent
+
+
 @behave.when("it is sent revision 1 by {sender}")
 def step_sent_revision(context, sender):
-    term = 2 if sender == "the leader of term 2" else 0
-    context.starting.give(context.starting.push(term))
+    if sender == "the leader of term 2":
+        push = context.starting.push(2, context.starting.question)
+    else:
+        push = context.starting.push()
+    context.starting.give(push)
 
 
 @behave.when("it is sent the delta to revision 1, relayed by a peer")
--- a/fulmarbarrow/publishing/features/steps/fleet.py
+++ b/fulmarbarrow/publishing/features/steps/fleet.py
@@ -201,6 +201,13 @@
                         ready=self.has_leader,
                     ),
                 )
+            case consensus_messages.ContactsWanted():
+                yield (
+                    node,
+                    consensus_messages.Contacts(
+                        group=effect.group, addresses=(node.record.address,)
+                    ),
+                )
             case messages.PublishResult():
                 self.results.append(effect)
             case messages.StatusResponse():
--- a/fulmarbarrow/publishing/fetches.py
+++ b/fulmarbarrow/publishing/fetches.py
@@ -6,13 +6,14 @@
 import dataclasses
 import datetime
 
+from fulmarbarrow.consensus import messages as consensus_messages
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
-from fulmarbarrow.publishing import confirmation
 from fulmarbarrow.publishing import messages
 from fulmarbarrow.publishing import state as states
 from fulmarbarrow.publishing import status as status_module
 
+GROUP = consensus_messages.Group.CONFIGURATION
 # A daemon without a configuration fetches again after this long.
 FETCH_LIFETIME = datetime.timedelta(milliseconds=500)
 # The leader is asked again if it has not answered by then.
@@ -57,8 +58,10 @@
     fetch has arrived, and answers once it has applied that one. One read at a
     time covers all fetches that arrived before it.
 
-    A host that has had no leader for ``CUT_OFF_AFTER`` answers without a
-    confirmation, as its zone may be cut off.
+    Without a leader the fetch is left to what this daemon has in force, and
+    the sender is told which control hosts this one hears. Only the daemon
+    itself gets the host's revision unconfirmed: it does not act on it unless
+    its zone is cut off.
     """
 
     def __init__(
@@ -75,6 +78,7 @@
         self._answer = answer
         self._pending: dict[str, _Pending] = {}
         self._received = 0
+        self._unconfirmed: list[messages.RevisionFetch] = []
         self._read: _Read | None = None
         self._reads = 0
 
@@ -88,9 +92,20 @@
         self._pending[fetch.daemon_id] = _Pending(
             fetch=fetch, number=self._received, received_at=now
         )
-        if self._is_cut_off(now):
-            return self._answer_unconfirmed(now)
-        return self._start_read(now)
+        effects = self._start_read(now)
+        if not self._status.leader:
+            effects += self._leave_unconfirmed(fetch, now)
+        return effects
+
+    def on_contacts(
+        self, event: consensus_messages.Contacts
+    ) -> list[message.Message]:
+        """Leave the fetches that can't be confirmed to this daemon."""
+        fetches, self._unconfirmed = self._unconfirmed, []
+        return [
+            messages.FetchUnconfirmed(fetch=fetch, reached=event.addresses)
+            for fetch in fetches
+        ]
 
     def on_status(
         self, event: messages.StatusResponse, now: datetime.datetime
@@ -126,16 +141,17 @@
 
     def on_tick(self, now: datetime.datetime) -> list[message.Message]:
         """Drop old fetches; read again if the leader has not answered."""
-        if self._is_cut_off(now):
-            return self._answer_unconfirmed(now)
+        effects: list[message.Message] = []
         for daemon_id, pending in list(self._pending.items()):
             if now - pending.received_at > FETCH_LIFETIME:
                 del self._pending[daemon_id]
+                if self._status.leader:
+                    effects += self._leave_unconfirmed(pending.fetch, now)
         read = self._read
         if read is not None and now - read.started_at >= READ_TIMEOUT:
             self._status.cancel(read.read_id)
             self._read = None
-        return self._start_read(now)
+        return [*effects, *self._start_read(now)]
 
     def _start_read(self, now: datetime.datetime) -> list[message.Message]:
         if not self._pending or self._read is not None:
@@ -151,17 +167,12 @@
         request = messages.StatusRequested(status_id=read_id)
         return self._status.on_requested(request, now, brief=True)
 
-    def _is_cut_off(self, now: datetime.datetime) -> bool:
-        """Whether there has been no leader for so long that none may come."""
-        since = self._status.leaderless_since
-        return since is not None and now - since >= confirmation.CUT_OFF_AFTER
-
-    def _answer_unconfirmed(
-        self, now: datetime.datetime
+    def _leave_unconfirmed(
+        self, fetch: messages.RevisionFetch, now: datetime.datetime
     ) -> list[message.Message]:
-        pending, self._pending = self._pending, {}
-        return [
-            effect
-            for item in pending.values()
-            for effect in self._answer(item.fetch, 0, now)
-        ]
+        if fetch.daemon_id == self._daemon.daemon_id:
+            return self._answer(fetch, 0, now)
+        self._unconfirmed.append(fetch)
+        if len(self._unconfirmed) > 1:
+            return []
+        return [consensus_messages.ContactsWanted(group=GROUP)]
--- a/fulmarbarrow/publishing/follower.py
+++ b/fulmarbarrow/publishing/follower.py
@@ -1,18 +1,18 @@
 """Activates revisions on a daemon, in increasing order only.
 
 A daemon that starts takes the newest revision that it is given, but enforces
-none until a leader has confirmed that no newer one had been accepted.
+none until ``consensus.authority`` allows it to act on it.
 """
 
 from __future__ import annotations
 
-import collections
 import datetime
 import logging
 import random
 import typing
 
 from fulmarbarrow.config import bundle as bundles
+from fulmarbarrow.consensus import authority
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics as metrics_module
@@ -35,8 +35,8 @@
 STARTUP_PHASE = datetime.timedelta(seconds=10)
 CONTROL_ROLE = "control"
 STORE_TIMEOUT = datetime.timedelta(seconds=2)
-# Answers to older questions are not attributed to a question any more.
-MAX_QUESTIONS = 64
+# Daemons on its side of a cut that a daemon asks at once for what they have.
+MAX_ASKED_AT_ONCE = 3
 
 
 class PublishingFollower:
@@ -45,9 +45,9 @@
     With ``stores``, a revision is synced to disk before it is activated, so
     that a restart never reverts it; ``restored`` is the stored revision.
 
-    The first revision is put in force once a leader has confirmed it, or after
-    ``CUT_OFF_AFTER`` without a word of any leader: a daemon whose zone is cut
-    off serves what it can. Each later one is newer, and needs no confirmation.
+    The first revision is put in force once a leader has confirmed it in answer
+    to a question of this process, or if this side of the network is cut off:
+    it serves what it can. Each later one is newer, and needs no confirmation.
     """
 
     handles = (
@@ -55,6 +55,8 @@
         messages.RevisionDeltas,
         messages.RevisionNotice,
         messages.RevisionFetch,
+        messages.RevisionUnconfirmed,
+        messages.FetchUnconfirmed,
         messages.RevisionStored,
         membership_messages.DaemonChanged,
         membership_messages.DaemonGone,
@@ -85,7 +87,7 @@
         self._history = history.History()
         self._packed_revision = packing.RevisionCache()
         self._control = ""
-        self._in_force = False
+        self._basis = authority.Basis.NONE
         self._started_at: datetime.datetime | None = None
         self._storing: tuple[messages.StoreRevision, datetime.datetime] | None
         self._storing = None
@@ -102,12 +104,17 @@
         self._polls = 0
         # Numbers of questions are not used again by the next process.
         name = f"{daemon.daemon_id}/{daemon.incarnation}"
-        self._question = random.Random(name).getrandbits(32) << 16
-        self._questions: collections.OrderedDict[int, datetime.datetime] = (
-            collections.OrderedDict()
+        self._questions = authority.Questions(
+            first=random.Random(name).getrandbits(32) << 16
         )
+        self._evidence = authority.Evidence(
+            zone=daemon.zone, address=daemon.address
+        )
+        self._evidence.learn_daemon(
+            daemon.address, daemon.zone, control=self._is_control
+        )
+        self._evidence.learn_seeds(seeds)
         self._daemons: dict[str, membership_messages.Daemon] = {}
-        self._heard_from: set[str] = set()
         self._acked_at: datetime.datetime | None = None
         self._polled_at: datetime.datetime | None = None
         self._starting = True
@@ -125,6 +132,10 @@
                 return self._on_notice(event, now)
             case messages.RevisionFetch():
                 return self._on_fetch(event, now)
+            case messages.RevisionUnconfirmed():
+                self._on_unconfirmed(event, now)
+            case messages.FetchUnconfirmed():
+                return self._answer_unconfirmed(event.fetch, event.reached)
             case messages.RevisionStored():
                 return self._on_stored(event, now)
             case message.Tick():
@@ -137,6 +148,7 @@
         confirmed = self._confirmation
         return {
             "revision": self._revision if self._in_force else 0,
+            "basis": self._basis.value,
             "held_revision": self._revision,
             "digest": self._digest,
             "publisher": self._publisher,
@@ -145,11 +157,21 @@
             "confirmed_term": confirmed.term if confirmed else 0,
         }
 
+    @property
+    def _in_force(self) -> bool:
+        """Whether this daemon acts on the revision that it holds."""
+        return self._basis is not authority.Basis.NONE
+
+    @property
+    def _is_confirmed(self) -> bool:
+        """Whether a leader has confirmed what is in force on this daemon."""
+        return self._basis is authority.Basis.CONFIRMED
+
     def _on_push(
         self, event: messages.RevisionPush, now: datetime.datetime
     ) -> list[message.Message]:
         effects = []
-        self._heard_from.add(event.sender)
+        self._hear(event.sender, now)
         if event.term:
             effects = self._confirm(
                 event.revision, event.term, event.sender, event.question, now
@@ -171,7 +193,7 @@
         self, event: messages.RevisionDeltas, now: datetime.datetime
     ) -> list[message.Message]:
         effects = self._relay(event)
-        self._heard_from.add(event.sender)
+        self._hear(event.sender, now)
         self._control = event.control or self._control
         self._notified = self._notified or event.sender == event.control
         last = event.deltas[-1].base + 1
@@ -196,8 +218,8 @@
                 reply_to=self._daemon.address,
                 revision=self._revision,
                 whole=True,
-                confirm=not self._in_force,
-                question=self._next_question(now),
+                confirm=not self._is_confirmed,
+                question=self._questions.ask(now),
             )
             return [*effects, self._send(event.sender, whole)]
         revision = messages.StoreRevision(
@@ -227,7 +249,7 @@
         self, event: messages.RevisionNotice, now: datetime.datetime
     ) -> list[message.Message]:
         self._control = event.control
-        self._heard_from.add(event.control)
+        self._hear(event.control, now)
         self._notified = True
         self._newest_announced = max(self._newest_announced, event.revision)
         effects = self._confirm(
@@ -252,39 +274,89 @@
         known = self._confirmation
         if known is not None and revision < known.revision:
             return []
+        asked_at = self._questions.asked_at(question)
         self._confirmation = confirmations.Confirmation(
             revision=revision,
             term=term,
             sender=sender,
             received_at=now,
             question=question or 0,
-            asked_at=self._questions.get(question or 0),
+            asked_at=asked_at,
         )
-        if self._in_force or not self._revision or not self._is_confirmed:
+        self._evidence.announce(revision)
+        if self._is_confirmed:
+            return []
+        self._evidence.confirm(revision)
+        return self._act_if_allowed(now)
+
+    def _act_if_allowed(self, now: datetime.datetime) -> list[message.Message]:
+        """Put the held revision in force if this daemon may act on it."""
+        if self._is_confirmed or not self._revision:
+            return []
+        basis = self._evidence.basis(self._revision, now)
+        if basis is authority.Basis.NONE or basis is self._basis:
+            return []
+        was_in_force, self._basis = self._in_force, basis
+        if basis is authority.Basis.CUT_OFF:
+            log.warning(
+                "this side of the network has no majority of the control"
+                " hosts; the daemon goes on with the revision that it holds",
+                extra=self._describe(now) | self._evidence.describe(now),
+            )
+        if was_in_force:
+            log.info("revision confirmed", extra=self._describe(now))
             return []
         return self._put_in_force(self._content.bundle(), now)
 
-    @property
-    def _is_confirmed(self) -> bool:
-        """Whether a leader has confirmed the held revision or an older one.
+    def _hear(self, address: str, now: datetime.datetime) -> None:
+        """Note that a daemon is in reach."""
+        if not self._is_confirmed:
+            self._evidence.hear(address, now)
 
-        Revision 0 is confirmed while nothing is published yet.
-        """
-        known = self._confirmation
-        return known is not None and known.revision <= self._revision
+    def _on_unconfirmed(
+        self, event: messages.RevisionUnconfirmed, now: datetime.datetime
+    ) -> None:
+        self._evidence.hear(
+            event.sender,
+            now,
+            zone=event.zone,
+            version=event.revision,
+            reached=event.reached,
+        )
 
     def _on_fetch(
         self, event: messages.RevisionFetch, now: datetime.datetime
     ) -> list[message.Message]:
         if event.daemon_id == self._daemon.daemon_id:
             return []
+        self._hear(event.reply_to, now)
+        effects = []
         if event.revision > self._revision:
-            return [self._fetch(event.reply_to, now)]
+            effects.append(self._fetch(event.reply_to, now))
         if self._is_control:
-            return []
+            return effects
         if event.revision == self._revision or not self._in_force:
-            return self._pass_on(event)
-        return [self._send(event.reply_to, self._fetch_response(event))]
+            effects += self._pass_on(event)
+        return [*effects, *self._answer_unconfirmed(event, ())]
+
+    def _answer_unconfirmed(
+        self, event: messages.RevisionFetch, reached: tuple[str, ...]
+    ) -> list[message.Message]:
+        """Answer a fetch by what is in force here, which confirms nothing."""
+        effects = []
+        if self._in_force and event.revision < self._revision:
+            effects.append(
+                self._send(event.reply_to, self._fetch_response(event))
+            )
+        if event.confirm and event.question:
+            answer = messages.RevisionUnconfirmed(
+                sender=self._daemon.address,
+                zone=self._daemon.zone,
+                revision=self._revision if self._in_force else 0,
+                reached=reached,
+            )
+            effects.append(self._send(event.reply_to, answer))
+        return effects
 
     def _pass_on(self, event: messages.RevisionFetch) -> list[message.Message]:
         """Have the leader answer a daemon that this one can't help.
@@ -375,24 +447,23 @@
         for delta in new_deltas:
             self._history.add(delta)
         self._sender = sender
-        if self._in_force or self._is_confirmed:
+        if self._in_force:
             return self._put_in_force(bundle, now)
         log.info("revision held", extra=self._describe(now))
-        return []
+        return self._act_if_allowed(now)
 
     def _put_in_force(
         self, bundle: bundles.Bundle, now: datetime.datetime
     ) -> list[message.Message]:
         """Enforce the held revision, whose content is given, and tell so."""
-        self._in_force = True
         self._metrics.count("revisions_in_force")
         log.info("revision activated", extra=self._describe(now))
-        known = self._confirmation
+        known = self._confirmation if self._is_confirmed else None
         changed = messages.ConfigurationChanged(
             revision=self._revision,
             bundle=bundle,
             term=known.term if known else 0,
-            confirmed_at=known.received_at if known else None,
+            confirmed_at=known.valid_at if known else None,
         )
         return [changed, *self._acknowledge(now)]
 
@@ -401,27 +472,11 @@
         return {
             "revision": self._revision,
             "sender": self._sender,
+            "basis": self._basis.value,
             "newest_announced": self._newest_announced,
             **confirmations.describe(self._confirmation, now),
         }
 
-    def _describe_contacts(self) -> dict[str, typing.Any]:
-        """Return whom this daemon reaches, for log lines.
-
-        ``heard_from`` are the senders of revisions and statements since the
-        start; the others are alive by the records of membership.
-        """
-        daemons = self._daemons.values()
-        return {
-            "heard_from": sorted(self._heard_from),
-            "control_alive": sorted(
-                daemon.daemon_id
-                for daemon in daemons
-                if CONTROL_ROLE in daemon.roles
-            ),
-            "zones_alive": sorted({daemon.zone for daemon in daemons}),
-        }
-
     def _acknowledge(self, now: datetime.datetime) -> list[message.Message]:
         """Tell the leader which revision is in force, if any is."""
         if not self._in_force:
@@ -434,21 +489,13 @@
         )
         return [self._send(self._control or self._daemon.address, ack)]
 
-    def _next_question(self, now: datetime.datetime) -> int:
-        """Return the number of a question that is asked now."""
-        self._question += 1
-        self._questions[self._question] = now
-        if len(self._questions) > MAX_QUESTIONS:
-            self._questions.popitem(last=False)
-        return self._question
-
     def _fetch(self, address: str, now: datetime.datetime) -> message.Message:
         fetch = messages.RevisionFetch(
             daemon_id=self._daemon.daemon_id,
             reply_to=self._daemon.address,
             revision=self._revision,
-            confirm=not self._in_force,
-            question=self._next_question(now),
+            confirm=not self._is_confirmed,
+            question=self._questions.ask(now),
         )
         return self._send(address, fetch)
 
@@ -462,6 +509,11 @@
             case membership_messages.DaemonChanged():
                 daemon = event.daemon
                 self._daemons[daemon.daemon_id] = daemon
+                self._evidence.learn_daemon(
+                    daemon.address,
+                    daemon.zone,
+                    control=CONTROL_ROLE in daemon.roles,
+                )
                 if daemon.zone == self._daemon.zone:
                     self._peers[daemon.daemon_id] = daemon.address
                     if CONTROL_ROLE in daemon.roles:
@@ -472,33 +524,21 @@
                 self._control_peers.pop(event.daemon_id, None)
             case membership_messages.SeedsChanged():
                 self._seeds = event.addresses
+                self._evidence.learn_seeds(event.addresses)
 
     def _on_tick(self, now: datetime.datetime) -> list[message.Message]:
         effects: list[message.Message] = []
         if self._started_at is None:
             self._started_at = now
         self._starting = now < self._started_at + STARTUP_PHASE
-        if self._is_cut_off(now):
-            log.warning(
-                "no leader has confirmed the revision; the daemon may be cut"
-                " off and goes on with what it has",
-                extra=self._describe(now) | self._describe_contacts(),
-            )
-            effects.extend(self._put_in_force(self._content.bundle(), now))
+        self._evidence.start(now)
+        effects.extend(self._act_if_allowed(now))
         if self._control and _elapsed(self._acked_at, ACK_INTERVAL, now):
             effects.extend(self._acknowledge(now))
         if _elapsed(self._polled_at, self._poll_interval, now):
             effects.extend(self._poll(now))
         return effects
 
-    def _is_cut_off(self, now: datetime.datetime) -> bool:
-        """Whether to go on with a revision that no leader has confirmed."""
-        if self._in_force or not self._revision or self._started_at is None:
-            return False
-        known = self._confirmation
-        since = known.received_at if known else self._started_at
-        return now - since >= confirmations.CUT_OFF_AFTER
-
     @property
     def _poll_interval(self) -> datetime.timedelta:
         """Interval between requests for a newer revision."""
@@ -530,7 +570,7 @@
         seeds = [item for item in self._seeds if item != self._daemon.address]
         self._polls += 1
         if not self._in_force:
-            return self._poll_for_confirmation(seeds, peers, now)
+            return self._poll_for_confirmation(seeds, now)
         if seeds and not self._is_current and (self._polls % 2 or not peers):
             peers = seeds
         if not peers:
@@ -539,23 +579,43 @@
         return [self._fetch(self._source.choice(peers), now)]
 
     def _poll_for_confirmation(
-        self, seeds: list[str], peers: list[str], now: datetime.datetime
+        self, seeds: list[str], now: datetime.datetime
     ) -> list[message.Message]:
-        """Ask the control hosts in turn, and each third time a peer.
+        """Ask the control hosts in turn, and each third time other daemons.
 
-        Only control hosts can confirm a revision. A zone that is cut off may
-        have none, and the revision that it goes on with is at a peer.
+        Only control hosts can confirm a revision. Others tell whether this
+        side of the network is cut off; if it is, the revision that it goes on
+        with is at one of them.
         """
         hosts = sorted({*seeds, *self._control_peers.values()})
-        if peers and (not hosts or self._polls % 3 == 0):
-            address = self._source.choice(peers)
+        others = self._sample_daemons()
+        asked = []
+        if others and (not hosts or self._polls % 3 == 0):
+            asked = others
         elif hosts:
             turn = self._first_host + self._polls - self._polls // 3
-            address = hosts[turn % len(hosts)]
-        else:
-            return []
-        self._polled_at = now
-        return [self._fetch(address, now)]
+            asked = [hosts[turn % len(hosts)]]
+        if self._evidence.is_cut_off(now):
+            near = self._evidence.answering(now)
+            count = min(MAX_ASKED_AT_ONCE, len(near))
+            asked += self._source.sample(near, count)
+            if self._is_control:
+                asked.append(self._daemon.address)
+        if asked:
+            self._polled_at = now
+        return [self._fetch(address, now) for address in dict.fromkeys(asked)]
+
+    def _sample_daemons(self) -> list[str]:
+        """Return a daemon of this zone and one of the other zones, if any."""
+        near, far = [], []
+        for daemon in self._daemons.values():
+            own = daemon.zone == self._daemon.zone
+            (near if own else far).append(daemon.address)
+        return [
+            self._source.choice(sorted(addresses))
+            for addresses in (near, far)
+            if addresses
+        ]
 
 
 def _elapsed(
--- a/fulmarbarrow/publishing/messages.py
+++ b/fulmarbarrow/publishing/messages.py
@@ -271,6 +271,20 @@
     question: int = 0
 
 
+class RevisionUnconfirmed(message.Message, frozen=True, kw_only=True):
+    """The answer to a fetch by a daemon that can't confirm a revision.
+
+    It tells that ``sender`` in ``zone`` is in reach and has ``revision`` in
+    force, 0 for none. A control host names the control hosts that it hears.
+    Only daemons that number their fetches are sent one.
+    """
+
+    sender: str
+    zone: str
+    revision: int
+    reached: tuple[str, ...] = ()
+
+
 class StatusCall(message.Message, frozen=True, kw_only=True):
     """Another control host's status request to the leader.
 
@@ -289,12 +303,27 @@
     status: Status
 
 
+# A message within a daemon.
+
+
+class FetchUnconfirmed(message.Message, frozen=True, kw_only=True):
+    """A control host can't confirm its revision for a fetch.
+
+    ``reached`` are the addresses of the control hosts that it hears. The
+    fetch is left to what this daemon has in force.
+    """
+
+    fetch: RevisionFetch
+    reached: tuple[str, ...]
+
+
 PEER_MESSAGES = (
     RevisionPush,
     RevisionDeltas,
     RevisionNotice,
     RevisionAck,
     RevisionFetch,
+    RevisionUnconfirmed,
     StatusCall,
     StatusReply,
 )
