Count only an answer to a daemon's own question as a confirmation

Suspected, not seen: a statement of a leader counted from its receipt. A push or notice that had waited in a connection (cut, lossy, behind a queue) confirmed a revision to a daemon that had started meanwhile, as if it were the newest, and so did an answer to a question of the process before. Callers would be refused by a configuration that was replaced.

Fetches are numbered and answers repeat the number since. A daemon that starts now counts only an answer to a question of its own, as of the time at which it asked; a statement that answers none has it ask the sender. Earlier releases don't number anything, and count as before.

Failed before: the three examples "what answers no question of this process" and "A daemon that is sent a statement without having asked asks for one". The 69 scenarios of publishing pass.

--- a/fulmarbarrow/publishing/features/confirmation.feature
+++ b/fulmarbarrow/publishing/features/confirmation.feature
@@ -56,6 +56,19 @@
       | revision 1 by an earlier release                  | 0        |
       | the delta to revision 1, relayed by a peer        | 0        |
 
+    # They may have waited in a connection while a newer one was accepted.
+    Examples: what answers no question of this process
+      | word                                                       | revision |
+      | an unasked notice of revision 1 by the leader of term 2    | 0        |
+      | a late notice of revision 1 to the process before          | 0        |
+      | unasked revision 1 by the leader of term 2                 | 0        |
+
+  Scenario: A daemon that is sent a statement without having asked asks for one
+    Given "amina" has published account "volos" on revision 0
+    And a daemon that starts and holds revision 1
+    When it is sent an unasked notice of revision 1 by the leader of term 2
+    Then it asks the leader to confirm revision 1
+
   # A leader's statement tells that what is below it is replaced, cut off or not.
   Scenario: No revision below an announced one is in force on a daemon that is cut off
     Given "amina" has published account "volos" on revision 0
--- a/fulmarbarrow/publishing/follower.py
+++ b/fulmarbarrow/publishing/follower.py
@@ -269,7 +269,10 @@
     ) -> list[message.Message]:
         """Record a leader's statement; put the held revision in force by it.
 
-        A lower revision than before is that of a leader that was replaced.
+        A lower revision than before is that of a leader that was replaced. A
+        statement that answers no question of this process may have waited in a
+        connection, and be older than the process. An earlier release does not
+        tell which question it answers.
         """
         known = self._confirmation
         if known is not None and revision < known.revision:
@@ -286,7 +289,10 @@
         self._evidence.announce(revision)
         if self._is_confirmed:
             return []
-        self._evidence.confirm(revision)
+        if question is None or asked_at is not None:
+            self._evidence.confirm(revision)
+        elif self._evidence.confirmed_version is None:
+            return [self._fetch(sender, now)]
         return self._act_if_allowed(now)
 
     def _act_if_allowed(self, now: datetime.datetime) -> list[message.Message]:
