Let only a host with a lease take steps and give orders

Another host may lead by then, so that callers could be sent to a version which that one had taken back.

Both ask consensus/authority.py now, as publishing does. Models and steps that announced a leader without a lease announce one with a lease, as the log does.

Failed before: "A host that hands its leadership over takes no step and sends no share".

--- a/benchmarks/version_cost.py
+++ b/benchmarks/version_cost.py
@@ -150,6 +150,7 @@
         leader=leader.daemon_id,
         address=leader.address,
         fencing_number=1,
+        lease_until=clock.now() + datetime.timedelta(days=1),
     )
     core.handle(led, clock.now())
     for number in range(count):
--- a/benchmarks/version_model.py
+++ b/benchmarks/version_model.py
@@ -333,14 +333,19 @@
         for engine in self._engines:
             self._announce(engine)
 
-    def lead(self, term: int) -> None:
-        """Make the control host the leader of a term."""
+    def lead(self, term: int, *, has_lease: bool = True) -> None:
+        """Make the control host the leader of a term.
+
+        Without a lease it hands its leadership over.
+        """
+        lease_until = self._clock.now() + 10 * self._case.length
         led = consensus_messages.LeaderChanged(
             group=consensus_messages.Group.CONFIGURATION,
             term=term,
             leader=self._leader.daemon_id,
             address=self._leader.address,
             fencing_number=term,
+            lease_until=lease_until if has_lease else None,
         )
         self._hand(self._leader.address, led, self._clock.now())
 
--- a/fulmarbarrow/versions/control.py
+++ b/fulmarbarrow/versions/control.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from fulmarbarrow.config import bundle as bundles
+from fulmarbarrow.consensus import authority
 from fulmarbarrow.consensus import messages as consensus_messages
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
@@ -115,10 +116,7 @@
 
     def _is_leader(self, now: datetime.datetime) -> bool:
         """Whether this host is the leader and its lease is valid."""
-        leader = self._leader
-        if leader is None or leader.leader != self._daemon.daemon_id:
-            return False
-        return leader.lease_until is None or now < leader.lease_until
+        return authority.has_lease(self._leader, self._daemon.daemon_id, now)
 
     def _on_log_event(
         self, event: message.Message, now: datetime.datetime
--- a/fulmarbarrow/versions/features/moves.feature
+++ b/fulmarbarrow/versions/features/moves.feature
@@ -46,6 +46,12 @@
     Then it sends nothing to the new version at first
     But it has the others' share after a few messages
 
+  Scenario: A host that hands its leadership over takes no step and sends no share
+    Given a version move
+    When it runs until the phase loading
+    And the control host hands its leadership over
+    Then the move takes no step and no share is sent for 30 seconds
+
   Scenario: A restarted router never resumes a stopped version
     Given a version move whose new version fails at once
     When it runs until the phase taking_back
--- a/fulmarbarrow/versions/features/steps/moves.py
+++ b/fulmarbarrow/versions/features/steps/moves.py
@@ -7,6 +7,7 @@
 
 import automat
 import behave
+import msgspec
 
 from benchmarks import version_cost
 from benchmarks import version_model
@@ -280,10 +281,67 @@
 def step_large_fleet(context, count):
     context.router, configuration = version_cost.make_router(count)
     context.clock = clocks.ManualClock()
-    context.router.handle(configuration, context.clock.now())
+    context.configuration = configuration
+    note_shares(context, configuration)
     context.reports = 0
 
 
+def hand_share(context, share, sequence, term):
+    push = messages.SharesPush(
+        move_id="move-1",
+        sequence=sequence,
+        share=share,
+        incarnation=1,
+        term=term,
+    )
+    note_shares(context, push)
+
+
+def note_shares(context, event):
+    for effect in context.router.handle(event, context.clock.now()):
+        if isinstance(effect, messages.VersionShares):
+            context.shares = dict(effect.shares)
+
+
+@behave.when("another router tells it share {share:f} of step {sequence:d}")
+def step_told(context, share, sequence):
+    hand_share(context, share, sequence, term=0)
+
+
+@behave.when("the leader sends it share {share:f} of step {sequence:d}")
+def step_sent(context, share, sequence):
+    hand_share(context, share, sequence, term=3)
+
+
+@behave.when("this side of the network is cut off")
+def step_cut_off(context):
+    changed = msgspec.structs.replace(context.configuration, cut_off=True)
+    note_shares(context, changed)
+
+
+@behave.then("its share of the new version is {share:f}")
+def step_share(context, share):
+    assert context.shares["2"] == share, context.shares
+
+
+@behave.when("the control host hands its leadership over")
+def step_hands_over(context):
+    context.play.lead(1, has_lease=False)
+
+
+@behave.then(
+    "the move takes no step and no share is sent for {seconds:d} seconds"
+)
+def step_nothing(context, seconds):
+    phase, orders = context.play.phase, len(context.play.orders)
+    until = context.play.now + datetime.timedelta(seconds=seconds)
+    while context.play.now < until:
+        context.play.step()
+    assert context.play.phase == phase, context.play.phase
+    assert len(context.play.orders) == orders
+    assert context.play.share == 0.0
+
+
 def observe_successes(context, count):
     for _ in range(count):
         now = context.clock.advance(datetime.timedelta(seconds=1))
--- a/fulmarbarrow/zones/control.py
+++ b/fulmarbarrow/zones/control.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from fulmarbarrow.consensus import authority
 from fulmarbarrow.consensus import messages as consensus_messages
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
@@ -116,6 +117,10 @@
         leader = self._leader
         return leader is not None and leader.leader == self._daemon.daemon_id
 
+    def _may_order(self, now: datetime.datetime) -> bool:
+        """Whether no other host can lead yet, and give orders."""
+        return authority.has_lease(self._leader, self._daemon.daemon_id, now)
+
     def _handle_leader_changed(
         self, event: consensus_messages.LeaderChanged
     ) -> None:
@@ -197,7 +202,7 @@
 
     def _start_moves(self, now: datetime.datetime) -> list[message.Message]:
         """Start the busiest chats' moves that the limits allow."""
-        if not self._is_leader:
+        if not self._may_order(now):
             return []
         orders: list[message.Message] = []
         busiest = sorted(
@@ -250,7 +255,7 @@
         if item is None:
             return []
         is_export = item.kind is versions_messages.OrderKind.EXPORT_KV
-        if event.code and is_export and self._is_leader:
+        if event.code and is_export and self._may_order(now):
             item.kind = versions_messages.OrderKind.IMPORT_KV
             return [self._issue_order(item, now)]
         self._finish_move(item, event.code or "taken")
--- a/fulmarbarrow/zones/features/steps/kv_moves.py
+++ b/fulmarbarrow/zones/features/steps/kv_moves.py
@@ -17,15 +17,17 @@
 SECOND = datetime.timedelta(seconds=1)
 TICK = datetime.timedelta(milliseconds=250)
 WARM_UP = 8 * SECOND
+LEASE_UNTIL = datetime.datetime(2027, 1, 1, tzinfo=datetime.UTC)
 
 
-def leader_changed(name, fencing_number):
+def leader_changed(name, fencing_number, lease_until=None):
     return consensus_messages.LeaderChanged(
         group=consensus_messages.Group.CONFIGURATION,
         term=1,
         leader=name,
         address=f"{name}:7004",
         fencing_number=fencing_number,
+        lease_until=lease_until,
     )
 
 
@@ -59,7 +61,7 @@
 @behave.given("a control host that leads with fencing number {number:d}")
 def step_leader(context, number):
     create_control(context)
-    handle_event(context, leader_changed("control-1", number))
+    handle_event(context, leader_changed("control-1", number, LEASE_UNTIL))
 
 
 @behave.given("a control host that does not lead")
