Hold a version share that no leader has sent since the start

A share carries the term of the leader that sends it. After a start one without is held until the leader has sent one, or applied if this side of the network is cut off, by the same rule as the configuration. The leader answers a router's request itself. Shares of an earlier release tell no term and count as before.

--- a/fulmarbarrow/publishing/follower.py
+++ b/fulmarbarrow/publishing/follower.py
@@ -470,6 +470,7 @@
             bundle=bundle,
             term=known.term if known else 0,
             confirmed_at=known.valid_at if known else None,
+            cut_off=self._basis is authority.Basis.CUT_OFF,
         )
         return [changed, *self._acknowledge(now)]
 
--- a/fulmarbarrow/publishing/messages.py
+++ b/fulmarbarrow/publishing/messages.py
@@ -111,13 +111,15 @@
 class ConfigurationChanged(message.Message, frozen=True, kw_only=True):
     """A higher revision is now active on this daemon.
 
-    A leader of ``term`` confirmed it at ``confirmed_at``; None if none did.
+    A leader of ``term`` confirmed it at ``confirmed_at``; None if none did, as
+    this side of the network is ``cut_off``.
     """
 
     revision: int
     bundle: bundles.Bundle
     term: int = 0
     confirmed_at: datetime.datetime | None = None
+    cut_off: bool = False
 
 
 class DaemonRevision(
--- a/fulmarbarrow/versions/control.py
+++ b/fulmarbarrow/versions/control.py
@@ -50,6 +50,7 @@
         membership_messages.DaemonGone,
         messages.VersionEvidence,
         messages.VersionStopped,
+        messages.SharesRequest,
         messages.OrderResult,
         message.Tick,
     )
@@ -83,6 +84,8 @@
                 return self._add_evidence(event, now)
             case messages.VersionStopped():
                 return self._stop_version(event.move_id, event.reason, now)
+            case messages.SharesRequest():
+                return self._answer_request(event, now)
             case messages.OrderResult():
                 self._decider.orders.on_result(event)
             case consensus_messages.ProposeResult(group=self._group):
@@ -118,6 +121,11 @@
         """Whether this host is the leader and its lease is valid."""
         return authority.has_lease(self._leader, self._daemon.daemon_id, now)
 
+    def _term(self, now: datetime.datetime) -> int:
+        """The term in which this host leads, 0 if it does not."""
+        leads = self._leader is not None and self._is_leader(now)
+        return self._leader.term if leads else 0
+
     def _on_log_event(
         self, event: message.Message, now: datetime.datetime
     ) -> list[message.Message]:
@@ -158,7 +166,7 @@
             case membership_messages.DaemonChanged():
                 self._daemons[event.daemon.daemon_id] = event.daemon
                 if self._is_leader(now):
-                    return self._push_all_to(event.daemon)
+                    return self._push_all_to(event.daemon, now)
             case membership_messages.DaemonGone():
                 self._daemons.pop(event.daemon_id, None)
         return []
@@ -251,7 +259,7 @@
         if self._next_push_at is None or now >= self._next_push_at:
             self._next_push_at = now + PUSH_INTERVAL
             for daemon in self._routers():
-                effects.extend(self._push_all_to(daemon))
+                effects.extend(self._push_all_to(daemon, now))
         return effects
 
     def _advance(
@@ -310,45 +318,60 @@
         self, record: state.MoveRecord, now: datetime.datetime
     ) -> list[message.Message]:
         """Apply a move's share here; as leader, send it to all routers."""
-        effects: list[message.Message] = [_shares_push(record, self._daemon)]
-        if self._is_leader(now):
+        term = self._term(now)
+        effects: list[message.Message] = [
+            _shares_push(record, self._daemon.incarnation, term)
+        ]
+        if term:
             effects.extend(
                 message.Send(
                     address=daemon.address,
-                    message=_shares_push(record, daemon),
+                    message=_shares_push(record, daemon.incarnation, term),
                 )
                 for daemon in self._routers()
             )
         return effects
 
+    def _answer_request(
+        self, event: messages.SharesRequest, now: datetime.datetime
+    ) -> list[message.Message]:
+        """Send a router that has started the leader's shares and stops."""
+        if not self._is_leader(now):
+            return []
+        return self._push_all(event.reply_to, event.incarnation, now)
+
     def _push_all_to(
-        self, daemon: membership_messages.Daemon
+        self, daemon: membership_messages.Daemon, now: datetime.datetime
     ) -> list[message.Message]:
         """Send one router all stops, then the shares of all moves."""
         if daemon.daemon_id == self._daemon.daemon_id:
             return []
+        return self._push_all(daemon.address, daemon.incarnation, now)
+
+    def _push_all(
+        self, address: str, incarnation: int, now: datetime.datetime
+    ) -> list[message.Message]:
+        term = self._term(now)
         items: list[message.Message] = [
             messages.VersionStopped(move_id=move_id, reason=reason)
             for move_id, reason in self._decider.faults.items()
             if move_id in self._records
         ]
         items.extend(
-            _shares_push(record, daemon)
+            _shares_push(record, incarnation, term)
             for record in self._records.values()
             if record.sequence
         )
-        return [
-            message.Send(address=daemon.address, message=item)
-            for item in items
-        ]
+        return [message.Send(address=address, message=item) for item in items]
 
 
 def _shares_push(
-    record: state.MoveRecord, daemon: membership_messages.Daemon
+    record: state.MoveRecord, incarnation: int, term: int
 ) -> messages.SharesPush:
     return messages.SharesPush(
         move_id=record.move.id,
         sequence=record.sequence,
         share=record.share,
-        incarnation=daemon.incarnation,
+        incarnation=incarnation,
+        term=term,
     )
--- a/fulmarbarrow/versions/features/moves.feature
+++ b/fulmarbarrow/versions/features/moves.feature
@@ -46,6 +46,22 @@
     Then it sends nothing to the new version at first
     But it has the others' share after a few messages
 
+  # Guards against requests to a version that the leader has taken back.
+  Scenario: A restarted router takes no share on another router's word
+    Given a router that knows 7 daemons and has a move
+    When another router tells it share 0.4 of step 7
+    Then its share of the new version is 0.0
+    When the leader sends it share 0.1 of step 6
+    Then its share of the new version is 0.1
+    When another router tells it share 0.4 of step 7
+    Then its share of the new version is 0.4
+
+  Scenario: A restarted router that is cut off takes the share that it was told
+    Given a router that knows 7 daemons and has a move
+    When another router tells it share 0.4 of step 7
+    And this side of the network is cut off
+    Then its share of the new version is 0.4
+
   Scenario: A host that hands its leadership over takes no step and sends no share
     Given a version move
     When it runs until the phase loading
--- a/fulmarbarrow/versions/messages.py
+++ b/fulmarbarrow/versions/messages.py
@@ -48,13 +48,15 @@
 
     A higher ``sequence`` replaces a lower one for the same move.
     ``incarnation`` is the receiver's, so that a push that was in transit
-    when the receiver restarted is ignored.
+    when the receiver restarted is ignored. ``term`` is that of the leader
+    that sends it, 0 if another daemon does; an earlier release sends None.
     """
 
     move_id: str
     sequence: int
     share: float
     incarnation: int
+    term: int | None = None
 
 
 class SharesRequest(
--- a/fulmarbarrow/versions/router.py
+++ b/fulmarbarrow/versions/router.py
@@ -132,6 +132,8 @@
         self._moves: dict[str, bundles.VersionMove] = {}
         self._moves_by_model: dict[tuple[str, str], bundles.VersionMove] = {}
         self._pushes: dict[str, messages.SharesPush] = {}
+        self._unconfirmed: dict[str, messages.SharesPush] = {}
+        self._cut_off = False
         self._stopped: dict[str, messages.VersionStopped] = {}
         self._monitors: dict[str, dict[str, RouteMonitor]] = {}
         self._daemons: dict[str, membership_messages.Daemon] = {}
@@ -172,6 +174,7 @@
             case messages.VersionStopped():
                 return self._stop(event)
             case publishing_messages.ConfigurationChanged():
+                self._cut_off = event.cut_off
                 return self._configure(event.bundle)
             case membership_messages.DaemonChanged():
                 return self._on_daemon_changed(event.daemon)
@@ -214,9 +217,17 @@
             for service in bundle.service
             for model in service.models
         }
-        for by_move in (self._pushes, self._stopped, self._monitors):
+        for by_move in (
+            self._pushes,
+            self._unconfirmed,
+            self._stopped,
+            self._monitors,
+        ):
             for move_id in set(by_move) - set(self._moves):
                 del by_move[move_id]
+        if self._cut_off:
+            for move_id, push in self._unconfirmed.items():
+                self._pushes.setdefault(move_id, push)
         shares = [self._shares(model_key) for model_key in self._versions]
         return [*shares, *self._request_shares(tuple(self._daemons.values()))]
 
@@ -279,19 +290,29 @@
                 effects.append(_send(event.reply_to, stopped))
             elif push is not None:
                 answer = msgspec.structs.replace(
-                    push, incarnation=event.incarnation
+                    push, incarnation=event.incarnation, term=0
                 )
                 effects.append(_send(event.reply_to, answer))
         return effects
 
     def _apply_push(self, event: messages.SharesPush) -> list[message.Message]:
-        """Apply a share that a control host set."""
+        """Apply a share that the leader set.
+
+        After a start the share of another daemon may have been replaced. It is
+        held until the leader sends one, unless this daemon is cut off.
+        """
         move = self._moves.get(event.move_id)
         previous = self._pushes.get(event.move_id)
         if move is None or event.incarnation != self._daemon.incarnation:
             return []
         if previous is not None and event.sequence <= previous.sequence:
             return []
+        if event.term == 0 and previous is None and not self._cut_off:
+            held = self._unconfirmed.get(event.move_id)
+            if held is None or event.sequence > held.sequence:
+                self._unconfirmed[event.move_id] = event
+            return []
+        self._unconfirmed.pop(event.move_id, None)
         self._pushes[event.move_id] = event
         return [self._move_shares(move)]
 
