Answer fetches that a leader confirms after more than half a second

A control host dropped a fetch and its question to the leader after 0.5 s; the daemon's next fetch was a new one, which the answer on its way did not cover. With a leader that takes longer, as behind a full link, no daemon that starts is ever confirmed. Callers get 503 meanwhile.

A fetch is held for 2 s, a slow leader is asked again each 0.5 s, and any of its answers counts for the fetches that arrived before the question. A fetch that is dropped is left to what is in force on the host, so that its sender knows that it reaches the host.

Failed before: "A leader that takes more than a second confirms all the same". Not played on a large site yet.

--- a/fulmarbarrow/publishing/features/confirmation.feature
+++ b/fulmarbarrow/publishing/features/confirmation.feature
@@ -108,6 +108,14 @@
     When the leader answers that revision 1 is the newest
     Then 40 daemons are sent revision 1
 
+  # Guards against routers that wait for a configuration beside a busy leader.
+  Scenario: A leader that takes more than a second confirms all the same
+    Given a control host that follows a leader and has restored revision 1
+    When a daemon that starts asks it for a revision
+    And 1.2 seconds pass on it
+    And the leader answers its first question that revision 1 is the newest
+    Then 1 daemons are sent revision 1
+
   Scenario: A question to a leader that was lost is asked of the next one
     Given a control host that follows a leader and has restored revision 1
     When a daemon that starts asks it for a revision
--- a/fulmarbarrow/publishing/features/steps/confirmation.py
+++ b/fulmarbarrow/publishing/features/steps/confirmation.py
@@ -434,6 +434,24 @@
     assert len(context.host.asked) == 2
 
 
+@behave.when("{seconds:f} seconds pass on it")
+def step_pass_on_host(context, seconds):
+    host = context.host
+    until = host.now + datetime.timedelta(seconds=seconds)
+    while host.now < until:
+        host.now += datetime.timedelta(milliseconds=100)
+        host.give(message.Tick())
+
+
+@behave.when(
+    "the leader answers its first question that revision {revision:d} is the "
+    "newest"
+)
+def step_answers_first(context, revision):
+    del context.host.asked[1:]
+    step_leader_answers(context, revision)
+
+
 @behave.when("the leader answers that revision {revision:d} is the newest")
 def step_leader_answers(context, revision):
     status = messages.Status(
--- a/fulmarbarrow/publishing/fetches.py
+++ b/fulmarbarrow/publishing/fetches.py
@@ -14,10 +14,10 @@
 from fulmarbarrow.publishing import status as status_module
 
 GROUP = consensus_messages.Group.CONFIGURATION
-# A daemon without a configuration fetches again after this long.
-FETCH_LIFETIME = datetime.timedelta(milliseconds=500)
-# The leader is asked again if it has not answered by then.
-READ_TIMEOUT = datetime.timedelta(milliseconds=500)
+# A fetch is left unconfirmed if the leader has not answered by then.
+FETCH_LIFETIME = datetime.timedelta(seconds=2)
+# The leader is asked again after this long; earlier answers still count.
+READ_INTERVAL = datetime.timedelta(milliseconds=500)
 
 # Answers a fetch as confirmed by the leader of a term, 0 for no leader.
 Answer = collections.abc.Callable[
@@ -55,8 +55,8 @@
 
     A control host that has restarted has applied its last snapshot, which may
     be older than what was accepted. So it reads the leader's revision after a
-    fetch has arrived, and answers once it has applied that one. One read at a
-    time covers all fetches that arrived before it.
+    fetch has arrived, and answers once it has applied that one. A read covers
+    all fetches that arrived before it; a slow leader is asked by several.
 
     Without a leader the fetch is left to what this daemon has in force, and
     the sender is told which control hosts this one hears. Only the daemon
@@ -76,21 +76,21 @@
         self._state = state
         self._status = status
         self._answer = answer
-        self._pending: dict[str, _Pending] = {}
+        self._pending: list[_Pending] = []
         self._received = 0
         self._unconfirmed: list[messages.RevisionFetch] = []
-        self._read: _Read | None = None
-        self._reads = 0
+        self._reads: dict[str, _Read] = {}
+        self._reads_started = 0
 
     def add(
         self, fetch: messages.RevisionFetch, now: datetime.datetime
     ) -> list[message.Message]:
-        """Hold a fetch; it replaces an earlier one of the same daemon."""
+        """Hold a fetch, and read the leader's revision for it."""
         if not fetch.confirm and fetch.revision >= self._state.revision:
             return []
         self._received += 1
-        self._pending[fetch.daemon_id] = _Pending(
-            fetch=fetch, number=self._received, received_at=now
+        self._pending.append(
+            _Pending(fetch=fetch, number=self._received, received_at=now)
         )
         effects = self._start_read(now)
         if not self._status.leader:
@@ -111,62 +111,79 @@
         self, event: messages.StatusResponse, now: datetime.datetime
     ) -> list[message.Message]:
         """Process the leader's answer to a read."""
-        read = self._read
-        if read is None or read.read_id != event.status_id:
-            return []
-        if not event.status.current:
-            self._read = None
+        read = self._reads.pop(event.status_id, None)
+        if read is None or not event.status.current:
             return []
         # A leader of an earlier release does not tell its term.
         term = event.status.term or self._status.term
-        self._read = dataclasses.replace(
+        self._reads[read.read_id] = dataclasses.replace(
             read, term=term, revision=event.status.revision
         )
         return self.on_applied(now)
 
     def on_applied(self, now: datetime.datetime) -> list[message.Message]:
         """Answer the covered fetches once the leader's revision is applied."""
-        read = self._read
-        if read is None or read.revision is None:
-            return []
-        if self._state.revision < read.revision:
+        done = [
+            read
+            for read in self._reads.values()
+            if read.revision is not None
+            and read.revision <= self._state.revision
+        ]
+        if not done:
             return []
-        self._read = None
+        latest = max(done, key=lambda read: read.covers)
+        self._drop_reads(latest.covers)
+        covered, self._pending = _split(self._pending, latest.covers)
+        # The latest fetch of a daemon stands for the earlier ones.
+        by_daemon = {item.fetch.daemon_id: item.fetch for item in covered}
         effects: list[message.Message] = []
-        for daemon_id, pending in list(self._pending.items()):
-            if pending.number <= read.covers:
-                del self._pending[daemon_id]
-                effects.extend(self._answer(pending.fetch, read.term, now))
+        for fetch in by_daemon.values():
+            effects.extend(self._answer(fetch, latest.term, now))
         return [*effects, *self._start_read(now)]
 
     def on_tick(self, now: datetime.datetime) -> list[message.Message]:
         """Drop old fetches; read again if the leader has not answered."""
         effects: list[message.Message] = []
-        for daemon_id, pending in list(self._pending.items()):
-            if now - pending.received_at > FETCH_LIFETIME:
-                del self._pending[daemon_id]
-                if self._status.leader:
-                    effects += self._leave_unconfirmed(pending.fetch, now)
-        read = self._read
-        if read is not None and now - read.started_at >= READ_TIMEOUT:
-            self._status.cancel(read.read_id)
-            self._read = None
+        expired = [
+            item
+            for item in self._pending
+            if now - item.received_at > FETCH_LIFETIME
+        ]
+        if expired:
+            last = expired[-1].number
+            self._drop_reads(last)
+            _, self._pending = _split(self._pending, last)
+        if self._status.leader:
+            for item in expired:
+                effects += self._leave_unconfirmed(item.fetch, now)
         return [*effects, *self._start_read(now)]
 
     def _start_read(self, now: datetime.datetime) -> list[message.Message]:
-        if not self._pending or self._read is not None:
+        latest = max(
+            (read.started_at for read in self._reads.values()), default=None
+        )
+        if not self._pending or (
+            latest is not None and now - latest < READ_INTERVAL
+        ):
             return []
-        self._reads += 1
+        self._reads_started += 1
         read_id = (
             f"fetch-{self._daemon.daemon_id}-{self._daemon.incarnation:x}"
-            f"-{self._reads}"
+            f"-{self._reads_started}"
         )
-        self._read = _Read(
+        self._reads[read_id] = _Read(
             read_id=read_id, covers=self._received, started_at=now
         )
         request = messages.StatusRequested(status_id=read_id)
         return self._status.on_requested(request, now, brief=True)
 
+    def _drop_reads(self, covers: int) -> None:
+        """Drop the reads that cover no fetch after number ``covers``."""
+        for read_id, read in list(self._reads.items()):
+            if read.covers <= covers:
+                del self._reads[read_id]
+                self._status.cancel(read_id)
+
     def _leave_unconfirmed(
         self, fetch: messages.RevisionFetch, now: datetime.datetime
     ) -> list[message.Message]:
@@ -176,3 +193,11 @@
         if len(self._unconfirmed) > 1:
             return []
         return [consensus_messages.ContactsWanted(group=GROUP)]
+
+
+def _split(
+    pending: list[_Pending], covers: int
+) -> tuple[list[_Pending], list[_Pending]]:
+    """Return the fetches up to number ``covers``, and those after it."""
+    covered = [item for item in pending if item.number <= covers]
+    return covered, pending[len(covered) :]
