Count an acknowledgement for the process that sent it only

Suspected, from reading: the leader recorded acknowledgements by daemon. One of the process before, late or on a slow link, counted for a router that had just restarted without a disk, which was then sent no notice and depended on its own questions. Callers would be served by what it was handed first.

An acknowledgement names the incarnation of its daemon; another one's does not count. Earlier releases send 0, which counts as before.

Failed before: "A late acknowledgement of the process before does not count". The 71 scenarios of publishing pass.

--- a/fulmarbarrow/publishing/fanout.py
+++ b/fulmarbarrow/publishing/fanout.py
@@ -141,9 +141,14 @@
     def acknowledge(
         self, event: messages.RevisionAck, now: datetime.datetime
     ) -> None:
-        """Record the revision that a daemon acknowledged."""
+        """Record the revision that a daemon acknowledged.
+
+        What an earlier process had in force does not count for this one.
+        """
         follower = self._followers.get(event.daemon_id)
-        if follower is not None:
+        if follower is None:
+            return
+        if event.incarnation in (0, follower.daemon.incarnation):
             follower.confirm(event.revision, now)
 
     def handed_out(self, daemon_id: str, now: datetime.datetime) -> None:
--- a/fulmarbarrow/publishing/features/publishing.feature
+++ b/fulmarbarrow/publishing/features/publishing.feature
@@ -108,6 +108,12 @@
     Then it polls at most 3 times within 10 seconds
     And revision 2 is active on daemon 5
 
+  # Guards against routers that are sent nothing as they seem to have it (CONFIG).
+  Scenario: A late acknowledgement of the process before does not count
+    Given "amina" has published account "volos" on revision 0
+    When daemon 5 restarts with an empty disk, and its last acknowledgement comes late
+    Then the status shows daemon 5 behind revision 1
+
   Scenario: A daemon polls frequently after a notice of a newer revision
     Given "amina" has published account "volos" on revision 0
     When daemon 5 gets a notice of revision 9, which no answer contains
--- a/fulmarbarrow/publishing/features/steps/publishing.py
+++ b/fulmarbarrow/publishing/features/steps/publishing.py
@@ -412,6 +412,38 @@
     return fleet.polls[context.number]
 
 
+@behave.when(
+    "daemon {number:d} restarts with an empty disk, and its last "
+    "acknowledgement comes late"
+)
+def step_late_acknowledgement(context, number):
+    fleet = context.fleet
+    node = fleet.nodes[number]
+    late = messages.RevisionAck(
+        daemon_id=node.record.daemon_id,
+        address=node.record.address,
+        revision=1,
+        incarnation=node.record.incarnation,
+    )
+    record = msgspec.structs.replace(
+        node.record, incarnation=node.record.incarnation + 1
+    )
+    control = fleet.nodes[0].control
+    now = fleet.clock.now()
+    changed = membership_messages.DaemonChanged(daemon=record)
+    control.handle(changed, now)
+    control.handle(late, now)
+
+
+@behave.then("the status shows daemon {number:d} behind revision {revision:d}")
+def step_behind(context, number, revision):
+    fleet = context.fleet
+    fleet.post(fleet.nodes[0], messages.StatusRequested(status_id="late-ack"))
+    assert fleet.status.revision == revision
+    behind = [name for zone in fleet.status.zones for name in zone.behind]
+    assert behind == [f"daemon-{number}"], behind
+
+
 @behave.then("it polls at least {count:d} times within {seconds:d} seconds")
 def step_polls_at_least(context, seconds, count):
     polls = count_polls(context, seconds)
--- a/fulmarbarrow/publishing/follower.py
+++ b/fulmarbarrow/publishing/follower.py
@@ -493,6 +493,7 @@
             daemon_id=self._daemon.daemon_id,
             address=self._daemon.address,
             revision=self._revision,
+            incarnation=self._daemon.incarnation,
         )
         return [self._send(self._control or self._daemon.address, ack)]
 
--- a/fulmarbarrow/publishing/messages.py
+++ b/fulmarbarrow/publishing/messages.py
@@ -249,11 +249,15 @@
 
 
 class RevisionAck(message.Message, frozen=True, kw_only=True):
-    """A daemon has activated this revision; repeated while it runs."""
+    """A daemon has activated this revision; repeated while it runs.
+
+    ``incarnation`` is that of the daemon, 0 from an earlier release.
+    """
 
     daemon_id: str
     address: str
     revision: int
+    incarnation: int = 0
 
 
 class RevisionFetch(message.Message, frozen=True, kw_only=True):
