--- a/fulmarbarrow/publishing/features/confirmation.feature
+++ b/fulmarbarrow/publishing/features/confirmation.feature
@@ -114,7 +114,7 @@
     When a daemon that starts asks it for a revision
     And 1.2 seconds pass on it
     And the leader answers its first question that revision 1 is the newest
-    Then 1 daemons are sent revision 1
+    Then the daemon is told that revision 1 is confirmed
 
   Scenario: A question to a leader that was lost is asked of the next one
     Given a control host that follows a leader and has restored revision 1
--- a/fulmarbarrow/publishing/features/steps/confirmation.py
+++ b/fulmarbarrow/publishing/features/steps/confirmation.py
@@ -491,6 +491,13 @@
     assert found == (revision, term), answer
 
 
+@behave.then("the daemon is told that revision {revision:d} is confirmed")
+def step_told_confirmed(context, revision):
+    (answer,) = context.host.answers.values()
+    assert isinstance(answer, messages.RevisionNotice), answer
+    assert (answer.revision, answer.term) == (revision, 3), answer
+
+
 @behave.then("{count:d} daemons are sent revision {revision:d}")
 def step_daemons_sent(context, count, revision):
     answers = context.host.answers.values()
--- a/fulmarbarrow/publishing/fetches.py
+++ b/fulmarbarrow/publishing/fetches.py
@@ -6,6 +6,8 @@
 import dataclasses
 import datetime
 
+import msgspec
+
 from fulmarbarrow.consensus import messages as consensus_messages
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
@@ -14,6 +16,8 @@
 from fulmarbarrow.publishing import status as status_module
 
 GROUP = consensus_messages.Group.CONFIGURATION
+# A daemon without a configuration fetches from another host after this long.
+FETCH_INTERVAL = datetime.timedelta(milliseconds=500)
 # A fetch is left unconfirmed if the leader has not answered by then.
 FETCH_LIFETIME = datetime.timedelta(seconds=2)
 # The leader is asked again after this long; earlier answers still count.
@@ -135,25 +139,31 @@
         self._drop_reads(latest.covers)
         covered, self._pending = _split(self._pending, latest.covers)
         # The latest fetch of a daemon stands for the earlier ones.
-        by_daemon = {item.fetch.daemon_id: item.fetch for item in covered}
+        by_daemon = {item.fetch.daemon_id: item for item in covered}
         effects: list[message.Message] = []
-        for fetch in by_daemon.values():
+        for item in by_daemon.values():
+            fetch = item.fetch
+            if now - item.received_at > FETCH_INTERVAL:
+                # Another host is asked for the content; it is confirmed only.
+                fetch = msgspec.structs.replace(
+                    fetch, revision=self._state.revision
+                )
             effects.extend(self._answer(fetch, latest.term, now))
         return [*effects, *self._start_read(now)]
 
     def on_tick(self, now: datetime.datetime) -> list[message.Message]:
         """Drop old fetches; read again if the leader has not answered."""
         effects: list[message.Message] = []
+        leads = self._status.leader
+        lifetime = FETCH_LIFETIME if leads else FETCH_INTERVAL
         expired = [
-            item
-            for item in self._pending
-            if now - item.received_at > FETCH_LIFETIME
+            item for item in self._pending if now - item.received_at > lifetime
         ]
         if expired:
             last = expired[-1].number
             self._drop_reads(last)
             _, self._pending = _split(self._pending, last)
-        if self._status.leader:
+        if leads:
             for item in expired:
                 effects += self._leave_unconfirmed(item.fetch, now)
         return [*effects, *self._start_read(now)]
