Let a confirmation count for as long as a daemon asks for one

A daemon of a fleet without a configuration was confirmed once, at revision 0, and for good: the first revision that it got later came into force whatever it was, as after a cut from a peer that was behind. Found by reading.

A confirmation lapses after the time in which a daemon asks all control hosts several times; the daemon asks each 0.5 s until a revision is in force. What a leader told to be the newest stays the least that may come into force.

--- a/fulmarbarrow/consensus/authority.py
+++ b/fulmarbarrow/consensus/authority.py
@@ -102,13 +102,8 @@
         self._zones: dict[str, str] = {}
         self._control: set[str] = set()
         self._other_roles: set[str] = set()
-        self._confirmed_version: int | None = None
-        self._announced_version = 0
-
-    @property
-    def confirmed_version(self) -> int | None:
-        """The highest version that a leader confirmed as the newest one."""
-        return self._confirmed_version
+        self._confirmed_at: datetime.datetime | None = None
+        self._newest_version = 0
 
     def start(self, now: datetime.datetime) -> None:
         """Note when this daemon started; later calls have no effect."""
@@ -134,12 +129,17 @@
 
     def announce(self, version: int) -> None:
         """Note that a leader has accepted ``version``, now or earlier."""
-        self._announced_version = max(self._announced_version, version)
+        self._newest_version = max(self._newest_version, version)
 
-    def confirm(self, version: int) -> None:
+    def confirm(self, version: int, now: datetime.datetime) -> None:
         """Note a leader's answer that ``version`` is the newest one."""
-        known = self._confirmed_version
-        self._confirmed_version = max(version, known or 0)
+        self.announce(version)
+        self._confirmed_at = now
+
+    def is_confirmed(self, now: datetime.datetime) -> bool:
+        """Return whether a leader told the newest version lately."""
+        at = self._confirmed_at
+        return at is not None and now - at < EVIDENCE_WINDOW
 
     def hear(
         self,
@@ -168,18 +168,17 @@
 
     def basis(self, version: int, now: datetime.datetime) -> Basis:
         """Return what allows this daemon to act on ``version``."""
-        confirmed = self._confirmed_version
-        if version < max(self._announced_version, confirmed or 0):
+        if version < self._newest_version:
             # It is known to be replaced, cut off or not.
             return Basis.NONE
-        if confirmed is not None:
+        if self.is_confirmed(now):
             return Basis.CONFIRMED
         if not self.is_cut_off(now):
             return Basis.NONE
-        newest = max(
+        newest_here = max(
             (contact.version for _, contact in self._recent(now)), default=0
         )
-        return Basis.CUT_OFF if version >= newest else Basis.NONE
+        return Basis.CUT_OFF if version >= newest_here else Basis.NONE
 
     def is_cut_off(self, now: datetime.datetime) -> bool:
         """Return whether this side of the network has no majority.
--- a/fulmarbarrow/publishing/follower.py
+++ b/fulmarbarrow/publishing/follower.py
@@ -290,8 +290,8 @@
         if self._is_confirmed:
             return []
         if question is None or asked_at is not None:
-            self._evidence.confirm(revision)
-        elif self._evidence.confirmed_version is None:
+            self._evidence.confirm(revision, now)
+        elif not self._evidence.is_confirmed(now):
             return [self._fetch(sender, now)]
         return self._act_if_allowed(now)
 
