--- a/fulmarbarrow/platform/features/steps/path.py
+++ b/fulmarbarrow/platform/features/steps/path.py
@@ -620,6 +620,8 @@
     "an HTTP/1.0 client asks for a stream and the daemon is killed meanwhile"
 )
 def step_stream_http10_killed(context):
+    # The thread may not have set it before the first look.
+    context.data = b""
     with concurrent.futures.ThreadPoolExecutor(1) as pool:
         done = pool.submit(step_stream_http10, context)
         fleet.wait_until(lambda: context.data, "the first event")
