Have the soak check the first revision of each process

The first revision in force on a process must now be as new as what was in force anywhere 2 s before, whether there is a leader or not. A process that a signal had stopped within these 2 s is left out.

The example "a daemon that starts again at an old one" expected 0 broken promises and expects 1.

--- a/soak/features/soak.feature
+++ b/soak/features/soak.feature
@@ -35,4 +35,7 @@
       | a refusal of a copy of an order that ran   | 0     |
       | a sealed refusal of an order that ran      | 1     |
       | a daemon that goes back to an old revision | 1     |
-      | a daemon that starts again at an old one   | 0     |
+      | a daemon that starts again at an old one   | 1     |
+      | a daemon that starts again at an old one elsewhere  | 1 |
+      | a daemon that starts as its revision is replaced    | 0 |
+      | a daemon that was stopped by a signal as it started | 0 |
--- a/soak/features/steps/playing.py
+++ b/soak/features/steps/playing.py
@@ -127,9 +127,36 @@
         {"o": 1},
     ),
 }
+
+
+def seen(at, daemon_id, pid, revision, paused=False):
+    return promises.Observation(
+        at=at, daemon_id=daemon_id, pid=pid, revision=revision, paused=paused
+    )
+
+
 REVISIONS = {
-    "a daemon that goes back to an old revision": [("r", 1, 2), ("r", 1, 1)],
-    "a daemon that starts again at an old one": [("r", 1, 2), ("r", 2, 1)],
+    "a daemon that goes back to an old revision": [
+        seen(10.0, "r", 1, 2),
+        seen(10.2, "r", 1, 1),
+    ],
+    "a daemon that starts again at an old one": [
+        seen(10.0, "r", 1, 2),
+        seen(13.0, "r", 2, 0),
+        seen(13.2, "r", 2, 1),
+    ],
+    "a daemon that starts again at an old one elsewhere": [
+        seen(10.0, "r", 1, 2),
+        seen(13.2, "s", 2, 1),
+    ],
+    "a daemon that starts as its revision is replaced": [
+        seen(10.0, "r", 1, 2),
+        seen(11.0, "s", 2, 1),
+    ],
+    "a daemon that was stopped by a signal as it started": [
+        seen(10.0, "r", 1, 2),
+        seen(13.0, "s", 2, 1, paused=True),
+    ],
 }
 
 
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -9,6 +9,8 @@
 
 END = "data: [DONE]"
 ERROR = "event: error"
+# An accepted revision is in force everywhere after this long.
+APPLY_LIMIT = 2.0  # seconds
 # A killed daemon's connections may be reported broken this much later.
 KILL_SLACK = 1.0  # seconds
 
@@ -116,18 +118,51 @@
     return error["ran"] == "no" and (only or error["code"] == "not_run")
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Observation:
+    """The revision in force on a daemon's process, 0 for none; in seconds.
+
+    ``paused`` is set if the process may have been stopped by a signal since
+    ``APPLY_LIMIT`` before.
+    """
+
+    at: float
+    daemon_id: str
+    pid: int
+    revision: int
+    paused: bool = False
+
+
 def revisions(
-    seen: collections.abc.Iterable[tuple[str, int, int]],
+    seen: collections.abc.Iterable[Observation],
 ) -> list[str]:
-    """Return where a daemon's process went back to an older revision.
+    """Return where a process had an older revision in force than it may.
 
-    ``seen`` holds daemon, incarnation and revision in order of time.
+    It never goes back, and the first one that it has in force is not one that
+    was replaced anywhere before, however long there is no leader. ``seen`` is
+    in order of time.
     """
     last: dict[tuple[str, int], int] = {}
+    newest: list[tuple[float, int]] = [(0.0, 0)]
     found = []
-    for daemon_id, incarnation, revision in seen:
-        key = (daemon_id, incarnation)
-        if revision < last.get(key, 0):
-            found.append(f"{daemon_id} went back to revision {revision}")
-        last[key] = max(revision, last.get(key, 0))
+    for item in seen:
+        key = (item.daemon_id, item.pid)
+        if item.revision < last.get(key, 0):
+            found.append(
+                f"{item.daemon_id} went back to revision {item.revision}"
+            )
+        due = max(
+            number
+            for at, number in newest
+            if at <= max(0.0, item.at - APPLY_LIMIT)
+        )
+        is_first = item.revision and not last.get(key, 0)
+        if is_first and not item.paused and item.revision < due:
+            found.append(
+                f"{item.daemon_id} started with revision {item.revision},"
+                f" {due} was in force before"
+            )
+        last[key] = max(item.revision, last.get(key, 0))
+        if item.revision > newest[-1][1]:
+            newest.append((item.at, item.revision))
     return found
--- a/soak/run.py
+++ b/soak/run.py
@@ -102,7 +102,8 @@
             threading.Lock
         )
         self._kills: list[promises.Kill] = []
-        self._seen: list[tuple[str, int, int]] = []
+        self._seen: list[promises.Observation] = []
+        self._paused_at: dict[str, float] = {}
         self._broken: list[str] = []
         self._published = 0
         self._over = threading.Event()
@@ -219,6 +220,7 @@
             daemon.process.send_signal(signal.SIGSTOP)
             time.sleep(fault.length)
             daemon.process.send_signal(signal.SIGCONT)
+            self._paused_at[daemon.daemon_id] = time.monotonic()
             return
         if fault.kind is plan.Kind.KILL:
             self._kills.append(
@@ -242,8 +244,20 @@
                 state = daemon.dump()
                 if state and daemon.process is process:
                     revision = state["cores"]["publishing"]["revision"]
-                    seen = (daemon.daemon_id, process.pid, revision)
-                    self._seen.append(seen)
+                    self._observe(daemon.daemon_id, process.pid, revision)
+
+    def _observe(self, daemon_id: str, pid: int, revision: int) -> None:
+        now = time.monotonic()
+        paused_at = self._paused_at.get(daemon_id, -promises.APPLY_LIMIT)
+        self._seen.append(
+            promises.Observation(
+                at=now,
+                daemon_id=daemon_id,
+                pid=pid,
+                revision=revision,
+                paused=now - paused_at < promises.APPLY_LIMIT,
+            )
+        )
 
     def _settle(self) -> None:
         """Wait until all daemons serve and agree, as every fault is over."""
