--- a/fulmarbarrow/publishing/follower.py
+++ b/fulmarbarrow/publishing/follower.py
@@ -290,8 +290,8 @@
         if self._is_confirmed:
             return []
         if question is None or asked_at is not None:
-            self._evidence.confirm(revision)
-        elif self._evidence.confirmed_version is None:
+            self._evidence.confirm(revision, now)
+        elif not self._evidence.is_confirmed(now):
             return [self._fetch(sender, now)]
         return self._act_if_allowed(now)
 
@@ -470,6 +470,7 @@
             bundle=bundle,
             term=known.term if known else 0,
             confirmed_at=known.valid_at if known else None,
+            cut_off=self._basis is authority.Basis.CUT_OFF,
         )
         return [changed, *self._acknowledge(now)]
 
@@ -492,6 +493,7 @@
             daemon_id=self._daemon.daemon_id,
             address=self._daemon.address,
             revision=self._revision,
+            incarnation=self._daemon.incarnation,
         )
         return [self._send(self._control or self._daemon.address, ack)]
 
--- a/fulmarbarrow/publishing/messages.py
+++ b/fulmarbarrow/publishing/messages.py
@@ -111,13 +111,15 @@
 class ConfigurationChanged(message.Message, frozen=True, kw_only=True):
     """A higher revision is now active on this daemon.
 
-    A leader of ``term`` confirmed it at ``confirmed_at``; None if none did.
+    A leader of ``term`` confirmed it at ``confirmed_at``; None if none did, as
+    this side of the network is ``cut_off``.
     """
 
     revision: int
     bundle: bundles.Bundle
     term: int = 0
     confirmed_at: datetime.datetime | None = None
+    cut_off: bool = False
 
 
 class DaemonRevision(
@@ -247,11 +249,15 @@
 
 
 class RevisionAck(message.Message, frozen=True, kw_only=True):
-    """A daemon has activated this revision; repeated while it runs."""
+    """A daemon has activated this revision; repeated while it runs.
+
+    ``incarnation`` is that of the daemon, 0 from an earlier release.
+    """
 
     daemon_id: str
     address: str
     revision: int
+    incarnation: int = 0
 
 
 class RevisionFetch(message.Message, frozen=True, kw_only=True):
