--- a/tools/log_reference.py
+++ b/tools/log_reference.py
@@ -30,12 +30,19 @@
 `configuration in force` and `request rejected` have `confirmed_term`, too, and
 `confirmed_ms_ago`: the term of the leader that has last confirmed the daemon's
 revision as the newest one, and how long ago. They are left out where none has.
-`revision activated`, and `revision held` if no leader has confirmed it yet,
-name the `sender` of a revision; `confirmed_by` and `confirmed_revision` tell
-the leader's statement. A control host writes `revision handed out` with the
-`daemon` that asked, `from_revision` and `revision`, the `leader` that it
-follows, the `term` of the one that confirms the answer (0 if none does), and
-for how long it has had no leader, `leaderless_ms`.
+`revision activated`, and `revision held` if the daemon may not act on it yet,
+name the `sender` of a revision and its `basis`: `confirmed`, `cut_off` or
+`none`. `confirmed_by` and `confirmed_revision` tell the leader's last
+statement, `question` which fetch of the daemon it answers, 0 for none, and
+`asked_ms_ago` when that one was sent. A daemon that goes on because it is cut
+off warns that `this side of the network has no majority of the control
+hosts`, with the daemons and zones that answer (`answering`,
+`zones_answering`), the `control_hosts` that it knows, and those that count
+for its side (`control_hosts_here`). `revision confirmed` ends that. A control
+host writes `revision handed out` with the `daemon` that asked, its
+`question`, `from_revision` and `revision`, the `leader` that it follows, the
+`term` of the one that confirms the answer (0 if none does), and for how long
+it has had no leader, `leaderless_ms`.
 
 A daemon writes at most 150 lines a second, and as many again of warnings; a
 line `log lines left out` tells how many more there were.
