--- a/benchmarks/publishing_fanout.py
+++ b/benchmarks/publishing_fanout.py
@@ -240,6 +240,11 @@
                 self._send(address, effect)
             elif isinstance(effect, messages.ConfigurationChanged):
                 self.revisions[address] = effect.revision
+            elif isinstance(effect, consensus_messages.ReadBarrier):
+                ready = consensus_messages.ReadReady(
+                    read_id=effect.read_id, group=effect.group, ready=True
+                )
+                self._post(address, ready)
             elif not isinstance(effect, messages.PublishResult):
                 self._post(address, effect)
 
