Ask each second for ten seconds after a control host has started

Failed before: "Routers that a restarted control host does not know soon have a revision". The 72 scenarios of publishing pass.

--- a/fulmarbarrow/publishing/features/publishing.feature
+++ b/fulmarbarrow/publishing/features/publishing.feature
@@ -108,6 +108,15 @@
     Then it polls at most 3 times within 10 seconds
     And revision 2 is active on daemon 5
 
+  # Guards against routers that a restarted leader sends nothing (CONFIG).
+  Scenario: Routers that a restarted control host does not know soon have a revision
+    Given "amina" has published account "volos" on revision 0
+    And 30 seconds have passed
+    When the control host restarts, leads and knows no router
+    And "babis" publishes account "patras" on revision 1
+    And 2 seconds pass
+    Then revision 2 is active on all daemons
+
   # Guards against routers that are sent nothing as they seem to have it (CONFIG).
   Scenario: A late acknowledgement of the process before does not count
     Given "amina" has published account "volos" on revision 0
--- a/fulmarbarrow/publishing/features/steps/publishing.py
+++ b/fulmarbarrow/publishing/features/steps/publishing.py
@@ -412,6 +412,17 @@
     return fleet.polls[context.number]
 
 
+@behave.when("the control host restarts, leads and knows no router")
+def step_control_knows_nobody(context):
+    fleet = context.fleet
+    node = fleet.nodes[0]
+    node.record = msgspec.structs.replace(
+        node.record, incarnation=node.record.incarnation + 1
+    )
+    fleet.restart_control()
+    fleet.announce(node)
+
+
 @behave.when(
     "daemon {number:d} restarts with an empty disk, and its last "
     "acknowledgement comes late"
--- a/fulmarbarrow/publishing/follower.py
+++ b/fulmarbarrow/publishing/follower.py
@@ -30,8 +30,8 @@
 INITIAL_POLL_INTERVAL = datetime.timedelta(milliseconds=500)
 # Until it has the revision that a leader announced, a daemon may be outdated.
 UNCONFIRMED_POLL_INTERVAL = datetime.timedelta(seconds=1)
-# The leader does not know a daemon that has just started, and sends it no
-# revision that is accepted after the confirmation.
+# A leader does not know a daemon that has just started, nor one that has just
+# started itself the daemons that run, and sends them no revision meanwhile.
 STARTUP_PHASE = datetime.timedelta(seconds=10)
 CONTROL_ROLE = "control"
 STORE_TIMEOUT = datetime.timedelta(seconds=2)
@@ -89,6 +89,8 @@
         self._control = ""
         self._basis = authority.Basis.NONE
         self._started_at: datetime.datetime | None = None
+        # When this daemon or, as far as it knows, a control host started last.
+        self._latest_start_at: datetime.datetime | None = None
         self._storing: tuple[messages.StoreRevision, datetime.datetime] | None
         self._storing = None
         self._storing_deltas: tuple[messages.Delta, ...] = ()
@@ -140,7 +142,7 @@
                 return self._on_stored(event, now)
             case message.Tick():
                 return self._on_tick(now)
-        self._on_membership(event)
+        self._on_membership(event, now)
         return []
 
     def dump(self) -> dict[str, typing.Any]:
@@ -512,10 +514,18 @@
             return body
         return message.Send(address=address, message=body, urgent=True)
 
-    def _on_membership(self, event: message.Message) -> None:
+    def _on_membership(
+        self, event: message.Message, now: datetime.datetime
+    ) -> None:
         match event:
             case membership_messages.DaemonChanged():
                 daemon = event.daemon
+                known = self._daemons.get(daemon.daemon_id)
+                is_new = known is None or (
+                    known.incarnation != daemon.incarnation
+                )
+                if is_new and CONTROL_ROLE in daemon.roles:
+                    self._latest_start_at = now
                 self._daemons[daemon.daemon_id] = daemon
                 self._evidence.learn_daemon(
                     daemon.address,
@@ -538,7 +548,8 @@
         effects: list[message.Message] = []
         if self._started_at is None:
             self._started_at = now
-        self._starting = now < self._started_at + STARTUP_PHASE
+        latest = self._latest_start_at or self._started_at
+        self._starting = now < latest + STARTUP_PHASE
         self._evidence.start(now)
         effects.extend(self._act_if_allowed(now))
         if self._control and _elapsed(self._acked_at, ACK_INTERVAL, now):
@@ -560,7 +571,7 @@
 
         A fetched revision proves nothing: the answer may come from a daemon
         that is itself behind, and answers may be lost. Nor does a leader's
-        announcement while this daemon starts.
+        announcement while this daemon or a control host starts.
         """
         return (
             self._notified
