Send a daemon that runs what it lacks, however slow the leader is

A daemon that runs and is behind asks each second and wants no confirmation, so it got nothing from a control host beside a busy leader. Callers would go on being refused by the revision before.

Only daemons that ask for a confirmation are answered by it alone.

Failed before (no answer): "A daemon that runs is sent what it lacks beside a busy leader, too".

--- a/fulmarbarrow/publishing/features/confirmation.feature
+++ b/fulmarbarrow/publishing/features/confirmation.feature
@@ -116,6 +116,13 @@
     And the leader answers its first question that revision 1 is the newest
     Then the daemon is told that revision 1 is confirmed
 
+  Scenario: A daemon that runs is sent what it lacks beside a busy leader, too
+    Given a control host that follows a leader and has applied revision 2
+    When a daemon with revision 1 in force asks it for a revision
+    And 1.2 seconds pass on it
+    And the leader answers its first question that revision 2 is the newest
+    Then the daemon is sent revision 2, confirmed by the leader of term 3
+
   Scenario: A question to a leader that was lost is asked of the next one
     Given a control host that follows a leader and has restored revision 1
     When a daemon that starts asks it for a revision
--- a/fulmarbarrow/publishing/features/steps/confirmation.py
+++ b/fulmarbarrow/publishing/features/steps/confirmation.py
@@ -389,6 +389,14 @@
     context.host = Following()
 
 
+@behave.given(
+    "a control host that follows a leader and has applied revision 2"
+)
+def step_following_applied(context):
+    context.host = Following()
+    step_applied(context)
+
+
 @behave.when("a daemon that starts asks it for a revision")
 def step_asks(context):
     context.host.ask(0)
--- a/fulmarbarrow/publishing/fetches.py
+++ b/fulmarbarrow/publishing/fetches.py
@@ -143,7 +143,7 @@
         effects: list[message.Message] = []
         for item in by_daemon.values():
             fetch = item.fetch
-            if now - item.received_at > FETCH_INTERVAL:
+            if fetch.confirm and now - item.received_at > FETCH_INTERVAL:
                 # Another host is asked for the content; it is confirmed only.
                 fetch = msgspec.structs.replace(
                     fetch, revision=self._state.revision
