Excuse no host from the check of configurations as it has just started

A host is excused only once it has had the time to ask around, 4.8 s, is not connected to the leader, and reaches no other zone. So every host that the check excused before and that reaches another zone is judged now, and none that was judged is excused.

Shown in a scratch copy whose control hosts hand out and whose daemons enforce whatever they hold: "No host enforces a revision that was replaced before the loss" passed with the check as it was and fails with this one (control-c enforces revision 7, 10 was accepted).

--- a/faultmatrix/checks/configuration.py
+++ b/faultmatrix/checks/configuration.py
@@ -8,6 +8,7 @@
 from faultmatrix import host as hosts
 from faultmatrix import upstream as upstreams
 from fulmarbarrow.config import bundle as bundles
+from fulmarbarrow.consensus import authority
 from fulmarbarrow.publishing import messages
 
 LIMIT = datetime.timedelta(seconds=2)
@@ -116,7 +117,17 @@
         )
 
     def _is_cut_off(self, host: hosts.Host) -> bool:
-        """Whether a host reaches no host of another zone."""
+        """Whether a host has asked around and reaches no other zone.
+
+        Hosts that started together have not had the time to ask, and one that
+        is connected to the leader is not cut off.
+        """
+        age = self.fleet.timeline.now - host.started_at
+        if age < authority.EVIDENCE_WINDOW:
+            return False
+        leader = self.fleet.leader()
+        if leader is not None and self.fleet.network.connected(host, leader):
+            return False
         return all(other.zone == host.zone for other in self._reached(host))
 
     def _reached(self, host: hosts.Host) -> list[hosts.Host]:
