Count a confirmation from its question, not from its receipt

Callers of a router that had just started could be refused or served by a configuration that had been replaced for more than 2 s: a leader's answer that had waited, at a control host or in a connection, confirmed as if it were new, for 4.8 s after its receipt.

Cause: the follower recorded the receipt of an answer, although the design counts it from the question; and the lifetime was that of the evidence of a cut, longer than a change may take to come into force.

Now a confirmation counts from its question, for 2 s.

Before, three scenarios failed: 'An answer counts as of its question' after 2 and 4 seconds, and 'A revision that comes seconds after its confirmation is confirmed again'.

--- a/fulmarbarrow/consensus/authority.py
+++ b/fulmarbarrow/consensus/authority.py
@@ -5,7 +5,7 @@
 
 - A leader has confirmed the state. On the leader itself that is its lease; on
   every other daemon it is the answer to a question that was asked after the
-  daemon started.
+  daemon started, and not longer ago than a change may take to come into force.
 - The daemon is on a side of the network without a majority of the control
   hosts. It goes on with what it holds.
 
@@ -26,6 +26,9 @@
 # Interval in which a daemon has asked each control host and daemons of other
 # zones, several times each.
 EVIDENCE_WINDOW = 3 * timing.ELECTION_MAX
+# Time in which a change has to be in force everywhere. The state of an older
+# confirmation may have been replaced for longer than that.
+CONFIRMATION_LIFETIME = datetime.timedelta(seconds=2)
 # Answers to older questions are not attributed to a question any more.
 MAX_QUESTIONS = 64
 
@@ -131,15 +134,20 @@
         """Note that a leader has accepted ``version``, now or earlier."""
         self._newest_version = max(self._newest_version, version)
 
-    def confirm(self, version: int, now: datetime.datetime) -> None:
-        """Note a leader's answer that ``version`` is the newest one."""
+    def confirm(self, version: int, asked_at: datetime.datetime) -> None:
+        """Note a leader's answer that ``version`` is the newest one.
+
+        It holds as of the question: newer ones may have been accepted while
+        the answer was on its way.
+        """
         self.announce(version)
-        self._confirmed_at = now
+        if self._confirmed_at is None or asked_at > self._confirmed_at:
+            self._confirmed_at = asked_at
 
     def is_confirmed(self, now: datetime.datetime) -> bool:
         """Return whether a leader told the newest version lately."""
         at = self._confirmed_at
-        return at is not None and now - at < EVIDENCE_WINDOW
+        return at is not None and now - at < CONFIRMATION_LIFETIME
 
     def hear(
         self,
--- a/fulmarbarrow/consensus/features/authority.feature
+++ b/fulmarbarrow/consensus/features/authority.feature
@@ -48,6 +48,8 @@
       | a leader confirmed version 6                      | confirmed |
       | a leader confirmed version 8                      | none      |
       | a leader confirmed version 7 five seconds ago     | cut_off   |
+      | nothing is cut, a leader confirmed it 1 s ago     | confirmed |
+      | nothing is cut, a leader confirmed it 2 s ago     | none      |
       | its zone is cut off                               | cut_off   |
       | its zone is cut off and a peer acts on version 8  | none      |
       | its zone is cut off and a leader announced 8      | none      |
--- a/fulmarbarrow/consensus/features/steps/authority.py
+++ b/fulmarbarrow/consensus/features/steps/authority.py
@@ -89,6 +89,15 @@
     answer(context, "x@a", 5)
 
 
+@behave.when(
+    "it holds version 7, and nothing is cut, a leader confirmed it "
+    "{seconds:d} s ago"
+)
+def step_confirmed_before(context, seconds):
+    context.evidence.confirm(7, context.now)
+    answer(context, "x@a y@b", seconds)
+
+
 @behave.when("it holds version 7, and its zone is cut off")
 def step_zone_cut_off(context):
     answer(context, "x@a", 5)
--- a/fulmarbarrow/publishing/features/confirmation.feature
+++ b/fulmarbarrow/publishing/features/confirmation.feature
@@ -63,6 +63,27 @@
       | a late notice of revision 1 to the process before          | 0        |
       | unasked revision 1 by the leader of term 2                 | 0        |
 
+  # Guards against routers that go by a revision replaced while its answer waited (CONFIG).
+  Scenario Outline: An answer counts as of its question: after <seconds> seconds
+    Given "amina" has published account "volos" on revision 0
+    And a daemon that starts and holds revision 1
+    When its question is answered after <seconds> seconds that revision 1 is the newest
+    Then revision <revision> is in force on it
+
+    Examples:
+      | seconds | revision |
+      | 1       | 1        |
+      | 2       | 0        |
+      | 4       | 0        |
+
+  Scenario: A revision that comes seconds after its confirmation is confirmed again
+    Given "amina" has published account "volos" on revision 0
+    And a daemon that starts and holds revision 1
+    When its question is answered after 1 seconds that revision 2 is the newest
+    And 3 seconds pass, and revision 2 reaches it
+    Then revision 0 is in force on it
+    And it asks the leader to confirm revision 2
+
   Scenario: A daemon that is sent a statement without having asked asks for one
     Given "amina" has published account "volos" on revision 0
     And a daemon that starts and holds revision 1
--- a/fulmarbarrow/publishing/features/steps/confirmation.py
+++ b/fulmarbarrow/publishing/features/steps/confirmation.py
@@ -138,10 +138,10 @@
     def question(self):
         return self.asked.message.question
 
-    def push(self, term=0, question=None):
+    def push(self, term=0, question=None, revision=1):
         return messages.RevisionPush(
             sender="address-any",
-            revision=1,
+            revision=revision,
             digest=self.request.digest,
             bundle=packing.pack(self.request.bundle),
             term=term,
@@ -208,6 +208,28 @@
     context.starting.give(notice)
 
 
+@behave.when(
+    "its question is answered after {seconds:d} seconds that revision "
+    "{revision:d} is the newest"
+)
+def step_answered_late(context, seconds, revision):
+    context.starting.now += datetime.timedelta(seconds=seconds)
+    notice = messages.RevisionNotice(
+        control=LEADER,
+        revision=revision,
+        term=2,
+        question=context.starting.question,
+    )
+    context.starting.give(notice)
+
+
+@behave.when("{seconds:d} seconds pass, and revision 2 reaches it")
+def step_content_late(context, seconds):
+    context.starting.now += datetime.timedelta(seconds=seconds)
+    context.starting.give(context.starting.push(revision=2))
+    context.sent = sends(context.starting.give(message.Tick()))
+
+
 @behave.when("it is sent unasked revision 1 by the leader of term 2")
 def step_sent_unasked_revision(context):
     context.starting.give(context.starting.push(2, question=0))
@@ -220,12 +242,12 @@
         context.starting.give(message.Tick())
 
 
-@behave.then("it asks the leader to confirm revision 1")
-def step_asks_leader(context):
+@behave.then("it asks the leader to confirm revision {revision:d}")
+def step_asks_leader(context, revision):
     (sent,) = context.sent
     assert sent.address == LEADER, sent
     assert sent.message.confirm, sent
-    assert sent.message.revision == 1, sent
+    assert sent.message.revision == revision, sent
 
 
 @behave.when("it is sent revision 1 by {sender}")
--- a/fulmarbarrow/publishing/follower.py
+++ b/fulmarbarrow/publishing/follower.py
@@ -292,7 +292,7 @@
         if self._is_confirmed:
             return []
         if question is None or asked_at is not None:
-            self._evidence.confirm(revision, now)
+            self._evidence.confirm(revision, asked_at or now)
         elif not self._evidence.is_confirmed(now):
             return [self._fetch(sender, now)]
         return self._act_if_allowed(now)
