Tell the slices of a daemon that its cut has ended

A router that had gone on in a zone that was cut off, and was confirmed after the cut, still took the share of a version move that any other daemon told it, until the next revision: requests could go to a version that the leader had taken back meanwhile.

Cause: the follower told its slices 'cut_off' with the revision, and nothing when its basis changed to 'confirmed'. The same state had two answers to whether it may be acted on. Now a message of its own tells it.

Before, 'A daemon that was cut off tells its slices that the cut has ended' failed. Telling the revision once more was tried first and taken back: the invariant of traces that a revision comes into force once only is right.

--- a/fulmarbarrow/observe/decisions.py
+++ b/fulmarbarrow/observe/decisions.py
@@ -70,6 +70,7 @@
         membership_messages.DaemonGone,
         membership_messages.AnnounceRefused,
         publishing_messages.ConfigurationChanged,
+        publishing_messages.ConfigurationConfirmed,
         publishing_messages.AmendResult,
         publishing_messages.DocumentResponse,
         consensus_messages.LeaderChanged,
@@ -440,6 +441,15 @@
             },
         )
 
+    @_on.register
+    def _(
+        self,
+        event: publishing_messages.ConfigurationConfirmed,
+        now: datetime.datetime,
+    ) -> None:
+        self._term = event.term
+        self._confirmed_at = event.confirmed_at
+
     def _confirmation(self, now: datetime.datetime) -> dict[str, typing.Any]:
         """Return which leader confirmed the revision in force, and when."""
         if self._confirmed_at is None:
--- a/fulmarbarrow/publishing/features/confirmation.feature
+++ b/fulmarbarrow/publishing/features/confirmation.feature
@@ -98,6 +98,15 @@
     And it reaches nobody for 60 seconds
     Then revision 0 is in force on it
 
+  # Guards against shares that other daemons tell a router after a cut.
+  Scenario: A daemon that was cut off tells its slices that the cut has ended
+    Given "amina" has published account "volos" on revision 0
+    And a daemon that starts and holds revision 1
+    When it reaches nobody for 6 seconds
+    Then revision 1 is in force on it, as it is cut off
+    When a leader confirms revision 1 to it
+    Then revision 1 is in force on it, as confirmed
+
   Scenario: A daemon hands out no revision that is not in force on it
     Given "amina" has published account "volos" on revision 0
     And a daemon that starts and holds revision 1
--- a/fulmarbarrow/publishing/features/steps/confirmation.py
+++ b/fulmarbarrow/publishing/features/steps/confirmation.py
@@ -124,6 +124,7 @@
     def __init__(self, request):
         self.now = clocks.ManualClock().now()
         self.revision = 0
+        self.cut_off = False
         self.follower = follower.PublishingFollower(
             daemon=daemon_record("starting", ("router",)),
             source=random.Random(1),
@@ -165,6 +166,9 @@
         for effect in effects:
             if isinstance(effect, messages.ConfigurationChanged):
                 self.revision = effect.revision
+                self.cut_off = effect.cut_off
+            elif isinstance(effect, messages.ConfigurationConfirmed):
+                self.cut_off = False
         return effects
 
 
@@ -269,6 +273,28 @@
     assert context.starting.revision == revision
 
 
+@behave.when("a leader confirms revision 1 to it")
+def step_confirmed(context):
+    context.starting.now += datetime.timedelta(seconds=1)
+    (asked, *_) = sends(context.starting.give(message.Tick()))
+    notice = messages.RevisionNotice(
+        control=LEADER, revision=1, term=2, question=asked.message.question
+    )
+    context.starting.give(notice)
+
+
+@behave.then("revision 1 is in force on it, as it is cut off")
+def step_in_force_cut_off(context):
+    assert context.starting.revision == 1
+    assert context.starting.cut_off
+
+
+@behave.then("revision 1 is in force on it, as confirmed")
+def step_in_force_confirmed(context):
+    assert context.starting.revision == 1
+    assert not context.starting.cut_off
+
+
 @behave.when("a peer without a revision asks it")
 def step_peer_asks(context):
     fetch = messages.RevisionFetch(
--- a/fulmarbarrow/publishing/follower.py
+++ b/fulmarbarrow/publishing/follower.py
@@ -312,8 +312,7 @@
                 extra=self._describe(now) | self._evidence.describe(now),
             )
         if was_in_force:
-            log.info("revision confirmed", extra=self._describe(now))
-            return []
+            return self._tell_confirmed(now)
         return self._put_in_force(self._content.bundle(), now)
 
     def _hear(self, address: str, now: datetime.datetime) -> None:
@@ -476,6 +475,18 @@
         )
         return [changed, *self._acknowledge(now)]
 
+    def _tell_confirmed(self, now: datetime.datetime) -> list[message.Message]:
+        """Tell that what is in force since a cut is confirmed now."""
+        log.info("revision confirmed", extra=self._describe(now))
+        known = self._confirmation
+        return [
+            messages.ConfigurationConfirmed(
+                revision=self._revision,
+                term=known.term,
+                confirmed_at=known.valid_at,
+            )
+        ]
+
     def _describe(self, now: datetime.datetime) -> dict[str, typing.Any]:
         """Return where the held revision comes from, for log lines."""
         return {
--- a/fulmarbarrow/publishing/messages.py
+++ b/fulmarbarrow/publishing/messages.py
@@ -122,6 +122,17 @@
     cut_off: bool = False
 
 
+class ConfigurationConfirmed(message.Message, frozen=True, kw_only=True):
+    """A leader of ``term`` confirmed the active revision after a cut.
+
+    It did so at ``confirmed_at``.
+    """
+
+    revision: int
+    term: int
+    confirmed_at: datetime.datetime
+
+
 class DaemonRevision(
     message.Message, frozen=True, kw_only=True, tag="DaemonInForce"
 ):
--- a/fulmarbarrow/versions/features/moves.feature
+++ b/fulmarbarrow/versions/features/moves.feature
@@ -62,6 +62,14 @@
     And this side of the network is cut off
     Then its share of the new version is 0.4
 
+  # Guards against shares that other daemons tell a router after a cut.
+  Scenario: A router whose cut has ended takes no share on another router's word
+    Given a router that knows 7 daemons and has a move
+    When this side of the network is cut off
+    And a leader confirms the revision that is in force
+    And another router tells it share 0.4 of step 7
+    Then its share of the new version is 0.0
+
   Scenario: A host that hands its leadership over takes no step and sends no share
     Given a version move
     When it runs until the phase loading
--- a/fulmarbarrow/versions/features/steps/moves.py
+++ b/fulmarbarrow/versions/features/steps/moves.py
@@ -15,6 +15,7 @@
 from fulmarbarrow.delivery import messages as delivery_messages
 from fulmarbarrow import message
 from fulmarbarrow.placement import messages as placement_messages
+from fulmarbarrow.publishing import messages as publishing_messages
 from fulmarbarrow.versions import machine
 from fulmarbarrow.versions import messages
 from fulmarbarrow.versions import sequential
@@ -319,6 +320,16 @@
     note_shares(context, changed)
 
 
+@behave.when("a leader confirms the revision that is in force")
+def step_confirmed(context):
+    confirmed = publishing_messages.ConfigurationConfirmed(
+        revision=context.configuration.revision,
+        term=3,
+        confirmed_at=context.clock.now(),
+    )
+    note_shares(context, confirmed)
+
+
 @behave.then("its share of the new version is {share:f}")
 def step_share(context, share):
     assert context.shares["2"] == share, context.shares
--- a/fulmarbarrow/versions/router.py
+++ b/fulmarbarrow/versions/router.py
@@ -111,6 +111,7 @@
 
     handles = (
         publishing_messages.ConfigurationChanged,
+        publishing_messages.ConfigurationConfirmed,
         delivery_messages.AttemptObserved,
         membership_messages.DaemonChanged,
         membership_messages.DaemonGone,
@@ -176,6 +177,8 @@
             case publishing_messages.ConfigurationChanged():
                 self._cut_off = event.cut_off
                 return self._configure(event.bundle)
+            case publishing_messages.ConfigurationConfirmed():
+                self._cut_off = False
             case membership_messages.DaemonChanged():
                 return self._on_daemon_changed(event.daemon)
             case membership_messages.DaemonGone():
