Send urgent messages of one turn in their own order

A series of configuration changes of one turn reached a router newest first: it fetched for each but the last, and was behind for as long as that took.

Cause: each urgent message was put before all others of its turn, the urgent ones too. They now go before the others only.

Before, 'Urgent messages leave before others, in their own order' failed: they left as 3, 2, 1.

--- a/fulmarbarrow/wire/features/steps/transport.py
+++ b/fulmarbarrow/wire/features/steps/transport.py
@@ -260,3 +260,30 @@
 def step_unencodable_counted(context, count):
     value = context.metrics.value("peer_messages_unencodable")
     assert value == count, value
+
+
+@behave.when(
+    "messages 1, 2 and 3 are sent to a peer in one turn, 2 and 3 urgently"
+)
+def step_send_urgently(context):
+    make(context)
+    for number in (1, 2, 3):
+        body = messages.Release(attempt_ids=(str(number),))
+        context.transport.send(
+            message.Send(address=PEER, message=body, urgent=number > 1)
+        )
+    context.reactor.advance(0)
+    step_made(context)
+
+
+@behave.then("they are written in the order 2, 3, 1")
+def step_order(context):
+    reader = codec.Codec(
+        fleet_key="a fleet key of tests",
+        sender="b",
+        address=PEER,
+        incarnation=1,
+    )
+    bodies = reader.decode(context.memory.value()[4:])
+    found = [body.attempt_ids[0] for body in bodies]
+    assert found == ["2", "3", "1"], found
--- a/fulmarbarrow/wire/features/transport.feature
+++ b/fulmarbarrow/wire/features/transport.feature
@@ -48,6 +48,11 @@
     When messages of 1 MB are sent 8 times to a peer that does not answer
     Then at most 4 MB wait and the others are counted as unsent
 
+  # Guards against changes of a configuration that arrive newest first (CONFIG).
+  Scenario: Urgent messages leave before others, in their own order
+    When messages 1, 2 and 3 are sent to a peer in one turn, 2 and 3 urgently
+    Then they are written in the order 2, 3, 1
+
   Scenario: A message that can't be encoded takes no other one with it
     When a message with a number of 80 bits is sent among 3 others, to two peers
     Then the 3 others reach their peers
--- a/fulmarbarrow/wire/transport.py
+++ b/fulmarbarrow/wire/transport.py
@@ -353,7 +353,7 @@
         self._received = received
         self._peers: dict[str, Peer] = {}
         self._incarnations: dict[str, int] = {}
-        self._waiting: dict[str, collections.deque[messages.Message]] = {}
+        self._waiting: dict[str, list[messages.Send]] = {}
         self._flush_planned = False
         self._port: interfaces.IListeningPort | None = None
         self._open_relay: OpenRelay | None = None
@@ -397,14 +397,13 @@
             self._peers[address].reconnect()
 
     def send(self, send: messages.Send) -> None:
-        """Send a message; those of one loop turn share a frame."""
+        """Send a message; those of one loop turn share a frame.
+
+        Urgent ones come first in it, in their own order.
+        """
         if send.fresh and send.address in self._peers:
             self._peers[send.address].reconnect()
-        queue = self._waiting.setdefault(send.address, collections.deque())
-        if send.urgent:
-            queue.appendleft(send.message)
-        else:
-            queue.append(send.message)
+        self._waiting.setdefault(send.address, []).append(send)
         if not self._flush_planned:
             self._flush_planned = True
             self._reactor.callLater(0, self._flush)
@@ -412,10 +411,11 @@
     def _flush(self) -> None:
         self._flush_planned = False
         waiting, self._waiting = self._waiting, {}
-        for address, queue in waiting.items():
-            while queue:
-                count = min(len(queue), MAX_BATCH_MESSAGES)
-                batch = tuple(queue.popleft() for _ in range(count))
+        for address, sends in waiting.items():
+            ordered = sorted(sends, key=lambda send: not send.urgent)
+            bodies = tuple(send.message for send in ordered)
+            for first in range(0, len(bodies), MAX_BATCH_MESSAGES):
+                batch = bodies[first : first + MAX_BATCH_MESSAGES]
                 self._send_batch(address, batch)
 
     def _send_batch(
