Compare running processes in the soak with what is in force elsewhere

Each observation is compared now, unless the process was stopped by a signal or a daemon has had a fault in the last 3 s, the time in which there is a leader again. Two examples show what is broken and what is not; the first one broke no promise before.

--- a/soak/features/soak.feature
+++ b/soak/features/soak.feature
@@ -39,3 +39,5 @@
       | a daemon that starts again at an old one elsewhere  | 1 |
       | a daemon that starts as its revision is replaced    | 0 |
       | a daemon that was stopped by a signal as it started | 0 |
+      | a daemon that runs by an old one while all is calm  | 1 |
+      | a daemon that runs by an old one after a fault      | 0 |
--- a/soak/features/steps/playing.py
+++ b/soak/features/steps/playing.py
@@ -129,9 +129,14 @@
 }
 
 
-def seen(at, daemon_id, pid, revision, paused=False):
+def seen(at, daemon_id, pid, revision, paused=False, calm=False):
     return promises.Observation(
-        at=at, daemon_id=daemon_id, pid=pid, revision=revision, paused=paused
+        at=at,
+        daemon_id=daemon_id,
+        pid=pid,
+        revision=revision,
+        paused=paused,
+        calm=calm,
     )
 
 
@@ -157,6 +162,17 @@
         seen(10.0, "r", 1, 2),
         seen(13.0, "s", 2, 1, paused=True),
     ],
+    "a daemon that runs by an old one while all is calm": [
+        seen(9.0, "s", 1, 1, calm=True),
+        seen(10.0, "r", 1, 2, calm=True),
+        seen(11.9, "s", 1, 1, calm=True),
+        seen(12.1, "s", 1, 1, calm=True),
+    ],
+    "a daemon that runs by an old one after a fault": [
+        seen(9.0, "s", 1, 1),
+        seen(10.0, "r", 1, 2),
+        seen(12.1, "s", 1, 1),
+    ],
 }
 
 
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -11,6 +11,8 @@
 ERROR = "event: error"
 # An accepted revision is in force everywhere after this long.
 APPLY_LIMIT = 2.0  # seconds
+# After a fault on a daemon there is a leader again within this time.
+ELECTION_LIMIT = 3.0  # seconds
 # A killed daemon's connections may be reported broken this much later.
 KILL_SLACK = 1.0  # seconds
 
@@ -123,7 +125,8 @@
     """The revision in force on a daemon's process, 0 for none; in seconds.
 
     ``paused`` is set if the process may have been stopped by a signal since
-    ``APPLY_LIMIT`` before.
+    ``APPLY_LIMIT`` before, and ``calm`` if no daemon had a fault since
+    ``ELECTION_LIMIT`` before.
     """
 
     at: float
@@ -131,6 +134,7 @@
     pid: int
     revision: int
     paused: bool = False
+    calm: bool = False
 
 
 def revisions(
@@ -139,8 +143,9 @@
     """Return where a process had an older revision in force than it may.
 
     It never goes back, and the first one that it has in force is not one that
-    was replaced anywhere before, however long there is no leader. ``seen`` is
-    in order of time.
+    was replaced anywhere before, however long there is no leader. Later ones
+    are not either, unless a fault on a daemon was just over. ``seen`` is in
+    order of time.
     """
     last: dict[tuple[str, int], int] = {}
     newest: list[tuple[float, int]] = [(0.0, 0)]
@@ -156,12 +161,18 @@
             for at, number in newest
             if at <= max(0.0, item.at - APPLY_LIMIT)
         )
-        is_first = item.revision and not last.get(key, 0)
-        if is_first and not item.paused and item.revision < due:
+        is_first = not last.get(key, 0)
+        is_outdated = 0 < item.revision < due and not item.paused
+        if is_outdated and is_first:
             found.append(
                 f"{item.daemon_id} started with revision {item.revision},"
                 f" {due} was in force before"
             )
+        elif is_outdated and item.calm:
+            found.append(
+                f"{item.daemon_id} still has revision {item.revision},"
+                f" {due} was in force before"
+            )
         last[key] = max(item.revision, last.get(key, 0))
         if item.revision > newest[-1][1]:
             newest.append((item.at, item.revision))
--- a/soak/run.py
+++ b/soak/run.py
@@ -104,6 +104,9 @@
         self._kills: list[promises.Kill] = []
         self._seen: list[promises.Observation] = []
         self._paused_at: dict[str, float] = {}
+        # Faults on each daemon now, and when the last of them ended.
+        self._struck: collections.Counter[str] = collections.Counter()
+        self._struck_at = 0.0
         self._broken: list[str] = []
         self._published = 0
         self._over = threading.Event()
@@ -197,7 +200,12 @@
         if fault.kind in plan.DAEMON_KINDS:
             daemon = self.daemons[fault.target]
             with self._locks[daemon.daemon_id]:
-                self._strike_daemon(daemon, fault)
+                self._struck[daemon.daemon_id] += 1
+                try:
+                    self._strike_daemon(daemon, fault)
+                finally:
+                    self._struck_at = time.monotonic()
+                    self._struck[daemon.daemon_id] -= 1
         elif fault.kind in plan.LINK_KINDS:
             upstream = self._upstreams[fault.target]
             with self._locks[f"link {fault.target}"]:
@@ -256,9 +264,16 @@
                 pid=pid,
                 revision=revision,
                 paused=now - paused_at < promises.APPLY_LIMIT,
+                calm=self._is_calm(now),
             )
         )
 
+    def _is_calm(self, now: float) -> bool:
+        """Whether no daemon has a fault, or had one until lately."""
+        if any(self._struck.values()):
+            return False
+        return now - self._struck_at >= promises.ELECTION_LIMIT
+
     def _settle(self) -> None:
         """Wait until all daemons serve and agree, as every fault is over."""
         for client in self._clients:
