Bring routers up to date when a leader is lost before it told them

Callers of a router that had not restarted were refused or served by a configuration that had been replaced for up to 4.1 s: the leader had accepted a change and was lost before it had told all routers. A router that missed it believed itself current and asked a peer of its own zone each 5 s, which may have missed it too.

Cause: only the leader told of a change, and nobody took its place while there was none, although a host that has applied a change knows that it was accepted. Now a control host that loses its leader takes what it has applied and tells all daemons its revision, once; who is behind fetches it.

--- a/faultmatrix/features/power.feature
+++ b/faultmatrix/features/power.feature
@@ -55,3 +55,18 @@
     When all hosts lose their power for 1.0 s, and control hosts reach nobody for 1.7 s
     And 0.5 s pass
     Then each fleet has a leader
+
+  # Guards against a change that only a leader that was lost could tell (CONFIG).
+  Scenario Outline: A change reaches routers that run as its leader is lost: <reached>
+    Given 10 fleets whose control hosts write a snapshot after 8 entries
+    And 4 changes were published
+    When one more is accepted by a leader that reaches <reached>, and is lost then
+    And the two others don't reach each other
+    And 2.0 s pass
+    Then no check is breached in any fleet
+    And revision 5 is in force on all routers of every fleet
+
+    Examples:
+      | reached             |
+      | half of the routers |
+      | none of the routers |
--- a/faultmatrix/features/steps/power.py
+++ b/faultmatrix/features/steps/power.py
@@ -15,6 +15,7 @@
 
 START = datetime.timedelta(seconds=4)
 CHANGE_INTERVAL = datetime.timedelta(milliseconds=600)
+MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
 class Play:
@@ -34,7 +35,7 @@
     def run(self, duration):
         self.fleet.timeline.run(self.fleet.timeline.elapsed + duration)
 
-    def publish(self, number):
+    def publish(self, number, run=CHANGE_INTERVAL):
         name = f"account-{number}"
         account = bundles.Account(
             name=name, key_salt="salt", key_digest=name.encode().hex()
@@ -43,7 +44,7 @@
         self.fleet.operators.publish(
             dataclasses.replace(known, account=(*known.account, account))
         )
-        self.run(CHANGE_INTERVAL)
+        self.run(run)
 
     def lose_power(self, seconds, roles):
         down = datetime.timedelta(seconds=seconds)
@@ -87,6 +88,34 @@
         assert set(play.revisions().values()) == {count}, play.revisions()
 
 
+REACHED = {"half of the routers": 2, "none of the routers": 1}
+
+
+@behave.when(
+    "one more is accepted by a leader that reaches {reached}, and is lost then"
+)
+def step_leader_lost(context, reached):
+    for play in context.plays:
+        fleet = play.fleet
+        leader = fleet.leader()
+        routers = fleet.live(defaults.Role.ROUTER)
+        for router in routers[:: REACHED[reached]]:
+            fleet.network.separate(leader.address, router.address)
+        accepted = len(play.check.results)
+        play.publish(accepted, run=MILLISECOND)
+        while len(play.check.results) == accepted:
+            play.run(MILLISECOND)
+        fleet.crash_host(leader)
+
+
+@behave.when("the two others don't reach each other")
+def step_others_separated(context):
+    for play in context.plays:
+        live = play.fleet.live(defaults.Role.CONTROL)
+        one, other = (host.address for host in live)
+        play.fleet.network.separate(one, other)
+
+
 @behave.when('"{name}" is cut off from the other control hosts')
 def step_control_cut(context, name):
     for play in context.plays:
--- a/fulmarbarrow/publishing/follower.py
+++ b/fulmarbarrow/publishing/follower.py
@@ -13,6 +13,7 @@
 
 from fulmarbarrow.config import bundle as bundles
 from fulmarbarrow.consensus import authority
+from fulmarbarrow.consensus import messages as consensus_messages
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics as metrics_module
@@ -58,6 +59,7 @@
         messages.RevisionUnconfirmed,
         messages.FetchUnconfirmed,
         messages.RevisionStored,
+        consensus_messages.LeaderChanged,
         membership_messages.DaemonChanged,
         membership_messages.DaemonGone,
         membership_messages.SeedsChanged,
@@ -97,6 +99,10 @@
         self._storing_sender = ""
         self._peers: dict[str, str] = {}
         self._control_peers: dict[str, str] = {}
+        # Addresses of daemons that do not answer.
+        self._lost: set[str] = set()
+        # Of a control host: whether it knows a leader.
+        self._has_leader = False
         # Daemons that start together do not all ask the same host first.
         self._first_host = random.Random(daemon.daemon_id).getrandbits(16)
         self._seeds = seeds
@@ -140,6 +146,10 @@
                 return self._answer_unconfirmed(event.fetch, event.reached)
             case messages.RevisionStored():
                 return self._on_stored(event, now)
+            case consensus_messages.LeaderChanged(
+                group=consensus_messages.Group.CONFIGURATION
+            ):
+                return self._on_leader_changed(event, now)
             case message.Tick():
                 return self._on_tick(now)
         self._on_membership(event, now)
@@ -473,7 +483,40 @@
             confirmed_at=known.valid_at if known else None,
             cut_off=self._basis is authority.Basis.CUT_OFF,
         )
-        return [changed, *self._acknowledge(now)]
+        effects = [changed, *self._acknowledge(now)]
+        if self._is_control and not self._has_leader:
+            effects += self._compare_with_all()
+        return effects
+
+    def _on_leader_changed(
+        self, event: consensus_messages.LeaderChanged, now: datetime.datetime
+    ) -> list[message.Message]:
+        """Bring other daemons up to date as the leader is lost.
+
+        It may have accepted a change and be lost before it told all of them.
+        What this host has applied was accepted, so that a daemon that runs may
+        act on it.
+        """
+        had_leader, self._has_leader = self._has_leader, bool(event.leader)
+        if self._has_leader or not had_leader or not self._in_force:
+            return []
+        return [
+            self._fetch(self._daemon.address, now),
+            *self._compare_with_all(),
+        ]
+
+    def _compare_with_all(self) -> list[message.Message]:
+        """Tell all daemons the revision here; who is behind fetches it."""
+        compare = messages.RevisionFetch(
+            daemon_id=self._daemon.daemon_id,
+            reply_to=self._daemon.address,
+            revision=self._revision,
+            question=0,
+        )
+        return [
+            self._send(daemon.address, compare)
+            for daemon in self._daemons.values()
+        ]
 
     def _tell_confirmed(self, now: datetime.datetime) -> list[message.Message]:
         """Tell that what is in force since a cut is confirmed now."""
@@ -543,12 +586,18 @@
                     daemon.zone,
                     control=CONTROL_ROLE in daemon.roles,
                 )
+                if daemon.state is membership_messages.DaemonState.SUSPECT:
+                    self._lost.add(daemon.address)
+                else:
+                    self._lost.discard(daemon.address)
                 if daemon.zone == self._daemon.zone:
                     self._peers[daemon.daemon_id] = daemon.address
                     if CONTROL_ROLE in daemon.roles:
                         self._control_peers[daemon.daemon_id] = daemon.address
             case membership_messages.DaemonGone():
-                self._daemons.pop(event.daemon_id, None)
+                gone = self._daemons.pop(event.daemon_id, None)
+                if gone is not None:
+                    self._lost.add(gone.address)
                 self._peers.pop(event.daemon_id, None)
                 self._control_peers.pop(event.daemon_id, None)
             case membership_messages.SeedsChanged():
@@ -582,11 +631,13 @@
 
         A fetched revision proves nothing: the answer may come from a daemon
         that is itself behind, and answers may be lost. Nor does a leader's
-        announcement while this daemon or a control host starts.
+        announcement while this daemon or a control host starts, or once the
+        leader is lost.
         """
         return (
             self._notified
             and not self._starting
+            and self._control not in self._lost
             and self._revision >= self._newest_announced
         )
 
