--- a/fulmarbarrow/publishing/features/steps/confirmation.py
+++ b/fulmarbarrow/publishing/features/steps/confirmation.py
@@ -124,6 +124,7 @@
     def __init__(self, request):
         self.now = clocks.ManualClock().now()
         self.revision = 0
+        self.cut_off = False
         self.follower = follower.PublishingFollower(
             daemon=daemon_record("starting", ("router",)),
             source=random.Random(1),
@@ -138,10 +139,10 @@
     def question(self):
         return self.asked.message.question
 
-    def push(self, term=0, question=None):
+    def push(self, term=0, question=None, revision=1):
         return messages.RevisionPush(
             sender="address-any",
-            revision=1,
+            revision=revision,
             digest=self.request.digest,
             bundle=packing.pack(self.request.bundle),
             term=term,
@@ -165,6 +166,9 @@
         for effect in effects:
             if isinstance(effect, messages.ConfigurationChanged):
                 self.revision = effect.revision
+                self.cut_off = effect.cut_off
+            elif isinstance(effect, messages.ConfigurationConfirmed):
+                self.cut_off = False
         return effects
 
 
@@ -208,6 +212,28 @@
     context.starting.give(notice)
 
 
+@behave.when(
+    "its question is answered after {seconds:d} seconds that revision "
+    "{revision:d} is the newest"
+)
+def step_answered_late(context, seconds, revision):
+    context.starting.now += datetime.timedelta(seconds=seconds)
+    notice = messages.RevisionNotice(
+        control=LEADER,
+        revision=revision,
+        term=2,
+        question=context.starting.question,
+    )
+    context.starting.give(notice)
+
+
+@behave.when("{seconds:d} seconds pass, and revision 2 reaches it")
+def step_content_late(context, seconds):
+    context.starting.now += datetime.timedelta(seconds=seconds)
+    context.starting.give(context.starting.push(revision=2))
+    context.sent = sends(context.starting.give(message.Tick()))
+
+
 @behave.when("it is sent unasked revision 1 by the leader of term 2")
 def step_sent_unasked_revision(context):
     context.starting.give(context.starting.push(2, question=0))
@@ -220,12 +246,12 @@
         context.starting.give(message.Tick())
 
 
-@behave.then("it asks the leader to confirm revision 1")
-def step_asks_leader(context):
+@behave.then("it asks the leader to confirm revision {revision:d}")
+def step_asks_leader(context, revision):
     (sent,) = context.sent
     assert sent.address == LEADER, sent
     assert sent.message.confirm, sent
-    assert sent.message.revision == 1, sent
+    assert sent.message.revision == revision, sent
 
 
 @behave.when("it is sent revision 1 by {sender}")
@@ -247,6 +273,28 @@
     assert context.starting.revision == revision
 
 
+@behave.when("a leader confirms revision 1 to it")
+def step_confirmed(context):
+    context.starting.now += datetime.timedelta(seconds=1)
+    (asked, *_) = sends(context.starting.give(message.Tick()))
+    notice = messages.RevisionNotice(
+        control=LEADER, revision=1, term=2, question=asked.message.question
+    )
+    context.starting.give(notice)
+
+
+@behave.then("revision 1 is in force on it, as it is cut off")
+def step_in_force_cut_off(context):
+    assert context.starting.revision == 1
+    assert context.starting.cut_off
+
+
+@behave.then("revision 1 is in force on it, as confirmed")
+def step_in_force_confirmed(context):
+    assert context.starting.revision == 1
+    assert not context.starting.cut_off
+
+
 @behave.when("a peer without a revision asks it")
 def step_peer_asks(context):
     fetch = messages.RevisionFetch(
