--- a/faultmatrix/features/steps/power.py
+++ b/faultmatrix/features/steps/power.py
@@ -88,7 +88,8 @@
         assert set(play.revisions().values()) == {count}, play.revisions()
 
 
-REACHED = {"half of the routers": 2, "none of the routers": 1}
+# Of how many routers one is out of the leader's reach.
+UNREACHED_ONE_IN = {"half of the routers": 2, "none of the routers": 1}
 
 
 @behave.when(
@@ -99,7 +100,7 @@
         fleet = play.fleet
         leader = fleet.leader()
         routers = fleet.live(defaults.Role.ROUTER)
-        for router in routers[:: REACHED[reached]]:
+        for router in routers[:: UNREACHED_ONE_IN[reached]]:
             fleet.network.separate(leader.address, router.address)
         accepted = len(play.check.results)
         play.publish(accepted, run=MILLISECOND)
