Log when urgent changes are queued, sent and delayed

Routers learn of some leaves seconds after their acknowledgement, and no line told whether the change waited at the host that took it, at a relay, or was not sent at all. Each urgent change now has a line when it is queued and one when it is sent or forwarded, with the time it waited and what the byte limit had left; a warning each second names the changes that wait and the bytes sent by type of message. No decision changes.

--- a/fulmarbarrow/membership/broadcast.py
+++ b/fulmarbarrow/membership/broadcast.py
@@ -20,6 +20,8 @@
 PACKET_BYTES = 1_600  # about 20 records; compresses to a quarter
 URGENT_OVERDRAFT_BYTES = 8_000
 QUIET_PERIOD = datetime.timedelta(seconds=2)
+DELAY_REPORT_PERIOD = datetime.timedelta(seconds=1)
+MAX_REPORTED_CHANGES = 16
 WHOLE_RING = (0, daemons.RING_END)
 
 Change = (
@@ -37,6 +39,7 @@
     change: Change
     size: int
     urgent: bool
+    queued_at: datetime.datetime
 
 
 @functools.singledispatch
@@ -111,6 +114,7 @@
         self._pending: dict[Span, dict[str, _PendingChange]] = {}
         self._new_urgent = False
         self._last_added_at: datetime.datetime | None = None
+        self._delay_reported_at: datetime.datetime | None = None
 
     def __len__(self) -> int:
         """Return the number of pending changes."""
@@ -147,13 +151,28 @@
         pending = self._pending.setdefault(span, {})
         key = change_key(change)
         previous = pending.get(key)
+        queued_at = now
         if previous is not None:
             urgent = urgent or previous.urgent
             change = full_record or change
+            if previous.urgent:
+                queued_at = previous.queued_at
         pending[key] = _PendingChange(
-            change=change, size=self._outbox.size(change), urgent=urgent
+            change=change,
+            size=self._outbox.size(change),
+            urgent=urgent,
+            queued_at=queued_at,
         )
         self._new_urgent = self._new_urgent or urgent
+        if urgent:
+            self._outbox.emit(
+                messages.UrgentChangeQueued(
+                    key=key,
+                    relayed=span != WHOLE_RING,
+                    available_bytes=self._outbox.available_bytes,
+                    pending=len(self),
+                )
+            )
 
     def forward(
         self,
@@ -167,17 +186,47 @@
         if span is not None:
             self.enqueue(change, now, span=span, urgent=urgent)
 
-    def flush(self, *, urgent_only: bool = False) -> None:
+    def flush(
+        self, now: datetime.datetime, *, urgent_only: bool = False
+    ) -> None:
         """Send pending changes within the byte rate, urgent ones first."""
         self._new_urgent = False
         for span, pending in list(self._pending.items()):
-            while self._send_packet(span, pending, urgent_only):
+            while self._send_packet(span, pending, urgent_only, now):
                 pass
             if not pending:
                 del self._pending[span]
+        self._report_delayed(now)
+
+    def _report_delayed(self, now: datetime.datetime) -> None:
+        """Tell once a second which urgent changes wait."""
+        delayed = {
+            key: now - pending_change.queued_at
+            for pending in self._pending.values()
+            for key, pending_change in pending.items()
+            if pending_change.urgent
+        }
+        if not delayed or (
+            self._delay_reported_at is not None
+            and now - self._delay_reported_at < DELAY_REPORT_PERIOD
+        ):
+            return
+        self._delay_reported_at = now
+        self._outbox.emit(
+            messages.UrgentChangesDelayed(
+                keys=tuple(delayed)[:MAX_REPORTED_CHANGES],
+                oldest=max(delayed.values()),
+                available_bytes=self._outbox.available_bytes,
+                sent_bytes=dict(self._outbox.sent_by_type),
+            )
+        )
 
     def _send_packet(
-        self, span: Span, pending: dict[str, _PendingChange], urgent_only: bool
+        self,
+        span: Span,
+        pending: dict[str, _PendingChange],
+        urgent_only: bool,
+        now: datetime.datetime,
     ) -> bool:
         """Send the next packet of a span; return whether one was sent."""
         available_bytes = self._outbox.available_bytes
@@ -194,24 +243,48 @@
         selected = _select_packet(keys, pending)
         if not selected:
             return False
-        changes = [pending.pop(key).change for key in selected]
+        sent = {key: pending.pop(key) for key in selected}
+        changes = [pending_change.change for pending_change in sent.values()]
         if span == WHOLE_RING:
-            self._send_as_origin(changes, urgent=urgent)
+            receivers = self._send_as_origin(changes, urgent=urgent)
         else:
-            gossip = build_gossip(changes)
-            for known in self._daemon_table.ring(span):
-                self._send(known, gossip, urgent=urgent)
+            receivers = self._send_to_all(
+                self._daemon_table.ring(span), changes, urgent=urgent
+            )
+        for key, pending_change in sent.items():
+            if pending_change.urgent:
+                self._outbox.emit(
+                    messages.UrgentChangeSent(
+                        key=key,
+                        relayed=span != WHOLE_RING,
+                        waited=now - pending_change.queued_at,
+                        receivers=receivers,
+                        available_bytes=available_bytes,
+                    )
+                )
         return True
 
-    def _send_as_origin(self, changes: list[Change], *, urgent: bool) -> None:
+    def _send_as_origin(self, changes: list[Change], *, urgent: bool) -> int:
+        """Send changes to the region and beyond; return how many get them."""
         members = self._daemon_table.ring(WHOLE_RING)
         if len(members) <= MAX_DIRECT_PEERS:
-            gossip = build_gossip(changes)
-            for known in members:
-                self._send(known, gossip, urgent=urgent)
+            receivers = self._send_to_all(members, changes, urgent=urgent)
         else:
-            self._send_to_relays(changes, members, urgent=urgent)
+            receivers = self._send_to_relays(changes, members, urgent=urgent)
         self._send_to_other_regions(changes)
+        return receivers
+
+    def _send_to_all(
+        self,
+        members: list[daemons.KnownDaemon],
+        changes: list[Change],
+        *,
+        urgent: bool,
+    ) -> int:
+        gossip = build_gossip(changes)
+        for known in members:
+            self._send(known, gossip, urgent=urgent)
+        return len(members)
 
     def _send_to_relays(
         self,
@@ -219,7 +292,8 @@
         members: list[daemons.KnownDaemon],
         *,
         urgent: bool,
-    ) -> None:
+    ) -> int:
+        receivers = 0
         segment_size = math.ceil(math.sqrt(len(members)))
         offsets = list(range(0, len(members), segment_size))
         relay_count = URGENT_RELAYS if urgent else 1
@@ -237,6 +311,8 @@
                 segment, min(relay_count, len(segment))
             ):
                 self._send(known, gossip, urgent=urgent)
+                receivers += 1
+        return receivers
 
     def _send_to_other_regions(self, changes: list[Change]) -> None:
         """Send fleet-wide changes to one daemon of each other region."""
--- a/fulmarbarrow/membership/core.py
+++ b/fulmarbarrow/membership/core.py
@@ -141,7 +141,7 @@
             self._catalogue.update_agreement(now)
         self._dispatch(event, now)
         if self._broadcast.has_new_urgent:
-            self._broadcast.flush(urgent_only=True)
+            self._broadcast.flush(now, urgent_only=True)
         return self._outbox.drain()
 
     def dump(self) -> dict[str, typing.Any]:
@@ -163,6 +163,8 @@
             "changes_spreading": len(self._broadcast),
             "records_waiting": self._sync.queued_count,
             "sent_bytes": self._outbox.sent_bytes,
+            "sent_bytes_by_type": dict(self._outbox.sent_by_type),
+            "available_bytes": self._outbox.available_bytes,
         }
 
     @functools.singledispatchmethod
@@ -274,7 +276,7 @@
         self._catalogue.tick(now)
         self._roster.tick(now)
         self._catalogue.update_agreement(now)
-        self._broadcast.flush()
+        self._broadcast.flush(now)
         self._sync.tick(now)
         self._expire(now)
 
--- a/fulmarbarrow/membership/messages.py
+++ b/fulmarbarrow/membership/messages.py
@@ -252,6 +252,46 @@
     incarnation: int
 
 
+class UrgentChangeQueued(message.Message, frozen=True, kw_only=True):
+    """This daemon queued an urgent change for other daemons.
+
+    ``key`` names the member or zone, ``relayed`` whether the change came from
+    another daemon. While ``available_bytes`` is negative, the byte limit is
+    overdrawn; ``pending`` counts the changes that wait.
+    """
+
+    key: str
+    relayed: bool
+    available_bytes: int
+    pending: int
+
+
+class UrgentChangeSent(message.Message, frozen=True, kw_only=True):
+    """This daemon sent an urgent change that it had queued before.
+
+    ``receivers`` counts the daemons that it was sent to.
+    """
+
+    key: str
+    relayed: bool
+    waited: datetime.timedelta
+    receivers: int
+    available_bytes: int
+
+
+class UrgentChangesDelayed(message.Message, frozen=True, kw_only=True):
+    """Urgent changes wait for the byte limit of this daemon.
+
+    ``sent_bytes`` holds the bytes sent by each type of message since the
+    start of the process, ``oldest`` how long the first change has waited.
+    """
+
+    keys: tuple[str, ...]
+    oldest: datetime.timedelta
+    available_bytes: int
+    sent_bytes: dict[str, int]
+
+
 class SeedsChanged(message.Message, frozen=True, kw_only=True):
     """The seed addresses in the settings changed."""
 
--- a/fulmarbarrow/membership/outbox.py
+++ b/fulmarbarrow/membership/outbox.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import datetime
 
 import msgspec
@@ -47,6 +48,7 @@
         ) = None
         self._encoder = msgspec.msgpack.Encoder()
         self.sent_bytes = 0
+        self.sent_by_type: collections.Counter[str] = collections.Counter()
 
     @property
     def available_bytes(self) -> int:
@@ -87,10 +89,12 @@
         With ``exempt_from_peak`` only the bucket for the average is charged,
         and with ``heartbeat`` none once the share of heartbeats is used up.
         """
+        kind = message.tag(body)
         if type(body) is messages.Gossip:
             body = self._compress(body)
         size = len(self._encoder.encode(body)) + FRAME_OVERHEAD_BYTES
         self.sent_bytes += size
+        self.sent_by_type[kind] += size
         charged = min(size, max(0, self._heartbeat_tokens))
         if heartbeat:
             self._heartbeat_tokens -= charged
--- a/fulmarbarrow/observe/decisions.py
+++ b/fulmarbarrow/observe/decisions.py
@@ -65,6 +65,9 @@
         membership_messages.Withdrawn,
         membership_messages.UpstreamChanged,
         membership_messages.UpstreamGone,
+        membership_messages.UrgentChangeQueued,
+        membership_messages.UrgentChangeSent,
+        membership_messages.UrgentChangesDelayed,
         membership_messages.OwnerChanged,
         membership_messages.DaemonChanged,
         membership_messages.DaemonGone,
@@ -370,6 +373,55 @@
             },
         )
 
+    @_on.register
+    def _(
+        self,
+        event: membership_messages.UrgentChangeQueued,
+        now: datetime.datetime,
+    ) -> None:
+        log.info(
+            "urgent change queued",
+            extra={
+                "change": event.key,
+                "relayed": event.relayed,
+                "available_bytes": event.available_bytes,
+                "pending": event.pending,
+            },
+        )
+
+    @_on.register
+    def _(
+        self,
+        event: membership_messages.UrgentChangeSent,
+        now: datetime.datetime,
+    ) -> None:
+        log.info(
+            "urgent change sent",
+            extra={
+                "change": event.key,
+                "relayed": event.relayed,
+                "waited_ms": event.waited // MILLISECOND,
+                "receivers": event.receivers,
+                "available_bytes": event.available_bytes,
+            },
+        )
+
+    @_on.register
+    def _(
+        self,
+        event: membership_messages.UrgentChangesDelayed,
+        now: datetime.datetime,
+    ) -> None:
+        log.warning(
+            "urgent changes delayed",
+            extra={
+                "changes": list(event.keys),
+                "oldest_ms": event.oldest // MILLISECOND,
+                "available_bytes": event.available_bytes,
+                "sent_bytes": event.sent_bytes,
+            },
+        )
+
     @_on.register
     def _(
         self, event: membership_messages.OwnerChanged, now: datetime.datetime
