--- a/benchmarks/membership_fleet.py
+++ b/benchmarks/membership_fleet.py
@@ -80,8 +80,9 @@
 class Fleet:
     """Daemons and upstreams whose messages are delivered in time order.
 
-    ``reachable`` decides whether two zones hear each other, ``loss`` is the
-    part of frames that is lost. Frames are really encoded to count bytes.
+    ``cut`` holds the zones that others don't hear, ``loss`` is the part of
+    frames that is lost. Upstreams announce themselves at ``registrars``, or
+    in their zone if there are none. Frames are really encoded to count bytes.
     """
 
     def __init__(
@@ -91,8 +92,12 @@
         loss: float = 0.0,
         others: Others | None = None,
         node_type: type[Node] = Node,
+        registrars: tuple[str, ...] = (),
+        names_owner: bool = True,
     ) -> None:
         self.rng = random.Random(seed)
+        self._registrars = registrars
+        self._names_owner = names_owner
         self._node_type = node_type
         self._others = others
         self.loss = loss
@@ -102,6 +107,7 @@
         self.cut: set[str] = set()
         self._by_address: dict[str, Node] = {}
         self._heap: list[tuple[typing.Any, ...]] = []
+        self._lost_senders: set[str] = set()
         self._order = itertools.count()
 
     def add_daemon(
@@ -115,11 +121,8 @@
     ) -> Node:
         """Start a daemon; one that ran before starts anew."""
         old = self.nodes.get(daemon_id)
-        address = (
-            old.daemon.address
-            if old
-            else f"10.0.{len(self.nodes) // 250}.{len(self.nodes) % 250}:7004"
-        )
+        self._lost_senders.discard(daemon_id)
+        address = old.daemon.address if old else _address(len(self.nodes))
         daemon = messages.Daemon(
             daemon_id=daemon_id,
             incarnation=incarnation or int(self.now.timestamp() * 1000),
@@ -136,6 +139,7 @@
                 lease=LEASE,
                 metrics=metrics.Metrics(),
                 rng=random.Random(self.rng.random()),
+                names_owner=self._names_owner,
             ),
             codec=codec.Codec(
                 fleet_key="f" * 16,
@@ -220,12 +224,23 @@
             node.bytes_by_second.clear()
 
     def address(self, daemon_id: str) -> str:
-        """Return a daemon's address."""
-        return self.nodes[daemon_id].daemon.address
+        """Return a daemon's address; that of a registrar before its start.
+
+        The registrars are added first, in their order.
+        """
+        if daemon_id in self.nodes:
+            return self.nodes[daemon_id].daemon.address
+        return _address(self._registrars.index(daemon_id))
 
-    def stop(self, daemon_id: str) -> None:
-        """End a daemon at once, as a crash does."""
+    def stop(self, daemon_id: str, *, lose_frames: bool = False) -> None:
+        """End a daemon at once, as a crash does.
+
+        With ``lose_frames`` what it sent and nobody has received is lost, as
+        by a loss of power.
+        """
         self.nodes[daemon_id].running = False
+        if lose_frames:
+            self._lost_senders.add(daemon_id)
 
     def run(self, duration: datetime.timedelta) -> None:
         """Deliver everything that happens within a duration."""
@@ -313,15 +328,23 @@
         record = upstream.record
         if self.upstreams[record.upstream_id] is not upstream:
             return
-        nodes = [
-            node
-            for node in self.region_nodes(upstream.region)
-            if node.daemon.zone == record.zone
-        ] or [
-            node
-            for node in self.region_nodes(upstream.region)
-            if self.hears(node.daemon.zone, record.zone)
-        ]
+        nodes = (
+            [
+                self.nodes[name]
+                for name in self._registrars
+                if self.nodes[name].running
+            ]
+            or [
+                node
+                for node in self.region_nodes(upstream.region)
+                if node.daemon.zone == record.zone
+            ]
+            or [
+                node
+                for node in self.region_nodes(upstream.region)
+                if self.hears(node.daemon.zone, record.zone)
+            ]
+        )
         if nodes:
             self.announce(upstream, self.rng.choice(nodes))
         self._at(self.now + ANNOUNCE_PERIOD, self._announce, upstream)
@@ -388,12 +411,19 @@
             return
         if self.loss and self.rng.random() < self.loss:
             return
-        self._at(self.now + LATENCY, self._deliver, (target, bodies))
+        self._at(self.now + LATENCY, self._deliver, (node, target, bodies))
 
     def _deliver(
-        self, arrived: tuple[Node, tuple[message.Message, ...]]
+        self, arrived: tuple[Node, Node, tuple[message.Message, ...]]
     ) -> None:
-        target, bodies = arrived
+        sender, target, bodies = arrived
+        if sender.daemon.daemon_id in self._lost_senders:
+            return
         if target.running:
             for body in bodies:
                 self.post(target, body)
+
+
+def _address(number: int) -> str:
+    """Return the address of the daemon that was added as the given one."""
+    return f"10.0.{number // 250}.{number % 250}:7004"
