--- a/fulmarbarrow/membership/broadcast.py
+++ b/fulmarbarrow/membership/broadcast.py
@@ -38,6 +38,7 @@
     change: Change
     size: int
     urgent: bool
+    exempt: bool
     queued_at: datetime.datetime
     reports: list[deliveries.Report]
 
@@ -172,11 +173,14 @@
         *,
         span: Span = WHOLE_RING,
         urgent: bool = False,
+        exempt: bool = False,
         full_record: messages.Upstream | None = None,
     ) -> None:
         """Queue a change for the daemons of a span.
 
-        If another change of the same upstream is pending, ``full_record`` is
+        An ``exempt`` change is sent at the next tick whatever the byte rate
+        permits, but is neither acknowledged nor forwarded before others. If
+        another change of the same upstream is pending, ``full_record`` is
         sent instead of ``change``, as a delta does not apply without the one
         before it.
         """
@@ -189,6 +193,7 @@
         if previous is not None:
             reports = previous.reports
             urgent = urgent or previous.urgent
+            exempt = exempt or previous.exempt
             change = full_record or change
             if previous.urgent:
                 queued_at = previous.queued_at
@@ -196,6 +201,7 @@
             change=change,
             size=self._outbox.size(change),
             urgent=urgent,
+            exempt=exempt,
             queued_at=queued_at,
             reports=reports,
         )
@@ -281,8 +287,10 @@
         urgent = bool(keys)
         if urgent_only and self._outbox.urgent_bytes <= 0:
             keys = []
-        elif not urgent and not urgent_only and available_bytes > 0:
+        elif not urgent and not urgent_only:
             keys = sorted(pending, key=_is_daemon_key, reverse=True)
+            if available_bytes <= 0:
+                keys = [key for key in keys if pending[key].exempt]
         selected = _select_packet(keys, pending)
         if not selected:
             return False
--- a/fulmarbarrow/membership/roster.py
+++ b/fulmarbarrow/membership/roster.py
@@ -128,7 +128,7 @@
         if not self._daemon_table.refute(daemon):
             return False
         self._metrics.count("suspicions_refuted")
-        self._broadcast.enqueue(self._daemon_table.own, now, urgent=True)
+        self._broadcast.enqueue(self._daemon_table.own, now, exempt=True)
         return True
 
     def _suspect_reported_dead(self, now: datetime.datetime) -> None:
