--- a/fulmarbarrow/membership/daemons.py
+++ b/fulmarbarrow/membership/daemons.py
@@ -14,6 +14,7 @@
 
 ROUTER = "router"
 RING_END = 1 << 63
+HASH_SHIFT = 31  # from positions in the ring to hashes of 32 bits
 TOMBSTONE_RETENTION = datetime.timedelta(minutes=10)
 
 _STATE_RANK = {
@@ -46,6 +47,11 @@
     zone_view: int = 0
     final_probe_sent: bool = False
 
+    @property
+    def ring_hash(self) -> int:
+        """The hash by which acknowledgements name the daemon."""
+        return self.ring_position >> HASH_SHIFT
+
     @property
     def reachable(self) -> bool:
         """Whether the daemon has not been declared dead."""
@@ -220,17 +226,14 @@
             known for known in self._ring if low <= known.ring_position < high
         ]
 
-    def ring_digest(self, span: tuple[int, int]) -> int:
-        """Return a digest of the daemons in a span, this one included."""
+    def ring_members(self, span: tuple[int, int]) -> tuple[int, ...]:
+        """Return the hashes of the daemons in a span, this one included."""
         low, high = span
-        digest = 0
         positions = [known.ring_position for known in self.ring(span)]
         own_position = _ring_position(self._own.daemon_id)
         if low <= own_position < high:
             positions.append(own_position)
-        for position in positions:
-            digest ^= position
-        return digest
+        return tuple(position >> HASH_SHIFT for position in positions)
 
     def other_regions(self) -> list[list[KnownDaemon]]:
         """Return the reachable daemons of each other region."""
--- a/fulmarbarrow/membership/deliveries.py
+++ b/fulmarbarrow/membership/deliveries.py
@@ -20,6 +20,8 @@
 # Ticks after which a change is reported as it stands; a caller that waits for
 # the report turns to another daemon after a second.
 REPORT_TICKS = 3
+# The receiver forwards to nobody, or to its own region.
+NO_RELAY_SPANS = (None, (0, daemons.RING_END))
 
 Report = collections.abc.Callable[[bool], None]
 
@@ -52,7 +54,8 @@
 
     It is confirmed after ``needed`` acknowledgements and repeated until it
     has ``wanted`` ones. ``others`` are daemons that may take the place of
-    those in ``waiting`` that do not acknowledge it.
+    those in ``waiting`` that do not acknowledge it. ``covered`` holds the
+    hashes of the daemons that it was sent or forwarded to.
     """
 
     gossip: messages.Gossip
@@ -64,7 +67,7 @@
     batch: Batch | None
     acknowledgements: int = 0
     sends: int = 1
-    complemented: bool = False
+    covered: set[int] = dataclasses.field(default_factory=set)
 
 
 class Deliveries:
@@ -152,9 +155,9 @@
     def acknowledge(self, gossip: messages.Gossip) -> None:
         """Acknowledge gossip to the daemon that asks for it."""
         if gossip.nonce:
-            members = 0
-            if gossip.span is not None:
-                members = self._daemon_table.ring_digest(gossip.span)
+            members: tuple[int, ...] = ()
+            if gossip.span not in NO_RELAY_SPANS:
+                members = self._daemon_table.ring_members(gossip.span)
             self._outbox.send(
                 gossip.reply_to,
                 messages.GossipAck(
@@ -202,21 +205,22 @@
         event: messages.GossipAck,
         now: datetime.datetime,
     ) -> None:
-        """Send to a whole span if its relay knows other daemons in it.
+        """Send to the daemons of a span that its relay does not know.
 
-        While a fleet starts, a relay may lack some that are known here. One in
-        another region has the whole ring of its own as its span.
+        A relay may lack some while a fleet starts.
         """
         span = delivery.gossip.span
-        if span in (None, (0, daemons.RING_END)):
+        if span in NO_RELAY_SPANS or not event.members:
             return
-        if delivery.complemented or not event.members:
-            return
-        if event.members == self._daemon_table.ring_digest(span):
-            return
-        delivery.complemented = True
+        covered = {*delivery.covered, *event.members}
+        missed = [
+            known
+            for known in self._daemon_table.ring(span)
+            if known.ring_hash not in covered
+        ]
+        delivery.covered = covered | {known.ring_hash for known in missed}
         gossip = msgspec.structs.replace(delivery.gossip, span=None)
-        self.send_to_all(self._daemon_table.ring(span), gossip, now, None)
+        self.send_to_all(missed, gossip, now, None)
 
     def _end(self, batch: Batch, *, confirmed: bool) -> None:
         if batch in self._batches:
--- a/fulmarbarrow/membership/messages.py
+++ b/fulmarbarrow/membership/messages.py
@@ -345,13 +345,13 @@
 class GossipAck(message.Message, frozen=True, kw_only=True):
     """Acknowledgement of urgent gossip by the daemon ``daemon_id``.
 
-    ``members`` is a digest of the daemons that it knows in the span of the
-    gossip, itself included; 0 if there is no span.
+    ``members`` holds the hashed ids, cut to 32 bits, of the daemons that it
+    knows in the span of the gossip, itself included.
     """
 
     daemon_id: str
     nonce: int
-    members: int = 0
+    members: tuple[int, ...] = ()
 
 
 class PackedGossip(message.Message, frozen=True, kw_only=True):
