Take no part of an answer to an upload for the whole

Cause: an answer without a length ends with its connection, and a regular end was taken for the answer's own, whatever the upstream had read of the request. A reset was not: it ended with 502 before, as did a status of 000.

Change: a success that only the end of its connection ends is not complete while bytes of a request above 64 KB are not acknowledged by the other end. A relaying peer tells such an end as a reset.

The proxy of these tests passes a reset on as a reset, which it did not before.

--- a/fulmarbarrow/edge/connections.py
+++ b/fulmarbarrow/edge/connections.py
@@ -14,6 +14,7 @@
 from twisted.internet import interfaces
 from twisted.internet import protocol
 from twisted.python import failure as failures
+from zope import interface
 
 from fulmarbarrow.edge import dialect
 from fulmarbarrow.relay import dialer as dialers
@@ -30,9 +31,12 @@
 # for less: a reset of an idle one would leave open whether they ran.
 FRESH_IDLE = datetime.timedelta(milliseconds=500)
 MAX_HEAD_BYTES = 64 << 10
+FIRST_UNSUCCESSFUL = 300  # of the codes of final answers
 MAX_INFORMATIONAL_HEADS = 16  # 1xx heads before the head of one answer
 # A sound upstream may be silent for a second.
 UNACKNOWLEDGED_MS = 2_000
+# Shorter requests fit into the buffers on their way.
+UPLOAD_BYTES = 64 << 10
 
 Place = tuple[str, int]
 _KEEP_ALIVE = re.compile(r"timeout=(\d+)")
@@ -64,15 +68,21 @@
     """The connection ended within an answer or before it."""
 
 
+class UnreadRequestError(Exception):
+    """The connection ended an answer while the request was being sent."""
+
+
 class EndlessAnswerError(Exception):
     """An upstream sends more than any answer has."""
 
 
+@interface.implementer(interfaces.IHalfCloseableProtocol)
 class Connection(protocol.Protocol):
     """One connection, with one request at a time.
 
     Bytes that belong to no request end the connection: nothing after them
-    can be trusted.
+    can be trusted. An answer that only the end of its connection ends is not
+    complete if the upstream has not taken the whole request.
     """
 
     def __init__(self, *, pool: Pool, place: Place) -> None:
@@ -90,6 +100,8 @@
         # The address of the peer that relays the connection, if one does.
         self.peer = ""
         self._informational_heads = 0
+        self._request_bytes = 0
+        self._succeeded = False
 
     @property
     def kept(self) -> bool:
@@ -111,6 +123,8 @@
         """Send a request whose answer goes to ``receiver``."""
         self._stop_idling()
         self._receiver = receiver
+        self._request_bytes = len(head.body)
+        self._succeeded = False
         receiver.opened(self)
         try:
             receiver.writing()
@@ -165,6 +179,14 @@
         self._http.receive_data(data)
         self._take_events()
 
+    def readConnectionLost(self) -> None:  # noqa: N802
+        """Take the regular end of what the upstream sends."""
+        self.connectionLost()
+        self.transport.abortConnection()
+
+    def writeConnectionLost(self) -> None:  # noqa: N802
+        """Do nothing: this end never closes half of a connection."""
+
     def connectionLost(  # noqa: N802
         self, reason: failures.Failure = protocol.connectionDone
     ) -> None:
@@ -175,6 +197,8 @@
         receiver = self._receiver
         if receiver is None:
             return
+        if self._is_upload_cut(reason):
+            reason = failures.Failure(UnreadRequestError())
         if reason.check(internet_errors.ConnectionDone):
             # A body without a length ends with its connection.
             self._http.receive_data(b"")
@@ -186,6 +210,18 @@
                 return
             receiver.failed(IncompleteAnswerError(reason.getErrorMessage()))
 
+    def _is_upload_cut(self, reason: failures.Failure) -> bool:
+        """Return whether a regular end came before the request's own end.
+
+        Errors may come before that, and are passed on as they are.
+        """
+        return (
+            bool(reason.check(internet_errors.ConnectionDone))
+            and self._succeeded
+            and self._request_bytes > UPLOAD_BYTES
+            and transports.unsent_bytes(self.transport) > 0
+        )
+
     def _take_events(self) -> None:
         while self._receiver is not None:
             try:
@@ -217,6 +253,7 @@
             seconds = int(told.group(1)) * IDLE_PART
             self._idle_timeout = datetime.timedelta(seconds=seconds)
         self._informational_heads = 0
+        self._succeeded = event.status_code < FIRST_UNSUCCESSFUL
         self._receiver.head(event.status_code, fields)
 
     def _finish(self) -> None:
--- a/fulmarbarrow/platform/features/standin.py
+++ b/fulmarbarrow/platform/features/standin.py
@@ -7,6 +7,8 @@
 import http.server
 import itertools
 import json
+import socket
+import struct
 import threading
 import time
 import urllib.request
@@ -48,6 +50,13 @@
     ),
 }
 
+# Faults that strike before a request's body is read.
+_EARLY = (
+    "answers a part and resets",
+    "answers a part and ends",
+    "answers a part and ends unread",
+    "answers with status 000",
+)
 # Streams with neither a length nor chunks.
 _UNFRAMED = (
     "ends its connection after the last event",
@@ -64,18 +73,44 @@
         pass
 
     def do_POST(self):  # noqa: N802
+        fault = self.server.worker.take_fault()
+        if fault in _EARLY:
+            self._answer_early(fault)
+            return
         self.rfile.read(int(self.headers.get("Content-Length", 0)))
-        self._serve()
+        self._serve(fault)
+
+    def _answer_early(self, fault):
+        """Answer in part, without a length, before the body is read."""
+        self.close_connection = True
+        worker = self.server.worker
+        request_id = self.headers["X-Request-Id"]
+        worker.runs[request_id] += 1
+        own = f"X-Request-Id: {request_id}\r\nX-Response-Signature: s\r\n"
+        if fault == "answers with status 000":
+            self.rfile.read(int(self.headers.get("Content-Length", 0)))
+            head = b"HTTP/1.1 000 Trouble\r\nContent-Length: 4\r\n"
+            self.wfile.write(head + own.encode() + b"\r\npart")
+            return
+        head = _OK + b"Content-Type: a/b\r\nConnection: close\r\n"
+        self.wfile.write(head + own.encode() + b"\r\npart")
+        if fault == "answers a part and resets":
+            self.connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            self.connection.close()
+        elif fault == "answers a part and ends":
+            self.connection.shutdown(socket.SHUT_WR)
+            time.sleep(worker.silence)
 
     def do_GET(self):  # noqa: N802
-        self._serve()
+        self._serve(self.server.worker.take_fault())
 
-    def _serve(self):
+    def _serve(self, fault):
         worker = self.server.worker
         request_id = self.headers["X-Request-Id"]
         worker.seen.append(dict(self.headers))
         worker.arrivals.append(time.monotonic())
-        fault = worker.take_fault()
         if self.headers.get("X-Expected-Instance") != worker.worker_id:
             misdirected = [
                 ("X-Instance-Id", worker.worker_id),
--- a/fulmarbarrow/platform/features/steps/endless.py
+++ b/fulmarbarrow/platform/features/steps/endless.py
@@ -9,6 +9,7 @@
 import pathlib
 import re
 import socket
+import struct
 import subprocess
 import sys
 import threading
@@ -88,12 +89,20 @@
 
 
 def pass_on(source, target):
-    with contextlib.suppress(OSError):
+    """Pass bytes on, then the end of them: a regular one or a reset."""
+    try:
         while data := source.recv(65536):
             target.sendall(data)
+        with contextlib.suppress(OSError):
+            target.shutdown(socket.SHUT_WR)
+        return
+    except OSError:
+        reset = struct.pack("ii", 1, 0)
     for item in (source, target):
         with contextlib.suppress(OSError):
-            item.shutdown(socket.SHUT_RDWR)
+            item.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
+            item.shutdown(socket.SHUT_RD)
+        item.close()
 
 
 def document(version):
@@ -317,6 +326,33 @@
     check_reached(context, count, fault)
 
 
+@behave.when(
+    'a client uploads {size:d} MB to worker "{name}" by way of the daemon, '
+    "and it {fault}"
+)
+def step_upload_relayed(context, size, name, fault):
+    context.link.lose_openings()
+    timer = threading.Timer(CONNECT_SECONDS / 2, context.link.pass_openings)
+    timer.start()
+    context.workers[name].fault(fault)
+    fields = {
+        "Host": HOST,
+        "X-Request-Id": "u1",
+        "X-Api-Key": KEY,
+        "X-Request-Deadline": "4000",
+    }
+    context.answer = standin.call(
+        context.router, "POST", "/endless/1", b"x" * (size << 20), fields
+    )
+
+
+@behave.then("the daemon relayed it")
+def step_relayed_one(context):
+    page = standin.fetch_text(f"http://{context.daemon.metrics}/metrics")
+    found = re.search(r"^fulmarbarrow_relays_opened\S* (\d+)", page, re.M)
+    assert found and int(found.group(1)) >= 1, found
+
+
 @behave.then("the daemon relayed for them")
 def step_relayed(context):
     page = standin.fetch_text(f"http://{context.daemon.metrics}/metrics")
--- a/fulmarbarrow/platform/features/steps/path.py
+++ b/fulmarbarrow/platform/features/steps/path.py
@@ -43,7 +43,9 @@
         self.process = None
         self.write_settings(seeds=())
 
-    def write_settings(self, *, seeds, stop_within="8s"):
+    def write_settings(
+        self, *, seeds, stop_within="8s", max_body_bytes=1 << 20
+    ):
         self.settings.write_text(
             "[daemon]\n"
             'id = "127.0.0.1"\nzone = "attica-a"\nregion = "attica"\n'
@@ -66,6 +68,7 @@
             "[timeouts]\nresume_grace = 0\n"
             "[retries]\nratio = 0.2\nslack = 56\nisolate_suspects = false\n"
             "unsent_are_free = true\n"
+            f"[limits]\nmax_body_bytes = {max_body_bytes}\n"
             '[log]\nformat = "json"\n'
         )
 
@@ -159,7 +162,7 @@
 _numbers = itertools.count(1)
 
 
-def ask(context, path, method="POST", key=KEY):
+def ask(context, path, method="POST", key=KEY, body=None):
     context.request_id = f"r{next(_numbers)}"
     fields = {
         "Host": HOST,
@@ -171,7 +174,8 @@
         fields["X-Model"] = "m"
         fields["X-Token-Count"] = "100,50"
         fields["X-Prompt-Prefix"] = "a:60,b:40"
-    body = b"body" if method == "POST" else b""
+    if body is None:
+        body = b"body" if method == "POST" else b""
     return standin.call(context.daemon.clients, method, path, body, fields)
 
 
@@ -182,6 +186,14 @@
     context.daemon.start()
 
 
+@behave.given("a daemon on the platform that takes bodies of {size:d} MB")
+def step_large_bodies(context, size):
+    context.daemon = Daemon(folder=context.path)
+    context.daemon.write_settings(seeds=(), max_body_bytes=size << 20)
+    context.processes.append(context.daemon)
+    context.daemon.start()
+
+
 @behave.given("a daemon that has {seconds:d} s to stop")
 def step_short_stop(context, seconds):
     context.daemon.process.kill()
@@ -570,6 +582,24 @@
     context.answer = ask(context, "/order/7")
 
 
+@behave.when("a client uploads an order of {size:d} MB")
+def step_upload_order(context, size):
+    context.answer = ask(context, "/order/7", body=b"x" * (size << 20))
+
+
+@behave.when("a client uploads a lookup of {size:d} MB")
+def step_upload_lookup(context, size):
+    context.answer = ask(context, "/lookup/7", body=b"x" * (size << 20))
+
+
+@behave.then("the client gets a whole answer or 502")
+def step_whole_or_502(context):
+    status, body, _ = context.answer
+    assert status == 502 or (status == 200 and body.startswith(b"by i-")), (
+        context.answer
+    )
+
+
 @behave.when("a client sends a lookup")
 def step_lookup(context):
     context.answer = ask(context, "/lookup/7", method="GET")
--- a/fulmarbarrow/relay/server.py
+++ b/fulmarbarrow/relay/server.py
@@ -10,6 +10,7 @@
 from twisted.internet import interfaces
 from twisted.internet import protocol
 from twisted.python import failure as failures
+from zope import interface
 
 from fulmarbarrow import clock as clocks
 from fulmarbarrow.observe import metrics as metrics_module
@@ -20,6 +21,8 @@
 log = logging.getLogger(__name__)
 
 MAX_RELAYS = 256
+# Shorter requests fit into the buffers on their way.
+UPLOAD_BYTES = 64 << 10
 # A sound upstream may be silent for a second.
 UNACKNOWLEDGED_MS = 2_000
 
@@ -112,6 +115,7 @@
         receiver.transport.loseConnection()
 
 
+@interface.implementer(interfaces.IHalfCloseableProtocol)
 class Outgoing(protocol.Protocol, protocol.ClientFactory):
     """The connection to the upstream, on behalf of one peer."""
 
@@ -129,6 +133,7 @@
         self._server = server
         self._connector: interfaces.IConnector | None = None
         self._bytes = 0
+        self._written_bytes = 0
         self._ended = False
 
     def connect(self, reactor: interfaces.IReactorTCP, timeout: float) -> None:
@@ -179,6 +184,21 @@
             part = data[begin : begin + messages.MAX_FRAME_BYTES]
             self.incoming.sendString(messages.FrameKind.DATA.value + part)
 
+    def readConnectionLost(self) -> None:  # noqa: N802
+        """Take the regular end of what the upstream sends."""
+        reason: Exception = internet_errors.ConnectionDone()
+        if (
+            self._written_bytes > UPLOAD_BYTES
+            and transports.unsent_bytes(self.transport) > 0
+        ):
+            # An answer that ends here came before the request's own end.
+            reason = internet_errors.ConnectionLost()
+        self.connectionLost(failures.Failure(reason))
+        self.transport.abortConnection()
+
+    def writeConnectionLost(self) -> None:  # noqa: N802
+        """Do nothing: this end never closes half of a connection."""
+
     def connectionLost(  # noqa: N802
         self, reason: failures.Failure = protocol.connectionDone
     ) -> None:
@@ -211,6 +231,7 @@
         if self.transport is None:
             self.incoming.transport.abortConnection()
             return
+        self._written_bytes += len(data)
         self.transport.write(data)
 
     def peer_lost(self) -> None:
--- a/fulmarbarrow/wire/transport.py
+++ b/fulmarbarrow/wire/transport.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import collections
+import fcntl
 import logging
 import socket
 import struct
+import termios
 import typing
 
 from twisted.internet import address as addresses
@@ -69,6 +71,24 @@
     )
 
 
+def unsent_bytes(transport: typing.Any) -> int:
+    """Return how many bytes the other end has not acknowledged.
+
+    Those that wait in this process count, too; those that wait in the kernel
+    are left out where it does not tell them.
+    """
+    get_handle = getattr(transport, "getHandle", None)
+    if get_handle is None:  # a connection in memory
+        return 0
+    buffered = len(transport.dataBuffer) - transport.offset
+    try:
+        told = fcntl.ioctl(get_handle(), termios.TIOCOUTQ, bytes(4))
+    except OSError as error:
+        log.info("send queue not told", extra={"reason": str(error)})
+        return buffered
+    return buffered + struct.unpack("i", told)[0]
+
+
 def watch_reads(transport: typing.Any) -> None:
     """Have the kernel probe a connection on which little is written."""
     get_handle = getattr(transport, "getHandle", None)
