Acknowledge leaves among daemons that acknowledge nothing

Daemons of an earlier build don't acknowledge urgent changes, so that a host that is upgraded before the others would refuse every leave. It now acknowledges one after three ticks if none of those that it was sent to has ever acknowledged anything, and a probe was answered within 2 s; a host that is cut off still refuses.

--- a/fulmarbarrow/membership/daemons.py
+++ b/fulmarbarrow/membership/daemons.py
@@ -87,6 +87,8 @@
         self._zone_view = 0
         self._zone_view_generation = -1
         self.generation = 0
+        # When a probe of this daemon was last acknowledged.
+        self.last_answer_at: datetime.datetime | None = None
 
     @property
     def own(self) -> messages.Daemon:
--- a/fulmarbarrow/membership/deliveries.py
+++ b/fulmarbarrow/membership/deliveries.py
@@ -20,6 +20,8 @@
 # Ticks after which a change is reported as it stands; a caller that waits for
 # the report turns to another daemon after a second.
 REPORT_TICKS = 3
+# A daemon whose probes were answered within this time is not cut off.
+ANSWER_PERIOD = datetime.timedelta(seconds=2)
 # The receiver forwards to nobody, or to its own region.
 NO_RELAY_SPANS = (None, (0, daemons.RING_END))
 
@@ -31,8 +33,8 @@
     """Urgent changes that this daemon sent together to its whole region.
 
     ``keys`` are those of the changes. ``reports`` are called once: with True
-    when each span has a relay that acknowledged them, or with whether any
-    daemon did after ``REPORT_TICKS``.
+    when each span has a relay that acknowledged them, else after
+    ``REPORT_TICKS``. ``receivers`` holds the daemons that they were sent to.
     """
 
     keys: tuple[str, ...]
@@ -40,6 +42,7 @@
     unconfirmed: int = 0
     acknowledged: bool = False
     ticks: int = 0
+    receivers: set[str] = dataclasses.field(default_factory=set)
 
     def report(self, confirmed: bool) -> None:
         """Call and drop the reports."""
@@ -92,6 +95,8 @@
         self._nonces = itertools.count(rng.getrandbits(48) + 1)
         self._open: dict[int, _Delivery] = {}
         self._batches: list[Batch] = []
+        # Incarnations that have acknowledged urgent gossip of this process.
+        self._acknowledging: dict[str, int] = {}
 
     def __len__(self) -> int:
         """Return the number of deliveries that are not acknowledged."""
@@ -172,6 +177,9 @@
         self, event: messages.GossipAck, now: datetime.datetime
     ) -> None:
         """Take an acknowledgement; report the batch that it confirms."""
+        self._acknowledging[event.daemon_id] = self._daemon_table.incarnation(
+            event.daemon_id
+        )
         delivery = self._open.get(event.nonce)
         if delivery is None or event.daemon_id not in delivery.waiting:
             return
@@ -197,7 +205,21 @@
         for batch in list(self._batches):
             batch.ticks += 1
             if batch.ticks >= REPORT_TICKS:
-                self._end(batch, confirmed=batch.acknowledged)
+                confirmed = batch.acknowledged or self._lacks_acks(batch, now)
+                self._end(batch, confirmed=confirmed)
+
+    def _lacks_acks(self, batch: Batch, now: datetime.datetime) -> bool:
+        """Return whether only daemons that acknowledge nothing got a batch.
+
+        Those of an earlier build don't. They have it if this daemon is not
+        cut off, which the answers to its probes show.
+        """
+        for daemon_id in batch.receivers:
+            incarnation = self._acknowledging.get(daemon_id)
+            if incarnation == self._daemon_table.incarnation(daemon_id):
+                return False
+        answered_at = self._daemon_table.last_answer_at
+        return answered_at is not None and now - answered_at <= ANSWER_PERIOD
 
     def _complement(
         self,
@@ -273,6 +295,7 @@
         )
         if batch is not None:
             batch.unconfirmed += 1
+            batch.receivers.update(self._open[nonce].waiting)
         for known in receivers:
             self._send(known.daemon.address, gossip)
 
@@ -290,6 +313,8 @@
             del delivery.others[:count]
             receivers = [known.daemon.daemon_id for known in added]
             delivery.waiting.update(receivers)
+            if delivery.batch is not None:
+                delivery.batch.receivers.update(receivers)
         else:
             receivers = sorted(delivery.waiting)
         for daemon_id in receivers:
--- a/fulmarbarrow/membership/detector.py
+++ b/fulmarbarrow/membership/detector.py
@@ -141,6 +141,7 @@
             return
         known.last_seen_at = now
         known.zone_view = event.view
+        self._daemon_table.last_answer_at = now
 
     def _check_timeouts(self, now: datetime.datetime) -> None:
         for nonce, probe in list(self._pending_probes.items()):
--- a/fulmarbarrow/membership/features/registrar.feature
+++ b/fulmarbarrow/membership/features/registrar.feature
@@ -41,6 +41,26 @@
     And no router acknowledges it for 750 ms
     Then it is refused as not_confirmed
 
+  Scenario: A withdrawal among routers of an earlier build is acknowledged
+    Given a control host that knows routers "r1 r2 r3"
+    And upstream "e1" is known
+    And the routers answer its probes
+    When upstream "e1" is withdrawn
+    And no router acknowledges it for 750 ms
+    Then it is acknowledged
+
+  Scenario: A withdrawal is refused if the routers that acknowledged one before don't
+    Given a control host that knows routers "r1 r2 r3"
+    And upstream "e1" is known
+    And upstream "e2" is known
+    And the routers answer its probes
+    When upstream "e1" is withdrawn
+    And the routers acknowledge that "e1" is leaving
+    Then it is acknowledged
+    When upstream "e2" is withdrawn
+    And no router acknowledges it for 750 ms
+    Then it is refused as not_confirmed
+
   Scenario: A withdrawal is acknowledged although one router is lost
     Given a control host that knows routers "r1 r2 r3"
     And upstream "e1" is known
--- a/fulmarbarrow/membership/features/steps/registrar.py
+++ b/fulmarbarrow/membership/features/steps/registrar.py
@@ -327,6 +327,29 @@
     context.effects = effects
 
 
+@behave.given("the routers answer its probes")
+def step_answer_probes(context):
+    answered = 0
+    for _ in range(8):
+        context.now += TICK
+        for effect in handle(context, message.Tick()):
+            if not isinstance(effect, message.Send):
+                continue
+            if not isinstance(effect.message, messages.Probe):
+                continue
+            answered += 1
+            ack = messages.ProbeAck(
+                daemon_id=effect.address.partition(":")[0],
+                reply_to=effect.address,
+                incarnation=1,
+                nonce=effect.message.nonce,
+                digest=0,
+                view=0,
+            )
+            handle(context, ack)
+    assert answered
+
+
 @behave.step("it is not acknowledged yet")
 def step_not_accepted(context):
     assert not any(
