Let upstreams leave in the soak, and check who knows a second later

The soak had no leaves. One upstream without traffic after the other announces itself and leaves, each call at a daemon of the seed's choice; every daemon that knew it and had no fault meanwhile has to know of the leave a second after its acknowledgement. The faults of a seed stay as they were.

--- a/soak/features/soak.feature
+++ b/soak/features/soak.feature
@@ -4,6 +4,7 @@
     When seed <seed> is soaked for <seconds> s
     Then no promise is broken
     And at least <calls> calls were answered
+    And at least 5 times a daemon was asked for a leave
 
     Examples:
       | seed | seconds | calls | why it is kept                                    |
@@ -41,3 +42,5 @@
       | a daemon that was stopped by a signal as it started | 0 |
       | a daemon that runs by an old one while all is calm  | 1 |
       | a daemon that runs by an old one after a fault      | 0 |
+      | a daemon that knows of an acknowledged leave        | 0 |
+      | a daemon that does not know of one in time          | 1 |
--- a/soak/features/steps/playing.py
+++ b/soak/features/steps/playing.py
@@ -176,12 +176,29 @@
 }
 
 
+def left(known):
+    return promises.Leave(upstream_id="u", daemon_id="r", known=known)
+
+
+LEAVES = {
+    "a daemon that knows of an acknowledged leave": [left(True)],
+    "a daemon that does not know of one in time": [left(True), left(False)],
+}
+
+
+@behave.then("at least {count:d} times a daemon was asked for a leave")
+def step_asked(context, count):
+    assert len(context.soak.leaves.seen) >= count
+
+
 @behave.when("callers see {what}")
 def step_see(context, what):
     if what in STREAMS:
         context.broken = promises.streams(*STREAMS[what])
     elif what in ORDERS:
         context.broken = promises.orders(*ORDERS[what])
+    elif what in LEAVES:
+        context.broken = promises.leaves(LEAVES[what])
     else:
         context.broken = promises.revisions(REVISIONS[what])
 
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -13,6 +13,8 @@
 APPLY_LIMIT = 2.0  # seconds
 # After a fault on a daemon there is a leader again within this time.
 ELECTION_LIMIT = 3.0  # seconds
+# All daemons know of an acknowledged leave after this long.
+LEAVE_LIMIT = 1.0  # seconds
 # A killed daemon's connections may be reported broken this much later.
 KILL_SLACK = 1.0  # seconds
 
@@ -120,6 +122,27 @@
     return error["ran"] == "no" and (only or error["code"] == "not_run")
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Leave:
+    """Whether a daemon knew of a leave ``LEAVE_LIMIT`` after its reply.
+
+    Its process ran without a fault meanwhile and knew the upstream.
+    """
+
+    upstream_id: str
+    daemon_id: str
+    known: bool
+
+
+def leaves(seen: collections.abc.Iterable[Leave]) -> list[str]:
+    """Return which daemons did not know of a leave in time."""
+    return [
+        f"{item.daemon_id} did not know that {item.upstream_id} leaves"
+        for item in seen
+        if not item.known
+    ]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Observation:
     """The revision in force on a daemon's process, 0 for none; in seconds.
--- a/soak/run.py
+++ b/soak/run.py
@@ -13,6 +13,7 @@
 import time
 
 from soak import clients
+from soak import leaves
 from soak import plan
 from soak import promises
 from tools import control_fleet
@@ -107,9 +108,16 @@
         # Faults on each daemon now, and when the last of them ended.
         self._struck: collections.Counter[str] = collections.Counter()
         self._struck_at = 0.0
+        self._faults: collections.Counter[str] = collections.Counter()
         self._broken: list[str] = []
         self._published = 0
         self._over = threading.Event()
+        self.leaves = leaves.Leaves(
+            seed=seed,
+            daemons=self.daemons,
+            count_faults=self._count_faults,
+            over=self._over,
+        )
 
     @property
     def calls(self) -> list[promises.Call]:
@@ -154,6 +162,7 @@
         fleet.wait_until(lambda: self._publish() == 0, "the files' publish")
         self._each_serves()
         threading.Thread(target=self._watch, daemon=True).start()
+        self.leaves.start()
         for client in self._clients:
             client.start()
 
@@ -205,6 +214,7 @@
                     self._strike_daemon(daemon, fault)
                 finally:
                     self._struck_at = time.monotonic()
+                    self._faults[daemon.daemon_id] += 1
                     self._struck[daemon.daemon_id] -= 1
         elif fault.kind in plan.LINK_KINDS:
             upstream = self._upstreams[fault.target]
@@ -268,6 +278,12 @@
             )
         )
 
+    def _count_faults(self, daemon: fleet.DaemonProcess) -> int | None:
+        """Return the faults of a daemon that are over, None if it has one."""
+        if self._locks[daemon.daemon_id].locked():
+            return None
+        return self._faults[daemon.daemon_id]
+
     def _is_calm(self, now: float) -> bool:
         """Whether no daemon has a fault, or had one until lately."""
         if any(self._struck.values()):
@@ -322,4 +338,5 @@
             *promises.streams(self.calls, self._kills),
             *promises.orders(self.calls, counts),
             *promises.revisions(self._seen),
+            *promises.leaves(self.leaves.seen),
         ]
