--- a/fulmarbarrow/membership/daemons.py
+++ b/fulmarbarrow/membership/daemons.py
@@ -37,7 +37,10 @@
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class KnownDaemon:
-    """A daemon's record with the local state kept about it."""
+    """A daemon's record with the local state kept about it.
+
+    ``acknowledges`` is set once its process has acknowledged urgent changes.
+    """
 
     daemon: messages.Daemon
     changed_at: datetime.datetime
@@ -46,6 +49,7 @@
     ring_position: int
     zone_view: int = 0
     final_probe_sent: bool = False
+    acknowledges: bool = False
 
     @property
     def ring_hash(self) -> int:
@@ -282,6 +286,8 @@
         known.final_probe_sent = False
         restarted = daemon.incarnation > before.incarnation
         returned = before.state is messages.DaemonState.DEAD
+        if restarted:
+            known.acknowledges = False
         if restarted or returned:
             known.live_since = now
             known.last_seen_at = now
--- a/fulmarbarrow/membership/deliveries.py
+++ b/fulmarbarrow/membership/deliveries.py
@@ -95,8 +95,6 @@
         self._nonces = itertools.count(rng.getrandbits(48) + 1)
         self._open: dict[int, _Delivery] = {}
         self._batches: list[Batch] = []
-        # Incarnations that have acknowledged urgent gossip of this process.
-        self._acknowledging: dict[str, int] = {}
 
     def __len__(self) -> int:
         """Return the number of deliveries that are not acknowledged."""
@@ -177,9 +175,9 @@
         self, event: messages.GossipAck, now: datetime.datetime
     ) -> None:
         """Take an acknowledgement; report the batch that it confirms."""
-        self._acknowledging[event.daemon_id] = self._daemon_table.incarnation(
-            event.daemon_id
-        )
+        sender = self._daemon_table.get(event.daemon_id)
+        if sender is not None:
+            sender.acknowledges = True
         delivery = self._open.get(event.nonce)
         if delivery is None or event.daemon_id not in delivery.waiting:
             return
@@ -215,8 +213,8 @@
         cut off, which the answers to its probes show.
         """
         for daemon_id in batch.receivers:
-            incarnation = self._acknowledging.get(daemon_id)
-            if incarnation == self._daemon_table.incarnation(daemon_id):
+            known = self._daemon_table.get(daemon_id)
+            if known is not None and known.acknowledges:
                 return False
         answered_at = self._daemon_table.last_answer_at
         return answered_at is not None and now - answered_at <= ANSWER_PERIOD
