--- a/fulmarbarrow/membership/deliveries.py
+++ b/fulmarbarrow/membership/deliveries.py
@@ -28,7 +28,7 @@
 Report = collections.abc.Callable[[bool], None]
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class Batch:
     """Urgent changes that this daemon sent together to its whole region.
 
