Repeat urgent changes to daemons that were cut off until they get them

Callers: a router of a zone that returned from a cut sent requests for 7 to 16 s to workers that had left meanwhile, or just after its return.

A change went to the daemons that its origin and relays considered reachable, five times within 1.25 s. A cut of 5 s makes a zone dead for the others; what it missed it got from anti-entropy, which waits for the byte limit.

Change: urgent changes also go to daemons that died within 30 s, and are repeated to members for 15 s, at most 0.8 s apart. The scenario "A zone that was cut off learns of leaves soon after its return" failed before (10 daemons late by 5.0 s) and passes.

--- a/fulmarbarrow/membership/broadcast.py
+++ b/fulmarbarrow/membership/broadcast.py
@@ -312,6 +312,8 @@
             receivers = self._send_to_all(
                 self._daemon_table.ring(span), changes, now, urgent=urgent
             )
+        if urgent and (span != WHOLE_RING or self._sends_directly):
+            self._send_to_restarting(span, changes, now)
         if batch is not None:
             self._deliveries.begin(batch)
         for key, pending_change in sent.items():
@@ -338,7 +340,7 @@
         Urgent changes are those of a batch.
         """
         members = self._daemon_table.ring(WHOLE_RING)
-        if len(members) <= MAX_DIRECT_PEERS:
+        if self._sends_directly:
             receivers = self._send_to_all(
                 members, changes, now, urgent=batch is not None, batch=batch
             )
@@ -347,6 +349,22 @@
         self._send_to_other_regions(changes, now, urgent=batch is not None)
         return receivers
 
+    @property
+    def _sends_directly(self) -> bool:
+        """Whether the region is so small that there are no relays."""
+        return len(self._daemon_table.ring(WHOLE_RING)) <= MAX_DIRECT_PEERS
+
+    def _send_to_restarting(
+        self, span: Span, changes: list[Change], now: datetime.datetime
+    ) -> None:
+        """Send urgent changes to daemons that died a short time ago.
+
+        While daemons restart in series, it takes seconds until all know that
+        one is back, and it uses what its first peer told it.
+        """
+        members = self._daemon_table.recently_dead(span, now)
+        self._deliveries.send_to_all(members, build_gossip(changes), now, None)
+
     def _send_to_all(
         self,
         members: list[daemons.KnownDaemon],
--- a/fulmarbarrow/membership/daemons.py
+++ b/fulmarbarrow/membership/daemons.py
@@ -16,6 +16,8 @@
 RING_END = 1 << 63
 HASH_SHIFT = 31  # from positions in the ring to hashes of 32 bits
 TOMBSTONE_RETENTION = datetime.timedelta(minutes=10)
+# One that died later may have started again without this daemon's knowledge.
+RESTART_PERIOD = datetime.timedelta(seconds=30)
 
 _STATE_RANK = {
     messages.DaemonState.ALIVE: 0,
@@ -232,6 +234,20 @@
             known for known in self._ring if low <= known.ring_position < high
         ]
 
+    def recently_dead(
+        self, span: tuple[int, int], now: datetime.datetime
+    ) -> list[KnownDaemon]:
+        """Return the peers in a span that died within ``RESTART_PERIOD``."""
+        low, high = span
+        return [
+            known
+            for known in self._entries.values()
+            if not known.reachable
+            and known.daemon.region == self._own.region
+            and low <= known.ring_position < high
+            and now - known.changed_at <= RESTART_PERIOD
+        ]
+
     def ring_members(self, span: tuple[int, int]) -> tuple[int, ...]:
         """Return the hashes of the daemons in a span, this one included."""
         low, high = span
--- a/fulmarbarrow/membership/deliveries.py
+++ b/fulmarbarrow/membership/deliveries.py
@@ -15,8 +15,10 @@
 from fulmarbarrow.membership import outbox as outboxes
 
 RELAYS = 2
-RETRY_AFTER = datetime.timedelta(milliseconds=200)
-MAX_SENDS = 5
+RETRY_AFTER = datetime.timedelta(milliseconds=200)  # doubled each time
+MAX_RETRY_AFTER = datetime.timedelta(milliseconds=800)
+# Longer than the network may cut a zone off before all consider it dead.
+RETRY_PERIOD = datetime.timedelta(seconds=15)
 # Ticks after which a change is reported as it stands; a caller that waits for
 # the report turns to another daemon after a second.
 REPORT_TICKS = 3
@@ -66,6 +68,7 @@
     others: list[daemons.KnownDaemon]
     needed: int
     wanted: int
+    started_at: datetime.datetime
     sent_at: datetime.datetime
     batch: Batch | None
     acknowledgements: int = 0
@@ -78,7 +81,8 @@
 
     A relay that does not acknowledge in time is replaced by others of its
     span, twice as many each time, so that a lost relay delays the span by
-    one tick. A change for single daemons is repeated to the same ones.
+    one tick. A change for single daemons is repeated to the same ones, for
+    ``RETRY_PERIOD``, so that those that return to the network get it.
     """
 
     def __init__(
@@ -198,8 +202,13 @@
     def tick(self, now: datetime.datetime) -> None:
         """Repeat what is not acknowledged and report what is overdue."""
         for nonce, delivery in list(self._open.items()):
-            if now - delivery.sent_at >= RETRY_AFTER:
-                self._retry(nonce, delivery, now)
+            wait = min(
+                RETRY_AFTER * 2 ** (delivery.sends - 1), MAX_RETRY_AFTER
+            )
+            if now - delivery.started_at > RETRY_PERIOD:
+                del self._open[nonce]
+            elif now - delivery.sent_at >= wait:
+                self._retry(delivery, now)
         for batch in list(self._batches):
             batch.ticks += 1
             if batch.ticks >= REPORT_TICKS:
@@ -288,6 +297,7 @@
             others=others,
             needed=needed,
             wanted=wanted,
+            started_at=now,
             sent_at=now,
             batch=batch,
         )
@@ -297,13 +307,8 @@
         for known in receivers:
             self._send(known.daemon.address, gossip)
 
-    def _retry(
-        self, nonce: int, delivery: _Delivery, now: datetime.datetime
-    ) -> None:
+    def _retry(self, delivery: _Delivery, now: datetime.datetime) -> None:
         delivery.sends += 1
-        if delivery.sends > MAX_SENDS:
-            del self._open[nonce]
-            return
         delivery.sent_at = now
         if delivery.others:
             count = RELAYS ** (delivery.sends - 1)
@@ -316,9 +321,9 @@
         else:
             receivers = sorted(delivery.waiting)
         for daemon_id in receivers:
-            address = self._daemon_table.address(daemon_id)
-            if address:
-                self._send(address, delivery.gossip)
+            known = self._daemon_table.get(daemon_id)
+            if known is not None:
+                self._send(known.daemon.address, delivery.gossip)
 
     def _send(self, address: str, gossip: messages.Gossip) -> None:
         self._outbox.send(address, gossip, urgent=True)
--- a/fulmarbarrow/membership/features/steps/urgent_changes.py
+++ b/fulmarbarrow/membership/features/steps/urgent_changes.py
@@ -114,6 +114,33 @@
         )
 
 
+@behave.when(
+    "the last zone is cut off for {length:d} s, while upstreams withdraw at "
+    "the first daemon after {first:d}, {second:d} and {third:d} s"
+)
+def step_cut_off(context, length, first, second, third):
+    fleet = context.fleet
+    begun = fleet.now
+    fleet.cut.add(f"attica-{ZONES - 1}")
+    context.returned = begun + length * SECOND
+    for seconds in (first, second, third):
+        if fleet.now < context.returned <= begun + seconds * SECOND:
+            fleet.run(context.returned - fleet.now)
+            fleet.cut.clear()
+        fleet.run(begun + seconds * SECOND - fleet.now)
+        _withdraw(context)
+    fleet.run(SETTLED)
+
+
+@behave.then("{seconds:d} s after its return all know of each leave")
+def step_known_after_return(context, seconds):
+    for upstream_id in context.withdrawn:
+        at = _acknowledged_at(context, upstream_id)
+        assert at is not None, f"{upstream_id} was not acknowledged"
+        start = max(at, context.returned)
+        _check_unused(context, upstream_id, start, seconds)
+
+
 @behave.when("all daemons suspect the first one")
 def step_all_suspect(context):
     fleet = context.fleet
--- a/fulmarbarrow/membership/features/urgent_changes.feature
+++ b/fulmarbarrow/membership/features/urgent_changes.feature
@@ -33,6 +33,12 @@
     And 4 upstreams withdraw at the first daemon, 500 ms apart
     Then all know of each leave within 1 s of its acknowledgement
 
+  Scenario: A zone that was cut off learns of leaves soon after its return
+    Given 100 daemons that start at once and 44 upstreams that announce themselves at the first 5
+    And 20 s have passed
+    When the last zone is cut off for 6 s, while upstreams withdraw at the first daemon after 2, 5 and 7 s
+    Then 1 s after its return all know of each leave
+
   Scenario: A leave does not wait for what its host has sent before
     Given 100 daemons that start at once and 44 upstreams that announce themselves at the first 5
     And 20 s have passed
