Tell a peer how much of a request an upstream took

The last frame of a relayed connection now holds how many bytes the upstream has taken, and the requester compares. Daemons of earlier builds ignore and leave out that number.

--- a/fulmarbarrow/edge/connections.py
+++ b/fulmarbarrow/edge/connections.py
@@ -102,6 +102,10 @@
         self._informational_heads = 0
         self._request_bytes = 0
         self._succeeded = False
+        # Bytes of all requests on the connection, and those of them that a
+        # relaying peer could not pass on before the upstream's end.
+        self.written_bytes = 0
+        self.untaken_bytes = 0
 
     @property
     def kept(self) -> bool:
@@ -150,7 +154,9 @@
         if head.body:
             parts.append(self._http.send(h11.Data(data=head.body)))
         parts.append(self._http.send(h11.EndOfMessage()))
-        self.transport.write(b"".join(part for part in parts if part))
+        data = b"".join(part for part in parts if part)
+        self.written_bytes += len(data)
+        self.transport.write(data)
 
     def pause(self) -> None:
         """Stop reading."""
@@ -219,7 +225,10 @@
             bool(reason.check(internet_errors.ConnectionDone))
             and self._succeeded
             and self._request_bytes > UPLOAD_BYTES
-            and transports.unsent_bytes(self.transport) > 0
+            and (
+                self.untaken_bytes > 0
+                or transports.unsent_bytes(self.transport) > 0
+            )
         )
 
     def _take_events(self) -> None:
--- a/fulmarbarrow/relay/dialer.py
+++ b/fulmarbarrow/relay/dialer.py
@@ -351,9 +351,12 @@
             self._inner.dataReceived(data)
             return
         end = internet_errors.ConnectionLost("the upstream's connection")
+        inner, self._inner = self._inner, None
         if kind == messages.FrameKind.END:
             end = internet_errors.ConnectionDone()
-        inner, self._inner = self._inner, None
+            taken = messages.taken_bytes(data)
+            if taken is not None:
+                inner.untaken_bytes = max(0, inner.written_bytes - taken)
         inner.connectionLost(failures.Failure(end))
         self.transport.abortConnection()
 
--- a/fulmarbarrow/relay/messages.py
+++ b/fulmarbarrow/relay/messages.py
@@ -7,18 +7,21 @@
 Towards the upstream the bytes follow as they are. Back they follow in frames:
 the length in four bytes, the kind in one and at most 64 KiB of the upstream's
 bytes. The last frame says how the upstream's connection ended, so an end
-without it is that of the peer, and never the end of an answer. A daemon of a
-build without frames neither asks for them nor confirms them, and gets and
-sends plain bytes.
+without it is that of the peer, and never the end of an answer. After a regular
+end it holds how many bytes the upstream has taken; earlier builds leave that
+out. A daemon of a build without frames neither asks for them nor confirms
+them, and gets and sends plain bytes.
 """
 
 from __future__ import annotations
 
 import enum
+import struct
 
 from fulmarbarrow import message
 
 MAX_FRAME_BYTES = 64 << 10
+_TAKEN_BYTES = struct.Struct(">Q")
 
 
 class FrameKind(bytes, enum.Enum):
@@ -30,6 +33,18 @@
     RESET = b"r"
 
 
+def end_frame(taken_bytes: int) -> bytes:
+    """Return the last frame after a regular end."""
+    return FrameKind.END.value + _TAKEN_BYTES.pack(max(0, taken_bytes))
+
+
+def taken_bytes(data: bytes) -> int | None:
+    """Return how many bytes an upstream took, None from an earlier build."""
+    if len(data) != _TAKEN_BYTES.size:
+        return None
+    return _TAKEN_BYTES.unpack(data)[0]
+
+
 class RelayCode(enum.StrEnum):
     """Why a peer does not relay a connection; empty if it does."""
 
--- a/fulmarbarrow/relay/server.py
+++ b/fulmarbarrow/relay/server.py
@@ -21,8 +21,6 @@
 log = logging.getLogger(__name__)
 
 MAX_RELAYS = 256
-# Shorter requests fit into the buffers on their way.
-UPLOAD_BYTES = 64 << 10
 # A sound upstream may be silent for a second.
 UNACKNOWLEDGED_MS = 2_000
 
@@ -133,7 +131,7 @@
         self._server = server
         self._connector: interfaces.IConnector | None = None
         self._bytes = 0
-        self._written_bytes = 0
+        self._taken_bytes = 0
         self._ended = False
 
     def connect(self, reactor: interfaces.IReactorTCP, timeout: float) -> None:
@@ -186,14 +184,8 @@
 
     def readConnectionLost(self) -> None:  # noqa: N802
         """Take the regular end of what the upstream sends."""
-        reason: Exception = internet_errors.ConnectionDone()
-        if (
-            self._written_bytes > UPLOAD_BYTES
-            and transports.unsent_bytes(self.transport) > 0
-        ):
-            # An answer that ends here came before the request's own end.
-            reason = internet_errors.ConnectionLost()
-        self.connectionLost(failures.Failure(reason))
+        self._taken_bytes -= transports.unsent_bytes(self.transport)
+        self.connectionLost()
         self.transport.abortConnection()
 
     def writeConnectionLost(self) -> None:  # noqa: N802
@@ -215,10 +207,10 @@
         regular = bool(reason.check(internet_errors.ConnectionDone))
         self._log_end("upstream" if regular else "reset")
         if self.event.framed:
-            kind = messages.FrameKind.END
-            if not regular:
-                kind = messages.FrameKind.RESET
-            self.incoming.sendString(kind.value)
+            frame = messages.FrameKind.RESET.value
+            if regular:
+                frame = messages.end_frame(self._taken_bytes)
+            self.incoming.sendString(frame)
         elif regular:
             transports.reset_when_lost(self.incoming.transport, reset=False)
         else:
@@ -231,7 +223,7 @@
         if self.transport is None:
             self.incoming.transport.abortConnection()
             return
-        self._written_bytes += len(data)
+        self._taken_bytes += len(data)
         self.transport.write(data)
 
     def peer_lost(self) -> None:
--- a/fulmarbarrow/wire/transport.py
+++ b/fulmarbarrow/wire/transport.py
@@ -84,7 +84,7 @@
     try:
         told = fcntl.ioctl(get_handle(), termios.TIOCOUTQ, bytes(4))
     except OSError as error:
-        log.info("send queue not told", extra={"reason": str(error)})
+        log.info("send queue not told: %s", error)
         return buffered
     return buffered + struct.unpack("i", told)[0]
 
