Undo no leave by a delta from before it

Cause: a change of an upstream's owner that was made before the leave, and waited for the byte limit of a relay, arrived after it. Records from before a leave were refused by a daemon that knows of it; deltas, which carry the state as well, were not.

Change: a delta from before a leave applies its sequence and owner, not its state. The scenario "A delta from before a leave does not undo it" failed before.

--- a/fulmarbarrow/membership/features/registrar.feature
+++ b/fulmarbarrow/membership/features/registrar.feature
@@ -103,6 +103,15 @@
       | 9                | 10   | serving |
       | 9007199254740992 | 40   | leaving |
 
+  # Guards against a change of the owner that arrives after the leave.
+  Scenario: A delta from before a leave does not undo it
+    Given a router that knows upstream "e1" by its record 5
+    When it hears that "e1" leaves at sequence 9, of a record that it does not have
+    And it hears of a change of "e1" from record 5 to 8
+    Then it knows that "e1" is leaving
+    When it hears of a change of "e1" from record 8 to 10
+    Then it knows that "e1" is serving
+
   Scenario: A withdrawal of an unknown upstream is refused, for another host to try
     Given a control host that knows routers "r1 r2 r3"
     When upstream "e9" is withdrawn
--- a/fulmarbarrow/membership/features/steps/registrar.py
+++ b/fulmarbarrow/membership/features/steps/registrar.py
@@ -144,6 +144,22 @@
     handle(context, messages.Gossip(changes=(delta,)))
 
 
+@behave.when(
+    'it hears of a change of "{name}" from record {base:d} to {sequence:d}'
+)
+def step_hears_delta(context, name, base, sequence):
+    delta = messages.UpstreamDelta(
+        upstream_id=name,
+        incarnation=1,
+        base=base,
+        sequence=sequence,
+        state=messages.UpstreamState.SERVING,
+        owner="r2",
+        owner_epoch=sequence,
+    )
+    handle(context, messages.Gossip(changes=(delta,)))
+
+
 @behave.when('it hears of record {number:d} of "{name}"')
 def step_hears_record(context, number, name):
     record = msgspec.structs.replace(context.record, sequence=number)
--- a/fulmarbarrow/membership/upstreams.py
+++ b/fulmarbarrow/membership/upstreams.py
@@ -112,8 +112,8 @@
 
         If the delta is based on another record, its state and a higher epoch
         are applied, but the sequence is kept, so that anti-entropy fetches
-        the full record. No record from before a leave undoes it meanwhile,
-        also if none is known yet.
+        the full record. No record or delta from before a leave undoes it
+        meanwhile, also if none is known yet.
         """
         entry = self._entries.get(delta.upstream_id)
         if entry is None or entry.upstream.incarnation < delta.incarnation:
@@ -131,10 +131,14 @@
             return None
         base_matches = current.sequence == delta.base
         newer_epoch = delta.owner_epoch > current.owner_epoch
+        precedes_leave = (
+            delta.state is not messages.UpstreamState.LEAVING
+            and delta.sequence < entry.leaving_sequence
+        )
         updated = msgspec.structs.replace(
             current,
             sequence=delta.sequence if base_matches else current.sequence,
-            state=delta.state,
+            state=current.state if precedes_leave else delta.state,
             owner=delta.owner if newer_epoch else current.owner,
             owner_epoch=max(delta.owner_epoch, current.owner_epoch),
         )
