Give a new upstream work when it names its owner among peers

What callers saw: an order that reached a new register just after it named its owner waited some 2 s at an idle upstream, or was refused with `503 not_run`.

Cause: a router that owned an upstream with epoch 0 and is then named with epoch 1 gave a ramping upstream nothing for 2 s, so that routers could renew work that they had placed without an owner. The wait is as long as an order's dispatch lease.

Evidence: the daemons' logs of the scenario at low load show 0.7 to 1.1 s between the order's arrival and its attempt, which goes out 2.04 s after the upstream named its owner.

Change: the pause holds for upstreams that are named 3 s after their start or later (5 s less 2 s between clocks).

The steps that wait for a running order now fail with the answer if all orders were answered first.

--- a/fulmarbarrow/journal/features/steps/kills.py
+++ b/fulmarbarrow/journal/features/steps/kills.py
@@ -131,6 +131,19 @@
     return json.loads(body or b"{}").get("open", 0)
 
 
+def wait_for_orders(context, pending_responses):
+    """Wait until the register runs an order; fail if all were answered."""
+
+    def runs_order():
+        if open_orders(context):
+            return True
+        answers = [p.result() for p in pending_responses if p.done()]
+        assert len(answers) < len(pending_responses), answers
+        return False
+
+    fleet.wait_until(runs_order, "the register runs an order")
+
+
 def run_counts(context):
     _, body = fleet.fetch(f"{context.register.url}/counts")
     return json.loads(body)
@@ -151,9 +164,7 @@
 
 @behave.when("{name} is killed while the register runs it")
 def step_kill_router(context, name):
-    fleet.wait_until(
-        lambda: open_orders(context), "the register runs an order"
-    )
+    wait_for_orders(context, [context.pending_response])
     daemon_named(context, name).kill()
     status, _ = context.pending_response.result()
     assert status == 0, status
@@ -217,9 +228,7 @@
 
 @behave.when("the journal's leader is killed while the register runs them")
 def step_kill_leader(context):
-    fleet.wait_until(
-        lambda: open_orders(context), "the register runs an order"
-    )
+    wait_for_orders(context, context.pending_responses)
     context.leader.kill()
     context.outcomes = [item.result() for item in context.pending_responses]
 
@@ -246,9 +255,7 @@
 
 @behave.when("the register is killed while it runs the order")
 def step_kill_register(context):
-    fleet.wait_until(
-        lambda: open_orders(context), "the register runs an order"
-    )
+    wait_for_orders(context, [context.pending_response])
     context.register.kill()
     context.latest_response = context.pending_response.result()
 
--- a/fulmarbarrow/placement/ledger.py
+++ b/fulmarbarrow/placement/ledger.py
@@ -10,6 +10,7 @@
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow.placement import cold_detection
 from fulmarbarrow.placement import messages
+from fulmarbarrow.placement import ownerless
 from fulmarbarrow.placement import rate_limits
 from fulmarbarrow.placement import recent_chats
 
@@ -30,6 +31,10 @@
 SETTLING_TIME = datetime.timedelta(seconds=14)
 # By this time after a change of owner most entry hosts have renewed.
 HANDOVER_TIME = datetime.timedelta(seconds=2)
+# No router places work without an owner at an upstream younger than this, its
+# own clock being up to ``CLOCK_MARGIN`` ahead.
+CLOCK_MARGIN = datetime.timedelta(seconds=2)
+UNOWNED_WORK_AGE = ownerless.OWNER_GRACE - CLOCK_MARGIN
 # The epoch of the first owner that an incarnation of an upstream names.
 FIRST_EPOCH = 1
 # Entry hosts renew as soon as they learn of a new owner, which takes one
@@ -207,10 +212,12 @@
         """Go on as the first owner that the upstream names.
 
         Routers of other zones may have placed work without an owner until
-        now, which they renew here. Without peers there is no such work.
+        now, which they renew here. There is no such work without peers, nor
+        at an upstream that has just started.
         """
         self.epoch = FIRST_EPOCH
-        if has_peers:
+        age = now - self.upstream.started_at
+        if has_peers and age >= UNOWNED_WORK_AGE:
             self._owned_since = now
             self._may_lack_work = True
 
