--- a/tools/run_scenarios.py
+++ b/tools/run_scenarios.py
@@ -28,11 +28,16 @@
     real = [folder for folder in folders if _starts_processes(folder)]
     pure = [folder for folder in folders if folder not in real]
     counts: collections.Counter[str] = collections.Counter()
+    reports: list[str] = []
     # Scenarios over real processes have timeouts, so they get the machine.
     for group, workers in ((pure, PROCESSES), (real, REAL_PROCESSES)):
         with concurrent.futures.ThreadPoolExecutor(workers) as pool:
-            for result in pool.map(_run, group):
+            for result, report in pool.map(_run, group):
                 counts.update(result)
+                reports.extend(report)
+    # At the end, where a log that is cut off still has them.
+    for line in reports:
+        print(line)
     passed, failed = counts["passed"], counts["failed"]
     if counts["known_red"]:
         print(f"known red: {counts['known_red']} (KNOWN-RED.txt)")
@@ -59,8 +64,10 @@
     )
 
 
-def _run(folder: pathlib.Path) -> collections.Counter[str]:
-    """Run one folder and count its scenarios by outcome."""
+def _run(
+    folder: pathlib.Path,
+) -> tuple[collections.Counter[str], list[str]]:
+    """Run one folder; return its counts by outcome and what did not pass."""
     with tempfile.NamedTemporaryFile(suffix=".json") as report:
         finished = subprocess.run(
             [
@@ -81,7 +88,7 @@
         )
         text = pathlib.Path(report.name).read_text()
     features = json.loads(text) if text.strip() else []
-    counts = _count(features)
+    counts, reports = _count(features)
     crashed = finished.returncode and not (
         counts["failed"] or counts["known_red"]
     )
@@ -91,12 +98,15 @@
     print(f"{name}: {counts['passed']} passed, {counts['failed']} failed")
     if counts["failed"]:
         print(finished.stdout, finished.stderr, sep="\n")
-    return counts
+    return counts, reports
 
 
-def _count(features: list[dict]) -> collections.Counter[str]:
+def _count(
+    features: list[dict],
+) -> tuple[collections.Counter[str], list[str]]:
     known = KNOWN_RED.read_text() if KNOWN_RED.exists() else ""
     counts: collections.Counter[str] = collections.Counter()
+    reports: list[str] = []
     for feature in features:
         for element in feature.get("elements", []):
             if element["type"] != "scenario":
@@ -105,25 +115,27 @@
             if outcome != "passed":
                 red = f"scenario: {element['name']}\n" in known
                 outcome = "known_red" if red else "failed"
-                print(f"{outcome}: {element['location']} {element['name']}")
-                _print_errors(element)
+                name = f"{element['location']} {element['name']}"
+                reports += [f"{outcome}: {name}", *_errors(element)]
             counts[outcome] += 1
-    return counts
+    return counts, reports
 
 
-def _print_errors(element: dict) -> None:
-    """Print the messages of a scenario's steps that did not pass.
+def _errors(element: dict) -> list[str]:
+    """Return the messages of a scenario's steps that did not pass.
 
     The progress formatter leaves out what a step raised if it was no failed
     assertion.
     """
+    errors: list[str] = []
     for step in element.get("steps", []):
         result = step.get("result", {})
         if result.get("status") in ("failed", "error"):
-            print(f"  {step['keyword']} {step['name']}")
+            errors.append(f"  {step['keyword']} {step['name']}")
             text = result.get("error_message", "")
             lines = text if isinstance(text, list) else text.splitlines()
-            print(*(f"    {line}" for line in lines), sep="\n")
+            errors += [f"    {line}" for line in lines]
+    return errors
 
 
 if __name__ == "__main__":
