--- a/fulmarbarrow/config/defaults.py
+++ b/fulmarbarrow/config/defaults.py
@@ -235,14 +235,81 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class LimitsSection:
-    """Resource limits for callers and their connections."""
+    """Resource limits for callers and their connections.
 
+    ``memory_bytes`` is the memory that the process may use and
+    ``max_connections`` the number of connections that it accepts; 0 derives
+    them from the memory of the host and from the limit on open files.
+    """
+
+    memory_bytes: int = 0
+    max_connections: int = 0
     max_body_bytes: int = 1 << 20
     max_answer_buffer_bytes: int = 1 << 18
     max_waiting_requests: int = 2000
     progress_timeout: datetime.timedelta = datetime.timedelta(seconds=10)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class DutiesSection:
+    """Duties at the platform that one control host at a time performs.
+
+    The holder of a duty calls the platform's API at ``address``; without an
+    address no host holds a duty. ``name`` is the name of this host in its
+    calls; by default it is the daemon's id. ``calls_per_second`` is what the
+    platform accepts from the whole fleet. A duty is lost ``lease`` after its
+    last renewal. The platform refuses outdated fencing numbers if it is
+    ``fenced``. A call is given up after ``call_timeout``; the platform may
+    carry it out as late as ``late_execution`` after it was sent.
+    """
+
+    address: options.Address | None = None
+    name: str = ""
+    calls_per_second: float = 5.0
+    lease: datetime.timedelta = datetime.timedelta(seconds=3)
+    fenced: bool = False
+    call_timeout: datetime.timedelta = datetime.timedelta(seconds=1)
+    late_execution: datetime.timedelta = datetime.timedelta(seconds=15)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class UsageSection:
+    """Reports of the requests of each client account to the platform.
+
+    A report covers one ``window`` and is due ``report_within`` after its end;
+    with a window of 0 nothing is counted.
+    """
+
+    window: datetime.timedelta = datetime.timedelta(0)
+    report_within: datetime.timedelta = datetime.timedelta(seconds=10)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ScalingSection:
+    """Orders for upstreams of services whose number the platform changes.
+
+    If ``enabled``, the number is decided every ``interval``.
+    """
+
+    enabled: bool = False
+    interval: datetime.timedelta = datetime.timedelta(seconds=2)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RolloutsSection:
+    """Rollouts of upstream versions that operators order by call.
+
+    Until a version is proven, at most the fraction ``share`` of the requests
+    since the order, plus ``slack`` requests, may reach it. A version found
+    faulty gets nothing ``rollback_within`` later.
+    """
+
+    enabled: bool = False
+    share: float = 0.1
+    slack: int = 50
+    rollback_within: datetime.timedelta = datetime.timedelta(seconds=5)
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class LogSection:
     """Logging of this daemon."""
@@ -277,5 +344,9 @@
     zones: ZonesSection = ZonesSection()
     timeouts: TimeoutsSection = TimeoutsSection()
     retries: RetriesSection = RetriesSection()
+    duties: DutiesSection = DutiesSection()
+    usage: UsageSection = UsageSection()
+    scaling: ScalingSection = ScalingSection()
+    rollouts: RolloutsSection = RolloutsSection()
     log: LogSection = LogSection()
     trace: TraceSection = TraceSection()
--- /dev/null
+++ b/fulmarbarrow/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Counts of requests by client account and window of time."""
--- a/fulmarbarrow/wire/codec.py
+++ b/fulmarbarrow/wire/codec.py
@@ -12,6 +12,7 @@
 
 from fulmarbarrow.consensus import messages as consensus_messages
 from fulmarbarrow.delivery import messages as delivery_messages
+from fulmarbarrow.duties import messages as duties_messages
 from fulmarbarrow.journal import messages as journal_messages
 from fulmarbarrow.limits import messages as limits_messages
 from fulmarbarrow.membership import messages as membership_messages
@@ -19,6 +20,8 @@
 from fulmarbarrow.placement import messages as placement_messages
 from fulmarbarrow.publishing import messages as publishing_messages
 from fulmarbarrow.relay import messages as relay_messages
+from fulmarbarrow.scaling import messages as scaling_messages
+from fulmarbarrow.usage import messages as usage_messages
 from fulmarbarrow.versions import messages as versions_messages
 from fulmarbarrow.zones import messages as zones_messages
 
@@ -29,12 +32,15 @@
 PEER_MESSAGES: tuple[type, ...] = (
     *consensus_messages.PEER_MESSAGES,
     *delivery_messages.PEER_MESSAGES,
+    *duties_messages.PEER_MESSAGES,
     *journal_messages.PEER_MESSAGES,
     *limits_messages.PEER_MESSAGES,
     *membership_messages.PEER_MESSAGES,
     *placement_messages.PEER_MESSAGES,
     *publishing_messages.PEER_MESSAGES,
     *relay_messages.PEER_MESSAGES,
+    *scaling_messages.PEER_MESSAGES,
+    *usage_messages.PEER_MESSAGES,
     *versions_messages.PEER_MESSAGES,
     *zones_messages.PEER_MESSAGES,
 )
