--- a/tools/run_scenarios.py
+++ b/tools/run_scenarios.py
@@ -1,7 +1,7 @@
 """Runs every behave scenario and closes with their count.
 
-Each slice's ``features`` folder runs in a process of its own. A scenario
-named in KNOWN-RED.txt may fail without failing the run; it is printed.
+Each slice's ``features`` folder runs in a process of its own; those that
+measure a process run one after the other. A scenario named in KNOWN-RED.txt may fail without failing the run; it is printed.
 """
 
 from __future__ import annotations
@@ -25,12 +25,19 @@
     """Run the folders given as arguments, or all of them."""
     chosen = [pathlib.Path(name).resolve() for name in sys.argv[1:]]
     folders = chosen or _folders()
-    real = [folder for folder in folders if _starts_processes(folder)]
-    pure = [folder for folder in folders if folder not in real]
+    alone = [folder for folder in folders if _imports(folder, "crowd")]
+    real = [
+        folder
+        for folder in folders
+        if folder not in alone
+        and (_imports(folder, "tools") or _imports(folder, "soak"))
+    ]
+    pure = [folder for folder in folders if folder not in (*alone, *real)]
     counts: collections.Counter[str] = collections.Counter()
     reports: list[str] = []
     # Scenarios over real processes have timeouts, so they get the machine.
-    for group, workers in ((pure, PROCESSES), (real, REAL_PROCESSES)):
+    groups = ((pure, PROCESSES), (real, REAL_PROCESSES), (alone, 1))
+    for group, workers in groups:
         with concurrent.futures.ThreadPoolExecutor(workers) as pool:
             for result, report in pool.map(_run, group):
                 counts.update(result)
@@ -56,12 +63,15 @@
     ]
 
 
-def _starts_processes(folder: pathlib.Path) -> bool:
-    """Whether a folder's scenarios start daemons or stand-ins."""
-    return any(
-        "from tools import" in text or "from soak import" in text
-        for text in (path.read_text() for path in folder.rglob("*.py"))
+def _imports(folder: pathlib.Path, name: str) -> bool:
+    """Whether a folder's scenarios use ``tools``, ``soak`` or ``crowd``.
+
+    Those that do start daemons or stand-ins.
+    """
+    line = (
+        "from tools import crowd" if name == "crowd" else f"from {name} import"
     )
+    return any(line in path.read_text() for path in folder.rglob("*.py"))
 
 
 def _run(
