Bound the memory of all request bodies together

Cause: each body was within its limit, but nothing bounded all of them. A body was held in the request and again in the buffer towards its upstream, and a form also as its parsed fields, so that crowds of unfinished requests ended a process that ran out of memory.

Change: one budget of bytes and one of connections for all ports of a process, by default from the host's memory and descriptors. Reading a large body waits for room; bodies without progress lose their memory first, then large ones in favour of small ones, with a true 503. A body goes to its upstream in pieces. Forms are not parsed.

--- a/fulmarbarrow/daemon/assembly.py
+++ b/fulmarbarrow/daemon/assembly.py
@@ -22,6 +22,7 @@
 from fulmarbarrow.delivery import messages as delivery_messages
 from fulmarbarrow.edge import exchange
 from fulmarbarrow.edge import exposition
+from fulmarbarrow.edge import guard as guards
 from fulmarbarrow.edge import site as sites
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
@@ -115,6 +116,15 @@
         if routes:
             self._add_timers()
             self._add_relays()
+        self._guard = guards.Guard(
+            reactor=reactor,
+            clock=clock,
+            limits=settings.limits,
+            metrics=self._metrics,
+            largest_body_bytes=max(
+                settings.limits.max_body_bytes, interfaces.MAX_OWN_BODY_BYTES
+            ),
+        )
         self._interface = _make_interface(
             interfaces.Parts(
                 settings=settings,
@@ -125,6 +135,7 @@
                 metrics=self._metrics,
                 exchanges=self._exchanges,
                 dialer=self._make_dialer(),
+                guard=self._guard,
             )
         )
         self._callers = self._interface.callers
@@ -189,6 +200,7 @@
             "callers": self._callers.dump() if self._callers else None,
             "unhandled": dict(self._bus.unhandled),
             "errors": dict(self._bus.errors),
+            "clients": self._guard.dump(),
             "disk": self._consensus.dump() if self._consensus else None,
             "cores": {name: core.dump() for name, core in self._cores.items()},
             "paths": self._paths.dump() if self._paths else None,
@@ -428,6 +440,7 @@
             resource=resource,
             max_body_bytes=interfaces.MAX_OWN_BODY_BYTES,
             metrics=self._metrics,
+            guard=self._guard,
         )
 
 
--- a/fulmarbarrow/daemon/interfaces.py
+++ b/fulmarbarrow/daemon/interfaces.py
@@ -10,6 +10,7 @@
 from fulmarbarrow.config import defaults
 from fulmarbarrow.daemon import listeners
 from fulmarbarrow.edge import exchange
+from fulmarbarrow.edge import guard as guards
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow.observe import metrics as metrics_module
 from fulmarbarrow.relay import dialer as dialers
@@ -48,6 +49,7 @@
     metrics: metrics_module.Metrics
     exchanges: exchange.Exchanges
     dialer: dialers.Dialer | None = None
+    guard: guards.Guard | None = None
 
 
 class Interface(typing.Protocol):
--- a/fulmarbarrow/daemon/own_interface.py
+++ b/fulmarbarrow/daemon/own_interface.py
@@ -34,6 +34,7 @@
             resource=self._upstreams_edge.app.resource(),
             max_body_bytes=interfaces.MAX_OWN_BODY_BYTES,
             metrics=self._parts.metrics,
+            guard=self._parts.guard,
         )
         made.add("upstreams", listen.upstreams, site)
 
@@ -57,6 +58,7 @@
             metrics=parts.metrics,
             exchanges=parts.exchanges,
             limits=parts.settings.limits,
+            guard=parts.guard,
         )
         self.callers.serve_fixed(own_routes.OwnRoutes(callers=self.callers))
         self._upstreams_edge = upstreams.UpstreamsEdge(
--- a/fulmarbarrow/edge/callers.py
+++ b/fulmarbarrow/edge/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import io
 import itertools
 import random
 import typing
@@ -22,6 +23,7 @@
 from fulmarbarrow.edge import dialect as dialects
 from fulmarbarrow.edge import directory as directories
 from fulmarbarrow.edge import exchange as exchanges_module
+from fulmarbarrow.edge import guard as guards
 from fulmarbarrow.edge import own_dialect
 from fulmarbarrow.edge import site as sites
 from fulmarbarrow import message
@@ -60,6 +62,7 @@
         exchanges: exchanges_module.Exchanges,
         limits: defaults.LimitsSection,
         dialect: dialects.CallerDialect | None = None,
+        guard: guards.Guard | None = None,
     ) -> None:
         self._prefix = f"{daemon_id}-{incarnation:x}"
         self._bus = bus
@@ -85,6 +88,7 @@
             resource=self._root,
             max_body_bytes=limits.max_body_bytes,
             metrics=metrics,
+            guard=guard,
         )
         write = self._write  # bound once, as binding costs more than a call
         for kind in _ANSWERS:
@@ -155,6 +159,8 @@
             return self.reject(request, dialects.Rejected(code="stopping"))
         request_id = f"{self._prefix}-{next(self._numbers)}"
         body = request.content.read()
+        # The exchange holds the body from now on.
+        request.content = io.BytesIO()
         taken = self._dialect.parse(
             request,
             request_id=request_id,
--- a/fulmarbarrow/edge/connections.py
+++ b/fulmarbarrow/edge/connections.py
@@ -76,6 +76,64 @@
     """An upstream sends more than any answer has."""
 
 
+@interface.implementer(interfaces.IPushProducer)
+class Upload:
+    """Writes a large body piece by piece, as the connection takes it.
+
+    Written at once, it would be held twice until the last byte is sent.
+    """
+
+    def __init__(self, *, transport: typing.Any, body: bytes) -> None:
+        self._transport = transport
+        self._body = memoryview(body)
+        self._written = 0
+        self._paused = False
+        self._registered = False
+
+    @property
+    def unwritten_bytes(self) -> int:
+        """The number of bytes that the connection has not been given."""
+        return len(self._body) - self._written
+
+    def start(self) -> None:
+        """Write as much as the connection takes now."""
+        self._registered = True
+        self._transport.registerProducer(self, True)
+        self.resumeProducing()
+
+    def flush(self) -> None:
+        """Write the rest at once."""
+        rest = self._body[self._written :]
+        self._written = len(self._body)
+        self._unregister()
+        if rest:
+            self._transport.write(bytes(rest))
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Write on; the connection has sent what it was given."""
+        self._paused = False
+        while not self._paused and self.unwritten_bytes:
+            end = self._written + UPLOAD_BYTES
+            piece = bytes(self._body[self._written : end])
+            self._written += len(piece)
+            self._transport.write(piece)
+        if not self.unwritten_bytes:
+            self._unregister()
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Write nothing for now."""
+        self._paused = True
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Write nothing any more; the connection has ended."""
+        self._paused = True
+
+    def _unregister(self) -> None:
+        if self._registered:
+            self._registered = False
+            self._transport.unregisterProducer()
+
+
 @interface.implementer(interfaces.IHalfCloseableProtocol)
 class Connection(protocol.Protocol):
     """One connection, with one request at a time.
@@ -102,6 +160,7 @@
         self._informational_heads = 0
         self._request_bytes = 0
         self._succeeded = False
+        self._upload: Upload | None = None
         # Bytes of all requests on the connection, and those of them that a
         # relaying peer could not pass on before the upstream's end.
         self.written_bytes = 0
@@ -150,13 +209,19 @@
             target=head.target,
             headers=[*framed, *head.fields],
         )
-        parts = [self._http.send(request)]
-        if head.body:
-            parts.append(self._http.send(h11.Data(data=head.body)))
-        parts.append(self._http.send(h11.EndOfMessage()))
-        data = b"".join(part for part in parts if part)
-        self.written_bytes += len(data)
+        data = self._http.send(request) or b""
+        body = head.body
+        if body:
+            # With a length, the body goes out as it is.
+            self._http.send_with_data_passthrough(h11.Data(data=body))
+        self._http.send(h11.EndOfMessage())
+        self.written_bytes += len(data) + len(body)
+        if len(body) <= UPLOAD_BYTES:
+            self.transport.write(data + body)
+            return
         self.transport.write(data)
+        self._upload = Upload(transport=self.transport, body=body)
+        self._upload.start()
 
     def pause(self) -> None:
         """Stop reading."""
@@ -227,10 +292,15 @@
             and self._request_bytes > UPLOAD_BYTES
             and (
                 self.untaken_bytes > 0
+                or self._unwritten_bytes > 0
                 or transports.unsent_bytes(self.transport) > 0
             )
         )
 
+    @property
+    def _unwritten_bytes(self) -> int:
+        return self._upload.unwritten_bytes if self._upload else 0
+
     def _take_events(self) -> None:
         while self._receiver is not None:
             try:
@@ -268,6 +338,10 @@
     def _finish(self) -> None:
         """Give the connection back if it can take another request."""
         receiver, self._receiver = self._receiver, None
+        if self._upload is not None:
+            # The next request goes out after the rest of this one's body.
+            self._upload.flush()
+            self._upload = None
         surplus, _ = self._http.trailing_data
         reusable = (
             not surplus
--- a/fulmarbarrow/edge/site.py
+++ b/fulmarbarrow/edge/site.py
@@ -12,6 +12,8 @@
 from twisted.web import server
 
 from fulmarbarrow.edge import errors
+from fulmarbarrow.edge import guard as guards
+from fulmarbarrow.edge import held_bytes
 from fulmarbarrow.observe import metrics as metrics_module
 
 log = logging.getLogger(__name__)
@@ -23,33 +25,113 @@
 # Calls of ``close_idle`` that a connection without a request outlives: its
 # first or next request may be on its way.
 IDLE_CHECKS = 6
+# Memory for a body of unknown length is reserved in steps of this size.
+RESERVE_STEP_BYTES = 256 << 10
+RETRY_AFTER_SECONDS = 1
+# Pieces of later requests on a connection, joined above this number: each
+# costs more than its bytes.
+MAX_PIECES = 16
+REQUEST_ID = b"x-request-id"
 
 
 class BoundedRequest(server.Request):
-    """A request that is refused once its body is above the limit."""
+    """A request that is refused once its body is above the limit.
+
+    It is also refused if the process has no memory for its body.
+    """
 
     _received = 0
+    _reserved = 0
+    _address = ""
+
+    def __init__(self, *arguments: typing.Any, **options: typing.Any) -> None:
+        # A form is passed on as it is; parsed, it takes many times its size.
+        super().__init__(*arguments, **options, parsePOSTFormSubmission=False)
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802
         """Refuse an announced body above the limit before it is sent."""
         super().gotLength(length)
+        if length == 0:
+            return
         if length is not None and length > self.channel.site.max_body_bytes:
             self.channel.reject("body_too_large")
+            return
+        self._reserve(length or held_bytes.SMALL_BYTES)
 
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
         """Keep a part of the body unless it is above the limit."""
         self._received += len(data)
-        if self._received > self.channel.site.max_body_bytes:
+        site = self.channel.site
+        if self._received > site.max_body_bytes:
             self.channel.reject("body_too_large")
+        elif self._received > self._reserved:
+            wanted = self._received + RESERVE_STEP_BYTES
+            self._reserve(min(wanted, site.max_body_bytes))
+        elif site.guard is not None:
+            site.guard.progress(self)
         if not self.channel.rejected:
             super().handleContentChunk(data)
 
+    def pause_body(self) -> None:
+        """Stop reading the body."""
+        self.channel.transport.pauseProducing()
+
+    def resume_body(self) -> None:
+        """Continue reading the body."""
+        self.channel.transport.resumeProducing()
+
+    def refuse_body(self) -> None:
+        """Refuse the request, which has not run, and drop its body."""
+        channel = self.channel
+        request_id = self.getHeader(REQUEST_ID)
+        log.warning(
+            "body refused for want of memory",
+            extra={
+                "request": (request_id or b"").decode("utf-8", "replace"),
+                "address": self._address,
+                "received_bytes": self._received,
+            },
+        )
+        channel.reject("overloaded")
+        self.content = io.BytesIO()
+        channel.transport.resumeProducing()
+
+    def finish(self) -> None:
+        """Release the memory of the body after the answer."""
+        channel = self.channel
+        super().finish()
+        self._release(channel.site)
+
+    def connectionLost(self, reason: failures.Failure) -> None:  # noqa: N802
+        """Release the memory of the body."""
+        self._release(self.channel.site)
+        super().connectionLost(reason)
+
+    def _reserve(self, total: int) -> None:
+        guard = self.channel.site.guard
+        self._reserved = total
+        if guard is None or self.channel.rejected:
+            return
+        if not self._address:
+            self._address = getattr(self.channel.getPeer(), "host", "")
+        guard.reserve(self, self._address, total)
+
+    def _release(self, site: BoundedSite) -> None:
+        if self._reserved and site.guard is not None:
+            site.guard.release(self)
+
     def requestReceived(  # noqa: N802
         self, command: bytes, path: bytes, version: bytes
     ) -> None:
         """Handle a whole request."""
-        if not self.channel.rejected:
-            super().requestReceived(command, path, version)
+        if self.channel.rejected:
+            return
+        guard = self.channel.site.guard
+        if guard is not None:
+            guard.busy(self.channel)
+            if self._reserved:
+                guard.complete(self)
+        super().requestReceived(command, path, version)
 
     def processingFailed(  # noqa: N802
         self, reason: failures.Failure
@@ -76,17 +158,45 @@
     maxHeaders = MAX_HEADERS  # noqa: N815
     rejected = False
     idle_checks = 0
+    _counted = False
 
     def connectionMade(self) -> None:  # noqa: N802
-        """Take part in the site's shutdown."""
+        """Take part in the site's shutdown, unless there are too many."""
         super().connectionMade()
+        guard = self.site.guard
+        if guard is not None:
+            self._counted = guard.connected(self)
+            if not self._counted:
+                self.rejected = True
+                self._abort()
+                return
         self.site.channels.add(self)
 
     def connectionLost(self, reason: failures.Failure) -> None:  # noqa: N802
         """Leave the site."""
+        if self._counted:
+            self._counted = False
+            self.site.guard.disconnected(self)
         self.site.channels.discard(self)
         super().connectionLost(reason)
 
+    def requestDone(self, request: http.Request) -> None:  # noqa: N802
+        """Go on with the next request."""
+        if self._counted:
+            self.site.guard.idle(self)
+        super().requestDone(request)
+
+    def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Take bytes of a body, or of a later request."""
+        super().rawDataReceived(data)
+        if len(self._dataBuffer) > MAX_PIECES:
+            self._dataBuffer = [b"".join(self._dataBuffer)]
+
+    def abort_idle(self) -> None:
+        """Close the connection, which has no request in progress."""
+        self.rejected = True
+        self._abort()
+
     def reject(self, code: str) -> None:
         """Refuse the request that is being received; closes afterwards.
 
@@ -104,8 +214,16 @@
             b"HTTP/1.1 %d %s\r\n"
             b"Content-Type: %s\r\n"
             b"Content-Length: %d\r\n"
+            b"%b"
             b"Connection: close\r\n\r\n%s"
-            % (status, reason, errors.CONTENT_TYPE.encode(), len(body), body)
+            % (
+                status,
+                reason,
+                errors.CONTENT_TYPE.encode(),
+                len(body),
+                _retry_after(status),
+                body,
+            )
         )
         self.transport.loseWriteConnection()
         self.setTimeout(None)
@@ -138,6 +256,12 @@
         self.reject("headers_too_large" if oversized else "bad_request")
 
 
+def _retry_after(status: int) -> bytes:
+    if status != http.SERVICE_UNAVAILABLE:
+        return b""
+    return b"Retry-After: %d\r\n" % RETRY_AFTER_SECONDS
+
+
 class BoundedSite(server.Site):
     """Serves a resource with bounds on what a request may hold."""
 
@@ -151,12 +275,14 @@
         resource: resources.IResource,
         max_body_bytes: int,
         metrics: metrics_module.Metrics,
+        guard: guards.Guard | None = None,
     ) -> None:
         super().__init__(
             resource,
             requestFactory=BoundedRequest,
             timeout=IDLE_TIMEOUT_SECONDS,
         )
+        self.guard = guard
         self.max_body_bytes = max_body_bytes
         self.metrics = metrics
         self.channels: set[BoundedChannel] = set()
--- a/fulmarbarrow/platform/interface.py
+++ b/fulmarbarrow/platform/interface.py
@@ -51,6 +51,7 @@
             exchanges=parts.exchanges,
             limits=parts.settings.limits,
             dialect=clients.Clients(),
+            guard=parts.guard,
         )
         self._client = client.UpstreamClient(
             reactor=parts.reactor,
@@ -84,6 +85,7 @@
             resource=root,
             max_body_bytes=MAX_DOCUMENT_BYTES,
             metrics=self._parts.metrics,
+            guard=self._parts.guard,
         )
 
     def _ready(self, request: http.Request) -> bytes:
--- a/tools/run_scenarios.py
+++ b/tools/run_scenarios.py
@@ -1,7 +1,8 @@
 """Runs every behave scenario and closes with their count.
 
 Each slice's ``features`` folder runs in a process of its own; those that
-measure a process run one after the other. A scenario named in KNOWN-RED.txt may fail without failing the run; it is printed.
+measure a process run one after the other. A scenario named in KNOWN-RED.txt
+may fail without failing the run; it is printed.
 """
 
 from __future__ import annotations
