Order upstreams by the offered work of each service and zone

The number of upstreams of a service was fixed by its operators, so a rise in requests met refusals and a fall left upstreams that cost money for nothing.

Routers report offered work of services with bounds to the holder of the duty "scaling". It decides in a pure function, commits each number to the log and orders it. Bounds come from "Scaling" in the operators' document; a bundle without them is encoded as before. Nothing runs without "scaling.enabled" and "duties.address".

--- a/fulmarbarrow/config/bundle.py
+++ b/fulmarbarrow/config/bundle.py
@@ -11,6 +11,9 @@
 from fulmarbarrow import decoding
 from fulmarbarrow.placement import messages as placement_messages
 
+# Longer start times are taken for another unit, such as milliseconds.
+MAX_START_TIME = datetime.timedelta(hours=24)
+
 
 class ServiceKind(enum.StrEnum):
     """Type of back end of a service."""
@@ -130,15 +133,33 @@
     version: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Scaling:
+    """Bounds on the number of upstreams of a service in each zone.
+
+    A new upstream serves ``start_time`` after it was ordered.
+    """
+
+    least: int = 0
+    most: int = 0
+    start_time: datetime.timedelta = datetime.timedelta(0)
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Service:
-    """A service with its routes, its pool and any models that it serves."""
+    """A service with its routes, its pool and any models that it serves.
+
+    Without ``scaling``, the number of its upstreams is never changed. An
+    unset value is left out of the encoding, so that the digest of a bundle
+    without it is the same in builds that do not know the field.
+    """
 
     name: str
     kind: ServiceKind
     routes: tuple[Route, ...] = ()
     models: tuple[Model, ...] = ()
     pool: Pool = Pool()
+    scaling: Scaling | msgspec.UnsetType = msgspec.UNSET
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/fulmarbarrow/config/checks.py
+++ b/fulmarbarrow/config/checks.py
@@ -171,6 +171,8 @@
     ):
         if getattr(settings.limits, name) <= 0:
             yield source.finding(f"limits.{name}", "must be above 0")
+    if settings.scaling.enabled:
+        yield from _check_scaling(settings, source)
     if settings.retries.ratio < 0 or settings.retries.slack < 0:
         yield source.finding("retries", "must not be negative")
     if zero < settings.daemon.stop_within <= settings.daemon.grace:
@@ -188,6 +190,16 @@
         yield source.finding("daemon.data_dir", text)
 
 
+def _check_scaling(
+    settings: defaults.Settings, source: findings.Source
+) -> _Findings:
+    if settings.scaling.interval <= datetime.timedelta():
+        yield source.finding("scaling.interval", "must be above 0")
+    if settings.duties.address is None:
+        text = "has no effect without duties.address"
+        yield _warning(source, "scaling.enabled", text)
+
+
 def _has_duplicates(items: collections.abc.Iterable[object]) -> bool:
     return any(count > 1 for count in collections.Counter(items).values())
 
--- a/fulmarbarrow/config/collect.py
+++ b/fulmarbarrow/config/collect.py
@@ -5,6 +5,7 @@
 import collections
 import collections.abc
 import dataclasses
+import datetime
 import pathlib
 
 from fulmarbarrow.config import bundle as bundles
@@ -94,6 +95,8 @@
                 yield source.finding(f"{key}.worth", "must not be negative")
             if route.cost_tokens <= 0:
                 yield source.finding(f"{key}.cost_tokens", "must be above 0")
+        if service.scaling:
+            yield from _check_scaling(service.scaling, source, key_prefix)
     for index, account in enumerate(part.account):
         if account.weight <= 0:
             yield source.finding(f"account[{index}].weight", "must be above 0")
@@ -112,6 +115,19 @@
             )
 
 
+def _check_scaling(
+    scaling: bundles.Scaling, source: findings.Source, prefix: str
+) -> collections.abc.Iterator[findings.Finding]:
+    key = f"{prefix}.scaling"
+    if scaling.least < 0:
+        yield source.finding(f"{key}.least", "must not be negative")
+    if scaling.most < scaling.least:
+        yield source.finding(f"{key}.most", "must not be below least")
+    limit = bundles.MAX_START_TIME
+    if not datetime.timedelta() <= scaling.start_time <= limit:
+        yield source.finding(f"{key}.start_time", "must be from 0 to 24 hours")
+
+
 def _check_unique_names(
     parts: list[tuple[findings.Source, bundles.Bundle]],
 ) -> collections.abc.Iterator[findings.Finding]:
--- a/fulmarbarrow/config/features/settings.feature
+++ b/fulmarbarrow/config/features/settings.feature
@@ -110,6 +110,35 @@
       | line | key         | text                  |
       | 0    | peers.seeds | does not join a fleet |
 
+  Scenario: Scaling that can't work is reported
+    Given the settings file
+      """
+      [daemon]
+      id = "entry-1"
+      zone = "attica-a"
+      region = "attica"
+      roles = ["router"]
+      fleet_key = "0123456789abcdef"
+      [listen]
+      callers = "127.0.0.1:7001"
+      upstreams = "127.0.0.1:7002"
+      admin = "127.0.0.1:7003"
+      peers = "127.0.0.1:7004"
+      [peers]
+      seeds = ["127.0.0.1:7005"]
+      [upstreams]
+      key = "a key of upstreams"
+      [scaling]
+      enabled = true
+      interval = "0s"
+      """
+    When the settings are loaded
+    Then the settings are rejected
+    And the findings are
+      | line | key              | text                  |
+      | 18   | scaling.interval | must be above 0       |
+      | 17   | scaling.enabled  | without duties.address |
+
   Scenario: A syntax error is reported with its line
     Given the settings file
       """
--- a/fulmarbarrow/config/options.py
+++ b/fulmarbarrow/config/options.py
@@ -14,6 +14,7 @@
 
 import cattrs
 import cattrs.errors
+import msgspec
 
 from fulmarbarrow.config import findings
 
@@ -102,6 +103,10 @@
     return value
 
 
+def _is_unsettable(kind: object) -> bool:
+    return msgspec.UnsetType in typing.get_args(kind)
+
+
 def _make_converter() -> cattrs.Converter:
     converter = cattrs.Converter(
         forbid_extra_keys=True, detailed_validation=True
@@ -116,6 +121,12 @@
         datetime.timedelta, lambda value, _: parse_duration(value)
     )
     converter.register_structure_hook(datetime.datetime, _structure_datetime)
+    converter.register_structure_hook_func(
+        _is_unsettable,
+        lambda value, kind: converter.structure(
+            value, typing.get_args(kind)[0]
+        ),
+    )
     return converter
 
 
--- a/fulmarbarrow/daemon/control_cores.py
+++ b/fulmarbarrow/daemon/control_cores.py
@@ -9,6 +9,7 @@
 from fulmarbarrow.daemon import joint
 from fulmarbarrow.publishing import control
 from fulmarbarrow.publishing import messages as publishing_messages
+from fulmarbarrow.scaling import messages as scaling_messages
 from fulmarbarrow.versions import control as versions_control
 from fulmarbarrow.versions import messages as versions_messages
 from fulmarbarrow.zones import control as zones_control
@@ -21,7 +22,13 @@
     if isinstance(logs, consensus_memory.MemoryLogStore):
         made.add("memory_logs", logs)
     group = consensus_messages.Group.CONFIGURATION
-    machines = (publishing_messages.MACHINE, versions_messages.MACHINE)
+    machines: tuple[str, ...] = (
+        publishing_messages.MACHINE,
+        versions_messages.MACHINE,
+    )
+    scales = _scales(made)
+    if scales:
+        machines += (scaling_messages.MACHINE,)
     _add_log(made, "consensus", group, logs, machines)
     made.add("control", control.PublishingControl(daemon=record, now=made.now))
     made.add(
@@ -32,10 +39,32 @@
         "kv_moves",
         zones_control.KvMovesControl(daemon=record, metrics=metrics),
     )
+    if scales:
+        _add_scaling(made, group)
     if made.settings.control.journal:
         _add_journal(made, logs)
 
 
+def _scales(made: joint.Joint) -> bool:
+    settings = made.settings
+    return settings.scaling.enabled and settings.duties.address is not None
+
+
+def _add_scaling(made: joint.Joint, group: consensus_messages.Group) -> None:
+    from fulmarbarrow.scaling import control as scaling_control
+
+    made.add(
+        "scaling",
+        scaling_control.ScalingControl(
+            daemon=made.record,
+            group=group,
+            duties=made.settings.duties,
+            timing=made.settings.scaling,
+            metrics=made.metrics,
+        ),
+    )
+
+
 def _add_journal(made: joint.Joint, logs: consensus_memory.LogStore) -> None:
     from fulmarbarrow.journal import control as journal_control
 
--- a/fulmarbarrow/daemon/router_cores.py
+++ b/fulmarbarrow/daemon/router_cores.py
@@ -59,6 +59,18 @@
             started=made.now,
         ),
     )
+    settings = made.settings
+    if settings.scaling.enabled and settings.duties.address is not None:
+        _add_scaling(made)
+
+
+def _add_scaling(made: joint.Joint) -> None:
+    from fulmarbarrow.scaling import reporter
+
+    made.add(
+        "offered_work",
+        reporter.OfferedWorkReporter(daemon=made.record, now=made.now),
+    )
 
 
 def _bounds(made: joint.Joint) -> placement_bounds.Bounds:
--- a/fulmarbarrow/platform/documents.py
+++ b/fulmarbarrow/platform/documents.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import collections.abc
 import datetime
 import typing
 
@@ -62,6 +63,14 @@
     kv_tokens: Integer = msgspec.field(name="KvCapacityTokens", default=0)
 
 
+class ScalingEntry(msgspec.Struct, frozen=True, kw_only=True):
+    """Bounds on the number of a service's workers in each zone."""
+
+    least: Integer = msgspec.field(name="MinReplicas", default=0)
+    most: Integer = msgspec.field(name="MaxReplicas", default=0)
+    start_seconds: float = msgspec.field(name="BootS", default=0.0)
+
+
 class ServiceEntry(msgspec.Struct, frozen=True, kw_only=True):
     """A service and the bounds of its workers."""
 
@@ -72,6 +81,7 @@
     cold_seconds: float = msgspec.field(name="ColdStartS", default=0.0)
     cold_rate: float = msgspec.field(name="ColdPerS", default=0.0)
     engine: EngineEntry | None = msgspec.field(name="Engine", default=None)
+    scaling: ScalingEntry | None = msgspec.field(name="Scaling", default=None)
 
 
 class TenantEntry(msgspec.Struct, frozen=True, kw_only=True):
@@ -117,6 +127,8 @@
             for target in _targets(route)
             if target.service not in services
         )
+    for number, service in enumerate(document.services):
+        found.extend(_scaling_findings(service, f"Services[{number}].Scaling"))
     holders: dict[str, str] = {}
     for number, tenant in enumerate(document.tenants):
         for key in tenant.keys:
@@ -125,6 +137,21 @@
     return found
 
 
+def _scaling_findings(
+    service: ServiceEntry, place: str
+) -> collections.abc.Iterator[str]:
+    entry = service.scaling
+    if entry is None:
+        return
+    if entry.least < 0:
+        yield f"{place}.MinReplicas: must not be negative"
+    if entry.most < entry.least:
+        yield f"{place}.MaxReplicas: must not be below MinReplicas"
+    limit = bundles.MAX_START_TIME.total_seconds()
+    if not 0 <= entry.start_seconds <= limit:
+        yield f"{place}.BootS: must be from 0 to {limit:g}"
+
+
 def check(document: Document) -> tuple[bundles.Bundle | None, list[str]]:
     """Return a valid document's configuration, or None and what is wrong."""
     found = findings(document)
@@ -191,6 +218,19 @@
             slots=engine.slots,
             kv_tokens=engine.kv_tokens,
         ),
+        scaling=_scaling(service.scaling),
+    )
+
+
+def _scaling(
+    entry: ScalingEntry | None,
+) -> bundles.Scaling | msgspec.UnsetType:
+    if entry is None:
+        return msgspec.UNSET
+    return bundles.Scaling(
+        least=entry.least,
+        most=entry.most,
+        start_time=datetime.timedelta(seconds=entry.start_seconds),
     )
 
 
--- a/fulmarbarrow/platform/features/documents.feature
+++ b/fulmarbarrow/platform/features/documents.feature
@@ -19,6 +19,19 @@
       | its second half missing      | unreadable                                    |
       | a version in words           | unreadable                                    |
       | no routes field              | unreadable                                    |
+      | bounds on replicas           | valid                                         |
+      | least replicas above most    | invalid at "Services[0].Scaling.MaxReplicas"  |
+      | replicas below 0             | invalid at "Services[0].Scaling.MinReplicas"  |
+      | a start time below 0         | invalid at "Services[0].Scaling.BootS"        |
+      | a start time of 10^30 s      | invalid at "Services[0].Scaling.BootS"        |
+      | an infinite start time       | unreadable                                    |
+      | replicas in words            | unreadable                                    |
+
+  Scenario: Bounds on replicas become those of the configuration
+    When the document is read with bounds on replicas
+    Then its service has 13 to 30 upstreams in a zone and starts them in 8 s
+    When the document is read with no change
+    Then its encoded configuration does not mention scaling
 
   Scenario: Mutated documents and heartbeats are refused or understood
     When 10000 altered documents and 10000 altered heartbeats come
--- a/fulmarbarrow/platform/features/steps/documents.py
+++ b/fulmarbarrow/platform/features/steps/documents.py
@@ -60,8 +60,23 @@
 }
 
 
+SCALING = {"MinReplicas": 13, "MaxReplicas": 30, "BootS": 8.0}
+SCALING_CHANGES = {
+    "bounds on replicas": {},
+    "least replicas above most": {"MinReplicas": 31},
+    "replicas below 0": {"MinReplicas": -1},
+    "a start time below 0": {"BootS": -0.5},
+    "a start time of 10^30 s": {"BootS": 1e30},
+    "an infinite start time": {"BootS": float("inf")},
+    "replicas in words": {"MaxReplicas": "many"},
+}
+
+
 def change(document, name):
     first, second = document["Routes"]
+    if name in SCALING_CHANGES:
+        scaling = SCALING | SCALING_CHANGES[name]
+        document["Services"][0]["Scaling"] = scaling
     match name:
         case "a field that nobody knows":
             first["Colour"] = {"of": "the route"}
@@ -113,6 +128,25 @@
     assert any(item.startswith(text) for item in context.found), context.found
 
 
+@behave.then(
+    "its service has {least:d} to {most:d} upstreams in a zone and starts"
+    " them in {seconds:d} s"
+)
+def step_scaling(context, least, most, seconds):
+    (service,) = documents.bundle(context.document).service
+    assert service.scaling == bundles.Scaling(
+        least=least,
+        most=most,
+        start_time=datetime.timedelta(seconds=seconds),
+    )
+
+
+@behave.then("its encoded configuration does not mention scaling")
+def step_no_scaling(context):
+    encoded = bundles.encode(documents.bundle(context.document))
+    assert b"scaling" not in encoded
+
+
 @behave.then("it is unreadable")
 def step_unreadable(context):
     assert context.document is None
--- a/fulmarbarrow/publishing/features/collect.feature
+++ b/fulmarbarrow/publishing/features/collect.feature
@@ -54,6 +54,23 @@
       | register/fulmarbarrow.toml | 13   | version_move[0].new     | is the same as old     |
       | zones.toml                 | 0    |                         | is not UTF-8 at byte 1 |
 
+  Scenario: Bounds on the number of upstreams are checked
+    Given the file "register/fulmarbarrow.toml"
+      """
+      [[service]]
+      name = "register"
+      kind = "plain"
+      [service.scaling]
+      least = 5
+      most = 4
+      start_time = "2d"
+      """
+    When the folder is collected through two paths to it
+    Then the findings are
+      | file                       | line | key                           | text               |
+      | register/fulmarbarrow.toml | 6    | service[0].scaling.most       | must not be below  |
+      | register/fulmarbarrow.toml | 7    | service[0].scaling.start_time | from 0 to 24 hours |
+
   Scenario: Routes by host are merged, and their services must exist
     Given the file "register/fulmarbarrow.toml"
       """
--- a/tools/settings_reference.py
+++ b/tools/settings_reference.py
@@ -75,7 +75,10 @@
     for field in dataclasses.fields(kind):
         item = _item(hints[field.name])
         if dataclasses.is_dataclass(item) and item not in NAMES:
-            deeper.append((f"{path}.{field.name}", hints[field.name]))
+            hint = hints[field.name]
+            if isinstance(hint, types.UnionType):
+                hint = item
+            deeper.append((f"{path}.{field.name}", hint))
             continue
         rows.append(
             f"| `{field.name}` | {_type(hints[field.name])} "
