Let upstreams register before the first order of a zone

A host without a stored order took the registered upstreams for the number in force. Shortly after a start that is too low, so an order could have stopped upstreams that run. The work of a lost zone was also added to the others without an end, and a daemon that is both router and control host ignored its own reports.

The first order waits 6 s for registrations, lost work is expected for one window, and the own daemon is known. A stream that is cut in an event no longer counts as a measured time.

--- a/fulmarbarrow/scaling/control.py
+++ b/fulmarbarrow/scaling/control.py
@@ -77,6 +77,7 @@
         self._metrics = metrics
         self._store = orders.OrderStore()
         self._figures = figures.Figures(metrics=metrics)
+        self._figures.learn_daemon(daemon)  # it may be a router, too
         self._services: dict[str, bundles.Service] = {}
         self._out_zones: frozenset[str] = frozenset()
         self._upstreams: dict[str, membership_messages.Upstream] = {}
--- a/fulmarbarrow/scaling/decision.py
+++ b/fulmarbarrow/scaling/decision.py
@@ -24,6 +24,9 @@
 DOWN_START_TIMES = 3
 # An older sample says nothing of the work now.
 MAX_SAMPLE_AGE = datetime.timedelta(seconds=10)
+# Time in which upstreams that run register with hosts that have started. An
+# earlier first order might be below the number that the platform runs.
+REGISTRATION_TIME = datetime.timedelta(seconds=6)
 # Rates of increase are measured over parts of this length. A jump within a
 # part shows as two increases, so that four parts are needed to tell a rise.
 TREND_PARTS = 4
@@ -202,7 +205,9 @@
     base = zone.upstreams.running + zone.upstreams.starting
     if zone.last is not None:
         base = zone.last.wanted
-    if base > scaling.most:
+    elif not _upstreams_registered(service, now):
+        return _unchanged(zone, "upstreams may not have registered", load)
+    if base > scaling.most and (zone.last is not None or not service.rollout):
         return _verdict(zone, scaling.most, "above most", load)
     up = max(needed(load.expected, service.slots), scaling.least)
     reason = "work rises"
@@ -225,6 +230,14 @@
     return _verdict(zone, down, "work was lower", load)
 
 
+def _upstreams_registered(service: Service, now: datetime.datetime) -> bool:
+    """Whether there are figures from before upstreams had to register."""
+    return any(
+        zone.samples and zone.samples[0].at <= now - REGISTRATION_TIME
+        for zone in service.zones
+    )
+
+
 def _hindrance(
     service: Service, zone: Zone, load: _Load, now: datetime.datetime
 ) -> str:
@@ -342,10 +355,13 @@
     """Return the work of a lost zone that has not appeared in another one.
 
     Its callers turn to the routers of other zones, where their requests are
-    counted, so the increase there since the loss is subtracted.
+    counted, so the increase there since the loss is subtracted. After the
+    window of a decrease nothing more is expected.
     """
-    before = _load(service, lost, now).peak
     lost_at = lost.samples[-1].at
+    if lost_at < now - down_window(service.scaling):
+        return 0.0
+    before = _load(service, lost, now).peak
     appeared = 0.0
     for zone in service.zones:
         if zone.status is not ZoneStatus.IN or not _plausible(zone.samples):
--- a/fulmarbarrow/scaling/features/decision.feature
+++ b/fulmarbarrow/scaling/features/decision.feature
@@ -21,6 +21,14 @@
     And the zones "b" and "c" have 9 or more upstreams ordered by second 62
     And zone "a" gets no order after second 60
 
+  Scenario: The work of a lost zone is expected for a limited time
+    Given steady work for which 4 upstreams are ordered
+    And a second zone with the same work that was lost 2 s ago
+    When its figures have nothing wrong
+    Then the number is raised to 5 or more
+    When 60 s pass with the same work
+    Then the number is lowered to 1
+
   Scenario: Crashes do not look like lower demand
     When the load "crashes" is replayed
     Then no number below 9 is ordered for zone "a"
@@ -43,6 +51,7 @@
       | an old last sample     |
       | no known slots         |
       | a rollout in progress  |
+      | no order and no time to register |
       | a raise just before    |
 
   Scenario: Low work without a fault lowers the number
--- a/fulmarbarrow/scaling/features/orders.feature
+++ b/fulmarbarrow/scaling/features/orders.feature
@@ -26,7 +26,7 @@
   Scenario: An earlier call may overtake a newer one until its time is over
     Given the platform's next outcome is "unknown"
     When the host gains the duty with number 7
-    And 4 s pass
+    And 8 s pass
     And the router reports work for 9 upstreams
     And 6 s pass
     Then the calls are "6@7 8@7 9@7"
--- a/fulmarbarrow/scaling/features/steps/decision.py
+++ b/fulmarbarrow/scaling/features/steps/decision.py
@@ -97,6 +97,42 @@
 }
 
 
+@behave.given("a second zone with the same work that was lost {age:d} s ago")
+def step_lost_zone(context, age):
+    samples = tuple(
+        dataclasses.replace(sample, rate=80.0)
+        for sample in context.zone.samples
+        if sample.at <= NOW - age * SECOND
+    )
+    lost = dataclasses.replace(
+        context.zone,
+        name="b",
+        samples=samples,
+        status=decision.ZoneStatus.UNREACHABLE,
+    )
+    context.service = dataclasses.replace(
+        context.service, zones=(context.zone, lost)
+    )
+
+
+@behave.when("{seconds:d} s pass with the same work")
+def step_later(context, seconds):
+    moved = tuple(
+        dataclasses.replace(item, at=item.at + seconds * SECOND)
+        for item in context.zone.samples
+    )
+    zone = dataclasses.replace(context.zone, samples=moved)
+    service = dataclasses.replace(
+        context.service, zones=(zone, *context.service.zones[1:])
+    )
+    (context.verdict, _) = decision.decide(service, NOW + seconds * SECOND)
+
+
+@behave.then("the number is raised to {count:d} or more")
+def step_raised(context, count):
+    assert context.verdict.wanted >= count, context.verdict
+
+
 @behave.when("its figures have {fault}")
 def step_fault(context, fault):
     zone, service = context.zone, context.service
@@ -112,14 +148,17 @@
         samples = samples[:-6]
     elif fault == "no known slots":
         service = dataclasses.replace(service, slots=0)
+    elif fault == "no order and no time to register":
+        samples = samples[-3:]
+        zone = dataclasses.replace(zone, last=None)
     elif fault == "a rollout in progress":
         service = dataclasses.replace(service, rollout=True)
     elif fault == "a raise just before":
         last = dataclasses.replace(zone.last, raised_at=NOW - 7 * SECOND)
         zone = dataclasses.replace(zone, last=last)
     zone = dataclasses.replace(zone, samples=samples)
-    service = dataclasses.replace(service, zones=(zone,))
-    (context.verdict,) = decision.decide(service, NOW)
+    service = dataclasses.replace(service, zones=(zone, *service.zones[1:]))
+    context.verdict = decision.decide(service, NOW)[0]
 
 
 @behave.then("the number stays unchanged")
--- a/fulmarbarrow/scaling/reporter.py
+++ b/fulmarbarrow/scaling/reporter.py
@@ -224,8 +224,10 @@
         self, event: delivery_messages.AttemptEnded, now: datetime.datetime
     ) -> None:
         attempt = self._end_attempt(event.attempt_id)
-        if attempt is None or attempt.sent_at is None or not attempt.ran:
+        if attempt is None or attempt.sent_at is None:
             return
+        if not attempt.ran or event.unfinished_bytes:
+            return  # its time is not that of a whole request
         counts = self._count(attempt.service)
         counts.served += 1
         counts.busy += now - attempt.sent_at
