Pace the orders of upstreams and send raises first

A change of load in many zones made all orders at once, more than the platform accepts in a second, so that an order for more upstreams could be refused behind one for fewer.

The holder makes at most 0.8 of duties.calls_per_second calls, raises first. An order that waits is replaced by a newer one of its subject.

--- a/fulmarbarrow/scaling/control.py
+++ b/fulmarbarrow/scaling/control.py
@@ -29,6 +29,9 @@
 DUTY = duties_messages.Duty.SCALING
 MAX_SERVICES = 64
 MAX_SUBJECTS = 512
+# Part of the calls that the platform accepts; the rest is for other duties.
+CALLS_SHARE = 0.8
+MIN_CALL_RATE = 0.01
 # Consecutive calls that were not sent, after which another host is to try.
 UNSENT_CALLS = 3
 
@@ -74,6 +77,8 @@
         self._late_execution = duties.late_execution
         self._fenced = duties.fenced
         self._interval = timing.interval
+        rate = max(CALLS_SHARE * duties.calls_per_second, MIN_CALL_RATE)
+        self._call_gap = datetime.timedelta(seconds=1 / rate)
         self._metrics = metrics
         self._store = orders.OrderStore()
         self._figures = figures.Figures(metrics=metrics)
@@ -89,6 +94,7 @@
         self._refused: dict[str, int] = {}
         self._verdicts: dict[str, decision.Verdict] = {}
         self._next_decision_at: datetime.datetime | None = None
+        self._next_call_at: datetime.datetime | None = None
         self._paused_until: datetime.datetime | None = None
         self._unsent = 0
         self._count = 0
@@ -299,7 +305,7 @@
                 now,
             )
             effects.extend(self._decide(now))
-        for held in list(self._held.values()):
+        for held in sorted(self._held.values(), key=self._lowers):
             if held.called_at and now >= held.called_at + calls.CALL_TIMEOUT:
                 held.end_call(
                     duties_messages.CallOutcome.UNKNOWN,
@@ -412,6 +418,11 @@
             return []
         return self._commit(held, order.wanted, order.raised_at, now)
 
+    def _lowers(self, held: calls.Held) -> bool:
+        """Whether the last order is no raise; raises are sent first."""
+        order = self._store.get(held.subject)
+        return order is None or order.raised_at != order.at
+
     def _commit(
         self,
         held: calls.Held,
@@ -455,6 +466,9 @@
             return []
         if self._paused_until is not None and now < self._paused_until:
             return []
+        if self._next_call_at is not None and now < self._next_call_at:
+            return []
+        self._next_call_at = now + self._call_gap
         self._count += 1
         call_id = f"scale-{self._daemon.incarnation}-{self._count}"
         held.start_call(call_id, order, now)
--- a/fulmarbarrow/scaling/features/orders.feature
+++ b/fulmarbarrow/scaling/features/orders.feature
@@ -54,6 +54,13 @@
     And 10 s pass
     Then the calls are "6@7 6@7"
 
+  Scenario: Orders for many zones keep to the calls that the platform accepts
+    Given upstreams of service "s" in 12 more zones without routers
+    And the router reports work for 9 upstreams
+    When the host gains the duty with number 7
+    And 20 s pass
+    Then each of 12 zones has an order, and no second has more than 4 calls
+
   Scenario: The next holder sends an order that was not settled
     Given the log has an order for 5 upstreams with number 6
     And the router reports work for 5 upstreams
--- a/fulmarbarrow/scaling/features/steps/orders.py
+++ b/fulmarbarrow/scaling/features/steps/orders.py
@@ -78,6 +78,7 @@
         self.outcomes = []
         self.always = "accepted"
         self.calls = []
+        self.called = []
         self.posted = []
         self.held = None
         self.arrived = 0
@@ -91,8 +92,10 @@
                     self.commit(effect.command)
                 case messages.OrderUpstreams():
                     assert self.now < effect.valid_until
-                    stored = self.core._store.get("s/a")
+                    name = messages.subject(effect.service, effect.zone)
+                    stored = self.core._store.get(name)
                     assert stored.wanted == effect.wanted
+                    self.called.append((self.now, name))
                     self.calls.append(f"{effect.wanted}@{effect.number}")
                     outcome = self.always
                     if self.outcomes:
@@ -104,6 +107,25 @@
                         )
                     )
 
+    def register(self, name, zone):
+        self.post(
+            membership_messages.UpstreamChanged(
+                upstream=membership_messages.Upstream(
+                    upstream_id=name,
+                    incarnation=1,
+                    sequence=1,
+                    zone=zone,
+                    url="http://127.0.0.1:1",
+                    offers=(membership_messages.Offer(service="s"),),
+                    batch_tokens=0,
+                    tokens_per_second=0,
+                    state=membership_messages.UpstreamState.SERVING,
+                    started_at=START,
+                    slots=6,
+                )
+            )
+        )
+
     def commit(self, command):
         self.index += 1
         self.post(
@@ -118,14 +140,15 @@
 
     def hold(self, number, seconds=3):
         self.held = number
-        self.post(
-            duties_messages.DutyHeld(
-                duty=DUTY,
-                subject="s/a",
-                number=number,
-                until=self.now + seconds * SECOND,
+        for subject in self.core._wanted_subjects:
+            self.post(
+                duties_messages.DutyHeld(
+                    duty=DUTY,
+                    subject=subject,
+                    number=number,
+                    until=self.now + seconds * SECOND,
+                )
             )
-        )
 
     def report(self, **changes):
         self.sequence += 1
@@ -170,23 +193,15 @@
         publishing_messages.ConfigurationChanged(revision=1, bundle=BUNDLE)
     )
     for number in range(2):
-        host.post(
-            membership_messages.UpstreamChanged(
-                upstream=membership_messages.Upstream(
-                    upstream_id=f"u{number}",
-                    incarnation=1,
-                    sequence=1,
-                    zone="a",
-                    url="http://127.0.0.1:1",
-                    offers=(membership_messages.Offer(service="s"),),
-                    batch_tokens=0,
-                    tokens_per_second=0,
-                    state=membership_messages.UpstreamState.SERVING,
-                    started_at=START,
-                    slots=6,
-                )
-            )
-        )
+        host.register(f"u{number}", "a")
+
+
+@behave.given(
+    'upstreams of service "s" in {count:d} more zones without routers'
+)
+def step_more_zones(context, count):
+    for number in range(count):
+        context.host.register(f"more{number}", f"zone{number}")
 
 
 @behave.given('a router of zone "a" that reports work for {count:d} upstreams')
@@ -339,6 +354,18 @@
     assert context.host.order.wanted == wanted
 
 
+@behave.then(
+    "each of {zones:d} zones has an order, and no second has more than"
+    " {limit:d} calls"
+)
+def step_paced(context, zones, limit):
+    called = context.host.called
+    assert len({name for _, name in called}) == zones, called
+    for at, _ in called:
+        within = [time for time, _ in called if at <= time < at + SECOND]
+        assert len(within) <= limit, within
+
+
 @behave.then("number {number:d} is given up")
 def step_given_up(context, number):
     refused = duties_messages.DutyRefused(
