Keep a directory of the engines that hold parts of prompts

The source of a copy was guessed from rendezvous order and ages. A part was prefilled again although an engine held it when its home never had it, when a chat returned to its home, when engines, zones or owners changed, and when the first home of a prefix with several homes left.

With placement.fetches, the owner of a part's home engine records which engines have prefilled the part and names at most 3 in its replies. Routers copy from them, prefer them when the home is full, and report placements and failed copies. Changes are copied to the owners of the next engines in rendezvous order, and all entries are checked after a change of engines, owners or zones. Without an entry the guess stays.

--- a/fulmarbarrow/config/defaults.py
+++ b/fulmarbarrow/config/defaults.py
@@ -162,7 +162,8 @@
     expected wait at upstreams without the chat's cache. After ``queue_wait``
     in one queue a request searches again for the shortest queue. With
     ``fetches`` an engine to which a prompt is new fetches the KV cache of the
-    prompt from an engine that has probably processed it.
+    prompt from an engine that has processed it according to the owners'
+    directory, or else has probably processed it.
     """
 
     mean_factor: float = 1.25
--- a/fulmarbarrow/placement/cache_sources.py
+++ b/fulmarbarrow/placement/cache_sources.py
@@ -4,6 +4,9 @@
 of a restored zone, becomes the home of sessions that another engine has
 processed; a request is placed away from its home because the home is full; a
 prefix with much traffic gets another home.
+
+This is a guess from rendezvous order and ages. It is used for prompts of
+which the owners' directory has no entry, see ``part_directory``.
 """
 
 from __future__ import annotations
--- a/fulmarbarrow/placement/core.py
+++ b/fulmarbarrow/placement/core.py
@@ -20,6 +20,9 @@
 from fulmarbarrow.placement import messages
 from fulmarbarrow.placement import owner as owners
 from fulmarbarrow.placement import ownerless as ownerless_module
+from fulmarbarrow.placement import part_directory
+from fulmarbarrow.placement import part_holders
+from fulmarbarrow.placement import part_sources
 from fulmarbarrow.placement import pool_means
 from fulmarbarrow.placement import rate_limits
 from fulmarbarrow.placement import running_attempts
@@ -64,6 +67,9 @@
         messages.Release,
         messages.Renew,
         messages.ChatMoved,
+        messages.PartsPlaced,
+        messages.PartsCopied,
+        messages.CacheLost,
         messages.Preempt,
         messages.OwnerSummary,
         messages.PlacementTick,
@@ -107,9 +113,25 @@
             zone_of=self._directory.zone,
             router_count=lambda: len(self._routers) + 1,
         )
-        self._sources = cache_sources.CacheSources(
+        self._guesses = cache_sources.CacheSources(
             directory=self._directory, health=self._health
         )
+        engines = part_holders.EngineIndex()
+        self._sources = part_sources.PartSources(
+            directory=self._directory,
+            engines=engines,
+            health=self._health,
+            guesses=self._guesses,
+            metrics=metrics,
+            enabled=self._timing.fetches,
+        )
+        self._parts = part_directory.PartDirectory(
+            address=daemon.address,
+            directory=self._directory,
+            engines=engines,
+            metrics=metrics,
+            enabled=self._timing.fetches,
+        )
         self._entry_core = entries.EntryCore(
             address=daemon.address,
             zone=daemon.zone,
@@ -141,7 +163,11 @@
         effects: list[message.Message] = []
         queue = collections.deque((event,))
         while queue:
-            for effect in self._dispatch(queue.popleft(), now):
+            for effect in (
+                *self._dispatch(queue.popleft(), now),
+                *self._sources.take_reports(),
+            ):
+                effect = self._parts.complete(effect, now)
                 if (
                     type(effect) is message.Send
                     and effect.address == self._address
@@ -165,6 +191,7 @@
             "left_out": self._health.dump(),
             "rate_limits": self._limits.dump(),
             "pool_loads": self._means.dump(),
+            **self._parts.dump(),
         }
 
     def _dispatch(
@@ -174,6 +201,7 @@
             case messages.PlaceRequest():
                 return self._entry_core.place(event, now)
             case messages.Reserve():
+                self._parts.expect(event)
                 return self._owner_core.reserve(event, now)
             case messages.Reserved():
                 return self._entry_core.handle_grant(event, now)
@@ -182,7 +210,7 @@
             case messages.WorkEnded():
                 return self._work_ended(event, now)
             case messages.Release():
-                return self._owner_core.release(event, now)
+                return self._release(event, now)
             case messages.RateLimitNamed():
                 return self._limits.record(event, self._directory, now)
             case messages.UpstreamRateLimit():
@@ -197,6 +225,12 @@
                 return self._preempt(event)
             case messages.ChatMoved():
                 self._owner_core.record_chat_move(event)
+            case messages.PartsPlaced():
+                self._parts.record_placed(event, now)
+            case messages.PartsCopied():
+                self._parts.merge(event, now)
+            case messages.CacheLost():
+                self._parts.forget_engine(event.upstream_id, event.incarnation)
             case messages.OwnerSummary():
                 self._means.record_summary(event, now)
             case _:
@@ -226,11 +260,12 @@
             case membership_messages.DaemonChanged():
                 return self._daemon_changed(event.daemon, now)
             case membership_messages.DaemonGone():
-                self._routers.pop(event.daemon_id, None)
+                self._forget_router(event.daemon_id)
                 return self._update_routers(now)
             case zones_messages.ZoneWeights():
                 self._directory.set_zone_weights(event.weights)
-                self._sources.set_zone_weights(event.weights, now)
+                self._guesses.set_zone_weights(event.weights, now)
+                self._parts.recheck()
             case versions_messages.VersionShares():
                 self._directory.set_version_shares(
                     event.service, event.model, event.shares
@@ -245,6 +280,7 @@
         if new_run:
             self._ownerless.remove_upstream(upstream_id)
             self._limits.remove_upstream(upstream_id)
+        self._parts.recheck(upstream)
         refusals = self._update_owned(
             self._directory.upstreams[upstream_id], now
         )
@@ -269,6 +305,7 @@
         self._ownerless.remove_upstream(event.upstream_id)
         self._limits.remove_upstream(event.upstream_id)
         self._health.forget(event.upstream_id)
+        self._parts.recheck()
         return self._owner_core.drop(event.upstream_id, "not_serving")
 
     def _owner_changed(
@@ -290,6 +327,7 @@
         replaces = self._replaces_other(event)
         if not self._directory.set_owner(event.upstream_id, owner):
             return []
+        self._parts.recheck()
         upstream = self._directory.upstreams.get(event.upstream_id)
         if event.owner != self._daemon.daemon_id:
             effects = self._owner_core.drop(event.upstream_id, "not_owner")
@@ -341,13 +379,21 @@
         dead = daemon.state is membership_messages.DaemonState.DEAD
         if daemon.daemon_id == self._daemon.daemon_id:
             return []
+        known = self._routers.get(daemon.daemon_id)
+        if known is not None and known.incarnation != daemon.incarnation:
+            self._parts.forget_receiver(known.address)
         if dead or daemon.region != self._daemon.region:
-            self._routers.pop(daemon.daemon_id, None)
+            self._forget_router(daemon.daemon_id)
         elif _ROUTER_ROLE in daemon.roles:
             self._routers[daemon.daemon_id] = daemon
             self._had_peers = True
         return self._update_routers(now)
 
+    def _forget_router(self, daemon_id: str) -> None:
+        known = self._routers.pop(daemon_id, None)
+        if known is not None:
+            self._parts.forget_receiver(known.address)
+
     def _update_routers(self, now: datetime.datetime) -> list[message.Message]:
         self._ownerless.set_routers(frozenset(self._routers))
         return self._assume_ownership(now)
@@ -395,11 +441,21 @@
         if not self._running.end(event):
             return []
         self._health.record_outcome(event, now)
+        self._sources.end(event)
         owner = self._directory.owners.get(event.upstream_id)
         if owner is None or owner.address != self._address:
             return []
         return self._running.take_releases(self._directory)
 
+    def _release(
+        self, event: messages.Release, now: datetime.datetime
+    ) -> list[message.Message]:
+        effects = self._owner_core.release(event, now)
+        for upstream in self._owner_core.take_turned_cold():
+            receivers = [item.address for item in self._routers.values()]
+            effects.extend(self._parts.lose_cache(upstream, receivers))
+        return effects
+
     def _preempt(self, event: messages.Preempt) -> list[message.Message]:
         return [
             messages.PreemptWork(attempt_id=attempt_id)
@@ -412,6 +468,7 @@
             *self._entry_core.tick(now),
             *self._owner_core.tick(now),
             *self._running.take_releases(self._directory),
+            *self._parts.tick(now),
         ]
         if self._summary_due is None or self._summary_due <= now:
             self._summary_due = now + self._timing.summary_interval
--- a/fulmarbarrow/placement/directory.py
+++ b/fulmarbarrow/placement/directory.py
@@ -240,6 +240,14 @@
             if (offer.service, offer.model) == (request.service, request.model)
         )
 
+    def home_version(self, service: str, model: str, version: str) -> str:
+        """Return the version whose ring selects homes, "" for all versions.
+
+        Without traffic shares the versions of a model share one ring.
+        """
+        shares = self._version_shares.get((service, model))
+        return version if shares else ""
+
     def served_version(
         self, upstream_id: str, request: messages.PlaceRequest
     ) -> str:
--- a/fulmarbarrow/placement/entry.py
+++ b/fulmarbarrow/placement/entry.py
@@ -14,11 +14,11 @@
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics as metrics_module
-from fulmarbarrow.placement import cache_sources
 from fulmarbarrow.placement import directory as directories
 from fulmarbarrow.placement import health as healths
 from fulmarbarrow.placement import messages
 from fulmarbarrow.placement import ownerless as ownerless_module
+from fulmarbarrow.placement import part_sources
 from fulmarbarrow.placement import prefixes
 from fulmarbarrow.placement import recent_chats
 from fulmarbarrow.placement import running_attempts
@@ -62,6 +62,7 @@
     candidates: list[str]
     give_up_at: datetime.datetime
     chat: int = 0
+    prompt: messages.PromptParts | None = None
     moved_to: str = ""
     stage: SearchStage = SearchStage.TRYING
     position: int = 0
@@ -90,7 +91,7 @@
         running: running_attempts.RunningAttempts,
         ownerless: ownerless_module.OwnerlessLimits,
         health: healths.Health,
-        sources: cache_sources.CacheSources,
+        sources: part_sources.PartSources,
         metrics: metrics_module.Metrics,
         rng: random.Random,
         timing: defaults.PlacementSection,
@@ -107,7 +108,6 @@
         self._cache_worth_ms = timing.cache_worth // MILLISECOND
         self._prefixes = prefixes.Prefixes()
         self._sources = sources
-        self._fetch_enabled = timing.fetches
         self._queue_wait = timing.queue_wait
         self._pending: dict[str, PendingRequest] = {}
         self._owner_silent_until: dict[str, datetime.datetime] = {}
@@ -129,6 +129,7 @@
             candidates=candidates,
             give_up_at=waiting.give_up_at(request, now),
             chat=recent_chats.chat_hash(request.chat) if request.model else 0,
+            prompt=self._sources.prompt(request, candidates),
         )
         self._pending[request.attempt_id] = pending
         return self._try_candidates(pending, now)
@@ -157,6 +158,7 @@
         if pending is None or pending.asked_upstream != event.upstream_id:
             self._release_unneeded_grant(event)
             return []
+        self._sources.learn(event, now)
         upstream = self._directory.upstreams.get(event.upstream_id)
         if (
             upstream is None
@@ -176,6 +178,7 @@
         if pending is None or pending.asked_upstream != event.upstream_id:
             return []
         pending.refusal_codes.add(event.code)
+        self._sources.learn(event, now)
         if event.code == "not_owner":
             return self._place_without_owner(pending, event.upstream_id, now)
         if event.code in ("queue_full", "deadline_exceeded"):
@@ -190,6 +193,10 @@
             self._try_cached_upstream(pending, event, now)
         elif event.code in ("bound_reached", "overloaded"):
             pending.expected_waits_ms[event.upstream_id] = event.wait_ms
+            if event.holders and pending.stage is SearchStage.TRYING:
+                pending.candidates = self._sources.prefer_holders(
+                    pending.request, pending.candidates, pending.position, now
+                )
         return self._try_next_candidate(pending, now)
 
     def tick(self, now: datetime.datetime) -> list[message.Message]:
@@ -326,7 +333,11 @@
         self, pending: PendingRequest, now: datetime.datetime
     ) -> list[message.Message]:
         """Queue at the owner with the shortest expected wait, or pause."""
-        cached = (pending.candidates[0], pending.moved_to)
+        cached = (
+            pending.candidates[0],
+            pending.moved_to,
+            *self._sources.holders(pending.request),
+        )
         options = [
             (
                 wait + (0 if upstream_id in cached else self._cache_worth_ms),
@@ -469,6 +480,12 @@
                 chat=pending.chat,
                 stage=stage,
                 rank=request.rank,
+                prompt=(
+                    pending.prompt
+                    if pending.ask_count == 1
+                    or upstream.upstream_id == pending.candidates[0]
+                    else None
+                ),
             ),
         )
 
@@ -509,11 +526,7 @@
                 upstream.upstream_id, request
             ),
             priority=priority,
-            fetch_from=(
-                self._sources.find(request, upstream, now)
-                if self._fetch_enabled
-                else ""
-            ),
+            fetch_from=self._sources.select(request, upstream, now),
             reserved=reserved,
         )
 
--- a/fulmarbarrow/placement/messages.py
+++ b/fulmarbarrow/placement/messages.py
@@ -176,6 +176,16 @@
     LAST = 2
 
 
+class PromptParts(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """The long parts of a prompt in their order, as hashes.
+
+    ``key`` is the affinity key, which selects the home of the request.
+    """
+
+    key: str
+    parts: tuple[int, ...]
+
+
 class Reserve(message.Message, frozen=True, kw_only=True):
     """Requests a reservation for an attempt from the upstream's owner.
 
@@ -183,7 +193,8 @@
     the owner may queue the attempt and ``deadline_ms`` the time left for the
     whole answer, both relative to now. Attempts of a lower ``rank`` leave
     the queue first. ``chat`` is a hash of the chat, 0 if the request does
-    not benefit from a cache.
+    not benefit from a cache. ``prompt`` is sent to the owner that keeps the
+    directory entries of the prompt's parts, if copies are enabled.
     """
 
     reply_to: str
@@ -202,16 +213,21 @@
     chat: int = 0
     stage: ReserveStage = ReserveStage.NEXT
     rank: int = 0
+    prompt: PromptParts | None = None
 
 
 class Reserved(message.Message, frozen=True, kw_only=True):
-    """Grants a reservation, which expires ``lease`` after its last renewal."""
+    """Grants a reservation, which expires ``lease`` after its last renewal.
+
+    ``holders`` are hashes of at most 3 engines that hold the prompt's parts.
+    """
 
     attempt_id: str
     upstream_id: str
     incarnation: int
     priority: int
     lease: datetime.timedelta
+    holders: tuple[int, ...] = ()
 
 
 class ReserveRefused(message.Message, frozen=True, kw_only=True):
@@ -219,6 +235,7 @@
 
     ``wait_ms`` is the queueing delay that the owner expects for the attempt.
     ``moved_to`` is the upstream that holds the cache of the chat.
+    ``holders`` are as in ``Reserved``.
     """
 
     attempt_id: str
@@ -227,6 +244,7 @@
     retry_after: datetime.timedelta | None = None
     wait_ms: int = 0
     moved_to: str = ""
+    holders: tuple[int, ...] = ()
 
 
 class UpstreamRateLimit(message.Message, frozen=True, kw_only=True):
@@ -248,6 +266,54 @@
     moved_to: str
 
 
+class PartsPlaced(message.Message, frozen=True, kw_only=True):
+    """Tells a directory owner which engine prefills parts of a prompt.
+
+    ``upstream_id`` is the engine whose owner gets the message, ``holder`` the
+    hash of the engine that holds the parts, or does not if ``holds`` is False.
+    """
+
+    upstream_id: str
+    service: str
+    prompt: PromptParts
+    holder: int
+    incarnation: int
+    holds: bool = True
+
+
+class PartHolder(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Whether an engine held a part ``age_ms`` ago."""
+
+    holder: int
+    incarnation: int
+    age_ms: int
+    holds: bool = True
+
+
+class PartEntry(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """The directory entry of a part and the affinity keys used with it."""
+
+    part: int
+    keys: tuple[str, ...]
+    holders: tuple[PartHolder, ...]
+
+
+class PartsCopied(message.Message, frozen=True, kw_only=True):
+    """Copies directory entries of one pool to another owner."""
+
+    service: str
+    model: str
+    version: str
+    entries: tuple[PartEntry, ...]
+
+
+class CacheLost(message.Message, frozen=True, kw_only=True):
+    """An engine's owner found that the engine has lost its cache."""
+
+    upstream_id: str
+    incarnation: int
+
+
 class Release(message.Message, frozen=True, kw_only=True):
     """Releases the reservations of ended attempts at their owner.
 
@@ -337,4 +403,7 @@
     Preempt,
     OwnerSummary,
     UpstreamRateLimit,
+    PartsPlaced,
+    PartsCopied,
+    CacheLost,
 )
--- a/fulmarbarrow/placement/owner.py
+++ b/fulmarbarrow/placement/owner.py
@@ -44,6 +44,7 @@
             directory=directory, means=means, policy=policy, bounds=bounds
         )
         self._owned: dict[str, capacity.OwnedUpstream] = {}
+        self._turned_cold: list[membership_messages.Upstream] = []
 
     @property
     def queued(self) -> bool:
@@ -180,6 +181,11 @@
             effects.extend(self._serve_queue(owned, now))
         return effects
 
+    def take_turned_cold(self) -> list[membership_messages.Upstream]:
+        """Return the upstreams that turned cold since the last call."""
+        turned_cold, self._turned_cold = self._turned_cold, []
+        return turned_cold
+
     def record_chat_move(self, event: messages.ChatMoved) -> None:
         """Record where a chat whose home is an owned upstream was placed."""
         owned = self._owned.get(event.upstream_id)
@@ -353,6 +359,7 @@
         if self._capacity.ramp_share(ledger, now) >= 1.0:
             ledger.cold_since = now
             ledger.recent_chats.clear()
+            self._turned_cold.append(ledger.upstream)
             self._metrics.count("upstreams_cold")
 
     def _may_bypass_queue(
