--- a/fulmarbarrow/placement/part_sources.py
+++ b/fulmarbarrow/placement/part_sources.py
@@ -205,6 +205,7 @@
             if event.reused_tokens and len(self._reporting) < MAX_MODELS:
                 self._reporting.add(attempt.model)
             elif event.reused_tokens == 0 and attempt.model in self._reporting:
+                self._metrics.count("part_copies_failed")
                 self._report(attempt, attempt.source, holds=False)
         prefilled = completed or event.first_token is not None
         if not prefilled and attempt.target not in attempt.holders:
