Grant duties at the platform with leases and fencing numbers

Cause: some calls to the platform must be made by one control host at a time, and nothing decides which host that is or makes the calls.

Change: the state machine duties grants each duty with a number that never returns; the leader confirms leases, the holder gives them up in time. A client on control hosts makes the calls within the lease and the fleet's limit. There is a stand-in of the platform's API, and checks of the section [duties].

--- a/fulmarbarrow/config/checks.py
+++ b/fulmarbarrow/config/checks.py
@@ -7,12 +7,16 @@
 import datetime
 import ipaddress
 import logging
+import math
+import re
 
 from fulmarbarrow.config import defaults
 from fulmarbarrow.config import findings
 
 MIN_KEY_CHARACTERS = 16
 MIN_ANSWER_BUFFER_BYTES = 192 << 10
+MIN_LEASE = datetime.timedelta(seconds=1)  # for four renewals on ticks
+MAX_NAME_CHARACTERS = 128
 LISTENERS = (
     "callers",
     "upstreams",
@@ -23,6 +27,10 @@
     "operators",
 )
 
+# Visible characters of a header field, without spaces at its ends.
+_NAME = re.compile(
+    rf"(?:[!-~](?:[ -~]{{0,{MAX_NAME_CHARACTERS - 2}}}[!-~])?)?"
+)
 _Findings = collections.abc.Iterator[findings.Finding]
 
 
@@ -32,6 +40,7 @@
     yield from _check_keys(settings, source)
     yield from _check_addresses(settings, source)
     yield from _check_ranges(settings, source)
+    yield from _check_duties(settings, source)
     if settings.log.level not in logging.getLevelNamesMapping():
         text = f"{settings.log.level!r} is not a log level"
         yield source.finding("log.level", text)
@@ -188,6 +197,29 @@
         yield source.finding("daemon.data_dir", text)
 
 
+def _check_duties(
+    settings: defaults.Settings, source: findings.Source
+) -> _Findings:
+    duties = settings.duties
+    zero = datetime.timedelta()
+    for name in ("lease", "call_timeout"):
+        if getattr(duties, name) <= zero:
+            yield source.finding(f"duties.{name}", "must be above 0")
+    if duties.late_execution < zero:
+        yield source.finding("duties.late_execution", "must not be negative")
+    if not 0 < duties.calls_per_second < math.inf:
+        text = "must be a number above 0"
+        yield source.finding("duties.calls_per_second", text)
+    if not _NAME.fullmatch(duties.name):
+        text = f"must be at most {MAX_NAME_CHARACTERS} characters of a header"
+        yield source.finding("duties.name", text)
+    if duties.address is not None and not duties.address.port:
+        yield source.finding("duties.address", "must have a port above 0")
+    if zero < duties.lease < MIN_LEASE:
+        text = "is below 1 s: a renewal comes at most every 250 ms"
+        yield _warning(source, "duties.lease", text)
+
+
 def _has_duplicates(items: collections.abc.Iterable[object]) -> bool:
     return any(count > 1 for count in collections.Counter(items).values())
 
--- a/fulmarbarrow/config/features/settings.feature
+++ b/fulmarbarrow/config/features/settings.feature
@@ -132,3 +132,35 @@
       | 2s    | 2       |
       | 1.5h  | 5400    |
       | 3w    | 1814400 |
+
+  Scenario: Duties with impossible values are reported
+    Given the settings file
+      """
+      [daemon]
+      id = "entry-1"
+      zone = "attica-a"
+      region = "attica"
+      roles = ["control"]
+      fleet_key = "0123456789abcdef"
+      data_dir = "data"
+      [listen]
+      admin = "127.0.0.1:7003"
+      peers = "127.0.0.1:7004"
+      [duties]
+      address = "127.0.0.1:0"
+      name = "edge 1\r\nX-Other: 1"
+      calls_per_second = nan
+      lease = "0s"
+      call_timeout = "0s"
+      [peers]
+      seeds = ["127.0.0.1:7005"]
+      """
+    When the settings are loaded
+    Then the settings are rejected
+    And the findings are
+      | line | key                     | text                   |
+      | 12   | duties.address          | a port above 0         |
+      | 13   | duties.name             | characters of a header |
+      | 14   | duties.calls_per_second | a number above 0       |
+      | 15   | duties.lease            | must be above 0        |
+      | 16   | duties.call_timeout     | must be above 0        |
--- a/fulmarbarrow/daemon/control_cores.py
+++ b/fulmarbarrow/daemon/control_cores.py
@@ -7,6 +7,7 @@
 from fulmarbarrow.consensus import messages as consensus_messages
 from fulmarbarrow.consensus import records as consensus_records
 from fulmarbarrow.daemon import joint
+from fulmarbarrow.duties import messages as duties_messages
 from fulmarbarrow.publishing import control
 from fulmarbarrow.publishing import messages as publishing_messages
 from fulmarbarrow.versions import control as versions_control
@@ -22,6 +23,8 @@
         made.add("memory_logs", logs)
     group = consensus_messages.Group.CONFIGURATION
     machines = (publishing_messages.MACHINE, versions_messages.MACHINE)
+    if made.settings.duties.address is not None:
+        machines = (*machines, duties_messages.MACHINE)
     _add_log(made, "consensus", group, logs, machines)
     made.add("control", control.PublishingControl(daemon=record, now=made.now))
     made.add(
@@ -32,10 +35,26 @@
         "kv_moves",
         zones_control.KvMovesControl(daemon=record, metrics=metrics),
     )
+    if made.settings.duties.address is not None:
+        _add_duties(made, group)
     if made.settings.control.journal:
         _add_journal(made, logs)
 
 
+def _add_duties(made: joint.Joint, group: consensus_messages.Group) -> None:
+    """Add the leases of duties at the platform."""
+    from fulmarbarrow.duties import core as duties_core
+
+    core = duties_core.DutiesCore(
+        daemon=made.record,
+        group=group,
+        lease=made.settings.duties.lease,
+        metrics=made.metrics,
+        now=made.now,
+    )
+    made.add("duties", core)
+
+
 def _add_journal(made: joint.Joint, logs: consensus_memory.LogStore) -> None:
     from fulmarbarrow.journal import control as journal_control
 
--- /dev/null
+++ b/fulmarbarrow/duties/features/duties.feature
@@ -0,0 +1,55 @@
+Feature: Each duty is held by one control host at a time
+
+  Scenario: No two hosts hold a subject in random schedules of faults
+    When 500 random schedules of faults have run
+    Then no two hosts ever held a subject at the same time
+    And each schedule granted a duty at least once on average
+
+  Scenario: Duties are spread over hosts other than the leader
+    Given 3 control hosts that hold the duties
+    Then two hosts hold the duties, and neither is the leader
+
+  Scenario: A host that is frozen past its lease has lost its duty at once
+    Given 3 control hosts that hold the duties
+    When the holder of "usage" is frozen for 7 seconds
+    Then the first effect of its next event is the loss of "usage"
+    And another host holds "usage" within 5 seconds
+
+  Scenario: A host that does not reach the platform hands its duty over
+    Given 3 control hosts that hold the duties
+    When the holder of "usage" does not reach the platform
+    Then another host of another zone holds "usage" within 0.3 seconds
+    And the former holder does not hold "usage" for 3 seconds
+
+  Scenario: A host that stops hands its duties over
+    Given 3 control hosts that hold the duties
+    When the holder of "usage" stops
+    Then another host of another zone holds "usage" within 0.3 seconds
+    And the former holder does not hold "usage" for 10 seconds
+
+  Scenario: A holder outlives the leader without a gap
+    Given 3 control hosts that hold the duties
+    When the leader is killed for 6 seconds
+    And 6 seconds pass
+    Then "usage" was held all the time
+
+  Scenario: A subject whose number was refused gets a higher number
+    Given 3 control hosts that hold the duties
+    When the number of one subject of "scaling" is refused
+    Then the other subject of "scaling" is still held
+    And the subject is not held for 2.9 seconds
+    And the same host holds the subject with a higher number 2 seconds later
+
+  Scenario: Routers hear of a holder when they start and repeatedly
+    Given 3 control hosts that hold the duties
+    When a router starts
+    Then the router is told the holder of "usage" at once
+    And the router is told the holder of "usage" every 5 seconds
+
+  Scenario: A fleet that lost its log does not start with low numbers
+    Given grants on a log that is lost, and grants on a new log 10 seconds later
+    Then the numbers of the new log are higher and have at most 53 bits
+
+  Scenario: Commands and messages that make no sense change nothing
+    When the log has unreadable commands and an outdated grant
+    Then the grants are those before
--- /dev/null
+++ b/fulmarbarrow/duties/features/steps/duties.py
@@ -0,0 +1,300 @@
+"""Steps on the leases of duties, in a model of control hosts."""
+
+from __future__ import annotations
+
+import datetime
+import random
+
+import behave
+import msgspec
+
+from benchmarks import duties_world
+from fulmarbarrow.duties import messages
+from fulmarbarrow.duties import state
+from fulmarbarrow.membership import messages as membership_messages
+from fulmarbarrow import message
+
+SECOND = datetime.timedelta(seconds=1)
+
+
+@behave.when("{count:d} random schedules of faults have run")
+def run_schedules(context, count):
+    context.worlds = [duties_world.explore(seed) for seed in range(count)]
+
+
+@behave.then("no two hosts ever held a subject at the same time")
+def check_schedules(context):
+    failed = {
+        seed: world.violations[0]
+        for seed, world in enumerate(context.worlds)
+        if world.violations
+    }
+    assert not failed, failed
+
+
+@behave.then("each schedule granted a duty at least once on average")
+def check_activity(context):
+    grants = sum(world.grants for world in context.worlds)
+    assert grants >= len(context.worlds), grants
+
+
+@behave.given("{count:d} control hosts that hold the duties")
+def hold(context, count):
+    context.world = duties_world.World(rng=random.Random(1), hosts=count)
+    context.world.run(8)
+    for duty, subjects in duties_world.WANTED.items():
+        for subject in subjects:
+            assert context.world.holder((duty, subject)), (duty, subject)
+
+
+@behave.then("two hosts hold the duties, and neither is the leader")
+def check_spread(context):
+    holders = {item.host for item in context.world.holds.values()}
+    assert len(holders) == 2, holders
+    assert context.world.leader not in holders, holders
+
+
+@behave.when('the holder of "usage" is frozen for {seconds:g} seconds')
+def freeze(context, seconds):
+    _former(context)
+    context.world.freeze(context.former, seconds)
+    context.frozen_at = context.world.time
+    context.seconds = seconds
+
+
+@behave.then('the first effect of its next event is the loss of "usage"')
+def check_loss(context):
+    world, host = context.world, context.world.hosts[context.former]
+    world.time += context.seconds  # No event reaches it before.
+    effects = host.core.handle(message.Tick(), world.now(host))
+    world.time -= context.seconds
+    assert isinstance(effects[0], messages.DutyLost), effects
+    assert effects[0].reason == messages.Reason.LEASE_ENDED
+
+
+@behave.then('another host holds "usage" within {seconds:g} seconds')
+def check_next(context, seconds):
+    world = context.world
+    world.run(world.time + seconds)
+    holder = world.holder(_usage())
+    assert holder and holder != context.former, holder
+    assert not world.violations, world.violations
+
+
+@behave.then(
+    'another host of another zone holds "usage" within {seconds:g} seconds'
+)
+def check_next_zone(context, seconds):
+    check_next(context, seconds)
+    hosts = context.world.hosts
+    holder = context.world.holder(_usage())
+    assert hosts[holder].zone != hosts[context.former].zone
+
+
+@behave.when('the holder of "usage" does not reach the platform')
+def lose_platform(context):
+    _former(context)
+    context.world.post(
+        context.former,
+        messages.PlatformUnreachable(duty=messages.Duty.USAGE),
+    )
+
+
+@behave.when('the holder of "usage" stops')
+def stop(context):
+    _former(context)
+    context.world.post(context.former, membership_messages.LeaveStarted())
+
+
+@behave.then('the former holder does not hold "usage" for {seconds:g} seconds')
+def check_away(context, seconds):
+    world = context.world
+    until = world.time + seconds
+    while world.time < until:
+        world.run(world.time + 0.05)
+        assert world.holder(_usage()) != context.former, world.time
+
+
+@behave.when("the leader is killed for {seconds:g} seconds")
+def kill_leader(context, seconds):
+    world = context.world
+    name = world.leader
+    world.kill(name)
+    world.at(seconds, lambda: world.start(name))
+
+
+@behave.when("{seconds:g} seconds pass")
+def wait(context, seconds):
+    context.world.run(context.world.time + seconds)
+
+
+@behave.then('"usage" was held all the time')
+def check_held(context):
+    assert context.world.holder(_usage())
+    assert len(context.world.gaps[_usage()]) == 1, context.world.gaps
+
+
+@behave.when('the number of one subject of "scaling" is refused')
+def refuse(context):
+    duty = messages.Duty.SCALING
+    context.subject, context.other = (
+        (duty, subject) for subject in duties_world.WANTED[duty]
+    )
+    context.hold = context.world.holds[context.subject]
+    context.world.post(
+        context.hold.host,
+        messages.DutyRefused(
+            duty=duty,
+            subject=context.subject[1],
+            number=context.hold.number,
+        ),
+    )
+
+
+@behave.then('the other subject of "scaling" is still held')
+def check_other(context):
+    assert context.world.holder(context.other) == context.hold.host
+
+
+@behave.then("the subject is not held for {seconds:g} seconds")
+def check_not_held(context, seconds):
+    world = context.world
+    until = world.time + seconds
+    while world.time < until:
+        world.run(world.time + 0.05)
+        assert not world.holder(context.subject), world.time
+
+
+@behave.then(
+    "the same host holds the subject with a higher number "
+    "{seconds:g} seconds later"
+)
+def check_number(context, seconds):
+    world = context.world
+    world.run(world.time + seconds)
+    assert world.holder(context.subject) == context.hold.host
+    assert world.holds[context.subject].number > context.hold.number
+
+
+@behave.when("a router starts")
+def start_router(context):
+    _former(context)
+    router = membership_messages.Daemon(
+        daemon_id="r",
+        incarnation=1,
+        zone="z0",
+        region="r",
+        address="router",
+        roles=("router",),
+    )
+    host = context.world.hosts[context.former]
+    context.effects = host.core.handle(
+        membership_messages.DaemonChanged(daemon=router),
+        context.world.now(host),
+    )
+
+
+@behave.then('the router is told the holder of "usage" at once')
+def check_told(context):
+    told = _told(context.effects)
+    assert [item.holder for item in told] == [context.former], told
+
+
+@behave.then('the router is told the holder of "usage" every 5 seconds')
+def check_told_again(context):
+    world, host = context.world, context.world.hosts[context.former]
+    times = []
+    for _ in range(80):
+        # The renewals of the model go on, and messages to routers are kept.
+        sent = []
+        world._send = lambda _, effect, sent=sent: sent.append(effect)
+        world._tick_count = 0
+        effects = host.core.handle(message.Tick(), world.now(host))
+        for effect in effects:
+            if isinstance(effect, message.Send):
+                _answer(host, effect, world)
+        if _told(effects):
+            times.append(world.time)
+        world.time += duties_world.TICK
+    gaps = [b - a for a, b in zip(times, times[1:], strict=False)]
+    assert len(gaps) >= 3 and max(gaps) <= 5, gaps
+
+
+@behave.given(
+    "grants on a log that is lost, and grants on a new log "
+    "{seconds:d} seconds later"
+)
+def lose_log(context, seconds):
+    now = duties_world.START
+    context.old, context.new = state.Grants(), state.Grants()
+    for _ in range(100):
+        context.old.apply(_grant(now, context.old))
+    context.new.apply(_grant(now + seconds * SECOND, context.new))
+
+
+@behave.then("the numbers of the new log are higher and have at most 53 bits")
+def check_numbers(context):
+    assert context.old.highest < context.new.highest < 1 << 53
+
+
+@behave.when("the log has unreadable commands and an outdated grant")
+def apply_nonsense(context):
+    grants = context.grants = state.Grants()
+    grants.apply(_grant(duties_world.START, grants))
+    outdated = _grant(duties_world.START, grants)
+    grants.apply(_grant(duties_world.START, grants))
+    context.before = grants.snapshot()
+    for command in (b"", b"\xc1", b"\x93\x01\x02\x03", outdated):
+        assert grants.apply(command) is None
+    grants.restore(b"\xc1")
+
+
+@behave.then("the grants are those before")
+def check_unchanged(context):
+    assert context.grants.snapshot() == context.before
+
+
+def _grant(now, grants):
+    known = grants.get(messages.Duty.USAGE)
+    return msgspec.msgpack.encode(
+        state.Grant(
+            duty=messages.Duty.USAGE,
+            holder="a",
+            incarnation=1,
+            zone="z",
+            address="a",
+            subjects=("",),
+            base=known.number if known else 0,
+            floor=state.floor(now),
+        )
+    )
+
+
+def _usage():
+    return (messages.Duty.USAGE, "")
+
+
+def _former(context):
+    context.former = context.world.holder(_usage())
+
+
+def _told(effects):
+    return [
+        effect.message
+        for effect in effects
+        if isinstance(effect, message.Send)
+        and effect.address == "router"
+        and effect.message.duty is messages.Duty.USAGE
+    ]
+
+
+def _answer(host, effect, world):
+    """Confirm a report at once, as the leader does."""
+    report = effect.message
+    if isinstance(report, messages.RenewDuties):
+        renewed = messages.DutiesRenewed(
+            incarnation=report.incarnation,
+            sequence=report.sequence,
+            tenures=report.held,
+        )
+        host.core.handle(renewed, world.now(host))
--- a/fulmarbarrow/duties/messages.py
+++ b/fulmarbarrow/duties/messages.py
@@ -37,6 +37,17 @@
     UNKNOWN = "unknown"
 
 
+class Reason(enum.StrEnum):
+    """Why a host no longer holds a duty for a subject."""
+
+    LEASE_ENDED = "lease ended"
+    LEAVING = "host stops"
+    UNREACHABLE = "platform unreachable"
+    REFUSED = "number refused"
+    UNWANTED = "no longer wanted"
+    REPLACED = "granted to another host"
+
+
 class SubjectsWanted(message.Message, frozen=True, kw_only=True):
     """The subjects of a duty that some host should hold.
 
@@ -109,4 +120,37 @@
     number: int
 
 
-PEER_MESSAGES: tuple[type[message.Message], ...] = (HolderAnnounced,)
+class RenewDuties(message.Message, frozen=True, kw_only=True):
+    """A control host reports to the leader of the log.
+
+    It makes the host a candidate, asks for a renewal of the tenures that it
+    holds, and repeats what it gave up until the log has another state.
+    ``held`` are pairs of a duty and a tenure, ``released`` also have the
+    reason, and ``refused`` are the numbers of which the platform has refused
+    a subject. With ``leaving``, the host takes no duty any more.
+    """
+
+    holder: str
+    incarnation: int
+    zone: str
+    address: str
+    sequence: int
+    held: tuple[tuple[Duty, int], ...] = ()
+    released: tuple[tuple[Duty, int, Reason], ...] = ()
+    refused: tuple[tuple[Duty, int], ...] = ()
+    leaving: bool = False
+
+
+class DutiesRenewed(message.Message, frozen=True, kw_only=True):
+    """The leader confirms tenures as of the request ``sequence``."""
+
+    incarnation: int
+    sequence: int
+    tenures: tuple[tuple[Duty, int], ...]
+
+
+PEER_MESSAGES: tuple[type[message.Message], ...] = (
+    HolderAnnounced,
+    RenewDuties,
+    DutiesRenewed,
+)
--- a/fulmarbarrow/platform/interface.py
+++ b/fulmarbarrow/platform/interface.py
@@ -22,6 +22,9 @@
         self.callers = None
         if defaults.Role.ROUTER in parts.settings.daemon.roles:
             self._add_router()
+        is_control = defaults.Role.CONTROL in parts.settings.daemon.roles
+        if is_control and parts.settings.duties.address is not None:
+            self._add_cloud()
 
     def listen(self, made: listeners.Listeners) -> None:
         """Add the ports of the daemon's roles."""
@@ -62,6 +65,19 @@
             dialer=parts.dialer,
         )
 
+    def _add_cloud(self) -> None:
+        from fulmarbarrow.platform import cloud
+
+        parts = self._parts
+        self._cloud = cloud.CloudClient(
+            reactor=parts.reactor,
+            bus=parts.bus,
+            clock=parts.clock,
+            metrics=parts.metrics,
+            settings=parts.settings.duties,
+            daemon_id=parts.settings.daemon.id,
+        )
+
     def _control_site(self) -> sites.BoundedSite:
         from fulmarbarrow.platform import operators
         from fulmarbarrow.platform import registrations
--- a/fulmarbarrow/standins/__main__.py
+++ b/fulmarbarrow/standins/__main__.py
@@ -17,11 +17,15 @@
 
 
 def run(kind: str, **settings: typing.Any) -> None:
-    """Run a stand-in of ``kind`` "engine" or "plain".
+    """Run a stand-in of ``kind`` "engine", "plain" or "cloud".
 
-    The settings are the fields of ``StandinOptions``; ``offers`` and
+    "cloud" is the platform's API and has only ``host`` and ``port``. The
+    settings are the fields of ``StandinOptions``; ``offers`` and
     ``entries`` are lists separated by commas.
     """
+    if kind == "cloud":
+        _serve_cloud(**settings)
+        return
     known = {field.name for field in dataclasses.fields(_OPTIONS)}
     unknown = sorted(set(settings) - known)
     if unknown:
@@ -38,6 +42,17 @@
 _OPTIONS = options_module.StandinOptions
 
 
+def _serve_cloud(*, port: int, host: str = "127.0.0.1") -> None:
+    from twisted.internet import reactor
+    from twisted.web import server
+
+    from fulmarbarrow.standins import cloud
+
+    site = server.Site(cloud.Cloud(reactor=reactor))
+    reactor.listenTCP(port, site, interface=host)
+    reactor.run()
+
+
 def _serve(kind: str, options: options_module.StandinOptions) -> None:
     # These import the reactor, so they wait until it is installed.
     from twisted.internet import reactor
--- a/fulmarbarrow/tracing/registry.py
+++ b/fulmarbarrow/tracing/registry.py
@@ -9,23 +9,29 @@
 
 from fulmarbarrow.consensus import messages as consensus_messages
 from fulmarbarrow.delivery import messages as delivery_messages
+from fulmarbarrow.duties import messages as duties_messages
 from fulmarbarrow.journal import messages as journal_messages
 from fulmarbarrow.limits import messages as limits_messages
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message as messages
 from fulmarbarrow.placement import messages as placement_messages
 from fulmarbarrow.publishing import messages as publishing_messages
+from fulmarbarrow.scaling import messages as scaling_messages
+from fulmarbarrow.usage import messages as usage_messages
 from fulmarbarrow.versions import messages as versions_messages
 from fulmarbarrow.zones import messages as zones_messages
 
 SLICES = (
     consensus_messages,
     delivery_messages,
+    duties_messages,
     journal_messages,
     limits_messages,
     membership_messages,
     placement_messages,
     publishing_messages,
+    scaling_messages,
+    usage_messages,
     versions_messages,
     zones_messages,
 )
