--- a/benchmarks/duties_world.py
+++ b/benchmarks/duties_world.py
@@ -77,6 +77,7 @@
         hosts: int = 3,
         lease: float = 3.0,
         faults: Faults | None = None,
+        rate: float = RATE,
     ) -> None:
         self.rng = rng
         self.lease = lease
@@ -92,7 +93,7 @@
                 name=f"c{index}",
                 zone=f"z{index % 3}",
                 offset=rng.uniform(-3, 3),
-                rate=1 + rng.uniform(-RATE, RATE),
+                rate=1 + rng.uniform(-rate, rate),
             )
             for index in range(hosts)
         }
@@ -303,6 +304,7 @@
         giver = self.rng.choice(givers)
         wanted = consensus_messages.SnapshotWanted(group=GROUP, index=1)
         taken = giver.core.handle(wanted, self.now(giver))
+        self._observe(giver, taken)
         state = next(
             item.state
             for item in taken
@@ -459,13 +461,14 @@
         self.violations.append(f"at {self.time:.3f}: {text} {subject}")
 
 
-def explore(seed: int, lease: float = 1.0) -> World:
+def explore(seed: int, lease: float = 1.0, rate: float = RATE) -> World:
     """Run one random schedule of faults."""
     rng = random.Random(seed)
     world = World(
         rng=rng,
         hosts=rng.randint(3, 5),
         lease=lease,
+        rate=rate,
         faults=Faults(
             loss=rng.choice((0, 0.05, 0.3)),
             late=rng.choice((0, 0.05, 0.2)),
--- a/fulmarbarrow/duties/core.py
+++ b/fulmarbarrow/duties/core.py
@@ -105,7 +105,8 @@
     ) -> list[message.Message]:
         match event:
             case message.Tick():
-                if self._next_report_at and now < self._next_report_at:
+                due = self._next_report_at
+                if due and now < due and not self._holder.awaits_lease:
                     return []
                 return self._report(now)
             case messages.RenewDuties():
--- a/fulmarbarrow/duties/features/duties.feature
+++ b/fulmarbarrow/duties/features/duties.feature
@@ -5,6 +5,17 @@
     Then no two hosts ever held a subject at the same time
     And each schedule granted a duty at least once on average
 
+  Scenario: The schedules notice clocks that are too far apart
+    When 100 random schedules with clocks 10 percent off have run
+    Then two hosts held a subject at the same time in one of them
+
+  Scenario: Duties are held only with an address of the platform
+    Given the cores of a control host without an address of the platform
+    Then it has no core of duties, and its snapshots do not wait for one
+    Given the cores of a control host with an address of the platform
+    When it leads for 6 seconds and "usage" is wanted
+    Then it holds "usage"
+
   Scenario: Duties are spread over hosts other than the leader
     Given 3 control hosts that hold the duties
     Then two hosts hold the duties, and neither is the leader
--- a/fulmarbarrow/duties/features/steps/duties.py
+++ b/fulmarbarrow/duties/features/steps/duties.py
@@ -9,10 +9,17 @@
 import msgspec
 
 from benchmarks import duties_world
+from fulmarbarrow import bus as buses
+from fulmarbarrow import clock as clocks
+from fulmarbarrow.config import defaults
+from fulmarbarrow.config import options
+from fulmarbarrow.consensus import messages as consensus_messages
+from fulmarbarrow.daemon import cores
 from fulmarbarrow.duties import messages
 from fulmarbarrow.duties import state
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
+from fulmarbarrow.observe import metrics as metrics_module
 
 SECOND = datetime.timedelta(seconds=1)
 
@@ -38,6 +45,80 @@
     assert grants >= len(context.worlds), grants
 
 
+@behave.when(
+    "{count:d} random schedules with clocks {percent:d} percent off have run"
+)
+def run_schedules_apart(context, count, percent):
+    context.worlds = [
+        duties_world.explore(seed, rate=percent / 100) for seed in range(count)
+    ]
+
+
+@behave.then("two hosts held a subject at the same time in one of them")
+def check_noticed(context):
+    found = [text for world in context.worlds for text in world.violations]
+    assert any(" hold " in text for text in found), found
+
+
+@behave.given("the cores of a control host {which} an address of the platform")
+def build_cores(context, which):
+    address = "127.0.0.1:9" if which == "with" else None
+    settings = defaults.Settings(
+        daemon=defaults.DaemonSection(
+            id="c",
+            zone="z",
+            region="r",
+            roles=(defaults.Role.CONTROL,),
+            fleet_key="a key of the tests",
+        ),
+        listen=defaults.ListenSection(
+            peers=options.parse_address("127.0.0.1:7004")
+        ),
+        control=defaults.ControlSection(form=True, snapshot_entries=1),
+        duties=defaults.DutiesSection(
+            address=options.parse_address(address) if address else None
+        ),
+    )
+    context.clock = clocks.ManualClock()
+    context.bus = buses.Bus(clock=context.clock, strict=True)
+    context.held, context.taken = [], set()
+    context.bus.subscribe(
+        messages.DutyHeld, lambda event, _: context.held.append(event)
+    )
+    context.bus.subscribe(
+        consensus_messages.SnapshotTaken,
+        lambda event, _: context.taken.add(event.machine),
+    )
+    context.cores = cores.Cores(
+        settings=settings,
+        record=cores.describe(settings, context.clock.now()),
+        bus=context.bus,
+        metrics=metrics_module.Metrics(),
+        rng=random.Random(1),
+        now=context.clock.now(),
+    ).by_name
+    wanted = messages.SubjectsWanted(duty=messages.Duty.USAGE, subjects=("",))
+    context.bus.post(wanted)
+    _tick(context, 3)
+
+
+@behave.then("it has no core of duties, and its snapshots do not wait for one")
+def check_no_core(context):
+    assert "duties" not in context.cores
+    assert context.taken and messages.MACHINE not in context.taken
+
+
+@behave.when('it leads for {seconds:g} seconds and "usage" is wanted')
+def lead(context, seconds):
+    _tick(context, seconds)
+
+
+@behave.then('it holds "usage"')
+def check_holds(context):
+    assert context.held[-1].until > context.clock.now()
+    assert messages.MACHINE in context.taken
+
+
 @behave.given("{count:d} control hosts that hold the duties")
 def hold(context, count):
     context.world = duties_world.World(rng=random.Random(1), hosts=count)
@@ -208,7 +289,6 @@
         # The renewals of the model go on, and messages to routers are kept.
         sent = []
         world._send = lambda _, effect, sent=sent: sent.append(effect)
-        world._tick_count = 0
         effects = host.core.handle(message.Tick(), world.now(host))
         for effect in effects:
             if isinstance(effect, message.Send):
@@ -254,6 +334,12 @@
     assert context.grants.snapshot() == context.before
 
 
+def _tick(context, seconds):
+    for _ in range(int(seconds / duties_world.TICK)):
+        context.clock.advance(duties_world.TICK * SECOND)
+        context.bus.post(message.Tick())
+
+
 def _grant(now, grants):
     known = grants.get(messages.Duty.USAGE)
     return msgspec.msgpack.encode(
--- a/fulmarbarrow/duties/holder.py
+++ b/fulmarbarrow/duties/holder.py
@@ -60,6 +60,17 @@
         """The grants that this host holds, as of the last check."""
         return tuple(self._held.values())
 
+    @property
+    def awaits_lease(self) -> bool:
+        """Whether a duty is granted to this host and not confirmed yet.
+
+        The leader ignores a report that comes before it has applied the grant.
+        """
+        return any(
+            record.duty not in self._held and not self._has_ended(record)
+            for record in self._mine()
+        )
+
     def check(self, now: datetime.datetime) -> list[message.Message]:
         """Give up every duty whose lease has ended."""
         effects: list[message.Message] = []
@@ -97,11 +108,7 @@
         self._sent[self._sequence] = now
         if len(self._sent) > MAX_QUESTIONS:
             self._sent.popitem(last=False)
-        mine = [
-            record
-            for record in self._grants.records
-            if record.is_of(self._daemon.daemon_id, self._daemon.incarnation)
-        ]
+        mine = self._mine()
         return messages.RenewDuties(
             holder=self._daemon.daemon_id,
             incarnation=self._daemon.incarnation,
@@ -205,6 +212,13 @@
             for duty, record in self._held.items()
         }
 
+    def _mine(self) -> list[state.Record]:
+        return [
+            record
+            for record in self._grants.records
+            if record.is_of(self._daemon.daemon_id, self._daemon.incarnation)
+        ]
+
     def _has_ended(self, record: state.Record) -> bool:
         ended = self._ended.get(record.duty, 0)
         return self._leaving or record.tenure <= ended
--- a/fulmarbarrow/platform/features/cloud.feature
+++ b/fulmarbarrow/platform/features/cloud.feature
@@ -29,6 +29,7 @@
       | {"mode":"lost","execute_after":0.4}    | unknown    | 1     |
       | {"respond_after":0.1}                  | accepted   | 1     |
       | {"mode":"endless"}                     | accepted   | 0     |
+      | {"mode":"garbage"}                     | unknown    | 0     |
 
   Scenario: A platform that is down gets no call
     Given a platform that is down and a client named "edge-1"
--- a/fulmarbarrow/standins/cloud.py
+++ b/fulmarbarrow/standins/cloud.py
@@ -24,6 +24,7 @@
     - ``LOST``: never, but it carries out the call.
     - ``CLOSE``: it ends the connection without a response.
     - ``ENDLESS``: with a status and a body that never ends.
+    - ``GARBAGE``: with bytes that are not HTTP.
     """
 
     ANSWER = "answer"
@@ -31,6 +32,7 @@
     LOST = "lost"
     CLOSE = "close"
     ENDLESS = "endless"
+    GARBAGE = "garbage"
 
 
 class Behaviour(msgspec.Struct, frozen=True, kw_only=True):
@@ -114,7 +116,9 @@
         if behaviour.mode is Mode.CLOSE:
             request.transport.abortConnection()
             return server.NOT_DONE_YET
-        if behaviour.mode is Mode.SILENT:
+        if behaviour.mode is Mode.GARBAGE:
+            request.transport.write(b"\x00 nonsense\r\n\r\n")
+        if behaviour.mode in (Mode.SILENT, Mode.GARBAGE):
             return server.NOT_DONE_YET
         if behaviour.mode is Mode.ENDLESS:
             self._write_endless(request)
