Grant released duties soon after a change of leader

Cause: a host that led and held a duty left it without a holder for more than a lease when it stopped, as the next leader waited for a lease that the release had ended. A daemon id that no header can carry was accepted with duties.

Change: a new leader grants a released duty once the hosts have reported, a quarter of a lease after its start; hosts themselves see to it that none returns too early. duties.name is required if the id is not fit for a header.

Scenarios of duties, calls and settings pass.

--- a/fulmarbarrow/config/checks.py
+++ b/fulmarbarrow/config/checks.py
@@ -210,6 +210,10 @@
     if not 0 < duties.calls_per_second < math.inf:
         text = "must be a number above 0"
         yield source.finding("duties.calls_per_second", text)
+    named = duties.address is None or duties.name
+    if not named and not _NAME.fullmatch(settings.daemon.id):
+        text = "required because daemon.id is not fit for a header"
+        yield source.finding("duties.name", text)
     if not _NAME.fullmatch(duties.name):
         text = f"must be at most {MAX_NAME_CHARACTERS} characters of a header"
         yield source.finding("duties.name", text)
--- a/fulmarbarrow/config/features/settings.feature
+++ b/fulmarbarrow/config/features/settings.feature
@@ -164,3 +164,27 @@
       | 14   | duties.calls_per_second | a number above 0       |
       | 15   | duties.lease            | must be above 0        |
       | 16   | duties.call_timeout     | must be above 0        |
+
+  Scenario: An id that is not fit for a header needs a name for duties
+    Given the settings file
+      """
+      [daemon]
+      id = "entrée 1"
+      zone = "attica-a"
+      region = "attica"
+      roles = ["control"]
+      fleet_key = "0123456789abcdef"
+      data_dir = "data"
+      [listen]
+      admin = "127.0.0.1:7003"
+      peers = "127.0.0.1:7004"
+      [duties]
+      address = "127.0.0.1:7009"
+      [peers]
+      seeds = ["127.0.0.1:7005"]
+      """
+    When the settings are loaded
+    Then the settings are rejected
+    And the findings are
+      | line | key         | text                   |
+      | 11   | duties.name | is not fit for a header |
--- a/fulmarbarrow/duties/leader.py
+++ b/fulmarbarrow/duties/leader.py
@@ -19,6 +19,8 @@
 PROPOSAL_TIMEOUT = datetime.timedelta(seconds=5)
 # A host that did not reach the platform, and its zone, come last this long.
 UNABLE_TIME = datetime.timedelta(seconds=30)
+# Of a lease, in which all hosts report to a new leader.
+REPORT_PART = 0.25
 MAX_CANDIDATES = 64  # the fleet has at most 12 control hosts
 
 _Place = tuple[messages.Duty, str]
@@ -36,8 +38,9 @@
     """Confirms tenures, and grants duties whose tenure has certainly ended.
 
     All of this is forgotten at the end of the term. What an earlier leader
-    confirmed has ended one lease after the start of the leadership, and so has
-    the time in which a former holder must not return.
+    confirmed has ended one lease after the start of the leadership, or when
+    the holder says so. Hosts themselves see to it that they do not return
+    within a lease; what this knows of it only avoids useless grants.
     """
 
     def __init__(
@@ -149,15 +152,20 @@
 
     def grant(self, now: datetime.datetime) -> list[message.Message]:
         """Propose the grants that are due."""
-        lease = self._grants.longest_lease(self._lease)
-        if self._since is None or now < self._since + lease:
+        if self._since is None:
             return []
         self._drop_old(now)
+        all_over_at = self._since + self._grants.longest_lease(self._lease)
+        reported_at = self._since + self._lease * REPORT_PART
         effects: list[message.Message] = []
         for duty, wanted in self._wanted.items():
             _, _, at = self._proposed.get(duty, ("", "", None))
             if at is not None and now < at + PROPOSAL_TIMEOUT:
                 continue
+            record = self._grants.get(duty)
+            released = record and self._over.get(duty) == record.tenure
+            if now < (reported_at if released else all_over_at):
+                continue
             command = self._next(duty, wanted, now)
             if command is not None:
                 effects.append(self._propose(command, now))
