--- a/fulmarbarrow/daemon/control_cores.py
+++ b/fulmarbarrow/daemon/control_cores.py
@@ -7,6 +7,7 @@
 from fulmarbarrow.consensus import messages as consensus_messages
 from fulmarbarrow.consensus import records as consensus_records
 from fulmarbarrow.daemon import joint
+from fulmarbarrow.duties import messages as duties_messages
 from fulmarbarrow.publishing import control
 from fulmarbarrow.publishing import messages as publishing_messages
 from fulmarbarrow.scaling import messages as scaling_messages
@@ -22,11 +23,14 @@
     if isinstance(logs, consensus_memory.MemoryLogStore):
         made.add("memory_logs", logs)
     group = consensus_messages.Group.CONFIGURATION
+    has_duties = made.settings.duties.address is not None
+    scales = has_duties and made.settings.scaling.enabled
     machines: tuple[str, ...] = (
         publishing_messages.MACHINE,
         versions_messages.MACHINE,
     )
-    scales = _scales(made)
+    if has_duties:
+        machines += (duties_messages.MACHINE,)
     if scales:
         machines += (scaling_messages.MACHINE,)
     _add_log(made, "consensus", group, logs, machines)
@@ -39,15 +43,26 @@
         "kv_moves",
         zones_control.KvMovesControl(daemon=record, metrics=metrics),
     )
+    if has_duties:
+        _add_duties(made, group)
     if scales:
         _add_scaling(made, group)
     if made.settings.control.journal:
         _add_journal(made, logs)
 
 
-def _scales(made: joint.Joint) -> bool:
-    settings = made.settings
-    return settings.scaling.enabled and settings.duties.address is not None
+def _add_duties(made: joint.Joint, group: consensus_messages.Group) -> None:
+    """Add the leases of duties at the platform."""
+    from fulmarbarrow.duties import core as duties_core
+
+    core = duties_core.DutiesCore(
+        daemon=made.record,
+        group=group,
+        lease=made.settings.duties.lease,
+        metrics=made.metrics,
+        now=made.now,
+    )
+    made.add("duties", core)
 
 
 def _add_scaling(made: joint.Joint, group: consensus_messages.Group) -> None:
