Count requests by account and window and report the totals

Cause: the platform asks for one report of each window with the requests of each client account that began to run in it.

Change: delivery tells once that a request began to run, if usage.window is set. Routers count by the median clock of the control hosts and send absolute numbers to the holder of the duty, which commits the totals through the log and reports them until they are accepted. A negative window is a finding.

--- a/benchmarks/delivery_world.py
+++ b/benchmarks/delivery_world.py
@@ -82,8 +82,10 @@
         mechanisms: policy.Mechanisms | None = None,
         check_lease: bool = True,
         retries: defaults.RetriesSection | None = None,
+        tells_began: bool = False,
     ) -> None:
         self.retries = retries
+        self._tells_began = tells_began
         self.clock = clocks.ManualClock()
         self.rng = random.Random(seed)
         self.mechanisms = mechanisms or policy.Mechanisms()
@@ -196,6 +198,7 @@
             rng=random.Random(self.rng.random()),
             mechanisms=self.mechanisms,
             retries=self.retries,
+            tells_began=self._tells_began,
         )
         self.cores[node.name] = core
         node.bus.attach(core)
--- a/fulmarbarrow/config/checks.py
+++ b/fulmarbarrow/config/checks.py
@@ -162,6 +162,10 @@
     ):
         if value <= zero:
             yield source.finding(name, "must be above 0")
+    if settings.usage.window < zero:
+        yield source.finding("usage.window", "must not be negative")
+    if settings.usage.report_within <= zero:
+        yield source.finding("usage.report_within", "must be above 0")
     if settings.control.snapshot_entries <= 0:
         yield source.finding("control.snapshot_entries", "must be above 0")
     for name in (
--- a/fulmarbarrow/daemon/control_cores.py
+++ b/fulmarbarrow/daemon/control_cores.py
@@ -9,6 +9,7 @@
 from fulmarbarrow.daemon import joint
 from fulmarbarrow.publishing import control
 from fulmarbarrow.publishing import messages as publishing_messages
+from fulmarbarrow.usage import messages as usage_messages
 from fulmarbarrow.versions import control as versions_control
 from fulmarbarrow.versions import messages as versions_messages
 from fulmarbarrow.zones import control as zones_control
@@ -22,6 +23,8 @@
         made.add("memory_logs", logs)
     group = consensus_messages.Group.CONFIGURATION
     machines = (publishing_messages.MACHINE, versions_messages.MACHINE)
+    if made.settings.usage.window:
+        machines = (*machines, usage_messages.MACHINE)
     _add_log(made, "consensus", group, logs, machines)
     made.add("control", control.PublishingControl(daemon=record, now=made.now))
     made.add(
@@ -32,10 +35,26 @@
         "kv_moves",
         zones_control.KvMovesControl(daemon=record, metrics=metrics),
     )
+    if made.settings.usage.window:
+        _add_usage(made, group)
     if made.settings.control.journal:
         _add_journal(made, logs)
 
 
+def _add_usage(made: joint.Joint, group: consensus_messages.Group) -> None:
+    from fulmarbarrow.usage import control as usage_control
+
+    made.add(
+        "usage_control",
+        usage_control.UsageControl(
+            daemon=made.record,
+            group=group,
+            metrics=made.metrics,
+            window=made.settings.usage.window,
+        ),
+    )
+
+
 def _add_journal(made: joint.Joint, logs: consensus_memory.LogStore) -> None:
     from fulmarbarrow.journal import control as journal_control
 
--- a/fulmarbarrow/daemon/router_cores.py
+++ b/fulmarbarrow/daemon/router_cores.py
@@ -57,6 +57,22 @@
             timeouts=_timeouts(made),
             retries=made.settings.retries,
             started=made.now,
+            tells_began=bool(made.settings.usage.window),
+        ),
+    )
+    if made.settings.usage.window:
+        _add_usage(made)
+
+
+def _add_usage(made: joint.Joint) -> None:
+    from fulmarbarrow.usage import router as usage_router
+
+    made.add(
+        "usage",
+        usage_router.UsageRouter(
+            daemon=made.record,
+            metrics=made.metrics,
+            window=made.settings.usage.window,
         ),
     )
 
--- a/fulmarbarrow/delivery/core.py
+++ b/fulmarbarrow/delivery/core.py
@@ -88,6 +88,7 @@
         mechanisms: policy.Mechanisms | None = None,
         retries: defaults.RetriesSection | None = None,
         started: datetime.datetime = DEFAULT_START,
+        tells_began: bool = False,
     ) -> None:
         mechanisms = mechanisms or policy.Mechanisms()
         self._metrics = metrics
@@ -117,6 +118,7 @@
             suspects=self._suspects,
             recovery=self._recovery,
             mechanisms=mechanisms,
+            tells_began=tells_began,
         )
         self._replacements = replacement.Replacements(
             metrics=metrics,
--- a/fulmarbarrow/delivery/features/steps/requests.py
+++ b/fulmarbarrow/delivery/features/steps/requests.py
@@ -12,6 +12,7 @@
 from fulmarbarrow.config import defaults
 from fulmarbarrow.delivery import messages
 from fulmarbarrow.membership import messages as membership_messages
+from fulmarbarrow import message
 from fulmarbarrow.placement import messages as placement_messages
 
 KINDS = {
@@ -340,3 +341,47 @@
         upstream.crashes for upstream in context.world.upstreams.values()
     ]
     assert sum(crashes) == count, crashes
+
+
+@behave.given("routers that tell which requests began")
+def step_telling_routers(context):
+    get_world(context, tells_began=True)
+
+
+@behave.when("the first attempt of a {kind} is {fate}")
+def step_first_attempt(context, kind, fate):
+    world = get_world(context)
+    if fate == "refused":
+        for upstream in world.upstreams.values():
+            upstream.faults["refuse"] = 1
+    if fate == "hedged":
+        for upstream in world.upstreams.values():
+            upstream.slow_once = milliseconds(3000)
+    send(context, kind)
+    if fate == "preempted":
+        world.run(lambda: False, 0.07)
+        (attempt_id,) = open_attempts(context)
+        world.routers[0].post(
+            placement_messages.PreemptWork(attempt_id=attempt_id)
+        )
+    world.run(lambda: context.sending.over, 5)
+    assert context.sending.ended, context.sending
+    attempts = world.routers[0].metrics.total("attempts")
+    assert (attempts > 1) == (fate != "completed"), attempts
+
+
+@behave.when("all upstreams refuse a stream")
+def step_all_refuse(context):
+    world = get_world(context)
+    for upstream in world.upstreams.values():
+        upstream.faults["refuse"] = 1000
+    send(context, "stream")
+    world.run(lambda: context.sending.over, 8)
+    assert not context.sending.ended
+
+
+@behave.then("{count:d} request has begun")
+def step_began(context, count):
+    tag = message.tag(messages.RequestBegan)
+    began = sum(router.bus.unhandled[tag] for router in context.world.routers)
+    assert began == count, began
--- a/fulmarbarrow/delivery/messages.py
+++ b/fulmarbarrow/delivery/messages.py
@@ -100,6 +100,16 @@
     start_by: datetime.datetime | None = None
 
 
+class RequestBegan(message.Message, frozen=True, kw_only=True):
+    """A request of ``account`` began to run at an upstream.
+
+    Told once for a request, whatever its attempts, and only if usage is
+    reported.
+    """
+
+    account: str
+
+
 class StartAttempt(message.Message, frozen=True, kw_only=True):
     """Effect: send the request to an upstream.
 
--- a/fulmarbarrow/delivery/responses.py
+++ b/fulmarbarrow/delivery/responses.py
@@ -52,7 +52,9 @@
         suspects: suspects_module.SuspectTracker,
         recovery: recoveries.Recovery,
         mechanisms: policy.Mechanisms,
+        tells_began: bool = False,
     ) -> None:
+        self._tells_began = tells_began
         self._metrics = metrics
         self._suspects = suspects
         self._recovery = recovery
@@ -210,8 +212,23 @@
             told = self._named_limits.read(attempt, event, now)
             if event.leaving:
                 told.extend(self._depart(attempt))
+        if self._tells_began and not event.not_run and not attempt.streamed:
+            told.extend(self._begin(entry.request, attempt))
         return [*told, *self._handle_status(entry, attempt, event, now)]
 
+    @staticmethod
+    def _begin(request: state.Request, attempt: state.Attempt) -> Effects:
+        """Tell once that a request began to run.
+
+        A stream begins with its first event, any other response with its
+        head. A look-up runs nothing.
+        """
+        account = request.arrival.account
+        if request.began or attempt.purpose is state.Purpose.LOOKUP:
+            return []
+        request.began = True
+        return [messages.RequestBegan(account=account)] if account else []
+
     def _depart(self, attempt: state.Attempt) -> Effects:
         """Tell once that an upstream says in its answers that it leaves."""
         placed = attempt.placed
@@ -307,6 +324,8 @@
             self._metrics.count("late_answers_dropped")
             return []
         effects = self._forward(entry, attempt, new_data)
+        if self._tells_began and event.events and not entry.request.began:
+            effects.extend(self._begin(entry.request, attempt))
         if attempt.streamed and attempt.end_marker:
             effects.extend(self._complete(entry, attempt, now))
         return effects
--- /dev/null
+++ b/fulmarbarrow/usage/features/steps/usage.py
@@ -0,0 +1,258 @@
+"""Steps for usage reports of a simulated fleet."""
+
+from __future__ import annotations
+
+import collections
+
+import behave
+
+from benchmarks import usage_fleet as fleets
+from fulmarbarrow.duties import messages as duties_messages
+from fulmarbarrow.usage import messages
+from fulmarbarrow.usage import packing
+
+RATE = 60
+
+
+def start(context, count, skews=(), holds=True):
+    context.fleet = fleets.Fleet(routers=count, skews=skews)
+    if holds:
+        context.fleet.hold(context.fleet.controls[0])
+    context.first = context.fleet.window
+
+
+@behave.given("{count:d} routers")
+def step_routers(context, count):
+    start(context, count)
+
+
+@behave.given(
+    "{count:d} routers and a control host whose clock is {skew:g} s off"
+)
+def step_skewed_control(context, count, skew):
+    start(context, count, skews=(skew,))
+
+
+@behave.given(
+    "{count:d} routers, one of them with a clock that is {skew:g} s off"
+)
+def step_skewed_router(context, count, skew):
+    start(context, count)
+    context.fleet.routers[0].skew = fleets.seconds(skew)
+
+
+@behave.given("{count:d} routers without a holder")
+def step_no_holder(context, count):
+    start(context, count, holds=False)
+
+
+@behave.given("{count:d} routers and a platform that is down")
+def step_down(context, count):
+    start(context, count)
+    context.fleet.platform.down = True
+
+
+@behave.given(
+    "{count:d} routers and a network that repeats and reorders messages"
+)
+def step_repeats(context, count):
+    start(context, count)
+    context.fleet.repeats_messages = True
+
+
+@behave.given(
+    "{count:d} routers and a platform whose first {lost:d} answers are lost"
+)
+def step_lost_answers(context, count, lost):
+    start(context, count)
+    outcomes = context.fleet.platform.outcomes
+    outcomes.extend([fleets.Outcome.UNKNOWN] * lost)
+    context.lost = lost
+
+
+@behave.given("{count:d} routers and a platform that answers superseded")
+def step_superseded(context, count):
+    start(context, count)
+    context.fleet.platform.outcomes.append(fleets.Outcome.SUPERSEDED)
+
+
+@behave.when("{duration:d} seconds pass with requests")
+def step_pass(context, duration):
+    context.fleet.load(RATE, 10, duration)
+    context.fleet.run(duration)
+    context.fleet.run(3)
+
+
+@behave.when(
+    "a router is {fault} at second {at:d} with 10 requests in each 100 ms"
+)
+def step_fault(context, fault, at):
+    fleet = context.fleet
+    router = fleet.routers[0]
+    for number in range(at * 10 + 30):
+        fleet.after(fleets.seconds(number / 10), fleet.begin, router, "a", 10)
+    fleet.run(at)
+    if fault == "killed":
+        router.alive = False
+    elif fault == "frozen":
+        router.frozen = True
+        fleet.after(fleets.seconds(8), router.thaw)
+    else:
+        router.cut = True
+    fleet.run(12)
+    context.reported = context.first + 1
+
+
+@behave.then("the report lacks at most {lost:d} of its requests")
+def step_lacks(context, lost):
+    fleet = context.fleet
+    reported = fleet.platform.accepted[context.reported].get("a", 0)
+    missing = fleet.truth[context.reported]["a"] - reported
+    assert 0 <= missing <= lost, missing
+
+
+@behave.then(
+    "the report is made within {limit:g} seconds of the end of its window"
+)
+def step_in_time(context, limit):
+    end = fleets.fleet_time.end_of(context.reported, fleets.WINDOW)
+    took = context.fleet.platform.accepted_at[context.reported] - end
+    assert took <= fleets.seconds(limit), took
+
+
+@behave.when("the duty moves to another host at second {at:d} with requests")
+def step_move(context, at):
+    fleet = context.fleet
+    fleet.load(RATE, 10, 20)
+    fleet.run(at)
+    fleet.hold(fleet.controls[1])
+    fleet.run(23 - at)
+
+
+@behave.when(
+    "the holder is killed at second {at:d} and the platform is up again"
+)
+def step_kill_holder(context, at):
+    fleet = context.fleet
+    fleet.load(RATE, 10, 20)
+    fleet.run(at)
+    context.before = len(fleet.platform.calls)
+    fleet.holder.alive = False
+    fleet.platform.down = False
+    fleet.hold(fleet.controls[1])
+    fleet.run(5)
+
+
+@behave.when(
+    "{duration:d} seconds pass with requests and then a host gains the duty"
+)
+def step_late_holder(context, duration):
+    fleet = context.fleet
+    fleet.load(RATE, 10, 20)
+    fleet.run(duration)
+    fleet.hold(fleet.controls[1])
+    fleet.run(23 - duration)
+
+
+@behave.when("another host gains the duty and the first does not learn of it")
+def step_two_holders(context):
+    fleet = context.fleet
+    fleet.load(RATE, 10, 30)
+    fleet.run(4.5)
+    first = fleet.controls[0]
+    first.core._tenure.until += fleets.seconds(60)
+    fleet.holder = None
+    fleet.hold(fleet.controls[1])
+    fleet.run(25)
+    holders = {call.holder for call in fleet.platform.calls}
+    assert len(holders) == 2, holders
+
+
+@behave.when("all control hosts restart at second {at:d} with requests")
+def step_power(context, at):
+    fleet = context.fleet
+    fleet.load(RATE, 10, 20)
+    fleet.run(at)
+    for control in list(fleet.controls):
+        fleet.restart(control)
+    fleet.holder = None
+    fleet.hold(fleet.controls[1])
+    fleet.run(23 - at)
+
+
+@behave.when("garbage arrives from a router")
+def step_garbage(context):
+    fleet = context.fleet
+    fleet.run(1)
+    huge = messages.WindowCounts(
+        window=fleet.window, final=True, counts=(("a", -5), ("b", 1 << 60))
+    )
+    for packed in (b"", b"x", packing.pack({"a": 1}), packing.pack((huge,))):
+        fleet.holder.post(
+            messages.UsageCounts(
+                router="router-9",
+                incarnation=1,
+                reply_to="router-9",
+                holder_number=fleet.number,
+                packed=packed,
+            )
+        )
+
+
+@behave.then("every count of {count:d} windows is right")
+def step_right(context, count):
+    fleet = context.fleet
+    for window in range(context.first, context.first + count):
+        assert window in fleet.platform.accepted, window
+        assert fleet.error_of(window) == 0, (
+            fleet.platform.accepted[window],
+            fleet.truth[window],
+        )
+
+
+@behave.then("no window is reported twice")
+def step_once(context):
+    calls = collections.Counter(
+        call.window for call in context.fleet.platform.calls
+    )
+    assert set(calls.values()) == {1}, calls
+
+
+@behave.then("every call for a window had the same content")
+def step_same(context):
+    contents = collections.defaultdict(set)
+    for call in context.fleet.platform.calls:
+        contents[call.window].add(call.counts)
+    assert contents
+    assert all(len(found) == 1 for found in contents.values()), contents
+
+
+@behave.then("every window up to then is reported")
+def step_reported(context):
+    fleet = context.fleet
+    assert context.before
+    for window in range(context.first, context.first + 2):
+        assert fleet.error_of(window) == 0, window
+
+
+@behave.then("each window is called once after the lost answers")
+def step_called_once(context):
+    fleet = context.fleet
+    calls = len(fleet.platform.calls)
+    assert calls == len(fleet.platform.accepted) + context.lost, calls
+
+
+@behave.then("the holder gives up the duty after {count:d} call")
+def step_refused(context, count):
+    fleet = context.fleet
+    assert len(fleet.platform.calls) == count
+    (note,) = fleet.notes
+    assert note == duties_messages.DutyRefused(
+        duty=fleets.USAGE, subject="", number=fleet.number
+    )
+
+
+@behave.then("the holder asks for a handover")
+def step_handover(context):
+    unreachable = duties_messages.PlatformUnreachable(duty=fleets.USAGE)
+    assert unreachable in context.fleet.notes
--- /dev/null
+++ b/fulmarbarrow/usage/features/usage.feature
@@ -0,0 +1,89 @@
+Feature: Each window's requests are reported once, with the same content
+
+  # Guards against windows that follow the wrong clock of one host.
+  Scenario: The clock of a control host is 2.4 s off
+    Given 4 routers and a control host whose clock is 2.4 s off
+    When 20 seconds pass with requests
+    Then every count of 3 windows is right
+    And no window is reported twice
+
+  # Guards against a router that counts by its own clock.
+  Scenario: The clock of a router is 2.4 s off
+    Given 4 routers, one of them with a clock that is 2.4 s off
+    When 20 seconds pass with requests
+    Then every count of 3 windows is right
+
+  # Guards against the loss of more than a second, and against a late report.
+  Scenario Outline: A router is <fault> in mid-window
+    Given 4 routers
+    When a router is <fault> at second 8 with 10 requests in each 100 ms
+    Then the report lacks at most <lost> of its requests
+    And the report is made within 5 seconds of the end of its window
+
+    Examples:
+      | fault   | lost |
+      | killed  | 101  |
+      | frozen  | 101  |
+      | cut off | 351  |
+
+  # Guards against counts that die with the collector.
+  Scenario: The duty moves in mid-window
+    Given 4 routers
+    When the duty moves to another host at second 8 with requests
+    Then every count of 3 windows is right
+
+  # Guards against a second report with other content.
+  Scenario: The holder is lost after a commit and before its call
+    Given 4 routers and a platform that is down
+    When the holder is killed at second 12 and the platform is up again
+    Then every call for a window had the same content
+    And every window up to then is reported
+
+  # Guards against windows that are lost when nobody collects.
+  Scenario: No host holds the duty for two windows
+    Given 4 routers without a holder
+    When 13 seconds pass with requests and then a host gains the duty
+    Then every count of 3 windows is right
+
+  # Guards against double counts.
+  Scenario: Messages are repeated and reordered
+    Given 4 routers and a network that repeats and reorders messages
+    When 20 seconds pass with requests
+    Then every count of 3 windows is right
+
+  # Guards against a repeat with other content, and against a needless call.
+  Scenario: Answers of the platform are lost
+    Given 4 routers and a platform whose first 4 answers are lost
+    When 20 seconds pass with requests
+    Then every call for a window had the same content
+    And each window is called once after the lost answers
+
+  # Guards against two reports of a window that differ.
+  Scenario: Two control hosts both believe that they are the collector
+    Given 4 routers
+    When another host gains the duty and the first does not learn of it
+    Then every call for a window had the same content
+
+  Scenario: The platform refuses the number of the holder
+    Given 4 routers and a platform that answers superseded
+    When 10 seconds pass with requests
+    Then the holder gives up the duty after 1 call
+
+  Scenario: Calls do not reach the platform
+    Given 4 routers and a platform that is down
+    When 12 seconds pass with requests
+    Then the holder asks for a handover
+
+  # Guards against reports that are repeated after a loss of power.
+  Scenario: All control hosts lose power
+    Given 4 routers
+    When all control hosts restart at second 13 with requests
+    Then no window is reported twice
+    And every count of 3 windows is right
+
+  # Guards against a crash or a wrong total by a malformed message.
+  Scenario: A router sends garbage
+    Given 4 routers
+    When garbage arrives from a router
+    And 20 seconds pass with requests
+    Then every count of 3 windows is right
