--- a/benchmarks/usage_fleet.py
+++ b/benchmarks/usage_fleet.py
@@ -130,10 +130,12 @@
         seed: int = 1,
         skews=(),
         accounts: int = 0,
+        latency: tuple[float, float] = (0.002, 0.002),
     ) -> None:
         self.rng = random.Random(seed)
         self.now = START
         self._accounts = accounts
+        self._latency = latency
         self._events: list = []
         self._order = itertools.count()
         self._by_address: dict[str, Node] = {}
@@ -202,7 +204,7 @@
         for _ in range(count):
             self.truth[self.window][account] += 1
             began = delivery_messages.RequestBegan(account=account)
-            self.after(HOP, router.post, began)
+            self.after(self._hop(), router.post, began)
 
     def hold(self, control: Node) -> None:
         """Grant the duty to a control host with the next number."""
@@ -261,11 +263,15 @@
         disturbed = self.repeats_messages and not clock
         times = 2 if disturbed else 1
         for _ in range(times):
-            delay = HOP
+            delay = self._hop()
             if disturbed:  # also reorders them
                 delay += self.rng.random() * seconds(1.5)
             self.after(delay, self._arrive, sender, event, size)
 
+    def _hop(self) -> datetime.timedelta:
+        """Return the time that a message takes."""
+        return seconds(self.rng.uniform(*self._latency))
+
     def propose(self, node: Node, event: consensus_messages.Propose) -> None:
         """Commit a command after a while."""
         self.after(COMMIT, self._commit, node, event)
@@ -292,6 +298,15 @@
         """Keep an effect for checks."""
         self.notes.append(event)
 
+    def misplaced(self, window: int) -> int:
+        """Return how many requests a report lacks or has too many."""
+        reported = self.platform.accepted.get(window, {})
+        truth = self.truth[window]
+        return sum(
+            abs(reported.get(account, 0) - truth[account])
+            for account in {*reported, *truth}
+        )
+
     def error_of(self, window: int) -> float:
         """Return the largest error of an account's reported count."""
         reported = self.platform.accepted.get(window, {})
--- a/fulmarbarrow/usage/control.py
+++ b/fulmarbarrow/usage/control.py
@@ -33,6 +33,9 @@
 
 # A window is closed this long after its end even if counts are missing.
 CLOSE_WITHIN = datetime.timedelta(seconds=4)
+# A new holder waits this long for counts of windows that ended before it held
+# the duty: routers are told of it at once and send within a second.
+GAINED_WAIT = datetime.timedelta(milliseconds=2500)
 PROPOSAL_TIMEOUT = datetime.timedelta(seconds=6)
 # Each control host tells its time to all daemons in this time: at 400 daemons
 # and 130 bytes a message, 0.9 KB/s. Clocks of processes never step, so that
@@ -325,16 +328,17 @@
         if tenure is None or event.holder_number != tenure.number:
             return []
         names = self._known_names.get(event.names)
-        taken = []
-        for item in event.routers if names is not None else ():
-            windows = self._merge(tenure, item, names, now)
-            if windows:
-                taken.append((item.router, item.incarnation, windows))
-        if names is not None and not (taken and tenure.caught_up):
-            return []
+        if names is not None:
+            try:
+                routers = packing.unpack_routers(event.routers)
+            except ValueError as error:
+                return self._drop(event.reply_to, str(error))
+            whole = [self._merge(tenure, item, names, now) for item in routers]
+            if not any(whole) or not tenure.caught_up:
+                return []
         reply = messages.CountsTaken(
             holder_number=tenure.number,
-            taken=tuple(taken),
+            sequence=event.sequence,
             settled_before=(
                 self._first_open(tenure, now) if tenure.caught_up else 0
             ),
@@ -350,31 +354,29 @@
         item: messages.RouterCounts,
         names: packing.Names,
         now: datetime.datetime,
-    ) -> tuple[int, ...]:
-        """Merge the counts of a router; return the windows to confirm."""
+    ) -> bool:
+        """Merge the counts of a router; return if they need a reply."""
         current = fleet_time.window_at(self._time.at(now), self._window)
         oldest = current - limits.kept_windows(self._window)
         key = (item.router, item.incarnation)
-        taken = []
         for entry in item.windows:
-            if oldest <= entry.window <= current + 1 and (
-                entry.window not in self._windows
+            if not oldest <= entry.window <= current + 1 or (
+                entry.window in self._windows
+            ):
+                continue
+            try:
+                counts = names.decode(entry.packed, entry.others)
+            except ValueError as error:
+                self._drop(item.router, str(error))
+                continue
+            if not tenure.collection.add(
+                key, entry.window, counts, entry.final
             ):
-                try:
-                    counts = names.decode(entry.packed, entry.others)
-                except ValueError as error:
-                    self._drop(item.router, str(error))
-                    continue
-                if not tenure.collection.add(
-                    key, entry.window, counts, entry.final
-                ):
-                    self._drop(item.router, "too many accounts or routers")
-                    continue
-            if entry.whole:
-                taken.append(entry.window)
-        return tuple(taken)
-
-    def _drop(self, router: str, reason: str) -> None:
+                self._drop(item.router, "too many accounts or routers")
+        return any(entry.whole for entry in item.windows)
+
+    def _drop(self, router: str, reason: str) -> list[message.Message]:
+        """Count what can't be read, and log the first time."""
         self._metrics.count("usage_counts_dropped")
         if not self._unreadable:
             self._unreadable = True
@@ -382,6 +384,7 @@
                 "counts of a router are dropped",
                 extra={"router": router, "reason": reason},
             )
+        return []
 
     def _on_tick(self, now: datetime.datetime) -> list[message.Message]:
         effects = self._tell_time(now)
@@ -455,7 +458,9 @@
     ) -> list[message.Message]:
         """Propose the totals of a window if it is complete or due."""
         end = fleet_time.end_of(number, self._window)
-        since = max(end, self._time.at(tenure.since))
+        due = max(
+            end + CLOSE_WITHIN, self._time.at(tenure.since) + GAINED_WAIT
+        )
         routers = [
             (daemon.daemon_id, daemon.incarnation)
             for daemon in self._daemons.values()
@@ -463,9 +468,7 @@
             and daemon.state is not membership_messages.DaemonState.DEAD
         ]
         missing = tenure.collection.unconfirmed(number, routers)
-        if (missing or not routers) and (
-            self._time.at(now) - since < CLOSE_WITHIN
-        ):
+        if (missing or not routers) and self._time.at(now) < due:
             return []
         if not self._windows.has_names(self._names.digest):
             names = messages.NamesKept(packed=self._names.pack())
--- a/fulmarbarrow/usage/features/steps/usage.py
+++ b/fulmarbarrow/usage/features/steps/usage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import itertools
 
 import behave
 
@@ -234,13 +235,18 @@
     garbage = messages.RouterCounts(
         router="router-9", incarnation=1, windows=tuple(entries)
     )
-    for names in (packing.Names().digest, 0, -1):
+    packed = packing.pack_routers([garbage])
+    for names, routers in itertools.product(
+        (packing.Names().digest, 0, -1),
+        (packed, packed[:9], b"", packing.compress(b"\0" * (1 << 20))),
+    ):
         fleet.holder.post(
             messages.UsageCounts(
                 reply_to="router-9",
+                sequence=1,
                 holder_number=fleet.number,
                 names=names,
-                routers=(garbage,),
+                routers=routers,
             )
         )
 
--- a/fulmarbarrow/usage/grouping.py
+++ b/fulmarbarrow/usage/grouping.py
@@ -9,7 +9,7 @@
 
 # Up to this number of routers each sends to the collector itself.
 MAX_DIRECT = 24
-GROUP = 16  # routers for one that forwards
+GROUP = 8  # routers for one that forwards
 ROUTER_ROLE = "router"
 
 _GONE = (
--- a/fulmarbarrow/usage/messages.py
+++ b/fulmarbarrow/usage/messages.py
@@ -98,26 +98,32 @@
 
     With ``forward`` they are for a router that forwards the counts of
     several. ``names`` is the digest of the names with which they are encoded.
+    ``routers`` are compressed ``RouterCounts``. ``sequence`` increases with
+    each message of a sender and is repeated in the reply.
     """
 
     reply_to: str
+    sequence: int
     holder_number: int
     names: int
-    routers: tuple[RouterCounts, ...]
+    routers: bytes
     forward: bool = False
 
 
 class CountsTaken(message.Message, frozen=True, kw_only=True):
-    """The collector has the whole counts of these windows of routers.
+    """The collector has the counts of the message with ``sequence``.
 
-    Windows before ``settled_before`` are committed or too old to be reported,
-    so that their counts need not be kept. If ``names_unknown`` is set, the
-    collector does not have the names of the message and could not read it.
+    A router that forwards counts tells each router of its group about its own
+    ``windows`` with a sequence of 0. Windows before ``settled_before`` are
+    committed or too old to be reported, so that their counts need not be
+    kept. If ``names_unknown`` is set, the collector does not have the names
+    of the message and could not read it.
     """
 
     holder_number: int
-    taken: tuple[tuple[str, int, tuple[int, ...]], ...]
+    sequence: int
     settled_before: int
+    windows: tuple[int, ...] = ()
     names_unknown: int | None = None
 
 
--- a/fulmarbarrow/usage/packing.py
+++ b/fulmarbarrow/usage/packing.py
@@ -12,13 +12,19 @@
 import hashlib
 import zlib
 
+import msgspec
+
 from fulmarbarrow.usage import limits
+from fulmarbarrow.usage import messages
 
-# 4,096 names of 40 characters.
-MAX_UNPACKED_BYTES = 4096 * 41
+# Longer names are written out with each count.
+MAX_NAME_CHARACTERS = 64
+# 4,096 names of 64 characters of 4 bytes; the counts of 64 routers need less.
+MAX_UNPACKED_BYTES = 4096 * (4 * MAX_NAME_CHARACTERS + 1)
 COMPRESSION_LEVEL = 6
 DIGEST_BYTES = 6
 _MAX_SHIFT = 42  # bits of a number
+_ROUTERS = msgspec.msgpack.Decoder(list[messages.RouterCounts])
 
 Pairs = tuple[tuple[str, int], ...]
 
@@ -27,7 +33,10 @@
     """The sorted names of the accounts of a configuration."""
 
     def __init__(self, *, names: collections.abc.Iterable[str] = ()) -> None:
-        chosen = sorted({name for name in names if "\n" not in name})
+        usable = {
+            name for name in names if 0 < len(name) <= MAX_NAME_CHARACTERS
+        }
+        chosen = sorted(name for name in usable if "\n" not in name)
         self.names = tuple(chosen[: limits.MAX_ACCOUNTS])
         joined = "\n".join(self.names).encode()
         digest = hashlib.blake2b(joined, digest_size=DIGEST_BYTES).digest()
@@ -107,6 +116,16 @@
     return plain
 
 
+def pack_routers(routers: list[messages.RouterCounts]) -> bytes:
+    """Return the compressed counts of routers."""
+    return compress(msgspec.msgpack.encode(routers))
+
+
+def unpack_routers(data: bytes) -> list[messages.RouterCounts]:
+    """Return the counts of routers; raises ValueError."""
+    return _ROUTERS.decode(decompress(data))
+
+
 def _write(data: bytearray, value: int) -> None:
     while value >= 0x80:
         data.append(value & 0x7F | 0x80)
--- a/fulmarbarrow/usage/reporting.py
+++ b/fulmarbarrow/usage/reporting.py
@@ -19,7 +19,7 @@
 # does not delay the report of the next window.
 MAX_CALLS = 2
 # A client that reports no end is taken to have lost the call.
-CALL_LOST_AFTER = datetime.timedelta(seconds=20)
+CALL_LOST_AFTER = datetime.timedelta(seconds=10)
 UNREACHABLE_AFTER = datetime.timedelta(seconds=2)
 UNREACHABLE_CALLS = 3
 _DELAYS = {
--- a/fulmarbarrow/usage/router.py
+++ b/fulmarbarrow/usage/router.py
@@ -30,8 +30,11 @@
 GROUP_WAIT = datetime.timedelta(milliseconds=600)
 DIRECT_AFTER = datetime.timedelta(milliseconds=2200)
 MAX_UNPLACED = 50_000  # requests before the time of the fleet is known
+MAX_UNANSWERED = 16  # messages to the collector
 CONTROL_ROLE = "control"
 
+_Numbers = tuple[int, ...]
+
 
 class UsageRouter:
     """Counts by window and account and sends the counts to the collector.
@@ -45,6 +48,7 @@
 
     handles = (
         delivery_messages.RequestBegan,
+        duties_messages.DutyHeld,
         duties_messages.HolderAnnounced,
         membership_messages.DaemonChanged,
         membership_messages.DaemonGone,
@@ -80,6 +84,8 @@
         self._collector: duties_messages.HolderAnnounced | None = None
         self._next_send_at: datetime.datetime | None = None
         self._leaving = False
+        self._sequence = 0
+        self._unanswered: dict[int, dict[ledgers.Source, _Numbers]] = {}
 
     def handle(
         self, event: message.Message, now: datetime.datetime
@@ -100,6 +106,15 @@
                 duty=duties_messages.Duty.USAGE
             ):
                 self._on_announced(event)
+            case duties_messages.DutyHeld(duty=duties_messages.Duty.USAGE):
+                # This host is a control host as well.
+                announced = duties_messages.HolderAnnounced(
+                    duty=event.duty,
+                    holder=self._daemon.daemon_id,
+                    address=self._daemon.address,
+                    number=event.number,
+                )
+                self._on_announced(announced)
             case publishing_messages.ConfigurationChanged():
                 self._names = packing.Names(
                     names=(account.name for account in event.bundle.account)
@@ -204,7 +219,12 @@
             return  # it will send them to the collector itself
         current = fleet_time.window_at(self._time.at(now), self._window)
         oldest = current - limits.kept_windows(self._window)
-        for item in event.routers:
+        try:
+            routers = packing.unpack_routers(event.routers)
+        except ValueError:
+            self._metrics.count("usage_counts_dropped")
+            return
+        for item in routers:
             source = (item.router, item.incarnation)
             if source == self._me:
                 continue
@@ -242,6 +262,7 @@
         self._collector = event
         self._next_send_at = None
         self._names_refused = None
+        self._unanswered.clear()
         self._ledger.resend()
 
     def _on_taken(self, event: messages.CountsTaken) -> list[message.Message]:
@@ -253,16 +274,19 @@
             self._names_refused = event.names_unknown
             self._ledger.resend()
         effects: list[message.Message] = []
-        for router, incarnation, windows in event.taken:
-            source = (router, incarnation)
+        taken = {self._me: event.windows}
+        if event.sequence and event.names_unknown is None:
+            taken = self._unanswered.pop(event.sequence, {})
+        for source, windows in taken.items():
             for number in windows:
                 self._ledger.confirm(source, number)
             final = self._ledger.final(source, windows)
             if final and source in self._group:
                 told = messages.CountsTaken(
                     holder_number=event.holder_number,
-                    taken=((router, incarnation, final),),
+                    sequence=0,
                     settled_before=event.settled_before,
+                    windows=final,
                 )
                 address = self._group[source]
                 effects.append(message.Send(address=address, message=told))
@@ -392,14 +416,32 @@
         if not routers:
             return []
         collector = self._collector
+        self._sequence += 1
         counts = messages.UsageCounts(
             reply_to=self._daemon.address,
+            sequence=self._sequence,
             holder_number=collector.number if collector else 0,
             names=self._names_used.digest,
-            routers=tuple(routers),
+            routers=packing.pack_routers(routers),
             forward=forward,
         )
+        if not forward:
+            self._remember(routers)
         address = self._forwarder.address if forward else collector.address
         if address == self._daemon.address:
             return [counts]
         return [message.Send(address=address, message=counts)]
+
+    def _remember(self, routers: list[messages.RouterCounts]) -> None:
+        """Remember what the next message to the collector has as a whole."""
+        whole = {
+            (item.router, item.incarnation): tuple(
+                entry.window for entry in item.windows if entry.whole
+            )
+            for item in routers
+        }
+        self._unanswered[self._sequence] = {
+            source: windows for source, windows in whole.items() if windows
+        }
+        if len(self._unanswered) > MAX_UNANSWERED:
+            del self._unanswered[next(iter(self._unanswered))]
