Bound the repeats of counts that no collector confirms

Cause: a collector without a quorum confirmed nothing, so that every router repeated the windows of the last minute each second; a window of usage below a second would have made these tables unbounded.

Change: counts are confirmed as soon as the collector has them, and repeats slow down to one in 8 s. usage.window has to be 0 or at least 1s, and usage.report_within above 0.

--- a/fulmarbarrow/config/checks.py
+++ b/fulmarbarrow/config/checks.py
@@ -11,6 +11,7 @@
 from fulmarbarrow.config import defaults
 from fulmarbarrow.config import findings
 
+MIN_USAGE_WINDOW = datetime.timedelta(seconds=1)
 MIN_KEY_CHARACTERS = 16
 MIN_ANSWER_BUFFER_BYTES = 192 << 10
 LISTENERS = (
@@ -162,8 +163,9 @@
     ):
         if value <= zero:
             yield source.finding(name, "must be above 0")
-    if settings.usage.window < zero:
-        yield source.finding("usage.window", "must not be negative")
+    # Shorter windows would make tables of the last minute without a bound.
+    if settings.usage.window and settings.usage.window < MIN_USAGE_WINDOW:
+        yield source.finding("usage.window", "must be 0 or at least 1s")
     if settings.usage.report_within <= zero:
         yield source.finding("usage.report_within", "must be above 0")
     if settings.control.snapshot_entries <= 0:
--- a/fulmarbarrow/config/features/settings.feature
+++ b/fulmarbarrow/config/features/settings.feature
@@ -73,6 +73,9 @@
       [[control.members]]
       id = "entry-2"
       address = "127.0.0.1:7005"
+      [usage]
+      window = -5
+      report_within = 0
       """
     When the settings are loaded
     Then the settings are rejected
@@ -86,6 +89,8 @@
       | 17   | control.members  | has 2 entries; one fewer tolerates as many failures     |
       | 17   | control.members  | has 127.0.0.1:7005 for this daemon                      |
       | 17   | control.members  | contains an address more than once                      |
+      | 24   | usage.window     | must be 0 or at least 1s                                |
+      | 25   | usage.report_within | must be above 0 |
 
   Scenario: Settings with a warning are accepted
     Given the settings file
--- a/fulmarbarrow/usage/control.py
+++ b/fulmarbarrow/usage/control.py
@@ -334,7 +334,7 @@
             except ValueError as error:
                 return self._drop(event.reply_to, str(error))
             whole = [self._merge(tenure, item, names, now) for item in routers]
-            if not any(whole) or not tenure.caught_up:
+            if not any(whole):
                 return []
         reply = messages.CountsTaken(
             holder_number=tenure.number,
--- a/fulmarbarrow/usage/features/steps/usage.py
+++ b/fulmarbarrow/usage/features/steps/usage.py
@@ -8,6 +8,7 @@
 import behave
 
 from benchmarks import usage_fleet as fleets
+from fulmarbarrow.consensus import messages as consensus_messages
 from fulmarbarrow.duties import messages as duties_messages
 from fulmarbarrow.usage import messages
 from fulmarbarrow.usage import packing
@@ -308,3 +309,86 @@
 def step_handover(context):
     unreachable = duties_messages.PlatformUnreachable(duty=fleets.USAGE)
     assert unreachable in context.fleet.notes
+
+
+@behave.when("a control host is restored from the snapshot of another one")
+def step_snapshot(context):
+    fleet = context.fleet
+    first, second = fleet.controls[:2]
+    wanted = consensus_messages.SnapshotWanted(group=fleets.GROUP, index=9)
+    (taken,) = first.core.handle(wanted, fleet.now)
+    fleet.log.clear()
+    context.restored = fleet.restart(second)
+    context.restored.post(
+        consensus_messages.SnapshotRestored(
+            group=fleets.GROUP,
+            index=9,
+            state=taken.state,
+            machine=messages.MACHINE,
+        )
+    )
+
+
+@behave.then("both have the same windows and report the same counts")
+def step_same_windows(context):
+    first = context.fleet.controls[0].core
+    second = context.restored.core
+    assert first.dump()["windows"] == second.dump()["windows"] != {}
+    for item in second._windows:
+        counts = dict(second._windows.counts(item))
+        assert counts == context.fleet.platform.accepted[item.window]
+
+
+@behave.when(
+    "a host gains the duty of scaling and {duration:d} seconds pass with "
+    "requests"
+)
+def step_scaling(context, duration):
+    fleet = context.fleet
+    scaling = duties_messages.Duty.SCALING
+    fleet.controls[0].post(
+        duties_messages.DutyHeld(
+            duty=scaling,
+            subject="",
+            number=3,
+            until=fleet.now + fleets.seconds(60),
+        )
+    )
+    for router in fleet.routers:
+        router.post(
+            duties_messages.HolderAnnounced(
+                duty=scaling, holder="control-0", address="control-0", number=3
+            )
+        )
+    step_pass(context, duration)
+
+
+@behave.then("no window is reported")
+def step_none(context):
+    assert not context.fleet.platform.calls
+    assert not context.fleet.log
+
+
+@behave.when("the collector is cut off for {duration:d} seconds with requests")
+def step_silent_collector(context, duration):
+    fleet = context.fleet
+    fleet.load(RATE, 10, duration + 5)
+    fleet.run(5)
+    context.sent = collections.Counter()
+    context.duration = duration
+    fleet.holder.cut = True
+    arrive = fleet._arrive
+
+    def count(sender, event, size):
+        if event.address == fleet.holder.record.address:
+            context.sent[sender.record.daemon_id] += size
+        arrive(sender, event, size)
+
+    fleet._arrive = count
+    fleet.run(duration)
+
+
+@behave.then("the routers send at most {limit:d} bytes a second each to it")
+def step_flood(context, limit):
+    most = max(context.sent.values()) / context.duration
+    assert 0 < most <= limit, most
--- a/fulmarbarrow/usage/features/usage.feature
+++ b/fulmarbarrow/usage/features/usage.feature
@@ -102,6 +102,25 @@
     Then no window is reported twice
     And every count of 3 windows is right
 
+  # Guards against a host that has other totals after it was restored.
+  Scenario: A control host is restored from a snapshot
+    Given 4 routers whose configuration names accounts
+    When 20 seconds pass with requests
+    And a control host is restored from the snapshot of another one
+    Then both have the same windows and report the same counts
+
+  # Guards against a host that collects because it holds another duty.
+  Scenario: A host gains the duty of scaling
+    Given 4 routers without a holder
+    When a host gains the duty of scaling and 12 seconds pass with requests
+    Then no window is reported
+
+  # Guards against a flood of counts that are not confirmed.
+  Scenario: The collector does not answer
+    Given 40 routers
+    When the collector is cut off for 50 seconds with requests
+    Then the routers send at most 500 bytes a second each to it
+
   # Guards against a crash or a wrong total by a malformed message.
   Scenario: A router sends garbage
     Given 4 routers
--- a/fulmarbarrow/usage/ledger.py
+++ b/fulmarbarrow/usage/ledger.py
@@ -15,12 +15,14 @@
     """Counts of one window at one router.
 
     ``changed`` are accounts that were not sent yet. ``sent_at`` is when the
-    whole counts were sent, and ``confirmed`` whether the collector has them.
+    whole counts were sent, for the last of ``sendings`` times to the
+    collector, and ``confirmed`` whether the collector has them.
     """
 
     counts: dict[str, int] = dataclasses.field(default_factory=dict)
     changed: set[str] = dataclasses.field(default_factory=set)
     final: bool = False
+    sendings: int = 0
     sent_at: datetime.datetime | None = None
     confirmed: bool = False
 
@@ -38,6 +40,7 @@
     def touch(self) -> None:
         """Send the whole counts again."""
         self.sent_at = None
+        self.sendings = 0
         self.confirmed = False
 
     def resend(self) -> None:
--- a/fulmarbarrow/usage/router.py
+++ b/fulmarbarrow/usage/router.py
@@ -21,8 +21,11 @@
 # A killed router loses what it counted since its last message. With a tick
 # of 250 ms this keeps the loss within a second.
 SEND_INTERVAL = datetime.timedelta(milliseconds=750)
-# Whole counts are repeated until the collector has confirmed them.
+# Whole counts are repeated until the collector has confirmed them, at first
+# after a second, then after twice as long each time, so that a collector that
+# does not answer is not flooded with the windows of a minute.
 REPEAT_INTERVAL = datetime.timedelta(seconds=1)
+MAX_DOUBLINGS = 3
 # After the end of a window: a forwarding router waits for the final counts of
 # its group, which come with their next tick. If the collector does not
 # confirm its counts in time, a router sends them itself. Both are well before
@@ -337,6 +340,7 @@
                         entries.append(self._entry(number, window, False))
                 elif self._whole_due(window, mine, ended, now):
                     window.sent_at = now
+                    window.sendings += 1
                     entries.append(self._entry(number, window, True))
             if entries:
                 found.append(
@@ -358,8 +362,10 @@
         """Whether whole counts have to be sent to the collector."""
         if window.confirmed:
             return False
-        if window.sent_at and now - window.sent_at < REPEAT_INTERVAL:
-            return False
+        if window.sent_at and window.sendings:
+            doublings = min(window.sendings - 1, MAX_DOUBLINGS)
+            if now - window.sent_at < REPEAT_INTERVAL * 2**doublings:
+                return False
         if mine and self._forwarder is not None:
             return ended >= DIRECT_AFTER
         if self._group:
