Hear the clock of a control host that restarts with it set back

Cause: an incarnation is made from a host's own clock. A host whose clock was set back before its restart has a lower one, and its new time was ignored for up to 300 s.

Change: any other incarnation replaces the known clock.

Result: the new scenario fails without the change; 25 scenarios in usage/features pass with it.

--- a/fulmarbarrow/usage/features/steps/usage.py
+++ b/fulmarbarrow/usage/features/steps/usage.py
@@ -392,3 +392,30 @@
 def step_flood(context, limit):
     most = max(context.sent.values()) / context.duration
     assert 0 < most <= limit, most
+
+
+@behave.when(
+    "all control hosts restart at second {at:d} with clocks that are right"
+)
+def step_set_back(context, at):
+    fleet = context.fleet
+    fleet.run(at)
+    for control in fleet.controls:
+        # Until now its clock was ahead, so its next incarnation is lower.
+        wrong = messages.ClockTold(
+            daemon_id=control.record.daemon_id,
+            incarnation=control.record.incarnation + 60_000,
+            at=fleet.now + fleets.seconds(60),
+        )
+        for router in fleet.routers:
+            router.post(wrong)
+    for control in list(fleet.controls):
+        fleet.restart(control)
+    fleet.run(5)
+
+
+@behave.then("every router uses the right time")
+def step_right_time(context):
+    for router in context.fleet.routers:
+        median = router.core.dump()["clock"]["median"]
+        assert abs(median) < 0.01, median
--- a/fulmarbarrow/usage/features/usage.feature
+++ b/fulmarbarrow/usage/features/usage.feature
@@ -7,6 +7,12 @@
     Then every count of 3 windows is right
     And no window is reported twice
 
+  # Guards against the clock of a host from before its restart.
+  Scenario: A control host restarts with a clock that was set back
+    Given 4 routers and a control host whose clock is 2.4 s off
+    When all control hosts restart at second 2 with clocks that are right
+    Then every router uses the right time
+
   # Guards against a router that counts by its own clock.
   Scenario: The clock of a router is 2.4 s off
     Given 4 routers, one of them with a clock that is 2.4 s off
--- a/fulmarbarrow/usage/fleet_time.py
+++ b/fulmarbarrow/usage/fleet_time.py
@@ -47,7 +47,9 @@
         if self._first_at is None:
             self._first_at = now
         clock = self._clocks.get(event.daemon_id)
-        if clock is None or clock.incarnation < event.incarnation:
+        # An incarnation is made from the host's own clock, so that the next
+        # one is lower if the clock was set back before the restart.
+        if clock is None or clock.incarnation != event.incarnation:
             clock = _Clock(
                 incarnation=event.incarnation,
                 heard_at=now,
@@ -55,8 +57,6 @@
             )
             self._clocks.pop(event.daemon_id, None)
             self._clocks[event.daemon_id] = clock
-        elif clock.incarnation > event.incarnation:
-            return
         clock.heard_at = now
         clock.offsets.append(event.at - now)
         for daemon_id, other in list(self._clocks.items()):
