--- a/fulmarbarrow/daemon/control_cores.py
+++ b/fulmarbarrow/daemon/control_cores.py
@@ -11,6 +11,7 @@
 from fulmarbarrow.publishing import control
 from fulmarbarrow.publishing import messages as publishing_messages
 from fulmarbarrow.scaling import messages as scaling_messages
+from fulmarbarrow.usage import messages as usage_messages
 from fulmarbarrow.versions import control as versions_control
 from fulmarbarrow.versions import messages as versions_messages
 from fulmarbarrow.zones import control as zones_control
@@ -24,6 +25,7 @@
         made.add("memory_logs", logs)
     group = consensus_messages.Group.CONFIGURATION
     has_duties = made.settings.duties.address is not None
+    counts = has_duties and bool(made.settings.usage.window)
     scales = has_duties and made.settings.scaling.enabled
     machines: tuple[str, ...] = (
         publishing_messages.MACHINE,
@@ -31,6 +33,8 @@
     )
     if has_duties:
         machines += (duties_messages.MACHINE,)
+    if counts:
+        machines += (usage_messages.MACHINE,)
     if scales:
         machines += (scaling_messages.MACHINE,)
     _add_log(made, "consensus", group, logs, machines)
@@ -45,6 +49,8 @@
     )
     if has_duties:
         _add_duties(made, group)
+    if counts:
+        _add_usage(made, group)
     if scales:
         _add_scaling(made, group)
     if made.settings.control.journal:
@@ -65,6 +71,20 @@
     made.add("duties", core)
 
 
+def _add_usage(made: joint.Joint, group: consensus_messages.Group) -> None:
+    from fulmarbarrow.usage import control as usage_control
+
+    made.add(
+        "usage_control",
+        usage_control.UsageControl(
+            daemon=made.record,
+            group=group,
+            metrics=made.metrics,
+            window=made.settings.usage.window,
+        ),
+    )
+
+
 def _add_scaling(made: joint.Joint, group: consensus_messages.Group) -> None:
     from fulmarbarrow.scaling import control as scaling_control
 
--- a/fulmarbarrow/daemon/router_cores.py
+++ b/fulmarbarrow/daemon/router_cores.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 
+from fulmarbarrow.config import defaults
 from fulmarbarrow.daemon import joint
 from fulmarbarrow.delivery import core as delivery_core
 from fulmarbarrow.delivery import policy as delivery_policy
@@ -57,13 +58,34 @@
             timeouts=_timeouts(made),
             retries=made.settings.retries,
             started=made.now,
+            tells_began=_counts_usage(made.settings),
         ),
     )
+    if _counts_usage(made.settings):
+        _add_usage(made)
     settings = made.settings
     if settings.scaling.enabled and settings.duties.address is not None:
         _add_scaling(made)
 
 
+def _counts_usage(settings: defaults.Settings) -> bool:
+    """Return whether a platform is told the use by client accounts."""
+    return settings.duties.address is not None and bool(settings.usage.window)
+
+
+def _add_usage(made: joint.Joint) -> None:
+    from fulmarbarrow.usage import router as usage_router
+
+    made.add(
+        "usage",
+        usage_router.UsageRouter(
+            daemon=made.record,
+            metrics=made.metrics,
+            window=made.settings.usage.window,
+        ),
+    )
+
+
 def _add_scaling(made: joint.Joint) -> None:
     from fulmarbarrow.scaling import reporter
 
--- /dev/null
+++ b/fulmarbarrow/usage/features/steps/usage.py
@@ -0,0 +1,421 @@
+"""Steps for usage reports of a simulated fleet."""
+
+from __future__ import annotations
+
+import collections
+import itertools
+
+import behave
+
+from benchmarks import usage_fleet as fleets
+from fulmarbarrow.consensus import messages as consensus_messages
+from fulmarbarrow.duties import messages as duties_messages
+from fulmarbarrow.usage import messages
+from fulmarbarrow.usage import packing
+
+RATE = 60
+
+
+def start(context, count, skews=(), holds=True):
+    context.fleet = fleets.Fleet(routers=count, skews=skews)
+    if holds:
+        context.fleet.hold(context.fleet.controls[0])
+    context.first = context.fleet.window
+
+
+@behave.given("{count:d} routers")
+def step_routers(context, count):
+    start(context, count)
+
+
+@behave.given(
+    "{count:d} routers and a control host whose clock is {skew:g} s off"
+)
+def step_skewed_control(context, count, skew):
+    start(context, count, skews=(skew,))
+
+
+@behave.given(
+    "{count:d} routers, one of them with a clock that is {skew:g} s off"
+)
+def step_skewed_router(context, count, skew):
+    start(context, count)
+    context.fleet.routers[0].skew = fleets.seconds(skew)
+
+
+@behave.given("{count:d} routers without a holder")
+def step_no_holder(context, count):
+    start(context, count, holds=False)
+
+
+@behave.given("{count:d} routers whose configuration names accounts")
+def step_names(context, count):
+    context.fleet = fleets.Fleet(routers=count, accounts=8)
+    context.fleet.hold(context.fleet.controls[0])
+    context.first = context.fleet.window
+
+
+@behave.when("the accounts of the holder's configuration change")
+def step_change_names(context):
+    fleet = context.fleet
+    fleet.load(RATE, 10, 20)
+    fleet.run(7)
+    fleet.configure(fleet.holder, 5)
+    fleet.run(5)
+    fleet.configure(fleet.routers[0], 9)
+    fleet.run(11)
+
+
+@behave.given("{count:d} routers and a platform that is down")
+def step_down(context, count):
+    start(context, count)
+    context.fleet.platform.down = True
+
+
+@behave.given(
+    "{count:d} routers and a network that repeats and reorders messages"
+)
+def step_repeats(context, count):
+    start(context, count)
+    context.fleet.repeats_messages = True
+
+
+@behave.given(
+    "{count:d} routers and a platform whose first {lost:d} answers are lost"
+)
+def step_lost_answers(context, count, lost):
+    start(context, count)
+    outcomes = context.fleet.platform.outcomes
+    outcomes.extend([fleets.Outcome.UNKNOWN] * lost)
+    context.lost = lost
+
+
+@behave.given("{count:d} routers and a platform that answers superseded")
+def step_superseded(context, count):
+    start(context, count)
+    context.fleet.platform.outcomes.append(fleets.Outcome.SUPERSEDED)
+
+
+@behave.when("{duration:d} seconds pass with requests")
+def step_pass(context, duration):
+    context.fleet.load(RATE, 10, duration)
+    context.fleet.run(duration)
+    context.fleet.run(3)
+
+
+@behave.when(
+    "a router is {fault} at second {at:d} with 10 requests in each 100 ms"
+)
+def step_fault(context, fault, at):
+    fleet = context.fleet
+    router = fleet.routers[0]
+    for number in range(at * 10 + 30):
+        fleet.after(fleets.seconds(number / 10), fleet.begin, router, "a", 10)
+    fleet.run(at)
+    if fault == "killed":
+        router.alive = False
+    elif fault == "frozen":
+        router.frozen = True
+        fleet.after(fleets.seconds(8), router.thaw)
+    else:
+        router.cut = True
+    fleet.run(12)
+    context.reported = context.first + 1
+
+
+@behave.when("a forwarding router is killed at second {at:d} with requests")
+def step_kill_forwarder(context, at):
+    fleet = context.fleet
+    fleet.load(RATE, 10, at)
+    fleet.run(at)
+    name = fleet.routers[0].core.dump()["forwarder"]
+    assert name
+    (forwarder,) = (r for r in fleet.routers if r.record.daemon_id == name)
+    forwarder.alive = False
+    fleet.run(10)
+    context.reported = context.first + 1
+
+
+@behave.then("the report lacks at most 1 second of that router's requests")
+def step_lacks_forwarder(context):
+    fleet = context.fleet
+    reported = sum(fleet.platform.accepted[context.reported].values())
+    missing = fleet.truth[context.reported].total() - reported
+    assert 0 <= missing <= 2 * RATE / len(fleet.routers), missing
+
+
+@behave.then("the report lacks at most {lost:d} of its requests")
+def step_lacks(context, lost):
+    fleet = context.fleet
+    reported = fleet.platform.accepted[context.reported].get("a", 0)
+    missing = fleet.truth[context.reported]["a"] - reported
+    assert 0 <= missing <= lost, missing
+
+
+@behave.then(
+    "the report is made within {limit:g} seconds of the end of its window"
+)
+def step_in_time(context, limit):
+    end = fleets.fleet_time.end_of(context.reported, fleets.WINDOW)
+    took = context.fleet.platform.accepted_at[context.reported] - end
+    assert took <= fleets.seconds(limit), took
+
+
+@behave.when("the duty moves to another host at second {at:d} with requests")
+def step_move(context, at):
+    fleet = context.fleet
+    fleet.load(RATE, 10, 20)
+    fleet.run(at)
+    fleet.hold(fleet.controls[1])
+    fleet.run(23 - at)
+
+
+@behave.when(
+    "the holder is killed at second {at:d} and the platform is up again"
+)
+def step_kill_holder(context, at):
+    fleet = context.fleet
+    fleet.load(RATE, 10, 20)
+    fleet.run(at)
+    context.before = len(fleet.platform.calls)
+    fleet.holder.alive = False
+    fleet.platform.down = False
+    fleet.hold(fleet.controls[1])
+    fleet.run(5)
+
+
+@behave.when(
+    "{duration:d} seconds pass with requests and then a host gains the duty"
+)
+def step_late_holder(context, duration):
+    fleet = context.fleet
+    fleet.load(RATE, 10, 20)
+    fleet.run(duration)
+    fleet.hold(fleet.controls[1])
+    fleet.run(23 - duration)
+
+
+@behave.when("another host gains the duty and the first does not learn of it")
+def step_two_holders(context):
+    fleet = context.fleet
+    fleet.load(RATE, 10, 30)
+    fleet.run(4.5)
+    first = fleet.controls[0]
+    first.core._tenure.until += fleets.seconds(60)
+    fleet.holder = None
+    fleet.hold(fleet.controls[1])
+    fleet.run(25)
+    holders = {call.holder for call in fleet.platform.calls}
+    assert len(holders) == 2, holders
+
+
+@behave.when("all control hosts restart at second {at:d} with requests")
+def step_power(context, at):
+    fleet = context.fleet
+    fleet.load(RATE, 10, 20)
+    fleet.run(at)
+    for control in list(fleet.controls):
+        fleet.restart(control)
+    fleet.holder = None
+    fleet.hold(fleet.controls[1])
+    fleet.run(23 - at)
+
+
+@behave.when("garbage arrives from a router")
+def step_garbage(context):
+    fleet = context.fleet
+    fleet.run(1)
+    entries = [
+        messages.WindowCounts(
+            window=window, whole=True, final=True, packed=packed, others=others
+        )
+        for window in (fleet.window, -1, 1 << 60)
+        for packed in (b"", b"\xff" * 9, b"\x80")
+        for others in ((), (("a", -5),), (("b", 1 << 60),))
+    ]
+    garbage = messages.RouterCounts(
+        router="router-9", incarnation=1, windows=tuple(entries)
+    )
+    packed = packing.pack_routers([garbage])
+    for names, routers in itertools.product(
+        (packing.Names().digest, 0, -1),
+        (packed, packed[:9], b"", packing.compress(b"\0" * (1 << 20))),
+    ):
+        fleet.holder.post(
+            messages.UsageCounts(
+                reply_to="router-9",
+                sequence=1,
+                holder_number=fleet.number,
+                names=names,
+                routers=routers,
+            )
+        )
+
+
+@behave.then("every count of {count:d} windows is right")
+def step_right(context, count):
+    fleet = context.fleet
+    for window in range(context.first, context.first + count):
+        assert window in fleet.platform.accepted, window
+        assert fleet.error_of(window) == 0, (
+            fleet.platform.accepted[window],
+            fleet.truth[window],
+        )
+
+
+@behave.then("no window is reported twice")
+def step_once(context):
+    calls = collections.Counter(
+        call.window for call in context.fleet.platform.calls
+    )
+    assert set(calls.values()) == {1}, calls
+
+
+@behave.then("every call for a window had the same content")
+def step_same(context):
+    contents = collections.defaultdict(set)
+    for call in context.fleet.platform.calls:
+        contents[call.window].add(call.counts)
+    assert contents
+    assert all(len(found) == 1 for found in contents.values()), contents
+
+
+@behave.then("every window up to then is reported")
+def step_reported(context):
+    fleet = context.fleet
+    assert context.before
+    for window in range(context.first, context.first + 2):
+        assert fleet.error_of(window) == 0, window
+
+
+@behave.then("each window is called once after the lost answers")
+def step_called_once(context):
+    fleet = context.fleet
+    calls = len(fleet.platform.calls)
+    assert calls == len(fleet.platform.accepted) + context.lost, calls
+
+
+@behave.then("the holder gives up the duty after {count:d} call")
+def step_refused(context, count):
+    fleet = context.fleet
+    assert len(fleet.platform.calls) == count
+    (note,) = fleet.notes
+    assert note == duties_messages.DutyRefused(
+        duty=fleets.USAGE, subject="", number=fleet.number
+    )
+
+
+@behave.then("the holder asks for a handover")
+def step_handover(context):
+    unreachable = duties_messages.PlatformUnreachable(duty=fleets.USAGE)
+    assert unreachable in context.fleet.notes
+
+
+@behave.when("a control host is restored from the snapshot of another one")
+def step_snapshot(context):
+    fleet = context.fleet
+    first, second = fleet.controls[:2]
+    wanted = consensus_messages.SnapshotWanted(group=fleets.GROUP, index=9)
+    (taken,) = first.core.handle(wanted, fleet.now)
+    fleet.log.clear()
+    context.restored = fleet.restart(second)
+    context.restored.post(
+        consensus_messages.SnapshotRestored(
+            group=fleets.GROUP,
+            index=9,
+            state=taken.state,
+            machine=messages.MACHINE,
+        )
+    )
+
+
+@behave.then("both have the same windows and report the same counts")
+def step_same_windows(context):
+    first = context.fleet.controls[0].core
+    second = context.restored.core
+    assert first.dump()["windows"] == second.dump()["windows"] != {}
+    for item in second._windows:
+        counts = dict(second._windows.counts(item))
+        assert counts == context.fleet.platform.accepted[item.window]
+
+
+@behave.when(
+    "a host gains the duty of scaling and {duration:d} seconds pass with "
+    "requests"
+)
+def step_scaling(context, duration):
+    fleet = context.fleet
+    scaling = duties_messages.Duty.SCALING
+    fleet.controls[0].post(
+        duties_messages.DutyHeld(
+            duty=scaling,
+            subject="",
+            number=3,
+            until=fleet.now + fleets.seconds(60),
+        )
+    )
+    for router in fleet.routers:
+        router.post(
+            duties_messages.HolderAnnounced(
+                duty=scaling, holder="control-0", address="control-0", number=3
+            )
+        )
+    step_pass(context, duration)
+
+
+@behave.then("no window is reported")
+def step_none(context):
+    assert not context.fleet.platform.calls
+    assert not context.fleet.log
+
+
+@behave.when("the collector is cut off for {duration:d} seconds with requests")
+def step_silent_collector(context, duration):
+    fleet = context.fleet
+    fleet.load(RATE, 10, duration + 5)
+    fleet.run(5)
+    context.sent = collections.Counter()
+    context.duration = duration
+    fleet.holder.cut = True
+    arrive = fleet._arrive
+
+    def count(sender, event, size):
+        if event.address == fleet.holder.record.address:
+            context.sent[sender.record.daemon_id] += size
+        arrive(sender, event, size)
+
+    fleet._arrive = count
+    fleet.run(duration)
+
+
+@behave.then("the routers send at most {limit:d} bytes a second each to it")
+def step_flood(context, limit):
+    most = max(context.sent.values()) / context.duration
+    assert 0 < most <= limit, most
+
+
+@behave.when(
+    "all control hosts restart at second {at:d} with clocks that are right"
+)
+def step_set_back(context, at):
+    fleet = context.fleet
+    fleet.run(at)
+    for control in fleet.controls:
+        # Until now its clock was ahead, so its next incarnation is lower.
+        wrong = messages.ClockTold(
+            daemon_id=control.record.daemon_id,
+            incarnation=control.record.incarnation + 60_000,
+            at=fleet.now + fleets.seconds(60),
+        )
+        for router in fleet.routers:
+            router.post(wrong)
+    for control in list(fleet.controls):
+        fleet.restart(control)
+    fleet.run(5)
+
+
+@behave.then("every router uses the right time")
+def step_right_time(context):
+    for router in context.fleet.routers:
+        median = router.core.dump()["clock"]["median"]
+        assert abs(median) < 0.01, median
