Place plain requests by the load that upstreams report

Upstreams that share a machine change their pace several times a second, and say so in X-Server-Load, which was not read. Routers waited 50 ms at the plain upstream of their own zone while another one was idle, and slots stayed empty until the next tick sent the releases.

Owners keep a model of each upstream, attach the states of the plain upstreams to their replies and tell each other. Plain upstreams are ordered by expected time, released at once, and waits use measured times. Slow engines get fewer chats that are not cached. Nothing changes for upstreams that report no pace.

--- a/fulmarbarrow/delivery/effects.py
+++ b/fulmarbarrow/delivery/effects.py
@@ -109,6 +109,7 @@
 ) -> Effects:
     """Report the outcome of an attempt to placement and versions."""
     placed = attempt.placed
+    load = attempt.headers.load if attempt.headers else None
     mean_token_gap = None
     if attempt.time_to_first_token is not None and attempt.tokens > 1:
         streaming_time = (
@@ -129,6 +130,8 @@
             first_token=attempt.time_to_first_token,
             generated_tokens=attempt.tokens,
             reused_tokens=attempt.reused_tokens,
+            lasted=attempt.progress_at - attempt.sent_at if load else None,
+            pace=load.pace if load else 0,
         ),
         messages.AttemptObserved(
             account=request.arrival.account,
@@ -146,6 +149,21 @@
     ]
 
 
+def load_stated(
+    attempt: state.Attempt, event: messages.AttemptHeaders
+) -> Effects:
+    """Report the load that an upstream states in a response."""
+    if event.load is None:
+        return []
+    return [
+        placement_messages.LoadStated(
+            upstream_id=attempt.placed.upstream_id,
+            incarnation=attempt.placed.incarnation,
+            load=event.load,
+        )
+    ]
+
+
 def cancel_attempt(request: state.Request, attempt: state.Attempt) -> Effects:
     """Cancel an attempt whose response is no longer needed."""
     return [
--- a/fulmarbarrow/delivery/messages.py
+++ b/fulmarbarrow/delivery/messages.py
@@ -152,6 +152,7 @@
     together, that the upstream can refuse for want of room without failing,
     None if it says nothing of it. ``leaving`` is set if the upstream says that
     it leaves, and ``hold_off`` is for how long it wants no request from here.
+    ``load`` is what it states of its load, None unless it states its pace.
     """
 
     attempt_id: str
@@ -169,6 +170,7 @@
     refusals_borne: float | None = None
     leaving: bool = False
     hold_off: datetime.timedelta | None = None
+    load: placement_messages.ServerLoad | None = None
 
 
 class AttemptData(message.Message, frozen=True, kw_only=True):
--- a/fulmarbarrow/delivery/responses.py
+++ b/fulmarbarrow/delivery/responses.py
@@ -208,6 +208,7 @@
         told: Effects = []
         if event.status != STATUS_MISDIRECTED:
             told = self._named_limits.read(attempt, event, now)
+            told.extend(effects_module.load_stated(attempt, event))
             if event.leaving:
                 told.extend(self._depart(attempt))
         return [*told, *self._handle_status(entry, attempt, event, now)]
--- a/fulmarbarrow/placement/core.py
+++ b/fulmarbarrow/placement/core.py
@@ -17,6 +17,7 @@
 from fulmarbarrow.placement import directory as directories
 from fulmarbarrow.placement import entry as entries
 from fulmarbarrow.placement import health as healths
+from fulmarbarrow.placement import load_reports
 from fulmarbarrow.placement import messages
 from fulmarbarrow.placement import owner as owners
 from fulmarbarrow.placement import ownerless as ownerless_module
@@ -56,6 +57,9 @@
         messages.PlaceRequest,
         messages.PlaceCancelled,
         messages.WorkEnded,
+        messages.LoadStated,
+        messages.LoadReadings,
+        messages.PlainStates,
         messages.RateLimitNamed,
         messages.UpstreamRateLimit,
         messages.Reserve,
@@ -99,7 +103,11 @@
             policy=policy,
             bounds=bounds,
             metrics=metrics,
+            address=daemon.address,
+            rng=rng,
         )
+        self._states = self._owner_core.states
+        self._reports = load_reports.LoadReports()
         self._routers: dict[str, membership_messages.Daemon] = {}
         # Peers behind a cut may place work, so they count after their death.
         self._had_peers = False
@@ -118,6 +126,7 @@
             ownerless=self._ownerless,
             health=self._health,
             sources=self._sources,
+            choice=self._owner_core.choice,
             metrics=metrics,
             rng=rng,
             timing=self._timing,
@@ -132,6 +141,7 @@
             len(self._entry_core)
             or self._owner_core.queued
             or self._running.has_releases
+            or self._reports.waiting
         )
 
     def handle(
@@ -165,6 +175,8 @@
             "left_out": self._health.dump(),
             "rate_limits": self._limits.dump(),
             "pool_loads": self._means.dump(),
+            "load_models": self._owner_core.models.dump(),
+            "plain_states": self._states.dump(),
         }
 
     def _dispatch(
@@ -174,15 +186,28 @@
             case messages.PlaceRequest():
                 return self._entry_core.place(event, now)
             case messages.Reserve():
-                return self._owner_core.reserve(event, now)
+                return self._states.attach(
+                    self._owner_core.reserve(event, now), now
+                )
             case messages.Reserved():
+                self._states.record(event.states, now)
                 return self._entry_core.handle_grant(event, now)
             case messages.ReserveRefused():
+                self._states.record(event.states, now)
                 return self._entry_core.handle_refusal(event, now)
             case messages.WorkEnded():
                 return self._work_ended(event, now)
             case messages.Release():
-                return self._owner_core.release(event, now)
+                return self._states.attach(
+                    self._owner_core.release(event, now), now
+                )
+            case messages.LoadStated():
+                known_pace = self._states.recent_pace(event.upstream_id, now)
+                self._reports.record(event, now, known_pace)
+            case messages.LoadReadings():
+                self._owner_core.models.record(event, now)
+            case messages.PlainStates():
+                self._states.record(event.states, now)
             case messages.RateLimitNamed():
                 return self._limits.record(event, self._directory, now)
             case messages.UpstreamRateLimit():
@@ -199,6 +224,7 @@
                 self._owner_core.record_chat_move(event)
             case messages.OwnerSummary():
                 self._means.record_summary(event, now)
+                self._states.record(event.states, now)
             case _:
                 return self._apply_change(event, now)
         return []
@@ -392,11 +418,17 @@
     def _work_ended(
         self, event: messages.WorkEnded, now: datetime.datetime
     ) -> list[message.Message]:
+        attempt = self._running.get(event.attempt_id)
         if not self._running.end(event):
             return []
         self._health.record_outcome(event, now)
+        self._reports.record_time(event, attempt.request.service, now)
         owner = self._directory.owners.get(event.upstream_id)
-        if owner is None or owner.address != self._address:
+        if owner is None:
+            return []
+        # The few slots of a plain upstream are not left idle for a tick.
+        few_slots = self._owner_core.choice.active(event.upstream_id, now)
+        if owner.address != self._address and not few_slots:
             return []
         return self._running.take_releases(self._directory)
 
@@ -410,8 +442,10 @@
     def _tick(self, now: datetime.datetime) -> list[message.Message]:
         effects = [
             *self._entry_core.tick(now),
-            *self._owner_core.tick(now),
+            *self._states.attach(self._owner_core.tick(now), now),
             *self._running.take_releases(self._directory),
+            *self._reports.take(self._directory, self._address, now),
+            *self._states.exchange(now),
         ]
         if self._summary_due is None or self._summary_due <= now:
             self._summary_due = now + self._timing.summary_interval
@@ -433,6 +467,7 @@
             owner=self._daemon.daemon_id,
             sequence=next(self._sequence),
             pools=tuple(pools),
+            states=self._states.for_summary(now),
         )
         return [
             message.Send(
--- a/fulmarbarrow/placement/entry.py
+++ b/fulmarbarrow/placement/entry.py
@@ -19,6 +19,7 @@
 from fulmarbarrow.placement import health as healths
 from fulmarbarrow.placement import messages
 from fulmarbarrow.placement import ownerless as ownerless_module
+from fulmarbarrow.placement import plain_choice
 from fulmarbarrow.placement import prefixes
 from fulmarbarrow.placement import recent_chats
 from fulmarbarrow.placement import running_attempts
@@ -91,6 +92,7 @@
         ownerless: ownerless_module.OwnerlessLimits,
         health: healths.Health,
         sources: cache_sources.CacheSources,
+        choice: plain_choice.PlainChoice,
         metrics: metrics_module.Metrics,
         rng: random.Random,
         timing: defaults.PlacementSection,
@@ -107,6 +109,7 @@
         self._cache_worth_ms = timing.cache_worth // MILLISECOND
         self._prefixes = prefixes.Prefixes()
         self._sources = sources
+        self._choice = choice
         self._fetch_enabled = timing.fetches
         self._queue_wait = timing.queue_wait
         self._pending: dict[str, PendingRequest] = {}
@@ -231,7 +234,8 @@
         """Return the upstreams of a plain service, those of this zone first.
 
         Inside and outside the zone, the less loaded of two randomly chosen
-        upstreams comes first.
+        upstreams comes first. If upstreams report their pace, the order is
+        that of the expected times.
         """
         ring = self._directory.pool_ring(request.service, "")
         members = [
@@ -239,6 +243,9 @@
         ]
         members = self._health.healthy(members, now, once=request.once)
         self._rng.shuffle(members)
+        ranked = self._choice.ranked(members, self._zone, now)
+        if ranked is not None:
+            return ranked[: directories.MAX_CANDIDATES]
         upstreams = self._directory.upstreams
         local = [i for i in members if upstreams[i].zone == self._zone]
         remote = [i for i in members if upstreams[i].zone != self._zone]
@@ -278,6 +285,8 @@
             owner = self._reachable_owner(upstream_id, now)
             if owner is not None:
                 wait = NO_WAIT if pending.position else self._home_wait
+                if self._choice.active(upstream_id, now):
+                    wait = NO_WAIT
                 return [
                     self._request_reservation(
                         pending, upstream, owner, wait, now
@@ -320,6 +329,10 @@
         if pending.stage is SearchStage.QUEUEING:
             return self._pause(pending, now)
         pending.position += 1
+        if not pending.request.model:
+            pending.candidates = self._choice.rank_rest(
+                pending.candidates, pending.position, self._zone, now
+            )
         return self._try_candidates(pending, now)
 
     def _queue_at_shortest_wait(
@@ -329,7 +342,7 @@
         cached = (pending.candidates[0], pending.moved_to)
         options = [
             (
-                wait + (0 if upstream_id in cached else self._cache_worth_ms),
+                wait + self._worth_ms(pending, upstream_id, cached, now),
                 pending.candidates.index(upstream_id),
                 upstream_id,
             )
@@ -351,6 +364,19 @@
         wait = min(self._queue_wait, pending.give_up_at - now)
         return [self._request_reservation(pending, upstream, owner, wait, now)]
 
+    def _worth_ms(
+        self,
+        pending: PendingRequest,
+        upstream_id: str,
+        cached: tuple[str, ...],
+        now: datetime.datetime,
+    ) -> float:
+        """Return what is added to the expected wait at an upstream."""
+        active = self._choice.active(upstream_id, now)
+        if active and not pending.request.model:
+            return self._choice.latency_ms(upstream_id, self._zone)
+        return 0 if upstream_id in cached else self._cache_worth_ms
+
     def _pause(
         self, pending: PendingRequest, now: datetime.datetime
     ) -> list[message.Message]:
--- a/fulmarbarrow/placement/messages.py
+++ b/fulmarbarrow/placement/messages.py
@@ -44,6 +44,19 @@
 )
 
 
+class ServerLoad(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Load of an upstream as it stated it in a response.
+
+    ``pace`` is how long work takes there at this moment, in percent of the
+    usual time.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    pace: int
+
+
 class PlaceRequest(message.Message, frozen=True, kw_only=True):
     """Requests an upstream for one attempt of a request.
 
@@ -122,6 +135,9 @@
     ``refusals_borne`` is the number of refusals a second that the upstream
     says it bears, None if it says nothing of it. ``hold_off`` is the time for
     which it wants no request from this router, None if it named none.
+    ``lasted`` is the time from sending the request to the last byte received,
+    and ``pace`` what the upstream stated in the head of its response, in
+    percent, 0 if nothing.
     """
 
     request_id: str
@@ -135,6 +151,16 @@
     generated_tokens: int = 0
     reused_tokens: int | None = 0
     hold_off: datetime.timedelta | None = None
+    lasted: datetime.timedelta | None = None
+    pace: int = 0
+
+
+class LoadStated(message.Message, frozen=True, kw_only=True):
+    """An upstream stated its load in the head of a response."""
+
+    upstream_id: str
+    incarnation: int
+    load: ServerLoad
 
 
 class RateLimitNamed(message.Message, frozen=True, kw_only=True):
@@ -204,21 +230,45 @@
     rank: int = 0
 
 
+class PlainState(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """State of a plain upstream that reports a pace.
+
+    ``upstream`` is a hash of its id. ``ahead`` counts the requests that run or
+    wait there, ``request_ms`` is the usual time of one, 0 if it is not
+    measured. The state was valid ``age_ms`` ago, and its ``pace`` (percent)
+    was read ``pace_age_ms`` ago. ``mean_pace`` applies once that is too old.
+    """
+
+    upstream: int
+    ahead: int
+    slots: int
+    request_ms: int
+    pace: int
+    pace_age_ms: int
+    mean_pace: int
+    age_ms: int = 0
+
+
 class Reserved(message.Message, frozen=True, kw_only=True):
-    """Grants a reservation, which expires ``lease`` after its last renewal."""
+    """Grants a reservation, which expires ``lease`` after its last renewal.
+
+    ``states`` describes the plain upstreams of the service.
+    """
 
     attempt_id: str
     upstream_id: str
     incarnation: int
     priority: int
     lease: datetime.timedelta
+    states: tuple[PlainState, ...] = ()
 
 
 class ReserveRefused(message.Message, frozen=True, kw_only=True):
     """Refuses a reservation; ``code`` is the reason.
 
     ``wait_ms`` is the queueing delay that the owner expects for the attempt.
-    ``moved_to`` is the upstream that holds the cache of the chat.
+    ``moved_to`` is the upstream that holds the cache of the chat. ``states``
+    describes the plain upstreams of the service.
     """
 
     attempt_id: str
@@ -227,6 +277,44 @@
     retry_after: datetime.timedelta | None = None
     wait_ms: int = 0
     moved_to: str = ""
+    states: tuple[PlainState, ...] = ()
+
+
+class PlainStates(message.Message, frozen=True, kw_only=True):
+    """Tells owners of plain upstreams of the same service their states."""
+
+    states: tuple[PlainState, ...]
+
+
+class LoadReading(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """What an upstream stated of its load ``age_ms`` ago."""
+
+    upstream_id: str
+    incarnation: int
+    load: ServerLoad
+    age_ms: int
+
+
+class TimeSample(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Measured times of ``count`` whole responses, at the usual pace.
+
+    ``first_ms`` is the sum of the times to the first event, ``total_ms`` that
+    of the whole times.
+    """
+
+    upstream_id: str
+    incarnation: int
+    service: int
+    count: int
+    first_ms: int
+    total_ms: int
+
+
+class LoadReadings(message.Message, frozen=True, kw_only=True):
+    """Tells an owner what a router learnt from responses of its upstreams."""
+
+    readings: tuple[LoadReading, ...]
+    times: tuple[TimeSample, ...] = ()
 
 
 class UpstreamRateLimit(message.Message, frozen=True, kw_only=True):
@@ -325,6 +413,7 @@
     owner: str
     sequence: int
     pools: tuple[PoolWork, ...]
+    states: tuple[PlainState, ...] = ()
 
 
 PEER_MESSAGES = (
@@ -337,4 +426,6 @@
     Preempt,
     OwnerSummary,
     UpstreamRateLimit,
+    LoadReadings,
+    PlainStates,
 )
--- a/fulmarbarrow/placement/owner.py
+++ b/fulmarbarrow/placement/owner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import datetime
+import random
 import typing
 
 import msgspec
@@ -15,7 +16,10 @@
 from fulmarbarrow.placement import capacity
 from fulmarbarrow.placement import directory as directories
 from fulmarbarrow.placement import ledger as ledgers
+from fulmarbarrow.placement import load_model
 from fulmarbarrow.placement import messages
+from fulmarbarrow.placement import plain_choice
+from fulmarbarrow.placement import plain_states
 from fulmarbarrow.placement import pool_means
 from fulmarbarrow.placement import replies
 from fulmarbarrow.placement import scheduling
@@ -35,8 +39,11 @@
         policy: scheduling.Policy,
         bounds: bounds_module.Bounds,
         metrics: metrics_module.Metrics,
+        address: str,
+        rng: random.Random,
     ) -> None:
         self._directory = directory
+        self._means = means
         self._policy = policy
         self._bounds = bounds
         self._metrics = metrics
@@ -44,6 +51,16 @@
             directory=directory, means=means, policy=policy, bounds=bounds
         )
         self._owned: dict[str, capacity.OwnedUpstream] = {}
+        self.models = load_model.LoadModels(owned=self._owned)
+        self.states = plain_states.PlainStates(
+            directory=directory,
+            models=self.models,
+            owned=self._owned,
+            own_address=address,
+        )
+        self.choice = plain_choice.PlainChoice(
+            directory=directory, states=self.states, rng=rng
+        )
 
     @property
     def queued(self) -> bool:
@@ -95,6 +112,7 @@
     def drop(self, upstream_id: str, code: str) -> list[message.Message]:
         """Stop owning an upstream and refuse the attempts queued there."""
         owned = self._owned.pop(upstream_id, None)
+        self.models.forget(upstream_id)
         if owned is None:
             return []
         return [
@@ -144,6 +162,16 @@
         work = replies.queued_work(
             event, now, self._allowed_part(ledger, event)
         )
+        if self.choice.redirects(event, now):
+            self._metrics.count("plain_requests_redirected")
+            wait = self._expected_wait(owned, work, now)
+            return [self._refuse(event, "bound_reached", wait)]
+        if self.models.defers(
+            owned, event, self._means.mean_requests(ledger.upstream), now
+        ):
+            self._metrics.count("slow_engines_avoided")
+            wait = self._expected_wait(owned, work, now)
+            return [self._refuse(event, "bound_reached", wait)]
         owned.short_reserve = max(
             owned.short_reserve, self._policy.short_work_share(work.service)
         )
@@ -458,9 +486,10 @@
         """
         ledger = owned.ledger
         share = self._capacity.ramp_share(ledger, now)
-        speed = max(1.0, share * ledger.upstream.tokens_per_second)
+        speed = self.models.tokens_per_second(ledger.upstream, now)
+        speed = max(1.0, share * speed)
         work_ahead = owned.queue.cost_ahead(work) if len(owned.queue) else 0.0
-        if share < 1.0:
+        if share < 1.0 or self.models.get(ledger.upstream) is not None:
             work_ahead += work.cost
         start_rate = self._capacity.start_rate_limit(ledger, now)
         seconds = max(work_ahead / speed, len(owned.queue) / start_rate)
--- a/fulmarbarrow/placement/shell.py
+++ b/fulmarbarrow/placement/shell.py
@@ -16,6 +16,7 @@
     messages.Reserve,
     messages.ReserveRefused,
     messages.WorkEnded,
+    messages.LoadStated,
     messages.PlaceCancelled,
 )
 
--- a/fulmarbarrow/platform/features/steps/workers.py
+++ b/fulmarbarrow/platform/features/steps/workers.py
@@ -232,3 +232,14 @@
 @behave.then("that takes under {most:d} s of processor time")
 def step_linear(context, most):
     assert context.seconds < most, context.seconds
+
+
+@behave.then("its load is {load}")
+def step_load(context, load):
+    stated = context.answer.load
+    found = "not stated"
+    if stated is not None:
+        found = (
+            f"{stated.running} {stated.waiting} {stated.slots} {stated.pace}"
+        )
+    assert found == load, found
--- a/fulmarbarrow/platform/features/workers.feature
+++ b/fulmarbarrow/platform/features/workers.feature
@@ -138,3 +138,20 @@
   Scenario: Each byte of an event without an end is searched once
     When 32 MB without an end arrive in reads of 16 KB below the bound
     Then that takes under 5 s of processor time
+
+  Scenario Outline: Only a load with a readable pace is used
+    When the worker answers 200 with the fields "<fields>"
+    Then its load is <load>
+
+    Examples:
+      | fields                                               | load        |
+      | X-Server-Load: 3,0,8,250                             | 3 0 8 250   |
+      | x-server-load: 3, 0, 8, 100.5                        | 3 0 8 100   |
+      | X-Server-Load: 3,0,8                                 | not stated  |
+      | X-Other: 1                                           | not stated  |
+      | X-Server-Load: -3,0,8,100                            | not stated  |
+      | X-Server-Load: 3,0,8,nan                             | not stated  |
+      | X-Server-Load: 3,0,8,0                               | not stated  |
+      | X-Server-Load: 3,0,0,100                             | not stated  |
+      | X-Server-Load: 3,0,8,99999999999999999999            | not stated  |
+      | X-Server-Load: 3,0,8,100; X-Server-Load: 3,0,8,250   | not stated  |
--- a/fulmarbarrow/platform/headers.py
+++ b/fulmarbarrow/platform/headers.py
@@ -23,6 +23,9 @@
 RATE_LIMIT = "Server-Limit"  # requests a second, from all routers together
 LEAVING = "Server-Leaving"  # "1" if the worker leaves
 BRITTLE = "Server-Brittle"  # refusals a second that the worker bears
+# Requests running and waiting, slots, and the pace in percent if the upstream
+# shares its machine with others.
+SERVER_LOAD = "X-Server-Load"
 
 _ONE_CONNECTION = frozenset(
     (
--- a/fulmarbarrow/platform/workers.py
+++ b/fulmarbarrow/platform/workers.py
@@ -14,6 +14,7 @@
 from fulmarbarrow.edge import exchange as exchanges
 from fulmarbarrow.edge import sse
 from fulmarbarrow.platform import headers
+from fulmarbarrow.platform import server_load
 
 log = logging.getLogger(__name__)
 
@@ -30,6 +31,9 @@
 class Workers:
     """Attempts by the client's request id, streams by event ids."""
 
+    def __init__(self) -> None:
+        self._loads = server_load.LoadReader()
+
     def request(
         self,
         start: messages.StartAttempt,
@@ -99,6 +103,7 @@
             refusals_borne=borne,
             leaving=_leaves(start, fields),
             hold_off=_hold_off(start, status, fields),
+            load=self._loads.read(start.upstream_id, fields),
         )
 
     def splitter(self, head: messages.AttemptHeaders) -> sse.Splitter | None:
