Merge placement by the load that upstreams report

Change: a model of each upstream at its owner; plain upstreams are chosen by expected time, slow engines get fewer new chats.

--- a/fulmarbarrow/delivery/responses.py
+++ b/fulmarbarrow/delivery/responses.py
@@ -210,6 +210,7 @@
         told: Effects = []
         if event.status != STATUS_MISDIRECTED:
             told = self._named_limits.read(attempt, event, now)
+            told.extend(effects_module.load_stated(attempt, event))
             if event.leaving:
                 told.extend(self._depart(attempt))
         if self._tells_began and not event.not_run and not attempt.streamed:
--- a/fulmarbarrow/placement/features/part_directory.feature
+++ b/fulmarbarrow/placement/features/part_directory.feature
@@ -47,5 +47,5 @@
     And a router without copies sends neither parts nor holders
 
   Scenario: A daemon of the previous build reads the replies
-    Then a reply without the new field is a prefix of one with it
+    Then a reply without the new fields is a prefix of one with them
     And 3 holders add at most 40 bytes to a reply
--- a/fulmarbarrow/placement/features/steps/part_directory.py
+++ b/fulmarbarrow/placement/features/steps/part_directory.py
@@ -550,10 +550,12 @@
     return msgspec.msgpack.encode(reply)
 
 
-@behave.then("a reply without the new field is a prefix of one with it")
+@behave.then("a reply without the new fields is a prefix of one with them")
 def step_previous_build(context):
-    fields = messages.Reserved.__annotations__
-    old = [(name, typing.Any) for name in fields if name != "holders"]
+    fields = list(messages.Reserved.__annotations__)
+    first_new = fields.index("holders")
+    assert fields[first_new:] == ["holders", "states"]
+    old = [(name, typing.Any) for name in fields[:first_new]]
     old_reserved = msgspec.defstruct(
         "Reserved", old, tag=True, array_like=True
     )
