--- a/fulmarbarrow/edge/connections.py
+++ b/fulmarbarrow/edge/connections.py
@@ -101,14 +101,6 @@
         self._transport.registerProducer(self, True)
         self.resumeProducing()
 
-    def flush(self) -> None:
-        """Write the rest at once."""
-        rest = self._body[self._written :]
-        self._written = len(self._body)
-        self._unregister()
-        if rest:
-            self._transport.write(bytes(rest))
-
     def resumeProducing(self) -> None:  # noqa: N802
         """Write on; the connection has sent what it was given."""
         self._paused = False
@@ -338,13 +330,12 @@
     def _finish(self) -> None:
         """Give the connection back if it can take another request."""
         receiver, self._receiver = self._receiver, None
-        if self._upload is not None:
-            # The next request goes out after the rest of this one's body.
-            self._upload.flush()
-            self._upload = None
+        # A next request would wait for the rest of this one's body.
+        sent, self._upload = not self._unwritten_bytes, None
         surplus, _ = self._http.trailing_data
         reusable = (
             not surplus
+            and sent
             and self._open
             and self._http.our_state is h11.DONE
             and self._http.their_state is h11.DONE
--- a/fulmarbarrow/edge/features/held_bytes.feature
+++ b/fulmarbarrow/edge/features/held_bytes.feature
@@ -69,3 +69,29 @@
     And the waiting bodies are reviewed
     Then "a" is refused
     And "b" is granted
+
+  Scenario: Small bodies of one address do not take the whole budget
+    When 40 small bodies of 30 KiB are reserved at "x"
+    And "b" at "y" reserves 40 KiB
+    Then 22 small bodies are granted
+    And "b" is granted
+
+  Scenario: A body that trickles loses its memory
+    When "a" at "x" reserves 400 KiB
+    And "b" at "y" reserves 390 KiB
+    And 30000 ms pass
+    And "b" makes progress
+    And "a" has got 60 KiB
+    And "c" at "z" reserves 300 KiB
+    Then "a" is refused
+    And "b" is granted
+    And "c" is granted
+
+  Scenario: No body is refused if that does not make room
+    When "a" at "y" reserves 30 KiB
+    And "b" at "x" reserves 490 KiB
+    And 3000 ms pass
+    And "b" is complete
+    And "c" at "x" reserves 300 KiB
+    Then "a" is granted
+    And "c" waits
--- a/fulmarbarrow/edge/features/steps/held_bytes.py
+++ b/fulmarbarrow/edge/features/steps/held_bytes.py
@@ -45,6 +45,14 @@
         reserve(context, number, f"small-{number}", size)
 
 
+@behave.when(
+    '{count:d} small bodies of {size:d} KiB are reserved at "{place}"'
+)
+def step_small_at(context, count, size, place):
+    for number in range(count):
+        reserve(context, number, place, size)
+
+
 @behave.when("{milliseconds:d} ms pass")
 def step_pass(context, milliseconds):
     held(context)
@@ -53,12 +61,17 @@
 
 @behave.when('"{key}" makes progress')
 def step_progress(context, key):
-    held(context).progress(key, context.clock.now())
+    held(context).progress(key, BUDGET_BYTES, context.clock.now())
+
+
+@behave.when('"{key}" has got {size:d} KiB')
+def step_received(context, key, size):
+    held(context).progress(key, size * KIB, context.clock.now())
 
 
 @behave.when('"{key}" is complete')
 def step_complete(context, key):
-    held(context).complete(key)
+    held(context).complete(key, 0)
 
 
 @behave.when('"{key}" is released')
--- a/fulmarbarrow/edge/guard.py
+++ b/fulmarbarrow/edge/guard.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import collections
 import contextlib
 import datetime
+import itertools
 import logging
 import pathlib
 import resource
@@ -25,7 +27,15 @@
 MOST_HELD_BYTES = 256 << 20
 # Of the descriptors; the rest is for upstreams, other daemons and files.
 CONNECTIONS_FRACTION = 0.5
+# Headers and pieces of a later request that a connection may have sent.
+CONNECTION_BYTES = 32 << 10
 LEAST_CONNECTIONS = 16
+# Of the connections, for one address.
+ADDRESS_FRACTION = 0.75
+# Idle connections that are looked at to close one.
+MAX_LOOKED_AT = 64
+# Time in which the headers of a request have to arrive.
+HEADER_TIME = datetime.timedelta(seconds=10)
 REVIEW_INTERVAL = datetime.timedelta(milliseconds=250)
 _MEMORY_INFO = pathlib.Path("/proc/meminfo")
 
@@ -46,6 +56,14 @@
 class Connection(typing.Protocol):
     """A connection of a client."""
 
+    @property
+    def address(self) -> str:
+        """The address of the client."""
+
+    @property
+    def drained(self) -> bool:
+        """Whether the client has got all that was written."""
+
     def abort_idle(self) -> None:
         """Close the connection, which has no request in progress."""
 
@@ -70,9 +88,11 @@
     return max(limit, largest_body_bytes + held_bytes.SMALL_BYTES)
 
 
-def connection_limit(descriptors: int) -> int:
-    """Return how many connections of clients fit beside the others."""
-    return max(LEAST_CONNECTIONS, int(descriptors * CONNECTIONS_FRACTION))
+def connection_limit(memory_bytes: int, descriptors: int) -> int:
+    """Return how many connections of clients fit beside everything else."""
+    left = (memory_bytes - OWN_BYTES) * (1 - HELD_FRACTION)
+    fitting = min(left / CONNECTION_BYTES, descriptors * CONNECTIONS_FRACTION)
+    return max(LEAST_CONNECTIONS, int(fitting))
 
 
 class Guard:
@@ -80,7 +100,7 @@
 
     Reading a body pauses while there is no memory for it. Above the limit on
     connections, the one that has been without a request for longest is
-    closed.
+    closed, among those of the same address if that has too many.
     """
 
     def __init__(
@@ -100,40 +120,50 @@
             limit_bytes=held_limit_bytes(memory, largest_body_bytes)
         )
         self._max_connections = limits.max_connections or connection_limit(
-            resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+            memory, resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         )
         # In the order in which they were last without a request.
         self._idle: dict[Connection, None] = {}
-        self._connections = 0
+        self._connections: collections.Counter[str] = collections.Counter()
         self._reviewing = False
 
     def dump(self) -> dict[str, int]:
         """Return what is in use, and the limits."""
         return {
-            "connections": self._connections,
+            "connections": self._connections.total(),
             "max_connections": self._max_connections,
             "bodies": len(self._held),
             "body_bytes": self._held.used_bytes,
             "max_body_bytes": self._held.limit_bytes,
         }
 
+    def now(self) -> datetime.datetime:
+        """Return the time."""
+        return self._clock.now()
+
     def connected(self, connection: Connection) -> bool:
         """Count a connection; return False if there are too many."""
-        if self._connections >= self._max_connections:
-            if not self._idle:
+        address = connection.address
+        of_address = ADDRESS_FRACTION * self._max_connections
+        crowded = self._connections[address] >= of_address
+        if crowded or self._connections.total() >= self._max_connections:
+            oldest = self._oldest_idle(address if crowded else "")
+            if oldest is None:
                 self._metrics.count("connections_refused")
                 return False
-            oldest = next(iter(self._idle))
             del self._idle[oldest]
             self._metrics.count("idle_connections_closed")
             oldest.abort_idle()
-        self._connections += 1
+        self._connections[address] += 1
         self._idle[connection] = None
         return True
 
     def disconnected(self, connection: Connection) -> None:
         """Forget a connection that was counted."""
-        self._connections -= 1
+        address = connection.address
+        self._connections[address] -= 1
+        if not self._connections[address]:
+            del self._connections[address]
         self._idle.pop(connection, None)
 
     def busy(self, connection: Connection) -> None:
@@ -160,18 +190,30 @@
             self._refuse(request)
         return decision.verdict
 
-    def progress(self, request: Receiving) -> None:
-        """Record that bytes of a body have arrived."""
-        self._held.progress(request, self._clock.now())
+    def progress(self, request: Receiving, received: int) -> None:
+        """Record that ``received`` bytes of a body have arrived in all."""
+        self._held.progress(request, received, self._clock.now())
 
-    def complete(self, request: Receiving) -> None:
+    def complete(self, request: Receiving, received: int) -> None:
         """Record that a body has arrived completely."""
-        self._held.complete(request)
+        self._held.complete(request, received)
 
     def release(self, request: Receiving) -> None:
         """Release the memory of a request's body."""
         self._held.release(request)
 
+    def _oldest_idle(self, address: str) -> Connection | None:
+        """Return the connection to close, of an address unless it is ""."""
+        idle = (
+            connection
+            for connection in self._idle
+            if not address or connection.address == address
+        )
+        for connection in itertools.islice(idle, MAX_LOOKED_AT):
+            if connection.drained:
+                return connection
+        return None
+
     def _refuse(self, request: Receiving) -> None:
         self._metrics.count("bodies_refused")
         request.refuse_body()
--- a/fulmarbarrow/edge/site.py
+++ b/fulmarbarrow/edge/site.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import datetime
 import io
 import logging
 import typing
@@ -15,6 +16,7 @@
 from fulmarbarrow.edge import guard as guards
 from fulmarbarrow.edge import held_bytes
 from fulmarbarrow.observe import metrics as metrics_module
+from fulmarbarrow.wire import transport as transports
 
 log = logging.getLogger(__name__)
 
@@ -42,7 +44,6 @@
 
     _received = 0
     _reserved = 0
-    _address = ""
 
     def __init__(self, *arguments: typing.Any, **options: typing.Any) -> None:
         # A form is passed on as it is; parsed, it takes many times its size.
@@ -68,17 +69,17 @@
             wanted = self._received + RESERVE_STEP_BYTES
             self._reserve(min(wanted, site.max_body_bytes))
         elif site.guard is not None:
-            site.guard.progress(self)
+            site.guard.progress(self, self._received)
         if not self.channel.rejected:
             super().handleContentChunk(data)
 
     def pause_body(self) -> None:
         """Stop reading the body."""
-        self.channel.transport.pauseProducing()
+        self.channel.pause_body()
 
     def resume_body(self) -> None:
         """Continue reading the body."""
-        self.channel.transport.resumeProducing()
+        self.channel.resume_body()
 
     def refuse_body(self) -> None:
         """Refuse the request, which has not run, and drop its body."""
@@ -88,13 +89,13 @@
             "body refused for want of memory",
             extra={
                 "request": (request_id or b"").decode("utf-8", "replace"),
-                "address": self._address,
+                "address": channel.address,
                 "received_bytes": self._received,
             },
         )
         channel.reject("overloaded")
         self.content = io.BytesIO()
-        channel.transport.resumeProducing()
+        channel.resume_body()
 
     def finish(self) -> None:
         """Release the memory of the body after the answer."""
@@ -112,9 +113,7 @@
         self._reserved = total
         if guard is None or self.channel.rejected:
             return
-        if not self._address:
-            self._address = getattr(self.channel.getPeer(), "host", "")
-        guard.reserve(self, self._address, total)
+        guard.reserve(self, self.channel.address, total)
 
     def _release(self, site: BoundedSite) -> None:
         if self._reserved and site.guard is not None:
@@ -130,7 +129,8 @@
         if guard is not None:
             guard.busy(self.channel)
             if self._reserved:
-                guard.complete(self)
+                guard.complete(self, self._received)
+                self.channel.resume_body()
         super().requestReceived(command, path, version)
 
     def processingFailed(  # noqa: N802
@@ -158,13 +158,17 @@
     maxHeaders = MAX_HEADERS  # noqa: N815
     rejected = False
     idle_checks = 0
+    address = ""
     _counted = False
+    _body_waits = False
+    _header_since: datetime.datetime | None = None
 
     def connectionMade(self) -> None:  # noqa: N802
         """Take part in the site's shutdown, unless there are too many."""
         super().connectionMade()
         guard = self.site.guard
         if guard is not None:
+            self.address = getattr(self.getPeer(), "host", "")
             self._counted = guard.connected(self)
             if not self._counted:
                 self.rejected = True
@@ -181,10 +185,70 @@
         super().connectionLost(reason)
 
     def requestDone(self, request: http.Request) -> None:  # noqa: N802
-        """Go on with the next request."""
+        """Go on with the next request, in the next turn of the loop.
+
+        Answered in one turn, all requests of a read would be answered before
+        the client can be seen to read nothing.
+        """
         if self._counted:
             self.site.guard.idle(self)
+        self.paused = True
         super().requestDone(request)
+        if self._buffer:
+            self.callLater(0, self._go_on)
+        else:
+            self.paused = False
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Go on, as the client has read the answers so far."""
+        super().resumeProducing()
+        if self._body_waits:
+            self.transport.pauseProducing()
+        if self.paused:
+            self.callLater(0, self._go_on)
+
+    def pause_body(self) -> None:
+        """Stop reading until there is memory for the body."""
+        self._body_waits = True
+        self.transport.pauseProducing()
+
+    def resume_body(self) -> None:
+        """Go on reading, unless answers have to be read first."""
+        if not self._body_waits:
+            return
+        self._body_waits = False
+        if not self._waitingForTransport:
+            self.transport.resumeProducing()
+
+    @property
+    def drained(self) -> bool:
+        """Whether the client has got all that was written."""
+        return not transports.unsent_bytes(self.transport)
+
+    def allHeadersReceived(self) -> None:  # noqa: N802
+        """Take the end of the headers."""
+        self._header_since = None
+        super().allHeadersReceived()
+
+    def _send100Continue(self) -> None:  # noqa: N802
+        if not self.rejected:
+            super()._send100Continue()
+
+    def _go_on(self) -> None:
+        waits = self._waitingForTransport or self.transport is None
+        if not self.paused or waits or self.rejected:
+            return
+        self.paused = False
+        super().dataReceived(b"")
+
+    def _is_header_late(self) -> bool:
+        """Return whether headers have been arriving for too long."""
+        if self.site.guard is None or not self.line_mode or self.paused:
+            return False
+        now = self.site.guard.now()
+        if self._header_since is None:
+            self._header_since = now
+        return now - self._header_since > guards.HEADER_TIME
 
     def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
         """Take bytes of a body, or of a later request."""
@@ -232,8 +296,12 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Take bytes; those after a rejection are discarded."""
         self.idle_checks = 0
-        if not self.rejected:
-            super().dataReceived(data)
+        if self.rejected:
+            return
+        if self._is_header_late():
+            self.abort_idle()
+            return
+        super().dataReceived(data)
 
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
         """Take a line; those after a rejection are discarded."""
--- a/fulmarbarrow/edge/untrusted/features/bounded.feature
+++ b/fulmarbarrow/edge/untrusted/features/bounded.feature
@@ -58,3 +58,9 @@
     When 12 upstreams send all but a byte of 12 MiB
     Then an ordinary request is answered
     And the process has kept within its memory
+
+  Scenario: Very many requests on connections that read no answers
+    Given a router with 128 MiB of memory for bodies of 2 MiB
+    When 100 clients send requests for 64 KiB and read nothing
+    Then an ordinary request is answered
+    And the process has kept within its memory
--- a/fulmarbarrow/edge/untrusted/features/steps/bounded.py
+++ b/fulmarbarrow/edge/untrusted/features/steps/bounded.py
@@ -157,6 +157,15 @@
     send(context, [iter((start, form)) for _ in range(count)])
 
 
+@behave.when(
+    "{count:d} clients send requests for {size:d} KiB and read nothing"
+)
+def step_pipelined(context, count, size):
+    request = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+    requests = request * ((size << 10) // len(request))
+    send(context, [iter((requests,)) for _ in range(count)])
+
+
 @behave.when("{count:d} clients send half of a request's headers")
 def step_headers(context, count):
     send(context, [iter((HEAD,)) for _ in range(count)])
--- a/fulmarbarrow/platform/documents.py
+++ b/fulmarbarrow/platform/documents.py
@@ -225,7 +225,7 @@
 def _scaling(
     entry: ScalingEntry | None,
 ) -> bundles.Scaling | msgspec.UnsetType:
-    if entry is None:
+    if entry is None or entry.most < 1:
         return msgspec.UNSET
     return bundles.Scaling(
         least=entry.least,
--- a/fulmarbarrow/scaling/decision.py
+++ b/fulmarbarrow/scaling/decision.py
@@ -218,7 +218,8 @@
     up = min(up, scaling.most)
     if up > base:
         return _verdict(zone, up, reason, load)
-    down = max(up, needed(DOWN_MARGIN * load.peak, service.slots))
+    # Without any upstream nothing would be known of its slots and times.
+    down = max(up, needed(DOWN_MARGIN * load.peak, service.slots), 1)
     down = min(down, scaling.most)
     if down >= base:
         return _unchanged(zone, "enough", load)
