--- a/fulmarbarrow/consensus/applying.py
+++ b/fulmarbarrow/consensus/applying.py
@@ -29,6 +29,7 @@
         self._applied_bytes = 0
         self._requested_snapshot_index = 0
         self._machine_states: dict[str, bytes] = {}
+        self._unknown_states: tuple[records.MachineState, ...] = ()
 
     def add_listener(self, listener: Listener) -> None:
         """Register a listener that is called with each applied entry."""
@@ -47,19 +48,33 @@
         self._request_snapshot()
 
     def restore(self, snapshot: records.Snapshot) -> None:
-        """Restore the state machines from a snapshot."""
+        """Restore the state machines from a snapshot.
+
+        Hosts of another build or with other settings have other machines. A
+        state without a machine here is kept for the next snapshot, and a
+        machine without a state begins again with the empty one, so that what
+        is restored depends on the snapshot alone. The initial snapshot of a
+        log has no states.
+        """
         node = self._node
         node.applied_index = max(node.applied_index, snapshot.index)
         node.commit_index = max(node.commit_index, snapshot.index)
         self._applied_bytes = 0
         self._requested_snapshot_index = 0
-        for part in snapshot.machines:
+        known = set(node.machines)
+        self._unknown_states = tuple(
+            part for part in snapshot.machines if part.machine not in known
+        )
+        states = {part.machine: part.state for part in snapshot.machines}
+        missing = known - states.keys() if snapshot.index else set()
+        states |= dict.fromkeys(missing, b"")
+        for name in sorted(known & states.keys()):
             node.effects.append(
                 messages.SnapshotRestored(
                     group=node.group,
                     index=snapshot.index,
-                    state=part.state,
-                    machine=part.machine,
+                    state=states[name],
+                    machine=name,
                 )
             )
 
@@ -79,14 +94,20 @@
         self._applied_bytes = 0
         if term is None:
             return
+        taken = (
+            records.MachineState(machine=name, state=data)
+            for name, data in self._machine_states.items()
+        )
         snapshot = records.Snapshot(
             index=event.index,
             term=term,
             log_id=node.log_id,
             configuration=node.log.configuration_at(event.index),
             machines=tuple(
-                records.MachineState(machine=name, state=data)
-                for name, data in sorted(self._machine_states.items())
+                sorted(
+                    (*taken, *self._unknown_states),
+                    key=lambda part: part.machine,
+                )
             ),
         )
         node.persist(snapshot=snapshot)
--- a/fulmarbarrow/consensus/messages.py
+++ b/fulmarbarrow/consensus/messages.py
@@ -126,7 +126,10 @@
 
 
 class SnapshotRestored(message.Message, frozen=True, kw_only=True):
-    """Effect: the state machine ``machine`` replaces its state with this."""
+    """Effect: the state machine ``machine`` replaces its state with this.
+
+    ``state`` is empty if the snapshot has no state of this machine.
+    """
 
     group: Group
     index: int
--- a/fulmarbarrow/scaling/features/orders.feature
+++ b/fulmarbarrow/scaling/features/orders.feature
@@ -107,6 +107,11 @@
     Then the last order is for 5 upstreams
     And the last order is settled
 
+  Scenario: A snapshot of a host without scaling leaves no orders
+    Given the log has a settled order for 5 upstreams with number 6
+    When a snapshot without a state of scaling is restored
+    Then there is no order
+
   Scenario: A router reports only changes and at most once a second
     Given a router core that knows the holder
     When 20 requests a second arrive for 30 s
--- a/fulmarbarrow/scaling/features/steps/orders.py
+++ b/fulmarbarrow/scaling/features/steps/orders.py
@@ -318,6 +318,20 @@
     )
 
 
+@behave.when("a snapshot without a state of scaling is restored")
+def step_empty_snapshot(context):
+    context.host.post(
+        consensus_messages.SnapshotRestored(
+            group=GROUP, index=9, state=b"", machine=messages.MACHINE
+        )
+    )
+
+
+@behave.then("there is no order")
+def step_no_order(context):
+    assert not context.host.core.dump()["orders"], context.host.core.dump()
+
+
 @behave.then('the subject "{name}" is wanted')
 def step_wanted(context, name):
     wanted = duties_messages.SubjectsWanted(duty=DUTY, subjects=(name,))
--- a/fulmarbarrow/scaling/orders.py
+++ b/fulmarbarrow/scaling/orders.py
@@ -79,5 +79,7 @@
 
     def restore(self, data: bytes) -> None:
         """Replace the state with that of a snapshot."""
-        orders = msgspec.msgpack.decode(data, type=list[Order])
+        orders: list[Order] = []
+        if data:
+            orders = msgspec.msgpack.decode(data, type=list[Order])
         self._orders = {order.subject: order for order in orders}
