Repeat announcements of new holders of duties

One lost HolderAnnounced left a router without the new holder for up to 4.5 s, while the holder of usage waits 2.5 s for counts of earlier windows. A host whose number of the only subject was refused was still announced, so that routers sent to a host that can't call the platform.

An announcement of a new number is repeated after 250 ms, 500 ms and 1 s. Only duties of which the host holds a subject are announced.

The two scenarios on announcements fail without the change.

--- a/fulmarbarrow/duties/core.py
+++ b/fulmarbarrow/duties/core.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import datetime
 import typing
 
@@ -20,9 +21,24 @@
 REPORTS_PER_LEASE = 4
 # With the interval of ticks, routers hear of a holder within 5 s.
 ANNOUNCE_INTERVAL = datetime.timedelta(seconds=4.5)
+# A new number is told again at these times, as an announcement may be lost:
+# the holder of `usage` waits 2.5 s for the counts of earlier windows.
+REPEAT_AFTER = (
+    datetime.timedelta(milliseconds=250),
+    datetime.timedelta(milliseconds=500),
+    datetime.timedelta(seconds=1),
+)
 ROUTER_ROLE = "router"
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Announced:
+    """A number that routers were told, and when to tell it again."""
+
+    number: int
+    repeat_at: tuple[datetime.datetime, ...]
+
+
 class DutiesCore:
     """Applies grants, holds duties, and as the leader grants them.
 
@@ -75,7 +91,7 @@
         self._routers: dict[str, membership_messages.Daemon] = {}
         self._next_report_at: datetime.datetime | None = None
         self._next_announce_at: datetime.datetime | None = None
-        self._announced: dict[messages.Duty, int] = {}
+        self._announced: dict[messages.Duty, Announced] = {}
 
     def handle(
         self, event: message.Message, now: datetime.datetime
@@ -229,20 +245,28 @@
             message.Send(
                 address=daemon.address, message=self._announcement(record)
             )
-            for record in self._holder.held
+            for record in self._holder.usable
             if daemon.daemon_id != self._daemon.daemon_id
         ]
 
     def _announce(self, now: datetime.datetime) -> list[message.Message]:
         """Tell all routers of a new number, and of all from time to time."""
-        held = {record.duty: record for record in self._holder.held}
+        held = {record.duty: record for record in self._holder.usable}
         due = self._next_announce_at is None or now >= self._next_announce_at
         if due:
             self._next_announce_at = now + ANNOUNCE_INTERVAL
         effects: list[message.Message] = []
         for duty, record in held.items():
-            if not due and self._announced.get(duty) == record.number:
-                continue
+            known = self._announced.get(duty)
+            if known is None or known.number != record.number:
+                times = tuple(now + after for after in REPEAT_AFTER)
+            else:
+                times = tuple(at for at in known.repeat_at if now < at)
+                if not due and times == known.repeat_at:
+                    continue
+            self._announced[duty] = Announced(
+                number=record.number, repeat_at=times
+            )
             told = self._announcement(record)
             effects.append(told)
             effects += [
@@ -250,9 +274,8 @@
                 for router in self._routers.values()
                 if router.daemon_id != self._daemon.daemon_id
             ]
-        self._announced = {
-            duty: record.number for duty, record in held.items()
-        }
+        for duty in self._announced.keys() - held.keys():
+            del self._announced[duty]
         return effects
 
     def _announcement(self, record: state.Record) -> messages.HolderAnnounced:
--- a/fulmarbarrow/duties/features/duties.feature
+++ b/fulmarbarrow/duties/features/duties.feature
@@ -84,10 +84,38 @@
     Then the router is told the holder of "usage" at once
     And the router is told the holder of "usage" every 5 seconds
 
+  # A router that misses the only announcement sends its counts to the former
+  # holder for up to 4.5 s, and the next one closes windows without them.
+  Scenario: Routers hear of a new number again within a second
+    Given 3 control hosts that hold the duties
+    And a router that all hosts know
+    When the holder of "usage" does not reach the platform
+    And 3 seconds pass
+    Then the router was told the next holder of "usage" 3 times in 0.75 seconds
+    And the router was told the next holder of "usage" 4 times in 1.5 seconds
+
+  # Without this, routers send to a host that can't report, for a lease.
+  Scenario: A host whose number was refused is not announced
+    Given 3 control hosts that hold the duties
+    And a router that all hosts know
+    When the number of "usage" is refused
+    And 2.9 seconds pass
+    Then the router was not told of "usage"
+    When a router starts
+    Then the router is not told the holder of "usage"
+    When 2 seconds pass
+    Then the router was told the same holder of "usage" with a higher number
+
   Scenario: A fleet that lost its log does not start with low numbers
     Given grants on a log that is lost, and grants on a new log 10 seconds later
     Then the numbers of the new log are higher and have at most 53 bits
 
+  # The state of a host is that of its snapshot, also if it has no duties.
+  Scenario: A holder that gets a snapshot without grants gives its duty up
+    Given 3 control hosts that hold the duties
+    When the holder of "usage" gets a snapshot without grants
+    Then it has lost "usage" and has no grants
+
   Scenario: Commands and messages that make no sense change nothing
     When the log has unreadable commands and an outdated grant
     Then the grants are those before
--- a/fulmarbarrow/duties/features/steps/duties.py
+++ b/fulmarbarrow/duties/features/steps/duties.py
@@ -315,17 +315,71 @@
     assert world.holds[context.subject].number > context.hold.number
 
 
-@behave.when("a router starts")
-def start_router(context):
+@behave.given("a router that all hosts know")
+def know_router(context):
+    world = context.world
+    context.heard = []
+    for name in world.hosts:
+        changed = membership_messages.DaemonChanged(daemon=_router(1))
+        world.hosts[name].core.handle(changed, world.now(world.hosts[name]))
+    send = world._send
+
+    def deliver(host, effect):
+        if effect.address != "router":
+            send(host, effect)
+        elif effect.message.duty is messages.Duty.USAGE:
+            context.heard.append((world.time, effect.message))
+
+    world._send = deliver
+
+
+@behave.when('the number of "usage" is refused')
+def refuse_usage(context):
     _former(context)
-    router = membership_messages.Daemon(
-        daemon_id="r",
-        incarnation=1,
-        zone="z0",
-        region="r",
-        address="router",
-        roles=("router",),
+    context.world.post(
+        context.former,
+        messages.DutyRefused(
+            duty=messages.Duty.USAGE, subject="", number=context.hold.number
+        ),
     )
+
+
+@behave.then(
+    'the router was told the next holder of "usage" {count:d} times in '
+    "{seconds:g} seconds"
+)
+def check_repeated(context, count, seconds):
+    number = context.world.holds[_usage()].number
+    times = [at for at, told in context.heard if told.number == number]
+    early = [at for at in times if at <= times[0] + seconds]
+    # One more comes at the usual interval, in whatever phase that is.
+    assert count <= len(early) <= count + 1, times
+
+
+@behave.then('the router was not told of "usage"')
+def check_not_heard(context):
+    assert not context.heard, context.heard
+
+
+@behave.then('the router is not told the holder of "usage"')
+def check_not_told(context):
+    assert not _told(context.effects), context.effects
+
+
+@behave.then(
+    'the router was told the same holder of "usage" with a higher number'
+)
+def check_heard(context):
+    _, told = context.heard[0]
+    assert told.holder == context.former, told
+    assert told.number > context.hold.number, told
+
+
+@behave.when("a router starts")
+def start_router(context):
+    if "former" not in context:
+        _former(context)
+    router = _router(2)
     host = context.world.hosts[context.former]
     context.effects = host.core.handle(
         membership_messages.DaemonChanged(daemon=router),
@@ -375,6 +429,27 @@
     assert context.old.highest < context.new.highest < 1 << 53
 
 
+@behave.when('the holder of "usage" gets a snapshot without grants')
+def restore_empty(context):
+    _former(context)
+    host = context.world.hosts[context.former]
+    restored = consensus_messages.SnapshotRestored(
+        group=duties_world.GROUP, index=9, state=b"", machine=messages.MACHINE
+    )
+    context.effects = host.core.handle(restored, context.world.now(host))
+
+
+@behave.then('it has lost "usage" and has no grants')
+def check_empty(context):
+    assert any(
+        isinstance(effect, messages.DutyLost)
+        and effect.reason == messages.Reason.REPLACED
+        for effect in context.effects
+    ), context.effects
+    dump = context.world.hosts[context.former].core.dump()
+    assert not dump["granted"] and not dump["held"], dump
+
+
 @behave.when("the log has unreadable commands and an outdated grant")
 def apply_nonsense(context):
     grants = context.grants = state.Grants()
@@ -418,6 +493,17 @@
     )
 
 
+def _router(incarnation):
+    return membership_messages.Daemon(
+        daemon_id="r",
+        incarnation=incarnation,
+        zone="z0",
+        region="r",
+        address="router",
+        roles=("router",),
+    )
+
+
 def _usage():
     return (messages.Duty.USAGE, "")
 
--- a/fulmarbarrow/duties/holder.py
+++ b/fulmarbarrow/duties/holder.py
@@ -56,9 +56,11 @@
         self._leaving = False
 
     @property
-    def held(self) -> tuple[state.Record, ...]:
-        """The grants that this host holds, as of the last check."""
-        return tuple(self._held.values())
+    def usable(self) -> tuple[state.Record, ...]:
+        """The held grants of which at least one subject is held."""
+        return tuple(
+            record for duty, record in self._held.items() if self._told[duty]
+        )
 
     @property
     def awaits_lease(self) -> bool:
