Keep long pauses and check the rate of calls

The client cut a Retry-After above 30 s to 30 s and called a platform that still refused. A duties.calls_per_second of 1e-15 passed the check of the settings and raised OverflowError when the client was made.

The limit of 30 s holds for the client's own pause only; a time that the platform names is kept up to 1 h. calls_per_second must be at least 0.01.

Without the change, the examples of 120 s and 999999 s in cloud.feature and those of 1e-15 and 0.0099 in settings.feature fail.

--- a/fulmarbarrow/config/checks.py
+++ b/fulmarbarrow/config/checks.py
@@ -17,6 +17,9 @@
 MIN_KEY_CHARACTERS = 16
 MIN_ANSWER_BUFFER_BYTES = 192 << 10
 MIN_LEASE = datetime.timedelta(seconds=1)  # for four renewals on ticks
+# Intervals between calls that are much longer than the leases of their duties
+# make no sense, and some have no representation.
+MIN_CALLS_PER_SECOND = 0.01
 MAX_NAME_CHARACTERS = 128
 LISTENERS = (
     "callers",
@@ -228,6 +231,9 @@
     if not 0 < duties.calls_per_second < math.inf:
         text = "must be a number above 0"
         yield source.finding("duties.calls_per_second", text)
+    elif duties.calls_per_second < MIN_CALLS_PER_SECOND:
+        text = f"must be at least {MIN_CALLS_PER_SECOND}"
+        yield source.finding("duties.calls_per_second", text)
     named = duties.address is None or duties.name
     if not named and not _NAME.fullmatch(settings.daemon.id):
         text = "required because daemon.id is not fit for a header"
--- a/fulmarbarrow/config/defaults.py
+++ b/fulmarbarrow/config/defaults.py
@@ -257,11 +257,11 @@
 
     The holder of a duty calls the platform's API at ``address``; without an
     address no host holds a duty. ``name`` is the name of this host in its
-    calls; by default it is the daemon's id. ``calls_per_second`` is what the
-    platform accepts from the whole fleet. A duty is lost ``lease`` after its
-    last renewal. The platform refuses outdated fencing numbers if it is
-    ``fenced``. A call is given up after ``call_timeout``; the platform may
-    carry it out as late as ``late_execution`` after it was sent.
+    calls; by default it is the daemon's id. ``calls_per_second``, at least
+    0.01, is what the platform accepts from the whole fleet. A duty is lost
+    ``lease`` after its last renewal. The platform refuses outdated fencing
+    numbers if it is ``fenced``. A call is given up after ``call_timeout``; the
+    platform may carry it out as late as ``late_execution`` after it was sent.
     """
 
     address: options.Address | None = None
--- a/fulmarbarrow/config/features/settings.feature
+++ b/fulmarbarrow/config/features/settings.feature
@@ -199,6 +199,38 @@
       | 15   | duties.lease            | must be above 0        |
       | 16   | duties.call_timeout     | must be above 0        |
 
+  # Below the limit, the interval between calls overflowed at the start.
+  Scenario Outline: Duties need a sensible number of calls per second
+    Given the settings file
+      """
+      [daemon]
+      id = "entry-1"
+      zone = "attica-a"
+      region = "attica"
+      roles = ["control"]
+      fleet_key = "0123456789abcdef"
+      data_dir = "data"
+      [listen]
+      admin = "127.0.0.1:7003"
+      peers = "127.0.0.1:7004"
+      [duties]
+      address = "127.0.0.1:7009"
+      calls_per_second = <number>
+      [peers]
+      seeds = ["127.0.0.1:7005"]
+      """
+    When the settings are loaded
+    Then the settings are rejected
+    And the findings are
+      | line | key                     | text   |
+      | 13   | duties.calls_per_second | <text> |
+
+    Examples:
+      | number | text             |
+      | 0      | a number above 0 |
+      | 1e-15  | at least 0.01    |
+      | 0.0099 | at least 0.01    |
+
   Scenario: An id that is not fit for a header needs a name for duties
     Given the settings file
       """
--- a/fulmarbarrow/platform/cloud.py
+++ b/fulmarbarrow/platform/cloud.py
@@ -42,6 +42,8 @@
 # Without a time named by the platform, doubled at each further refusal.
 BACKOFF = datetime.timedelta(seconds=1)
 MAX_BACKOFF = datetime.timedelta(seconds=30)
+# Of a time that the platform names; a wrong one must not stop a duty for good.
+MAX_TOLD_PAUSE = datetime.timedelta(hours=1)
 CONFLICT = 409
 TOO_MANY_REQUESTS = 429
 
@@ -152,7 +154,7 @@
         self, now: datetime.datetime, told: datetime.timedelta | None
     ) -> datetime.timedelta:
         """Take note of a 429; return how long to send nothing."""
-        pause = min(MAX_BACKOFF, max(self._backoff, told or _ZERO))
+        pause = max(self._backoff, min(MAX_TOLD_PAUSE, told or _ZERO))
         self._backoff = min(MAX_BACKOFF, 2 * self._backoff)
         until = now + pause
         self._limited_until = max(until, self._limited_until or until)
--- a/fulmarbarrow/platform/features/cloud.feature
+++ b/fulmarbarrow/platform/features/cloud.feature
@@ -62,12 +62,18 @@
     When 6 orders and 3 reports are given at once
     Then all 9 outcomes are "accepted"
 
-  Scenario: The client pauses after a 429 and says until when
+  Scenario Outline: The client pauses after a 429 and says until when
     Given a stand-in of the platform and a client named "edge-1"
-    And the platform behaves as {"status":429,"retry_after":"7"}
+    And the platform behaves as {"status":429,"retry_after":"<told>"}
     When usage of window 1 is reported with number 12
     And the outcomes are "limited"
     And usage of window 2 is reported with number 12
     Then the outcomes are "limited"
     And the platform has received 1 calls
-    And the client may call again after 7 seconds
+    And the client may call again after <pause> seconds
+
+    Examples:
+      | told   | pause |
+      | 7      | 7     |
+      | 120    | 120   |
+      | 999999 | 3600  |
