--- a/fulmarbarrow/placement/features/plain_load.feature
+++ b/fulmarbarrow/placement/features/plain_load.feature
@@ -5,10 +5,10 @@
   time, 15 in 100 of the time.
 
   Scenario: Reports serve more requests in time
-    When 210 requests a second are replayed for 6 s
+    When 210 requests a second are replayed for 6 s with reports
     Then at least 95 in 100 are done within 268 ms
     And no router sends more than 10 reports within a second
-    When the same load is replayed without reports
+    When 210 requests a second are replayed for 6 s with no reports
     Then at least 30 in 100 fewer are done within 268 ms
 
   Scenario Outline: Faults do not make the reports harmful
--- a/fulmarbarrow/placement/features/steps/plain_load.py
+++ b/fulmarbarrow/placement/features/steps/plain_load.py
@@ -75,7 +75,7 @@
         self,
         *,
         rate_per_ms,
-        reports,
+        reports=True,
         seed=1,
         delay_ms=0.0,
         false_load=None,
@@ -84,7 +84,7 @@
         self._rng = random.Random(seed)
         self._reports, self._delay, self._false = reports, delay_ms, false_load
         self._calls, self._order, self.now = [], itertools.count(), 0.0
-        self.done, self.sent = {}, collections.Counter()
+        self.done = {}
         self.dead, self.starts, self.router_of = set(), {}, {}
         self.report_times = collections.defaultdict(list)
         self.upstreams = {
@@ -205,7 +205,6 @@
             case message.Send():
                 to = int(effect.address.split(":")[0].rpartition(".")[2])
                 kind = type(effect.message)
-                self.sent[kind] += 1
                 delay = self._latency(index, to)
                 if kind is messages.LoadReadings:
                     self.report_times[index].append(self.now)
@@ -322,31 +321,19 @@
     )
 
 
-@behave.when("{rate:d} requests a second are replayed for {seconds:d} s")
-def step_replay(context, rate, seconds):
-    replay(context, rate, seconds, reports=True)
-
-
-@behave.when("the same load is replayed without reports")
-def step_replay_without(context):
-    context.with_reports = context.replay
-    replay(context, context.rate, context.seconds, reports=False)
-
-
 @behave.when(
     "{rate:d} requests a second are replayed for {seconds:d} s with {fault}"
 )
-def step_replay_fault(context, rate, seconds, fault):
+def step_replay(context, rate, seconds, fault):
     options = {
+        "reports": {},
+        "no reports": {"reports": False},
         "reports 2 s late": {"delay_ms": 2_000.0},
         "false reports of one upstream": {"false_load": false_load},
         "an owner lost": {"lost_owner": True},
     }[fault]
-    replay(context, rate, seconds, reports=True, **options)
-
-
-def replay(context, rate, seconds, *, lost_owner=False, **options):
-    context.rate, context.seconds = rate, seconds
+    lost_owner = options.pop("lost_owner", False)
+    context.earlier = getattr(context, "replay", None)
     context.replay = Replay(rate_per_ms=rate / 1_000, **options)
     if lost_owner:
         context.replay.at(
@@ -362,7 +349,7 @@
 
 @behave.then("at least {percent:d} in 100 fewer are done within 268 ms")
 def step_fewer_within(context, percent):
-    gain = context.with_reports.within() - context.replay.within()
+    gain = context.earlier.within() - context.replay.within()
     assert gain >= percent / 100, gain
 
 
--- a/fulmarbarrow/placement/load_model.py
+++ b/fulmarbarrow/placement/load_model.py
@@ -32,6 +32,9 @@
 MAX_SAMPLE_COUNT = 1_000  # in one message, from one router
 # Paces are 1.0 usually; a worse one than this is avoided.
 BAD_PACE = 1.3
+# Mean paces from which an upstream is logged as slow, and as usual again.
+# Short slow periods alone give a mean of about 1.2.
+SLOW_MEAN_PACE, USUAL_MEAN_PACE = 1.7, 1.35
 # Limits the effect of an upstream that reports nonsense.
 MIN_PACE, MAX_PACE = 0.25, 5.0
 # An upstream with a bad mean pace gets few requests and thus few readings. It
@@ -66,6 +69,7 @@
     def __init__(self, *, incarnation: int) -> None:
         self.incarnation = incarnation
         self._mean_pace = 1.0
+        self._slow = False
         self._pace = 1.0
         self._requests = 0
         self._read_at: datetime.datetime | None = None
@@ -86,9 +90,8 @@
         if self._read_at is not None and read_at <= self._read_at:
             return
         pace = min(max(load.pace / 100, MIN_PACE), MAX_PACE)
-        if self._read_at is None:
-            self._mean_pace = pace
-        else:
+        if self._read_at is not None:
+            # The first reading may be of a short slow period.
             elapsed = (read_at - self._read_at) / MEAN_PACE_TIME
             gain = 1 - math.exp(-elapsed)
             self._mean_pace += gain * (pace - self._mean_pace)
@@ -96,6 +99,16 @@
         most = MAX_REPORTED_BATCHES * max(1, slots or load.slots)
         self._requests = min(load.running + load.waiting, most)
 
+    def speed_change(self) -> str:
+        """Return what to log if the upstream became slow or usual, or ""."""
+        if self._slow and self._mean_pace <= USUAL_MEAN_PACE:
+            self._slow = False
+            return "upstream is as fast as usual again"
+        if not self._slow and self._mean_pace >= SLOW_MEAN_PACE:
+            self._slow = True
+            return "upstream is slow"
+        return ""
+
     def record_times(self, sample: messages.TimeSample) -> None:
         """Record measured times of a service."""
         if not 0 < sample.count <= MAX_SAMPLE_COUNT:
@@ -182,11 +195,21 @@
                 continue
             upstream = owned.ledger.upstream
             if upstream.incarnation == reading.incarnation:
-                self._model(upstream).record(
+                model = self._model(upstream)
+                model.record(
                     reading.load,
                     upstream.slots,
                     now - min(reading.age_ms, 60_000) * MILLISECOND,
                 )
+                change = model.speed_change()
+                if change:
+                    log.info(
+                        change,
+                        extra={
+                            "upstream": upstream.upstream_id,
+                            **model.dump(),
+                        },
+                    )
         for sample in event.times:
             owned = self._owned.get(sample.upstream_id)
             if owned is None:
--- a/fulmarbarrow/platform/features/path.feature
+++ b/fulmarbarrow/platform/features/path.feature
@@ -289,6 +289,14 @@
       | Server-Leaving: -1 |
       | Server-Leaving:   |
 
+  # Guards against reports that are read, but do not reach the owner.
+  Scenario: The pace that a worker states in its answers is used
+    Given configuration 3 and workers "i-1" of the desk
+    And worker "i-1" answers with "X-Server-Load: 1,0,6,250"
+    When 4 clients send an order one after the other
+    Then each gets 200 with its own signature
+    And the log tells that worker "i-1" reports its pace
+
   # Guards against a departure that a heartbeat from before it undoes.
   Scenario: A heartbeat that is late does not bring a worker back that has left
     Given configuration 3 and workers "i-1 i-2" of the desk
--- a/fulmarbarrow/platform/features/steps/path.py
+++ b/fulmarbarrow/platform/features/steps/path.py
@@ -867,6 +867,18 @@
     fleet.wait_until(lambda: framing() == ["connection"], "logged")
 
 
+@behave.then('the log tells that worker "{name}" reports its pace')
+def step_logged_pace(context, name):
+    def told():
+        return any(
+            line.get("upstream") == name
+            and line["text"] == "upstream reports its pace"
+            for line in context.daemon.lines()
+        )
+
+    fleet.wait_until(told, "logged")
+
+
 @behave.then("the request ran once")
 def step_once(context):
     runs = sum(
