Tell no wait to chats that a slow engine with room does not take first

An engine that refuses an uncached chat for its slow pace told a wait that includes the chat's own work, though it had room. A request that had to start soon, refused elsewhere, could have been rejected instead of queued there.

The owner checks the room first and tells such a chat a wait of 0. The wait that a plain upstream tells is as before, since it shows how slow it is.

--- a/fulmarbarrow/placement/owner.py
+++ b/fulmarbarrow/placement/owner.py
@@ -162,22 +162,20 @@
         work = replies.queued_work(
             event, now, self._allowed_part(ledger, event)
         )
-        if self.choice.redirects(event, now):
-            self._metrics.count("plain_requests_redirected")
-            wait = self._expected_wait(owned, work, now)
-            return [self._refuse(event, "bound_reached", wait)]
-        if self.models.defers(
-            owned, event, self._means.mean_requests(ledger.upstream), now
-        ):
-            self._metrics.count("slow_engines_avoided")
-            wait = self._expected_wait(owned, work, now)
-            return [self._refuse(event, "bound_reached", wait)]
+        better = self._better_elsewhere(owned, event, now)
         owned.short_reserve = max(
             owned.short_reserve, self._policy.short_work_share(work.service)
         )
         if self._may_bypass_queue(owned, work) and self._capacity.fits(
             owned, work, now
         ):
+            if better:
+                # A chat that finds no other engine need not wait here. The
+                # wait at a plain upstream tells how slow it is.
+                wait = datetime.timedelta(0)
+                if not event.chat:
+                    wait = self._expected_wait(owned, work, now)
+                return [self._refuse(event, "bound_reached", wait)]
             owned.queue.charge(work.account, work.cost)
             return [self._grant(owned, work, event.reply_to, now)]
         if event.stage is messages.ReserveStage.HOME and (
@@ -186,6 +184,9 @@
         ):
             wait = self._expected_wait(owned, work, now)
             return [self._refuse(event, "bound_reached", wait)]
+        if better:
+            wait = self._expected_wait(owned, work, now)
+            return [self._refuse(event, "bound_reached", wait)]
         return self._queue(owned, work, event, now)
 
     def release(
@@ -359,6 +360,22 @@
             return ""
         return upstream_id
 
+    def _better_elsewhere(
+        self,
+        owned: capacity.OwnedUpstream,
+        event: messages.Reserve,
+        now: datetime.datetime,
+    ) -> bool:
+        """Return whether an attempt should first try another upstream."""
+        if self.choice.redirects(event, now):
+            self._metrics.count("plain_requests_redirected")
+            return True
+        mean_requests = self._means.mean_requests(owned.ledger.upstream)
+        if self.models.defers(owned, event, mean_requests, now):
+            self._metrics.count("slow_engines_avoided")
+            return True
+        return False
+
     def _allowed_part(
         self, ledger: ledgers.Ledger, event: messages.Reserve
     ) -> float:
