Roll out software versions that operators order by call

Operators had no call for a move between software versions, and moves from files load engines, which the platform does not need.

An order is an amendment that adds a move of the kind software, so it is committed and reaches every daemon like an evacuation. The leader commits each state of a rollout on a state machine of its own; routers bound what they send by their own count of requests, report counts and times, and stop a bad version themselves. Without rollouts.enabled no core runs.

--- a/fulmarbarrow/config/bundle.py
+++ b/fulmarbarrow/config/bundle.py
@@ -41,11 +41,16 @@
 
 
 class MoveKind(enum.StrEnum):
-    """The part of an engine that a version move replaces."""
+    """The part of an upstream that a version move replaces.
+
+    ``SOFTWARE`` moves come from operators' calls. The platform starts the
+    upstreams of the new version, and the move covers all models of a service.
+    """
 
     MODEL = "model"
     ADAPTER = "adapter"
     ROLE = "role"
+    SOFTWARE = "software"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/fulmarbarrow/daemon/control_cores.py
+++ b/fulmarbarrow/daemon/control_cores.py
@@ -11,6 +11,7 @@
 from fulmarbarrow.publishing import messages as publishing_messages
 from fulmarbarrow.versions import control as versions_control
 from fulmarbarrow.versions import messages as versions_messages
+from fulmarbarrow.versions import rollout_control
 from fulmarbarrow.zones import control as zones_control
 
 
@@ -22,6 +23,8 @@
         made.add("memory_logs", logs)
     group = consensus_messages.Group.CONFIGURATION
     machines = (publishing_messages.MACHINE, versions_messages.MACHINE)
+    if made.settings.rollouts.enabled:
+        machines = (*machines, versions_messages.ROLLOUTS_MACHINE)
     _add_log(made, "consensus", group, logs, machines)
     made.add("control", control.PublishingControl(daemon=record, now=made.now))
     made.add(
@@ -32,6 +35,13 @@
         "kv_moves",
         zones_control.KvMovesControl(daemon=record, metrics=metrics),
     )
+    if made.settings.rollouts.enabled:
+        made.add(
+            "rollouts",
+            rollout_control.RolloutControl(
+                daemon=record, group=group, settings=made.settings.rollouts
+            ),
+        )
     if made.settings.control.journal:
         _add_journal(made, logs)
 
--- a/fulmarbarrow/daemon/router_cores.py
+++ b/fulmarbarrow/daemon/router_cores.py
@@ -12,6 +12,7 @@
 from fulmarbarrow.limits import policy as limits_policy
 from fulmarbarrow.placement import bounds as placement_bounds
 from fulmarbarrow.placement import core as placement_core
+from fulmarbarrow.versions import rollout_router
 from fulmarbarrow.versions import router as versions_router
 from fulmarbarrow.zones import core as zones_core
 
@@ -23,6 +24,15 @@
         "versions",
         versions_router.VersionsRouter(daemon=record, metrics=metrics),
     )
+    if made.settings.rollouts.enabled:
+        made.add(
+            "rollout_versions",
+            rollout_router.RolloutRouter(
+                daemon=record,
+                metrics=metrics,
+                slack=made.settings.rollouts.slack,
+            ),
+        )
     made.add(
         "zones",
         zones_core.ZonesCore(
--- a/fulmarbarrow/delivery/effects.py
+++ b/fulmarbarrow/delivery/effects.py
@@ -51,6 +51,7 @@
         rank=arrival.rank or 0,
         # A caller that has a part of its answer waits for the rest.
         start_by=None if request.response_started else arrival.start_by,
+        version=request.version if request.response_started else "",
     )
 
 
@@ -142,6 +143,12 @@
             first_token=attempt.time_to_first_token,
             between_tokens=mean_token_gap,
             reused=bool(attempt.reused_tokens),
+            whole=(
+                attempt.progress_at - attempt.sent_at
+                if outcome is placement_messages.WorkOutcome.COMPLETED
+                else None
+            ),
+            status=attempt.headers.status if attempt.headers else 0,
         ),
     ]
 
@@ -163,6 +170,7 @@
     request: state.Request, attempt: state.Attempt, length: int | None
 ) -> message.Message:
     """Send status and headers to the caller."""
+    request.version = attempt.placed.version
     return messages.ResponseStarted(
         request_id=request.request_id,
         status=attempt.headers.status,
--- a/fulmarbarrow/delivery/messages.py
+++ b/fulmarbarrow/delivery/messages.py
@@ -337,7 +337,9 @@
     """Effect: report the outcome and latency of one finished attempt.
 
     ``between_tokens`` is the mean time between tokens. ``reused`` is set if
-    the engine found a prefix of the prompt in its cache.
+    the engine found a prefix of the prompt in its cache. ``whole`` is the
+    time from sending the request to the end of a complete response, and
+    ``status`` that of the response, 0 if there was none.
     """
 
     account: str
@@ -351,6 +353,8 @@
     first_token: datetime.timedelta | None = None
     between_tokens: datetime.timedelta | None = None
     reused: bool = False
+    whole: datetime.timedelta | None = None
+    status: int = 0
 
 
 class PartQuarantined(message.Message, frozen=True, kw_only=True):
--- a/fulmarbarrow/delivery/state.py
+++ b/fulmarbarrow/delivery/state.py
@@ -117,6 +117,7 @@
     its prompt. A stream that has started may continue for ``grace`` after its
     deadline. ``replaced_id`` is the silent attempt that the one with
     ``hedge_id`` is to replace. ``no_retry`` tells why no attempt followed.
+    ``version`` is that of the upstream that began the response.
     """
 
     arrival: messages.RequestArrived
@@ -149,6 +150,7 @@
     possible_runs: int = 0
     part_keys: tuple[int, ...] = ()
     grace: datetime.timedelta = RESUME_GRACE
+    version: str = ""
 
     @property
     def request_id(self) -> str:
--- a/fulmarbarrow/placement/cache_sources.py
+++ b/fulmarbarrow/placement/cache_sources.py
@@ -64,7 +64,12 @@
         at_home = bool(ranked) and ranked[0] == upstream.upstream_id
         if at_home and now - self._available_since(upstream) >= SETTLING_TIME:
             return ""
-        others = [item for item in ranked if item != upstream.upstream_id]
+        others = [
+            item
+            for item in ranked
+            if item != upstream.upstream_id
+            and self._directory.same_version(item, request)
+        ]
         for other_id in self._health.healthy(others, now, once=False):
             other = self._directory.upstreams[other_id]
             if (
--- a/fulmarbarrow/placement/core.py
+++ b/fulmarbarrow/placement/core.py
@@ -52,6 +52,7 @@
         membership_messages.DaemonGone,
         zones_messages.ZoneWeights,
         versions_messages.VersionShares,
+        versions_messages.ServiceVersions,
         publishing_messages.ConfigurationChanged,
         messages.PlaceRequest,
         messages.PlaceCancelled,
@@ -235,6 +236,8 @@
                 self._directory.set_version_shares(
                     event.service, event.model, event.shares
                 )
+            case versions_messages.ServiceVersions():
+                self._directory.set_service_versions(event)
         return []
 
     def _upstream_changed(
--- a/fulmarbarrow/placement/directory.py
+++ b/fulmarbarrow/placement/directory.py
@@ -5,11 +5,15 @@
 import collections.abc
 import dataclasses
 
+import msgspec
+
 from fulmarbarrow.config import bundle as bundles
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow.placement import messages
 from fulmarbarrow.placement import rendezvous
 from fulmarbarrow.placement import sizing
+from fulmarbarrow.placement import trials
+from fulmarbarrow.versions import messages as versions_messages
 
 MAX_CANDIDATES = 6  # upstreams considered for one request
 
@@ -50,6 +54,7 @@
         self._pool_rings: dict[tuple[str, str, str], rendezvous.Ring] = {}
         self._version_rings: dict[tuple[str, str], rendezvous.Ring] = {}
         self._sizing = sizing.Sizing()
+        self._trials = trials.Trials()
         self._model_rings: dict[tuple[str, str], rendezvous.Ring] = {}
 
     @property
@@ -137,6 +142,49 @@
         self._version_shares[service, model] = shares
         self._version_rings.pop((service, model), None)
 
+    def set_service_versions(
+        self, versions: versions_messages.ServiceVersions
+    ) -> None:
+        """Set which versions of a service get requests in a rollout."""
+        self._trials.set(versions)
+        self._clear_rings()
+
+    def assign_version(
+        self, request: messages.PlaceRequest
+    ) -> messages.PlaceRequest:
+        """Return the request with its version if its service has a rollout."""
+        trial = self._trials.get(request.service)
+        version = ""
+        if trial is not None:
+            new = trial.versions.new
+            pool = self.pool_ring(request.service, request.model, new)
+            version = trial.select(request, new_usable=len(pool) > 0)
+        if version == request.version:
+            return request
+        return msgspec.structs.replace(request, version=version)
+
+    def other_version(
+        self, request: messages.PlaceRequest
+    ) -> messages.PlaceRequest | None:
+        """Return the request for the old version if the new one was chosen."""
+        trial = self._trials.get(request.service)
+        if trial is None or not trial.versions.move_id:
+            return None
+        if request.version != trial.versions.new:
+            return None
+        return msgspec.structs.replace(request, version=trial.take_back())
+
+    def same_version(
+        self, upstream_id: str, request: messages.PlaceRequest
+    ) -> bool:
+        """Return whether an upstream may have what a request shares."""
+        if not request.version:
+            return True
+        upstream = self._upstreams.get(upstream_id)
+        return upstream is not None and self._serves_version(
+            upstream, request.service, request.model, request.version
+        )
+
     def zone(self, upstream_id: str) -> str:
         """Return the zone of an upstream, "" if the upstream is unknown."""
         upstream = self._upstreams.get(upstream_id)
@@ -214,7 +262,7 @@
 
     def candidates(self, request: messages.PlaceRequest) -> list[str]:
         """Return the best usable upstreams for a chat, best first."""
-        version = self.select_version(request)
+        version = request.version or self.select_version(request)
         if not version and self._version_shares.get(
             (request.service, request.model)
         ):
@@ -231,6 +279,10 @@
         upstream = self._upstreams.get(upstream_id)
         if upstream is None or not self.usable(upstream):
             return False
+        if request.version:
+            return self._serves_version(
+                upstream, request.service, request.model, request.version
+            )
         shares = dict(
             self._version_shares.get((request.service, request.model), ())
         )
@@ -238,13 +290,14 @@
             not shares or shares.get(offer.version, 0.0) > 0
             for offer in upstream.offers
             if (offer.service, offer.model) == (request.service, request.model)
+            and self._trials.allows(offer.service, offer.version)
         )
 
     def served_version(
         self, upstream_id: str, request: messages.PlaceRequest
     ) -> str:
         """Return the version that an upstream runs for a request."""
-        selected = self.select_version(request)
+        selected = request.version or self.select_version(request)
         offers = [
             offer.version
             for offer in self._upstreams[upstream_id].offers
@@ -279,6 +332,7 @@
             offer.service == service
             and offer.model == model
             and version in ("", offer.version)
+            and self._trials.allows(service, offer.version)
             for offer in upstream.offers
         )
 
--- a/fulmarbarrow/placement/entry.py
+++ b/fulmarbarrow/placement/entry.py
@@ -61,6 +61,7 @@
     request: messages.PlaceRequest
     candidates: list[str]
     give_up_at: datetime.datetime
+    version_demanded: bool = False
     chat: int = 0
     moved_to: str = ""
     stage: SearchStage = SearchStage.TRYING
@@ -120,12 +121,18 @@
         self, request: messages.PlaceRequest, now: datetime.datetime
     ) -> list[message.Message]:
         """Start the search for an upstream."""
+        demanded = request.version
+        request = self._directory.assign_version(request)
         request = self._with_affinity_key(request, now)
         candidates = self._candidates(request, now)
+        if not candidates and not demanded:
+            request = self._directory.other_version(request) or request
+            candidates = self._candidates(request, now)
         if not candidates:
             return [self._not_placed(request, "no_upstream")]
         pending = PendingRequest(
             request=request,
+            version_demanded=bool(demanded),
             candidates=candidates,
             give_up_at=waiting.give_up_at(request, now),
             chat=recent_chats.chat_hash(request.chat) if request.model else 0,
@@ -233,7 +240,7 @@
         Inside and outside the zone, the less loaded of two randomly chosen
         upstreams comes first.
         """
-        ring = self._directory.pool_ring(request.service, "")
+        ring = self._directory.pool_ring(request.service, "", request.version)
         members = [
             item for item in ring.members if item not in request.excluded
         ]
@@ -363,7 +370,15 @@
     def _restart(
         self, pending: PendingRequest, now: datetime.datetime
     ) -> list[message.Message]:
-        """Restart the search with new candidates, as loads have changed."""
+        """Restart the search with new candidates, as loads have changed.
+
+        A request does not wait for a version that it need not run at.
+        """
+        if not pending.version_demanded:
+            pending.request = (
+                self._directory.other_version(pending.request)
+                or pending.request
+            )
         pending.candidates = self._candidates(pending.request, now)
         if not pending.candidates:
             return [self._reject(pending, "no_upstream")]
--- a/fulmarbarrow/placement/messages.py
+++ b/fulmarbarrow/placement/messages.py
@@ -54,6 +54,7 @@
     marks a request that must not be executed twice. ``objective`` is the
     target time to the first byte, and ``rank`` 0 is the most urgent. An
     answer that is not under way by ``start_by`` is of no use to its caller.
+    During a rollout only upstreams of ``version`` may continue a response.
     """
 
     request_id: str
@@ -73,6 +74,7 @@
     once: bool = False
     rank: int = 0
     start_by: datetime.datetime | None = None
+    version: str = ""
 
 
 class Placed(message.Message, frozen=True, kw_only=True):
--- a/fulmarbarrow/platform/calls.py
+++ b/fulmarbarrow/platform/calls.py
@@ -118,6 +118,20 @@
         )
 
 
+class CollectionResource(NamedResource):
+    """Answers one path, and the paths below it by their last part."""
+
+    def __init__(
+        self, *, calls: dict[bytes, Call], named: dict[bytes, NamedCall]
+    ) -> None:
+        super().__init__(calls=named)
+        self._own = CallResource(calls=calls)
+
+    def render(self, request: http.Request) -> bytes | int:
+        """Answer a call of the path itself."""
+        return self._own.render(request)
+
+
 def _finish(
     body: bytes, request: http.Request, gone: list[failures.Failure]
 ) -> None:
--- a/fulmarbarrow/platform/interface.py
+++ b/fulmarbarrow/platform/interface.py
@@ -70,7 +70,11 @@
         version = resources.Resource()
         watch = calls.CallerWatch(bus=parts.bus, clock=parts.clock)
         operators.Operators(
-            root=version, bus=parts.bus, clock=parts.clock, watch=watch
+            root=version,
+            bus=parts.bus,
+            clock=parts.clock,
+            watch=watch,
+            rollouts=parts.settings.rollouts.enabled,
         )
         registrations.Registrations(
             root=version, bus=parts.bus, clock=parts.clock, watch=watch
--- a/fulmarbarrow/platform/operators.py
+++ b/fulmarbarrow/platform/operators.py
@@ -4,6 +4,7 @@
 
 import datetime
 import logging
+import typing
 import uuid
 
 import msgspec
@@ -15,15 +16,33 @@
 from fulmarbarrow import bus as buses
 from fulmarbarrow import clock as clocks
 from fulmarbarrow.config import bundle as bundles
+from fulmarbarrow import decoding
 from fulmarbarrow.platform import calls
 from fulmarbarrow.platform import documents
 from fulmarbarrow.publishing import amendments
 from fulmarbarrow.publishing import messages
 from fulmarbarrow.publishing import packing
+from fulmarbarrow.versions import messages as versions_messages
 
 log = logging.getLogger(__name__)
 
 Answer = defer.Deferred[bytes]
+Name = typing.Annotated[str, msgspec.Meta(max_length=255)]
+MAX_DURATION = datetime.timedelta(days=365)
+
+
+class RolloutOrder(msgspec.Struct, frozen=True, kw_only=True):
+    """An order of a rollout."""
+
+    service: Name = msgspec.field(name="Service")
+    target: Name = msgspec.field(name="Target")
+    duration_s: float = msgspec.field(name="DurationS")
+
+    def duration(self) -> datetime.timedelta:
+        """Return the duration, 0 for one that no rollout can have."""
+        if not 0 < self.duration_s <= MAX_DURATION.total_seconds():
+            return datetime.timedelta()
+        return datetime.timedelta(seconds=self.duration_s)
 
 
 class Operators:
@@ -36,6 +55,7 @@
         bus: buses.Bus,
         clock: clocks.Clock,
         watch: calls.CallerWatch,
+        rollouts: bool = False,
     ) -> None:
         self._bus = bus
         self._clock = clock
@@ -54,6 +74,17 @@
                 calls={b"POST": self._evacuate, b"DELETE": self._return}
             ),
         )
+        self._ordering: dict[str, tuple[http.Request, Answer]] = {}
+        if rollouts:
+            root.putChild(
+                b"rollouts",
+                calls.CollectionResource(
+                    calls={b"POST": self._roll_out},
+                    named={b"GET": self._tell_rollout},
+                ),
+            )
+            bus.subscribe(versions_messages.RolloutOrderResult, self._ordered)
+            bus.subscribe(versions_messages.RolloutResponse, self._told)
         bus.subscribe(messages.AmendResult, self._amended)
         bus.subscribe(messages.DocumentResponse, self._given)
 
@@ -144,9 +175,80 @@
             request.setResponseCode(http.SERVICE_UNAVAILABLE)
         done.callback(event.document or b"{}")
 
+    def _roll_out(self, request: http.Request) -> Answer | bytes:
+        if not self._watch.waits(request):
+            request.setResponseCode(http.SERVICE_UNAVAILABLE)
+            return b"{}"
+        try:
+            order = decoding.decode_json(request.content.read(), RolloutOrder)
+        except (msgspec.DecodeError, ValueError) as error:
+            return _refuse(request, [str(error)])
+        order_id, done = self._wait(request, self._ordering)
+        self._bus.post(
+            versions_messages.RolloutOrdered(
+                order_id=order_id,
+                service=order.service,
+                target=order.target,
+                duration=order.duration(),
+            )
+        )
+        return done
+
+    def _tell_rollout(self, request: http.Request, service: str) -> Answer:
+        read_id, done = self._wait(request, self._reading)
+        self._bus.post(
+            versions_messages.RolloutRequested(
+                read_id=read_id, service=service
+            )
+        )
+        return done
+
+    def _wait(
+        self,
+        request: http.Request,
+        waiting: dict[str, tuple[http.Request, Answer]],
+    ) -> tuple[str, Answer]:
+        call_id = uuid.uuid4().hex
+        done: Answer = defer.Deferred()
+        waiting[call_id] = request, done
+        return call_id, done
+
+    def _ordered(
+        self,
+        event: versions_messages.RolloutOrderResult,
+        _: datetime.datetime,
+    ) -> None:
+        waiting = self._ordering.pop(event.order_id, None)
+        if waiting is None:
+            return
+        request, done = waiting
+        if event.findings:
+            done.callback(_refuse(request, list(event.findings)))
+            return
+        if event.code:
+            request.setResponseCode(http.SERVICE_UNAVAILABLE)
+        done.callback(b"{}")
+
+    def _told(
+        self, event: versions_messages.RolloutResponse, _: datetime.datetime
+    ) -> None:
+        waiting = self._reading.pop(event.read_id, None)
+        if waiting is None:
+            return
+        request, done = waiting
+        if event.code:
+            request.setResponseCode(http.SERVICE_UNAVAILABLE)
+        elif not event.target:
+            request.setResponseCode(http.NOT_FOUND)
+        else:
+            answer = {"State": event.state, "Target": event.target}
+            done.callback(msgspec.json.encode(answer))
+            return
+        done.callback(b"{}")
+
 
 def _refuse(request: http.Request, findings: list[str]) -> bytes:
-    """Refuse a document and tell everything that is wrong with it."""
+    """Refuse a call and tell everything that is wrong with its body."""
     log.warning("configuration refused", extra={"findings": findings[:20]})
     request.setResponseCode(http.BAD_REQUEST)
     return msgspec.json.encode({"findings": findings})
--- a/fulmarbarrow/publishing/amendments.py
+++ b/fulmarbarrow/publishing/amendments.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+import datetime
 import functools
 import typing
 
@@ -14,6 +16,12 @@
 from fulmarbarrow.config import bundle as bundles
 from fulmarbarrow.publishing import packing
 
+# Moves kept for each service, so that versions that were rolled back stay
+# without requests.
+MAX_ROLLOUTS = 8
+_EPOCH = datetime.datetime(1970, 1, 1, tzinfo=datetime.UTC)
+_MICROSECOND = datetime.timedelta(microseconds=1)
+
 
 class Amendment(
     msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
@@ -41,7 +49,23 @@
     out: bool
 
 
-AnyAmendment = ReplaceServices | SetZone
+class StartRollout(Amendment, frozen=True, kw_only=True):
+    """Moves a service to upstreams of another software version.
+
+    ``old`` is the version of its serving upstreams when the order was given.
+    An order for the same target before the deadline of the last one is the
+    same order, sent again.
+    """
+
+    service: str
+    target: str
+    old: str
+    ordered_at: datetime.datetime
+    deadline: datetime.datetime
+    share: float
+
+
+AnyAmendment = ReplaceServices | SetZone | StartRollout
 
 
 class AmendCommand(
@@ -88,3 +112,46 @@
         zone=(*others, changed),
         version_move=bundle.version_move,
     )
+
+
+@apply.register
+def _(amendment: StartRollout, bundle: bundles.Bundle) -> bundles.Bundle:
+    earlier = rollouts_of(bundle, amendment.service)
+    number = (amendment.ordered_at - _EPOCH) // _MICROSECOND
+    if earlier:
+        last = earlier[-1]
+        if last.new == amendment.target and (
+            last.deadline > amendment.ordered_at
+        ):
+            return bundle
+        # Orders stay in sequence even if the clock of their host is behind.
+        number = max(number, int(last.id.split("-")[1]) + 1)
+    move = bundles.VersionMove(
+        id=f"rollout-{number:020d}-{amendment.service}",
+        service=amendment.service,
+        model="",
+        old=amendment.old,
+        new=amendment.target,
+        deadline=amendment.deadline,
+        kind=bundles.MoveKind.SOFTWARE,
+        share_cap=amendment.share,
+    )
+    kept = [item for item in earlier if item.new != amendment.target]
+    kept = kept[1 - MAX_ROLLOUTS :]
+    others = [item for item in bundle.version_move if item not in earlier]
+    return dataclasses.replace(bundle, version_move=(*others, *kept, move))
+
+
+def rollouts_of(
+    bundle: bundles.Bundle, service: str
+) -> list[bundles.VersionMove]:
+    """Return the software moves of a service, the newest one last."""
+    return sorted(
+        (
+            move
+            for move in bundle.version_move
+            if move.kind is bundles.MoveKind.SOFTWARE
+            and move.service == service
+        ),
+        key=lambda move: move.id,
+    )
--- a/fulmarbarrow/versions/control.py
+++ b/fulmarbarrow/versions/control.py
@@ -187,7 +187,9 @@
     ) -> None:
         """Replace the moves with those of a new configuration."""
         self._records = {
-            move.id: self._record(move, now) for move in bundle.version_move
+            move.id: self._record(move, now)
+            for move in bundle.version_move
+            if move.kind is not bundles.MoveKind.SOFTWARE
         }
 
     def _record(
--- /dev/null
+++ b/fulmarbarrow/versions/features/rollouts.feature
@@ -0,0 +1,153 @@
+Feature: Rollouts that operators order by call
+
+  Scenario Outline: A good version is completed before its deadline
+    Given a fleet of <routers> routers with <rate> requests a second
+    When a rollout to v2 in <seconds> seconds is ordered
+    And it runs for <seconds> seconds
+    Then the rollout to v2 is completed before its deadline
+    And the exposure never exceeded its bound before the move
+    And no request was sent to v1 after the rollout was completed
+    And the share rose only in the last 6 seconds
+
+    Examples:
+      | routers | rate | seconds |
+      | 8       | 400  | 12      |
+      | 74      | 800  | 12      |
+      | 8       | 2    | 12      |
+      | 8       | 0    | 8       |
+
+  Scenario Outline: A version that <fault> is rolled back
+    Given a fleet of 8 routers with 400 requests a second
+    And a new version that <fault>
+    When a rollout to v2 in 12 seconds is ordered
+    And it runs for 13 seconds
+    Then the rollout to v2 is rolled_back before its deadline
+    And nothing reaches v2 later than 5 seconds after its 50th bad response
+    And the exposure never exceeded its bound before the move
+
+    Examples:
+      | fault                 |
+      | fails at once         |
+      | fails rarely          |
+      | answers 500 at once   |
+      | cuts its responses    |
+      | is slow at once       |
+      | fails later           |
+      | is slow later         |
+      | fails on one route    |
+      | is slow on one route  |
+      | fails under load      |
+
+  # Guards against a proof that the deadline alone gives.
+  Scenario: A version that no upstream serves is rolled back with its reason
+    Given a fleet of 8 routers with 100 requests a second
+    And the platform starts no upstream of v2
+    When a rollout to v2 in 8 seconds is ordered
+    And it runs for 9 seconds
+    Then the rollout to v2 is rolled_back before its deadline
+    And its reason contains "no upstream serves it"
+
+  # Guards against a rollback because a machine was lost.
+  Scenario: A crash that only looks like a bad version is no reason to stop
+    Given a fleet of 8 routers with 400 requests a second
+    When a rollout to v2 in 12 seconds is ordered
+    And it runs for 3 seconds
+    And upstream v2-0 crashes under 30 requests
+    And it runs for 9 seconds
+    Then the rollout to v2 is completed before its deadline
+
+  # Guards against a move that a new leader restarts, shortens or forgets.
+  Scenario Outline: A leader that is lost after <at> seconds changes nothing
+    Given a fleet of 8 routers with 400 requests a second
+    And a new version that <fault>
+    When a rollout to v2 in 12 seconds is ordered
+    And it runs for <at> seconds
+    And the leader is lost and another one leads 1.0 seconds later
+    And it runs for <rest> seconds
+    Then the rollout to v2 is <end> before its deadline
+    And nothing reaches v2 later than 5 seconds after its 50th bad response
+    And the exposure never exceeded its bound before the move
+
+    Examples:
+      | fault         | at   | rest | end         |
+      | is good       | 0.1  | 12   | completed   |
+      | is good       | 5    | 7    | completed   |
+      | is good       | 9.5  | 2.5  | completed   |
+      | fails later   | 4.2  | 8    | rolled_back |
+
+  # Guards against routers that keep sending while no control host leads.
+  Scenario: A router that is cut off stops a bad version by itself
+    Given a fleet of 8 routers with 800 requests a second
+    And a new version that fails later
+    When a rollout to v2 in 30 seconds is ordered
+    And it runs for 3 seconds
+    And router-0 is cut off
+    And it runs for 20 seconds
+    Then router-0 sends nothing to v2
+    And the exposure never exceeded its bound before the move
+
+  # Guards against a resent order that restarts a rollout.
+  Scenario: An order that is sent again to another host is the same order
+    Given a fleet of 8 routers with 400 requests a second
+    And a new version that fails at once
+    When a rollout to v2 in 12 seconds is ordered
+    And it runs for 4 seconds
+    And a rollout to v2 in 12 seconds is ordered at control-2
+    And it runs for 4 seconds
+    Then the rollout to v2 is rolled_back before its deadline
+    And there is 1 rollout
+
+  Scenario: A second target rolls the first one back and is completed
+    Given a fleet of 8 routers with 400 requests a second
+    When a rollout to v2 in 12 seconds is ordered
+    And it runs for 3 seconds
+    And a rollout to v3 in 12 seconds is ordered
+    And it runs for 12 seconds
+    Then the rollout to v2 is rolled_back before its deadline
+    And the rollout to v3 is completed before its deadline
+    And nothing reaches v2 any more
+
+  Scenario: Two services are moved at the same time, each on its own evidence
+    Given a fleet of 8 routers with 400 requests a second
+    And a new version that fails at once
+    And another service with a good version
+    When a rollout to v2 in 12 seconds is ordered
+    And a rollout of other to v2 in 12 seconds is ordered
+    And it runs for 12 seconds
+    Then the rollout to v2 is rolled_back before its deadline
+    And the rollout of other to v2 is completed before its deadline
+
+  # Guards against requests to a bad version after a router has restarted.
+  Scenario: A restarted router gives a rolled back version nothing
+    Given a fleet of 8 routers with 400 requests a second
+    And a new version that fails at once
+    When a rollout to v2 in 12 seconds is ordered
+    And it runs for 6 seconds
+    And router-0 restarts
+    And it runs for 3 seconds
+    Then nothing reaches v2 any more
+
+  Scenario: A service without an order is served by all its versions
+    Given a fleet of 8 routers with 400 requests a second
+    When it runs for 2 seconds
+    Then both versions were served
+
+  # Guards against answers from a host that has missed the newest order.
+  Scenario: A read waits for the revision that the leader confirms
+    Given a fleet of 8 routers with 0 requests a second
+    When control-2 gets no configuration
+    And a rollout to v2 in 12 seconds is ordered
+    And it runs for 1 seconds
+    Then a read at control-2 is answered "not_current"
+    And a read at control-1 is answered "in_progress"
+
+  Scenario Outline: A wrong order is refused with findings
+    Given a fleet of 8 routers with 0 requests a second
+    When a rollout of <service> to <target> in <seconds> seconds is refused
+
+    Examples:
+      | service | target | seconds |
+      | unknown | v2     | 12      |
+      | service | -      | 12      |
+      | service | v2     | 0       |
+      | service | v2     | -1      |
--- a/fulmarbarrow/versions/messages.py
+++ b/fulmarbarrow/versions/messages.py
@@ -10,6 +10,7 @@
 from fulmarbarrow import message
 
 MACHINE = "versions"  # name of the state machine on the replicated log
+ROLLOUTS_MACHINE = "rollouts"  # that of rollouts ordered by call
 
 
 class OrderKind(enum.StrEnum):
@@ -151,4 +152,170 @@
     code: str
 
 
-PEER_MESSAGES = (SharesPush, SharesRequest, VersionStopped, VersionEvidence)
+# Rollouts of software versions, ordered by call.
+
+
+class RolloutState(enum.StrEnum):
+    """States of a rollout; each is only followed by a later one."""
+
+    EXPOSING = "exposing"
+    MOVING = "moving"
+    COMPLETED = "completed"
+    ROLLED_BACK = "rolled_back"
+
+
+class RolloutOrdered(message.Message, frozen=True, kw_only=True):
+    """An operator's order of a rollout."""
+
+    order_id: str
+    service: str
+    target: str
+    duration: datetime.timedelta
+
+
+class RolloutOrderResult(message.Message, frozen=True, kw_only=True):
+    """The result of an order; ``findings`` tell what is wrong with it.
+
+    ``code`` is empty if the order was committed.
+    """
+
+    order_id: str
+    code: str = ""
+    findings: tuple[str, ...] = ()
+
+
+class RolloutRequested(message.Message, frozen=True, kw_only=True):
+    """An operator asks for the newest rollout of a service."""
+
+    read_id: str
+    service: str
+
+
+class RolloutResponse(message.Message, frozen=True, kw_only=True):
+    """The newest rollout of a service; ``target`` is empty without one."""
+
+    read_id: str
+    code: str = ""
+    state: str = ""
+    target: str = ""
+
+
+class RolloutStep(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
+    """Replicated command: a rollout enters a state."""
+
+    move_id: str
+    state: RolloutState
+    at: datetime.datetime
+    reason: str = ""
+
+
+class RolloutRead(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
+    """Replicated command without effect, which a read waits for."""
+
+    read_id: str
+
+
+class ServiceVersions(message.Message, frozen=True, kw_only=True):
+    """Effect: which versions of a service get requests on this router.
+
+    Without a ``move_id`` only ``barred`` applies. Otherwise requests go to
+    ``old`` and ``new``; an empty ``old`` stands for every other version.
+    With ``moving`` all requests go to ``new`` where it has capacity;
+    otherwise ``new`` gets at most ``share`` of the requests counted for the
+    move, plus ``slack``.
+    """
+
+    service: str
+    move_id: str = ""
+    old: str = ""
+    new: str = ""
+    share: float = 0.0
+    slack: int = 0
+    moving: bool = False
+    barred: tuple[str, ...] = ()
+
+
+class RolloutPush(message.Message, frozen=True, kw_only=True):
+    """The committed state of a rollout, for routers.
+
+    ``incarnation`` is the receiver's, so that a push that was in transit when
+    the receiver restarted is ignored. ``term`` is 0 if another daemon than
+    the leader sends it; only final states are taken from such a daemon.
+    """
+
+    move_id: str
+    state: RolloutState
+    incarnation: int
+    term: int
+
+
+class RolloutsRequest(message.Message, frozen=True, kw_only=True):
+    """A router asks others for the states of these rollouts."""
+
+    reply_to: str
+    incarnation: int
+    move_ids: tuple[str, ...]
+
+
+class RolloutStopped(message.Message, frozen=True, kw_only=True):
+    """A router found a fault in the new version; it gets no new requests."""
+
+    move_id: str
+    reason: str
+
+
+class RolloutTimes(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Number of attempts by logarithmic class of one measured time."""
+
+    metric: int
+    new: bool
+    counts: tuple[tuple[int, int], ...]
+
+
+class RolloutCounts(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True
+):
+    """A router's counts for one route since its last report."""
+
+    route: str
+    new: int = 0
+    new_bad: int = 0
+    old: int = 0
+    old_bad: int = 0
+    times: tuple[RolloutTimes, ...] = ()
+
+
+class RolloutEvidence(message.Message, frozen=True, kw_only=True):
+    """A router's evidence on a rollout, sent to the control hosts.
+
+    ``requests`` and ``old_running`` are absolute: the requests to the service
+    since the order, and the attempts at the old version that run now.
+    ``crashed`` names the incarnations of upstreams of the new version that
+    ended under a request, ``old_crashed`` those of the old version.
+    """
+
+    daemon_id: str
+    incarnation: int
+    move_id: str
+    routes: tuple[RolloutCounts, ...] = ()
+    requests: int = 0
+    old_running: int = 0
+    moving: bool = False
+    crashed: tuple[tuple[str, int], ...] = ()
+    old_crashed: tuple[tuple[str, int], ...] = ()
+
+
+PEER_MESSAGES = (
+    SharesPush,
+    SharesRequest,
+    VersionStopped,
+    VersionEvidence,
+    RolloutPush,
+    RolloutsRequest,
+    RolloutStopped,
+    RolloutEvidence,
+)
--- a/fulmarbarrow/versions/router.py
+++ b/fulmarbarrow/versions/router.py
@@ -211,9 +211,13 @@
 
     def _configure(self, bundle: bundles.Bundle) -> list[message.Message]:
         """Replace the moves; drop the state of those that are gone."""
-        self._moves = {move.id: move for move in bundle.version_move}
+        self._moves = {
+            move.id: move
+            for move in bundle.version_move
+            if move.kind is not bundles.MoveKind.SOFTWARE
+        }
         self._moves_by_model = {
-            (move.service, move.model): move for move in bundle.version_move
+            (move.service, move.model): move for move in self._moves.values()
         }
         self._versions = {
             (service.name, model.name): model.version
