Count the duration of a rollout by each control host's own clock

Wall clocks of hosts differ by seconds, so a deadline by that of the order's host shifted when another host led; routers of large fleets reported too often.

Control hosts count the duration from the order on and the leader tells the others what is left of it. Reports without signs of a fault are rarer, and a version is not proven before half of the routers have reported.

--- a/fulmarbarrow/publishing/amendments.py
+++ b/fulmarbarrow/publishing/amendments.py
@@ -9,6 +9,7 @@
 import dataclasses
 import datetime
 import functools
+import re
 import typing
 
 import msgspec
@@ -19,6 +20,7 @@
 # Moves kept for each service, so that versions that were rolled back stay
 # without requests.
 MAX_ROLLOUTS = 8
+_ROLLOUT_ID = re.compile(r"rollout-[0-9]{20}-")
 _EPOCH = datetime.datetime(1970, 1, 1, tzinfo=datetime.UTC)
 _MICROSECOND = datetime.timedelta(microseconds=1)
 
@@ -126,13 +128,15 @@
             return bundle
         # Orders stay in sequence even if the clock of their host is behind.
         number = max(number, int(last.id.split("-")[1]) + 1)
+    # The id holds the time of the order, so the deadline is as far from it.
+    shift = _EPOCH + number * _MICROSECOND - amendment.ordered_at
     move = bundles.VersionMove(
         id=f"rollout-{number:020d}-{amendment.service}",
         service=amendment.service,
         model="",
         old=amendment.old,
         new=amendment.target,
-        deadline=amendment.deadline,
+        deadline=amendment.deadline + shift,
         kind=bundles.MoveKind.SOFTWARE,
         share_cap=amendment.share,
     )
@@ -142,6 +146,16 @@
     return dataclasses.replace(bundle, version_move=(*others, *kept, move))
 
 
+def is_rollout(move: bundles.VersionMove) -> bool:
+    """Return whether a move was ordered by call.
+
+    A file may contain the kind, but no move of it has such an id by chance.
+    """
+    return move.kind is bundles.MoveKind.SOFTWARE and bool(
+        _ROLLOUT_ID.match(move.id)
+    )
+
+
 def rollouts_of(
     bundle: bundles.Bundle, service: str
 ) -> list[bundles.VersionMove]:
@@ -150,8 +164,13 @@
         (
             move
             for move in bundle.version_move
-            if move.kind is bundles.MoveKind.SOFTWARE
-            and move.service == service
+            if is_rollout(move) and move.service == service
         ),
         key=lambda move: move.id,
     )
+
+
+def rollout_duration(move: bundles.VersionMove) -> datetime.timedelta:
+    """Return the time from the order of a software move to its deadline."""
+    number = int(move.id.split("-")[1])
+    return move.deadline - (_EPOCH + number * _MICROSECOND)
--- a/fulmarbarrow/versions/features/rollouts.feature
+++ b/fulmarbarrow/versions/features/rollouts.feature
@@ -75,6 +75,23 @@
       | is good       | 9.5  | 2.5  | completed   |
       | fails later   | 4.2  | 8    | rolled_back |
 
+  # Guards against a deadline by the wall clock of another host.
+  Scenario Outline: Clocks that differ by seconds do not shift the deadline
+    Given a fleet of 8 routers with 400 requests a second
+    And the clock of control-0 is <first> seconds ahead
+    And the clock of control-2 is <second> seconds ahead
+    When a rollout to v2 in 12 seconds is ordered
+    And it runs for 5 seconds
+    And the leader is lost and another one leads 1.0 seconds later
+    And it runs for 7 seconds
+    Then the rollout to v2 is completed before its deadline
+    And the share rose only in the last 6 seconds
+
+    Examples:
+      | first | second |
+      | 4     | -4     |
+      | -4    | 4      |
+
   # Guards against routers that keep sending while no control host leads.
   Scenario: A router that is cut off stops a bad version by itself
     Given a fleet of 8 routers with 800 requests a second
--- a/fulmarbarrow/versions/messages.py
+++ b/fulmarbarrow/versions/messages.py
@@ -309,6 +309,16 @@
     old_crashed: tuple[tuple[str, int], ...] = ()
 
 
+class RolloutRemaining(message.Message, frozen=True, kw_only=True):
+    """The leader tells control hosts the time left for a rollout.
+
+    Their wall clocks may differ by seconds from that of the order's host.
+    """
+
+    move_id: str
+    remaining: datetime.timedelta
+
+
 PEER_MESSAGES = (
     SharesPush,
     SharesRequest,
@@ -318,4 +328,5 @@
     RolloutsRequest,
     RolloutStopped,
     RolloutEvidence,
+    RolloutRemaining,
 )
--- a/fulmarbarrow/versions/rollout_control.py
+++ b/fulmarbarrow/versions/rollout_control.py
@@ -33,6 +33,8 @@
 READ_TIMEOUT = datetime.timedelta(milliseconds=800)
 PROPOSAL_TIMEOUT = datetime.timedelta(seconds=1)
 STOP_RESEND_INTERVAL = datetime.timedelta(seconds=1)
+TELL_INTERVAL = datetime.timedelta(seconds=1)
+CONTROL_ROLE = "control"
 ROUTER_ROLE = "router"
 NO_QUORUM = "no_quorum"
 NOT_CURRENT = "not_current"
@@ -110,6 +112,7 @@
         messages.RolloutEvidence,
         messages.RolloutStopped,
         messages.RolloutsRequest,
+        messages.RolloutRemaining,
         publishing_messages.AmendResult,
         publishing_messages.ConfigurationChanged,
         publishing_messages.StatusResponse,
@@ -143,6 +146,8 @@
         self._newest: dict[str, bundles.VersionMove] = {}
         self._evidence: dict[str, rollout_evidence.RolloutEvidence] = {}
         self._faults: dict[str, str] = {}
+        self._deadlines: dict[str, datetime.datetime] = {}
+        self._told_at: datetime.datetime | None = None
         self._upstreams: dict[str, membership_messages.Upstream] = {}
         self._daemons: dict[str, membership_messages.Daemon] = {
             daemon.daemon_id: daemon
@@ -164,6 +169,8 @@
                 return self._stop(event.move_id, event.reason, now)
             case messages.RolloutsRequest():
                 return self._answer_router(event, now)
+            case messages.RolloutRemaining():
+                self._set_deadline(event.move_id, now + event.remaining)
             case message.Tick():
                 return self._tick(now)
             case consensus_messages.LeaderChanged(group=self._group):
@@ -457,6 +464,7 @@
         event: publishing_messages.ConfigurationChanged,
         now: datetime.datetime,
     ) -> list[message.Message]:
+        earlier = None if not self._revision else set(self._moves)
         self._bundle = event.bundle
         self._revision = event.revision
         self._moves = {
@@ -464,14 +472,55 @@
             for move in sorted(
                 event.bundle.version_move, key=lambda item: item.id
             )
-            if move.kind is bundles.MoveKind.SOFTWARE
+            if amendments.is_rollout(move)
         }
         self._newest = {move.service: move for move in self._moves.values()}
-        for table in (self._evidence, self._faults, self._proposed_at):
+        if earlier is not None:
+            for move_id in set(self._moves) - earlier:
+                duration = amendments.rollout_duration(self._moves[move_id])
+                self._set_deadline(move_id, now + duration)
+        for table in (
+            self._evidence,
+            self._faults,
+            self._proposed_at,
+            self._deadlines,
+        ):
             for move_id in set(table) - set(self._moves):
                 del table[move_id]
         return [*self._answer_reads(now), *self._advance_all(now)]
 
+    def _set_deadline(self, move_id: str, at: datetime.datetime) -> None:
+        """Keep the earliest deadline by this host's own clock.
+
+        A host that learns of an order as it is given counts its duration from
+        then on; the leader tells the others what is left of it.
+        """
+        if move_id in self._moves:
+            known = self._deadlines.get(move_id, at)
+            self._deadlines[move_id] = min(known, at)
+
+    def _tell_remaining(self, now: datetime.datetime) -> list[message.Message]:
+        if self._told_at is not None and now < self._told_at + TELL_INTERVAL:
+            return []
+        self._told_at = now
+        return [
+            message.Send(
+                address=daemon.address,
+                message=messages.RolloutRemaining(
+                    move_id=move_id,
+                    remaining=self._deadline(move) - now,
+                ),
+            )
+            for move_id, move in self._moves.items()
+            if self._answer_of(move_id) == IN_PROGRESS
+            for daemon in self._daemons.values()
+            if CONTROL_ROLE in daemon.roles
+            and daemon.daemon_id != self._daemon.daemon_id
+        ]
+
+    def _deadline(self, move: bundles.VersionMove) -> datetime.datetime:
+        return self._deadlines.get(move.id, move.deadline)
+
     def _evidence_of(self, move_id: str) -> rollout_evidence.RolloutEvidence:
         evidence = self._evidence.get(move_id)
         if evidence is None:
@@ -565,11 +614,12 @@
     def _advance_all(self, now: datetime.datetime) -> list[message.Message]:
         if not self._moves or not self._leads(now):
             return []
-        return [
+        steps = [
             effect
             for move in self._moves.values()
             for effect in self._advance(move, now)
         ]
+        return [*steps, *self._tell_remaining(now)]
 
     def _advance(
         self, move: bundles.VersionMove, now: datetime.datetime
@@ -617,7 +667,7 @@
         )
         newest = self._newest[move.service]
         return rollout_decisions.Situation(
-            move=move,
+            move=dataclasses.replace(move, deadline=self._deadline(move)),
             state=committed.state if committed else None,
             since=committed.at if committed else now,
             evidence=self._evidence_of(move.id),
--- a/fulmarbarrow/versions/rollout_decisions.py
+++ b/fulmarbarrow/versions/rollout_decisions.py
@@ -87,6 +87,9 @@
 def _lacks(situation: Situation) -> str:
     if not situation.serving:
         return "no upstream serves it"
+    reporting = situation.routers & set(situation.evidence.routers)
+    if 2 * len(reporting) < len(situation.routers):
+        return f"only {len(reporting)} of {len(situation.routers)} routers"
     return situation.evidence.lacks()
 
 
--- a/fulmarbarrow/versions/rollout_router.py
+++ b/fulmarbarrow/versions/rollout_router.py
@@ -5,7 +5,6 @@
 import collections
 import datetime
 import logging
-import math
 import typing
 
 import msgspec
@@ -16,6 +15,7 @@
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics as metrics_module
 from fulmarbarrow.placement import messages as placement_messages
+from fulmarbarrow.publishing import amendments
 from fulmarbarrow.publishing import messages as publishing_messages
 from fulmarbarrow.versions import messages
 from fulmarbarrow.versions import rollout_times
@@ -25,7 +25,10 @@
 
 ROUTER_ROLE = "router"
 REPORT_INTERVAL = datetime.timedelta(milliseconds=500)
-MAX_REPORTS_PER_SECOND = 80  # to one control host, from all routers together
+MAX_REPORTS_PER_SECOND = 20  # to one control host, from all routers together
+# The shortest rollouts have to be proven with a few reports of each router.
+MAX_REPORT_INTERVAL = datetime.timedelta(seconds=3)
+URGENT_EVIDENCE = 0.25  # fraction of the threshold of a router's own tests
 REQUEST_INTERVAL = datetime.timedelta(seconds=1)
 STOP_RESEND_INTERVAL = datetime.timedelta(seconds=2)
 # An upstream that completes a request this long after one of its connections
@@ -137,6 +140,7 @@
         self._upstreams: dict[str, membership_messages.Upstream] = {}
         self._daemons: dict[str, membership_messages.Daemon] = {}
         self._report_at: datetime.datetime | None = None
+        self._urgent_at: datetime.datetime | None = None
         self._request_at: datetime.datetime | None = None
         self._resend_at: datetime.datetime | None = None
 
@@ -150,6 +154,13 @@
         }
         return sorted(known | {self._daemon.daemon_id})
 
+    @property
+    def _report_interval(self) -> datetime.timedelta:
+        """Time between reports that show no fault; grows with the fleet."""
+        reports = len(self._routers) * max(1, len(self._rollouts))
+        interval = datetime.timedelta(seconds=reports / MAX_REPORTS_PER_SECOND)
+        return min(MAX_REPORT_INTERVAL, max(REPORT_INTERVAL, interval))
+
     def handle(
         self, event: message.Message, now: datetime.datetime
     ) -> list[message.Message]:
@@ -219,7 +230,7 @@
         """
         self._moves = {}
         for move in sorted(bundle.version_move, key=lambda item: item.id):
-            if move.kind is bundles.MoveKind.SOFTWARE:
+            if amendments.is_rollout(move):
                 self._moves.setdefault(move.service, []).append(move)
         ids = {move.id for items in self._moves.values() for move in items}
         for table in (self._states, self._stopped):
@@ -499,17 +510,12 @@
         for rollout in self._rollouts.values():
             self._end_suspects(rollout, now)
         effects = self._request_states(now)
-        if self._report_at is None or now >= self._report_at:
-            reports = len(self._routers) * len(self._rollouts)
-            self._report_at = now + max(
-                REPORT_INTERVAL,
-                datetime.timedelta(
-                    seconds=math.ceil(reports / MAX_REPORTS_PER_SECOND * 2) / 2
-                ),
-            )
-            effects.extend(self._report(urgent=False))
-        else:
-            effects.extend(self._report(urgent=True))
+        if self._urgent_at is None or now >= self._urgent_at:
+            self._urgent_at = now + REPORT_INTERVAL
+            routine = self._report_at is None or now >= self._report_at
+            if routine:
+                self._report_at = now + self._report_interval
+            effects.extend(self._report(urgent=not routine))
         if self._stopped and (
             self._resend_at is None or now >= self._resend_at
         ):
@@ -537,11 +543,17 @@
         for service, rollout in self._rollouts.items():
             if self._states.get(rollout.move.id) in _FINAL:
                 continue
-            if urgent and not any(
-                route.counts["new_bad"] for route in rollout.routes.values()
+            moving = self._sent[service].moving
+            if (
+                urgent
+                and not moving
+                and not any(
+                    route.counts["new_bad"]
+                    or route.monitor.evidence >= URGENT_EVIDENCE
+                    for route in rollout.routes.values()
+                )
             ):
                 continue
-            moving = self._sent[service].moving
             old_running = sum(
                 version != rollout.move.new
                 for version in rollout.running.values()
