Take a rollout back by an order for its old version

An order for the old version of a rollout in progress took the new version for the old one, so most requests would have gone to the version taken back.

The old version stays that of the rollout in progress. Requests for a version on trial no longer queue at its few upstreams, and after completion none falls back to the old ones.

--- a/fulmarbarrow/placement/directory.py
+++ b/fulmarbarrow/placement/directory.py
@@ -172,8 +172,21 @@
             return None
         if request.version != trial.versions.new:
             return None
+        # The upstreams of the old version may be stopped at any time.
+        pool = self.pool_ring(request.service, request.model, request.version)
+        if trial.completed and len(pool):
+            return None
         return msgspec.structs.replace(request, version=trial.take_back())
 
+    def on_trial(self, request: messages.PlaceRequest) -> bool:
+        """Return whether a request goes to a version that is not proven."""
+        trial = self._trials.get(request.service)
+        return (
+            trial is not None
+            and trial.bounded
+            and request.version == trial.versions.new
+        )
+
     def same_version(
         self, upstream_id: str, request: messages.PlaceRequest
     ) -> bool:
--- a/fulmarbarrow/placement/entry.py
+++ b/fulmarbarrow/placement/entry.py
@@ -293,6 +293,11 @@
             if self._fits_without_owner(pending, upstream, now):
                 return [self._place_unreserved(pending, upstream, now)]
             pending.position += 1
+        if not pending.version_demanded and self._directory.on_trial(
+            pending.request
+        ):
+            # No request waits for the few upstreams of a version on trial.
+            return self._restart(pending, now)
         return self._queue_at_shortest_wait(pending, now)
 
     def _try_cached_upstream(
--- a/fulmarbarrow/placement/trials.py
+++ b/fulmarbarrow/placement/trials.py
@@ -35,6 +35,11 @@
         """Whether the new version gets a bounded number of requests."""
         return bool(self.versions.move_id) and not self.versions.moving
 
+    @property
+    def completed(self) -> bool:
+        """Whether the move is over and the old version may be gone."""
+        return self.versions.moving and not self.versions.old
+
     def allows(self, version: str) -> bool:
         """Return whether a version may get requests at all."""
         versions = self.versions
--- a/fulmarbarrow/versions/features/rollouts.feature
+++ b/fulmarbarrow/versions/features/rollouts.feature
@@ -124,6 +124,25 @@
     And the rollout to v3 is completed before its deadline
     And nothing reaches v2 any more
 
+  # Guards against most requests at a version that is taken back.
+  Scenario: An order for the old version takes a rollout back
+    Given a fleet of 8 routers with 400 requests a second
+    When a rollout to v2 in 12 seconds is ordered
+    And it runs for 3 seconds
+    And a rollout to v1 in 8 seconds is ordered
+    And it runs for 8 seconds
+    Then the rollout to v2 is rolled_back before its deadline
+    And the rollout to v1 is completed before its deadline
+    And nothing reaches v2 any more
+
+  # Guards against a stream that another version continues.
+  Scenario: A stream is continued by the version that began it
+    Given a fleet of 8 routers with 400 requests a second
+    When a rollout to v2 in 12 seconds is ordered
+    And it runs for 2 seconds
+    Then a stream that v2 began is placed at v2 only
+    And a stream that v1 began is placed at v1 only
+
   Scenario: Two services are moved at the same time, each on its own evidence
     Given a fleet of 8 routers with 400 requests a second
     And a new version that fails at once
--- a/fulmarbarrow/versions/features/steps/rollouts.py
+++ b/fulmarbarrow/versions/features/steps/rollouts.py
@@ -624,3 +624,26 @@
     fleet.run(1)
     response = fleet.answers[read_id]
     assert answer in (response.state, response.code), response
+
+
+@behave.then("a stream that {version} began is placed at {only} only")
+def step_stream(context, version, only):
+    directory = context.fleet.directories["router-0"]
+    for number in range(50):
+        request = placement_messages.PlaceRequest(
+            request_id=f"stream-{version}-{number}",
+            attempt_id=f"stream-{version}-{number}",
+            account="a",
+            service="service",
+            model="",
+            chat="",
+            cost=100,
+            cost_class=placement_messages.CostClass.SHORT,
+            worth=1.0,
+            deadline=context.fleet.now + 30 * SECOND,
+            version=version,
+        )
+        request = directory.assign_version(request)
+        ring = directory.pool_ring("service", "", request.version)
+        assert len(ring), request.version
+        assert {name.partition("-")[0] for name in ring.members} == {only}
--- a/fulmarbarrow/versions/rollout_control.py
+++ b/fulmarbarrow/versions/rollout_control.py
@@ -285,20 +285,24 @@
     def _old_version(self, service: str, target: str) -> str:
         """Return the version that a service moves from, "" if unknown.
 
-        While a rollout is in progress, both of its versions serve.
+        While a rollout is in progress, both of its versions serve. An order
+        for its old version takes it back.
         """
         move = self._newest.get(service)
         if move is not None:
             step = self._steps.get(move.id)
             completed = step is not None and step.state is _State.COMPLETED
-            if not completed and move.old and move.old != target:
+            if not completed and move.old:
                 return move.old
         versions = collections.Counter(
             offer.version
             for upstream in self._serving(service)
             for offer in upstream.offers
-            if offer.service == service and offer.version != target
+            if offer.service == service
         )
+        # A version that serves alone is moved to itself.
+        if len(versions) > 1:
+            del versions[target]
         if move is not None and versions[move.new]:
             return move.new
         found = versions.most_common(1)
