Name the route on which a router found a bad version

A router's own stop told the kind of the fault and not its route.

The reason names the route, as that of the leader does.

--- a/fulmarbarrow/versions/rollout_router.py
+++ b/fulmarbarrow/versions/rollout_router.py
@@ -480,7 +480,8 @@
                 number = rollout_times.time_class(duration)
                 route.times[metric, new, number] += 1
         if new:
-            return route.monitor.add_new(event, now)
+            fault = route.monitor.add_new(event, now)
+            return f"{fault} on {event.route}" if fault else ""
         route.monitor.add_old(event, now)
         return ""
 
