Find slow versions with little traffic

At 30 requests a second a slow version was completed: the slack was used before the old version had answered enough, and each route alone had too few attempts.

Times of the new version wait for their reference, all routes count together besides, and reports of routers are spread over their interval.

--- a/fulmarbarrow/versions/rollout_evidence.py
+++ b/fulmarbarrow/versions/rollout_evidence.py
@@ -20,6 +20,9 @@
 # which a test for 0.8 never finds. Less than 0.2 of good ones count as slow.
 ACCEPTABLE_SLOW_RATE = 0.25
 DETECTABLE_SLOW_RATE = 0.55
+# At 0.17, the rate of good versions on machines of which 15 in 100 are slow,
+# this still gives less than one false alarm in a million attempts.
+SLOW_THRESHOLD = math.log(1e4)
 # One upstream that ends under its requests may have lost its machine. Several
 # show a fault if more than this multiple of those of the old version ended.
 CRASHES = 3
@@ -32,6 +35,8 @@
 PROOF_BAD_RATE = 0.04
 PROOF_OLD_FACTOR = 1.5  # multiple of the old version's rate of bad responses
 PROOF_JUDGED = 10
+# A test this close to its threshold may be about to find a late fault.
+PROOF_EVIDENCE = 0.6
 REQUEST_QUANTILE = 0.95
 DEFAULT_REQUEST_TIME = datetime.timedelta(seconds=4)
 
@@ -41,7 +46,7 @@
     judged: int = 0
     slow: int = 0
     test: sequential.Cusum = dataclasses.field(
-        default_factory=sequential.Cusum
+        default_factory=lambda: sequential.Cusum(threshold=SLOW_THRESHOLD)
     )
 
     def add(self, judged: int, slow: int) -> bool:
@@ -86,6 +91,9 @@
         self._slowness: dict[tuple[str, int], _Slowness] = (
             collections.defaultdict(_Slowness)
         )
+        self._waiting: dict[tuple[str, int], collections.Counter[int]] = (
+            collections.defaultdict(collections.Counter)
+        )
         self._whole = rollout_times.Reference()
         self._crashed: dict[tuple[str, int], datetime.datetime] = {}
         self._old_crashed: set[tuple[str, int]] = set()
@@ -138,10 +146,13 @@
         if self.new_bad > rate * self.new:
             return f"{self.new_bad} of {self.new} attempts bad"
         for (route, metric), item in self._slowness.items():
+            if item.test.value > PROOF_EVIDENCE:
+                return f"slowness on {route or 'all routes'} not ruled out"
             limit = sequential.ACCEPTABLE_SLOW_RATE * item.judged
             if item.judged >= PROOF_JUDGED and item.slow > limit:
                 name = rollout_times.Metric(metric).name.lower()
-                return f"{item.slow} of {item.judged} slow ({name}) on {route}"
+                place = route or "all routes"
+                return f"{item.slow} of {item.judged} slow ({name}) on {place}"
         return ""
 
     def old_running(self, routers: set[str]) -> int | None:
@@ -160,8 +171,12 @@
             "old": self.old,
             "old_bad": self.old_bad,
             "crashed": len(self._crashed),
-            "slow": sum(item.slow for item in self._slowness.values()),
-            "judged": sum(item.judged for item in self._slowness.values()),
+            "slow": sum(
+                item.slow for key, item in self._slowness.items() if key[0]
+            ),
+            "judged": sum(
+                item.judged for key, item in self._slowness.items() if key[0]
+            ),
         }
 
     def _add_crashes(
@@ -201,11 +216,29 @@
                 if times.metric >= rollout_times.Metric.WHOLE:
                     self._whole.add(times.counts)
             elif times.metric != rollout_times.Metric.WHOLE_STREAM:
-                judged, slow = self._references[key].judge(times.counts)
-                if self._slowness[key].add(judged, slow):
-                    name = rollout_times.Metric(times.metric).name.lower()
-                    fault = fault or f"slow ({name})"
-        return fault
+                waiting = self._waiting[key]
+                for number, count in times.counts:
+                    waiting[number] += count
+        return fault or self._judge_waiting(counts.route)
+
+    def _judge_waiting(self, route: str) -> str:
+        """Judge times of the new version once there is a reference.
+
+        The slack is used first, before the old version has answered enough.
+        All routes count together besides, each with its own reference.
+        """
+        for key, waiting in self._waiting.items():
+            if key[0] != route or not waiting:
+                continue
+            judged, slow = self._references[key].judge(tuple(waiting.items()))
+            if not judged:
+                continue
+            waiting.clear()
+            together = self._slowness["", key[1]].add(judged, slow)
+            if self._slowness[key].add(judged, slow) or together:
+                name = rollout_times.Metric(key[1]).name.lower()
+                return f"slow ({name})"
+        return ""
 
     def _excess(self) -> str:
         if self.new_bad < EXCESS_MINIMUM or not self.new:
--- a/fulmarbarrow/versions/rollout_router.py
+++ b/fulmarbarrow/versions/rollout_router.py
@@ -245,6 +245,7 @@
                     move=moves[-1],
                     slack=self._own_slack() if self._configured else 0,
                 )
+                self._report_at = None
         self._configured = True
         self._request_at = None
         return self._update()
@@ -515,7 +516,12 @@
             self._urgent_at = now + REPORT_INTERVAL
             routine = self._report_at is None or now >= self._report_at
             if routine:
-                self._report_at = now + self._report_interval
+                interval = self._report_interval
+                if self._report_at is None:
+                    # The reports of the routers are spread over the interval.
+                    place = self._routers.index(self._daemon.daemon_id) + 1
+                    interval *= place / len(self._routers)
+                self._report_at = now + interval
             effects.extend(self._report(urgent=not routine))
         if self._stopped and (
             self._resend_at is None or now >= self._resend_at
