Complete no rollout early while a test is undecided

A version slow since shortly before the move was completed as soon as nothing ran at the old one, although all requests at it would soon show the fault.

While the evidence does not prove the version, the move takes all the time that its deadline leaves.

--- a/fulmarbarrow/versions/rollout_decisions.py
+++ b/fulmarbarrow/versions/rollout_decisions.py
@@ -103,6 +103,9 @@
         return False
     if now >= situation.move.deadline - COMMIT_TIME:
         return True
+    if situation.evidence.lacks():
+        # All requests at the new version may soon show a late fault.
+        return False
     running = situation.evidence.old_running(set(situation.routers))
     return now >= situation.since + PUSH_TIME and running == 0
 
