--- a/fulmarbarrow/daemon/control_cores.py
+++ b/fulmarbarrow/daemon/control_cores.py
@@ -37,6 +37,8 @@
         machines += (usage_messages.MACHINE,)
     if scales:
         machines += (scaling_messages.MACHINE,)
+    if made.settings.rollouts.enabled:
+        machines += (versions_messages.ROLLOUTS_MACHINE,)
     _add_log(made, "consensus", group, logs, machines)
     made.add("control", control.PublishingControl(daemon=record, now=made.now))
     made.add(
@@ -53,10 +55,25 @@
         _add_usage(made, group)
     if scales:
         _add_scaling(made, group)
+    if made.settings.rollouts.enabled:
+        _add_rollouts(made, group)
     if made.settings.control.journal:
         _add_journal(made, logs)
 
 
+def _add_rollouts(made: joint.Joint, group: consensus_messages.Group) -> None:
+    from fulmarbarrow.versions import rollout_control
+
+    made.add(
+        "rollouts",
+        rollout_control.RolloutControl(
+            daemon=made.record,
+            group=group,
+            settings=made.settings.rollouts,
+        ),
+    )
+
+
 def _add_duties(made: joint.Joint, group: consensus_messages.Group) -> None:
     """Add the leases of duties at the platform."""
     from fulmarbarrow.duties import core as duties_core
--- a/fulmarbarrow/delivery/state.py
+++ b/fulmarbarrow/delivery/state.py
@@ -118,6 +118,7 @@
     deadline. ``replaced_id`` is the silent attempt that the one with
     ``hedge_id`` is to replace. ``no_retry`` tells why no attempt followed.
     ``began`` is set once an upstream has begun to run it.
+    ``version`` is that of the upstream that began the response.
     """
 
     arrival: messages.RequestArrived
@@ -151,6 +152,7 @@
     part_keys: tuple[int, ...] = ()
     grace: datetime.timedelta = RESUME_GRACE
     began: bool = False
+    version: str = ""
 
     @property
     def request_id(self) -> str:
--- a/fulmarbarrow/publishing/amendments.py
+++ b/fulmarbarrow/publishing/amendments.py
@@ -6,7 +6,10 @@
 
 from __future__ import annotations
 
+import dataclasses
+import datetime
 import functools
+import re
 import typing
 
 import msgspec
@@ -14,6 +17,13 @@
 from fulmarbarrow.config import bundle as bundles
 from fulmarbarrow.publishing import packing
 
+# Moves kept for each service, so that versions that were rolled back stay
+# without requests.
+MAX_ROLLOUTS = 8
+_ROLLOUT_ID = re.compile(r"rollout-[0-9]{20}-")
+_EPOCH = datetime.datetime(1970, 1, 1, tzinfo=datetime.UTC)
+_MICROSECOND = datetime.timedelta(microseconds=1)
+
 
 class Amendment(
     msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
@@ -41,7 +51,23 @@
     out: bool
 
 
-AnyAmendment = ReplaceServices | SetZone
+class StartRollout(Amendment, frozen=True, kw_only=True):
+    """Moves a service to upstreams of another software version.
+
+    ``old`` is the version of its serving upstreams when the order was given.
+    An order for the same target before the deadline of the last one is the
+    same order, sent again.
+    """
+
+    service: str
+    target: str
+    old: str
+    ordered_at: datetime.datetime
+    deadline: datetime.datetime
+    share: float
+
+
+AnyAmendment = ReplaceServices | SetZone | StartRollout
 
 
 class AmendCommand(
@@ -88,3 +114,63 @@
         zone=(*others, changed),
         version_move=bundle.version_move,
     )
+
+
+@apply.register
+def _(amendment: StartRollout, bundle: bundles.Bundle) -> bundles.Bundle:
+    earlier = rollouts_of(bundle, amendment.service)
+    number = (amendment.ordered_at - _EPOCH) // _MICROSECOND
+    if earlier:
+        last = earlier[-1]
+        if last.new == amendment.target and (
+            last.deadline > amendment.ordered_at
+        ):
+            return bundle
+        # Orders stay in sequence even if the clock of their host is behind.
+        number = max(number, int(last.id.split("-")[1]) + 1)
+    # The id holds the time of the order, so the deadline is as far from it.
+    shift = _EPOCH + number * _MICROSECOND - amendment.ordered_at
+    move = bundles.VersionMove(
+        id=f"rollout-{number:020d}-{amendment.service}",
+        service=amendment.service,
+        model="",
+        old=amendment.old,
+        new=amendment.target,
+        deadline=amendment.deadline + shift,
+        kind=bundles.MoveKind.SOFTWARE,
+        share_cap=amendment.share,
+    )
+    kept = [item for item in earlier if item.new != amendment.target]
+    kept = kept[1 - MAX_ROLLOUTS :]
+    others = [item for item in bundle.version_move if item not in earlier]
+    return dataclasses.replace(bundle, version_move=(*others, *kept, move))
+
+
+def is_rollout(move: bundles.VersionMove) -> bool:
+    """Return whether a move was ordered by call.
+
+    A file may contain the kind, but no move of it has such an id by chance.
+    """
+    return move.kind is bundles.MoveKind.SOFTWARE and bool(
+        _ROLLOUT_ID.match(move.id)
+    )
+
+
+def rollouts_of(
+    bundle: bundles.Bundle, service: str
+) -> list[bundles.VersionMove]:
+    """Return the software moves of a service, the newest one last."""
+    return sorted(
+        (
+            move
+            for move in bundle.version_move
+            if is_rollout(move) and move.service == service
+        ),
+        key=lambda move: move.id,
+    )
+
+
+def rollout_duration(move: bundles.VersionMove) -> datetime.timedelta:
+    """Return the time from the order of a software move to its deadline."""
+    number = int(move.id.split("-")[1])
+    return move.deadline - (_EPOCH + number * _MICROSECOND)
--- a/fulmarbarrow/versions/state.py
+++ b/fulmarbarrow/versions/state.py
@@ -73,7 +73,9 @@
 
     def restore(self, data: bytes) -> None:
         """Replace the state with that of a snapshot."""
-        steps = msgspec.msgpack.decode(data, type=list[CommittedStep])
+        steps: list[CommittedStep] = []
+        if data:  # empty if the host of the snapshot kept no such state
+            steps = msgspec.msgpack.decode(data, type=list[CommittedStep])
         self._steps = {item.step.move_id: item for item in steps}
 
 
