Keep usage windows open for routers that missed an announcement

A new holder closed windows 2.5 s after it got the duty, while a router that missed its announcement learns of it up to 4.5 s later, so final totals could lack the counts of a live router. usage.report_within was not used, and a backlog was reported from the oldest window on.

Wait up to 5.5 s for routers that have not confirmed a window, as far as the report stays within usage.report_within; longer only for windows that are late in any case. Report windows that can still be in time first, and make one call at a time until a call of the tenure has succeeded.

--- a/benchmarks/usage_fleet.py
+++ b/benchmarks/usage_fleet.py
@@ -26,6 +26,7 @@
 from fulmarbarrow.wire import codec
 
 WINDOW = datetime.timedelta(seconds=5)
+REPORT_WITHIN = datetime.timedelta(seconds=10)
 TICK = datetime.timedelta(milliseconds=250)
 HOP = datetime.timedelta(milliseconds=2)
 COMMIT = datetime.timedelta(milliseconds=12)
@@ -335,7 +336,9 @@
             "window": WINDOW,
         }
         if role == "control":
-            core = usage_control.UsageControl(group=GROUP, **options)
+            core = usage_control.UsageControl(
+                group=GROUP, report_within=REPORT_WITHIN, **options
+            )
         else:
             core = usage_router.UsageRouter(**options)
         node = Node(fleet=self, record=record, core=core, skew=seconds(skew))
--- a/fulmarbarrow/daemon/control_cores.py
+++ b/fulmarbarrow/daemon/control_cores.py
@@ -81,6 +81,7 @@
             group=group,
             metrics=made.metrics,
             window=made.settings.usage.window,
+            report_within=made.settings.usage.report_within,
         ),
     )
 
--- a/fulmarbarrow/usage/control.py
+++ b/fulmarbarrow/usage/control.py
@@ -33,9 +33,15 @@
 
 # A window is closed this long after its end even if counts are missing.
 CLOSE_WITHIN = datetime.timedelta(seconds=4)
-# A new holder waits this long for counts of windows that ended before it held
-# the duty: routers are told of it at once and send within a second.
-GAINED_WAIT = datetime.timedelta(milliseconds=2500)
+# A new holder waits this long for routers that have not confirmed a window,
+# as far as the report stays in time. Its announcement is repeated at the
+# latest after 4.5 s, so that a router that missed one is heard before.
+GAINED_WAIT = datetime.timedelta(milliseconds=5500)
+# Counts of routers that heard the first announcement are there by then. A
+# window for which this is too late is late in any case, so it waits longer.
+LEAST_WAIT = datetime.timedelta(milliseconds=2500)
+# Time for the commit and the call after a window is closed.
+REPORT_TIME = datetime.timedelta(milliseconds=500)
 PROPOSAL_TIMEOUT = datetime.timedelta(seconds=6)
 # Each control host tells its time to all daemons in this time: at 400 daemons
 # and 130 bytes a message, 0.9 KB/s. Clocks of processes never step, so that
@@ -96,11 +102,13 @@
         group: consensus_messages.Group,
         metrics: metrics_module.Metrics,
         window: datetime.timedelta,
+        report_within: datetime.timedelta,
     ) -> None:
         self._daemon = daemon
         self._group = group
         self._metrics = metrics
         self._window = window
+        self._report_within = report_within
         self._windows = state.Windows()
         self._time = fleet_time.FleetTime()
         self._daemons: dict[str, membership_messages.Daemon] = {
@@ -453,14 +461,19 @@
                 effects.extend(self._close(tenure, number, now))
         return effects
 
+    def _due(self, tenure: _Tenure, number: int) -> datetime.datetime:
+        """Return when a window is closed even if counts are missing."""
+        end = fleet_time.end_of(number, self._window)
+        gained = self._time.at(tenure.since)
+        latest = end + self._report_within - REPORT_TIME
+        if gained + LEAST_WAIT > latest:
+            latest = end + limits.REPORT_FOR - REPORT_TIME
+        return max(end + CLOSE_WITHIN, min(gained + GAINED_WAIT, latest))
+
     def _close(
         self, tenure: _Tenure, number: int, now: datetime.datetime
     ) -> list[message.Message]:
         """Propose the totals of a window if it is complete or due."""
-        end = fleet_time.end_of(number, self._window)
-        due = max(
-            end + CLOSE_WITHIN, self._time.at(tenure.since) + GAINED_WAIT
-        )
         routers = [
             (daemon.daemon_id, daemon.incarnation)
             for daemon in self._daemons.values()
@@ -468,7 +481,9 @@
             and daemon.state is not membership_messages.DaemonState.DEAD
         ]
         missing = tenure.collection.unconfirmed(number, routers)
-        if (missing or not routers) and self._time.at(now) < due:
+        if (missing or not routers) and self._time.at(now) < (
+            self._due(tenure, number)
+        ):
             return []
         if not self._windows.has_names(self._names.digest):
             names = messages.NamesKept(packed=self._names.pack())
@@ -504,11 +519,18 @@
         self, tenure: _Tenure, now: datetime.datetime
     ) -> list[message.Message]:
         """Report committed windows; commit which were accepted."""
-        open_windows = [
-            item
-            for item in self._windows
-            if not item.accepted and not self._too_old(item.window, now)
-        ]
+        in_time = self._time.at(now) - self._report_within
+        open_windows = sorted(
+            (
+                item
+                for item in self._windows
+                if not item.accepted and not self._too_old(item.window, now)
+            ),
+            # First those whose report can still be in time.
+            key=lambda item: (
+                fleet_time.end_of(item.window, self._window) <= in_time
+            ),
+        )
         effects = tenure.reporter.due(
             open_windows, self._windows, tenure.until, now
         )
--- a/fulmarbarrow/usage/features/steps/usage.py
+++ b/fulmarbarrow/usage/features/steps/usage.py
@@ -195,6 +195,39 @@
     fleet.run(23 - duration)
 
 
+@behave.when(
+    "a host gains the duty after {duration:d} seconds and a router is not told"
+)
+def step_not_told(context, duration):
+    fleet = context.fleet
+    fleet.load(RATE, 10, 20)
+    fleet.run(duration)
+    fleet.routers[0].cut = True  # only the first announcement is lost
+    fleet.hold(fleet.controls[1])
+    fleet.routers[0].cut = False
+    fleet.run(25 - duration)
+
+
+@behave.when("the platform is up again with a new holder at second {at:d}")
+def step_up_again(context, at):
+    fleet = context.fleet
+    fleet.load(RATE, 10, at)
+    fleet.run(at)
+    fleet.platform.down = False
+    fleet.platform.calls.clear()
+    fleet.hold(fleet.controls[1])
+    fleet.run(6)
+
+
+@behave.then("the windows that can be in time are reported first")
+def step_in_time_first(context):
+    fleet = context.fleet
+    windows = [call.window - context.first for call in fleet.platform.calls]
+    assert windows[:2] == [3, 4], windows
+    assert set(windows) >= set(range(6)), windows
+    assert all(fleet.error_of(context.first + n) == 0 for n in range(5))
+
+
 @behave.when("another host gains the duty and the first does not learn of it")
 def step_two_holders(context):
     fleet = context.fleet
--- a/fulmarbarrow/usage/features/usage.feature
+++ b/fulmarbarrow/usage/features/usage.feature
@@ -72,6 +72,18 @@
     When 13 seconds pass with requests and then a host gains the duty
     Then every count of 3 windows is right
 
+  # Guards against final totals without the counts of a live router.
+  Scenario: A router misses the first announcement of a new holder
+    Given 4 routers without a holder
+    When a host gains the duty after 13 seconds and a router is not told
+    Then every count of 3 windows is right
+
+  # Guards against an old window that delays one that can be in time.
+  Scenario: A new holder has windows that are late and one that is not
+    Given 4 routers and a platform that is down
+    When the platform is up again with a new holder at second 28
+    Then the windows that can be in time are reported first
+
   # Guards against double counts.
   Scenario: Messages are repeated and reordered
     Given 4 routers and a network that repeats and reorders messages
--- a/fulmarbarrow/usage/reporting.py
+++ b/fulmarbarrow/usage/reporting.py
@@ -15,8 +15,8 @@
 
 Outcome = duties_messages.CallOutcome
 
-# The calls of two windows may overlap, so that a platform that answers late
-# does not delay the report of the next window.
+# The client sends one call of the duty at a time; a second one waits there
+# and follows without the delay of a tick.
 MAX_CALLS = 2
 # A client that reports no end is taken to have lost the call.
 CALL_LOST_AFTER = datetime.timedelta(seconds=10)
@@ -62,7 +62,7 @@
         until: datetime.datetime,
         now: datetime.datetime,
     ) -> list[message.Message]:
-        """Return the calls for windows that were not accepted."""
+        """Return the calls for windows that were not accepted, in order."""
         for call_id, call in list(self._calls.items()):
             if now - call.sent_at >= CALL_LOST_AFTER:
                 del self._calls[call_id]
@@ -70,9 +70,12 @@
             if all(item.window != number for item in open_windows):
                 del self._next_at[number]
         calling = {call.window for call in self._calls.values()}
+        # Until a call has succeeded, the number may be superseded; then no
+        # second call is to be on its way.
+        limit = MAX_CALLS if self.accepted else 1
         effects: list[message.Message] = []
         for item in open_windows:
-            if len(self._calls) >= MAX_CALLS or self.superseded:
+            if len(self._calls) >= limit or self.superseded:
                 break
             if item.accepted or item.window in self.accepted:
                 continue
