Keep usage calls over the loss of the duty; move the duty less often

The end of a call that came after DutyLost was ignored, and accepted windows that were not committed were forgotten with the tenure, so that they were reported again. While the platform was down for all hosts, the duty moved every 2 s, and all routers sent their counts again each time.

A control host keeps its open calls and accepted windows for the life of the process and commits acceptances whether or not it holds the duty. The time of failures before a handover doubles with each tenure in the fleet since a report was accepted, up to 30 s; the tenures are counted on the log.

--- a/fulmarbarrow/usage/control.py
+++ b/fulmarbarrow/usage/control.py
@@ -65,7 +65,6 @@
     number: int
     until: datetime.datetime
     since: datetime.datetime
-    reporter: reporting.Reporter
     collection: collecting.Collection = dataclasses.field(
         default_factory=collecting.Collection
     )
@@ -120,6 +119,10 @@
         self._told: collections.deque[str] = collections.deque()
         self._told_share = 0.0
         self._tenure: _Tenure | None = None
+        self._reporter = reporting.Reporter(
+            daemon_id=daemon.daemon_id, incarnation=daemon.incarnation
+        )
+        self._tenures = 0  # in the fleet since a report was accepted
         self._proposals: dict[str, tuple[str, datetime.datetime]] = {}
         self._proposal_count = 0
         self._started = False
@@ -185,7 +188,12 @@
             case consensus_messages.Applied(
                 group=self._group, machine=messages.MACHINE
             ):
-                self._windows.apply(_COMMANDS.decode(event.command))
+                command = _COMMANDS.decode(event.command)
+                self._windows.apply(command)
+                if isinstance(command, messages.WindowsAccepted):
+                    # Each tenure begins with one without windows.
+                    succeeded = bool(command.windows)
+                    self._tenures = 0 if succeeded else self._tenures + 1
             case consensus_messages.SnapshotWanted(group=self._group):
                 return [
                     consensus_messages.SnapshotTaken(
@@ -310,12 +318,8 @@
             number=event.number,
             until=event.until,
             since=now,
-            reporter=reporting.Reporter(
-                daemon_id=self._daemon.daemon_id,
-                incarnation=self._daemon.incarnation,
-                number=event.number,
-            ),
         )
+        self._reporter.begin(event.number)
 
     def _on_lost(self, event: duties_messages.DutyLost) -> None:
         if self._tenure is not None and self._tenure.number <= event.number:
@@ -324,9 +328,25 @@
     def _on_call_ended(
         self, event: duties_messages.CallEnded, now: datetime.datetime
     ) -> list[message.Message]:
-        if self._tenure is None:
+        effects = self._reporter.on_ended(event, self._tenures, now)
+        return [*effects, *self._propose_accepted(now)]
+
+    def _propose_accepted(
+        self, now: datetime.datetime
+    ) -> list[message.Message]:
+        """Commit which windows were accepted, also after the tenure."""
+        open_windows = {
+            item.window for item in self._windows if not item.accepted
+        }
+        self._reporter.accepted &= open_windows
+        if not self._reporter.accepted:
             return []
-        return self._tenure.reporter.on_ended(event, now)
+        accepted = tuple(sorted(self._reporter.accepted))
+        return self._propose(
+            f"accepted {accepted}",
+            messages.WindowsAccepted(windows=accepted),
+            now,
+        )
 
     def _on_counts(
         self, event: messages.UsageCounts, now: datetime.datetime
@@ -404,6 +424,7 @@
         for proposal_id, (_, at) in list(self._proposals.items()):
             if now - at >= PROPOSAL_TIMEOUT:
                 del self._proposals[proposal_id]
+        effects.extend(self._propose_accepted(now))
         tenure = self._tenure
         if tenure is None or now >= tenure.until:
             return effects
@@ -518,7 +539,7 @@
     def _report(
         self, tenure: _Tenure, now: datetime.datetime
     ) -> list[message.Message]:
-        """Report committed windows; commit which were accepted."""
+        """Report committed windows that were not accepted."""
         in_time = self._time.at(now) - self._report_within
         open_windows = sorted(
             (
@@ -531,20 +552,6 @@
                 fleet_time.end_of(item.window, self._window) <= in_time
             ),
         )
-        effects = tenure.reporter.due(
+        return self._reporter.due(
             open_windows, self._windows, tenure.until, now
         )
-        accepted = tuple(
-            item.window
-            for item in open_windows
-            if item.window in tenure.reporter.accepted
-        )
-        if accepted:
-            effects.extend(
-                self._propose(
-                    f"accepted {accepted}",
-                    messages.WindowsAccepted(windows=accepted),
-                    now,
-                )
-            )
-        return effects
--- a/fulmarbarrow/usage/features/steps/usage.py
+++ b/fulmarbarrow/usage/features/steps/usage.py
@@ -228,6 +228,43 @@
     assert all(fleet.error_of(context.first + n) == 0 for n in range(5))
 
 
+@behave.when("the duty moves before the answers to the first calls arrive")
+def step_move_open(context):
+    fleet = context.fleet
+    fleet.load(RATE, 10, 20)
+    while not fleet.platform.calls:
+        fleet.run(0.01)
+    fleet.holder.core._tenure.until = fleet.now  # as after a lost lease
+    fleet.run(0.03)
+    assert not any(item.accepted for item in fleet.holder.core._windows)
+    fleet.hold(fleet.controls[1])
+    fleet.run(20)
+    assert len(fleet.platform.accepted) >= 3
+
+
+@behave.when("the duty moves at each request for {duration:d} seconds")
+def step_moves(context, duration):
+    fleet = context.fleet
+    context.moved_at = []
+    for _ in range(duration * 10):
+        fleet.run(0.1)
+        if fleet.notes:
+            fleet.notes.clear()
+            context.moved_at.append(fleet.now)
+            moves = len(context.moved_at)
+            fleet.hold(fleet.controls[moves % len(fleet.controls)])
+
+
+@behave.then(
+    "there were at most {most:d} requests, the last ones {apart:d} seconds "
+    "apart"
+)
+def step_moved(context, most, apart):
+    moved_at = context.moved_at
+    assert 4 <= len(moved_at) <= most, moved_at
+    assert moved_at[-1] - moved_at[-2] >= fleets.seconds(apart), moved_at
+
+
 @behave.when("another host gains the duty and the first does not learn of it")
 def step_two_holders(context):
     fleet = context.fleet
--- a/fulmarbarrow/usage/features/usage.feature
+++ b/fulmarbarrow/usage/features/usage.feature
@@ -97,6 +97,18 @@
     Then every call for a window had the same content
     And each window is called once after the lost answers
 
+  # Guards against a second report of a window that was accepted.
+  Scenario: The duty moves while a call is open
+    Given 4 routers
+    When the duty moves before the answers to the first calls arrive
+    Then no window is reported twice
+
+  # Guards against a duty that moves all the time, with all counts resent.
+  Scenario: The platform is down for all hosts
+    Given 4 routers and a platform that is down
+    When the duty moves at each request for 120 seconds
+    Then there were at most 9 requests, the last ones 28 seconds apart
+
   # Guards against two reports of a window that differ.
   Scenario: Two control hosts both believe that they are the collector
     Given 4 routers
--- a/fulmarbarrow/usage/reporting.py
+++ b/fulmarbarrow/usage/reporting.py
@@ -20,7 +20,12 @@
 MAX_CALLS = 2
 # A client that reports no end is taken to have lost the call.
 CALL_LOST_AFTER = datetime.timedelta(seconds=10)
+# A holder whose calls do not reach the platform asks for a handover after this
+# time. It doubles with each tenure in the fleet without a success, so that the
+# duty does not move all the time while the platform is down for all hosts.
 UNREACHABLE_AFTER = datetime.timedelta(seconds=2)
+MAX_UNREACHABLE_AFTER = datetime.timedelta(seconds=30)
+MAX_DOUBLINGS = 4
 UNREACHABLE_CALLS = 3
 _DELAYS = {
     Outcome.NOT_SENT: datetime.timedelta(milliseconds=500),
@@ -34,18 +39,22 @@
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Call:
     window: int
+    number: int
     sent_at: datetime.datetime
 
 
 class Reporter:
-    """Reports each window until it is accepted, within one tenure."""
+    """Reports each window until it is accepted.
 
-    def __init__(
-        self, *, daemon_id: str, incarnation: int, number: int
-    ) -> None:
+    Calls stay open after the end of a tenure: the platform may still accept
+    them, and then the window is not to be reported again.
+    """
+
+    def __init__(self, *, daemon_id: str, incarnation: int) -> None:
         self._daemon_id = daemon_id
         self._incarnation = incarnation
-        self._number = number
+        self._number = 0
+        self._proven = False
         self._calls: dict[str, _Call] = {}
         self._call_count = 0
         self._next_at: dict[int, datetime.datetime] = {}
@@ -55,6 +64,14 @@
         self.accepted: set[int] = set()
         self.superseded = False
 
+    def begin(self, number: int) -> None:
+        """Begin a tenure."""
+        self._number = number
+        self._proven = False
+        self._next_at.clear()
+        self._failures = 0
+        self.superseded = False
+
     def due(
         self,
         open_windows: list[state.Committed],
@@ -70,18 +87,22 @@
             if all(item.window != number for item in open_windows):
                 del self._next_at[number]
         calling = {call.window for call in self._calls.values()}
+        mine = sum(
+            call.number == self._number for call in self._calls.values()
+        )
         # Until a call has succeeded, the number may be superseded; then no
         # second call is to be on its way.
-        limit = MAX_CALLS if self.accepted else 1
+        limit = MAX_CALLS if self._proven else 1
         effects: list[message.Message] = []
         for item in open_windows:
-            if len(self._calls) >= limit or self.superseded:
+            if mine >= limit or self.superseded:
                 break
             if item.accepted or item.window in self.accepted:
                 continue
             next_at = self._next_at.get(item.window)
             if item.window in calling or (next_at and now < next_at):
                 continue
+            mine += 1
             counts = windows.counts(item)
             effects.append(self._call(item.window, counts, until, now))
         return effects
@@ -98,7 +119,9 @@
             f"usage/{window}/{self._daemon_id}/{self._incarnation}"
             f"/{self._number}/{self._call_count}"
         )
-        self._calls[call_id] = _Call(window=window, sent_at=now)
+        self._calls[call_id] = _Call(
+            window=window, number=self._number, sent_at=now
+        )
         return messages.ReportUsage(
             call_id=call_id,
             holder=self._daemon_id,
@@ -109,9 +132,16 @@
         )
 
     def on_ended(
-        self, event: duties_messages.CallEnded, now: datetime.datetime
+        self,
+        event: duties_messages.CallEnded,
+        tenures: int,
+        now: datetime.datetime,
     ) -> list[message.Message]:
-        """Handle the end of a call; plan its repeat if necessary."""
+        """Handle the end of a call; plan its repeat if necessary.
+
+        ``tenures`` is how many there were in the fleet since a report was
+        accepted.
+        """
         call = self._calls.pop(event.call_id, None)
         if call is None:
             return []
@@ -119,6 +149,9 @@
             self._logged = None
             self.accepted.add(call.window)
             self._failures = 0
+            self._proven = self._proven or call.number == self._number
+            return []
+        if call.number != self._number:
             return []
         self._log_outcome(call, event.outcome)
         if event.outcome is Outcome.SUPERSEDED:
@@ -135,7 +168,7 @@
         if event.outcome not in (Outcome.NOT_SENT, Outcome.UNKNOWN):
             self._failures = 0
             return []
-        return self._count_failure(call, now)
+        return self._count_failure(call, tenures, now)
 
     def _log_outcome(self, call: _Call, outcome: Outcome) -> None:
         """Log the first of several failures of one kind."""
@@ -152,14 +185,16 @@
         )
 
     def _count_failure(
-        self, call: _Call, now: datetime.datetime
+        self, call: _Call, tenures: int, now: datetime.datetime
     ) -> list[message.Message]:
         """Ask for a handover after several failures over some time."""
         if not self._failures:
             self._failing_since = call.sent_at
         self._failures += 1
+        doublings = min(max(tenures - 1, 0), MAX_DOUBLINGS)
+        limit = min(UNREACHABLE_AFTER * 2**doublings, MAX_UNREACHABLE_AFTER)
         if self._failures < UNREACHABLE_CALLS or (
-            now - self._failing_since < UNREACHABLE_AFTER
+            now - self._failing_since < limit
         ):
             return []
         self._failures = 0
