Confirm only the counts that the usage collector has

The collector confirmed messages of which it had dropped counts (out of range, unreadable, too many), also before it knew the time of the fleet, and a late confirmation of older counts, or one for the former process of a router, applied to newer counts. Routers then did not send these counts again.

Do not answer a message of which counts were dropped, nor any before the time is known. Routers note the version of each window in a message, number their messages from their incarnation on, and forwarding routers name the incarnation to which they pass a confirmation (CountsTaken.incarnation, 0 by default).

--- a/fulmarbarrow/usage/control.py
+++ b/fulmarbarrow/usage/control.py
@@ -305,6 +305,12 @@
             ),
         ]
 
+    def _knows_time(self, now: datetime.datetime) -> bool:
+        control_hosts = sum(
+            CONTROL_ROLE in daemon.roles for daemon in self._daemons.values()
+        )
+        return self._time.known(control_hosts, now)
+
     # The duty.
 
     def _on_held(
@@ -355,14 +361,20 @@
         tenure = self._tenure
         if tenure is None or event.holder_number != tenure.number:
             return []
+        if not self._knows_time(now):
+            return []  # it can't tell which windows can be reported
         names = self._known_names.get(event.names)
         if names is not None:
             try:
                 routers = packing.unpack_routers(event.routers)
             except ValueError as error:
                 return self._drop(event.reply_to, str(error))
-            whole = [self._merge(tenure, item, names, now) for item in routers]
-            if not any(whole):
+            merged = [
+                self._merge(tenure, item, names, now) for item in routers
+            ]
+            if not all(merged) or not any(
+                entry.whole for item in routers for entry in item.windows
+            ):
                 return []
         reply = messages.CountsTaken(
             holder_number=tenure.number,
@@ -383,25 +395,33 @@
         names: packing.Names,
         now: datetime.datetime,
     ) -> bool:
-        """Merge the counts of a router; return if they need a reply."""
+        """Merge the counts of a router; return False if some are dropped.
+
+        Counts of a window whose totals are committed are not needed.
+        """
         current = fleet_time.window_at(self._time.at(now), self._window)
         oldest = current - limits.kept_windows(self._window)
         key = (item.router, item.incarnation)
+        complete = True
         for entry in item.windows:
-            if not oldest <= entry.window <= current + 1 or (
-                entry.window in self._windows
-            ):
+            if entry.window in self._windows:
+                continue
+            if not oldest <= entry.window <= current + 1:
+                complete = False
+                self._drop(item.router, "window out of range")
                 continue
             try:
                 counts = names.decode(entry.packed, entry.others)
             except ValueError as error:
+                complete = False
                 self._drop(item.router, str(error))
                 continue
             if not tenure.collection.add(
                 key, entry.window, counts, entry.final
             ):
+                complete = False
                 self._drop(item.router, "too many accounts or routers")
-        return any(entry.whole for entry in item.windows)
+        return complete
 
     def _drop(self, router: str, reason: str) -> list[message.Message]:
         """Count what can't be read, and log the first time."""
@@ -428,10 +448,7 @@
         tenure = self._tenure
         if tenure is None or now >= tenure.until:
             return effects
-        control_hosts = sum(
-            CONTROL_ROLE in daemon.roles for daemon in self._daemons.values()
-        )
-        if not self._time.known(control_hosts, now):
+        if not self._knows_time(now):
             return effects
         if not tenure.caught_up:
             nothing = messages.WindowsAccepted(windows=())
--- a/fulmarbarrow/usage/features/steps/usage.py
+++ b/fulmarbarrow/usage/features/steps/usage.py
@@ -9,6 +9,7 @@
 
 from benchmarks import usage_fleet as fleets
 from fulmarbarrow.consensus import messages as consensus_messages
+from fulmarbarrow.delivery import messages as delivery_messages
 from fulmarbarrow.duties import messages as duties_messages
 from fulmarbarrow.usage import messages
 from fulmarbarrow.usage import packing
@@ -322,6 +323,134 @@
         )
 
 
+@behave.when("{counts} reach the holder")
+def step_counts(context, counts):
+    fleet = context.fleet
+    fleet.run(1)
+    node = fleet.holder
+    if counts == "early counts":
+        node = fleet.restart(node)
+        fleet.hold(node)
+    far = counts == "counts of a far window"
+    entry = messages.WindowCounts(
+        window=fleet.window + (9 if far else 0),
+        whole=True,
+        final=True,
+        packed=b"\xff" * 9 if counts == "unreadable counts" else b"",
+        others=(("a", 1),),
+    )
+    routers = [
+        messages.RouterCounts(
+            router=f"router-{n}", incarnation=1, windows=(entry,)
+        )
+        for n in range(1100 if "1100" in counts else 2)
+    ]
+    event = messages.UsageCounts(
+        reply_to="router-9",
+        sequence=1,
+        holder_number=fleet.number,
+        names=packing.Names().digest,
+        routers=packing.pack_routers(routers),
+    )
+    context.effects = node.core.handle(event, fleet.now)
+
+
+@behave.then("the answer of the holder is {answer}")
+def step_answer(context, answer):
+    confirmed = [effect.message.sequence for effect in context.effects]
+    assert confirmed == ([1] if answer == "yes" else []), confirmed
+
+
+@behave.when(
+    "a router counts more after a sending and the confirmation arrives"
+)
+def step_late_confirmation(context):
+    fleet = context.fleet
+    router = fleet.routers[0]
+    began = delivery_messages.RequestBegan(account="a")
+    fleet.run(4)
+    fleet.holder.cut = True
+    for core_router in fleet.routers:
+        core_router.post(began)
+    fleet.run(3.5)  # all have sent their whole counts
+    sequences = list(router.core._unanswered) or [0]
+    router.core._place("late", router.now() - fleets.seconds(4))
+    fleet.run(0.8)
+    for sequence in {*sequences, 0}:
+        router.post(
+            messages.CountsTaken(
+                holder_number=fleet.number,
+                sequence=sequence,
+                settled_before=0,
+                windows=(context.first,) if not sequence else (),
+            )
+        )
+
+
+@behave.then("the window is not confirmed")
+def step_not_confirmed(context):
+    router = context.fleet.routers[0]
+    routers = router.core.dump()["routers"]
+    window = routers[router.record.daemon_id][context.first]
+    assert window["requests"] == 2 and not window["confirmed"], window
+
+
+@behave.when("a router restarts at second {at:d} with requests")
+def step_restart_router(context, at):
+    fleet = context.fleet
+    former = fleet.routers[0]
+    context.sequences = set()
+    send = fleet.send
+
+    def watch(sender, event):
+        if sender is former and isinstance(
+            event.message, messages.UsageCounts
+        ):
+            context.sequences.add(event.message.sequence)
+        send(sender, event)
+
+    fleet.send = watch
+    fleet.load(RATE, 10, at)
+    fleet.run(at)
+    fleet.holder.cut = True
+    context.former = former.record
+    context.restarted = fleet.restart(former)
+    for control in fleet.controls:
+        told = messages.ClockTold(
+            daemon_id=control.record.daemon_id,
+            incarnation=control.record.incarnation,
+            at=fleet.now,
+        )
+        context.restarted.post(told)
+    announced = duties_messages.HolderAnnounced(
+        duty=fleets.USAGE,
+        holder=fleet.holder.record.daemon_id,
+        address=fleet.holder.record.address,
+        number=fleet.number,
+    )
+    context.restarted.post(announced)
+    fleet.run(6)
+
+
+@behave.then("confirmations for the former process change nothing")
+def step_former(context):
+    window = context.first + 1
+    assert len(context.sequences) > 5
+    for sequence in {0, *context.sequences}:
+        context.restarted.post(
+            messages.CountsTaken(
+                holder_number=context.fleet.number,
+                sequence=sequence,
+                settled_before=0,
+                windows=() if sequence else (window,),
+                incarnation=0 if sequence else context.former.incarnation,
+            )
+        )
+    core = context.restarted.core
+    kept = core.dump()["routers"][context.former.daemon_id][window]
+    assert kept["final"] and not kept["confirmed"], kept
+
+
 @behave.then("every count of {count:d} windows is right")
 def step_right(context, count):
     fleet = context.fleet
--- a/fulmarbarrow/usage/features/usage.feature
+++ b/fulmarbarrow/usage/features/usage.feature
@@ -151,6 +151,37 @@
     When the collector is cut off for 50 seconds with requests
     Then the routers send at most 500 bytes a second each to it
 
+  # Guards against counts that a router forgets and the collector lacks.
+  Scenario Outline: The collector drops counts
+    Given 4 routers
+    When <counts> reach the holder
+    Then the answer of the holder is <answer>
+
+    Examples:
+      | counts                 | answer |
+      | whole counts           | yes    |
+      | unreadable counts      | none   |
+      | counts of a far window | none   |
+      | counts of 1100 routers | none   |
+      | early counts           | none   |
+
+  # Guards against a confirmation of counts that were added after the sending.
+  Scenario Outline: The confirmation of older counts arrives late
+    Given <count> routers
+    When a router counts more after a sending and the confirmation arrives
+    Then the window is not confirmed
+
+    Examples:
+      | count |
+      | 4     |
+      | 40    |
+
+  # Guards against a confirmation that was meant for the former process.
+  Scenario: A router restarts
+    Given 40 routers
+    When a router restarts at second 7 with requests
+    Then confirmations for the former process change nothing
+
   # Guards against a crash or a wrong total by a malformed message.
   Scenario: A router sends garbage
     Given 4 routers
--- a/fulmarbarrow/usage/ledger.py
+++ b/fulmarbarrow/usage/ledger.py
@@ -16,7 +16,9 @@
 
     ``changed`` are accounts that were not sent yet. ``sent_at`` is when the
     whole counts were sent, for the last of ``sendings`` times to the
-    collector, and ``confirmed`` whether the collector has them.
+    collector, and ``confirmed`` whether the collector has them. ``version``
+    increases with each change. ``late`` is set if counts were added after the
+    window was final.
     """
 
     counts: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -25,6 +27,8 @@
     sendings: int = 0
     sent_at: datetime.datetime | None = None
     confirmed: bool = False
+    version: int = 0
+    late: bool = False
 
     def set(self, account: str, number: int) -> bool:
         """Raise a count; return False if there are too many accounts."""
@@ -34,6 +38,7 @@
         if number > known:
             self.counts[account] = number
             self.changed.add(account)
+            self.late = self.late or self.final
             self.touch()
         return True
 
@@ -42,6 +47,7 @@
         self.sent_at = None
         self.sendings = 0
         self.confirmed = False
+        self.version += 1
 
     def resend(self) -> None:
         """Send everything again, also while the window is open."""
@@ -70,26 +76,23 @@
             for window in windows.values():
                 window.resend()
 
-    def confirm(self, source: Source, number: int) -> None:
-        """Record that the collector has what was sent last of a window."""
-        window = self.sources.get(source, {}).get(number)
-        if window is not None and window.sent_at is not None:
-            window.confirmed = True
-
-    def final(
-        self, source: Source, numbers: tuple[int, ...]
-    ) -> tuple[int, ...]:
-        """Return those windows in which a router has counted everything.
+    def confirm(
+        self, source: Source, number: int, version: int | None
+    ) -> bool:
+        """Record that the collector has a version of a window.
 
-        Only they may be confirmed to a router whose counts are forwarded: of
-        another one its last counts are still missing here.
+        ``version`` is None if the router that forwards the counts says so;
+        then it has those that were final first. Returns whether everything
+        that the router has counted is confirmed: only then may it be told,
+        because otherwise its last counts are still missing here.
         """
-        windows = self.sources.get(source, {})
-        return tuple(
-            number
-            for number in numbers
-            if number in windows and windows[number].final
-        )
+        window = self.sources.get(source, {}).get(number)
+        if window is None or window.sent_at is None:
+            return False
+        if window.late if version is None else window.version != version:
+            return False
+        window.confirmed = True
+        return window.final
 
     def drop_before(self, number: int) -> int:
         """Forget earlier windows; return how many were not confirmed."""
--- a/fulmarbarrow/usage/messages.py
+++ b/fulmarbarrow/usage/messages.py
@@ -99,7 +99,8 @@
     With ``forward`` they are for a router that forwards the counts of
     several. ``names`` is the digest of the names with which they are encoded.
     ``routers`` are compressed ``RouterCounts``. ``sequence`` increases with
-    each message of a sender and is repeated in the reply.
+    each message of a sender, begins with its incarnation, so that no other
+    incarnation uses it, and is repeated in the reply.
     """
 
     reply_to: str
@@ -111,13 +112,13 @@
 
 
 class CountsTaken(message.Message, frozen=True, kw_only=True):
-    """The collector has the counts of the message with ``sequence``.
+    """The collector has all counts of the message with ``sequence``.
 
     A router that forwards counts tells each router of its group about its own
-    ``windows`` with a sequence of 0. Windows before ``settled_before`` are
-    committed or too old to be reported, so that their counts need not be
-    kept. If ``names_unknown`` is set, the collector does not have the names
-    of the message and could not read it.
+    ``windows`` with a sequence of 0 and the router's ``incarnation``. Windows
+    before ``settled_before`` are committed or too old to be reported, so that
+    their counts need not be kept. If ``names_unknown`` is set, the collector
+    does not have the names of the message and could not read it.
     """
 
     holder_number: int
@@ -125,6 +126,7 @@
     settled_before: int
     windows: tuple[int, ...] = ()
     names_unknown: int | None = None
+    incarnation: int = 0
 
 
 PEER_MESSAGES: tuple[type[message.Message], ...] = (
--- a/fulmarbarrow/usage/router.py
+++ b/fulmarbarrow/usage/router.py
@@ -36,7 +36,7 @@
 MAX_UNANSWERED = 16  # messages to the collector
 CONTROL_ROLE = "control"
 
-_Numbers = tuple[int, ...]
+_Versions = dict[int, int | None]  # of each window
 
 
 class UsageRouter:
@@ -87,8 +87,8 @@
         self._collector: duties_messages.HolderAnnounced | None = None
         self._next_send_at: datetime.datetime | None = None
         self._leaving = False
-        self._sequence = 0
-        self._unanswered: dict[int, dict[ledgers.Source, _Numbers]] = {}
+        self._sequence = daemon.incarnation
+        self._unanswered: dict[int, dict[ledgers.Source, _Versions]] = {}
 
     def handle(
         self, event: message.Message, now: datetime.datetime
@@ -277,19 +277,24 @@
             self._names_refused = event.names_unknown
             self._ledger.resend()
         effects: list[message.Message] = []
-        taken = {self._me: event.windows}
+        taken: dict[ledgers.Source, _Versions] = {}
         if event.sequence and event.names_unknown is None:
             taken = self._unanswered.pop(event.sequence, {})
-        for source, windows in taken.items():
-            for number in windows:
-                self._ledger.confirm(source, number)
-            final = self._ledger.final(source, windows)
+        elif event.incarnation in (0, self._daemon.incarnation):
+            taken[self._me] = dict.fromkeys(event.windows)
+        for source, versions in taken.items():
+            final = tuple(
+                number
+                for number, version in versions.items()
+                if self._ledger.confirm(source, number, version)
+            )
             if final and source in self._group:
                 told = messages.CountsTaken(
                     holder_number=event.holder_number,
                     sequence=0,
                     settled_before=event.settled_before,
                     windows=final,
+                    incarnation=source[1],
                 )
                 address = self._group[source]
                 effects.append(message.Send(address=address, message=told))
@@ -440,14 +445,17 @@
 
     def _remember(self, routers: list[messages.RouterCounts]) -> None:
         """Remember what the next message to the collector has as a whole."""
-        whole = {
-            (item.router, item.incarnation): tuple(
-                entry.window for entry in item.windows if entry.whole
-            )
-            for item in routers
-        }
-        self._unanswered[self._sequence] = {
-            source: windows for source, windows in whole.items() if windows
-        }
+        taken: dict[ledgers.Source, _Versions] = {}
+        for item in routers:
+            source = (item.router, item.incarnation)
+            windows = self._ledger.sources[source]
+            versions = {
+                entry.window: windows[entry.window].version
+                for entry in item.windows
+                if entry.whole
+            }
+            if versions:
+                taken[source] = versions
+        self._unanswered[self._sequence] = taken
         if len(self._unanswered) > MAX_UNANSWERED:
             del self._unanswered[next(iter(self._unanswered))]
