Keep a router's own counts whatever messages it gets

A far CountsTaken.settled_before deleted the counts of open windows, and copies of 64 routers that came before the first window of a router took all places of its table; in both cases each further tick raised. So did an extreme time of a control host.

--- a/fulmarbarrow/usage/features/steps/usage.py
+++ b/fulmarbarrow/usage/features/steps/usage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import datetime
 import itertools
 
 import behave
@@ -451,6 +452,59 @@
     assert kept["final"] and not kept["confirmed"], kept
 
 
+@behave.when("every router gets {wrong} at second {at:d} of 20 with requests")
+def step_wrong_message(context, wrong, at):
+    fleet = context.fleet
+    fleet.load(RATE, 10, 20)
+    fleet.run(at)
+    time = datetime.datetime.max
+    if "zone" not in wrong:
+        time = time.replace(tzinfo=datetime.UTC)
+    for router in fleet.routers:
+        for number in range(4):
+            told = messages.ClockTold(
+                daemon_id=f"control-{number}", incarnation=1, at=time
+            )
+            taken = messages.CountsTaken(
+                holder_number=fleet.number,
+                sequence=0,
+                settled_before=1 << 60,
+            )
+            router.post(taken if "settled" in wrong else told)
+    fleet.run(23 - at)
+
+
+@behave.when(
+    "copies of {count:d} routers reach a router that has just started"
+)
+def step_copies(context, count):
+    fleet = context.fleet
+    router = fleet.restart(fleet.routers[0])
+    entry = messages.WindowCounts(
+        window=fleet.window, whole=False, final=False, packed=b""
+    )
+    copies = [
+        messages.RouterCounts(
+            router=f"other-{n}", incarnation=1, windows=(entry,)
+        )
+        for n in range(count)
+    ]
+    event = messages.UsageCounts(
+        reply_to="other",
+        sequence=1,
+        holder_number=fleet.number,
+        names=packing.Names().digest,
+        routers=packing.pack_routers(copies),
+        forward=True,
+    )
+    router.post(event)
+    fleet.load(RATE, 10, 20)
+    fleet.run(1)
+    router.post(event)
+    fleet._announce(fleet.holder, fleet.number)
+    fleet.run(22)
+
+
 @behave.then("every count of {count:d} windows is right")
 def step_right(context, count):
     fleet = context.fleet
--- a/fulmarbarrow/usage/features/usage.feature
+++ b/fulmarbarrow/usage/features/usage.feature
@@ -182,6 +182,24 @@
     When a router restarts at second 7 with requests
     Then confirmations for the former process change nothing
 
+  # Guards against lost counts, and ticks that raise, by a wrong message.
+  Scenario Outline: A router gets a wrong message
+    Given 4 routers
+    When every router gets <message> at second 7 of 20 with requests
+    Then every count of 3 windows is right
+
+    Examples:
+      | message                         |
+      | a far settled window            |
+      | an extreme time                 |
+      | a time without a zone           |
+
+  # Guards against a router that can't count because others fill its table.
+  Scenario: A router gets copies before it knows the time
+    Given 4 routers
+    When copies of 70 routers reach a router that has just started
+    Then every count of 3 windows is right
+
   # Guards against a crash or a wrong total by a malformed message.
   Scenario: A router sends garbage
     Given 4 routers
--- a/fulmarbarrow/usage/fleet_time.py
+++ b/fulmarbarrow/usage/fleet_time.py
@@ -5,10 +5,13 @@
 import collections
 import dataclasses
 import datetime
+import logging
 import statistics
 
 from fulmarbarrow.usage import messages
 
+log = logging.getLogger(__name__)
+
 EPOCH = datetime.datetime(1970, 1, 1, tzinfo=datetime.UTC)
 # The clock of a process never steps, so the offset of a control host that is
 # no longer heard stays right for minutes: 100 ppm drift is 30 ms in 300 s.
@@ -17,6 +20,9 @@
 # early; the latest of several is closest to the truth.
 SAMPLES = 3
 MAX_CLOCKS = 32
+# No clock is wrong by more; a longer offset could lead to a time that can't
+# be represented.
+MAX_OFFSET = datetime.timedelta(days=1)
 # Time after the first sample until a median of fewer than half of the control
 # hosts is used.
 SAMPLE_WAIT = datetime.timedelta(seconds=3)
@@ -36,6 +42,7 @@
         self._clocks: dict[str, _Clock] = {}
         self._first_at: datetime.datetime | None = None
         self._offset: datetime.timedelta | None = None
+        self._refused = False
 
     @property
     def offset(self) -> datetime.timedelta:
@@ -43,7 +50,10 @@
         return self._offset or datetime.timedelta(0)
 
     def add(self, event: messages.ClockTold, now: datetime.datetime) -> None:
-        """Add what a control host told of its clock."""
+        """Add what a control host told of its clock, if it can be right."""
+        if event.at.tzinfo is None or abs(event.at - now) > MAX_OFFSET:
+            self._refuse(event)
+            return
         if self._first_at is None:
             self._first_at = now
         clock = self._clocks.get(event.daemon_id)
@@ -71,6 +81,15 @@
             )
         )
 
+    def _refuse(self, event: messages.ClockTold) -> None:
+        """Log the first time that is not used."""
+        if not self._refused:
+            self._refused = True
+            log.warning(
+                "time of a control host is ignored",
+                extra={"daemon": event.daemon_id, "at": str(event.at)},
+            )
+
     def known(self, control_hosts: int, now: datetime.datetime) -> bool:
         """Whether enough of the control hosts have told their time."""
         if self._first_at is None:
--- a/fulmarbarrow/usage/ledger.py
+++ b/fulmarbarrow/usage/ledger.py
@@ -56,16 +56,17 @@
 
 
 class Ledger:
-    """Windows of several routers."""
+    """Windows of this router, ``own``, and of others."""
 
-    def __init__(self) -> None:
-        self.sources: dict[Source, dict[int, Window]] = {}
+    def __init__(self, *, own: Source) -> None:
+        self._own = own
+        self.sources: dict[Source, dict[int, Window]] = {own: {}}
 
     def window(self, source: Source, number: int) -> Window | None:
         """Return a window, a new one if needed; None beyond a bound."""
         windows = self.sources.get(source)
         if windows is None:
-            if len(self.sources) >= limits.MAX_SOURCES:
+            if len(self.sources) > limits.MAX_SOURCES:
                 return None
             windows = self.sources[source] = {}
         return windows.setdefault(number, Window())
@@ -101,6 +102,6 @@
             for old in [n for n in windows if n < number]:
                 lost += not windows[old].confirmed
                 del windows[old]
-            if not windows:
+            if not windows and source != self._own:
                 del self.sources[source]
         return lost
--- a/fulmarbarrow/usage/limits.py
+++ b/fulmarbarrow/usage/limits.py
@@ -6,7 +6,7 @@
 
 MAX_ACCOUNTS = 4096  # of a window
 MAX_ROUTERS = 1024  # of a window
-MAX_SOURCES = 64  # routers of which a router keeps counts
+MAX_SOURCES = 64  # other routers of which a router keeps counts
 MAX_COUNT = 1 << 40
 # A window whose end is longer ago is not reported any more.
 REPORT_FOR = datetime.timedelta(seconds=60)
--- a/fulmarbarrow/usage/router.py
+++ b/fulmarbarrow/usage/router.py
@@ -81,7 +81,7 @@
         self._names = packing.Names()
         self._names_refused: int | None = None
         self._unplaced: list[tuple[datetime.datetime, str]] = []
-        self._ledger = ledgers.Ledger()
+        self._ledger = ledgers.Ledger(own=self._me)
         self._group: dict[ledgers.Source, str] = {}
         self._next_window: int | None = None
         self._collector: duties_messages.HolderAnnounced | None = None
@@ -104,7 +104,7 @@
             case messages.UsageCounts(forward=True):
                 self._on_copies(event, now)
             case messages.CountsTaken():
-                return self._on_taken(event)
+                return self._on_taken(event, now)
             case duties_messages.HolderAnnounced(
                 duty=duties_messages.Duty.USAGE
             ):
@@ -218,7 +218,7 @@
         self, event: messages.UsageCounts, now: datetime.datetime
     ) -> None:
         """Keep the counts of a router of the group."""
-        if event.names != self._names.digest:
+        if event.names != self._names.digest or self._next_window is None:
             return  # it will send them to the collector itself
         current = fleet_time.window_at(self._time.at(now), self._window)
         oldest = current - limits.kept_windows(self._window)
@@ -268,7 +268,9 @@
         self._unanswered.clear()
         self._ledger.resend()
 
-    def _on_taken(self, event: messages.CountsTaken) -> list[message.Message]:
+    def _on_taken(
+        self, event: messages.CountsTaken, now: datetime.datetime
+    ) -> list[message.Message]:
         """Record what the collector has; tell the routers of the group."""
         collector = self._collector
         if collector is None or event.holder_number != collector.number:
@@ -298,7 +300,10 @@
                 )
                 address = self._group[source]
                 effects.append(message.Send(address=address, message=told))
-        self._ledger.drop_before(event.settled_before)
+        if self._next_window is not None:
+            # No window can be committed before it has ended.
+            current = fleet_time.window_at(self._time.at(now), self._window)
+            self._ledger.drop_before(min(event.settled_before, current))
         for source in [
             s for s in self._group if s not in self._ledger.sources
         ]:
