--- a/fulmarbarrow/usage/features/steps/usage.py
+++ b/fulmarbarrow/usage/features/steps/usage.py
@@ -12,6 +12,8 @@
 from fulmarbarrow.consensus import messages as consensus_messages
 from fulmarbarrow.delivery import messages as delivery_messages
 from fulmarbarrow.duties import messages as duties_messages
+from fulmarbarrow.membership import messages as membership_messages
+from fulmarbarrow.usage import grouping
 from fulmarbarrow.usage import messages
 from fulmarbarrow.usage import packing
 
@@ -505,6 +507,45 @@
     fleet.run(22)
 
 
+@behave.given("{count:d} routers of zones with the weights {weights}")
+def step_zones(context, count, weights):
+    zones = [
+        f"zone-{number}"
+        for number, weight in enumerate(weights.split())
+        for _ in range(int(weight))
+    ]
+    context.daemons = [
+        membership_messages.Daemon(
+            daemon_id=f"router-{n}",
+            incarnation=1,
+            zone=zones[n % len(zones)],
+            region="region",
+            address=f"router-{n}",
+            roles=("router",),
+        )
+        for n in range(count)
+    ]
+
+
+@behave.when("each of them chooses a forwarding router")
+def step_choose(context):
+    context.chosen = [
+        (daemon, grouping.forwarder(daemon, context.daemons))
+        for daemon in context.daemons
+    ]
+
+
+@behave.then("no router forwards for more than {most:d} others")
+def step_most(context, most):
+    groups = collections.Counter(head.daemon_id for _, head in context.chosen)
+    assert max(groups.values()) <= most, groups
+
+
+@behave.then("they all forward for routers of other zones")
+def step_other_zones(context):
+    assert all(head.zone != me.zone for me, head in context.chosen)
+
+
 @behave.then("every count of {count:d} windows is right")
 def step_right(context, count):
     fleet = context.fleet
--- a/fulmarbarrow/usage/features/usage.feature
+++ b/fulmarbarrow/usage/features/usage.feature
@@ -42,6 +42,19 @@
     Then the report lacks at most 1 second of that router's requests
     And the report is made within 5 seconds of the end of its window
 
+  # Guards against groups that are larger than the table of their forwarder.
+  Scenario Outline: Most routers are in one zone
+    Given <count> routers of zones with the weights <weights>
+    When each of them chooses a forwarding router
+    Then no router forwards for more than <most> others
+    And they all forward for routers of other zones
+
+    Examples:
+      | count | weights   | most |
+      | 77    | 8 1 1     | 16   |
+      | 400   | 8 1 1     | 16   |
+      | 400   | 1 1 1 1 1 | 24   |
+
   # Guards against counts that are assigned to the wrong account.
   Scenario Outline: The collector has other accounts in its configuration
     Given <count> routers whose configuration names accounts
