Ask for no handover after the usage duty is lost

Since the calls of a tenure stay open after its end, a call that failed after DutyLost could be the one that asks for a handover, of a duty that another host already holds.

The reporter is told of the end of a tenure; of its calls only an acceptance counts from then on.

--- a/fulmarbarrow/usage/control.py
+++ b/fulmarbarrow/usage/control.py
@@ -330,6 +330,7 @@
     def _on_lost(self, event: duties_messages.DutyLost) -> None:
         if self._tenure is not None and self._tenure.number <= event.number:
             self._tenure = None
+            self._reporter.end()
 
     def _on_call_ended(
         self, event: duties_messages.CallEnded, now: datetime.datetime
--- a/fulmarbarrow/usage/features/steps/usage.py
+++ b/fulmarbarrow/usage/features/steps/usage.py
@@ -246,6 +246,27 @@
     assert len(fleet.platform.accepted) >= 3
 
 
+@behave.when("the duty is lost before the failure that asks for a handover")
+def step_lost_before_failure(context):
+    fleet = context.fleet
+    while not fleet.notes:
+        fleet.run(0.01)
+    calls = len(fleet.platform.calls)
+    # Once more, up to the moment before the end of the last of these calls.
+    step_down(context, 4)
+    fleet = context.fleet
+    while len(fleet.platform.calls) < calls:
+        fleet.run(0.01)
+    assert calls >= 3 and not fleet.notes
+    fleet.hold(fleet.controls[1])
+    fleet.run(0.2)
+
+
+@behave.then("the host asks for no handover")
+def step_no_handover(context):
+    assert not context.fleet.notes, context.fleet.notes
+
+
 @behave.when("the duty moves at each request for {duration:d} seconds")
 def step_moves(context, duration):
     fleet = context.fleet
--- a/fulmarbarrow/usage/features/usage.feature
+++ b/fulmarbarrow/usage/features/usage.feature
@@ -116,6 +116,12 @@
     When the duty moves before the answers to the first calls arrive
     Then no window is reported twice
 
+  # Guards against a handover of a duty that the host no longer holds.
+  Scenario: A call fails after the duty is lost
+    Given 4 routers and a platform that is down
+    When the duty is lost before the failure that asks for a handover
+    Then the host asks for no handover
+
   # Guards against a duty that moves all the time, with all counts resent.
   Scenario: The platform is down for all hosts
     Given 4 routers and a platform that is down
--- a/fulmarbarrow/usage/reporting.py
+++ b/fulmarbarrow/usage/reporting.py
@@ -72,6 +72,10 @@
         self._failures = 0
         self.superseded = False
 
+    def end(self) -> None:
+        """End the tenure; calls of it that fail later change nothing."""
+        self._number = 0
+
     def due(
         self,
         open_windows: list[state.Committed],
