--- a/fulmarbarrow/usage/control.py
+++ b/fulmarbarrow/usage/control.py
@@ -33,9 +33,15 @@
 
 # A window is closed this long after its end even if counts are missing.
 CLOSE_WITHIN = datetime.timedelta(seconds=4)
-# A new holder waits this long for counts of windows that ended before it held
-# the duty: routers are told of it at once and send within a second.
-GAINED_WAIT = datetime.timedelta(milliseconds=2500)
+# A new holder waits this long for routers that have not confirmed a window,
+# as far as the report stays in time. Its announcement is repeated at the
+# latest after 4.5 s, so that a router that missed one is heard before.
+GAINED_WAIT = datetime.timedelta(milliseconds=5500)
+# Counts of routers that heard the first announcement are there by then. A
+# window for which this is too late is late in any case, so it waits longer.
+LEAST_WAIT = datetime.timedelta(milliseconds=2500)
+# Time for the commit and the call after a window is closed.
+REPORT_TIME = datetime.timedelta(milliseconds=500)
 PROPOSAL_TIMEOUT = datetime.timedelta(seconds=6)
 # Each control host tells its time to all daemons in this time: at 400 daemons
 # and 130 bytes a message, 0.9 KB/s. Clocks of processes never step, so that
@@ -59,7 +65,6 @@
     number: int
     until: datetime.datetime
     since: datetime.datetime
-    reporter: reporting.Reporter
     collection: collecting.Collection = dataclasses.field(
         default_factory=collecting.Collection
     )
@@ -96,11 +101,13 @@
         group: consensus_messages.Group,
         metrics: metrics_module.Metrics,
         window: datetime.timedelta,
+        report_within: datetime.timedelta,
     ) -> None:
         self._daemon = daemon
         self._group = group
         self._metrics = metrics
         self._window = window
+        self._report_within = report_within
         self._windows = state.Windows()
         self._time = fleet_time.FleetTime()
         self._daemons: dict[str, membership_messages.Daemon] = {
@@ -112,6 +119,10 @@
         self._told: collections.deque[str] = collections.deque()
         self._told_share = 0.0
         self._tenure: _Tenure | None = None
+        self._reporter = reporting.Reporter(
+            daemon_id=daemon.daemon_id, incarnation=daemon.incarnation
+        )
+        self._tenures = 0  # in the fleet since a report was accepted
         self._proposals: dict[str, tuple[str, datetime.datetime]] = {}
         self._proposal_count = 0
         self._started = False
@@ -177,7 +188,12 @@
             case consensus_messages.Applied(
                 group=self._group, machine=messages.MACHINE
             ):
-                self._windows.apply(_COMMANDS.decode(event.command))
+                command = _COMMANDS.decode(event.command)
+                self._windows.apply(command)
+                if isinstance(command, messages.WindowsAccepted):
+                    # Each tenure begins with one without windows.
+                    succeeded = bool(command.windows)
+                    self._tenures = 0 if succeeded else self._tenures + 1
             case consensus_messages.SnapshotWanted(group=self._group):
                 return [
                     consensus_messages.SnapshotTaken(
@@ -289,6 +305,12 @@
             ),
         ]
 
+    def _knows_time(self, now: datetime.datetime) -> bool:
+        control_hosts = sum(
+            CONTROL_ROLE in daemon.roles for daemon in self._daemons.values()
+        )
+        return self._time.known(control_hosts, now)
+
     # The duty.
 
     def _on_held(
@@ -302,23 +324,36 @@
             number=event.number,
             until=event.until,
             since=now,
-            reporter=reporting.Reporter(
-                daemon_id=self._daemon.daemon_id,
-                incarnation=self._daemon.incarnation,
-                number=event.number,
-            ),
         )
+        self._reporter.begin(event.number)
 
     def _on_lost(self, event: duties_messages.DutyLost) -> None:
         if self._tenure is not None and self._tenure.number <= event.number:
             self._tenure = None
+            self._reporter.end()
 
     def _on_call_ended(
         self, event: duties_messages.CallEnded, now: datetime.datetime
     ) -> list[message.Message]:
-        if self._tenure is None:
+        effects = self._reporter.on_ended(event, self._tenures, now)
+        return [*effects, *self._propose_accepted(now)]
+
+    def _propose_accepted(
+        self, now: datetime.datetime
+    ) -> list[message.Message]:
+        """Commit which windows were accepted, also after the tenure."""
+        open_windows = {
+            item.window for item in self._windows if not item.accepted
+        }
+        self._reporter.accepted &= open_windows
+        if not self._reporter.accepted:
             return []
-        return self._tenure.reporter.on_ended(event, now)
+        accepted = tuple(sorted(self._reporter.accepted))
+        return self._propose(
+            f"accepted {accepted}",
+            messages.WindowsAccepted(windows=accepted),
+            now,
+        )
 
     def _on_counts(
         self, event: messages.UsageCounts, now: datetime.datetime
@@ -327,14 +362,20 @@
         tenure = self._tenure
         if tenure is None or event.holder_number != tenure.number:
             return []
+        if not self._knows_time(now):
+            return []  # it can't tell which windows can be reported
         names = self._known_names.get(event.names)
         if names is not None:
             try:
                 routers = packing.unpack_routers(event.routers)
             except ValueError as error:
                 return self._drop(event.reply_to, str(error))
-            whole = [self._merge(tenure, item, names, now) for item in routers]
-            if not any(whole):
+            merged = [
+                self._merge(tenure, item, names, now) for item in routers
+            ]
+            if not all(merged) or not any(
+                entry.whole for item in routers for entry in item.windows
+            ):
                 return []
         reply = messages.CountsTaken(
             holder_number=tenure.number,
@@ -355,25 +396,33 @@
         names: packing.Names,
         now: datetime.datetime,
     ) -> bool:
-        """Merge the counts of a router; return if they need a reply."""
+        """Merge the counts of a router; return False if some are dropped.
+
+        Counts of a window whose totals are committed are not needed.
+        """
         current = fleet_time.window_at(self._time.at(now), self._window)
         oldest = current - limits.kept_windows(self._window)
         key = (item.router, item.incarnation)
+        complete = True
         for entry in item.windows:
-            if not oldest <= entry.window <= current + 1 or (
-                entry.window in self._windows
-            ):
+            if entry.window in self._windows:
+                continue
+            if not oldest <= entry.window <= current + 1:
+                complete = False
+                self._drop(item.router, "window out of range")
                 continue
             try:
                 counts = names.decode(entry.packed, entry.others)
             except ValueError as error:
+                complete = False
                 self._drop(item.router, str(error))
                 continue
             if not tenure.collection.add(
                 key, entry.window, counts, entry.final
             ):
+                complete = False
                 self._drop(item.router, "too many accounts or routers")
-        return any(entry.whole for entry in item.windows)
+        return complete
 
     def _drop(self, router: str, reason: str) -> list[message.Message]:
         """Count what can't be read, and log the first time."""
@@ -396,13 +445,11 @@
         for proposal_id, (_, at) in list(self._proposals.items()):
             if now - at >= PROPOSAL_TIMEOUT:
                 del self._proposals[proposal_id]
+        effects.extend(self._propose_accepted(now))
         tenure = self._tenure
         if tenure is None or now >= tenure.until:
             return effects
-        control_hosts = sum(
-            CONTROL_ROLE in daemon.roles for daemon in self._daemons.values()
-        )
-        if not self._time.known(control_hosts, now):
+        if not self._knows_time(now):
             return effects
         if not tenure.caught_up:
             nothing = messages.WindowsAccepted(windows=())
@@ -453,14 +500,19 @@
                 effects.extend(self._close(tenure, number, now))
         return effects
 
+    def _due(self, tenure: _Tenure, number: int) -> datetime.datetime:
+        """Return when a window is closed even if counts are missing."""
+        end = fleet_time.end_of(number, self._window)
+        gained = self._time.at(tenure.since)
+        latest = end + self._report_within - REPORT_TIME
+        if gained + LEAST_WAIT > latest:
+            latest = end + limits.REPORT_FOR - REPORT_TIME
+        return max(end + CLOSE_WITHIN, min(gained + GAINED_WAIT, latest))
+
     def _close(
         self, tenure: _Tenure, number: int, now: datetime.datetime
     ) -> list[message.Message]:
         """Propose the totals of a window if it is complete or due."""
-        end = fleet_time.end_of(number, self._window)
-        due = max(
-            end + CLOSE_WITHIN, self._time.at(tenure.since) + GAINED_WAIT
-        )
         routers = [
             (daemon.daemon_id, daemon.incarnation)
             for daemon in self._daemons.values()
@@ -468,7 +520,9 @@
             and daemon.state is not membership_messages.DaemonState.DEAD
         ]
         missing = tenure.collection.unconfirmed(number, routers)
-        if (missing or not routers) and self._time.at(now) < due:
+        if (missing or not routers) and self._time.at(now) < (
+            self._due(tenure, number)
+        ):
             return []
         if not self._windows.has_names(self._names.digest):
             names = messages.NamesKept(packed=self._names.pack())
@@ -503,26 +557,19 @@
     def _report(
         self, tenure: _Tenure, now: datetime.datetime
     ) -> list[message.Message]:
-        """Report committed windows; commit which were accepted."""
-        open_windows = [
-            item
-            for item in self._windows
-            if not item.accepted and not self._too_old(item.window, now)
-        ]
-        effects = tenure.reporter.due(
-            open_windows, self._windows, tenure.until, now
+        """Report committed windows that were not accepted."""
+        in_time = self._time.at(now) - self._report_within
+        open_windows = sorted(
+            (
+                item
+                for item in self._windows
+                if not item.accepted and not self._too_old(item.window, now)
+            ),
+            # First those whose report can still be in time.
+            key=lambda item: (
+                fleet_time.end_of(item.window, self._window) <= in_time
+            ),
         )
-        accepted = tuple(
-            item.window
-            for item in open_windows
-            if item.window in tenure.reporter.accepted
+        return self._reporter.due(
+            open_windows, self._windows, tenure.until, now
         )
-        if accepted:
-            effects.extend(
-                self._propose(
-                    f"accepted {accepted}",
-                    messages.WindowsAccepted(windows=accepted),
-                    now,
-                )
-            )
-        return effects
--- a/fulmarbarrow/usage/features/steps/usage.py
+++ b/fulmarbarrow/usage/features/steps/usage.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import collections
+import datetime
 import itertools
 
 import behave
 
 from benchmarks import usage_fleet as fleets
 from fulmarbarrow.consensus import messages as consensus_messages
+from fulmarbarrow.delivery import messages as delivery_messages
 from fulmarbarrow.duties import messages as duties_messages
+from fulmarbarrow.membership import messages as membership_messages
+from fulmarbarrow.usage import grouping
 from fulmarbarrow.usage import messages
 from fulmarbarrow.usage import packing
 
@@ -195,6 +199,97 @@
     fleet.run(23 - duration)
 
 
+@behave.when(
+    "a host gains the duty after {duration:d} seconds and a router is not told"
+)
+def step_not_told(context, duration):
+    fleet = context.fleet
+    fleet.load(RATE, 10, 20)
+    fleet.run(duration)
+    fleet.routers[0].cut = True  # only the first announcement is lost
+    fleet.hold(fleet.controls[1])
+    fleet.routers[0].cut = False
+    fleet.run(25 - duration)
+
+
+@behave.when("the platform is up again with a new holder at second {at:d}")
+def step_up_again(context, at):
+    fleet = context.fleet
+    fleet.load(RATE, 10, at)
+    fleet.run(at)
+    fleet.platform.down = False
+    fleet.platform.calls.clear()
+    fleet.hold(fleet.controls[1])
+    fleet.run(6)
+
+
+@behave.then("the windows that can be in time are reported first")
+def step_in_time_first(context):
+    fleet = context.fleet
+    windows = [call.window - context.first for call in fleet.platform.calls]
+    assert windows[:2] == [3, 4], windows
+    assert set(windows) >= set(range(6)), windows
+    assert all(fleet.error_of(context.first + n) == 0 for n in range(5))
+
+
+@behave.when("the duty moves before the answers to the first calls arrive")
+def step_move_open(context):
+    fleet = context.fleet
+    fleet.load(RATE, 10, 20)
+    while not fleet.platform.calls:
+        fleet.run(0.01)
+    fleet.holder.core._tenure.until = fleet.now  # as after a lost lease
+    fleet.run(0.03)
+    assert not any(item.accepted for item in fleet.holder.core._windows)
+    fleet.hold(fleet.controls[1])
+    fleet.run(20)
+    assert len(fleet.platform.accepted) >= 3
+
+
+@behave.when("the duty is lost before the failure that asks for a handover")
+def step_lost_before_failure(context):
+    fleet = context.fleet
+    while not fleet.notes:
+        fleet.run(0.01)
+    calls = len(fleet.platform.calls)
+    # Once more, up to the moment before the end of the last of these calls.
+    step_down(context, 4)
+    fleet = context.fleet
+    while len(fleet.platform.calls) < calls:
+        fleet.run(0.01)
+    assert calls >= 3 and not fleet.notes
+    fleet.hold(fleet.controls[1])
+    fleet.run(0.2)
+
+
+@behave.then("the host asks for no handover")
+def step_no_handover(context):
+    assert not context.fleet.notes, context.fleet.notes
+
+
+@behave.when("the duty moves at each request for {duration:d} seconds")
+def step_moves(context, duration):
+    fleet = context.fleet
+    context.moved_at = []
+    for _ in range(duration * 10):
+        fleet.run(0.1)
+        if fleet.notes:
+            fleet.notes.clear()
+            context.moved_at.append(fleet.now)
+            moves = len(context.moved_at)
+            fleet.hold(fleet.controls[moves % len(fleet.controls)])
+
+
+@behave.then(
+    "there were at most {most:d} requests, the last ones {apart:d} seconds "
+    "apart"
+)
+def step_moved(context, most, apart):
+    moved_at = context.moved_at
+    assert 4 <= len(moved_at) <= most, moved_at
+    assert moved_at[-1] - moved_at[-2] >= fleets.seconds(apart), moved_at
+
+
 @behave.when("another host gains the duty and the first does not learn of it")
 def step_two_holders(context):
     fleet = context.fleet
@@ -252,6 +347,226 @@
         )
 
 
+@behave.when("{counts} reach the holder")
+def step_counts(context, counts):
+    fleet = context.fleet
+    fleet.run(1)
+    node = fleet.holder
+    if counts == "early counts":
+        node = fleet.restart(node)
+        fleet.hold(node)
+    far = counts == "counts of a far window"
+    entry = messages.WindowCounts(
+        window=fleet.window + (9 if far else 0),
+        whole=True,
+        final=True,
+        packed=b"\xff" * 9 if counts == "unreadable counts" else b"",
+        others=(("a", 1),),
+    )
+    routers = [
+        messages.RouterCounts(
+            router=f"router-{n}", incarnation=1, windows=(entry,)
+        )
+        for n in range(1100 if "1100" in counts else 2)
+    ]
+    event = messages.UsageCounts(
+        reply_to="router-9",
+        sequence=1,
+        holder_number=fleet.number,
+        names=packing.Names().digest,
+        routers=packing.pack_routers(routers),
+    )
+    context.effects = node.core.handle(event, fleet.now)
+
+
+@behave.then("the answer of the holder is {answer}")
+def step_answer(context, answer):
+    confirmed = [effect.message.sequence for effect in context.effects]
+    assert confirmed == ([1] if answer == "yes" else []), confirmed
+
+
+@behave.when(
+    "a router counts more after a sending and the confirmation arrives"
+)
+def step_late_confirmation(context):
+    fleet = context.fleet
+    router = fleet.routers[0]
+    began = delivery_messages.RequestBegan(account="a")
+    fleet.run(4)
+    fleet.holder.cut = True
+    for core_router in fleet.routers:
+        core_router.post(began)
+    fleet.run(3.5)  # all have sent their whole counts
+    sequences = list(router.core._unanswered) or [0]
+    router.core._place("late", router.now() - fleets.seconds(4))
+    fleet.run(0.8)
+    for sequence in {*sequences, 0}:
+        router.post(
+            messages.CountsTaken(
+                holder_number=fleet.number,
+                sequence=sequence,
+                settled_before=0,
+                windows=(context.first,) if not sequence else (),
+            )
+        )
+
+
+@behave.then("the window is not confirmed")
+def step_not_confirmed(context):
+    router = context.fleet.routers[0]
+    routers = router.core.dump()["routers"]
+    window = routers[router.record.daemon_id][context.first]
+    assert window["requests"] == 2 and not window["confirmed"], window
+
+
+@behave.when("a router restarts at second {at:d} with requests")
+def step_restart_router(context, at):
+    fleet = context.fleet
+    former = fleet.routers[0]
+    context.sequences = set()
+    send = fleet.send
+
+    def watch(sender, event):
+        if sender is former and isinstance(
+            event.message, messages.UsageCounts
+        ):
+            context.sequences.add(event.message.sequence)
+        send(sender, event)
+
+    fleet.send = watch
+    fleet.load(RATE, 10, at)
+    fleet.run(at)
+    fleet.holder.cut = True
+    context.former = former.record
+    context.restarted = fleet.restart(former)
+    for control in fleet.controls:
+        told = messages.ClockTold(
+            daemon_id=control.record.daemon_id,
+            incarnation=control.record.incarnation,
+            at=fleet.now,
+        )
+        context.restarted.post(told)
+    announced = duties_messages.HolderAnnounced(
+        duty=fleets.USAGE,
+        holder=fleet.holder.record.daemon_id,
+        address=fleet.holder.record.address,
+        number=fleet.number,
+    )
+    context.restarted.post(announced)
+    fleet.run(6)
+
+
+@behave.then("confirmations for the former process change nothing")
+def step_former(context):
+    window = context.first + 1
+    assert len(context.sequences) > 5
+    for sequence in {0, *context.sequences}:
+        context.restarted.post(
+            messages.CountsTaken(
+                holder_number=context.fleet.number,
+                sequence=sequence,
+                settled_before=0,
+                windows=() if sequence else (window,),
+                incarnation=0 if sequence else context.former.incarnation,
+            )
+        )
+    core = context.restarted.core
+    kept = core.dump()["routers"][context.former.daemon_id][window]
+    assert kept["final"] and not kept["confirmed"], kept
+
+
+@behave.when("every router gets {wrong} at second {at:d} of 20 with requests")
+def step_wrong_message(context, wrong, at):
+    fleet = context.fleet
+    fleet.load(RATE, 10, 20)
+    fleet.run(at)
+    time = datetime.datetime.max
+    if "zone" not in wrong:
+        time = time.replace(tzinfo=datetime.UTC)
+    for router in fleet.routers:
+        for number in range(4):
+            told = messages.ClockTold(
+                daemon_id=f"control-{number}", incarnation=1, at=time
+            )
+            taken = messages.CountsTaken(
+                holder_number=fleet.number,
+                sequence=0,
+                settled_before=1 << 60,
+            )
+            router.post(taken if "settled" in wrong else told)
+    fleet.run(23 - at)
+
+
+@behave.when(
+    "copies of {count:d} routers reach a router that has just started"
+)
+def step_copies(context, count):
+    fleet = context.fleet
+    router = fleet.restart(fleet.routers[0])
+    entry = messages.WindowCounts(
+        window=fleet.window, whole=False, final=False, packed=b""
+    )
+    copies = [
+        messages.RouterCounts(
+            router=f"other-{n}", incarnation=1, windows=(entry,)
+        )
+        for n in range(count)
+    ]
+    event = messages.UsageCounts(
+        reply_to="other",
+        sequence=1,
+        holder_number=fleet.number,
+        names=packing.Names().digest,
+        routers=packing.pack_routers(copies),
+        forward=True,
+    )
+    router.post(event)
+    fleet.load(RATE, 10, 20)
+    fleet.run(1)
+    router.post(event)
+    fleet._announce(fleet.holder, fleet.number)
+    fleet.run(22)
+
+
+@behave.given("{count:d} routers of zones with the weights {weights}")
+def step_zones(context, count, weights):
+    zones = [
+        f"zone-{number}"
+        for number, weight in enumerate(weights.split())
+        for _ in range(int(weight))
+    ]
+    context.daemons = [
+        membership_messages.Daemon(
+            daemon_id=f"router-{n}",
+            incarnation=1,
+            zone=zones[n % len(zones)],
+            region="region",
+            address=f"router-{n}",
+            roles=("router",),
+        )
+        for n in range(count)
+    ]
+
+
+@behave.when("each of them chooses a forwarding router")
+def step_choose(context):
+    context.chosen = [
+        (daemon, grouping.forwarder(daemon, context.daemons))
+        for daemon in context.daemons
+    ]
+
+
+@behave.then("no router forwards for more than {most:d} others")
+def step_most(context, most):
+    groups = collections.Counter(head.daemon_id for _, head in context.chosen)
+    assert max(groups.values()) <= most, groups
+
+
+@behave.then("they all forward for routers of other zones")
+def step_other_zones(context):
+    assert all(head.zone != me.zone for me, head in context.chosen)
+
+
 @behave.then("every count of {count:d} windows is right")
 def step_right(context, count):
     fleet = context.fleet
--- a/fulmarbarrow/usage/router.py
+++ b/fulmarbarrow/usage/router.py
@@ -36,7 +36,7 @@
 MAX_UNANSWERED = 16  # messages to the collector
 CONTROL_ROLE = "control"
 
-_Numbers = tuple[int, ...]
+_Versions = dict[int, int | None]  # of each window
 
 
 class UsageRouter:
@@ -81,14 +81,14 @@
         self._names = packing.Names()
         self._names_refused: int | None = None
         self._unplaced: list[tuple[datetime.datetime, str]] = []
-        self._ledger = ledgers.Ledger()
+        self._ledger = ledgers.Ledger(own=self._me)
         self._group: dict[ledgers.Source, str] = {}
         self._next_window: int | None = None
         self._collector: duties_messages.HolderAnnounced | None = None
         self._next_send_at: datetime.datetime | None = None
         self._leaving = False
-        self._sequence = 0
-        self._unanswered: dict[int, dict[ledgers.Source, _Numbers]] = {}
+        self._sequence = daemon.incarnation
+        self._unanswered: dict[int, dict[ledgers.Source, _Versions]] = {}
 
     def handle(
         self, event: message.Message, now: datetime.datetime
@@ -104,7 +104,7 @@
             case messages.UsageCounts(forward=True):
                 self._on_copies(event, now)
             case messages.CountsTaken():
-                return self._on_taken(event)
+                return self._on_taken(event, now)
             case duties_messages.HolderAnnounced(
                 duty=duties_messages.Duty.USAGE
             ):
@@ -218,7 +218,7 @@
         self, event: messages.UsageCounts, now: datetime.datetime
     ) -> None:
         """Keep the counts of a router of the group."""
-        if event.names != self._names.digest:
+        if event.names != self._names.digest or self._next_window is None:
             return  # it will send them to the collector itself
         current = fleet_time.window_at(self._time.at(now), self._window)
         oldest = current - limits.kept_windows(self._window)
@@ -268,7 +268,9 @@
         self._unanswered.clear()
         self._ledger.resend()
 
-    def _on_taken(self, event: messages.CountsTaken) -> list[message.Message]:
+    def _on_taken(
+        self, event: messages.CountsTaken, now: datetime.datetime
+    ) -> list[message.Message]:
         """Record what the collector has; tell the routers of the group."""
         collector = self._collector
         if collector is None or event.holder_number != collector.number:
@@ -277,23 +279,31 @@
             self._names_refused = event.names_unknown
             self._ledger.resend()
         effects: list[message.Message] = []
-        taken = {self._me: event.windows}
+        taken: dict[ledgers.Source, _Versions] = {}
         if event.sequence and event.names_unknown is None:
             taken = self._unanswered.pop(event.sequence, {})
-        for source, windows in taken.items():
-            for number in windows:
-                self._ledger.confirm(source, number)
-            final = self._ledger.final(source, windows)
+        elif event.incarnation in (0, self._daemon.incarnation):
+            taken[self._me] = dict.fromkeys(event.windows)
+        for source, versions in taken.items():
+            final = tuple(
+                number
+                for number, version in versions.items()
+                if self._ledger.confirm(source, number, version)
+            )
             if final and source in self._group:
                 told = messages.CountsTaken(
                     holder_number=event.holder_number,
                     sequence=0,
                     settled_before=event.settled_before,
                     windows=final,
+                    incarnation=source[1],
                 )
                 address = self._group[source]
                 effects.append(message.Send(address=address, message=told))
-        self._ledger.drop_before(event.settled_before)
+        if self._next_window is not None:
+            # No window can be committed before it has ended.
+            current = fleet_time.window_at(self._time.at(now), self._window)
+            self._ledger.drop_before(min(event.settled_before, current))
         for source in [
             s for s in self._group if s not in self._ledger.sources
         ]:
@@ -440,14 +450,17 @@
 
     def _remember(self, routers: list[messages.RouterCounts]) -> None:
         """Remember what the next message to the collector has as a whole."""
-        whole = {
-            (item.router, item.incarnation): tuple(
-                entry.window for entry in item.windows if entry.whole
-            )
-            for item in routers
-        }
-        self._unanswered[self._sequence] = {
-            source: windows for source, windows in whole.items() if windows
-        }
+        taken: dict[ledgers.Source, _Versions] = {}
+        for item in routers:
+            source = (item.router, item.incarnation)
+            windows = self._ledger.sources[source]
+            versions = {
+                entry.window: windows[entry.window].version
+                for entry in item.windows
+                if entry.whole
+            }
+            if versions:
+                taken[source] = versions
+        self._unanswered[self._sequence] = taken
         if len(self._unanswered) > MAX_UNANSWERED:
             del self._unanswered[next(iter(self._unanswered))]
