Keep requests away from plain upstreams that fail fast

Change: an upstream that lost its last attempts is told as full for 1 s; only small services exchange states, again each second; 8 upstreams are compared; a reply begins with its own upstream's state.

--- a/fulmarbarrow/placement/features/plain_load.feature
+++ b/fulmarbarrow/placement/features/plain_load.feature
@@ -21,6 +21,10 @@
       | false reports of one upstream | 95      |
       | an owner lost                 | 85      |
 
+  Scenario: An upstream that fails fast does not attract requests
+    When 100 requests a second are replayed for 6 s, with and without reports, and an upstream refuses connections after 2000 ms
+    Then no more attempts are lost there with reports than without
+
   Scenario: Routers with the same old state do not all choose the same upstream
     When 100 routers know since 400 ms that one of 3 upstreams is idle
     Then between 40 and 95 of them choose that one first
--- a/fulmarbarrow/placement/features/steps/plain_load.py
+++ b/fulmarbarrow/placement/features/steps/plain_load.py
@@ -7,6 +7,7 @@
 import datetime
 import heapq
 import itertools
+import math
 import random
 
 import behave
@@ -79,10 +80,12 @@
         seed=1,
         delay_ms=0.0,
         false_load=None,
+        crash_ms=math.inf,
     ):
         self._rate = rate_per_ms
         self._rng = random.Random(seed)
         self._reports, self._delay, self._false = reports, delay_ms, false_load
+        self._crash_ms, self.lost = crash_ms, 0
         self._calls, self._order, self.now = [], itertools.count(), 0.0
         self.done = {}
         self.dead, self.starts, self.router_of = set(), {}, {}
@@ -221,6 +224,12 @@
                 )
 
     def _reach(self, index, placed, sent_at):
+        if placed.upstream_id == "plain-0" and self.now >= self._crash_ms:
+            self.lost += 1
+            self.at(
+                self.now + self._latency(index, 0), self._lose, index, placed
+            )
+            return
         upstream = self.upstreams[placed.upstream_id]
         upstream.waiting.append((index, placed, sent_at))
         self._serve(upstream)
@@ -247,6 +256,18 @@
         delay = self._latency(index, int(placed.upstream_id[-1]))
         self.at(self.now + delay, self._answered, index, placed, sent_at, load)
 
+    def _lose(self, index, placed):
+        self.handle(
+            index,
+            messages.WorkEnded(
+                request_id=placed.request_id,
+                attempt_id=placed.attempt_id,
+                upstream_id=placed.upstream_id,
+                incarnation=1,
+                outcome=messages.WorkOutcome.UNREACHABLE,
+            ),
+        )
+
     def _answered(self, index, placed, sent_at, load):
         if index in self.dead:
             return
@@ -321,6 +342,24 @@
     )
 
 
+@behave.when(
+    "{rate:d} requests a second are replayed for {seconds:d} s, with and "
+    "without reports, and an upstream refuses connections after {ms:d} ms"
+)
+def step_crash(context, rate, seconds, ms):
+    context.lost = []
+    for reports in (True, False):
+        replay = Replay(rate_per_ms=rate / 1_000, reports=reports, crash_ms=ms)
+        replay.run(seconds * 1_000)
+        context.lost.append(replay.lost)
+
+
+@behave.then("no more attempts are lost there with reports than without")
+def step_lost(context):
+    with_reports, without = context.lost
+    assert with_reports <= without, context.lost
+
+
 @behave.when(
     "{rate:d} requests a second are replayed for {seconds:d} s with {fault}"
 )
--- a/fulmarbarrow/placement/ledger.py
+++ b/fulmarbarrow/placement/ledger.py
@@ -132,6 +132,7 @@
         )
         self._reported_work = 0
         self._consecutive_losses = 0
+        self.lost_at: datetime.datetime | None = None
         self._misdirected_until = owned_since
         self._recent_placements: collections.deque[
             tuple[datetime.datetime, int]
@@ -324,6 +325,7 @@
             self._consecutive_losses = 0
         elif event.lost >> number & 1:
             self._consecutive_losses += 1
+            self.lost_at = now
         elif event.misdirected >> number & 1:
             self._misdirected_until = now + MISDIRECTED_PAUSE
 
--- a/fulmarbarrow/placement/plain_choice.py
+++ b/fulmarbarrow/placement/plain_choice.py
@@ -34,6 +34,8 @@
 LEAST_GAIN_MS = 15.0
 # An older state of another upstream is no reason to refuse a request.
 MAX_REDIRECT_AGE = datetime.timedelta(milliseconds=300)
+# Upstreams of a large service that are compared for one request.
+MAX_COMPARED = 8
 DEFAULT_REQUEST_MS = sizing.PLAIN_SERVICE_SECONDS * 1000
 
 
@@ -62,6 +64,7 @@
         now: datetime.datetime,
     ) -> list[str] | None:
         """Return the upstreams by expected time, None if no state is known."""
+        members = self._some(members, zone)
         if not any(self.active(item, now) for item in members):
             return None
         return self._sorted(members, zone, now)
@@ -100,7 +103,7 @@
         zone = self._directory.zone(event.upstream_id)
         ring = self._directory.pool_ring(event.service, "")
         others = []
-        for other_id in ring.members:
+        for other_id in self._some(ring.members, zone):
             known = self._states.get(other_id, now)
             if other_id == event.upstream_id or known is None:
                 continue
@@ -120,6 +123,20 @@
         self._states.add_placement(best_id, now)
         return True
 
+    def _some(
+        self, members: collections.abc.Sequence[str], zone: str
+    ) -> collections.abc.Sequence[str]:
+        """Return a random part of many upstreams, half of it of the zone."""
+        if len(members) <= MAX_COMPARED:
+            return members
+        near = [i for i in members if self._directory.zone(i) == zone]
+        far = [i for i in members if self._directory.zone(i) != zone]
+        count = min(len(near), max(MAX_COMPARED // 2, MAX_COMPARED - len(far)))
+        return [
+            *self._rng.sample(near, count),
+            *self._rng.sample(far, min(len(far), MAX_COMPARED - count)),
+        ]
+
     def _sorted(
         self,
         members: collections.abc.Sequence[str],
--- a/fulmarbarrow/placement/plain_states.py
+++ b/fulmarbarrow/placement/plain_states.py
@@ -18,10 +18,16 @@
 from fulmarbarrow import message
 from fulmarbarrow.placement import capacity
 from fulmarbarrow.placement import directory as directories
+from fulmarbarrow.placement import ledger as ledgers
 from fulmarbarrow.placement import load_model
 from fulmarbarrow.placement import messages
 
 EXCHANGE_INTERVAL = datetime.timedelta(milliseconds=100)
+# Unchanged states are told again before their receivers drop them.
+REPEAT_INTERVAL = datetime.timedelta(seconds=1)
+# An upstream that lost its last attempts is told as full for this long, and
+# then gets a request again.
+LOST_PAUSE = datetime.timedelta(seconds=1)
 # An older state says nothing of the present.
 MAX_STATE_AGE = datetime.timedelta(seconds=2)
 MAX_STATES = 1_024
@@ -76,8 +82,9 @@
         self._owned = owned
         self._own_address = own_address
         self._known: dict[int, KnownState] = {}
-        self._exchanged: tuple[messages.PlainState, ...] = ()
+        self._exchanged: list[tuple[int, ...]] = []
         self._exchange_due: datetime.datetime | None = None
+        self._repeat_due: datetime.datetime | None = None
 
     def __bool__(self) -> bool:
         """Return whether any plain upstream reports a pace."""
@@ -147,7 +154,11 @@
         return [self._with_states(effect, now) for effect in effects]
 
     def exchange(self, now: datetime.datetime) -> list[message.Message]:
-        """Return the messages to the owners of upstreams of the services."""
+        """Return the messages to the owners of upstreams of the services.
+
+        Only owners of small services exchange states: the messages grow with
+        the square of the number of owners.
+        """
         if not self._models:
             return []
         if self._exchange_due is not None and now < self._exchange_due:
@@ -158,18 +169,24 @@
             state = self._own_state(upstream_id, now)
             if state is None:
                 continue
+            peers = self._peers(upstream_id)
+            if len(peers) > MAX_PER_REPLY:
+                continue
             states.append(state)
             receivers |= {
                 owner.address
-                for peer in self._peers(upstream_id)
+                for peer in peers
                 if (owner := self._directory.owners.get(peer))
             }
         receivers -= {"", self._own_address}
-        sent = tuple(states)
-        if not receivers or sent == self._exchanged:
+        told = [(item.upstream, item.ahead, item.pace) for item in states]
+        repeat = self._repeat_due is None or now >= self._repeat_due
+        if not receivers or (told == self._exchanged and not repeat):
             return []
-        self._exchanged = sent
+        sent = tuple(states)
+        self._exchanged = told
         self._exchange_due = now + EXCHANGE_INTERVAL
+        self._repeat_due = now + REPEAT_INTERVAL
         return [
             message.Send(
                 address=address, message=messages.PlainStates(states=sent)
@@ -217,7 +234,8 @@
             return effect
         if self._own_state(reply.upstream_id, now) is None:
             return effect
-        peers = sorted(self._peers(reply.upstream_id) | {reply.upstream_id})
+        others = self._peers(reply.upstream_id) - {reply.upstream_id}
+        peers = [reply.upstream_id, *sorted(others)]
         states = []
         for peer in peers[:MAX_PER_REPLY]:
             known = self.get(peer, now)
@@ -244,8 +262,12 @@
         model = self._models.get(upstream)
         if model is None or not is_plain(upstream):
             return None
+        if not self._directory.usable(upstream):
+            return None
         age = model.pace_age(now) or datetime.timedelta(0)
         ahead = max(len(owned.ledger), model.requests(now))
+        if self._takes_nothing(owned.ledger, now):
+            ahead = max(ahead, 2 * upstream.slots)
         return messages.PlainState(
             upstream=state_key(upstream_id),
             ahead=min(ahead + len(owned.queue), MAX_AHEAD),
@@ -256,6 +278,21 @@
             mean_pace=int(model.mean_pace(now) * 100),
         )
 
+    @staticmethod
+    def _takes_nothing(ledger: ledgers.Ledger, now: datetime.datetime) -> bool:
+        """Return whether an upstream has just failed or has to be spared.
+
+        One that fails fast has little work ahead and would attract more.
+        """
+        if ledger.misdirected(now) or ledger.pacer.wait(now):
+            return True
+        lost_at = ledger.lost_at
+        return (
+            not ledger.responsive
+            and lost_at is not None
+            and now - lost_at < LOST_PAUSE
+        )
+
 
 def _plausible(state: messages.PlainState) -> bool:
     """Return whether a state can be used without a check."""
