Name replicas of directory entries and headers of duties plainly

Cause: "keeper" is no term of the field, and the stand-in of the platform's API repeated header names that belong to the adapter.

Change: replicas; both names in platform/headers.py.

--- a/fulmarbarrow/placement/part_directory.py
+++ b/fulmarbarrow/placement/part_directory.py
@@ -314,10 +314,10 @@
                 self._changed.pop(part, None)
                 continue
             entry = self._table.get(part)
-            if entry is not None and self._keepers(entry) - entry.copied_to:
+            if entry is not None and self._replicas(entry) - entry.copied_to:
                 self._mark_changed(part)
 
-    def _keepers(self, entry: part_holders.Entry) -> set[str]:
+    def _replicas(self, entry: part_holders.Entry) -> set[str]:
         """Return the addresses of the other owners that keep an entry.
 
         The homes of a prefix with several homes have keys of their own. Each
@@ -328,13 +328,13 @@
         ring = self._directory.pool_ring(service, model, version)
         addresses: set[str] = set()
         for key in entry.keys:
-            addresses |= self._key_keepers(ring.best(key, MAX_RANKED))
+            addresses |= self._key_replicas(ring.best(key, MAX_RANKED))
             prefix = prefixes.prefix_of(key)
             if prefix != key:
                 addresses |= self._addresses(ring.best(prefix, 1))
         return addresses - {self._address}
 
-    def _key_keepers(self, ranked: list[str]) -> set[str]:
+    def _key_replicas(self, ranked: list[str]) -> set[str]:
         """Return the owners of the first two engines, of a third if needed.
 
         The first two may have one owner or be in one zone. Their loss would
@@ -367,8 +367,8 @@
             entry = self._table.get(part)
             if entry is None:
                 continue
-            keepers = self._keepers(entry)
-            entry.copied_to = frozenset(keepers)
+            replicas = self._replicas(entry)
+            entry.copied_to = frozenset(replicas)
             entry.copied_at = now
             encoded = messages.PartEntry(
                 part=part,
@@ -383,7 +383,7 @@
                     for engine, holder in entry.holders.items()
                 ),
             )
-            for address in keepers:
+            for address in replicas:
                 batches[address, entry.pool].append(encoded)
         self._metrics.count("part_entries_copied", len(parts))
         return [
--- a/fulmarbarrow/placement/part_sources.py
+++ b/fulmarbarrow/placement/part_sources.py
@@ -281,15 +281,15 @@
         self, attempt: _Attempt, upstream: membership_messages.Upstream
     ) -> None:
         """Report a placement that no directory owner has granted."""
-        keeper = self._keeper(attempt)
+        entry_owner = self._entry_owner(attempt)
         if (
-            keeper is None
+            entry_owner is None
             or attempt.recorder == upstream.upstream_id == (attempt.homes[0])
         ):
             return
         self._report(attempt, upstream.upstream_id, holds=True)
 
-    def _keeper(self, attempt: _Attempt) -> tuple[str, str] | None:
+    def _entry_owner(self, attempt: _Attempt) -> tuple[str, str] | None:
         """Return the home, or else the backup, and its owner's address."""
         for upstream_id in attempt.homes:
             owner = self._directory.owners.get(upstream_id)
@@ -300,11 +300,11 @@
     def _report(
         self, attempt: _Attempt, upstream_id: str, *, holds: bool
     ) -> None:
-        keeper = self._keeper(attempt)
+        entry_owner = self._entry_owner(attempt)
         upstream = self._directory.upstreams.get(upstream_id)
-        if keeper is None or upstream is None:
+        if entry_owner is None or upstream is None:
             return
-        home, address = keeper
+        home, address = entry_owner
         self._reports.append(
             message.Send(
                 address=address,
--- a/fulmarbarrow/platform/cloud.py
+++ b/fulmarbarrow/platform/cloud.py
@@ -23,13 +23,12 @@
 from fulmarbarrow.duties import messages
 from fulmarbarrow import message
 from fulmarbarrow.observe import metrics as metrics_module
+from fulmarbarrow.platform import headers
 from fulmarbarrow.scaling import messages as scaling_messages
 from fulmarbarrow.usage import messages as usage_messages
 
 log = logging.getLogger(__name__)
 
-HOLDER = "X-Lease-Holder"
-NUMBER = "X-Fencing-Token"
 USAGE_PATH = "/usage"
 SCALE_PATH = "/scale"
 # Of the fleet's calls, by duty, as each duty may be held by another host. The
@@ -414,8 +413,8 @@
             target=call.path,
             headers=[
                 ("Host", self._address),
-                (HOLDER, self._holder),
-                (NUMBER, str(call.number)),
+                (headers.LEASE_HOLDER, self._holder),
+                (headers.FENCING_NUMBER, str(call.number)),
                 ("Content-Type", "application/json"),
                 ("Content-Length", str(len(call.body))),
                 ("Connection", "close"),
--- a/fulmarbarrow/standins/cloud.py
+++ b/fulmarbarrow/standins/cloud.py
@@ -13,6 +13,8 @@
 from twisted.web import resource as resources
 from twisted.web import server
 
+from fulmarbarrow.platform import headers
+
 MAX_KEPT = 10_000  # calls in the lists
 
 
@@ -138,7 +140,7 @@
     def _read(self, request: http.Request, data: bytes) -> Taken | None:
         try:
             body = msgspec.json.decode(data)
-            number = int(request.getHeader("X-Fencing-Token") or "")
+            number = int(request.getHeader(headers.FENCING_NUMBER) or "")
             if request.path == b"/usage":
                 subject = ""
             else:
@@ -150,7 +152,7 @@
         return Taken(
             at=self._reactor.seconds(),
             machine=request.getClientAddress().host,
-            holder=request.getHeader("X-Lease-Holder") or "",
+            holder=request.getHeader(headers.LEASE_HOLDER) or "",
             number=number,
             subject=subject,
             body=body,
