Repeat pushes of the states of rollouts

Cause: a state was pushed once, by the host that led when it was applied; routers asked only for rollouts of which they knew no state. A router that missed a later push stayed in its state.

Change: the leader repeats the pushes of all rollouts, and routers ask for every rollout whose known state is not final.

--- a/fulmarbarrow/versions/features/rollouts.feature
+++ b/fulmarbarrow/versions/features/rollouts.feature
@@ -75,6 +75,22 @@
       | is good       | 9.5  | 2.5  | completed   |
       | fails later   | 4.2  | 8    | rolled_back |
 
+  # Guards against routers that never learn of a state whose push is lost.
+  Scenario Outline: Routers learn of states whose first <messages> are lost
+    Given a fleet of 8 routers with 400 requests a second
+    And a new version that <fault>
+    And the first <messages> are lost
+    When a rollout to v2 in 14 seconds is ordered
+    And it runs for 14 seconds
+    Then the rollout to v2 is <end> before its deadline
+    And every router knows that the rollout is <end>
+
+    Examples:
+      | messages            | fault         | end         |
+      | pushes              | is good       | completed   |
+      | pushes              | fails at once | rolled_back |
+      | pushes and requests | is good       | completed   |
+
   # Guards against a deadline by the wall clock of another host.
   Scenario Outline: Clocks that differ by seconds do not shift the deadline
     Given a fleet of 8 routers with 400 requests a second
--- a/fulmarbarrow/versions/features/steps/rollouts.py
+++ b/fulmarbarrow/versions/features/steps/rollouts.py
@@ -59,6 +59,8 @@
         self.skews = {}  # seconds by which a host's wall clock is ahead
         self.queue, self.open = [], []
         self.cut, self.deaf = set(), set()
+        self.lost = ""  # which messages get lost
+        self.seen = set()
         self.leader, self.leads_from, self.term = "control-0", START, 1
         self.revision, self.index = 0, 0
         self.bundle = bundles.Bundle()
@@ -163,11 +165,23 @@
             now = self.now + self.skews.get(name, 0) * SECOND
             self.run_effects(name, core.handle(event, now))
 
+    def loses(self, sent):
+        """Return whether a message is lost, as the first push of a state."""
+        if isinstance(sent.message, messages.RolloutsRequest):
+            return "requests" in self.lost
+        if not isinstance(sent.message, messages.RolloutPush):
+            return False
+        key = (sent.address, sent.message.state)
+        first = key not in self.seen
+        self.seen.add(key)
+        return first and "pushes" in self.lost
+
     def run_effects(self, name, effects):
         for effect in effects:
             match effect:
                 case message.Send():
-                    if not {name, effect.address} & self.cut:
+                    cut = {name, effect.address} & self.cut
+                    if not cut and not self.loses(effect):
                         self.queue.append((effect.address, effect.message))
                 case messages.ServiceVersions():
                     if effect.moving and self.moving_at is None:
@@ -391,6 +405,20 @@
     context.fleet.faults["service"] = fault
 
 
+@behave.given("the first {names} are lost")
+def step_lost(context, names):
+    context.fleet.lost = names
+
+
+@behave.then("every router knows that the rollout is {end}")
+def step_known(context, end):
+    fleet = context.fleet
+    move_id = fleet.moves()[-1].id
+    for name in fleet.directories:
+        states = fleet.cores[name].dump()["states"]
+        assert states.get(move_id) == end, (name, states)
+
+
 @behave.given("another service with a good version")
 def step_other(context):
     context.fleet.services = ["service", "other"]
--- a/fulmarbarrow/versions/rollout_control.py
+++ b/fulmarbarrow/versions/rollout_control.py
@@ -35,6 +35,10 @@
 PROPOSAL_TIMEOUT = datetime.timedelta(seconds=1)
 STOP_RESEND_INTERVAL = datetime.timedelta(seconds=1)
 TELL_INTERVAL = datetime.timedelta(seconds=1)
+# Pushes are repeated, as a push may be lost and a new leader has sent none.
+PUSH_INTERVAL = datetime.timedelta(seconds=1)
+ENDED_PUSH_INTERVAL = datetime.timedelta(seconds=10)
+ENDED_AFTER = datetime.timedelta(seconds=60)  # since the final step
 CONTROL_ROLE = "control"
 ROUTER_ROLE = "router"
 NO_QUORUM = "no_quorum"
@@ -162,6 +166,7 @@
         self._ordered: dict[str, datetime.datetime] = {}
         self._reads: dict[str, _Read] = {}
         self._proposed_at: dict[str, datetime.datetime] = {}
+        self._pushed_at: dict[str, datetime.datetime] = {}
         self._stops_sent_at: datetime.datetime | None = None
         self._count = 0
 
@@ -183,6 +188,7 @@
             case consensus_messages.LeaderChanged(group=self._group):
                 if self._leader is None or self._leader.term != event.term:
                     self._proposed_at.clear()
+                    self._pushed_at.clear()
                 self._leader = event
             case publishing_messages.ConfigurationChanged():
                 return self._configure(event, now)
@@ -465,7 +471,7 @@
         )
         return [
             own,
-            *self._push(step.move_id, self._routers(), now),
+            *self._push(step.move_id, now),
             *self._tell_scaling(),
         ]
 
@@ -498,6 +504,7 @@
             self._evidence,
             self._faults,
             self._proposed_at,
+            self._pushed_at,
             self._deadlines,
         ):
             for move_id in set(table) - set(self._moves):
@@ -634,6 +641,9 @@
                     )
                 )
         effects.extend(self._advance_all(now))
+        for move_id in self._moves:
+            if self._push_due(move_id, now):
+                effects.extend(self._push(move_id, now))
         if (
             self._faults
             and self._leads(now)
@@ -727,16 +737,24 @@
             and daemon.daemon_id != self._daemon.daemon_id
         ]
 
+    def _push_due(self, move_id: str, now: datetime.datetime) -> bool:
+        step = self._steps.get(move_id)
+        pushed_at = self._pushed_at.get(move_id)
+        if step is None or pushed_at is None:
+            return step is not None
+        ended = step.state in rollout_decisions.FINAL
+        long_ago = ended and now >= step.at + ENDED_AFTER
+        interval = ENDED_PUSH_INTERVAL if long_ago else PUSH_INTERVAL
+        return now >= pushed_at + interval
+
     def _push(
-        self,
-        move_id: str,
-        routers: list[membership_messages.Daemon],
-        now: datetime.datetime,
+        self, move_id: str, now: datetime.datetime
     ) -> list[message.Message]:
-        """Send a committed state to routers, as leader."""
+        """Send a committed state to all routers, as leader."""
         step = self._steps.get(move_id)
         if step is None or not self._leads(now):
             return []
+        self._pushed_at[move_id] = now
         return [
             message.Send(
                 address=daemon.address,
@@ -748,7 +766,7 @@
                 ),
                 urgent=True,
             )
-            for daemon in routers
+            for daemon in self._routers()
         ]
 
     def _answer_router(
--- a/fulmarbarrow/versions/rollout_router.py
+++ b/fulmarbarrow/versions/rollout_router.py
@@ -601,12 +601,15 @@
         return effects
 
     def _request_states(self, now: datetime.datetime) -> list[message.Message]:
-        """Ask for the states of rollouts that are not known here."""
+        """Ask for the states of rollouts that are not known to be over.
+
+        The push of a later state may have been lost.
+        """
         unknown = tuple(
             move.id
             for moves in self._moves.values()
             for move in moves
-            if move.id not in self._states
+            if self._states.get(move.id) not in _FINAL
         )
         if not unknown or (
             self._request_at is not None and now < self._request_at
