Take no outdated version for the old one of a rollout

Cause: a new order took the old version of the last rollout also after a roll-back, however long ago. If nothing served it any more, most requests to the service had no upstream.

Change: the last rollout's old version counts only while it is in progress and served, and routers replace an old version that no upstream offers.

--- a/fulmarbarrow/versions/features/rollouts.feature
+++ b/fulmarbarrow/versions/features/rollouts.feature
@@ -151,6 +151,31 @@
     And the rollout to v1 is completed before its deadline
     And nothing reaches v2 any more
 
+  # Guards against an order that leaves the service without an upstream, as
+  # the old version of an earlier rollout has been replaced since.
+  Scenario: The old version of a rollout that is over is not used again
+    Given a fleet of 8 routers with 400 requests a second
+    And a new version that fails at once
+    When a rollout to v2 in 12 seconds is ordered
+    And it runs for 6 seconds
+    And upstreams of v4 replace those of v1 and v2
+    And a rollout to v3 in 12 seconds is ordered
+    And it runs for 12 seconds
+    Then the rollout to v3 is completed before its deadline
+    And the rollout to v3 has the old version v4
+    And no request was without an upstream
+
+  # Guards against the same where the order itself has an outdated version.
+  Scenario: An old version without an upstream is replaced by the other one
+    Given a fleet of 8 routers with 400 requests a second
+    When a rollout to v2 in 12 seconds is ordered
+    And it runs for 1 seconds
+    And upstreams of v4 replace those of v1 and v1
+    And it runs for 11 seconds
+    Then the rollout to v2 is completed before its deadline
+    And the exposure never exceeded its bound before the move
+    And no request was without an upstream
+
   # Guards against a stream that another version continues.
   Scenario: A stream is continued by the version that began it
     Given a fleet of 8 routers with 400 requests a second
--- a/fulmarbarrow/versions/features/steps/rollouts.py
+++ b/fulmarbarrow/versions/features/steps/rollouts.py
@@ -61,6 +61,7 @@
         self.cut, self.deaf = set(), set()
         self.lost = ""  # which messages get lost
         self.seen = set()
+        self.unserved = 0
         self.leader, self.leads_from, self.term = "control-0", START, 1
         self.revision, self.index = 0, 0
         self.bundle = bundles.Bundle()
@@ -140,6 +141,15 @@
                 self.directories[name].store_upstream(record)
             self.run_effects(name, core.handle(event, self.now))
 
+    def remove(self, upstream_id):
+        event = membership_messages.UpstreamGone(
+            upstream_id=upstream_id, incarnation=1, reason="left"
+        )
+        for name, core in self.cores.items():
+            if name in self.directories:
+                self.directories[name].remove_upstream(upstream_id, 1)
+            self.run_effects(name, core.handle(event, self.now))
+
     def configure(self):
         self.revision += 1
         services = tuple(
@@ -311,6 +321,7 @@
         event = directory.assign_version(event)
         ring = directory.pool_ring(service, "", event.version)
         if not len(ring):
+            self.unserved += 1
             return
         upstream = directory.upstreams[self.rng.choice(ring.members)]
         version = upstream.offers[0].version
@@ -419,6 +430,26 @@
         assert states.get(move_id) == end, (name, states)
 
 
+@behave.when("upstreams of {version} replace those of {first} and {second}")
+def step_replace(context, version, first, second):
+    fleet = context.fleet
+    for number in range(4):
+        fleet.upstream("service", version, number)
+        for name in {first, second}:
+            fleet.remove(f"{name}-{number}")
+
+
+@behave.then("the rollout to {target} has the old version {old}")
+def step_old(context, target, old):
+    move = context.fleet.moves()[-1]
+    assert (move.new, move.old) == (target, old), move
+
+
+@behave.then("no request was without an upstream")
+def step_served(context):
+    assert not context.fleet.unserved, context.fleet.unserved
+
+
 @behave.given("another service with a good version")
 def step_other(context):
     context.fleet.services = ["service", "other"]
--- a/fulmarbarrow/versions/rollout_control.py
+++ b/fulmarbarrow/versions/rollout_control.py
@@ -299,24 +299,26 @@
         """Return the version that a service moves from, "" if unknown.
 
         While a rollout is in progress, both of its versions serve. An order
-        for its old version takes it back.
+        for its old version takes it back. The old version of a rollout that
+        is over may be outdated.
         """
         move = self._newest.get(service)
-        if move is not None:
-            step = self._steps.get(move.id)
-            completed = step is not None and step.state is _State.COMPLETED
-            if not completed and move.old:
-                return move.old
+        state = self._answer_of(move.id) if move is not None else ""
         versions = collections.Counter(
             offer.version
             for upstream in self._serving(service)
             for offer in upstream.offers
             if offer.service == service
         )
+        if move is not None and state == IN_PROGRESS and versions[move.old]:
+            return move.old
         # A version that serves alone is moved to itself.
         if len(versions) > 1:
             del versions[target]
-        if move is not None and versions[move.new]:
+        if move is not None and state == _ANSWERS[_State.ROLLED_BACK]:
+            if len(versions) > 1:
+                del versions[move.new]
+        elif move is not None and versions[move.new]:
             return move.new
         found = versions.most_common(1)
         return found[0][0] if found else ""
--- a/fulmarbarrow/versions/rollout_router.py
+++ b/fulmarbarrow/versions/rollout_router.py
@@ -216,6 +216,7 @@
                 return self._update()
             case membership_messages.UpstreamGone():
                 self._upstreams.pop(event.upstream_id, None)
+                return self._update()
             case membership_messages.DaemonChanged():
                 self._daemons[event.daemon.daemon_id] = event.daemon
             case membership_messages.DaemonGone():
@@ -296,7 +297,7 @@
         }
         if current is state.COMPLETED:
             return messages.ServiceVersions(moving=True, **fields)
-        fields["old"] = move.old or self._other_version(move)
+        fields["old"] = self._old_version(move, barred)
         if current is None or move.id in self._stopped:
             return messages.ServiceVersions(**fields)
         if current is state.MOVING:
@@ -317,15 +318,25 @@
         whole, rest = divmod(self._slack, len(routers))
         return whole + (routers.index(self._daemon.daemon_id) < rest)
 
-    def _other_version(self, move: bundles.VersionMove) -> str:
+    def _old_version(self, move: bundles.VersionMove, barred: set[str]) -> str:
+        """Return the version that the service moves from.
+
+        The host that took the order may not have known it, or may have taken
+        a version that no upstream serves any more; then it is that of most
+        of the other upstreams.
+        """
         versions = collections.Counter(
             offer.version
             for upstream in self._upstreams.values()
             for offer in upstream.offers
-            if offer.service == move.service and offer.version != move.new
+            if offer.service == move.service
         )
+        if move.old and versions[move.old]:
+            return move.old
+        for version in barred | {move.new}:
+            del versions[version]
         found = versions.most_common(1)
-        return found[0][0] if found else NO_VERSION
+        return found[0][0] if found else move.old or NO_VERSION
 
     def _pushed(self, event: messages.RolloutPush) -> list[message.Message]:
         """Take a state of the leader, or a final one of any daemon."""
