Keep rollouts when a file is published

Cause: a published file replaced all moves, so it ended rollouts in progress and released versions that were rolled back.

Change: a publish carries over the rollouts of its services, as the amendments do.

--- a/fulmarbarrow/publishing/amendments.py
+++ b/fulmarbarrow/publishing/amendments.py
@@ -79,6 +79,24 @@
     amendment: AnyAmendment
 
 
+def with_rollouts(
+    bundle: bundles.Bundle, current: bundles.Bundle
+) -> bundles.Bundle:
+    """Return a published bundle with the rollouts of the current one.
+
+    Rollouts come from orders only. Those of services that are not in the
+    published bundle end.
+    """
+    services = {service.name for service in bundle.service}
+    rollouts = tuple(
+        move
+        for move in current.version_move
+        if is_rollout(move) and move.service in services
+    )
+    moves = tuple(move for move in bundle.version_move if not is_rollout(move))
+    return dataclasses.replace(bundle, version_move=moves + rollouts)
+
+
 @functools.singledispatch
 def apply(amendment: typing.Any, bundle: bundles.Bundle) -> bundles.Bundle:
     """Return ``bundle`` with an amendment applied to it."""
--- a/fulmarbarrow/publishing/features/amendments.feature
+++ b/fulmarbarrow/publishing/features/amendments.feature
@@ -18,6 +18,21 @@
     When zone "z1" is enabled
     Then zone "z1" is in after 3 revisions
 
+  # Guards against a file that ends rollouts and releases versions that were
+  # rolled back, whether or not its host has the current revision.
+  Scenario Outline: Rollouts are kept when a file is published at <host> host
+    Given an empty state
+    And a rollout of service "s" to "v2" is in force
+    When a file with service "s" is published at <host> host
+    Then the rollout to "v2" is in force
+    When a file with service "other" is published at <host> host
+    Then no rollout is in force
+
+    Examples:
+      | host        |
+      | the current |
+      | an outdated |
+
   # Guards against an order that undoes a later one (EVAC).
   Scenario: An order that is committed late does not undo what was accepted since
     Given control hosts "a" and "b", where zone "z1" is out
--- a/fulmarbarrow/publishing/features/steps/amendments.py
+++ b/fulmarbarrow/publishing/features/steps/amendments.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import datetime
 import json
 import random
@@ -13,6 +14,7 @@
 from fulmarbarrow.publishing import amendments
 from fulmarbarrow.publishing import delta as deltas
 from fulmarbarrow.publishing import edits
+from fulmarbarrow.publishing import messages
 from fulmarbarrow.publishing import packing
 from fulmarbarrow.publishing import state
 
@@ -41,6 +43,61 @@
     context.results = []
 
 
+def services(name):
+    kind = bundles.ServiceKind.PLAIN
+    return bundles.Bundle(service=(bundles.Service(name=name, kind=kind),))
+
+
+def publish(context, bundle, *, host, base):
+    context.publishes = getattr(context, "publishes", 0) + 1
+    request = messages.PublishRequested(
+        publish_id=str(context.publishes),
+        publisher="p",
+        base_revision=base,
+        digest="",
+        bundle=bundles.encode(bundle),
+    )
+    result = context.state.apply(host.to_publish_command(request, bundle))
+    assert not result.code, result
+
+
+@behave.given('a rollout of service "{service}" to "{target}" is in force')
+def step_rollout(context, service, target):
+    publish(context, services(service), host=context.state, base=0)
+    start = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+    order = amendments.StartRollout(
+        service=service,
+        target=target,
+        old="v1",
+        ordered_at=start,
+        deadline=start + datetime.timedelta(seconds=12),
+        share=0.1,
+    )
+    amend(context, order)
+
+
+@behave.when('a file with service "{service}" is published at {host} host')
+def step_file(context, service, host):
+    outdated = host == "an outdated"
+    origin = state.PublishedState() if outdated else context.state
+    # An account makes the content differ from that of the current revision.
+    bundle = dataclasses.replace(
+        services(service), account=(account(service),)
+    )
+    publish(context, bundle, host=origin, base=context.state.revision)
+
+
+@behave.then('the rollout to "{target}" is in force')
+def step_in_force(context, target):
+    moves = context.state.content.bundle().version_move
+    assert [move.new for move in moves] == [target], moves
+
+
+@behave.then("no rollout is in force")
+def step_none_in_force(context):
+    assert not context.state.content.bundle().version_move
+
+
 @behave.when(
     'documents with the numbers "{numbers}" and {kind} accounts are sent'
 )
--- a/fulmarbarrow/publishing/state.py
+++ b/fulmarbarrow/publishing/state.py
@@ -92,6 +92,7 @@
         self, request: messages.PublishRequested, bundle: bundles.Bundle
     ) -> PublishCommand:
         """Return the command to replicate for a request."""
+        bundle = amendments.with_rollouts(bundle, self.content.bundle())
         data = deltas.Content(bundle=bundle).encode()
         command = PublishCommand(
             publish_id=request.publish_id,
@@ -248,7 +249,9 @@
         if command.delta is not None:
             return command.delta
         return self.content.delta_to(
-            bundles.decode(command.bundle),
+            amendments.with_rollouts(
+                bundles.decode(command.bundle), self.content.bundle()
+            ),
             base=self.revision,
             publisher=command.publisher,
         )
