Begin a new rollout for an order after a roll-back

Cause: an order for the same target before the last deadline was taken for the last order sent again, also after a roll-back or with another duration, so it was acknowledged without effect.

Change: once a rollout is over, only an order with an equal duration within 10 s of it is the same. A completed rollout's target is the old version of the next order.

--- a/fulmarbarrow/publishing/amendments.py
+++ b/fulmarbarrow/publishing/amendments.py
@@ -20,6 +20,8 @@
 # Moves kept for each service, so that versions that were rolled back stay
 # without requests.
 MAX_ROLLOUTS = 8
+# Callers resend an order without a response until this long after the first.
+RESEND_TIME = datetime.timedelta(seconds=10)
 _ROLLOUT_ID = re.compile(r"rollout-[0-9]{20}-")
 _EPOCH = datetime.datetime(1970, 1, 1, tzinfo=datetime.UTC)
 _MICROSECOND = datetime.timedelta(microseconds=1)
@@ -56,7 +58,9 @@
 
     ``old`` is the version of its serving upstreams when the order was given.
     An order for the same target before the deadline of the last one is the
-    same order, sent again.
+    same order, sent again, unless the last one is over: ``ended`` is its id
+    as the host that takes the order knows it. Then only an order with the
+    same duration, soon after the last one, is the same.
     """
 
     service: str
@@ -65,6 +69,7 @@
     ordered_at: datetime.datetime
     deadline: datetime.datetime
     share: float
+    ended: str = ""
 
 
 AnyAmendment = ReplaceServices | SetZone | StartRollout
@@ -140,9 +145,7 @@
     number = (amendment.ordered_at - _EPOCH) // _MICROSECOND
     if earlier:
         last = earlier[-1]
-        if last.new == amendment.target and (
-            last.deadline > amendment.ordered_at
-        ):
+        if last.new == amendment.target and _is_same(amendment, last):
             return bundle
         # Orders stay in sequence even if the clock of their host is behind.
         number = max(number, int(last.id.split("-")[1]) + 1)
@@ -164,6 +167,17 @@
     return dataclasses.replace(bundle, version_move=(*others, *kept, move))
 
 
+def _is_same(amendment: StartRollout, last: bundles.VersionMove) -> bool:
+    """Return whether an order for the last target is the last order."""
+    if amendment.ended != last.id:
+        return last.deadline > amendment.ordered_at
+    duration = rollout_duration(last)
+    return (
+        amendment.deadline - amendment.ordered_at == duration
+        and amendment.ordered_at < last.deadline - duration + RESEND_TIME
+    )
+
+
 def is_rollout(move: bundles.VersionMove) -> bool:
     """Return whether a move was ordered by call.
 
--- a/fulmarbarrow/versions/features/rollouts.feature
+++ b/fulmarbarrow/versions/features/rollouts.feature
@@ -130,6 +130,22 @@
     Then the rollout to v2 is rolled_back before its deadline
     And there is 1 rollout
 
+  # Guards against an acknowledged order without an effect.
+  Scenario Outline: An order after a roll-back <what> is a new order
+    Given a fleet of 8 routers with 400 requests a second
+    And a new version that fails at once
+    When a rollout to v2 in 30 seconds is ordered
+    And it runs for <at> seconds
+    And a new version that is good
+    And a rollout to v2 in <seconds> seconds is ordered at control-2
+    And it runs for <seconds> seconds
+    Then the rollout to v2 is completed before its deadline
+
+    Examples:
+      | what                  | at | seconds |
+      | with another duration | 5  | 12      |
+      | that is sent later    | 11 | 30      |
+
   Scenario: A second target rolls the first one back and is completed
     Given a fleet of 8 routers with 400 requests a second
     When a rollout to v2 in 12 seconds is ordered
--- a/fulmarbarrow/versions/features/steps/rollouts.py
+++ b/fulmarbarrow/versions/features/steps/rollouts.py
@@ -411,7 +411,7 @@
     context.fleet.run(2)
 
 
-@behave.given("a new version that {fault}")
+@behave.step("a new version that {fault}")
 def step_fault(context, fault):
     context.fleet.faults["service"] = fault
 
--- a/fulmarbarrow/versions/rollout_control.py
+++ b/fulmarbarrow/versions/rollout_control.py
@@ -280,6 +280,8 @@
                 )
             ]
         self._ordered[event.order_id] = until
+        last = self._newest.get(event.service)
+        ended = last is not None and self._answer_of(last.id) != IN_PROGRESS
         return [
             publishing_messages.AmendRequested(
                 amend_id=event.order_id,
@@ -290,6 +292,7 @@
                     ordered_at=now,
                     deadline=now + event.duration,
                     share=self._settings.share,
+                    ended=last.id if last is not None and ended else "",
                 ),
                 until=until,
             )
@@ -312,14 +315,15 @@
         )
         if move is not None and state == IN_PROGRESS and versions[move.old]:
             return move.old
+        completed = state == _ANSWERS[_State.COMPLETED]
+        if move is not None and completed and versions[move.new]:
+            return move.new
         # A version that serves alone is moved to itself.
         if len(versions) > 1:
             del versions[target]
-        if move is not None and state == _ANSWERS[_State.ROLLED_BACK]:
-            if len(versions) > 1:
-                del versions[move.new]
-        elif move is not None and versions[move.new]:
-            return move.new
+        rolled_back = state == _ANSWERS[_State.ROLLED_BACK]
+        if move is not None and rolled_back and len(versions) > 1:
+            del versions[move.new]
         found = versions.most_common(1)
         return found[0][0] if found else ""
 
