Keep the steps of rollouts that are in the configuration

Cause: above 1000 steps the oldest was deleted, also of a rollout still in the configuration, which then began again and was rolled back. Two limits on the duration of an order disagreed.

Change: only steps of moves that are gone are deleted, and none before the moves are known.

The new row on the duration guards the single limit; an order above 30 days was refused before as well.

--- a/fulmarbarrow/platform/features/rollouts.feature
+++ b/fulmarbarrow/platform/features/rollouts.feature
@@ -34,5 +34,6 @@
       | {"Service":"desk","Target":"","DurationS":12}           |
       | {"Service":"desk","Target":"v2","DurationS":0}          |
       | {"Service":"desk","Target":"v2","DurationS":1e999}      |
+      | {"Service":"desk","Target":"v2","DurationS":2592001}    |
       | {"Service":"desk","Target":"v2","DurationS":"12"}       |
       | [                                                       |
--- a/fulmarbarrow/platform/operators.py
+++ b/fulmarbarrow/platform/operators.py
@@ -28,7 +28,6 @@
 
 Answer = defer.Deferred[bytes]
 Name = typing.Annotated[str, msgspec.Meta(max_length=255)]
-MAX_DURATION = datetime.timedelta(days=365)
 
 
 class RolloutOrder(msgspec.Struct, frozen=True, kw_only=True):
@@ -40,7 +39,8 @@
 
     def duration(self) -> datetime.timedelta:
         """Return the duration, 0 for one that no rollout can have."""
-        if not 0 < self.duration_s <= MAX_DURATION.total_seconds():
+        limit = versions_messages.MAX_ROLLOUT_DURATION.total_seconds()
+        if not 0 < self.duration_s <= limit:
             return datetime.timedelta()
         return datetime.timedelta(seconds=self.duration_s)
 
--- a/fulmarbarrow/versions/features/rollouts.feature
+++ b/fulmarbarrow/versions/features/rollouts.feature
@@ -192,6 +192,11 @@
     And the exposure never exceeded its bound before the move
     And no request was without an upstream
 
+  # Guards against a completed rollout that begins again without its step.
+  Scenario: The steps of many rollouts are kept
+    Given a control host with 1100 rollouts that are completed one by one
+    Then all 1100 rollouts are completed there
+
   # Guards against a stream that another version continues.
   Scenario: A stream is continued by the version that began it
     Given a fleet of 8 routers with 400 requests a second
--- a/fulmarbarrow/versions/features/steps/rollouts.py
+++ b/fulmarbarrow/versions/features/steps/rollouts.py
@@ -450,6 +450,47 @@
     assert not context.fleet.unserved, context.fleet.unserved
 
 
+@behave.given(
+    "a control host with {count:d} rollouts that are completed one by one"
+)
+def step_many(context, count):
+    context.fleet = fleet = Fleet(0, 0)
+    for number in range(count):
+        order = amendments.StartRollout(
+            service=f"service-{number}",
+            target="v2",
+            old="v1",
+            ordered_at=START + number * SECOND,
+            deadline=START + (number + 12) * SECOND,
+            share=SHARE,
+        )
+        fleet.bundle = amendments.apply(order, fleet.bundle)
+    fleet.publish()
+    fleet.run(0.1)
+    fleet.leader = ""
+    for move in fleet.bundle.version_move:
+        step = messages.RolloutStep(
+            move_id=move.id,
+            state=messages.RolloutState.COMPLETED,
+            at=START,
+        )
+        applied = consensus_messages.Applied(
+            group=GROUP,
+            index=1,
+            term=1,
+            command=msgspec.msgpack.encode(step),
+            machine=messages.ROLLOUTS_MACHINE,
+        )
+        fleet.give("control-1", applied)
+
+
+@behave.then("all {count:d} rollouts are completed there")
+def step_all_completed(context, count):
+    moves = context.fleet.cores["control-1"].dump().values()
+    states = collections.Counter(move["state"] for move in moves)
+    assert states == {"completed": count}, states
+
+
 @behave.given("another service with a good version")
 def step_other(context):
     context.fleet.services = ["service", "other"]
--- a/fulmarbarrow/versions/messages.py
+++ b/fulmarbarrow/versions/messages.py
@@ -155,6 +155,9 @@
 # Rollouts of software versions, ordered by call.
 
 
+MAX_ROLLOUT_DURATION = datetime.timedelta(days=30)
+
+
 class RolloutState(enum.StrEnum):
     """States of a rollout; each is only followed by a later one."""
 
--- a/fulmarbarrow/versions/rollout_control.py
+++ b/fulmarbarrow/versions/rollout_control.py
@@ -25,9 +25,8 @@
 
 log = logging.getLogger(__name__)
 
-MAX_STEPS = 1000
+MAX_STEPS = 1000  # beyond it, steps of moves that are gone are deleted
 MAX_WAITING = 256  # orders and reads of callers
-MAX_DURATION = datetime.timedelta(days=30)
 # Callers get an answer within 5 s. What is not committed by then is refused.
 ORDER_TIMEOUT = datetime.timedelta(seconds=4)
 # Callers of reads try another daemon after one second.
@@ -70,8 +69,15 @@
         """Return the last step of a rollout."""
         return self._steps.get(move_id)
 
-    def apply(self, step: messages.RolloutStep) -> bool:
-        """Apply a committed step; return whether it is valid."""
+    def apply(
+        self, step: messages.RolloutStep, kept: typing.Container[str] | None
+    ) -> bool:
+        """Apply a committed step; return whether it is valid.
+
+        Steps of the moves in ``kept`` are never deleted: a completed rollout
+        without its step would begin again and be rolled back. With None, as
+        long as the moves are not known, no step is deleted.
+        """
         known = self._steps.get(step.move_id)
         if known is not None and (
             known.state in rollout_decisions.FINAL
@@ -80,8 +86,12 @@
             return False
         self._steps.pop(step.move_id, None)
         self._steps[step.move_id] = step
-        if len(self._steps) > MAX_STEPS:
-            del self._steps[next(iter(self._steps))]
+        if kept is not None and len(self._steps) > MAX_STEPS:
+            # The moves of the newest steps may not be known here yet.
+            oldest = list(self._steps)[: len(self._steps) - MAX_STEPS]
+            for move_id in oldest:
+                if move_id not in kept:
+                    del self._steps[move_id]
         return True
 
     def snapshot(self) -> bytes:
@@ -252,7 +262,7 @@
         findings = []
         if not event.target:
             findings.append("Target: must not be empty")
-        if not datetime.timedelta() < seconds <= MAX_DURATION:
+        if not datetime.timedelta() < seconds <= messages.MAX_ROLLOUT_DURATION:
             findings.append("DurationS: must be above 0 and at most 30 days")
         if findings:
             return [_refused(event.order_id, findings)]
@@ -452,7 +462,9 @@
         self, step: messages.RolloutStep, now: datetime.datetime
     ) -> list[message.Message]:
         self._proposed_at.pop(step.move_id, None)
-        if not self._steps.apply(step):
+        if not self._steps.apply(
+            step, self._moves if self._revision else None
+        ):
             return []
         move = self._moves.get(step.move_id)
         log.info(
