--- a/fulmarbarrow/versions/features/rollouts.feature
+++ b/fulmarbarrow/versions/features/rollouts.feature
@@ -75,6 +75,22 @@
       | is good       | 9.5  | 2.5  | completed   |
       | fails later   | 4.2  | 8    | rolled_back |
 
+  # Guards against routers that never learn of a state whose push is lost.
+  Scenario Outline: Routers learn of states whose first <messages> are lost
+    Given a fleet of 8 routers with 400 requests a second
+    And a new version that <fault>
+    And the first <messages> are lost
+    When a rollout to v2 in 14 seconds is ordered
+    And it runs for 14 seconds
+    Then the rollout to v2 is <end> before its deadline
+    And every router knows that the rollout is <end>
+
+    Examples:
+      | messages            | fault         | end         |
+      | pushes              | is good       | completed   |
+      | pushes              | fails at once | rolled_back |
+      | pushes and requests | is good       | completed   |
+
   # Guards against a deadline by the wall clock of another host.
   Scenario Outline: Clocks that differ by seconds do not shift the deadline
     Given a fleet of 8 routers with 400 requests a second
@@ -114,6 +130,22 @@
     Then the rollout to v2 is rolled_back before its deadline
     And there is 1 rollout
 
+  # Guards against an acknowledged order without an effect.
+  Scenario Outline: An order after a roll-back <what> is a new order
+    Given a fleet of 8 routers with 400 requests a second
+    And a new version that fails at once
+    When a rollout to v2 in 30 seconds is ordered
+    And it runs for <at> seconds
+    And a new version that is good
+    And a rollout to v2 in <seconds> seconds is ordered at control-2
+    And it runs for <seconds> seconds
+    Then the rollout to v2 is completed before its deadline
+
+    Examples:
+      | what                  | at | seconds |
+      | with another duration | 5  | 12      |
+      | that is sent later    | 11 | 30      |
+
   Scenario: A second target rolls the first one back and is completed
     Given a fleet of 8 routers with 400 requests a second
     When a rollout to v2 in 12 seconds is ordered
@@ -135,6 +167,36 @@
     And the rollout to v1 is completed before its deadline
     And nothing reaches v2 any more
 
+  # Guards against an order that leaves the service without an upstream, as
+  # the old version of an earlier rollout has been replaced since.
+  Scenario: The old version of a rollout that is over is not used again
+    Given a fleet of 8 routers with 400 requests a second
+    And a new version that fails at once
+    When a rollout to v2 in 12 seconds is ordered
+    And it runs for 6 seconds
+    And upstreams of v4 replace those of v1 and v2
+    And a rollout to v3 in 12 seconds is ordered
+    And it runs for 12 seconds
+    Then the rollout to v3 is completed before its deadline
+    And the rollout to v3 has the old version v4
+    And no request was without an upstream
+
+  # Guards against the same where the order itself has an outdated version.
+  Scenario: An old version without an upstream is replaced by the other one
+    Given a fleet of 8 routers with 400 requests a second
+    When a rollout to v2 in 12 seconds is ordered
+    And it runs for 1 seconds
+    And upstreams of v4 replace those of v1 and v1
+    And it runs for 11 seconds
+    Then the rollout to v2 is completed before its deadline
+    And the exposure never exceeded its bound before the move
+    And no request was without an upstream
+
+  # Guards against a completed rollout that begins again without its step.
+  Scenario: The steps of many rollouts are kept
+    Given a control host with 1100 rollouts that are completed one by one
+    Then all 1100 rollouts are completed there
+
   # Guards against a stream that another version continues.
   Scenario: A stream is continued by the version that began it
     Given a fleet of 8 routers with 400 requests a second
--- a/fulmarbarrow/versions/features/steps/rollouts.py
+++ b/fulmarbarrow/versions/features/steps/rollouts.py
@@ -59,6 +59,9 @@
         self.skews = {}  # seconds by which a host's wall clock is ahead
         self.queue, self.open = [], []
         self.cut, self.deaf = set(), set()
+        self.lost = ""  # which messages get lost
+        self.seen = set()
+        self.unserved = 0
         self.leader, self.leads_from, self.term = "control-0", START, 1
         self.revision, self.index = 0, 0
         self.bundle = bundles.Bundle()
@@ -138,6 +141,15 @@
                 self.directories[name].store_upstream(record)
             self.run_effects(name, core.handle(event, self.now))
 
+    def remove(self, upstream_id):
+        event = membership_messages.UpstreamGone(
+            upstream_id=upstream_id, incarnation=1, reason="left"
+        )
+        for name, core in self.cores.items():
+            if name in self.directories:
+                self.directories[name].remove_upstream(upstream_id, 1)
+            self.run_effects(name, core.handle(event, self.now))
+
     def configure(self):
         self.revision += 1
         services = tuple(
@@ -163,11 +175,23 @@
             now = self.now + self.skews.get(name, 0) * SECOND
             self.run_effects(name, core.handle(event, now))
 
+    def loses(self, sent):
+        """Return whether a message is lost, as the first push of a state."""
+        if isinstance(sent.message, messages.RolloutsRequest):
+            return "requests" in self.lost
+        if not isinstance(sent.message, messages.RolloutPush):
+            return False
+        key = (sent.address, sent.message.state)
+        first = key not in self.seen
+        self.seen.add(key)
+        return first and "pushes" in self.lost
+
     def run_effects(self, name, effects):
         for effect in effects:
             match effect:
                 case message.Send():
-                    if not {name, effect.address} & self.cut:
+                    cut = {name, effect.address} & self.cut
+                    if not cut and not self.loses(effect):
                         self.queue.append((effect.address, effect.message))
                 case messages.ServiceVersions():
                     if effect.moving and self.moving_at is None:
@@ -297,6 +321,7 @@
         event = directory.assign_version(event)
         ring = directory.pool_ring(service, "", event.version)
         if not len(ring):
+            self.unserved += 1
             return
         upstream = directory.upstreams[self.rng.choice(ring.members)]
         version = upstream.offers[0].version
@@ -386,11 +411,86 @@
     context.fleet.run(2)
 
 
-@behave.given("a new version that {fault}")
+@behave.step("a new version that {fault}")
 def step_fault(context, fault):
     context.fleet.faults["service"] = fault
 
 
+@behave.given("the first {names} are lost")
+def step_lost(context, names):
+    context.fleet.lost = names
+
+
+@behave.then("every router knows that the rollout is {end}")
+def step_known(context, end):
+    fleet = context.fleet
+    move_id = fleet.moves()[-1].id
+    for name in fleet.directories:
+        states = fleet.cores[name].dump()["states"]
+        assert states.get(move_id) == end, (name, states)
+
+
+@behave.when("upstreams of {version} replace those of {first} and {second}")
+def step_replace(context, version, first, second):
+    fleet = context.fleet
+    for number in range(4):
+        fleet.upstream("service", version, number)
+        for name in {first, second}:
+            fleet.remove(f"{name}-{number}")
+
+
+@behave.then("the rollout to {target} has the old version {old}")
+def step_old(context, target, old):
+    move = context.fleet.moves()[-1]
+    assert (move.new, move.old) == (target, old), move
+
+
+@behave.then("no request was without an upstream")
+def step_served(context):
+    assert not context.fleet.unserved, context.fleet.unserved
+
+
+@behave.given(
+    "a control host with {count:d} rollouts that are completed one by one"
+)
+def step_many(context, count):
+    context.fleet = fleet = Fleet(0, 0)
+    for number in range(count):
+        order = amendments.StartRollout(
+            service=f"service-{number}",
+            target="v2",
+            old="v1",
+            ordered_at=START + number * SECOND,
+            deadline=START + (number + 12) * SECOND,
+            share=SHARE,
+        )
+        fleet.bundle = amendments.apply(order, fleet.bundle)
+    fleet.publish()
+    fleet.run(0.1)
+    fleet.leader = ""
+    for move in fleet.bundle.version_move:
+        step = messages.RolloutStep(
+            move_id=move.id,
+            state=messages.RolloutState.COMPLETED,
+            at=START,
+        )
+        applied = consensus_messages.Applied(
+            group=GROUP,
+            index=1,
+            term=1,
+            command=msgspec.msgpack.encode(step),
+            machine=messages.ROLLOUTS_MACHINE,
+        )
+        fleet.give("control-1", applied)
+
+
+@behave.then("all {count:d} rollouts are completed there")
+def step_all_completed(context, count):
+    moves = context.fleet.cores["control-1"].dump().values()
+    states = collections.Counter(move["state"] for move in moves)
+    assert states == {"completed": count}, states
+
+
 @behave.given("another service with a good version")
 def step_other(context):
     context.fleet.services = ["service", "other"]
--- a/fulmarbarrow/versions/rollout_control.py
+++ b/fulmarbarrow/versions/rollout_control.py
@@ -25,9 +25,8 @@
 
 log = logging.getLogger(__name__)
 
-MAX_STEPS = 1000
+MAX_STEPS = 1000  # beyond it, steps of moves that are gone are deleted
 MAX_WAITING = 256  # orders and reads of callers
-MAX_DURATION = datetime.timedelta(days=30)
 # Callers get an answer within 5 s. What is not committed by then is refused.
 ORDER_TIMEOUT = datetime.timedelta(seconds=4)
 # Callers of reads try another daemon after one second.
@@ -35,6 +34,10 @@
 PROPOSAL_TIMEOUT = datetime.timedelta(seconds=1)
 STOP_RESEND_INTERVAL = datetime.timedelta(seconds=1)
 TELL_INTERVAL = datetime.timedelta(seconds=1)
+# Pushes are repeated, as a push may be lost and a new leader has sent none.
+PUSH_INTERVAL = datetime.timedelta(seconds=1)
+ENDED_PUSH_INTERVAL = datetime.timedelta(seconds=10)
+ENDED_AFTER = datetime.timedelta(seconds=60)  # since the final step
 CONTROL_ROLE = "control"
 ROUTER_ROLE = "router"
 NO_QUORUM = "no_quorum"
@@ -66,8 +69,15 @@
         """Return the last step of a rollout."""
         return self._steps.get(move_id)
 
-    def apply(self, step: messages.RolloutStep) -> bool:
-        """Apply a committed step; return whether it is valid."""
+    def apply(
+        self, step: messages.RolloutStep, kept: typing.Container[str] | None
+    ) -> bool:
+        """Apply a committed step; return whether it is valid.
+
+        Steps of the moves in ``kept`` are never deleted: a completed rollout
+        without its step would begin again and be rolled back. With None, as
+        long as the moves are not known, no step is deleted.
+        """
         known = self._steps.get(step.move_id)
         if known is not None and (
             known.state in rollout_decisions.FINAL
@@ -76,8 +86,12 @@
             return False
         self._steps.pop(step.move_id, None)
         self._steps[step.move_id] = step
-        if len(self._steps) > MAX_STEPS:
-            del self._steps[next(iter(self._steps))]
+        if kept is not None and len(self._steps) > MAX_STEPS:
+            # The moves of the newest steps may not be known here yet.
+            oldest = list(self._steps)[: len(self._steps) - MAX_STEPS]
+            for move_id in oldest:
+                if move_id not in kept:
+                    del self._steps[move_id]
         return True
 
     def snapshot(self) -> bytes:
@@ -162,6 +176,7 @@
         self._ordered: dict[str, datetime.datetime] = {}
         self._reads: dict[str, _Read] = {}
         self._proposed_at: dict[str, datetime.datetime] = {}
+        self._pushed_at: dict[str, datetime.datetime] = {}
         self._stops_sent_at: datetime.datetime | None = None
         self._count = 0
 
@@ -183,6 +198,7 @@
             case consensus_messages.LeaderChanged(group=self._group):
                 if self._leader is None or self._leader.term != event.term:
                     self._proposed_at.clear()
+                    self._pushed_at.clear()
                 self._leader = event
             case publishing_messages.ConfigurationChanged():
                 return self._configure(event, now)
@@ -246,7 +262,7 @@
         findings = []
         if not event.target:
             findings.append("Target: must not be empty")
-        if not datetime.timedelta() < seconds <= MAX_DURATION:
+        if not datetime.timedelta() < seconds <= messages.MAX_ROLLOUT_DURATION:
             findings.append("DurationS: must be above 0 and at most 30 days")
         if findings:
             return [_refused(event.order_id, findings)]
@@ -274,6 +290,8 @@
                 )
             ]
         self._ordered[event.order_id] = until
+        last = self._newest.get(event.service)
+        ended = last is not None and self._answer_of(last.id) != IN_PROGRESS
         return [
             publishing_messages.AmendRequested(
                 amend_id=event.order_id,
@@ -284,6 +302,7 @@
                     ordered_at=now,
                     deadline=now + event.duration,
                     share=self._settings.share,
+                    ended=last.id if last is not None and ended else "",
                 ),
                 until=until,
             )
@@ -293,25 +312,28 @@
         """Return the version that a service moves from, "" if unknown.
 
         While a rollout is in progress, both of its versions serve. An order
-        for its old version takes it back.
+        for its old version takes it back. The old version of a rollout that
+        is over may be outdated.
         """
         move = self._newest.get(service)
-        if move is not None:
-            step = self._steps.get(move.id)
-            completed = step is not None and step.state is _State.COMPLETED
-            if not completed and move.old:
-                return move.old
+        state = self._answer_of(move.id) if move is not None else ""
         versions = collections.Counter(
             offer.version
             for upstream in self._serving(service)
             for offer in upstream.offers
             if offer.service == service
         )
+        if move is not None and state == IN_PROGRESS and versions[move.old]:
+            return move.old
+        completed = state == _ANSWERS[_State.COMPLETED]
+        if move is not None and completed and versions[move.new]:
+            return move.new
         # A version that serves alone is moved to itself.
         if len(versions) > 1:
             del versions[target]
-        if move is not None and versions[move.new]:
-            return move.new
+        rolled_back = state == _ANSWERS[_State.ROLLED_BACK]
+        if move is not None and rolled_back and len(versions) > 1:
+            del versions[move.new]
         found = versions.most_common(1)
         return found[0][0] if found else ""
 
@@ -440,7 +462,9 @@
         self, step: messages.RolloutStep, now: datetime.datetime
     ) -> list[message.Message]:
         self._proposed_at.pop(step.move_id, None)
-        if not self._steps.apply(step):
+        if not self._steps.apply(
+            step, self._moves if self._revision else None
+        ):
             return []
         move = self._moves.get(step.move_id)
         log.info(
@@ -465,7 +489,7 @@
         )
         return [
             own,
-            *self._push(step.move_id, self._routers(), now),
+            *self._push(step.move_id, now),
             *self._tell_scaling(),
         ]
 
@@ -498,6 +522,7 @@
             self._evidence,
             self._faults,
             self._proposed_at,
+            self._pushed_at,
             self._deadlines,
         ):
             for move_id in set(table) - set(self._moves):
@@ -634,6 +659,9 @@
                     )
                 )
         effects.extend(self._advance_all(now))
+        for move_id in self._moves:
+            if self._push_due(move_id, now):
+                effects.extend(self._push(move_id, now))
         if (
             self._faults
             and self._leads(now)
@@ -727,16 +755,24 @@
             and daemon.daemon_id != self._daemon.daemon_id
         ]
 
+    def _push_due(self, move_id: str, now: datetime.datetime) -> bool:
+        step = self._steps.get(move_id)
+        pushed_at = self._pushed_at.get(move_id)
+        if step is None or pushed_at is None:
+            return step is not None
+        ended = step.state in rollout_decisions.FINAL
+        long_ago = ended and now >= step.at + ENDED_AFTER
+        interval = ENDED_PUSH_INTERVAL if long_ago else PUSH_INTERVAL
+        return now >= pushed_at + interval
+
     def _push(
-        self,
-        move_id: str,
-        routers: list[membership_messages.Daemon],
-        now: datetime.datetime,
+        self, move_id: str, now: datetime.datetime
     ) -> list[message.Message]:
-        """Send a committed state to routers, as leader."""
+        """Send a committed state to all routers, as leader."""
         step = self._steps.get(move_id)
         if step is None or not self._leads(now):
             return []
+        self._pushed_at[move_id] = now
         return [
             message.Send(
                 address=daemon.address,
@@ -748,7 +784,7 @@
                 ),
                 urgent=True,
             )
-            for daemon in routers
+            for daemon in self._routers()
         ]
 
     def _answer_router(
