--- a/review/10/case.py
+++ b/review/10/case.py
@@ -82,7 +82,7 @@
 
 
 async def case(folder, trouble):
-    fleet = loopback.Fleet(folder, edges=3)
+    fleet = loopback.Fleet(folder / "record.txt", edges=3)
     record = fleet.record
     arrivals = []
     workers = [
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -56,7 +56,7 @@
 
 
 async def case(folder, trouble):
-    fleet = loopback.Fleet(folder)
+    fleet = loopback.Fleet(folder / "record.txt")
     record = fleet.record
     done, answers = {}, {}
     workers = [
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -40,7 +40,7 @@
 
 
 async def case(folder, trouble):
-    fleet = loopback.Fleet(folder)
+    fleet = loopback.Fleet(folder / "record.txt")
     record = fleet.record
     made = {}
     first = 0 if trouble else 1
--- a/review/loopback.py
+++ b/review/loopback.py
@@ -152,8 +152,8 @@
 class Record:
     """The file ``record.txt``: what was sent, answered and run, and when."""
 
-    def __init__(self, folder):
-        self._file = open(pathlib.Path(folder) / "record.txt", "w")
+    def __init__(self, path):
+        self._file = open(path, "w")
         self._began = time.monotonic()
 
     def now(self):
@@ -293,8 +293,8 @@
 class Fleet:
     """The machines of the system, on loopback addresses of their own."""
 
-    def __init__(self, folder, *, cores=3, edges=2, bounds=None):
-        self.record = Record(folder)
+    def __init__(self, record_file, *, cores=3, edges=2, bounds=None):
+        self.record = Record(record_file)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.zones = ["attica-a", "attica-b", "attica-c"]
         self.bounds = bounds or {}
@@ -788,8 +788,8 @@
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     try:
         held = asyncio.run(case(folder, trouble))
-    except (CannotRun, OSError) as error:
-        print(f"could not run: {error}")
+    except Exception as error:  # a fault of the script breaks no rule
+        print(f"could not run: {type(error).__name__}: {error}")
         raise SystemExit(2) from error
     print("rule held" if held else "RULE BROKEN")
     raise SystemExit(0 if held else 1)
