Count stream events that a router drops, and gaps that it sees

Neither logs nor metrics told where an event is lost. Hypotheses, and what decides between them:

Delivery takes the event for one that the client has: `stream_events_dropped` with `resumed` `no`. 2. Delivery takes ids that begin later for missing events: `stream_gaps`. 3. The splitter of the platform's streams ends the attempt: its warning, and neither counter. 4. The caller's connection loses it: none of these.

Measured, in a running daemon with a stand-in worker: ids from 0 count in the first, ids 2, 3, 4 in the second, ids 10, 20, 30 end with the splitter's warning. So 1, 2 and 3 hold, each for streams of its own; nothing speaks for 4.

--- a/fulmarbarrow/delivery/responses.py
+++ b/fulmarbarrow/delivery/responses.py
@@ -316,8 +316,14 @@
                 entry.request.delivered_events, attempt.received_events
             )
             if event.first_event > next_event:
+                self._metrics.count("stream_gaps")
                 kind = messages.FailureKind.CUT
                 return self._fail(entry, attempt, kind, now)
+            if event.first_event < next_event:
+                self._metrics.count(
+                    "stream_events_dropped",
+                    resumed="yes" if attempt.resume_offset else "no",
+                )
             new_data = _skip_events(event, next_event)
         if attempt.time_to_first_token is None:
             self._suspects.record_life(attempt, now)
