Know a place in a stream by its event's position, not by a count

What callers saw: streams whose ids begin at 0 came as complete without that event, also where it was the only one. Ids 2, 3, 4 or 10, 20, 30 ended in 502 after the upstream had run, others broke off. A stream that was resumed after event 0 started over.

Cause: delivery knew a place in a stream as a count of events from 0, and the platform's adapter put ids in the place of counts. That fits only ids that are the count. "None yet" and "up to event 0" were the same, later or uneven ids looked like missing events, and the splitter asked for consecutive ones.

Change: a place in a stream is a position: the number of an event in the product's own protocol, where a gap still ends the attempt, and its id on the platform, where ids only have to increase. Delivery keeps the position after the last event that the caller has, 0 for none, and drops what is before it. So no first id, step or count is assumed anywhere. By the same cause an engine that resumed later than asked, on the product's own protocol, left an event out: its own statement was taken for the caller's place.

The example with ids 1 and 3 of "A stream that lacks an event is broken" asked more than the protocol's page, which promises increasing ids and no step. It is replaced by two with ids that don't increase.

--- a/benchmarks/delivery_faults.py
+++ b/benchmarks/delivery_faults.py
@@ -205,6 +205,12 @@
         upstream.faults["ignore_offset"] = 1
 
 
+@fault("engine resumes after a later event")
+def _pass_over(world: worlds.World) -> None:
+    for upstream in world.upstreams.values():
+        upstream.faults["pass_over"] = 1
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Schedule:
     """Faults by name, each with the step at which it strikes."""
--- a/benchmarks/delivery_upstreams.py
+++ b/benchmarks/delivery_upstreams.py
@@ -191,6 +191,8 @@
     def _offset(self, run: Run) -> int:
         if self.faults["ignore_offset"] > 0:
             return 0
+        if self.faults["pass_over"] > 0 and run.start.resume_offset:
+            return run.start.resume_offset + 1
         return run.start.resume_offset
 
     def _body(self, run: Run, body: bytes) -> None:
--- a/fulmarbarrow/delivery/attempt.py
+++ b/fulmarbarrow/delivery/attempt.py
@@ -47,7 +47,6 @@
         attempt.stage = "answering"
         attempt.headers = event
         attempt.progress_at = now
-        attempt.received_events = event.resume_offset
         return True
 
     def set_stage(name: str) -> typing.Callable:
@@ -87,7 +86,8 @@
     if attempt.time_to_first_token is None:
         attempt.time_to_first_token = now - attempt.sent_at
     attempt.progress_at = now
-    attempt.received_events = event.first_event + event.events
+    if event.events:
+        attempt.next_event = event.positions[-1] + 1
     attempt.received_bytes += len(event.data)
     attempt.tokens += event.tokens
     if event.reused_tokens is not None:
--- a/fulmarbarrow/delivery/core.py
+++ b/fulmarbarrow/delivery/core.py
@@ -203,7 +203,7 @@
         self._open_requests.add(
             state.Request(
                 arrival=event,
-                delivered_events=event.resumed_from,
+                next_event=event.resumed_from,
                 grace=self._timeouts.resume_grace,
                 part_keys=prompt_parts.part_keys(event),
             )
--- a/fulmarbarrow/delivery/effects.py
+++ b/fulmarbarrow/delivery/effects.py
@@ -214,7 +214,9 @@
                 )
             )
     ended = messages.ResponseEnded(
-        request_id=request_id, events=request.delivered_events
+        request_id=request_id,
+        events=request.delivered_events,
+        last_event=request.last_event,
     )
     return [*effects, ended]
 
@@ -246,6 +248,7 @@
             code=code,
             ran=refusal.ran,
             events=request.delivered_events,
+            last_event=request.last_event,
             no_retry=request.no_retry,
         )
     return messages.RequestRefused(
--- a/fulmarbarrow/delivery/features/faults.feature
+++ b/fulmarbarrow/delivery/features/faults.feature
@@ -30,6 +30,13 @@
     When 300 seeded fault schedules run
     Then no invariant is violated
 
+  # Guards against a resumed stream that lacks an event, as the offset that its
+  # engine states was taken for the place that the caller has reached.
+  Scenario: A stream whose engine passes over an event as it resumes is whole
+    When engines cut streams and pass over an event as they resume
+    Then each stream was cut
+    And no invariant is violated
+
   Scenario Outline: The invariant checks detect that <mechanism> is off
     When fault schedules run without <mechanism> until one violates an invariant
     Then the violations include <violation>
--- a/fulmarbarrow/delivery/features/steps/faults.py
+++ b/fulmarbarrow/delivery/features/steps/faults.py
@@ -100,6 +100,27 @@
     ]
 
 
+@behave.when("engines cut streams and pass over an event as they resume")
+def step_pass_over(context):
+    context.violations, context.struck = [], []
+    for seed in range(20):
+        schedule = faults.Schedule(
+            seed=seed,
+            strikes=((1, "engine cuts its answer"),),
+            prepared=("engine resumes after a later event",),
+        )
+        _, findings, struck = faults.run(
+            schedule, faults.in_stage("attempt", "answering")
+        )
+        context.struck.append(struck)
+        context.violations += [(seed, text) for text in findings.all]
+
+
+@behave.then("each stream was cut")
+def step_each_cut(context):
+    assert all(context.struck), context.struck
+
+
 @behave.when(
     "fault schedules run without {mechanism} until one violates an invariant"
 )
--- a/fulmarbarrow/delivery/messages.py
+++ b/fulmarbarrow/delivery/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import datetime
 import enum
 
@@ -113,10 +114,10 @@
 class StartAttempt(message.Message, frozen=True, kw_only=True):
     """Effect: send the request to an upstream.
 
-    ``resume_offset`` is the number of response events that the caller
-    already has. If ``lookup`` is set, the attempt queries ``lookup_path`` for
-    the outcome of an earlier run and runs nothing. No byte may be sent at or
-    after ``dispatch_until``.
+    The caller already has the response events before ``resume_offset``. If
+    ``lookup`` is set, the attempt queries ``lookup_path`` for the outcome of
+    an earlier run and runs nothing. No byte may be sent at or after
+    ``dispatch_until``.
     """
 
     request_id: str
@@ -188,7 +189,9 @@
 
     ``first_event`` is the index of the first event in ``data``. ``echoed``
     holds the distinct attempt ids that the events carry. ``reused_tokens``
-    is None if the engine's protocol does not report it.
+    is None if the engine's protocol does not report it. Where the protocol
+    gives events ids that only increase, ``ids`` has them in the place of
+    indices.
     """
 
     attempt_id: str
@@ -199,6 +202,14 @@
     tokens: int = 0
     reused_tokens: int | None = 0
     echoed: tuple[str, ...] = ()
+    ids: tuple[int, ...] = ()
+
+    @property
+    def positions(self) -> collections.abc.Sequence[int]:
+        """The places of the events in their stream, in increasing order."""
+        if self.ids:
+            return self.ids
+        return range(self.first_event, self.first_event + self.events)
 
 
 class AttemptPaused(message.Message, frozen=True, kw_only=True):
@@ -273,11 +284,13 @@
 ):
     """Effect: the response is complete; end it.
 
-    ``events`` is the number of stream events that were forwarded.
+    ``events`` is the number of stream events that were forwarded,
+    ``last_event`` the position of the last one that the caller has.
     """
 
     request_id: str
     events: int = 0
+    last_event: int | None = None
 
 
 class ResponseAborted(
@@ -285,8 +298,9 @@
 ):
     """Effect: end a started response with an error event.
 
-    ``events`` is the number of stream events that were forwarded, ``no_retry``
-    why no further attempt was made, if that was ruled out.
+    ``events`` is the number of stream events that were forwarded,
+    ``no_retry`` why no further attempt was made, if that was ruled out, and
+    ``last_event`` the position of the last one that the caller has.
     """
 
     request_id: str
@@ -294,6 +308,7 @@
     ran: Ran
     events: int = 0
     no_retry: str = ""
+    last_event: int | None = None
 
 
 class RequestRefused(message.Message, frozen=True, kw_only=True):
--- a/fulmarbarrow/delivery/recovery.py
+++ b/fulmarbarrow/delivery/recovery.py
@@ -326,9 +326,9 @@
         sent: bool,
     ) -> Effects:
         request = entry.request
-        progressed = attempt.received_events > attempt.resume_offset
+        progressed = attempt.progressed and attempt.streamed
         request.attempts_without_progress += 1
-        if progressed and attempt.streamed:
+        if progressed:
             request.attempts_without_progress = 0
         if sent or not self._retries.unsent_are_free:
             may_retry = self._may_retry(request, attempt, progressed, now)
@@ -371,7 +371,7 @@
         request.no_retry = self._retry_obstacle(request, attempt, now)
         if request.no_retry:
             return False
-        if progressed and attempt.streamed and not self._retries.slack:
+        if progressed and not self._retries.slack:
             self._budget(request).charge(now)
             return True
         if self.withdraw_retry(request, now):
@@ -433,8 +433,7 @@
             placed=placed,
             sent_at=now,
             progress_at=now,
-            resume_offset=request.delivered_events,
-            received_events=request.delivered_events,
+            resume_offset=request.next_event,
         )
         entry.attempts[attempt.attempt_id] = attempt_machine.make_attempt(
             attempt
--- a/fulmarbarrow/delivery/replacement.py
+++ b/fulmarbarrow/delivery/replacement.py
@@ -116,7 +116,7 @@
             return [effects_module.release_placement(placed)]
         self._metrics.count("silent_attempts")
         request.attempts_without_progress += 1
-        if attempt.received_events > attempt.resume_offset:
+        if attempt.progressed:
             request.attempts_without_progress = 0
         effects = self._handler.discard_failed(
             entry, attempt, messages.FailureKind.SILENT, now
--- a/fulmarbarrow/delivery/responses.py
+++ b/fulmarbarrow/delivery/responses.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import bisect
 import datetime
 
 from fulmarbarrow.delivery import attempt as attempt_machine
@@ -310,33 +311,44 @@
         if mismatched and self._mechanisms.echo_check:
             kind = messages.FailureKind.WRONG_ATTEMPT
             return self._fail(entry, attempt, kind, now)
-        new_data = event.data
+        known = 0
         if attempt.streamed and self._mechanisms.resume_check:
-            next_event = max(
-                entry.request.delivered_events, attempt.received_events
-            )
-            if event.first_event > next_event:
+            if _lacks_event(entry.request, event):
                 self._metrics.count("stream_gaps")
                 kind = messages.FailureKind.CUT
                 return self._fail(entry, attempt, kind, now)
-            if event.first_event < next_event:
-                self._metrics.count(
-                    "stream_events_dropped",
-                    resumed="yes" if attempt.resume_offset else "no",
-                )
-            new_data = _skip_events(event, next_event)
+            known = self._count_known(entry.request, attempt, event)
         if attempt.time_to_first_token is None:
             self._suspects.record_life(attempt, now)
         if not attempt_machine.receive_data(attempt, event, now):
             self._metrics.count("late_answers_dropped")
             return []
+        new_data = _skip_events(event.data, known)
         effects = self._forward(entry, attempt, new_data)
+        if attempt.streamed and known < event.events:
+            entry.request.delivered_events += event.events - known
+            entry.request.next_event = attempt.next_event
         if self._tells_began and event.events and not entry.request.began:
             effects.extend(self._begin(entry.request, attempt))
         if attempt.streamed and attempt.end_marker:
             effects.extend(self._complete(entry, attempt, now))
         return effects
 
+    def _count_known(
+        self,
+        request: state.Request,
+        attempt: state.Attempt,
+        event: messages.AttemptData,
+    ) -> int:
+        """Return how many events of a part the caller has already."""
+        known = bisect.bisect_left(event.positions, request.next_event)
+        if known:
+            self._metrics.count(
+                "stream_events_dropped",
+                resumed="yes" if attempt.resume_offset else "no",
+            )
+        return known
+
     def _forward(
         self,
         entry: open_requests.OpenRequest,
@@ -377,10 +389,6 @@
             effects.append(
                 effects_module.start_response(request, attempt, length)
             )
-        if attempt.streamed:
-            request.delivered_events = max(
-                request.delivered_events, attempt.received_events
-            )
         effects.append(
             messages.ResponseData(request_id=request.request_id, data=data)
         )
@@ -534,13 +542,20 @@
         return []
 
 
-def _skip_events(event: messages.AttemptData, next_event: int) -> bytes:
-    """Return the data without the stream events before ``next_event``."""
-    duplicates = next_event - event.first_event
-    if duplicates <= 0:
-        return event.data
-    events = event.data.split(EVENT_SEPARATOR)
-    return EVENT_SEPARATOR.join(events[duplicates:])
+def _lacks_event(request: state.Request, event: messages.AttemptData) -> bool:
+    """Return whether an event before this part is missing.
+
+    Ids need not follow each other, so only counted events show that.
+    """
+    counted = event.events and not event.ids
+    return bool(counted) and event.first_event > request.next_event
+
+
+def _skip_events(data: bytes, count: int) -> bytes:
+    """Return the data without the first ``count`` events."""
+    if not count:
+        return data
+    return EVENT_SEPARATOR.join(data.split(EVENT_SEPARATOR)[count:])
 
 
 def _outcome(
--- a/fulmarbarrow/delivery/state.py
+++ b/fulmarbarrow/delivery/state.py
@@ -25,14 +25,14 @@
 class Attempt:
     """One attempt at an upstream.
 
-    ``received_events`` is the index of the next expected event of the
-    response, so it includes the events before ``resume_offset``.
-    ``received_bytes`` counts the body bytes received. ``unfinished_bytes`` is
-    the size of an event in which the response ended. ``relayed`` is set if a
-    body above the buffer limit was partly sent to the caller, which rules out
-    a retry. ``asked_at`` is when a replacement was last asked for, None
-    since its last progress. Its silence is looked at next at
-    ``look_again_at``, if that is later than its time limit.
+    It is to go on at the event position ``resume_offset``; ``next_event`` is
+    the position after the last event received. ``received_bytes`` counts the
+    body bytes received. ``unfinished_bytes`` is the size of an event in which
+    the response ended. ``relayed`` is set if a body above the buffer limit was
+    partly sent to the caller, which rules out a retry. ``asked_at`` is when a
+    replacement was last asked for, None since its last progress. Its silence
+    is looked at next at ``look_again_at``, if that is later than its time
+    limit.
     """
 
     attempt_id: str
@@ -43,7 +43,7 @@
     resume_offset: int = 0
     stage: str = "sending"
     headers: messages.AttemptHeaders | None = None
-    received_events: int = 0
+    next_event: int = 0
     received_bytes: int = 0
     end_marker: bool = False
     unfinished_bytes: int = 0
@@ -76,6 +76,11 @@
             return messages.BodyFraming.LENGTH
         return self.headers.framing
 
+    @property
+    def progressed(self) -> bool:
+        """Whether an event came that the caller did not have before."""
+        return self.next_event > self.resume_offset
+
     @property
     def _ended_empty(self) -> bool:
         """Whether a success without any event ended with its connection.
@@ -86,7 +91,7 @@
         return (
             self.framing is messages.BodyFraming.CONNECTION
             and self.headers.status < STATUS_ERROR
-            and self.received_events <= self.resume_offset
+            and not self.progressed
         )
 
     @property
@@ -107,7 +112,9 @@
     """An open request.
 
     ``response_started`` is set once a part of the response was sent to the
-    caller; ``delivered_events`` counts the events that the caller has.
+    caller; ``delivered_events`` counts the events that were forwarded, and
+    ``next_event`` is the position after the last one that the caller has, 0 if
+    it has none.
     ``dispatch_granted`` is set once the journal permits dispatch until
     ``dispatch_until``. ``may_have_run`` is set as soon as it can't be proven
     that no upstream ran the request; ``possible_runs`` counts the attempts
@@ -135,6 +142,7 @@
     intending: bool = False
     response_started: bool = False
     delivered_events: int = 0
+    next_event: int = 0
     attempts_without_progress: int = 0
     dispatch_granted: bool = False
     dispatch_until: datetime.datetime | None = None
@@ -171,6 +179,11 @@
             return self.arrival.deadline + self.grace
         return self.arrival.deadline
 
+    @property
+    def last_event(self) -> int | None:
+        """The position of the last event that the caller has."""
+        return self.next_event - 1 if self.next_event else None
+
     @property
     def action(self) -> bool:
         """Whether the request is not idempotent and must not run twice."""
--- a/fulmarbarrow/edge/client.py
+++ b/fulmarbarrow/edge/client.py
@@ -308,6 +308,7 @@
                 tokens=part.tokens,
                 reused_tokens=part.reused_tokens,
                 echoed=part.echoed,
+                ids=part.ids,
             )
         )
 
--- a/fulmarbarrow/edge/sse.py
+++ b/fulmarbarrow/edge/sse.py
@@ -41,7 +41,8 @@
 
     ``reused_tokens`` is what the engine says it found in its cache, None if
     its protocol doesn't tell; ``echoed`` the attempt ids that the events
-    carry, without repetition.
+    carry, without repetition; ``ids`` their own ids, if the protocol tells
+    them apart by these and not by their index.
     """
 
     data: bytes
@@ -51,6 +52,7 @@
     tokens: int
     reused_tokens: int | None
     echoed: tuple[str, ...] = ()
+    ids: tuple[int, ...] = ()
 
 
 class BrokenStreamError(Exception):
--- a/fulmarbarrow/observe/decisions.py
+++ b/fulmarbarrow/observe/decisions.py
@@ -140,7 +140,9 @@
             upstream=event.upstream_id,
             incarnation=event.incarnation,
             url=event.url,
-            resume_after=event.resume_offset or None,
+            resume_after=(
+                event.resume_offset - 1 if event.resume_offset else None
+            ),
         )
 
     @_on.register
@@ -259,6 +261,7 @@
             now,
             logging.INFO,
             events=event.events or None,
+            last_event=event.last_event,
         )
 
     @_on.register
@@ -273,6 +276,7 @@
             code=event.code,
             ran=event.ran.value,
             events=event.events or None,
+            last_event=event.last_event,
             no_retry=event.no_retry or None,
         )
 
--- a/fulmarbarrow/platform/clients.py
+++ b/fulmarbarrow/platform/clients.py
@@ -144,7 +144,7 @@
     now: datetime.datetime,
 ) -> messages.RequestArrived:
     parts = _parts(requests.header(request, headers.PROMPT_PREFIX))
-    resumed = dialect.natural(requests.header(request, headers.LAST_EVENT))
+    last_event = dialect.natural(requests.header(request, headers.LAST_EVENT))
     left = _time_left(request, route)
     rank = route.rank if account.rank is None else account.rank
     return messages.RequestArrived(
@@ -169,7 +169,7 @@
         worth=1.0,
         best_effort=False,
         deadline=now + left,
-        resumed_from=resumed or 0,
+        resumed_from=0 if last_event is None else last_event + 1,
         parts=parts,
         attempts=route.attempts,
         rank=rank,
--- a/fulmarbarrow/platform/features/path.feature
+++ b/fulmarbarrow/platform/features/path.feature
@@ -20,6 +20,67 @@
     When a client asks for a stream
     Then the client gets events 1 to 6, once each, and the end
 
+  # Guards against events that are lost, or taken for a gap, as ids were taken
+  # for a count of events (ORDER).
+  Scenario Outline: A stream with the ids <ids> comes whole on a route of kind <route>
+    Given configuration 3 and workers "i-1" of the pool
+    And streams have events with the ids <ids>
+    When a client asks for a stream of kind <route>
+    Then the client gets the events <ids>, once each, with the end
+
+    Examples:
+      | route     | ids                                      |
+      | resumable | 0                                        |
+      | resumable | 0, 1, 2, 3                               |
+      | once      | 0, 1, 2, 3                               |
+      | resumable | 2, 3, 4                                  |
+      | once      | 2, 3, 4                                  |
+      | resumable | 10, 20, 30                               |
+      | once      | 1, 3, 5                                  |
+      | resumable | 0, 1, 5, 7, 1700000000000, 1700000000001 |
+
+  Scenario Outline: A stream with the ids <ids> goes on elsewhere, where workers <fault>
+    Given configuration 3 and workers "i-1 i-2" of the pool
+    And streams have events with the ids <ids>
+    And workers asked in turn cut the answer and then <fault>
+    When a client asks for a stream
+    Then the client gets the events <ids>, once each, with the end
+
+    Examples:
+      | fault      | ids            |
+      | go on      | 0, 1, 2, 3, 4  |
+      | go on      | 0, 10, 20, 30  |
+      | go on      | 7, 8, 12, 40   |
+      | start over | 0, 1, 2, 3, 4  |
+      | start over | 10, 20, 35, 40 |
+
+  Scenario Outline: A client goes on after event <last> of a stream with the ids <ids>
+    Given configuration 3 and workers "i-1 i-2" of the pool
+    And streams have events with the ids <ids>
+    And workers asked in turn cut the answer and then <fault>
+    When a client resumes a stream after event <last>
+    Then the client gets the events <rest>, once each, with the end
+
+    Examples:
+      | fault      | ids                | last | rest           |
+      | go on      | 0, 1, 2, 3, 4      | 0    | 1, 2, 3, 4     |
+      | go on      | 0, 10, 20, 30, 40  | 10   | 20, 30, 40     |
+      | start over | 0, 1, 2, 3, 4      | 0    | 1, 2, 3, 4     |
+      | start over | 5, 10, 20, 30, 40  | 10   | 20, 30, 40     |
+
+  Scenario Outline: A broken-off stream with the ids <ids> has its events and no end
+    Given configuration 3 and workers "i-1 i-2" of the pool
+    And streams have events with the ids <ids>
+    And whichever worker is asked first cuts the answer
+    When a client asks for a stream that must run once
+    Then the client gets the events <got>, once each, without the end
+    And the request ran once
+
+    Examples:
+      | ids           | got    |
+      | 0, 1, 2, 3    | 0, 1   |
+      | 10, 20, 30    | 10, 20 |
+
   Scenario: A resumable stream goes on elsewhere within one answer
     Given configuration 3 and workers "i-1 i-2" of the pool
     And whichever worker is asked first cuts the answer
--- a/fulmarbarrow/platform/features/standin.py
+++ b/fulmarbarrow/platform/features/standin.py
@@ -214,16 +214,15 @@
         self.close_connection = self.close_connection or unframed
         if fault == "ends its connection before the first event":
             return
-        first = int(self.headers.get("Last-Event-Id") or 0) + 1
-        for number in range(first, worker.events + 1):
+        for index, number in enumerate(self._ids(fault)):
             event = f"id: {number}\ndata: {number}\n\n".encode()
-            if number == first + 2 and fault == "cuts":
+            if index == 2 and fault == "cuts":
                 self.wfile.write(b"20\r\nid: 9")
                 self.wfile.flush()
                 self.close_connection = True
                 self.connection.close()
                 return
-            if number == first + 2 and fault.endswith("inside an event"):
+            if index == 2 and fault.endswith("inside an event"):
                 self._send_part(event[: worker.cut_bytes], unframed)
                 break
             self._send_part(event, unframed)
@@ -231,6 +230,14 @@
         if not unframed:
             self.wfile.write(b"0\r\n\r\n")
 
+    def _ids(self, fault):
+        """Return the ids of the events that a stream has from here on."""
+        ids = self.server.worker.event_ids
+        after = self.headers.get("Last-Event-Id")
+        if after is None or fault == "starts over":
+            return ids
+        return [number for number in ids if number > int(after)]
+
     def _send_part(self, data, unframed):
         if not unframed:
             data = b"%x\r\n%s\r\n" % (len(data), data)
@@ -245,7 +252,7 @@
         self.worker_id = worker_id
         self.service = service
         self.model = model
-        self.events = 6
+        self.event_ids = range(1, 7)
         self.pause = 0.01
         self.cut_bytes = 8  # of an event in which a stream ends
         self.silence = 3.0
--- a/fulmarbarrow/platform/features/steps/endless.py
+++ b/fulmarbarrow/platform/features/steps/endless.py
@@ -331,19 +331,28 @@
     "and it {fault}"
 )
 def step_upload_relayed(context, size, name, fault):
+    context.workers[name].fault(fault)
+    ask_relayed(context, "/endless/1", b"x" * (size << 20))
+
+
+@behave.when("a client asks for a stream by way of the daemon")
+def step_stream_relayed(context):
+    ask_relayed(context, "/stream/1")
+
+
+def ask_relayed(context, path, body=b""):
+    """Ask the second router, which can't connect to the worker itself."""
     context.link.lose_openings()
     timer = threading.Timer(CONNECT_SECONDS / 2, context.link.pass_openings)
     timer.start()
-    context.workers[name].fault(fault)
+    context.request_id = "u1"
     fields = {
         "Host": HOST,
-        "X-Request-Id": "u1",
+        "X-Request-Id": context.request_id,
         "X-Api-Key": KEY,
         "X-Request-Deadline": "4000",
     }
-    context.answer = standin.call(
-        context.router, "POST", "/endless/1", b"x" * (size << 20), fields
-    )
+    context.answer = standin.call(context.router, "POST", path, body, fields)
 
 
 @behave.then("the daemon relayed it")
--- a/fulmarbarrow/platform/features/steps/path.py
+++ b/fulmarbarrow/platform/features/steps/path.py
@@ -162,13 +162,14 @@
 _numbers = itertools.count(1)
 
 
-def ask(context, path, method="POST", key=KEY, body=None):
+def ask(context, path, method="POST", key=KEY, body=None, **more):
     context.request_id = f"r{next(_numbers)}"
     fields = {
         "Host": HOST,
         "X-Request-Id": context.request_id,
         "X-Api-Key": key,
         "X-Request-Deadline": "4000",
+        **more,
     }
     if path.startswith("/stream"):
         fields["X-Model"] = "m"
@@ -226,6 +227,8 @@
 def step_faults_in_turn(context, fault):
     later = {
         "fail": "fails",
+        "go on": "",
+        "start over": "starts over",
         "stop inside the head": "stops inside its head",
         "end the connection before an event": (
             "ends its connection before the first event"
@@ -236,6 +239,12 @@
         worker.take_fault = lambda: next(shared, "")
 
 
+@behave.given("streams have events with the ids {ids}")
+def step_event_ids(context, ids):
+    for worker in context.workers.values():
+        worker.event_ids = [int(number) for number in ids.split(", ")]
+
+
 @behave.given(
     "each worker that is asked first is silent for {milliseconds:d} ms"
 )
@@ -628,6 +637,17 @@
     context.answer = ask(context, "/stream/once/1")
 
 
+@behave.when("a client asks for a stream of kind {route}")
+def step_stream_of_kind(context, route):
+    paths = {"resumable": "/stream/1", "once": "/stream/once/1"}
+    context.answer = ask(context, paths[route])
+
+
+@behave.when("a client resumes a stream after event {event}")
+def step_resume_stream(context, event):
+    context.answer = ask(context, "/stream/1", **{"Last-Event-Id": event})
+
+
 @behave.when("an HTTP/1.0 client asks for a stream that must run once")
 def step_stream_http10(context):
     host, _, port = context.daemon.clients.rpartition(":")
@@ -818,14 +838,23 @@
     "the client gets events {first:d} to {last:d}, once each, {end} the end"
 )
 def step_events(context, first, last, end):
+    check_events(context, range(first, last + 1), end)
+
+
+@behave.then("the client gets the events {ids}, once each, {end} the end")
+def step_event_list(context, ids, end):
+    check_events(context, map(int, ids.split(", ")), end)
+
+
+def check_events(context, wanted, end):
     status, body, _ = context.answer
     numbers = [
         int(line.removeprefix(b"id: "))
         for line in body.split(b"\n")
         if line.startswith(b"id: ")
     ]
-    assert numbers == list(range(first, last + 1)), context.answer
-    assert (status == "cut") is (end == "without"), context.answer
+    assert numbers == list(wanted), context.answer
+    assert status == ("cut" if end == "without" else 200), context.answer
 
 
 @behave.when(
--- a/fulmarbarrow/platform/features/steps/workers.py
+++ b/fulmarbarrow/platform/features/steps/workers.py
@@ -62,7 +62,7 @@
 
 @behave.when("an attempt resumes after event {event:d}")
 def step_resume(context, event):
-    send(context, start(resume_offset=event))
+    send(context, start(resume_offset=event + 1))
 
 
 @behave.when('an attempt may fetch from "{url}"')
@@ -123,9 +123,9 @@
     assert str(context.answer.refusals_borne) == count, context.answer
 
 
-@behave.given("a stream after event {event:d}")
-def step_stream(context, event):
-    context.splitter = workers.IdSplitter(after=event)
+@behave.given("a stream of a worker")
+def step_stream(context):
+    context.splitter = workers.IdSplitter()
     context.broken = False
 
 
@@ -138,6 +138,14 @@
         context.broken = True
 
 
+@behave.then("the events {ids} are passed on as they came")
+def step_events(context, ids):
+    wanted = tuple(map(int, ids.split(", ")))
+    assert context.part.ids == wanted, context.part
+    lines = b"".join(b"id: %d\ndata: x\n\n" % number for number in wanted)
+    assert context.part.data == lines, context.part
+
+
 @behave.when("the body ends")
 def step_end(context):
     context.unfinished_bytes = context.splitter.unfinished_bytes
@@ -147,7 +155,7 @@
 @behave.then("event {event:d} is passed on as it came")
 def step_event(context, event):
     part = context.part
-    assert (part.first_event, part.events) == (event - 1, 1), part
+    assert part.ids == (event,), part
     assert part.data.startswith(b"id: %d\ndata: " % event), part
 
 
@@ -173,7 +181,7 @@
 
 @behave.given("a stream of the platform after event {event:d}")
 def step_platform_stream(context, event):
-    step_stream(context, event)
+    step_stream(context)
 
 
 @behave.given("a stream of the product itself after event {event:d}")
--- a/fulmarbarrow/platform/features/workers.feature
+++ b/fulmarbarrow/platform/features/workers.feature
@@ -15,6 +15,13 @@
       | name          | value |
       | Last-Event-Id | 12    |
 
+  # Guards against a stream that starts over as its client has event 0 only.
+  Scenario: A stream goes on after event 0
+    When an attempt resumes after event 0
+    Then the worker gets
+      | name          | value |
+      | Last-Event-Id | 0     |
+
   Scenario: A prompt's memory comes from another engine
     When an attempt may fetch from "http://10.0.0.2:80"
     Then the worker gets
@@ -77,8 +84,8 @@
       | Server-Brittle: many | None  |
       | Server-Brittle: -3   | None  |
 
-  Scenario: Events are counted by their ids, whole and in order
-    Given a stream after event 3
+  Scenario: Events are told apart by their ids, whole and in order
+    Given a stream of a worker
     When the bytes "id: 4\ndata: a\n\nid: 5\nda" arrive
     Then event 4 is passed on as it came
     When the bytes "ta: b\n\n" arrive
@@ -87,31 +94,38 @@
     Then nothing more is passed on
 
   Scenario: What a complete body ends with is passed on too
-    Given a stream after event 0
+    Given a stream of a worker
     When the bytes "id: 1\ndata: a\n\n: bye" arrive
     And the body ends
     Then the last bytes are ": bye"
 
   Scenario: No part of an event is passed on when a body ends inside it
-    Given a stream after event 0
+    Given a stream of a worker
     When the bytes "id: 1\ndata: a\n\nid: 2\ndata: b\n" arrive
     And the body ends
     Then nothing more is passed on
     And 14 bytes of an event are unfinished
 
-  Scenario Outline: A stream that lacks an event is broken
-    Given a stream after event 0
+  # The protocol names neither a first id nor a step.
+  Scenario: Events need only have increasing ids
+    Given a stream of a worker
+    When the bytes "id: 0\ndata: x\n\nid: 10\ndata: x\n\nid: 13\ndata: x\n\n" arrive
+    Then the events 0, 10, 13 are passed on as they came
+
+  Scenario Outline: A stream whose events can't be told apart is broken
+    Given a stream of a worker
     When the bytes "<bytes>" arrive
     Then the stream is broken
 
     Examples:
       | bytes                              |
-      | id: 1\ndata: a\n\nid: 3\ndata: c\n\n |
+      | id: 3\ndata: a\n\nid: 1\ndata: c\n\n |
+      | id: 3\ndata: a\n\nid: 3\ndata: c\n\n |
       | data: without an id\n\n             |
       | id: 1111111111111111111\ndata: a\n\n |
 
   Scenario: An id with more digits than a number may have breaks the stream
-    Given a stream after event 0
+    Given a stream of a worker
     When an event with an id of 5000 digits arrives
     Then the stream is broken
 
--- a/fulmarbarrow/platform/workers.py
+++ b/fulmarbarrow/platform/workers.py
@@ -52,7 +52,7 @@
         if start.fetch_from:
             own[headers.FETCH] = start.fetch_from.removeprefix("http://")
         if start.resume_offset:
-            own[headers.LAST_EVENT] = str(start.resume_offset)
+            own[headers.LAST_EVENT] = str(start.resume_offset - 1)
         added = [(key.encode(), value.encode()) for key, value in own.items()]
         return dialect.RequestHead(
             method=exchange.method,
@@ -95,7 +95,6 @@
             length=dialect.length(fields),
             framing=dialect.framing(fields),
             not_run=not_run,
-            resume_offset=start.resume_offset,
             fields=headers.for_caller(fields),
             ends_with_body=True,
             rate_limit=rate,
@@ -109,7 +108,7 @@
     def splitter(self, head: messages.AttemptHeaders) -> sse.Splitter | None:
         """Return what finds the events of a stream by their ids."""
         if head.content_type.startswith(EVENT_STREAM):
-            return IdSplitter(after=head.resume_offset)
+            return IdSplitter()
         return None
 
 
@@ -185,12 +184,13 @@
 class IdSplitter:
     """Gathers bytes into whole events with increasing ids.
 
-    ``after`` is the id of the last event before the first one here.
+    The protocol promises neither a first id nor a step, so ids tell the order
+    of events but not whether one is missing.
     """
 
-    def __init__(self, *, after: int) -> None:
+    def __init__(self) -> None:
         self._buffer = sse.EventBuffer()
-        self._last = after
+        self._last = -1
 
     @property
     def unfinished_bytes(self) -> int:
@@ -200,36 +200,39 @@
     def feed(self, data: bytes) -> sse.Part:
         """Return the events that are whole now.
 
-        Raises BrokenStreamError when one is missing among them, or too long.
+        Raises BrokenStreamError when one has no id, does not follow the one
+        before it, or is too long.
         """
         whole = self._buffer.feed(data)
         if not whole:
-            return self._part(b"", 0)
-        ids = []
-        for event in whole.removesuffix(sse.SEPARATOR).split(sse.SEPARATOR):
-            found = _EVENT_ID.search(event)
-            if found is None:
-                raise sse.BrokenStreamError("an event has no id")
-            ids.append(int(found.group(1)))
-        if ids != list(range(ids[0], ids[0] + len(ids))):
-            raise sse.BrokenStreamError(f"events {ids[0]} to {ids[-1]}")
-        self._last = ids[0] - 1
-        part = self._part(whole, len(ids))
-        self._last = ids[-1]
-        return part
+            return self._part(b"", ())
+        events = whole.removesuffix(sse.SEPARATOR).split(sse.SEPARATOR)
+        return self._part(whole, tuple(map(self._take_id, events)))
 
     def rest(self) -> sse.Part:
         """Return comments after the last event, no part of another event."""
         if self.unfinished_bytes:
-            return self._part(b"", 0)
-        return self._part(self._buffer.take_rest(), 0)
-
-    def _part(self, data: bytes, events: int) -> sse.Part:
+            return self._part(b"", ())
+        return self._part(self._buffer.take_rest(), ())
+
+    def _take_id(self, event: bytes) -> int:
+        found = _EVENT_ID.search(event)
+        if found is None:
+            raise sse.BrokenStreamError("an event has no id")
+        number = int(found.group(1))
+        if number <= self._last:
+            raise sse.BrokenStreamError(f"event {number} after {self._last}")
+        self._last = number
+        return number
+
+    @staticmethod
+    def _part(data: bytes, ids: tuple[int, ...]) -> sse.Part:
         return sse.Part(
             data=data,
-            events=events,
-            first_event=self._last,
+            events=len(ids),
+            first_event=ids[0] if ids else 0,
             end_marker=False,
-            tokens=events,
+            tokens=len(ids),
             reused_tokens=None,
+            ids=ids,
         )
--- a/tools/log_reference.py
+++ b/tools/log_reference.py
@@ -19,8 +19,8 @@
 request has `framing`, how its last upstream marked the end of the body:
 `length`, `chunked`, or `connection` if only its connection ended; `peer`, the
 address of the daemon that relayed its last attempt, if one did; and `events`,
-how many events of a stream went to the caller (on the platform, the id of the
-last one). Fields without a value are left out.
+how many events of a stream went to the caller; `last_event` is the position of
+the last one that the caller has, its id on the platform. Fields without a value are left out.
 
 A daemon that relays writes `relay ended` with the `upstream`'s address, the
 `requester`, the `bytes` that came from the upstream and how it ended: `ended`
