Log the status of an upstream's error that is passed on

The line `answer complete` did not tell with which status, so that an operator had to join it with `attempt answered with an error`. Hypotheses, and what decides between them:

The upstream's own status is passed on: `answer complete` with `status`. 2. The router refuses with a wrong `ran`: `request refused` with `ran` `no` after an `attempt sent`. 3. The answer's statement is misread: `not_run` true without X-Not-Executed. 4. Only a second attempt, or one by way of a peer, goes wrong: `attempts`, `peer`.

Change: `status` on the line that ends a request, for errors, and where to look in OPERATIONS.md.

Measured, a daemon with a stand-in worker that runs an order and answers 503, 429 or 408: `attempt answered with an error` with `not_run` false and then `answer complete`, on the first attempt, on a second one and by way of a peer. So 1 holds on each way.

--- a/fulmarbarrow/observe/decisions.py
+++ b/fulmarbarrow/observe/decisions.py
@@ -24,6 +24,7 @@
 DIGEST_CHARACTERS = 8
 MAX_PARTS = 8  # of a prompt, in a line
 PART_CHARACTERS = 16
+LOWEST_ERROR_STATUS = 400
 MAX_OPEN = 20_000  # requests whose lines still miss their end
 
 
@@ -38,6 +39,7 @@
     upstream: str = ""
     attempts: int = 0
     framing: str | None = None
+    error_status: int | None = None
     peer: str | None = None
 
 
@@ -164,7 +166,7 @@
         entry = self._open.get(event.attempt_id.rpartition("-")[0])
         if entry is not None:
             entry.framing = event.framing.value
-        if event.status < 400 and event.echoed_attempt:
+        if event.status < LOWEST_ERROR_STATUS and event.echoed_attempt:
             return
         self._attempt(
             "attempt answered with an error",
@@ -250,6 +252,8 @@
         entry = self._open.get(event.request_id)
         if entry is not None:
             entry.first_at = now
+            if event.status >= LOWEST_ERROR_STATUS:
+                entry.error_status = event.status
 
     @_on.register
     def _(
@@ -615,6 +619,7 @@
         entry = self._open.get(request_id)
         if entry is not None:
             fields["framing"] = entry.framing
+            fields["status"] = entry.error_status
             fields["peer"] = entry.peer
         self._request(text, request_id, now, level=level, **fields)
         self._open.pop(request_id, None)
--- a/tools/log_reference.py
+++ b/tools/log_reference.py
@@ -18,9 +18,10 @@
 they are known `first_ms`, `last_upstream` and `attempts`. The line that ends a
 request has `framing`, how its last upstream marked the end of the body:
 `length`, `chunked`, or `connection` if only its connection ended; `peer`, the
-address of the daemon that relayed its last attempt, if one did; and `events`,
-how many events of a stream went to the caller; `last_event` is the position of
-the last one that the caller has, its id on the platform. Fields without a value are left out.
+address of the daemon that relayed its last attempt, if one did; `status`, if
+an upstream's error was passed on; `events`, how many events of a stream went
+to the caller; and `last_event`, the position of the last one that the caller
+has, its id on the platform. Fields without a value are left out.
 
 A daemon that relays writes `relay ended` with the `upstream`'s address, the
 `requester`, the `bytes` that came from the upstream and how it ended: `ended`
