Pass on no upstream's status that callers take for "not run"

What callers saw: upstreams that ran an order and then answered 503, without X-Not-Executed, had that status passed on.

Cause: delivery asked of an upstream's error only whether another upstream may be asked. What a status says to the caller was looked at for the router's own errors alone. 408, 421, 429 and 503 promise that a request has not run, whoever made them.

Change: an answer with such a status that is no rejection fails its attempt. A request that may run again goes to another upstream; where none may follow the caller gets the router's own 502, without the upstream's signature. Other statuses and true rejections go by as before.

--- a/benchmarks/delivery_faults.py
+++ b/benchmarks/delivery_faults.py
@@ -12,6 +12,7 @@
 from benchmarks import delivery_world as worlds
 from fulmarbarrow.delivery import messages
 from fulmarbarrow.delivery import policy
+from fulmarbarrow.delivery import refusals
 from fulmarbarrow.journal import control as journal_control
 from fulmarbarrow.journal import machine
 from fulmarbarrow.membership import messages as membership_messages
@@ -122,6 +123,7 @@
     ("cuts its answer", _next_answer("cut")),
     ("refuses before running", _next_answer("refuse")),
     ("answers with an error", _next_answer("error")),
+    ("answers 503 after a run", _next_answer("unavailable")),
 ):
     _on_pool(_name, _act)
 FAULTS["engine mixes events"] = lambda world: _next_answer("crossed_event")(
@@ -321,6 +323,8 @@
             runs = caller.key_runs()
         if runs:
             findings.false_not_run.append(name)
+    if sending.status in refusals.NOT_RUN_STATUSES and caller.key_runs():
+        findings.false_not_run.append(f"{name} {sending.status}")
     expected = caller.expected(sending.status)
     whole = sending.data in expected
     begun = any(right.startswith(sending.data) for right in expected)
--- a/benchmarks/delivery_upstreams.py
+++ b/benchmarks/delivery_upstreams.py
@@ -175,6 +175,10 @@
             return
         caller = run.caller
         caller.ran(run.start.request_id)
+        if self._faulty("unavailable"):
+            self._headers(run, 503, length=0)
+            self._post(run, messages.AttemptEnded(attempt_id=run.echo))
+            return
         if caller.stream:
             self._headers(
                 run,
--- a/fulmarbarrow/delivery/core.py
+++ b/fulmarbarrow/delivery/core.py
@@ -341,6 +341,9 @@
         if standing is journal_messages.EntryStanding.DONE:
             if not event.kept:
                 return self._recovery.refuse(entry, "answer_not_kept", now)
+            if event.status in refusals.NOT_RUN_STATUSES:
+                # Recorded by a build that passed such a status on.
+                return self._recovery.refuse(entry, "upstream_failed", now)
             return list(entry.inputs.replay(event))
         if event.may_look_up and request.arrival.lookup_path:
             return [
--- a/fulmarbarrow/delivery/features/requests.feature
+++ b/fulmarbarrow/delivery/features/requests.feature
@@ -30,6 +30,24 @@
     Then it completes within 1 second
     And a resend through another router is refused with answer_not_kept
 
+  # Guards against an upstream's status by which callers take an order that has
+  # run for one that has not (REFUSED).
+  Scenario: A register's 503 after a run reaches no caller of an order
+    Given every register answers its first request with 503 after its run
+    When an order is sent
+    Then it is refused with outcome_unknown
+    And the order ran once
+    And a resend through another router is refused with outcome_unknown
+
+  Scenario: A register's 503 after a run is not passed on for a look-up either
+    Given every register answers 503 after its run
+    When a look-up is sent
+    Then it is refused with upstream_failed
+
+  Scenario: A 503 that an earlier build has recorded is not replayed
+    When an order is sent whose recorded answer is a 503
+    Then it is refused with upstream_failed
+
   Scenario: A leaving engine that closes its connections implicates no prompt part
     When the connections of 4 leaving engines break under a shared part, 400 ms apart
     Then no prompt part is quarantined on any router
--- a/fulmarbarrow/delivery/features/steps/requests.py
+++ b/fulmarbarrow/delivery/features/steps/requests.py
@@ -11,6 +11,7 @@
 from benchmarks import delivery_world as worlds
 from fulmarbarrow.config import defaults
 from fulmarbarrow.delivery import messages
+from fulmarbarrow.journal import messages as journal_messages
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
 from fulmarbarrow.placement import messages as placement_messages
@@ -77,6 +78,44 @@
     get_world(context, engines=2)
 
 
+@behave.given(
+    "every register answers its first request with 503 after its run"
+)
+def step_unavailable_once(context):
+    for upstream in get_world(context).upstreams.values():
+        upstream.faults["unavailable"] = 1
+
+
+@behave.given("every register answers 503 after its run")
+def step_unavailable(context):
+    for upstream in get_world(context).upstreams.values():
+        upstream.faults["unavailable"] = 10
+
+
+@behave.when("an order is sent whose recorded answer is a 503")
+def step_recorded(context):
+    send(context, "order")
+
+    def intending():
+        opened = context.world.cores["entry-0"].dump()["open"].values()
+        return "intending" in [request["state"] for request in opened]
+
+    context.world.run(intending, 1)
+    context.world.routers[0].post(
+        journal_messages.IntendResult(
+            request_id=context.sending.request_id,
+            standing=journal_messages.EntryStanding.DONE,
+            status=503,
+        )
+    )
+
+
+@behave.then("it is refused with {code}")
+def step_refused(context, code):
+    context.world.run(lambda: context.sending.over, 10)
+    assert context.sending.code == code, context.sending
+
+
 @behave.when("a {kind} is sent")
 @behave.when("an {kind} is sent")
 def step_send(context, kind):
--- a/fulmarbarrow/delivery/refusals.py
+++ b/fulmarbarrow/delivery/refusals.py
@@ -41,6 +41,9 @@
 # hosts were stopped: a control host takes 1.5 s to start on a quarter of a
 # core, and upstreams register again within the following second.
 STARTUP_TIME = datetime.timedelta(milliseconds=2_300)
+# Statuses by which callers take a request for one that has not run and never
+# will, whoever made them.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _BEFORE_DISPATCH = "refused before any byte went to an upstream"
 
 _TABLE = (
--- a/fulmarbarrow/delivery/responses.py
+++ b/fulmarbarrow/delivery/responses.py
@@ -12,6 +12,7 @@
 from fulmarbarrow.delivery import open_requests
 from fulmarbarrow.delivery import policy
 from fulmarbarrow.delivery import recovery as recoveries
+from fulmarbarrow.delivery import refusals
 from fulmarbarrow.delivery import request as request_machine
 from fulmarbarrow.delivery import state
 from fulmarbarrow.delivery import suspects as suspects_module
@@ -259,6 +260,11 @@
                 kind = messages.FailureKind.REFUSED
                 return self._fail(entry, attempt, kind, now)
             return []
+        if event.status in refusals.NOT_RUN_STATUSES:
+            # The upstream may have run the request: it does not say otherwise.
+            self._metrics.count("statuses_withheld", status=str(event.status))
+            kind = messages.FailureKind.SERVER_ERROR
+            return self._fail(entry, attempt, kind, now)
         if request.response_started and (
             event.status != STATUS_OK or not attempt.streamed
         ):
--- a/fulmarbarrow/platform/clients.py
+++ b/fulmarbarrow/platform/clients.py
@@ -31,8 +31,6 @@
 START_PART = 0.7
 PLAIN_START_PART = 0.5
 COUNTS = 2  # of the prompt, and the most of the answer
-# Statuses that promise that the request has not run and never will.
-PROMISES = frozenset((408, 421, 429, 503))
 
 
 class Clients:
@@ -90,7 +88,9 @@
         status = refusal.status
         if status >= http.INTERNAL_SERVER_ERROR and ran is messages.Ran.NO:
             status = NOT_RUN_STATUS
-        elif status in PROMISES and ran is not messages.Ran.NO:
+        elif status in refusals.NOT_RUN_STATUSES and (
+            ran is not messages.Ran.NO
+        ):
             status = http.BAD_GATEWAY
         fields = [("Content-Type", "application/json")]
         if retry_after is not None:
--- a/fulmarbarrow/platform/features/relayed.feature
+++ b/fulmarbarrow/platform/features/relayed.feature
@@ -16,3 +16,10 @@
       | ids        |
       | 0, 1, 2, 3 |
       | 10, 20, 30 |
+
+  # Guards against a worker's own status that clients take for a promise, after
+  # the worker has run the request (REFUSED).
+  Scenario: A status after a run is no promise by way of a peer
+    When a client sends an order by way of the daemon, and its worker answers 503 signed after its run
+    Then the client gets 502 unsigned
+    And the daemon relayed it
--- a/fulmarbarrow/platform/features/standin.py
+++ b/fulmarbarrow/platform/features/standin.py
@@ -7,6 +7,7 @@
 import http.server
 import itertools
 import json
+import re
 import socket
 import struct
 import threading
@@ -57,6 +58,9 @@
     "answers a part and ends unread",
     "answers with status 000",
 )
+_AFTER_RUN = re.compile(
+    r"answers (?P<status>\d+) (?P<signed>un)?signed after its run"
+)
 # Streams with neither a length nor chunks.
 _UNFRAMED = (
     "ends its connection after the last event",
@@ -157,6 +161,9 @@
             self._send_endless(fields, *_ENDLESS[fault])
         elif fault == "fails":
             self._answer(500, fields, b"failed")
+        elif found := _AFTER_RUN.fullmatch(fault):
+            del fields[1 if found["signed"] else 2 :]
+            self._answer(int(found["status"]), fields, b"failed")
         elif "stream" in self.path:
             self._stream(fields, fault)
         else:
--- a/fulmarbarrow/platform/features/steps/endless.py
+++ b/fulmarbarrow/platform/features/steps/endless.py
@@ -122,6 +122,7 @@
             for name, kind, service in (
                 ("endless", "idempotent", "desk"),
                 ("stream", "streaming", "desk"),
+                ("order", "non_idempotent", "desk"),
                 ("other", "idempotent", "other"),
             )
         ],
@@ -340,6 +341,14 @@
     ask_relayed(context, "/stream/1")
 
 
+@behave.when(
+    "a client sends an order by way of the daemon, and its worker {fault}"
+)
+def step_order_relayed(context, fault):
+    context.workers["i-1"].fault(fault)
+    ask_relayed(context, "/order/1")
+
+
 def ask_relayed(context, path, body=b""):
     """Ask the second router, which can't connect to the worker itself."""
     context.link.lose_openings()
--- a/fulmarbarrow/platform/features/steps/path.py
+++ b/fulmarbarrow/platform/features/steps/path.py
@@ -239,6 +239,21 @@
         worker.take_fault = lambda: next(shared, "")
 
 
+@behave.given(
+    "the worker that is asked first {first}, and the next one {second}"
+)
+def step_two_faults(context, first, second):
+    shared = iter([first, second])
+    for worker in context.workers.values():
+        worker.take_fault = lambda: next(shared, "")
+
+
+@behave.given("all workers refuse")
+def step_all_refuse(context):
+    for worker in context.workers.values():
+        worker.take_fault = lambda: "refuses"
+
+
 @behave.given("streams have events with the ids {ids}")
 def step_event_ids(context, ids):
     for worker in context.workers.values():
@@ -588,7 +603,9 @@
 
 @behave.when("a client sends an order")
 def step_order(context):
+    started = time.monotonic()
     context.answer = ask(context, "/order/7")
+    context.took = time.monotonic() - started
 
 
 @behave.when("a client uploads an order of {size:d} MB")
@@ -816,6 +833,19 @@
     assert "X-Response-Signature" not in context.answer[2], context.answer
 
 
+@behave.then("the client gets {status:d} with the signature of its request")
+def step_gets_signed(context, status):
+    assert context.answer[0] == status, context.answer
+    signature = context.answer[2].get("X-Response-Signature")
+    assert signature == f"s-{context.request_id}", context.answer
+
+
+@behave.then("it was told within {seconds:d} s, with a time to return")
+def step_told_at_once(context, seconds):
+    assert context.took <= seconds, context.took
+    assert float(context.answer[2]["Retry-After"]) > 0, context.answer
+
+
 @behave.then(
     'the client gets 200 with the body and the signature of worker "{name}"'
 )
@@ -908,6 +938,12 @@
     fleet.wait_until(told, "logged")
 
 
+@behave.then("the request ran nowhere")
+def step_nowhere(context):
+    for worker in context.workers.values():
+        assert not worker.runs[context.request_id], worker.runs
+
+
 @behave.then("the request ran once")
 def step_once(context):
     runs = sum(
