--- a/fulmarbarrow/delivery/core.py
+++ b/fulmarbarrow/delivery/core.py
@@ -162,14 +162,14 @@
                 return []
             case messages.PoisonSuspected():
                 self._metrics.count("crashes_reported", by="peer")
+                self._metrics.count("crash_evidence_received", of="request")
                 self._suspects.handle_peer_message(event, now)
                 return []
-            case (
-                messages.SuspectStarted()
-                | messages.SuspectEnded()
-                | messages.UpstreamsCrashed()
-                | messages.PartsServed()
-            ):
+            case messages.UpstreamsCrashed() | messages.PartsServed():
+                self._metrics.count("crash_evidence_received", of="part")
+                self._suspects.handle_peer_message(event, now)
+                return []
+            case messages.SuspectStarted() | messages.SuspectEnded():
                 self._suspects.handle_peer_message(event, now)
                 return []
             case _:
