Keep evidence of crashes by key, whatever the key stands for

Cause: what is known of a request that crashes upstreams needs what prompt parts have: reports that are gathered, words of sound ones, evidence that is sent again. The code for it named prompt parts throughout.

Change: `PartSuspects` is `CrashEvidence`, in a module of its own. It takes and returns reports, and its caller makes messages of them. `prompt_parts` keeps how a part's key is made. No behaviour changes; messages, dump and metrics are the same.

--- a/benchmarks/delivery_poison_requests.py
+++ b/benchmarks/delivery_poison_requests.py
@@ -122,7 +122,7 @@
         return due < at < self._world.now - callers.DEADLINE
 
     def _groups(self) -> list[list[int]]:
-        """Return the routers that get the request, those lost at once first."""
+        """Return the routers that get the request, by groups."""
         numbers = list(range(len(self._world.routers)))
         match self._loss:
             case Loss.AT_ONCE:
--- a/fulmarbarrow/delivery/features/steps/prompt_parts.py
+++ b/fulmarbarrow/delivery/features/steps/prompt_parts.py
@@ -10,6 +10,7 @@
 import behave
 import msgspec
 
+from fulmarbarrow.delivery import crash_evidence
 from fulmarbarrow.delivery import messages
 from fulmarbarrow.delivery import prompt_parts
 from fulmarbarrow.placement import messages as placement_messages
@@ -27,7 +28,7 @@
     def __init__(self, *, count, skew):
         self._skews = [skew * number for number in range(count)]
         self.suspects = [
-            prompt_parts.PartSuspects(rng=random.Random(number))
+            crash_evidence.CrashEvidence(rng=random.Random(number))
             for number in range(count)
         ]
         self._planned = []
@@ -56,18 +57,12 @@
         if suspects.due is None or now < suspects.due:
             return
         suspects.evaluate(now)
-        for event in suspects.collect(now):
-            self.sent.append(event)
-            for other, peer in enumerate(self.suspects):
-                if other != router:
-                    self._merge(peer, event, self.clock(other, at))
-
-    @staticmethod
-    def _merge(peer, event, now):
-        if isinstance(event, messages.UpstreamsCrashed):
-            peer.merge_crashes(event, now)
-        else:
-            peer.merge_served(event, now)
+        news = suspects.collect(now)
+        self.sent.append(news)
+        for other, peer in enumerate(self.suspects):
+            if other != router:
+                peer.merge_crashes(news.crashes, self.clock(other, at))
+                peer.merge_served(news.served, self.clock(other, at))
 
 
 def arrival(names, service="pool", model="m"):
@@ -208,21 +203,17 @@
 )
 def step_reports(context, names, gap):
     for at in range(0, 1000, gap):
-        event = messages.UpstreamsCrashed(
-            crashes=(
-                messages.CrashReport(
-                    upstream_id=f"engine-{at}",
-                    incarnation=1,
-                    age=0 * SECOND,
-                    parts=keys(names),
-                ),
-            )
+        report = messages.CrashReport(
+            upstream_id=f"engine-{at}",
+            incarnation=1,
+            age=0 * SECOND,
+            keys=keys(names),
         )
         context.routers.plan(
             at,
             0,
-            lambda suspects, now, event=event: suspects.merge_crashes(
-                event, now
+            lambda suspects, now, report=report: suspects.merge_crashes(
+                (report,), now
             ),
         )
 
@@ -231,7 +222,7 @@
     "{count:d} upstreams crash under {parts:d} parts each within {limit:d} s"
 )
 def step_many(context, count, parts, limit):
-    suspects = prompt_parts.PartSuspects(rng=random.Random(1))
+    suspects = crash_evidence.CrashEvidence(rng=random.Random(1))
     context.suspects, context.messages = suspects, []
     context.longest = 0.0
     gap = limit * SECOND / count
@@ -242,12 +233,16 @@
         began = time.process_time()
         suspects.evaluate(now)
         context.longest = max(context.longest, time.process_time() - began)
-        context.messages.extend(suspects.collect(now))
+        news = suspects.collect(now)
+        context.messages += [
+            messages.UpstreamsCrashed(crashes=news.crashes),
+            messages.PartsServed(parts=news.served),
+        ]
 
 
 @behave.then("at most {crashes:d} crashes of {parts:d} parts are kept")
 def step_bounded(context, crashes, parts):
-    kept = context.suspects.dump()["crashes"]
+    kept = context.suspects.dump("parts")["crashes"]
     assert len(kept) <= crashes, len(kept)
     assert max(len(crash["parts"]) for crash in kept) <= parts
 
@@ -267,14 +262,14 @@
 def step_quarantined(context, at, names):
     context.routers.run(at)
     found = context.routers.suspects[0].quarantined
-    assert found == set(keys(names)), context.routers.suspects[0].dump()
+    assert found == set(keys(names)), context.routers.suspects[0].dump("parts")
 
 
 @behave.then("by {at:d} ms nothing is quarantined")
 def step_none_quarantined(context, at):
     context.routers.run(at)
     suspects = context.routers.suspects[0]
-    assert not suspects.quarantined, suspects.dump()
+    assert not suspects.quarantined, suspects.dump("parts")
 
 
 @behave.then("{seconds:d} s later nothing is quarantined")
@@ -282,31 +277,27 @@
     suspects = context.routers.suspects[0]
     now = NOW + seconds * SECOND
     suspects.evaluate(now)
-    assert not suspects.quarantined, suspects.dump()
+    assert not suspects.quarantined, suspects.dump("parts")
 
 
 @behave.then('by {at:d} ms each of them has "{names}" quarantined')
 def step_each_quarantined(context, at, names):
     context.routers.run(at)
     for suspects in context.routers.suspects:
-        assert suspects.quarantined == set(keys(names)), suspects.dump()
+        assert suspects.quarantined == set(keys(names)), suspects.dump("parts")
 
 
 @behave.then("by {at:d} ms none of them has anything quarantined")
 def step_none_of_them(context, at):
     context.routers.run(at)
     for suspects in context.routers.suspects:
-        assert not suspects.quarantined, suspects.dump()
+        assert not suspects.quarantined, suspects.dump("parts")
 
 
 @behave.then("the part is told of once")
 def step_told_once(context):
     context.routers.run(2000)
-    told = [
-        event
-        for event in context.routers.sent
-        if isinstance(event, messages.PartsServed)
-    ]
+    told = [news for news in context.routers.sent if news.served]
     assert len(told) == 1, told
 
 
--- a/fulmarbarrow/delivery/messages.py
+++ b/fulmarbarrow/delivery/messages.py
@@ -436,14 +436,14 @@
 class CrashReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """A suspected crash of an upstream incarnation, ``age`` ago.
 
-    ``parts`` are the keys of prompt parts that ran there and have not
-    completed since; see ``prompt_parts.part_keys``.
+    ``keys`` are those of prompt parts, or of requests, that ran there and have
+    not completed since; see ``prompt_parts.part_keys``.
     """
 
     upstream_id: str
     incarnation: int
     age: datetime.timedelta
-    parts: tuple[int, ...]
+    keys: tuple[int, ...]
 
 
 class UpstreamsCrashed(message.Message, frozen=True, kw_only=True):
--- a/fulmarbarrow/delivery/suspects.py
+++ b/fulmarbarrow/delivery/suspects.py
@@ -7,9 +7,9 @@
 import random
 import typing
 
+from fulmarbarrow.delivery import crash_evidence
 from fulmarbarrow.delivery import messages
 from fulmarbarrow.delivery import poison
-from fulmarbarrow.delivery import prompt_parts
 from fulmarbarrow.delivery import state
 from fulmarbarrow.delivery import upstreams
 from fulmarbarrow.membership import messages as membership_messages
@@ -48,7 +48,7 @@
         self._isolate = isolate
         self._registry = poison.PoisonRegistry(crash_limit=crash_limit)
         self._rng = rng
-        self._parts = prompt_parts.PartSuspects(rng=rng)
+        self._parts = crash_evidence.CrashEvidence(rng=rng)
         self._sync_at: datetime.datetime | None = None
         self._peers: dict[str, membership_messages.Daemon] = {}
 
@@ -103,9 +103,9 @@
             case messages.SuspectEnded():
                 self._registry.end_run(event)
             case messages.UpstreamsCrashed():
-                self._parts.merge_crashes(event, now)
+                self._parts.merge_crashes(event.crashes, now)
             case messages.PartsServed():
-                self._parts.merge_served(event, now)
+                self._parts.merge_served(event.parts, now)
 
     def record_life(
         self, attempt: state.Attempt, now: datetime.datetime
@@ -134,18 +134,24 @@
         effects: Effects = [
             *(
                 messages.PartQuarantined(
-                    part=prompt_parts.key_name(key),
+                    part=crash_evidence.key_name(key),
                     upstreams=self._parts.crashed_upstreams(key, now),
                 )
                 for key in changes.quarantined
             ),
             *(
-                messages.PartReleased(part=prompt_parts.key_name(key))
+                messages.PartReleased(part=crash_evidence.key_name(key))
                 for key in changes.released
             ),
         ]
-        for event in self._parts.collect(now):
-            effects.extend(self._broadcast(event))
+        news = self._parts.collect(now)
+        if news.crashes:
+            told = messages.UpstreamsCrashed(crashes=news.crashes)
+            effects.extend(self._broadcast(told))
+        if news.served:
+            effects.extend(
+                self._broadcast(messages.PartsServed(parts=news.served))
+            )
         return [*effects, *self._sync(now)], frozenset(changes.quarantined)
 
     def excluded_upstreams(
@@ -261,7 +267,7 @@
 
     def dump_parts(self) -> dict[str, typing.Any]:
         """Return the crashes by prompt part as plain data."""
-        return self._parts.dump()
+        return self._parts.dump("parts")
 
     def _serving_and_crashed(
         self, request: state.Request
@@ -305,12 +311,13 @@
             return []
         if self._sync_at is not None and now < self._sync_at:
             return []
-        self._sync_at = now + prompt_parts.SYNC_INTERVAL
+        self._sync_at = now + crash_evidence.SYNC_INTERVAL
         peer = self._rng.choice(sorted(self._peers))
         return self._send_evidence(self._peers[peer].address, now)
 
     def _send_evidence(self, address: str, now: datetime.datetime) -> Effects:
         evidence = self._parts.evidence(now)
-        if evidence is None or not self._enabled:
+        if not evidence or not self._enabled:
             return []
-        return [message.Send(address=address, message=evidence, urgent=True)]
+        event = messages.UpstreamsCrashed(crashes=evidence)
+        return [message.Send(address=address, message=event, urgent=True)]
