Keep what is known of a request that crashes upstreams beyond its routers

What callers saw: a request crashed three upstreams and was refused by all routers; each router that was restarted then let it through again. Nine retries crashed nine more upstreams, and each crash cut off the sound requests there.

Cause: a crash under a request was told once, to the routers that were up, and each router counted for itself. A router that started, or was cut off at that moment, knew nothing of it.

Change: crashes are counted by request, as they are by prompt part: reports are gathered, what is quarantined is told again to daemons that start or return and to one at random each second, and control hosts keep the evidence, so that it outlives all routers. Sound requests go on: a completed run clears what was held against a request, crashes that upstreams outlived are dropped after 30 s, also where they are learnt late, and a request that completed at a router in the last 5 s is not reported by it. Where suspects are not isolated a router's own count holds for 5 s, until the shared evidence decides. Prompt parts get the same: control hosts, more than eight at a time, and words of sound ones that were missed. A look-up of an outcome no longer counts as a run that completed.

Tried first: crashes within 100 ms as one, as for prompt parts. The attempts of one request follow each other that closely, so 3 to 6 late retries remained without any restart.

--- a/benchmarks/delivery_poison_parts.py
+++ b/benchmarks/delivery_poison_parts.py
@@ -10,6 +10,7 @@
 
 from benchmarks import delivery_callers as callers
 from benchmarks import delivery_world as worlds
+from fulmarbarrow.delivery import evidence_exchange
 from fulmarbarrow.delivery import messages
 from fulmarbarrow import message
 
@@ -25,7 +26,7 @@
 SERVED_AFTER = 2 * KNOWN_AFTER
 FIRST_PARTS = 3
 PART_TOKENS = 500
-EXCHANGED = (messages.UpstreamsCrashed, messages.PartsServed)
+EXCHANGED = evidence_exchange.PEER_MESSAGES
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/fulmarbarrow/daemon/control_cores.py
+++ b/fulmarbarrow/daemon/control_cores.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from fulmarbarrow.config import defaults
 from fulmarbarrow.consensus import core as consensus_core
 from fulmarbarrow.consensus import memory as consensus_memory
 from fulmarbarrow.consensus import messages as consensus_messages
 from fulmarbarrow.consensus import records as consensus_records
 from fulmarbarrow.daemon import joint
+from fulmarbarrow.delivery import evidence_keeper
 from fulmarbarrow.duties import messages as duties_messages
 from fulmarbarrow.publishing import control
 from fulmarbarrow.publishing import messages as publishing_messages
@@ -59,6 +61,15 @@
         _add_rollouts(made, group)
     if made.settings.control.journal:
         _add_journal(made, logs)
+    if defaults.Role.ROUTER not in made.settings.daemon.roles:
+        made.add(
+            "crash_evidence",
+            evidence_keeper.EvidenceKeeper(
+                rng=made.rng,
+                crash_limit=made.settings.retries.crashes,
+                metrics=metrics,
+            ),
+        )
 
 
 def _add_rollouts(made: joint.Joint, group: consensus_messages.Group) -> None:
--- a/fulmarbarrow/delivery/core.py
+++ b/fulmarbarrow/delivery/core.py
@@ -8,6 +8,7 @@
 
 from fulmarbarrow.config import defaults
 from fulmarbarrow.delivery import effects as effects_module
+from fulmarbarrow.delivery import evidence_exchange
 from fulmarbarrow.delivery import messages
 from fulmarbarrow.delivery import open_requests
 from fulmarbarrow.delivery import policy
@@ -62,6 +63,8 @@
         messages.SuspectEnded,
         messages.UpstreamsCrashed,
         messages.PartsServed,
+        messages.RequestsCrashed,
+        messages.RequestsServed,
         messages.StopDue,
         messages.Wake,
         message.Tick,
@@ -160,22 +163,29 @@
             case membership_messages.DaemonGone():
                 self._suspects.remove_daemon(event)
                 return []
-            case messages.PoisonSuspected():
-                self._metrics.count("crashes_reported", by="peer")
-                self._metrics.count("crash_evidence_received", of="request")
+            case messages.SuspectStarted() | messages.SuspectEnded():
                 self._suspects.handle_peer_message(event, now)
                 return []
-            case messages.UpstreamsCrashed() | messages.PartsServed():
-                self._metrics.count("crash_evidence_received", of="part")
-                self._suspects.handle_peer_message(event, now)
-                return []
-            case messages.SuspectStarted() | messages.SuspectEnded():
+            case (
+                messages.PoisonSuspected()
+                | messages.UpstreamsCrashed()
+                | messages.PartsServed()
+                | messages.RequestsCrashed()
+                | messages.RequestsServed()
+            ):
+                self._count_evidence(event)
                 self._suspects.handle_peer_message(event, now)
                 return []
             case _:
                 effects = self._handle_request_event(event, now)
         return [*effects, *self._timers.arm_wake()]
 
+    def _count_evidence(self, event: message.Message) -> None:
+        if isinstance(event, messages.PoisonSuspected):
+            self._metrics.count("crashes_reported", by="peer")
+        kind = evidence_exchange.kind(event)
+        self._metrics.count("crash_evidence_received", of=kind)
+
     def dump(self) -> dict[str, typing.Any]:
         """Return open requests, suspects and retry budgets as plain data."""
         return {
@@ -193,7 +203,7 @@
                 for entry in self._open_requests
             },
             "suspects": self._suspects.dump(),
-            "prompt_parts": self._suspects.dump_parts(),
+            **self._suspects.dump_evidence(),
             "retry_budgets": self._recovery.dump(),
         }
 
@@ -205,6 +215,7 @@
                 arrival=event,
                 next_event=event.resumed_from,
                 grace=self._timeouts.resume_grace,
+                key=evidence_exchange.request_key(event.digest),
                 part_keys=prompt_parts.part_keys(event),
             )
         )
--- a/fulmarbarrow/delivery/crash_evidence.py
+++ b/fulmarbarrow/delivery/crash_evidence.py
@@ -21,7 +21,7 @@
 
 CRASHES_TO_QUARANTINE = 3
 # Crashes closer together may have one cause outside of the requests, such as
-# a host that fails, and count as one.
+# a host that fails.
 SAME_FAULT = datetime.timedelta(milliseconds=100)
 # Until the other routers' reports about a crash are in.
 SETTLE_TIME = datetime.timedelta(milliseconds=500)
@@ -34,6 +34,11 @@
 REPORT_DELAY = datetime.timedelta(milliseconds=20)  # gathers one crash
 MAX_ANNOUNCE_DELAY = datetime.timedelta(milliseconds=200)
 EVALUATION_INTERVAL = datetime.timedelta(milliseconds=200)
+# When other routers are told again of a key that completed, if one of them
+# still reports its crashes.
+TELL_AGAIN = datetime.timedelta(seconds=2)
+# Between looks at whether upstreams have outlived their supposed crashes.
+REVIEW_INTERVAL = datetime.timedelta(seconds=5)
 SYNC_INTERVAL = datetime.timedelta(seconds=1)
 MAX_CRASHES = 128
 MAX_KEYS_PER_CRASH = 64
@@ -69,6 +74,14 @@
     disproved: bool = False
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Told:
+    """When all routers were told of a key, and of which completed run."""
+
+    served_at: datetime.datetime
+    at: datetime.datetime
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class News:
     """What the other routers have to know.
@@ -83,19 +96,40 @@
 class CrashEvidence:
     """Crashes by key, and the keys that are quarantined for them.
 
-    ``due`` is when ``collect`` has something to do, None if nothing.
+    A key is quarantined after ``crash_limit`` crashes. At most ``max_crashes``
+    are kept, and ``max_keys`` of each. Other routers are told of a key that
+    completed once it is in ``announced_from`` crashes. Crashes within
+    ``same_fault`` of each other count as one. ``due`` is when ``evaluate`` or
+    ``collect`` has something to do, None if nothing.
     """
 
-    def __init__(self, *, rng: random.Random) -> None:
+    def __init__(
+        self,
+        *,
+        rng: random.Random,
+        crash_limit: int = CRASHES_TO_QUARANTINE,
+        max_crashes: int = MAX_CRASHES,
+        max_keys: int = MAX_KEYS_PER_CRASH,
+        announced_from: int = 1,
+        same_fault: datetime.timedelta = SAME_FAULT,
+    ) -> None:
         self._rng = rng
+        self._crash_limit = crash_limit
+        self._max_crashes = max_crashes
+        self._max_keys = max_keys
+        self._announced_from = announced_from
+        self._same_fault = same_fault
         self._crashes: dict[_Incarnation, _Crash] = {}
         self._served: collections.OrderedDict[int, datetime.datetime] = (
             collections.OrderedDict()
         )
-        self._told: dict[int, datetime.datetime] = {}
+        self._told: dict[int, _Told] = {}
         self._unreported: dict[_Incarnation, set[int]] = {}
         self._announcements: dict[int, datetime.datetime] = {}
         self._newest_crashes: dict[int, datetime.datetime] = {}
+        # May count a crash that is forgotten or disproved until the next look.
+        self._crash_counts: collections.Counter[int] = collections.Counter()
+        self._counts_outdated = False
         self._quarantined: frozenset[int] = frozenset()
         self._evaluate_at: datetime.datetime | None = None
         self._evaluated_at = _NEVER
@@ -103,7 +137,7 @@
 
     @property
     def quarantined(self) -> frozenset[int]:
-        """The keys of the quarantined keys."""
+        """The keys that are quarantined."""
         return self._quarantined
 
     def record_failure(
@@ -114,15 +148,17 @@
     ) -> None:
         """Record that a request of this router failed as in a crash."""
         implicated = {
-            key
-            for key in keys
-            if now - self._served.get(key, _NEVER) > RECENTLY_SERVED
+            key for key in keys if not self.was_served_recently(key, now)
         }
         added = self._add_crash(upstream, implicated, now, now)
         if added:
             self._unreported.setdefault(upstream, set()).update(added)
             self._plan(now + REPORT_DELAY)
 
+    def was_served_recently(self, key: int, now: datetime.datetime) -> bool:
+        """Return whether a run completed here so shortly before a failure."""
+        return now - self._served.get(key, _NEVER) <= RECENTLY_SERVED
+
     def record_life(
         self,
         upstream: _Incarnation,
@@ -133,8 +169,29 @@
         crash = self._crashes.get(upstream)
         if crash is not None and crash.at < sent_at <= crash.at + SAME_CRASH:
             crash.disproved = True
+            self._counts_outdated = True
+            self._plan_evaluation(now)
+
+    def disprove(
+        self,
+        upstream: _Incarnation,
+        now: datetime.datetime,
+    ) -> None:
+        """Record that an incarnation has outlived its supposed crash."""
+        crash = self._crashes.get(upstream)
+        if crash is not None and not crash.disproved:
+            crash.disproved = True
+            self._counts_outdated = True
             self._plan_evaluation(now)
 
+    def crashed_before(self, at: datetime.datetime) -> list[_Incarnation]:
+        """Return the incarnations whose crashes lie before a time."""
+        return [
+            upstream
+            for upstream, crash in self._crashes.items()
+            if crash.at < at and not crash.disproved
+        ]
+
     def record_served(
         self, keys: collections.abc.Iterable[int], now: datetime.datetime
     ) -> None:
@@ -167,7 +224,7 @@
             at = now - age
             self._add_served(key, at, now)
             if key in self._newest_crashes:
-                self._told[key] = max(at, self._told.get(key, _NEVER))
+                self._note_told(key, at, now)
 
     def is_quarantined(self, keys: collections.abc.Iterable[int]) -> bool:
         """Return whether a request with these keys must not run."""
@@ -199,6 +256,8 @@
         self._evaluated_at = now
         if self._crashes:
             self._plan_evaluation(self._next_change(now))
+        if self._quarantined:
+            self._plan_evaluation(now + REVIEW_INTERVAL)
         return QuarantineChanges(
             quarantined=tuple(sorted(self._quarantined - before)),
             released=tuple(sorted(before - self._quarantined)),
@@ -210,9 +269,12 @@
         """Return what a router needs to quarantine the same keys."""
         evidence = self._evidence_by_key(now)
         crashes = []
-        for key in sorted(self._quarantined)[:MAX_SYNCED_KEYS]:
-            spaced = _independent(evidence.get(key, ()))[
-                -CRASHES_TO_QUARANTINE:
+        quarantined = sorted(self._quarantined)
+        if len(quarantined) > MAX_SYNCED_KEYS:
+            quarantined = self._rng.sample(quarantined, MAX_SYNCED_KEYS)
+        for key in quarantined:
+            spaced = self._independent(evidence.get(key, ()))[
+                -self._crash_limit :
             ]
             crashes.extend(
                 _report(upstream, crash.at, (key,), now)
@@ -258,21 +320,27 @@
             return set()
         crash = self._crashes.get(upstream)
         if crash is None or at - crash.at > SAME_CRASH:
-            self._crashes.pop(upstream, None)
-            if len(self._crashes) >= MAX_CRASHES:
+            if self._crashes.pop(upstream, None) is not None:
+                self._counts_outdated = True
+            if len(self._crashes) >= self._max_crashes:
                 del self._crashes[next(iter(self._crashes))]
+                self._counts_outdated = True
             crash = _Crash(at=at, learned_at=now)
             self._crashes[upstream] = crash
-        room = MAX_KEYS_PER_CRASH - len(crash.keys)
+        room = self._max_keys - len(crash.keys)
         added = set(self._longest_unserved(keys - crash.keys)[:room])
         crash.keys |= added
         for key in added:
-            newest = self._newest_crashes.get(key, _NEVER)
-            self._newest_crashes[key] = max(newest, crash.at)
+            self._count_crash(key, crash)
         if added:
             self._plan_evaluation(now + SETTLE_TIME)
         return added
 
+    def _count_crash(self, key: int, crash: _Crash) -> None:
+        newest = self._newest_crashes.get(key, _NEVER)
+        self._newest_crashes[key] = max(newest, crash.at)
+        self._crash_counts[key] += 1
+
     def _add_served(
         self, key: int, at: datetime.datetime, now: datetime.datetime
     ) -> None:
@@ -287,9 +355,17 @@
     def _longest_unserved(
         self, keys: collections.abc.Iterable[int]
     ) -> list[int]:
-        """Return keys in the order in which they were last served."""
+        """Return keys in the order in which they were last served.
+
+        Of those that never were, the ones in earlier crashes come first.
+        """
         return sorted(
-            keys, key=lambda key: (self._served.get(key, _NEVER), key)
+            keys,
+            key=lambda key: (
+                self._served.get(key, _NEVER),
+                key not in self._newest_crashes,
+                key,
+            ),
         )
 
     def _plan_evaluation(self, at: datetime.datetime) -> None:
@@ -314,18 +390,35 @@
 
         Most routers then hear of it from another one first.
         """
-        if key not in self._announcements and self._is_news(key):
+        if self._crash_counts[key] < self._announced_from:
+            return
+        if key not in self._announcements and self._is_news(key, now):
             delay = MAX_ANNOUNCE_DELAY * self._rng.random()
             self._announcements[key] = now + delay
             self._plan(now + delay)
 
-    def _is_news(self, key: int) -> bool:
-        """Return whether routers may not know when a key completed."""
+    def _is_news(self, key: int, now: datetime.datetime) -> bool:
+        """Return whether routers may not know when a key completed.
+
+        One that reports an older crash again has not heard of it.
+        """
         served, told = self._served.get(key), self._told.get(key)
         if served is None:
             return False
+        if told is None:
+            return True
         crashed = self._newest_crashes.get(key, _NEVER)
-        return told is None or told < crashed <= served
+        if crashed > served:
+            return False
+        return told.served_at < crashed or now >= told.at + TELL_AGAIN
+
+    def _note_told(
+        self, key: int, served_at: datetime.datetime, now: datetime.datetime
+    ) -> None:
+        told = self._told.get(key)
+        if told is not None:
+            served_at = max(served_at, told.served_at)
+        self._told[key] = _Told(served_at=served_at, at=now)
 
     def _take_reports(
         self, now: datetime.datetime
@@ -352,8 +445,8 @@
             if at > now or len(served) >= MAX_REPORTED_KEYS:
                 continue
             del self._announcements[key]
-            if self._is_news(key):
-                self._told[key] = self._served[key]
+            if self._is_news(key, now):
+                self._note_told(key, self._served[key], now)
                 served.append((key, now - self._served[key]))
         return tuple(served)
 
@@ -365,14 +458,18 @@
         for upstream, crash in list(self._crashes.items()):
             if now - crash.at > MEMORY:
                 del self._crashes[upstream]
+                self._counts_outdated = True
+        if not self._counts_outdated:
+            return
+        self._counts_outdated = False
         self._newest_crashes = {}
+        self._crash_counts.clear()
         for crash in self._crashes.values():
             for key in crash.keys if not crash.disproved else ():
-                newest = self._newest_crashes.get(key, _NEVER)
-                self._newest_crashes[key] = max(newest, crash.at)
+                self._count_crash(key, crash)
         self._told = {
-            key: at
-            for key, at in self._told.items()
+            key: told
+            for key, told in self._told.items()
             if key in self._newest_crashes
         }
 
@@ -386,7 +483,7 @@
         evidence = {
             key: crashes
             for key, crashes in self._evidence_by_key(now).items()
-            if len(crashes) >= CRASHES_TO_QUARANTINE
+            if len(crashes) >= self._crash_limit
         }
         causes: set[int] = set()
         attributed: set[_Incarnation] = set()
@@ -394,8 +491,8 @@
             candidates = []
             for key, crashes in evidence.items():
                 left = [item for item in crashes if item[0] not in attributed]
-                count = len(_independent(left))
-                if count >= CRASHES_TO_QUARANTINE:
+                count = len(self._independent(left))
+                if count >= self._crash_limit:
                     served = self._served.get(key, _NEVER)
                     candidates.append((served, -count, key))
             if not candidates:
@@ -407,16 +504,35 @@
     def _evidence_by_key(
         self, now: datetime.datetime
     ) -> dict[int, list[tuple[_Incarnation, _Crash]]]:
-        """Return the settled crashes with each key since it was served."""
+        """Return the settled crashes with each key since it was served.
+
+        Only keys in enough crashes are looked at.
+        """
         evidence: dict[int, list[tuple[_Incarnation, _Crash]]] = {}
         for upstream, crash in self._crashes.items():
             if crash.disproved or now - crash.learned_at < SETTLE_TIME:
                 continue
             for key in crash.keys:
+                if self._crash_counts[key] < self._crash_limit:
+                    continue
                 if crash.at > self._served.get(key, _NEVER):
                     evidence.setdefault(key, []).append((upstream, crash))
         return evidence
 
+    def _independent(
+        self,
+        crashes: collections.abc.Iterable[tuple[_Incarnation, _Crash]],
+    ) -> list[tuple[_Incarnation, _Crash]]:
+        """Return crashes that are too far apart to have one outer cause."""
+        ordered = sorted(crashes, key=lambda item: item[1].at)
+        if not self._same_fault:
+            return ordered
+        spaced: list[tuple[_Incarnation, _Crash]] = []
+        for item in ordered:
+            if not spaced or item[1].at - spaced[-1][1].at > self._same_fault:
+                spaced.append(item)
+        return spaced
+
 
 def key_name(key: int) -> str:
     """Return a key's key as logs and dumps show it."""
@@ -436,14 +552,3 @@
         age=now - at,
         keys=tuple(keys),
     )
-
-
-def _independent(
-    crashes: collections.abc.Iterable[tuple[_Incarnation, _Crash]],
-) -> list[tuple[_Incarnation, _Crash]]:
-    """Return crashes that are too far apart to have one outer cause."""
-    spaced: list[tuple[_Incarnation, _Crash]] = []
-    for item in sorted(crashes, key=lambda item: item[1].at):
-        if not spaced or item[1].at - spaced[-1][1].at > SAME_FAULT:
-            spaced.append(item)
-    return spaced
--- a/fulmarbarrow/delivery/features/faults.feature
+++ b/fulmarbarrow/delivery/features/faults.feature
@@ -65,6 +65,25 @@
     Then at most 2 upstreams crashed
     But without quarantine more than 10 crashed
 
+  # Guards against a request whose crashes are counted anew by a router that
+  # starts, or that was away when the others learnt of them (BUDGET).
+  Scenario Outline: A request that crashes upstreams stays known when <loss>
+    When a request crashes upstreams through 3 routers, suspects run <way>, and <loss>
+    Then it reaches no upstream later than 3 s after the crashes that make it known
+    And the sound requests go on
+
+    Examples:
+      | way      | loss                                               |
+      | together | no router restarts                                 |
+      | together | each router restarts in turn                       |
+      | together | two routers restart at once and then the third     |
+      | together | all routers restart at once                        |
+      | together | one router is cut off while the upstreams crash    |
+      | isolated | each router restarts in turn                       |
+      | isolated | two routers restart at once and then the third     |
+      | isolated | all routers restart at once                        |
+      | isolated | one router is cut off while the upstreams crash    |
+
   Scenario: Requests with a crashing part of a prompt stop reaching upstreams
     When requests whose prompt has a crashing second part go through 8 routers
     Then at most 3 of them are sent later than 3 s after the fifth crash
--- a/fulmarbarrow/delivery/features/requests.feature
+++ b/fulmarbarrow/delivery/features/requests.feature
@@ -68,3 +68,11 @@
     When a poison stream is sent once
     Then 1 engine crashed
     And a resend through another router is refused with quarantined
+
+  # Guards against sound look-ups that are refused, as upstreams that failed at
+  # once or were lost by others ran them.
+  Scenario: A look-up that comes alike again and again outlives crashes at once
+    Given suspects run beside other requests, and 6 registers
+    When look-ups that are alike go on, and 3 registers crash at once, 3 times
+    Then no digest is quarantined on any router
+    And the look-ups are answered from 1 s after each crash on
--- a/fulmarbarrow/delivery/features/steps/faults.py
+++ b/fulmarbarrow/delivery/features/steps/faults.py
@@ -9,6 +9,7 @@
 
 from benchmarks import delivery_faults as faults
 from benchmarks import delivery_poison_parts as poison_parts
+from benchmarks import delivery_poison_requests as poison_requests
 from benchmarks import delivery_trials as trials
 from fulmarbarrow.delivery import attempt
 from fulmarbarrow.delivery import policy
@@ -260,6 +261,40 @@
     context.outcomes = [series.run()]
 
 
+WAYS = {"together": poison_requests.TOGETHER, "isolated": None}
+
+
+@behave.when(
+    "a request crashes upstreams through {routers:d} routers, suspects run "
+    "{way}, and {loss}"
+)
+def step_poison_request(context, routers, way, loss):
+    context.outcomes = [
+        poison_requests.Series(
+            seed=seed,
+            loss=poison_requests.Loss(loss),
+            routers=routers,
+            retries=WAYS[way],
+        ).run()
+        for seed in range(4)
+    ]
+
+
+@behave.then(
+    "it reaches no upstream later than 3 s after the crashes that make it "
+    "known"
+)
+def step_stays_known(context):
+    late = [outcome.late_arrivals for outcome in context.outcomes]
+    assert max(late) == 0, context.outcomes
+
+
+@behave.then("the sound requests go on")
+def step_sound_go_on(context):
+    served = [outcome.served for outcome in context.outcomes]
+    assert min(served) == 1, context.outcomes
+
+
 @behave.then("each router gets at most {limit:d} KB of reports in any second")
 def step_report_bytes(context, limit):
     for outcome in context.outcomes:
--- a/fulmarbarrow/delivery/features/steps/requests.py
+++ b/fulmarbarrow/delivery/features/steps/requests.py
@@ -424,3 +424,79 @@
     tag = message.tag(messages.RequestBegan)
     began = sum(router.bus.unhandled[tag] for router in context.world.routers)
     assert began == count, began
+
+
+@behave.given("suspects run beside other requests, and {count:d} registers")
+def step_together(context, count):
+    retries = defaults.RetriesSection(
+        ratio=0.2, slack=56, isolate_suspects=False, crashes=3
+    )
+    get_world(context, routers=3, registers=count, retries=retries)
+
+
+@behave.when(
+    "look-ups that are alike go on, and {count:d} registers crash at once, "
+    "{times:d} times"
+)
+def step_crashes_at_once(context, count, times):
+    world = context.world
+    context.lookups, context.crashed_at, context.quarantined = [], [], []
+    registers = [
+        item for item in world.upstreams.values() if item.serves("register")
+    ]
+
+    def look_up():
+        caller = callers.Caller(
+            world=world, tag="same", kind=callers.Kind.LOOKUP, resends=1
+        )
+        caller.send(world.rng.choice(world.routers))
+        context.lookups.append((world.now, caller))
+        world.after(milliseconds(10), look_up)
+
+    for register in registers:
+        register.delay = milliseconds(100)
+    look_up()
+    for _ in range(times):
+        pass_time(world, 3_000)
+        context.crashed_at.append(world.now)
+        for register in registers[:count]:
+            register.crash()
+            world.after(milliseconds(1_000), register.restart)
+        pass_time(world, 1_000)
+        context.quarantined += quarantined_digests(world)
+    pass_time(world, 6_000)
+    context.quarantined += quarantined_digests(world)
+
+
+def quarantined_digests(world):
+    found = []
+    for core in world.cores.values():
+        dump = core.dump()
+        found += dump["requests"]["quarantined"]
+        found += [
+            digest
+            for digest, suspect in dump["suspects"].items()
+            if suspect["quarantined"]
+        ]
+    return found
+
+
+@behave.then("no digest is quarantined on any router")
+def step_no_digest_quarantined(context):
+    assert not context.quarantined, context.quarantined
+
+
+@behave.then("the look-ups are answered from 1 s after each crash on")
+def step_lookups_answered(context):
+    first = context.crashed_at[0]
+    answers = [
+        caller.answered
+        for at, caller in context.lookups
+        if at > first
+        and at < context.world.now - milliseconds(5_000)
+        and all(
+            at < crashed or at > crashed + milliseconds(1_000)
+            for crashed in context.crashed_at
+        )
+    ]
+    assert len(answers) > 100 and all(answers), answers
--- a/fulmarbarrow/delivery/messages.py
+++ b/fulmarbarrow/delivery/messages.py
@@ -401,6 +401,23 @@
     part: str
 
 
+class RequestQuarantined(message.Message, frozen=True, kw_only=True):
+    """Effect: tell that requests with a digest are refused from now on.
+
+    ``key`` is the request's in hexadecimal digits, ``upstreams`` are those
+    that crashed under it.
+    """
+
+    key: str
+    upstreams: tuple[str, ...]
+
+
+class RequestReleased(message.Message, frozen=True, kw_only=True):
+    """Effect: tell that requests with a digest are served again."""
+
+    key: str
+
+
 # Messages sent to other routers.
 
 
@@ -437,7 +454,8 @@
     """A suspected crash of an upstream incarnation, ``age`` ago.
 
     ``keys`` are those of prompt parts, or of requests, that ran there and have
-    not completed since; see ``prompt_parts.part_keys``.
+    not completed since; see ``prompt_parts.part_keys`` and
+    ``evidence_exchange.request_key``.
     """
 
     upstream_id: str
@@ -461,10 +479,24 @@
     parts: tuple[tuple[int, datetime.timedelta], ...]
 
 
+class RequestsCrashed(message.Message, frozen=True, kw_only=True):
+    """A daemon knows of crashes while requests ran, by the requests' keys."""
+
+    crashes: tuple[CrashReport, ...]
+
+
+class RequestsServed(message.Message, frozen=True, kw_only=True):
+    """Runs of requests completed; pairs of a request's key and the age."""
+
+    requests: tuple[tuple[int, datetime.timedelta], ...]
+
+
 PEER_MESSAGES = (
     PoisonSuspected,
     SuspectStarted,
     SuspectEnded,
     UpstreamsCrashed,
     PartsServed,
+    RequestsCrashed,
+    RequestsServed,
 )
--- a/fulmarbarrow/delivery/poison.py
+++ b/fulmarbarrow/delivery/poison.py
@@ -12,6 +12,8 @@
 CRASHES_TO_QUARANTINE = 2
 SUSPECT_DURATION = datetime.timedelta(minutes=1)
 QUARANTINE_DURATION = datetime.timedelta(minutes=10)
+# Until the evidence that all daemons share decides.
+BRIDGE_DURATION = datetime.timedelta(seconds=5)
 CLEAR_AFTER = datetime.timedelta(seconds=3)
 MAX_DIGESTS = 10_000
 RUN_LEASE = datetime.timedelta(seconds=30)
@@ -48,13 +50,19 @@
     """Counts crashes by digest and tracks the runs of suspects.
 
     The first crash makes a digest a suspect for a minute. At ``crash_limit``
-    crashes, by default two, it is quarantined for ten minutes. A suspect runs
-    at most once at a time and an upstream runs at most one suspect at a time,
-    so a crash identifies the suspect that caused it.
+    crashes, by default two, it is quarantined for ``quarantine``. A suspect
+    runs at most once at a time and an upstream runs at most one suspect at a
+    time, so a crash identifies the suspect that caused it.
     """
 
-    def __init__(self, *, crash_limit: int = CRASHES_TO_QUARANTINE) -> None:
+    def __init__(
+        self,
+        *,
+        crash_limit: int = CRASHES_TO_QUARANTINE,
+        quarantine: datetime.timedelta = QUARANTINE_DURATION,
+    ) -> None:
         self._crash_limit = crash_limit
+        self._quarantine = quarantine
         self._records: dict[str, _CrashRecord] = {}
         self._runs: dict[str, _SuspectRun] = {}
         self._digests_by_crash: dict[tuple[str, int], set[str]] = {}
@@ -89,7 +97,8 @@
         self._digests_by_crash.setdefault(crashed, set()).add(event.digest)
         duration = SUSPECT_DURATION
         if len(record.crashes) >= self._crash_limit:
-            duration = QUARANTINE_DURATION
+            record.expires_at = event.at + self._quarantine
+            return
         record.expires_at = max(record.expires_at, event.at + duration)
 
     def clear_crashes(
@@ -117,6 +126,10 @@
         if not digests:
             self._digests_by_crash.pop((upstream_id, incarnation), None)
 
+    def clear_served(self, digest: str) -> None:
+        """Forget the crashes of a digest of which a run completed."""
+        self._records.pop(digest, None)
+
     def start_run(
         self, event: messages.SuspectStarted, now: datetime.datetime
     ) -> None:
--- a/fulmarbarrow/delivery/responses.py
+++ b/fulmarbarrow/delivery/responses.py
@@ -417,7 +417,8 @@
             request, attempt, placement_messages.WorkOutcome.COMPLETED
         )
         effects.extend(self._suspects.end_run(request, attempt, True))
-        if attempt.headers.status < state.STATUS_ERROR:
+        looked_up = attempt.purpose is state.Purpose.LOOKUP
+        if attempt.headers.status < state.STATUS_ERROR and not looked_up:
             self._suspects.record_served(request, now)
         for other in list(request.attempts.values()):
             effects.extend(self._discard(entry, other))
--- a/fulmarbarrow/delivery/state.py
+++ b/fulmarbarrow/delivery/state.py
@@ -114,18 +114,18 @@
     ``response_started`` is set once a part of the response was sent to the
     caller; ``delivered_events`` counts the events that were forwarded, and
     ``next_event`` is the position after the last one that the caller has, 0 if
-    it has none.
-    ``dispatch_granted`` is set once the journal permits dispatch until
-    ``dispatch_until``. ``may_have_run`` is set as soon as it can't be proven
-    that no upstream ran the request; ``possible_runs`` counts the attempts
-    that may have run it. ``ready`` is set while only ``wait_until`` delays
-    the next attempt. ``placing_id`` and ``hedge_id`` are the ids of attempts
-    that wait for an upstream. ``part_keys`` are those of the shared parts of
-    its prompt. A stream that has started may continue for ``grace`` after its
-    deadline. ``replaced_id`` is the silent attempt that the one with
-    ``hedge_id`` is to replace. ``no_retry`` tells why no attempt followed.
-    ``began`` is set once an upstream has begun to run it.
-    ``version`` is that of the upstream that began the response.
+    it has none. ``dispatch_granted`` is set once the journal permits dispatch
+    until ``dispatch_until``. ``may_have_run`` is set as soon as it can't be
+    proven that no upstream ran the request; ``possible_runs`` counts the
+    attempts that may have run it. ``ready`` is set while only ``wait_until``
+    delays the next attempt. ``placing_id`` and ``hedge_id`` are the ids of
+    attempts that wait for an upstream. ``key`` is that of all requests with
+    the same digest, ``part_keys`` are those of the shared parts of its prompt.
+    A stream that has started may continue for ``grace`` after its deadline.
+    ``replaced_id`` is the silent attempt that the one with ``hedge_id`` is to
+    replace. ``no_retry`` tells why no attempt followed. ``began`` is set once
+    an upstream has begun to run it. ``version`` is that of the upstream that
+    began the response.
     """
 
     arrival: messages.RequestArrived
@@ -157,6 +157,7 @@
     grace_timer_set: bool = False
     closed: bool = False
     possible_runs: int = 0
+    key: int = 0
     part_keys: tuple[int, ...] = ()
     grace: datetime.timedelta = RESUME_GRACE
     began: bool = False
--- a/fulmarbarrow/delivery/suspects.py
+++ b/fulmarbarrow/delivery/suspects.py
@@ -8,6 +8,7 @@
 import typing
 
 from fulmarbarrow.delivery import crash_evidence
+from fulmarbarrow.delivery import evidence_exchange
 from fulmarbarrow.delivery import messages
 from fulmarbarrow.delivery import poison
 from fulmarbarrow.delivery import state
@@ -17,9 +18,7 @@
 
 Effects = list[message.Message]
 
-ROUTER_ROLE = "router"
-# Routers of which one that starts hears of quarantined parts, on average.
-SYNC_SENDERS = 8
+ROUTER_ROLE = evidence_exchange.ROUTER_ROLE
 
 
 class DispatchDecision(enum.StrEnum):
@@ -46,10 +45,17 @@
         self._pools = pools
         self._enabled = enabled
         self._isolate = isolate
-        self._registry = poison.PoisonRegistry(crash_limit=crash_limit)
-        self._rng = rng
-        self._parts = crash_evidence.CrashEvidence(rng=rng)
-        self._sync_at: datetime.datetime | None = None
+        self._registry = poison.PoisonRegistry(
+            crash_limit=crash_limit,
+            quarantine=(
+                poison.QUARANTINE_DURATION
+                if isolate
+                else poison.BRIDGE_DURATION
+            ),
+        )
+        self._evidence = evidence_exchange.EvidenceExchange(
+            rng=rng, crash_limit=crash_limit, registered=pools
+        )
         self._peers: dict[str, membership_messages.Daemon] = {}
 
     def update_daemon(
@@ -57,27 +63,17 @@
         event: membership_messages.DaemonChanged,
         now: datetime.datetime,
     ) -> Effects:
-        """Add a router to the peers; tell one that starts what it missed."""
+        """Add a daemon to the peers; tell one that starts what it missed."""
         daemon = event.daemon
-        if ROUTER_ROLE not in daemon.roles:
-            return []
-        known = self._peers.get(daemon.daemon_id)
-        self._peers[daemon.daemon_id] = daemon
-        if known is not None and (known.incarnation, known.state) == (
-            daemon.incarnation,
-            daemon.state,
-        ):
-            return []
-        if not self._parts.quarantined:
-            return []
-        # Some routers of a large fleet are enough to tell a new one.
-        if self._rng.random() * len(self._peers) < SYNC_SENDERS:
-            return self._send_evidence(daemon.address, now)
-        return []
+        if ROUTER_ROLE in daemon.roles:
+            self._peers[daemon.daemon_id] = daemon
+        effects = self._evidence.update_daemon(event, now)
+        return effects if self._enabled else []
 
     def remove_daemon(self, event: membership_messages.DaemonGone) -> None:
-        """Remove a router from the peers."""
+        """Remove a daemon from the peers."""
         self._peers.pop(event.daemon_id, None)
+        self._evidence.remove_daemon(event)
 
     def handle_load_report(
         self, event: membership_messages.LoadReported, now: datetime.datetime
@@ -87,11 +83,7 @@
 
     def handle_peer_message(
         self,
-        event: messages.PoisonSuspected
-        | messages.SuspectStarted
-        | messages.SuspectEnded
-        | messages.UpstreamsCrashed
-        | messages.PartsServed,
+        event: message.Message,
         now: datetime.datetime,
     ) -> None:
         """Handle a message from another router."""
@@ -102,57 +94,61 @@
                 self._registry.start_run(event, now)
             case messages.SuspectEnded():
                 self._registry.end_run(event)
-            case messages.UpstreamsCrashed():
-                self._parts.merge_crashes(event.crashes, now)
-            case messages.PartsServed():
-                self._parts.merge_served(event.parts, now)
+            case _:
+                self._evidence.handle_peer_message(event, now)
 
     def record_life(
         self, attempt: state.Attempt, now: datetime.datetime
     ) -> None:
         """Record that an upstream has begun to answer an attempt."""
         placed = attempt.placed
-        self._parts.record_life(
-            (placed.upstream_id, placed.incarnation), attempt.sent_at, now
-        )
+        for evidence in (self._evidence.parts, self._evidence.requests):
+            evidence.record_life(
+                (placed.upstream_id, placed.incarnation), attempt.sent_at, now
+            )
 
     def record_served(
         self, request: state.Request, now: datetime.datetime
     ) -> None:
         """Record that a run of a request completed with success."""
         if request.part_keys:
-            self._parts.record_served(request.part_keys, now)
+            self._evidence.parts.record_served(request.part_keys, now)
+        self._evidence.requests.record_served((request.key,), now)
+        self._registry.clear_served(request.arrival.digest)
 
     def exchange_evidence(
         self, now: datetime.datetime
     ) -> tuple[Effects, frozenset[int]]:
         """Return what is due to be told, and parts quarantined just now."""
-        due = self._parts.due
-        if due is None or now < due:
-            return self._sync(now), frozenset()
-        changes = self._parts.evaluate(now)
+        told, changes = self._evidence.work(now)
+        if not self._enabled:
+            return [], frozenset()
+        parts, requests = self._evidence.parts, self._evidence.requests
         effects: Effects = [
             *(
                 messages.PartQuarantined(
                     part=crash_evidence.key_name(key),
-                    upstreams=self._parts.crashed_upstreams(key, now),
+                    upstreams=parts.crashed_upstreams(key, now),
                 )
-                for key in changes.quarantined
+                for key in changes.parts.quarantined
             ),
             *(
                 messages.PartReleased(part=crash_evidence.key_name(key))
-                for key in changes.released
+                for key in changes.parts.released
+            ),
+            *(
+                messages.RequestQuarantined(
+                    key=crash_evidence.key_name(key),
+                    upstreams=requests.crashed_upstreams(key, now),
+                )
+                for key in changes.requests.quarantined
+            ),
+            *(
+                messages.RequestReleased(key=crash_evidence.key_name(key))
+                for key in changes.requests.released
             ),
         ]
-        news = self._parts.collect(now)
-        if news.crashes:
-            told = messages.UpstreamsCrashed(crashes=news.crashes)
-            effects.extend(self._broadcast(told))
-        if news.served:
-            effects.extend(
-                self._broadcast(messages.PartsServed(parts=news.served))
-            )
-        return [*effects, *self._sync(now)], frozenset(changes.quarantined)
+        return [*effects, *told], frozenset(changes.parts.quarantined)
 
     def excluded_upstreams(
         self, request: state.Request, now: datetime.datetime
@@ -180,7 +176,10 @@
         crashed on it nor run another suspect: one to run it and one that
         remains for all other requests.
         """
-        if self._enabled and self._parts.is_quarantined(request.part_keys):
+        if self._enabled and (
+            self._evidence.parts.is_quarantined(request.part_keys)
+            or self._evidence.requests.is_quarantined((request.key,))
+        ):
             return DispatchDecision.QUARANTINED
         digest = request.arrival.digest
         status = self._registry.status(digest, now)
@@ -228,12 +227,17 @@
         leaving = self._pools.is_leaving(
             placed.upstream_id, placed.incarnation
         )
-        if request.part_keys and not leaving:
-            self._parts.record_failure(
-                (placed.upstream_id, placed.incarnation),
-                request.part_keys,
-                now,
+        if not leaving:
+            upstream = (placed.upstream_id, placed.incarnation)
+            self._evidence.requests.record_failure(
+                upstream, (request.key,), now
             )
+            if request.part_keys:
+                self._evidence.parts.record_failure(
+                    upstream, request.part_keys, now
+                )
+        if self._evidence.requests.was_served_recently(request.key, now):
+            return []
         suspected = messages.PoisonSuspected(
             digest=request.arrival.digest,
             upstream_id=attempt.placed.upstream_id,
@@ -265,9 +269,9 @@
         """Return the suspect and quarantined digests as plain data."""
         return self._registry.dump()
 
-    def dump_parts(self) -> dict[str, typing.Any]:
-        """Return the crashes by prompt part as plain data."""
-        return self._parts.dump("parts")
+    def dump_evidence(self) -> dict[str, typing.Any]:
+        """Return the crashes by prompt part and by request as plain data."""
+        return self._evidence.dump()
 
     def _serving_and_crashed(
         self, request: state.Request
@@ -301,23 +305,3 @@
             message.Send(address=address, message=event, urgent=True)
             for address in addresses
         ]
-
-    def _sync(self, now: datetime.datetime) -> Effects:
-        """Repeat the evidence to one router each interval.
-
-        It may have been cut off when the crashes were reported.
-        """
-        if not self._parts.quarantined or not self._peers:
-            return []
-        if self._sync_at is not None and now < self._sync_at:
-            return []
-        self._sync_at = now + crash_evidence.SYNC_INTERVAL
-        peer = self._rng.choice(sorted(self._peers))
-        return self._send_evidence(self._peers[peer].address, now)
-
-    def _send_evidence(self, address: str, now: datetime.datetime) -> Effects:
-        evidence = self._parts.evidence(now)
-        if not evidence or not self._enabled:
-            return []
-        event = messages.UpstreamsCrashed(crashes=evidence)
-        return [message.Send(address=address, message=event, urgent=True)]
--- a/fulmarbarrow/delivery/upstreams.py
+++ b/fulmarbarrow/delivery/upstreams.py
@@ -21,6 +21,11 @@
         if known is not None and known.incarnation <= event.incarnation:
             del self._upstreams[event.upstream_id]
 
+    def is_registered(self, upstream_id: str, incarnation: int) -> bool:
+        """Return whether an incarnation holds a lease, as far as is known."""
+        known = self._upstreams.get(upstream_id)
+        return known is not None and known.incarnation == incarnation
+
     def is_leaving(self, upstream_id: str, incarnation: int) -> bool:
         """Return whether an upstream has said that it leaves, or has left."""
         known = self._upstreams.get(upstream_id)
--- a/fulmarbarrow/observe/decisions.py
+++ b/fulmarbarrow/observe/decisions.py
@@ -10,6 +10,8 @@
 
 from fulmarbarrow import bus as buses
 from fulmarbarrow.consensus import messages as consensus_messages
+from fulmarbarrow.delivery import crash_evidence
+from fulmarbarrow.delivery import evidence_exchange
 from fulmarbarrow.delivery import messages as delivery_messages
 from fulmarbarrow.membership import messages as membership_messages
 from fulmarbarrow import message
@@ -62,6 +64,8 @@
         delivery_messages.CallerDisconnected,
         delivery_messages.PartQuarantined,
         delivery_messages.PartReleased,
+        delivery_messages.RequestQuarantined,
+        delivery_messages.RequestReleased,
         placement_messages.Placed,
         placement_messages.NotPlaced,
         membership_messages.Withdrawn,
@@ -122,7 +126,7 @@
             left_ms=(event.deadline - now) // MILLISECOND,
             cost=event.cost,
             rank=event.rank,
-            digest=event.digest[:DIGEST_CHARACTERS] or None,
+            digest=_digest(event.digest),
             parts=_names(event.parts),
         )
 
@@ -339,6 +343,29 @@
     ) -> None:
         log.warning("prompt part released", extra={"part": event.part})
 
+    @_on.register
+    def _(
+        self,
+        event: delivery_messages.RequestQuarantined,
+        now: datetime.datetime,
+    ) -> None:
+        log.warning(
+            "request quarantined",
+            extra={
+                "digest": event.key[:DIGEST_CHARACTERS],
+                "upstreams": list(event.upstreams),
+            },
+        )
+
+    @_on.register
+    def _(
+        self, event: delivery_messages.RequestReleased, now: datetime.datetime
+    ) -> None:
+        log.info(
+            "request released",
+            extra={"digest": event.key[:DIGEST_CHARACTERS]},
+        )
+
     @_on.register
     def _(
         self, event: membership_messages.Withdrawn, now: datetime.datetime
@@ -653,6 +680,14 @@
         )
 
 
+def _digest(digest: str) -> str | None:
+    """Return what lines show of a request's digest, as its quarantine does."""
+    if not digest:
+        return None
+    key = evidence_exchange.request_key(digest)
+    return crash_evidence.key_name(key)[:DIGEST_CHARACTERS]
+
+
 def _names(parts: tuple[tuple[str, int], ...]) -> list[str] | None:
     """Return the ids of the shared parts of a prompt, without the last.
 
