Take ids of events of up to 63 bits

Change: an id may be up to 2^63 - 2, so that the place after it is a signed 64-bit number. A constant of the quarantine gets a plainer name.

Measured: a stream and a resumed one with ids of 19 digits failed before and come whole now; the number of a request's field stays within 64 bits.

--- a/fulmarbarrow/delivery/poison.py
+++ b/fulmarbarrow/delivery/poison.py
@@ -13,7 +13,7 @@
 SUSPECT_DURATION = datetime.timedelta(minutes=1)
 QUARANTINE_DURATION = datetime.timedelta(minutes=10)
 # Until the evidence that all daemons share decides.
-BRIDGE_DURATION = datetime.timedelta(seconds=5)
+PROVISIONAL_QUARANTINE_DURATION = datetime.timedelta(seconds=5)
 CLEAR_AFTER = datetime.timedelta(seconds=3)
 MAX_DIGESTS = 10_000
 RUN_LEASE = datetime.timedelta(seconds=30)
--- a/fulmarbarrow/delivery/suspects.py
+++ b/fulmarbarrow/delivery/suspects.py
@@ -50,7 +50,7 @@
             quarantine=(
                 poison.QUARANTINE_DURATION
                 if isolate
-                else poison.BRIDGE_DURATION
+                else poison.PROVISIONAL_QUARANTINE_DURATION
             ),
         )
         self._evidence = evidence_exchange.EvidenceExchange(
--- a/fulmarbarrow/platform/clients.py
+++ b/fulmarbarrow/platform/clients.py
@@ -144,7 +144,7 @@
     now: datetime.datetime,
 ) -> messages.RequestArrived:
     parts = _parts(requests.header(request, headers.PROMPT_PREFIX))
-    last_event = dialect.natural(requests.header(request, headers.LAST_EVENT))
+    last_event = _last_event(request)
     left = _time_left(request, route)
     rank = route.rank if account.rank is None else account.rank
     return messages.RequestArrived(
@@ -179,6 +179,15 @@
     )
 
 
+def _last_event(request: http.Request) -> int | None:
+    """Return the id of the last event that a client has, None if none."""
+    number = dialect.natural(
+        requests.header(request, headers.LAST_EVENT),
+        max_digits=len(str(headers.MAX_EVENT_ID)),
+    )
+    return None if number is None else min(number, headers.MAX_EVENT_ID)
+
+
 def _time_to_start(
     route: bundles.HostRoute, left: datetime.timedelta
 ) -> datetime.timedelta:
--- a/fulmarbarrow/platform/features/path.feature
+++ b/fulmarbarrow/platform/features/path.feature
@@ -38,6 +38,7 @@
       | resumable | 10, 20, 30                               |
       | once      | 1, 3, 5                                  |
       | resumable | 0, 1, 5, 7, 1700000000000, 1700000000001 |
+      | once      | 1796662306000000000, 1796662306000000017 |
 
   Scenario Outline: A stream with the ids <ids> goes on elsewhere, where workers <fault>
     Given configuration 3 and workers "i-1 i-2" of the pool
@@ -67,6 +68,7 @@
       | go on      | 0, 10, 20, 30, 40  | 10   | 20, 30, 40     |
       | start over | 0, 1, 2, 3, 4      | 0    | 1, 2, 3, 4     |
       | start over | 5, 10, 20, 30, 40  | 10   | 20, 30, 40     |
+      | go on      | 1796662306000000000, 1796662306000000017, 1796662306000000020 | 1796662306000000000 | 1796662306000000017, 1796662306000000020 |
 
   Scenario Outline: A broken-off stream with the ids <ids> has its events and no end
     Given configuration 3 and workers "i-1 i-2" of the pool
--- a/fulmarbarrow/platform/features/workers.feature
+++ b/fulmarbarrow/platform/features/workers.feature
@@ -112,6 +112,11 @@
     When the bytes "id: 0\ndata: x\n\nid: 10\ndata: x\n\nid: 13\ndata: x\n\n" arrive
     Then the events 0, 10, 13 are passed on as they came
 
+  Scenario: Ids of events may have up to 63 bits
+    Given a stream of a worker
+    When the bytes "id: 1796662306000000000\ndata: x\n\nid: 9223372036854775806\ndata: x\n\n" arrive
+    Then the events 1796662306000000000, 9223372036854775806 are passed on as they came
+
   Scenario Outline: A stream whose events can't be told apart is broken
     Given a stream of a worker
     When the bytes "<bytes>" arrive
@@ -122,7 +127,8 @@
       | id: 3\ndata: a\n\nid: 1\ndata: c\n\n |
       | id: 3\ndata: a\n\nid: 3\ndata: c\n\n |
       | data: without an id\n\n             |
-      | id: 1111111111111111111\ndata: a\n\n |
+      | id: 9223372036854775807\ndata: a\n\n |
+      | id: 11111111111111111111\ndata: a\n\n |
 
   Scenario: An id with more digits than a number may have breaks the stream
     Given a stream of a worker
--- a/fulmarbarrow/platform/headers.py
+++ b/fulmarbarrow/platform/headers.py
@@ -12,6 +12,9 @@
 PROMPT_PREFIX = "X-Prompt-Prefix"  # all parts of the prompt, not a prefix
 LENGTH_HINT = "X-Length-Hint"
 LAST_EVENT = "Last-Event-Id"
+MAX_EVENT_ID = (
+    2**63 - 2
+)  # the place after it still fits a signed 64-bit number
 TENANT = "X-Tenant"
 EXPECTED_INSTANCE = "X-Expected-Instance"
 PRIORITY = "X-Request-Priority"
--- a/fulmarbarrow/platform/workers.py
+++ b/fulmarbarrow/platform/workers.py
@@ -24,8 +24,7 @@
 MAX_HOLD_OFF = datetime.timedelta(minutes=10)
 
 _RATE = re.compile(r"[0-9]{1,9}(?:\.[0-9]{0,9})?")
-# More digits than a 64-bit number has are no id of an event.
-_EVENT_ID = re.compile(rb"(?:^|\n)id: ?(\d{1,18})(?!\d)")
+_EVENT_ID = re.compile(rb"(?:^|\n)id: ?(\d{1,19})(?!\d)")
 
 
 class Workers:
@@ -220,6 +219,8 @@
         if found is None:
             raise sse.BrokenStreamError("an event has no id")
         number = int(found.group(1))
+        if number > headers.MAX_EVENT_ID:
+            raise sse.BrokenStreamError("an event's id has too many digits")
         if number <= self._last:
             raise sse.BrokenStreamError(f"event {number} after {self._last}")
         self._last = number
