Drop a crash under a request once its upstream renews its lease

The count of a router by itself drops a crash when the lease of its upstream is renewed 3 s later; the shared evidence waited 30 s. Where suspects are isolated two crashes quarantine, so the second one did.

Change: a renewal drops the crash from the evidence, too, at the router that holds the lease, if that incarnation is still registered there: a heartbeat that was held back proves nothing.

--- a/fulmarbarrow/delivery/crash_evidence.py
+++ b/fulmarbarrow/delivery/crash_evidence.py
@@ -175,11 +175,14 @@
     def disprove(
         self,
         upstream: _Incarnation,
+        crashed_before: datetime.datetime,
         now: datetime.datetime,
     ) -> None:
-        """Record that an incarnation has outlived its supposed crash."""
+        """Record that an incarnation outlived a crash before that time."""
         crash = self._crashes.get(upstream)
-        if crash is not None and not crash.disproved:
+        if crash is None or crash.disproved:
+            return
+        if crash.at < crashed_before:
             crash.disproved = True
             self._counts_outdated = True
             self._plan_evaluation(now)
--- a/fulmarbarrow/delivery/evidence_exchange.py
+++ b/fulmarbarrow/delivery/evidence_exchange.py
@@ -25,6 +25,8 @@
 CONTROL_ROLE = "control"
 # Daemons of which one that starts hears of what is quarantined, on average.
 SYNC_SENDERS = 8
+# An upstream that renews its lease so long after a crash has not crashed.
+RENEWED_AFTER = datetime.timedelta(seconds=3)
 # All routers have then heard that the lease of an upstream that crashed ended.
 LEASE_ENDED_AFTER = datetime.timedelta(seconds=30)
 # As many as an upstream runs, and queues, at once.
@@ -114,6 +116,8 @@
             daemon.state,
         ):
             return []
+        if not self._has_quarantined:
+            return []
         # Some daemons of a large fleet are enough to tell a new one.
         if self._rng.random() * len(self._peers) < SYNC_SENDERS:
             return self._send_evidence(daemon.address, now)
@@ -137,6 +141,19 @@
             case messages.RequestsServed():
                 self.requests.merge_served(event.requests, now)
 
+    def record_renewal(
+        self, upstream_id: str, incarnation: int, now: datetime.datetime
+    ) -> None:
+        """Record that an upstream has renewed its lease.
+
+        Only the router that holds the lease sees that. A renewal that comes
+        late, once the incarnation has been replaced, proves nothing.
+        """
+        if self._registered.is_registered(upstream_id, incarnation):
+            self.requests.disprove(
+                (upstream_id, incarnation), now - RENEWED_AFTER, now
+            )
+
     def work(self, now: datetime.datetime) -> tuple[Effects, Changes]:
         """Return what is due to be told, and what changes by the evidence."""
         changes = Changes(
@@ -157,9 +174,10 @@
     ) -> crash_evidence.QuarantineChanges:
         if evidence.due is None or now < evidence.due:
             return crash_evidence.QuarantineChanges()
-        for upstream in evidence.crashed_before(now - LEASE_ENDED_AFTER):
+        before = now - LEASE_ENDED_AFTER
+        for upstream in evidence.crashed_before(before):
             if self._registered.is_registered(*upstream):
-                evidence.disprove(upstream, now)
+                evidence.disprove(upstream, before, now)
         return evidence.evaluate(now)
 
     def _collect(self, now: datetime.datetime) -> Effects:
@@ -182,15 +200,17 @@
             for address in self._addresses
         ]
 
+    @property
+    def _has_quarantined(self) -> bool:
+        return bool(self.parts.quarantined or self.requests.quarantined)
+
     @property
     def _addresses(self) -> list[str]:
         return sorted(peer.address for peer in self._peers.values())
 
     def _sync(self, now: datetime.datetime) -> Effects:
         """Repeat the evidence to one daemon each interval."""
-        if not self._peers or not (
-            self.parts.quarantined or self.requests.quarantined
-        ):
+        if not self._peers or not self._has_quarantined:
             return []
         if self._sync_at is not None and now < self._sync_at:
             return []
--- a/fulmarbarrow/delivery/features/evidence.feature
+++ b/fulmarbarrow/delivery/features/evidence.feature
@@ -8,6 +8,20 @@
     Then at 1 s "a" is quarantined
     And at 40 s nothing is quarantined
 
+  # Guards against a stream that is refused as its second connection breaks,
+  # though the upstream of the first has been seen to live.
+  Scenario: A crash under a request is dropped once its upstream renews its lease
+    Given a router whose upstreams live on
+    When upstreams crash under the request "a" at 0, 5000 and 6000 ms
+    And the first of them renews its lease at 4 s
+    Then at 8 s nothing is quarantined
+
+  Scenario: A late renewal of an upstream that is gone proves nothing
+    Given a router whose upstreams are gone
+    When upstreams crash under the request "a" at 0, 5000 and 6000 ms
+    And the first of them renews its lease at 4 s
+    Then at 8 s "a" is quarantined
+
   Scenario: A request whose upstreams have crashed stays quarantined
     Given a router whose upstreams are gone
     When upstreams crash under the request "a" at 0, 20 and 40 ms
--- a/fulmarbarrow/delivery/features/steps/evidence.py
+++ b/fulmarbarrow/delivery/features/steps/evidence.py
@@ -201,6 +201,14 @@
         report(context, [name], 1_000 * at, age * SECOND)
 
 
+@behave.when("the first of them renews its lease at {at:d} s")
+def step_renewed(context, at):
+    exchange = context.daemon.exchange
+    context.daemon.plan(
+        1_000 * at, lambda now: exchange.record_renewal("engine-1", 1, now)
+    )
+
+
 @behave.when("a {role} starts at {at:d} s")
 def step_starts(context, role, at):
     exchange = context.daemon.exchange
--- a/fulmarbarrow/delivery/suspects.py
+++ b/fulmarbarrow/delivery/suspects.py
@@ -80,6 +80,9 @@
     ) -> None:
         """Handle a load report, which proves that the incarnation is alive."""
         self._registry.clear_crashes(event.upstream_id, event.incarnation, now)
+        self._evidence.record_renewal(
+            event.upstream_id, event.incarnation, now
+        )
 
     def handle_peer_message(
         self,
