--- a/benchmarks/delivery_poison_requests.py
+++ b/benchmarks/delivery_poison_requests.py
@@ -115,7 +115,7 @@
             caller.answered
             for at, caller in self._sound
             if due < at < world.now - callers.DEADLINE
-            and self._router_lives(caller)
+            and self._router_was_kept(caller)
         ]
         return Outcome(
             crashes=len(self._crashed_at),
@@ -123,7 +123,7 @@
             served=sum(sound) / len(sound),
         )
 
-    def _router_lives(self, caller: callers.Caller) -> bool:
+    def _router_was_kept(self, caller: callers.Caller) -> bool:
         (sending,) = caller.sendings.values()
         return caller.answered or sending.node in self._world.routers
 
--- a/fulmarbarrow/delivery/crash_evidence.py
+++ b/fulmarbarrow/delivery/crash_evidence.py
@@ -37,7 +37,7 @@
 # When other routers are told again of a key that completed, if one of them
 # still reports its crashes.
 TELL_AGAIN = datetime.timedelta(seconds=2)
-# Between looks at whether upstreams have outlived their supposed crashes.
+# Between checks whether upstreams that seemed to crash are still registered.
 REVIEW_INTERVAL = datetime.timedelta(seconds=5)
 SYNC_INTERVAL = datetime.timedelta(seconds=1)
 MAX_CRASHES = 128
@@ -178,7 +178,7 @@
         crashed_before: datetime.datetime,
         now: datetime.datetime,
     ) -> None:
-        """Record that an incarnation outlived a crash before that time."""
+        """Record that an incarnation has not crashed before that time."""
         crash = self._crashes.get(upstream)
         if crash is None or crash.disproved:
             return
--- a/fulmarbarrow/delivery/evidence_exchange.py
+++ b/fulmarbarrow/delivery/evidence_exchange.py
@@ -1,9 +1,9 @@
 """Evidence of what crashes upstreams, shared among daemons.
 
 Routers see crashes and completed runs. Control hosts keep the evidence too, so
-that it outlives all routers. A daemon that starts or returns is sent what is
-quarantined, and so is one at random each interval, as it may have been cut off
-when the crashes were reported.
+that it survives the loss of all routers. A daemon that starts or returns is
+sent what is quarantined, and so is one at random each interval, as it may have
+been cut off when the crashes were reported.
 """
 
 from __future__ import annotations
--- a/fulmarbarrow/delivery/evidence_keeper.py
+++ b/fulmarbarrow/delivery/evidence_keeper.py
@@ -18,7 +18,7 @@
 class EvidenceKeeper:
     """Takes part in the exchange of evidence without serving requests.
 
-    So the evidence outlives the routers, should all of them stop at once.
+    So the evidence survives if all routers stop at once.
     """
 
     handles = (
--- a/fulmarbarrow/delivery/features/evidence.feature
+++ b/fulmarbarrow/delivery/features/evidence.feature
@@ -1,17 +1,17 @@
 Feature: Daemons share evidence of requests that crash upstreams
 
-  # Guards against sound requests that stay refused for connections that broke
-  # at upstreams which live on.
-  Scenario: A request whose upstreams outlive their supposed crashes is released
-    Given a router whose upstreams live on
+  # Guards against sound requests that stay refused after connections broke at
+  # upstreams that have not crashed.
+  Scenario: A request whose upstreams have not crashed after all is released
+    Given a router whose upstreams stay registered
     When upstreams crash under the request "a" at 0, 20 and 40 ms
     Then at 1 s "a" is quarantined
     And at 40 s nothing is quarantined
 
   # Guards against a stream that is refused as its second connection breaks,
-  # though the upstream of the first has been seen to live.
+  # though the upstream of the first has renewed its lease.
   Scenario: A crash under a request is dropped once its upstream renews its lease
-    Given a router whose upstreams live on
+    Given a router whose upstreams stay registered
     When upstreams crash under the request "a" at 0, 5000 and 6000 ms
     And the first of them renews its lease at 4 s
     Then at 8 s nothing is quarantined
@@ -31,12 +31,12 @@
 
   # Guards against old evidence that locks out a sound request at a router that
   # learns of it late.
-  Scenario: Evidence that comes late is held against what lives
-    Given a router whose upstreams live on
+  Scenario: Evidence that comes late does not count crashes of registered upstreams
+    Given a router whose upstreams stay registered
     When a peer tells at 1 s of crashes under the request "a", 40 s ago
     Then at 2 s nothing is quarantined
 
-  Scenario: A daemon that missed the word of a sound request is told again
+  Scenario: A daemon that missed that a request completed is told again
     Given a router whose upstreams are gone
     When upstreams crash under the request "a" at 0 and 100 ms
     And a run of the request "a" completes at 500 ms
--- a/fulmarbarrow/delivery/features/requests.feature
+++ b/fulmarbarrow/delivery/features/requests.feature
@@ -71,7 +71,7 @@
 
   # Guards against sound look-ups that are refused, as upstreams that failed at
   # once or were lost by others ran them.
-  Scenario: A look-up that comes alike again and again outlives crashes at once
+  Scenario: A look-up that comes alike again and again is served after crashes at once
     Given suspects run beside other requests, and 6 registers
     When look-ups that are alike go on, and 3 registers crash at once, 3 times
     Then no digest is quarantined on any router
--- a/fulmarbarrow/delivery/features/steps/evidence.py
+++ b/fulmarbarrow/delivery/features/steps/evidence.py
@@ -31,11 +31,11 @@
 class Upstreams:
     """Upstreams of which all hold their lease, or none does."""
 
-    def __init__(self, *, live):
-        self._live = live
+    def __init__(self, *, registered):
+        self._registered = registered
 
     def is_registered(self, upstream_id, incarnation):
-        return self._live
+        return self._registered
 
 
 class Daemon:
@@ -98,7 +98,7 @@
     exchange = evidence_exchange.EvidenceExchange(
         rng=random.Random(1),
         crash_limit=3,
-        registered=Upstreams(live=fate == "live on"),
+        registered=Upstreams(registered=fate == "stay registered"),
     )
     exchange.update_daemon(peer("entry-2", "router"), NOW)
     context.daemon = Daemon(
