Alternate the requests of a rollout's slack between the versions

Cause: the slack was used first, so that with one router the first 50 requests after an order all went to the new version. Its times were compared with those that the old version had later; a slow second at the start made it look slow.

Change: requests that only the slack allows alternate with requests to the old version, so both are observed under the same load.

--- a/fulmarbarrow/placement/trials.py
+++ b/fulmarbarrow/placement/trials.py
@@ -26,6 +26,7 @@
         self.versions = versions
         self.requests = 0
         self.sent = 0
+        self._sent_last = False
         self._seen: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
@@ -60,7 +61,8 @@
             return request.version
         if not versions.move_id:
             return ""
-        if new_usable and self._may_send(request):
+        self._sent_last = new_usable and self._may_send(request)
+        if self._sent_last:
             self.sent += 1
             return versions.new
         return versions.old
@@ -68,6 +70,7 @@
     def take_back(self) -> str:
         """Undo a selection that was not sent; return the other version."""
         self.sent -= 1
+        self._sent_last = False
         return self.versions.old
 
     def _may_send(self, request: messages.PlaceRequest) -> bool:
@@ -77,7 +80,11 @@
         # A request that has failed already is not risked again.
         if request.excluded or versions.share <= 0:
             return False
-        limit = versions.share * self.requests + versions.slack
+        limit = versions.share * self.requests
+        # Requests of the slack alternate between the versions, so that both
+        # are compared under the same load.
+        if not self._sent_last:
+            limit += versions.slack
         if self.sent + 1 > limit:
             return False
         if not request.model:
--- a/fulmarbarrow/platform/features/steps/rollouts.py
+++ b/fulmarbarrow/platform/features/steps/rollouts.py
@@ -96,7 +96,12 @@
     )
     status, body, _ = tell(context, service)
     assert status == 200, status
-    assert json.loads(body) == expected, body
+    steps = [
+        line
+        for line in context.daemon.lines()
+        if line.get("text", "").startswith("rollout ")
+    ]
+    assert json.loads(body) == expected, (body, steps)
 
 
 @behave.when('clients send lookups until the rollout of "{service}" has ended')
--- a/fulmarbarrow/versions/features/rollouts.feature
+++ b/fulmarbarrow/versions/features/rollouts.feature
@@ -56,6 +56,31 @@
     And it runs for 9 seconds
     Then the rollout to v2 is completed before its deadline
 
+  # Guards against a rollback because both versions were slow at the start,
+  # when the slack sent all requests to the new one.
+  Scenario Outline: Slowness of both versions is no reason to stop one
+    Given a fleet of <routers> routers with <rate> requests a second
+    And both versions take <factor> times as long until <seconds> s after the order
+    When a rollout to v2 in 12 seconds is ordered
+    And it runs for 12 seconds
+    Then the rollout to v2 is completed before its deadline
+    And the exposure never exceeded its bound before the move
+
+    Examples:
+      | routers | rate | factor | seconds |
+      | 1       | 30   | 3      | 1       |
+      | 1       | 100  | 3      | 0.5     |
+      | 8       | 100  | 3      | 1       |
+
+  # Guards against a rollback because one route's slow responses were by chance
+  # those of the new version.
+  Scenario: Slowness of both versions counts the same with few requests a route
+    Given a fleet of 1 routers with 30 requests a second
+    And both versions take 3 times as long until 2 s after the order
+    When a rollout to v2 in 12 seconds is ordered
+    And it runs for 12 seconds
+    Then the rollout to v2 is completed before its deadline
+
   # Guards against a move that a new leader restarts, shortens or forgets.
   Scenario Outline: A leader that is lost after <at> seconds changes nothing
     Given a fleet of 8 routers with 400 requests a second
--- a/fulmarbarrow/versions/features/steps/rollouts.py
+++ b/fulmarbarrow/versions/features/steps/rollouts.py
@@ -54,6 +54,7 @@
         self.rng = random.Random(1)
         self.now, self.rate = START, rate
         self.faults = {"service": "is good", "other": "is good"}
+        self.load = (1.0, 0.0)  # factor on all times, seconds from the order
         self.services = ["service"]
         self.starts_none = False
         self.skews = {}  # seconds by which a host's wall clock is ahead
@@ -334,6 +335,8 @@
         elif self.rng.random() < 0.005:
             bad = bad or "error"
         seconds = self.rng.uniform(0.1, 0.4) * (2 if bad == "slow" else 1)
+        if since < self.load[1]:
+            seconds *= self.load[0]
         outcome, status = OUTCOME.COMPLETED, 200
         if bad in ("fails", "error"):
             outcome = OUTCOME.FAILED
@@ -416,6 +419,14 @@
     context.fleet.faults["service"] = fault
 
 
+@behave.given(
+    "both versions take {factor:g} times as long until {seconds:g} s after the"
+    " order"
+)
+def step_load(context, factor, seconds):
+    context.fleet.load = (factor, seconds)
+
+
 @behave.given("the first {names} are lost")
 def step_lost(context, names):
     context.fleet.lost = names
