--- a/fulmarbarrow/delivery/crash_evidence.py
+++ b/fulmarbarrow/delivery/crash_evidence.py
@@ -538,7 +538,7 @@
 
 
 def key_name(key: int) -> str:
-    """Return a key's key as logs and dumps show it."""
+    """Return a key as logs and dumps show it."""
     return f"{key:0{2 * KEY_BYTES}x}"
 
 
